--- a/cmd/slateridge/main.go
+++ b/cmd/slateridge/main.go
@@ -108,7 +108,7 @@
 
 func (headworksCmd) Run() error {
 	path := os.Getenv(sill.EnvFile)
-	set, err := sill.Load(path, "controlPlane", "dataDirectory")
+	set, err := sill.Load(path, "controlPlane")
 	if err != nil {
 		return usageError{err}
 	}
--- a/internal/cistern/cistern.go
+++ b/internal/cistern/cistern.go
@@ -33,7 +33,7 @@
 
 // Cistern is the store: one value per key, replaced whole.
 type Cistern struct {
-	dir  string
+	dir  string // empty: nothing outlasts the process
 	db   *buntdb.DB
 	f    *os.File // the same file, for syncs whose outcome we see
 	sick bool
@@ -68,6 +68,9 @@
 	return c, len(c.vals) == 0, nil
 }
 
+// Volatile is a store for a machine without a disk.
+func Volatile() *Cistern { return &Cistern{vals: map[string]string{}} }
+
 func (c *Cistern) open() error {
 	path := filepath.Join(c.dir, fileName)
 	_, statErr := os.Stat(path)
@@ -84,12 +87,17 @@
 		db.Close()
 		return err
 	}
+	// The folder is synced at every opening: a life that was killed between the
+	// renaming of a rewritten file and the sync of the folder leaves a name that
+	// a loss of power would undo, and with it all that is promised from now on.
+	err = syncDir(c.dir)
 	if statErr != nil {
-		if err := errors.Join(f.Sync(), syncDir(c.dir)); err != nil {
-			f.Close()
-			db.Close()
-			return err
-		}
+		err = errors.Join(f.Sync(), err)
+	}
+	if err != nil {
+		f.Close()
+		db.Close()
+		return err
 	}
 	c.db, c.f = db, f
 	return nil
@@ -193,6 +201,10 @@
 		panic(fmt.Sprintf("cistern: %s cannot be encoded: %v", key, err)) // a broken invariant: our own type
 	}
 	body := b.String()
+	if c.dir == "" {
+		c.vals[key] = body
+		return nil
+	}
 	err := c.db.Update(func(tx *buntdb.Tx) error {
 		_, _, err := tx.Set(key, seal(body), nil)
 		return err
@@ -253,4 +265,9 @@
 }
 
 // Close releases the files.
-func (c *Cistern) Close() { c.f.Close(); c.db.Close() }
+func (c *Cistern) Close() {
+	if c.dir != "" {
+		c.f.Close()
+		c.db.Close()
+	}
+}
--- a/internal/datum/datum.go
+++ b/internal/datum/datum.go
@@ -38,7 +38,8 @@
 	SubmitWait     = 900 * time.Millisecond  // an operator moves on after a second of silence; answer before it
 	StartQuiet     = 2500 * time.Millisecond // processes start unevenly; silence before this is no verdict
 	ConfigMax      = 3 << 20                 // bytes of a configuration; fits a frame between own processes
-	OrderedMembers = 3                       // machines that agree on the view
+	PassBytes      = 4 << 20                 // bytes a second that a state moves down the chain, sync and coding included
+	OrderIDs       = 8                       // latest orders remembered by zone; whoever sent one asks within SubmitWait
 )
 
 // Leases of single duties.
@@ -47,20 +48,23 @@
 	LeaseMargin = 300 * time.Millisecond  // a grant outlives the holder's own reckoning by this
 	LeaseTick   = 100 * time.Millisecond  // the machine's step, a quarter of the renewal
 	LeaseRenew  = 300 * time.Millisecond  // three tries inside a lease
-	TrackerDuty = 3                       // shards of throttle keys; one for each disk machine
+	TrackerDuty = 3                       // shards of throttle keys for each machine that may be lost
 )
 
 // News to the data plane.
 const (
 	TapEvery      = 400 * time.Millisecond  // heartbeat on the held connection in the own zone
 	TapEveryFar   = 1200 * time.Millisecond // on the others; bytes between zones are priced, pushes come at once anyway
+	TapCount      = 3                       // control machines a proxy taps that speak and hear a majority; more cost words, fewer leave a gap when one goes
+	KeptStates    = 8                       // configurations and lists kept to tell differences from: several polls
 	TapSilence    = 1800 * time.Millisecond // a connection that answered nothing so long is dropped
 	ProxyForget   = 60 * time.Second        // a proxy unheard so long leaves the live count
 	NewsCurrent   = 3 * time.Second         // news older than this is not "known to be current" at start
 	RosterEvery   = time.Second             // control machines tell each other the proxies they know
+	RosterFar     = 3                       // times as long between words to other regions: bytes there are dear
 	RosterQuiet   = 3 * time.Second         // at the very first start the count is told only after all had time to come
 	PollEvery     = 600 * time.Millisecond  // the platform's list; a quarter of the drain bound, and calls are priced
-	ListStride    = 1000                    // a new reader of the list starts its numbers so far above those it has heard of
+	ListStride    = 1 << 32                 // a new reader of the list begins in the next such span, at a number drawn by lot
 	PollTimeout   = 1200 * time.Millisecond // two polls
 	PullAfter     = 120 * time.Millisecond  // a change announced elsewhere is fetched there if it has not come so long after
 	SelfPollAfter = 4 * time.Second         // a proxy that hears no headworks so long polls for itself
@@ -75,12 +79,15 @@
 	IdleDefault     = 4 * time.Second         // idle upstream connections when no Keep-Alive told more
 	IdleSafety      = 1500 * time.Millisecond // retire this long before the upstream would close
 	ConnShare       = 0.8                     // part of maxConnections used by all proxies together
+	FewUpstreams    = 16                      // of a service, near ones first, that a proxy turns to before any other: with few requests over many upstreams every one would cost a new connection, and nothing learned would last
 	OutfallCap      = 2                       // requests one proxy has at one upstream, while it answers at its usual speed
 	OutfallCapSlow  = 1                       // and while it does not
 	SlowFactor      = 2.5                     // times the usual delay that count as slow
 	FirstDelay      = 80 * time.Millisecond   // assumed delay of an upstream nobody has asked
 	DelayWeight     = 0.2                     // weight of a new answer in the running mean
 	ZonePenalty     = 30 * time.Millisecond   // another zone must be this much faster to be worth the bytes
+	RegionPenalty   = 400 * time.Millisecond  // likewise another region, whose bytes cost seven times as much and take a round trip
+	LoadFresh       = time.Second             // what an upstream told of its load counts so long
 	NewConnPenalty  = 4 * time.Millisecond    // a new connection costs a handshake
 	DelayFade       = 6 * time.Second         // what was learned of an upstream's delay fades so fast
 	ChoiceNoise     = 0.15                    // proxies that know the same must not all choose the same
@@ -122,10 +129,13 @@
 	RestartTime    = 250 * time.Millisecond  // least time between the end of a process's life and the next one's birth; buckets fill from there
 	LendKeep       = 1.2                     // times the demand seen that a proxy keeps of its split share; the rest is lent to the tracker
 	LendMost       = 0.8                     // part of the split share lent at most: what stays serves at once when the tracker is lost
+	LendLong       = 9 * time.Second         // likewise for a share that could not serve where it is: it is missed nowhere, and telling of it costs a word a key and proxy
+	TinyShare      = 8.0                     // requests: a split share that holds fewer is lent whole, where floors do not fit the slack; at 2 large tenants of a large fleet were refused 7% of first tries
 	LendLength     = 1500 * time.Millisecond // a loan ends so long after it was last told of; a proxy that is cut off has its share back by then
 	HotRate        = 8.0                     // requests a second at one proxy from which a key is hot and its rate leased
 	GrantEvery     = 250 * time.Millisecond  // proxies report demand and renew
-	GrantWait      = 25 * time.Millisecond   // a request may wait so long for tokens from its tracker
+	GrantWait      = 80 * time.Millisecond   // a request may wait so long for tokens from its tracker: a busy one answers late, and a refusal costs the client more
+	AskAgain       = 40 * time.Millisecond   // pause after a question that brought no answer, for a key that its tracker alone carries
 	GrantHeadroom  = 1.3                     // asked over the demand seen
 	FastBucketTime = time.Second             // the second bucket holds this much of the key's rate
 	FastBucketRate = 2.0                     // and fills this many times faster than the rate
@@ -134,6 +144,19 @@
 	DemandWeight   = 0.08                    // weight of the newest period in demand: a client's few quick requests are no trend
 )
 
+// Directory.
+const (
+	LookupTTL      = 1500 * time.Millisecond // an answer is used up to three times as long, and a leaving proxy serves on for that
+	GazetteerQuiet = 1500 * time.Millisecond // a process that has just started has not heard all yet
+	PlaceFresh     = 5 * time.Second         // a proxy unheard so long leaves the answers: longer than the slowest way its word takes
+	AnswerFresh    = 500 * time.Millisecond  // an answer is made anew after so long even if nobody spoke
+	AnswersKept    = 256                     // zones are few; made-up ones must not fill memory
+	AnswerMost     = 64                      // addresses a client takes
+	AnswerLeast    = 2                       // addresses, so that one that fails leaves another
+	ZoneEnough     = 0.6                     // part of a zone's proxies that carries the zone at its usual load
+	LeaveSpare     = 300 * time.Millisecond  // beyond the longest use of an answer
+)
+
 // Disk.
 const (
 	StoreShrinkAt = 4 << 20 // bytes of the store's file at which it is rewritten; a sixteenth of the smallest disk seen
--- a/internal/headworks/admin.go
+++ b/internal/headworks/admin.go
@@ -24,6 +24,7 @@
 	ListNum   uint64
 	ListAge   time.Duration
 	Upstreams int
+	Evacuated []string
 	Live      int
 	Proxies   []penstock.ProxyState
 	Acked     int
@@ -39,7 +40,7 @@
 	f := d.face()
 	r := Report{Role: "headworks", Node: d.set.NodeName, Chain: *d.status.Load(), Current: f.Current, Duties: map[string]string{},
 		ListNum: f.ListNum, ListAge: f.ListAge, Live: f.Proxies, Proxies: d.pen.Proxies(), Leased: d.gates.Held(d.now()),
-		Members: d.staff.Members(), Events: d.book.Latest(20), Tallies: d.book.Tallies()}
+		Members: d.staff.Members(), Evacuated: f.Evacuated, Events: d.book.Latest(20), Tallies: d.book.Tallies()}
 	if f.Upstreams != nil {
 		r.Upstreams = len(f.Upstreams.Instances)
 	}
@@ -66,8 +67,12 @@
 	g("view_sealed", gaugeboard.Flag(r.Chain.Sealed))
 	g("disk_sick", gaugeboard.Flag(r.Chain.Sick))
 	g("majority_heard", gaugeboard.Flag(r.Current))
-	g("config_version", r.Chain.Committed)
-	g("config_version_held", r.Chain.Held)
+	g("config_version", r.Chain.Version)
+	g("state_committed", r.Chain.Committed.Num())
+	g("state_held", r.Chain.Held.Num())
+	g("view_voters", uint64(len(r.Chain.View.Voters)))
+	g("zones_evacuated", uint64(len(r.Evacuated)))
+	g("relay", gaugeboard.Flag(r.Chain.Relay))
 	g("config_acknowledged_proxies", uint64(r.Acked))
 	g("connected_proxies", uint64(len(r.Proxies)))
 	g("live_proxies", uint64(r.Live))
@@ -89,7 +94,7 @@
 func (r Report) Late() []string {
 	var out []string
 	for _, p := range r.Proxies {
-		if p.Version < r.Chain.Committed && p.Silent < datum.ProxyForget {
+		if p.Version < r.Chain.Version && p.Silent < datum.ProxyForget {
 			out = append(out, p.Name)
 		}
 	}
--- a/internal/headworks/api.go
+++ b/internal/headworks/api.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -34,6 +35,8 @@
 			call = d.replace
 		case "configuration.describe":
 			call = d.describe
+		case "evacuations.start", "evacuations.stop":
+			call = d.evacuate
 		default:
 			fail(w, http.StatusNotFound, why(fmt.Sprintf("call %q is not known", name)))
 			return
@@ -110,7 +113,7 @@
 	d.step(func() []any { return d.chain.Read(d.now(), id) })
 	select {
 	case doc := <-ch:
-		if doc == nil {
+		if doc == nil || doc.Raw == nil {
 			fail(w, http.StatusNotFound, why("no configuration has been sent yet"))
 			return
 		}
@@ -121,3 +124,39 @@
 		fail(w, http.StatusServiceUnavailable, why("the chain's tail did not confirm in time"))
 	}
 }
+
+// evacuate takes the order to send nothing more to a zone's upstreams, or to
+// take the zone back. It is acknowledged once the state that holds it is
+// committed; a repeat is a new order with the same effect.
+func (d *Daemon) evacuate(w http.ResponseWriter, r *http.Request) {
+	zone := r.URL.Query().Get("of")
+	if zone == "" {
+		fail(w, http.StatusBadRequest, why("of=ZONE is missing"))
+		return
+	}
+	if _, ok := d.set.Zones[zone]; !ok && zone != d.set.Zone {
+		fail(w, http.StatusBadRequest, why(fmt.Sprintf("zone %q is not known", zone)))
+		return
+	}
+	id, ch := rand.Uint64(), make(chan struct{})
+	d.waitMu.Lock()
+	d.orders[id] = ch
+	d.waitMu.Unlock()
+	defer func() {
+		d.waitMu.Lock()
+		delete(d.orders, id)
+		d.waitMu.Unlock()
+	}()
+	on := r.URL.Query().Get("call") == "evacuations.start"
+	d.step(func() []any { return d.chain.Evacuate(d.now(), id, zone, on) })
+	t := time.NewTimer(datum.SubmitWait)
+	defer t.Stop()
+	select {
+	case <-ch:
+		w.Header().Set("Content-Type", "application/json")
+		json.NewEncoder(w).Encode(map[string]any{"zone": zone, "evacuated": on})
+	case <-t.C:
+		w.Header().Set("Retry-After", "1")
+		fail(w, http.StatusServiceUnavailable, why("not acknowledged by every member in time; it may or may not come into force"))
+	}
+}
--- a/internal/headworks/chain.go
+++ b/internal/headworks/chain.go
@@ -23,12 +23,27 @@
 	Incarnation uint64
 }
 
-// View is the agreed chain. Start is the version all its members held when it
-// was agreed.
+// View is the agreed chain. Voters are the machines that agree on the view after
+// it, members or not; Epoch is the number of the view that last changed their
+// addresses. Start is the state all members held when the view was agreed.
 type View struct {
 	Num     uint64
 	Members []Member
-	Start   uint64
+	Voters  []Member
+	Epoch   uint64
+	Start   scheme.Stamp
+}
+
+func (v View) votes(m Member) bool { return slices.Contains(v.Voters, m) }
+
+// VoterAddrs lists the voters' addresses, sorted.
+func (v View) VoterAddrs() []string {
+	var out []string
+	for _, m := range v.Voters {
+		out = append(out, m.Addr)
+	}
+	sort.Strings(out)
+	return out
 }
 
 func (v View) index(addr string) int {
@@ -55,13 +70,16 @@
 		View            View
 		Joined, Sealed  bool
 		Sick            bool
-		Committed, Held uint64
+		Zone, Region    string
+		Relay           bool // has no say: it has no disk, or is not counted
+		Committed, Held scheme.Stamp
+		Version         uint64 // of the configuration in force
 	}
 	// Prepare asks for a promise, which seals the view before the slot.
 	Prepare struct {
 		Slot   uint64
 		Ballot Ballot
-		Held   uint64
+		Held   scheme.Stamp
 	}
 	Promise struct {
 		Slot     uint64
@@ -70,7 +88,7 @@
 		Accepted Ballot // zero: nothing accepted
 		View     View
 		Held     *scheme.Doc // when newer than the asker's
-		HeldVer  uint64
+		HeldAt   scheme.Stamp
 	}
 	// Nack tells a proposer of a higher ballot.
 	Nack struct {
@@ -84,11 +102,11 @@
 		Doc    *scheme.Doc
 	}
 	Synced struct {
-		Slot    uint64
-		Ballot  Ballot
-		Me      Member
-		HeldVer uint64
-		Held    *scheme.Doc // when newer
+		Slot   uint64
+		Ballot Ballot
+		Me     Member
+		HeldAt scheme.Stamp
+		Held   *scheme.Doc // when newer
 	}
 	Accept struct {
 		Slot   uint64
@@ -98,6 +116,7 @@
 	Accepted struct {
 		Slot   uint64
 		Ballot Ballot
+		Me     Member
 	}
 	Decide struct{ View View }
 	// Pass hands a version down the chain.
@@ -106,14 +125,26 @@
 		Doc  scheme.Doc
 	}
 	// Ack tells all members what the tail has committed.
-	Ack struct{ View, Version uint64 }
+	Ack struct {
+		View  uint64
+		Stamp scheme.Stamp
+	}
 	// Higher gives the head a newer version that a later member holds.
 	Higher struct {
 		View uint64
 		Doc  scheme.Doc
 	}
-	// Forward brings an operator's change to the head.
+	// Forward brings an operator's configuration to the head.
 	Forward struct{ Doc scheme.Doc }
+	// Order starts or stops the evacuation of a zone. It is taken only while
+	// the zone's count of orders is still Base: one that was held up on its way
+	// must not undo what was ordered since.
+	Order struct {
+		ID   uint64
+		Zone string
+		On   bool
+		Base uint64
+	}
 	// Confirm asks whether a view still stands unsealed.
 	Confirm struct{ View, Nonce uint64 }
 	// Confirmed answers it.
@@ -128,13 +159,13 @@
 		Doc *scheme.Doc
 	}
 	// Fetch asks for a committed version newer than Have; Fetched brings it.
-	Fetch   struct{ Have uint64 }
+	Fetch   struct{ Have scheme.Stamp }
 	Fetched struct{ Doc scheme.Doc }
 )
 
 func init() {
 	for _, m := range []any{Gauge{}, Prepare{}, Promise{}, Nack{}, Sync{}, Synced{}, Accept{}, Accepted{}, Decide{}, Pass{}, Ack{}, Higher{},
-		Forward{}, Confirm{}, Confirmed{}, Read{}, Answer{}, Fetch{}, Fetched{}} {
+		Forward{}, Order{}, Confirm{}, Confirmed{}, Read{}, Answer{}, Fetch{}, Fetched{}} {
 		conduit.Register(m)
 	}
 }
@@ -186,28 +217,34 @@
 	slot     uint64
 	ballot   Ballot
 	began    time.Duration
-	promises map[string]Promise
+	promises map[string]Promise // of voters
 	chosen   []Member
 	doc      *scheme.Doc
 	synced   map[string]bool
 	value    *View
-	accepted map[string]bool
+	accepted map[Member]bool
 	fixed    bool // the value was accepted before, by another's round
 }
 
 type reading struct {
-	id     uint64
-	from   string // "" is this machine
-	nonce  uint64
-	began  time.Duration
-	sent   time.Duration
-	agreed bool
+	id    uint64
+	from  string // "" is this machine
+	nonce uint64
+	began time.Duration
+	sent  time.Duration
+	yes   map[Member]bool // voters, this one too, that have confirmed the view unsealed
 }
 
 // Chain is one machine's part in the chain and in agreeing on the view.
 type Chain struct {
-	Me    Member
-	peers []string // all machines that agree on the view, this one too
+	Me Member
+	// Relay is set on a machine without a say; Tolerate is how many disks may be
+	// lost at once: a promise stands on more.
+	Relay        bool
+	Zone, Region string
+	Tolerate     int
+
+	peers []string // control machines known, this one too: voters, seeds, and who spoke up
 	store Store
 	rng   *rand.Rand
 
@@ -227,17 +264,21 @@
 	round     *round
 	wanted    map[uint64]scheme.Doc // an operator's changes not yet committed
 	wantAt    map[uint64]time.Duration
+	orders    map[uint64]Order // likewise, evacuations
+	orderAt   map[uint64]time.Duration
 	reads     []*reading
 	nonce     uint64
 	out       []any
 }
 
-// NewChain builds the machine from its store. With founding set and an empty
-// store the first view is made of all peers; otherwise a machine without a
-// history takes part in nothing until a view takes it in.
+// NewChain builds the machine from its store, knowing some control machines.
+// With founding set and an empty store the first view is made of them; otherwise
+// a machine without a history takes part in nothing until a view takes it in.
 func NewChain(now time.Duration, addr string, peers []string, founding bool, store Store, rng *rand.Rand) (*Chain, error) {
 	c := &Chain{peers: slices.Clone(peers), store: store, rng: rng, now: now, started: now,
-		seen: map[string]*peerState{}, wanted: map[uint64]scheme.Doc{}, wantAt: map[uint64]time.Duration{}}
+		seen: map[string]*peerState{}, wanted: map[uint64]scheme.Doc{}, wantAt: map[uint64]time.Duration{},
+		orders: map[uint64]Order{}, orderAt: map[uint64]time.Duration{}}
+	c.meet(addr)
 	sort.Strings(c.peers)
 	var inc uint64
 	if !store.Get("incarnation", &inc) {
@@ -246,10 +287,11 @@
 		if founding {
 			inc = 1
 			a.Joined = true
-			a.View.Num = 1
+			a.View.Num, a.View.Epoch = 1, 1
 			for _, p := range c.peers {
 				a.View.Members = append(a.View.Members, Member{p, 1})
 			}
+			a.View.Voters = slices.Clone(a.View.Members)
 		}
 		if err := store.Put("agreement", a); err != nil {
 			return nil, err
@@ -260,8 +302,26 @@
 	}
 	c.Me = Member{addr, inc}
 	store.Get("agreement", &c.agr)
+	if v := &c.agr.View; len(v.Voters) == 0 && len(v.Members) > 0 {
+		// Written before views named their voters: those were fixed, and those
+		// of them outside the view are strangers until it takes them in.
+		var old []string
+		store.Get("peers", &old)
+		v.Voters, v.Epoch = slices.Clone(v.Members), 1
+		for _, p := range old {
+			if v.index(p) < 0 {
+				v.Voters = append(v.Voters, Member{Addr: p})
+			}
+		}
+	}
+	for _, m := range c.agr.View.Voters {
+		c.meet(m.Addr)
+	}
 	var d scheme.Doc
 	if store.Get("held", &d) {
+		if d.Stamp == (scheme.Stamp{}) {
+			d.Stamp.Seq = d.Version // written when versions alone ordered states
+		}
 		c.held = &d
 	}
 	c.nonce = rng.Uint64()
@@ -276,6 +336,25 @@
 	return d.Version
 }
 
+// at is a state's place in the order; nothing is before all.
+func at(d *scheme.Doc) scheme.Stamp {
+	if d == nil {
+		return scheme.Stamp{}
+	}
+	return d.Stamp
+}
+
+// meet makes a control machine known.
+func (c *Chain) meet(addr string) {
+	if addr != "" && !slices.Contains(c.peers, addr) {
+		c.peers = append(c.peers, addr)
+		sort.Strings(c.peers)
+	}
+}
+
+// majority is how many voters of the present view decide on the next.
+func (c *Chain) majority() int { return len(c.agr.View.Voters)/2 + 1 }
+
 // View is the newest view known here.
 func (c *Chain) View() View { return c.agr.View }
 
@@ -291,8 +370,8 @@
 func (c *Chain) Status() Gauge { return c.gauge() }
 
 func (c *Chain) gauge() Gauge {
-	return Gauge{Me: c.Me, View: c.agr.View, Joined: c.agr.Joined, Sealed: c.sealed(), Sick: c.store.Sick(),
-		Committed: ver(c.committed), Held: ver(c.held)}
+	return Gauge{Me: c.Me, View: c.agr.View, Joined: c.agr.Joined, Sealed: c.sealed(), Sick: c.store.Sick(), Relay: c.Relay, Zone: c.Zone, Region: c.Region,
+		Committed: at(c.committed), Held: at(c.held), Version: ver(c.committed)}
 }
 
 func (c *Chain) send(to string, m any) {
@@ -346,6 +425,25 @@
 	return c.flush()
 }
 
+// Evacuate takes an operator's order on a zone; it is committed when a Commit
+// comes out whose state names its ID.
+func (c *Chain) Evacuate(now time.Duration, id uint64, zone string, on bool) []any {
+	c.now = now
+	c.orders[id], c.orderAt[id] = Order{ID: id, Zone: zone, On: on}, now
+	c.forwardOrder(c.orders[id])
+	return c.flush()
+}
+
+func (c *Chain) forwardOrder(o Order) {
+	if len(c.agr.View.Members) == 0 {
+		return
+	}
+	if c.committed != nil {
+		o.Base = c.committed.Evac[o.Zone].Num
+	}
+	c.send(c.agr.View.Members[0].Addr, o)
+}
+
 // Give up on forwarding changes whose caller has been answered.
 func (c *Chain) expire() {
 	for v, at := range c.wantAt {
@@ -354,6 +452,12 @@
 			delete(c.wantAt, v)
 		}
 	}
+	for id, since := range c.orderAt {
+		if c.now-since > datum.SubmitWait || c.committed != nil && slices.Contains(c.committed.Evac[c.orders[id].Zone].IDs, id) {
+			delete(c.orders, id)
+			delete(c.orderAt, id)
+		}
+	}
 }
 
 func (c *Chain) forward(d scheme.Doc) {
@@ -374,6 +478,9 @@
 // Recv takes a message.
 func (c *Chain) Recv(now time.Duration, from string, msg any) []any {
 	c.now = now
+	if _, ok := msg.(Gauge); ok {
+		c.meet(from)
+	}
 	if slices.Contains(c.peers, from) {
 		c.take(from, msg)
 	}
@@ -407,16 +514,22 @@
 		c.onPass(from, m)
 	case Ack:
 		if m.View == c.agr.View.Num && c.member() {
-			c.commitVersion(m.Version)
+			c.commitAt(m.Stamp)
 		}
 	case Higher:
 		if m.View == c.agr.View.Num {
-			c.admit(m.Doc)
+			c.admit(&m.Doc)
 		}
 	case Forward:
-		c.admit(m.Doc)
+		if m.Doc.Version > ver(c.held) {
+			c.admit(&scheme.Doc{Stamp: c.nextStamp(), Version: m.Doc.Version, Raw: m.Doc.Raw, Evac: c.evacs()})
+		} else {
+			c.admit(nil)
+		}
+	case Order:
+		c.onOrder(m)
 	case Confirm:
-		if c.member() && !c.sealed() && m.View == c.agr.View.Num {
+		if c.participant() && c.agr.View.votes(c.Me) && !c.sealed() && m.View == c.agr.View.Num {
 			c.send(from, Confirmed{m.Nonce, c.Me})
 		}
 	case Confirmed:
@@ -426,7 +539,7 @@
 	case Answer:
 		c.out = append(c.out, ReadDone{m.ID, m.Doc})
 	case Fetch:
-		if ver(c.committed) > m.Have {
+		if m.Have.Less(at(c.committed)) {
 			c.send(from, Fetched{*c.committed})
 		}
 	case Fetched:
@@ -447,21 +560,21 @@
 	if g.View.Num > c.agr.View.Num {
 		c.learn(g.View)
 	}
-	if g.Committed > ver(c.committed) {
+	if at(c.committed).Less(g.Committed) {
 		// Copies found old are mended: from what is held here when it is that
 		// very version, or else by asking for it.
-		if ver(c.held) == g.Committed {
+		if at(c.held) == g.Committed {
 			c.commit(*c.held)
 		} else if c.now >= c.fetchAt {
 			c.fetchAt = c.now + datum.GaugeEvery
-			c.send(from, Fetch{ver(c.committed)})
+			c.send(from, Fetch{at(c.committed)})
 		}
 	}
 }
 
-// keep makes a version durable here if it is newer than what is held.
+// keep makes a state durable here if it is newer than what is held.
 func (c *Chain) keep(d scheme.Doc) bool {
-	if d.Version <= ver(c.held) {
+	if !at(c.held).Less(d.Stamp) {
 		return true
 	}
 	if c.store.Put("held", d) != nil {
@@ -471,9 +584,9 @@
 	return true
 }
 
-// commit takes a version that is known to be in force for good.
+// commit takes a state that is known to be in force for good.
 func (c *Chain) commit(d scheme.Doc) {
-	if d.Version <= ver(c.committed) {
+	if !at(c.committed).Less(d.Stamp) {
 		return
 	}
 	c.committed = &d
@@ -482,19 +595,60 @@
 	c.out = append(c.out, Commit{d})
 }
 
-func (c *Chain) commitVersion(v uint64) {
-	if v > ver(c.committed) && ver(c.held) == v {
+func (c *Chain) commitAt(s scheme.Stamp) {
+	if at(c.committed).Less(s) && at(c.held) == s {
 		c.commit(*c.held)
 	}
 }
 
 // ---- the chain
 
-// admit is the head's entry.
-func (c *Chain) admit(d scheme.Doc) {
-	if !c.member() || c.sealed() || c.agr.View.Members[0] != c.Me || !c.keep(d) {
+// nextStamp is the place of the head's next state.
+func (c *Chain) nextStamp() scheme.Stamp {
+	s := at(c.held)
+	if s.View < c.agr.View.Num {
+		return scheme.Stamp{View: c.agr.View.Num, Seq: 1}
+	}
+	return scheme.Stamp{View: s.View, Seq: s.Seq + 1}
+}
+
+func (c *Chain) evacs() map[string]scheme.Evac {
+	if c.held == nil {
+		return nil
+	}
+	return c.held.Evac
+}
+
+// onOrder is an evacuation order at the head. Orders on a zone take effect in
+// the order in which the head takes them; one it has taken before, or that was
+// made knowing less than the head holds, changes nothing.
+func (c *Chain) onOrder(o Order) {
+	cur := c.evacs()[o.Zone]
+	if slices.Contains(cur.IDs, o.ID) || cur.Num != o.Base {
+		c.admit(nil)
+		return
+	}
+	evac := map[string]scheme.Evac{}
+	for z, e := range c.evacs() {
+		evac[z] = e
+	}
+	ids := append(slices.Clone(cur.IDs), o.ID)
+	evac[o.Zone] = scheme.Evac{On: o.On, Num: cur.Num + 1, IDs: ids[max(0, len(ids)-datum.OrderIDs):]}
+	d := scheme.Doc{Stamp: c.nextStamp(), Evac: evac}
+	if c.held != nil {
+		d.Version, d.Raw = c.held.Version, c.held.Raw
+	}
+	c.admit(&d)
+}
+
+// admit is the head's entry: a newer state, or nil to pass on what it holds.
+func (c *Chain) admit(d *scheme.Doc) {
+	if !c.member() || c.sealed() || c.agr.View.Members[0] != c.Me || d != nil && !c.keep(*d) {
 		return
 	}
+	if d == nil && c.now < c.passAt {
+		return // it is on its way
+	}
 	c.passAt = 0
 	c.drive()
 }
@@ -507,7 +661,11 @@
 		return
 	}
 	c.passAt = c.now + datum.PassAgain
-	if c.member() && !c.sealed() && ver(c.held) > ver(c.committed) {
+	if c.held != nil {
+		// A large state is under way longer.
+		c.passAt += time.Duration(len(c.held.Raw)*len(c.agr.View.Members)) * time.Second / datum.PassBytes
+	}
+	if c.member() && !c.sealed() && at(c.committed).Less(at(c.held)) {
 		if c.agr.View.Members[0] == c.Me {
 			c.pass(*c.held)
 		} else {
@@ -524,8 +682,18 @@
 			c.forward(c.wanted[v])
 		}
 	}
+	var ids []uint64
+	for id := range c.orders {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	for _, id := range ids {
+		if since, ok := c.orderAt[id]; ok && c.now > since {
+			c.forwardOrder(c.orders[id])
+		}
+	}
 	for _, r := range c.reads {
-		if !r.agreed && c.now-r.sent >= datum.PassAgain {
+		if len(r.yes) < c.majority() && c.now-r.sent >= datum.PassAgain {
 			r.sent = c.now
 			c.others(func(p string) { c.send(p, Confirm{c.agr.View.Num, r.nonce}) })
 		}
@@ -543,7 +711,7 @@
 		return
 	}
 	c.commit(d)
-	c.others(func(p string) { c.send(p, Ack{v.Num, d.Version}) })
+	c.others(func(p string) { c.send(p, Ack{v.Num, d.Stamp}) })
 	c.answerReads()
 }
 
@@ -558,14 +726,14 @@
 	if !c.keep(m.Doc) {
 		return
 	}
-	if ver(c.held) > m.Doc.Version && ver(c.committed) < m.Doc.Version {
+	if m.Doc.Stamp.Less(at(c.held)) && at(c.committed).Less(m.Doc.Stamp) {
 		// Something newer, never committed, was left here by a change of view:
 		// the chain takes it up from the head, since the highest version holds.
 		c.send(v.Members[0].Addr, Higher{v.Num, *c.held})
 		return
 	}
-	if ver(c.committed) >= m.Doc.Version {
-		c.others(func(p string) { c.send(p, Ack{v.Num, ver(c.committed)}) })
+	if !at(c.committed).Less(m.Doc.Stamp) {
+		c.others(func(p string) { c.send(p, Ack{v.Num, at(c.committed)}) })
 		c.send(from, Fetched{*c.committed})
 		return
 	}
@@ -583,7 +751,10 @@
 	if from == c.Me.Addr {
 		from = ""
 	}
-	r := &reading{id: m.ID, from: from, nonce: c.nonce, began: c.now, sent: c.now, agreed: len(c.peers) == 1}
+	r := &reading{id: m.ID, from: from, nonce: c.nonce, began: c.now, sent: c.now, yes: map[Member]bool{}}
+	if c.agr.View.votes(c.Me) && !c.sealed() {
+		r.yes[c.Me] = true
+	}
 	c.reads = append(c.reads, r)
 	c.answerReads()
 	if !c.sealed() {
@@ -592,14 +763,14 @@
 }
 
 func (c *Chain) onConfirmed(from string, m Confirmed) {
-	// With this machine, still in the view and unsealed, one more of the three
-	// is a majority.
-	if !c.member() || c.sealed() || !c.agr.View.has(m.Me) {
+	// Once a majority of the voters was unsealed after the read came, no later
+	// view had been decided when it did.
+	if !c.member() || c.sealed() || !c.agr.View.votes(m.Me) {
 		return
 	}
 	for _, r := range c.reads {
 		if r.nonce == m.Nonce {
-			r.agreed = true
+			r.yes[m.Me] = true
 		}
 	}
 	c.answerReads()
@@ -612,11 +783,11 @@
 	if !c.member() || c.sealed() {
 		return
 	}
-	if ver(c.held) > ver(c.committed) {
+	if at(c.committed).Less(at(c.held)) {
 		return
 	}
 	c.reads = slices.DeleteFunc(c.reads, func(r *reading) bool {
-		if !r.agreed {
+		if len(r.yes) < c.majority() {
 			return false
 		}
 		if r.from == "" {
--- a/internal/headworks/daemon.go
+++ b/internal/headworks/daemon.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"hash/fnv"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"slices"
@@ -17,6 +18,7 @@
 	"slateridge/internal/conduit"
 	"slateridge/internal/datum"
 	"slateridge/internal/gaugeboard"
+	"slateridge/internal/gazetteer"
 	"slateridge/internal/intake"
 	"slateridge/internal/logbook"
 	"slateridge/internal/penstock"
@@ -28,19 +30,30 @@
 	"slateridge/internal/wheel"
 )
 
-// Roster names the proxies lately seen, with how long ago, and those of them
-// that share in the split quotas.
+// Roster tells the other control machines of the proxies that spoke here: how
+// long ago, the count they said they use, where they stand, and which share in
+// the split quotas. Gone are those whose connections have just ended.
 type Roster struct {
-	Seen   map[string]time.Duration
+	Words  map[string]Word
 	Shares []string
+	Gone   []string
+}
+
+// Word is one proxy's latest.
+type Word struct {
+	Age   time.Duration
+	Count int
+	Place gazetteer.Place
 }
 
 // proxyEntry is a proxy on the roster. shares says that it has been told a
 // count, so that it may be using a share of the split quotas.
 type proxyEntry struct {
 	at     time.Time
+	direct time.Time // when it last spoke here
+	place  gazetteer.Place
 	shares bool
-	count  int // the live count it last said it uses
+	count  int // the live count it last said it uses, here or to another
 }
 
 // ListNews brings the list from the machine that polls to the other control
@@ -64,8 +77,10 @@
 	set   *sill.Settings
 	book  *logbook.Logbook
 	began time.Time
-	peers []string
-	mains map[string]*conduit.Main
+	seeds []string // control machines named in the settings
+
+	mainMu sync.Mutex
+	mains  map[string]*conduit.Main
 
 	chainMu sync.Mutex // held while the disk works; nothing else waits for it
 	chain   *Chain
@@ -75,6 +90,7 @@
 	coming  atomic.Pointer[scheme.Scheme] // arrived here last, perhaps not in force
 
 	waitMu sync.Mutex
+	orders map[uint64]chan struct{} // evacuations, by order
 	waits  map[chan struct{}]uint64
 	reads  map[uint64]chan *scheme.Doc
 	readID uint64
@@ -82,8 +98,10 @@
 	leaseMu sync.Mutex
 	leases  *watermaster.Watermaster
 
-	gates *weir.Gatehouse
-	pen   *penstock.Penstock
+	gates  *weir.Gatehouse
+	places *gazetteer.Gazetteer
+	turns  int
+	pen    *penstock.Penstock
 
 	mu        sync.Mutex // list, roster, peers heard
 	list      *intake.List
@@ -92,6 +110,7 @@
 	roster    map[string]*proxyEntry
 	rosterIn  bool
 	heard     map[string]time.Time
+	where     map[string]penstock.Peer // control machines, as they say
 	polls     *intake.Source
 	bootRead  bool
 	staff     *staff.Agent
@@ -100,27 +119,21 @@
 
 // NewDaemon opens the store and builds the machines.
 func NewDaemon(set *sill.Settings, book *logbook.Logbook) (*Daemon, error) {
-	store, fresh, err := cistern.Open(set.DataDirectory)
-	if err != nil {
-		return nil, fmt.Errorf("store in %s: %w", set.DataDirectory, err)
-	}
-	d := &Daemon{set: set, book: book, began: time.Now(), store: store, mains: map[string]*conduit.Main{},
+	d := &Daemon{set: set, book: book, began: time.Now(), seeds: set.SeedIPs(), mains: map[string]*conduit.Main{}, orders: map[uint64]chan struct{}{},
 		waits: map[chan struct{}]uint64{}, reads: map[uint64]chan *scheme.Doc{}, roster: map[string]*proxyEntry{},
-		heard: map[string]time.Time{}, gates: weir.NewGatehouse(rand.Uint64()), polls: intake.NewSource(set.CloudAPI.Address)}
-	// The machines that agree on the view are fixed at the first start and
-	// kept; one whose disk came back empty takes them from its seeds.
-	if !store.Get("peers", &d.peers) {
-		d.peers = set.SeedIPs()
-		if !slices.Contains(d.peers, set.IPAddress) {
-			d.peers = append(d.peers, set.IPAddress)
-		}
-		slices.Sort(d.peers)
-		if len(d.peers) >= datum.OrderedMembers || set.Bootstrap {
-			if err := store.Put("peers", d.peers); err != nil {
-				return nil, err
-			}
+		heard: map[string]time.Time{}, where: map[string]penstock.Peer{}, gates: weir.NewGatehouse(rand.Uint64(), set.Trackers()), polls: intake.NewSource(set.CloudAPI.Address)}
+	relay := set.DataDirectory == "" || !set.QuorumMember
+	fresh := false
+	if relay {
+		d.store = cistern.Volatile()
+		book.Note("relay", "no disk of its own that counts: calls are passed on, nothing is decided here")
+	} else {
+		var err error
+		if d.store, fresh, err = cistern.Open(set.DataDirectory); err != nil {
+			return nil, fmt.Errorf("store in %s: %w", set.DataDirectory, err)
 		}
 	}
+	store := d.store
 	var known []string
 	if store.Get("roster", &known) {
 		d.rosterIn = true
@@ -131,19 +144,27 @@
 	h := fnv.New64a()
 	h.Write([]byte(set.NodeName))
 	rng := rand.New(rand.NewPCG(h.Sum64(), uint64(time.Now().UnixNano())))
-	d.chain, err = NewChain(0, set.IPAddress, d.peers, set.Bootstrap && fresh, store, rng)
+	var err error
+	// The seeds found the first view; the other machines are taken in by views.
+	founding := set.Bootstrap && fresh && slices.Contains(d.seeds, set.IPAddress)
+	d.chain, err = NewChain(0, set.IPAddress, d.seeds, founding, store, rng)
 	if err != nil {
 		return nil, err
 	}
+	d.chain.Relay, d.chain.Tolerate = relay, set.FaultTolerance.MachineFailures
+	d.chain.Zone, d.chain.Region = set.Zone, set.Region
 	duties := []string{dutyPoll}
-	for i := range datum.TrackerDuty {
+	for i := range set.Trackers() {
 		duties = append(duties, dutyTrack(i))
 	}
-	d.leases = watermaster.New(0, rng.Uint64(), set.IPAddress, d.peers, duties)
+	d.places = gazetteer.New(0, set.Zones)
+	d.leases = watermaster.New(0, rng.Uint64(), set.IPAddress, duties)
 	d.pen = penstock.New(d.face, d.sharing)
-	for _, p := range d.peers {
-		if p != set.IPAddress {
-			d.mains[p] = conduit.NewMain(set.PeerInternal(p, datum.PortHeadworks), set.IPAddress, d.onMessage)
+	d.pen.Closed = func(node string) {
+		if d.places.Gone(d.now(), node, true) {
+			for _, p := range d.peers() {
+				d.send(p, Roster{Gone: []string{node}})
+			}
 		}
 	}
 	d.snapshot()
@@ -169,7 +190,7 @@
 	}
 	g.Add(func() error { return conduit.Serve(l, d.onMessage) }, func(error) { l.Close() })
 	var seeds []string
-	for _, p := range d.peers {
+	for _, p := range d.seeds {
 		seeds = append(seeds, d.set.PeerInternal(p, datum.PortStaff))
 	}
 	d.staff, err = staff.Listen(d.set.Internal(datum.PortStaff), d.set.NodeName+"/headworks", seeds, func(f staff.Fact) {
@@ -182,10 +203,19 @@
 	w := wheel.New(g)
 	w.Serve(ctl, d.operatorAPI())
 	w.Serve(adm, gaugeboard.Handler(d.Report))
+	if a := d.set.ListenAddresses.Directory; a != "" {
+		dir, err := net.Listen("tcp4", a)
+		if err != nil {
+			return err
+		}
+		w.Serve(dir, d.directoryAPI())
+	}
 	w.Turn(datum.ChainTick, func() { d.step(func() []any { return d.chain.Tick(d.now()) }) })
 	held := map[string]bool{}
 	w.Turn(datum.LeaseTick, func() {
+		v := d.status.Load()
 		d.leaseMu.Lock()
+		d.leases.SetElectorate(d.now(), v.View.Epoch, v.View.VoterAddrs(), v.Sealed)
 		out := d.leases.Tick(d.now())
 		var moved []string
 		for _, duty := range d.leases.Duties() {
@@ -223,9 +253,36 @@
 }
 
 func (d *Daemon) send(to string, m any) {
-	if p := d.mains[to]; p != nil {
-		p.Send(m)
+	if to == d.set.IPAddress {
+		return
+	}
+	d.mainMu.Lock()
+	p := d.mains[to]
+	if p == nil {
+		p = conduit.NewMain(d.set.PeerInternal(to, datum.PortHeadworks), d.set.IPAddress, d.onMessage)
+		d.mains[to] = p
+	}
+	d.mainMu.Unlock()
+	p.Send(m)
+}
+
+// peers are the other control machines that agree on the view, as known here.
+func (d *Daemon) peers() []string {
+	ps := d.status.Load().View.VoterAddrs()
+	if len(ps) == 0 {
+		ps = slices.Clone(d.seeds)
+	}
+	return slices.DeleteFunc(ps, func(p string) bool { return p == d.set.IPAddress })
+}
+
+// controls are all of them, this one too unless it only relays.
+func (d *Daemon) controls() []string {
+	ps := d.peers()
+	if g := d.status.Load(); !g.Relay {
+		ps = append(ps, d.set.IPAddress)
 	}
+	slices.Sort(ps)
+	return ps
 }
 
 // step runs the chain machine and carries out what comes of it.
@@ -248,7 +305,7 @@
 			}
 			d.waitMu.Unlock()
 		case Moved:
-			d.book.Note("view", fmt.Sprintf("%d %v from r%d", o.View.Num, addrs(o.View), o.View.Start))
+			d.book.Note("view", fmt.Sprintf("%d %v of %d voters from %d/%d", o.View.Num, addrs(o.View), len(o.View.Voters), o.View.Start.View, o.View.Start.Seq))
 		}
 	}
 }
@@ -270,17 +327,24 @@
 // and for the operators that wait.
 func (d *Daemon) committed(doc scheme.Doc) {
 	d.mu.Lock()
-	if old := d.inForce.Load(); old != nil && old.Version >= doc.Version {
+	old := d.inForce.Load()
+	if old != nil && !old.Stamp.Less(doc.Stamp) {
 		d.mu.Unlock()
 		return
 	}
 	d.inForce.Store(&doc)
 	d.mu.Unlock()
-	s, err := scheme.Read(doc.Raw)
-	if err != nil {
-		panic("headworks: an invalid configuration was committed: " + err.Error())
+	if doc.Raw != nil && (old == nil || old.Version < doc.Version) {
+		s, err := scheme.Read(doc.Raw)
+		if err != nil {
+			panic("headworks: an invalid configuration was committed: " + err.Error())
+		}
+		d.gates.SetQuotas(d.now(), weir.Quotas(s))
+		d.book.Note("config", fmt.Sprintf("r%d in force", doc.Version))
+	}
+	if was, is := fmt.Sprint(old.Evacuated()), fmt.Sprint(doc.Evacuated()); was != is {
+		d.book.Note("evacuations", is)
 	}
-	d.gates.SetQuotas(d.now(), weir.Quotas(s))
 	d.pen.Publish()
 	d.waitMu.Lock()
 	for ch, v := range d.waits {
@@ -289,41 +353,57 @@
 			delete(d.waits, ch)
 		}
 	}
+	for _, e := range doc.Evac {
+		for _, id := range e.IDs {
+			if ch := d.orders[id]; ch != nil {
+				close(ch)
+				delete(d.orders, id)
+			}
+		}
+	}
 	d.waitMu.Unlock()
-	d.book.Note("config", fmt.Sprintf("r%d in force", doc.Version))
 }
 
 // current says whether this machine hears a majority of the control machines.
 func (d *Daemon) current() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	n := 1
-	for _, at := range d.heard {
-		if time.Since(at) < datum.MemberSilence {
+	v := d.status.Load().View
+	n := 0
+	for _, m := range v.Voters {
+		if m.Addr == d.set.IPAddress || time.Since(d.heard[m.Addr]) < datum.MemberSilence {
 			n++
 		}
 	}
-	return n > len(d.peers)/2
+	return n > len(v.Voters)/2
 }
 
 // face is what proxies are told.
 func (d *Daemon) face() penstock.Face {
 	f := penstock.Face{ConfigDoc: d.inForce.Load()}
 	f.Current = d.current()
-	f.Peers, f.Zone = d.peers, d.set.Zone
+	f.Zone = d.set.Zone
 	if f.ConfigDoc != nil {
 		f.Version = f.ConfigDoc.Version
+		f.StateNum, f.Evacuated = f.ConfigDoc.Stamp.Num(), f.ConfigDoc.Evacuated()
 	}
 	if s := d.coming.Load(); s != nil && s.Version > f.Version {
 		f.ComingVer, f.Coming = s.Version, weir.Quotas(s)
 	}
 	d.leaseMu.Lock()
-	for i := range datum.TrackerDuty {
+	for i := range d.set.Trackers() {
 		f.Trackers = append(f.Trackers, d.leases.Holder(d.now(), dutyTrack(i)))
 	}
 	d.leaseMu.Unlock()
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	for _, a := range d.controls() {
+		p := d.where[a]
+		if p.Addr = a; a == d.set.IPAddress {
+			p.Zone, p.Region = d.set.Zone, d.set.Region
+		}
+		f.Peers = append(f.Peers, p)
+	}
 	f.Upstreams = d.list
 	if d.list != nil {
 		f.ListNum = d.list.Num
@@ -347,7 +427,7 @@
 func (d *Daemon) onMessage(p *conduit.Pipe, body any) any {
 	switch m := body.(type) {
 	case penstock.Tap:
-		d.seen(m.Node, m.Proxies)
+		d.seen(m)
 		d.mu.Lock()
 		d.listTop = max(d.listTop, m.ListNum)
 		d.mu.Unlock()
@@ -369,8 +449,9 @@
 	case ListNews:
 		d.takeList(m)
 	default:
-		if _, ok := body.(Gauge); ok {
+		if g, ok := body.(Gauge); ok {
 			d.mu.Lock()
+			d.where[p.Remote] = penstock.Peer{Addr: p.Remote, Zone: g.Zone, Region: g.Region}
 			d.heard[p.Remote] = time.Now()
 			d.mu.Unlock()
 		}
@@ -384,7 +465,15 @@
 // seen notes a proxy's word. A newcomer gets a share of the split quotas only
 // after every other proxy that has one has said that it reckons with the larger
 // count, so that the shares in use never add up to more than the whole.
-func (d *Daemon) seen(node string, count int) {
+func (d *Daemon) seen(t penstock.Tap) {
+	node, count := t.Node, t.Proxies
+	place := gazetteer.Place{Front: t.Front, Zone: t.Zone, Region: t.Region, Weight: t.Weight, Ready: t.Ready}
+	if d.places.Tell(d.now(), node, place) {
+		w := Roster{Words: map[string]Word{node: {Count: count, Place: place}}}
+		for _, p := range d.peers() {
+			d.send(p, w)
+		}
+	}
 	d.mu.Lock()
 	e := d.roster[node]
 	known := e != nil
@@ -392,7 +481,8 @@
 		e = &proxyEntry{}
 		d.roster[node] = e
 	}
-	e.at, e.count = time.Now(), count
+	e.at, e.count, e.place = time.Now(), count, place
+	e.direct = e.at
 	grew := d.admitLocked()
 	d.mu.Unlock()
 	if !known {
@@ -450,7 +540,7 @@
 }
 
 func (d *Daemon) shareRoster() {
-	r := Roster{Seen: map[string]time.Duration{}}
+	r := Roster{Words: map[string]Word{}}
 	changed := false
 	facts := d.staff.Members()
 	d.mu.Lock()
@@ -468,7 +558,9 @@
 			changed = true
 			continue
 		}
-		r.Seen[a] = time.Since(e.at)
+		if age := time.Since(e.direct); age < datum.TapSilence {
+			r.Words[a] = Word{age, e.count, e.place} // the others' own proxies are theirs to tell of
+		}
 		if e.shares {
 			r.Shares = append(r.Shares, a)
 		}
@@ -479,7 +571,15 @@
 		d.keepRoster()
 		d.pen.Publish()
 	}
-	for p := range d.mains {
+	d.mu.Lock()
+	d.turns++
+	far := d.turns%datum.RosterFar != 0
+	where := maps.Clone(d.where)
+	d.mu.Unlock()
+	for _, p := range d.peers() {
+		if far && where[p].Region != d.set.Region {
+			continue
+		}
 		d.send(p, r)
 	}
 }
@@ -487,14 +587,18 @@
 func (d *Daemon) takeRoster(m Roster) {
 	grew := false
 	d.mu.Lock()
-	for a, age := range m.Seen {
-		at := time.Now().Add(-age)
+	for a, w := range m.Words {
+		at := time.Now().Add(-w.Age)
 		if e := d.roster[a]; e == nil {
-			d.roster[a] = &proxyEntry{at: at}
+			d.roster[a] = &proxyEntry{at: at, count: w.Count, place: w.Place}
 			grew = true
 		} else if at.After(e.at) {
-			e.at = at
+			e.at, e.count, e.place = at, w.Count, w.Place
 		}
+		d.places.Hear(d.now(), a, w.Place, w.Age)
+	}
+	for _, a := range m.Gone {
+		d.places.Gone(d.now(), a, false)
 	}
 	if len(m.Shares) > 0 {
 		d.rosterIn = true
@@ -555,16 +659,18 @@
 	case first:
 		num = 1 // below every list that a holder of the duty has numbered
 	case d.list == nil || since != d.pollSince:
-		num += datum.ListStride // others numbered before: stay clear of what they gave
+		// Others numbered before, and two that take over one after the other may
+		// have heard of the same number: each begins at one of its own.
+		num = (num/datum.ListStride+1)*datum.ListStride + rand.Uint64N(datum.ListStride/2)
 	case d.list.Num != num || !intake.Same(d.list.Instances, is):
 		num++
 	default:
 		changed = false
 	}
 	d.pollSince = since
-	if changed {
-		d.list, d.listTop = &intake.List{Num: num, Instances: is}, max(num, d.listTop)
-	}
+	// A list that is the same keeps its number; how long its upstreams stay cold
+	// is taken anew, to notice one that turns cold again.
+	d.list, d.listTop = &intake.List{Num: num, Instances: is}, max(num, d.listTop)
 	d.listOK = time.Now()
 	n := ListNews{Num: num}
 	if changed {
@@ -572,7 +678,7 @@
 	}
 	d.mu.Unlock()
 	if held {
-		for p := range d.mains {
+		for _, p := range d.peers() {
 			d.send(p, n)
 		}
 	}
@@ -602,7 +708,7 @@
 // it while it runs; the file is checked and the finding noted.
 func (d *Daemon) Reload(path string) func() {
 	return func() {
-		if _, err := sill.Load(path, "controlPlane", "dataDirectory"); err != nil {
+		if _, err := sill.Load(path, "controlPlane"); err != nil {
 			d.book.Note("settings_refused", err.Error())
 			return
 		}
--- /dev/null
+++ b/internal/headworks/directory.go
@@ -0,0 +1,57 @@
+package headworks
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"slateridge/internal/datum"
+)
+
+// directoryAPI answers clients that ask where to connect.
+func (d *Daemon) directoryAPI() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != "/api/lookup" {
+			fail(w, http.StatusNotFound, why("no such path; ask /api/lookup?name=HOST&region=REGION&zone=ZONE"))
+			return
+		}
+		if r.Method != http.MethodGet && r.Method != http.MethodHead {
+			w.Header().Set("Allow", "GET, HEAD")
+			fail(w, http.StatusMethodNotAllowed, why("lookups are made with GET"))
+			return
+		}
+		q, err := queryOf(r)
+		if err != nil {
+			fail(w, http.StatusBadRequest, why("the query cannot be read: "+err.Error()))
+			return
+		}
+		if q.Get("name") == "" {
+			fail(w, http.StatusBadRequest, why("name is missing"))
+			return
+		}
+		as, ok := d.places.Lookup(d.now(), q.Get("zone"), q.Get("region"))
+		if !ok {
+			w.Header().Set("Retry-After", "1")
+			fail(w, http.StatusServiceUnavailable, why("no proxy is known here yet"))
+			return
+		}
+		b, _ := json.Marshal(map[string]any{"addresses": as, "ttl": d.ttl()})
+		w.Header().Set("Content-Type", "application/json")
+		w.Header().Set("Content-Length", strconv.Itoa(len(b)))
+		w.Write(b)
+	})
+}
+
+// ttl is how long an answer may be used, as the wire writes it.
+func (d *Daemon) ttl() string {
+	t := datum.LookupTTL
+	if m := d.set.Bounds.TTLMax.D(); m > 0 && m < t {
+		t = m
+	}
+	return strconv.FormatInt(int64(t/time.Millisecond), 10) + "ms"
+}
+
+// queryOf reads the query, of which garbled parts are a fault and not left out.
+func queryOf(r *http.Request) (url.Values, error) { return url.ParseQuery(r.URL.RawQuery) }
--- a/internal/headworks/view.go
+++ b/internal/headworks/view.go
@@ -24,16 +24,19 @@
 	if v.Num <= c.agr.View.Num {
 		return
 	}
-	a := agreement{View: v, Joined: c.agr.Joined || v.has(c.Me)}
+	a := agreement{View: v, Joined: c.agr.Joined || v.votes(c.Me)}
 	if !c.put(a) {
 		return
 	}
+	for _, m := range v.Voters {
+		c.meet(m.Addr)
+	}
 	c.round = nil
 	c.troubleAt = 0
 	c.passAt = 0
 	c.reads = nil
-	if v.has(c.Me) && v.Start > 0 {
-		c.commitVersion(v.Start)
+	if v.has(c.Me) {
+		c.commitAt(v.Start)
 	}
 	c.out = append(c.out, Moved{v})
 }
@@ -70,7 +73,7 @@
 	var out []Member
 	c.others(func(p string) {
 		s := c.seen[p]
-		if s != nil && c.alive(p) && !c.agr.View.has(s.gauge.Me) && c.now-s.since >= datum.JoinPause {
+		if s != nil && c.alive(p) && !s.gauge.Relay && !c.agr.View.has(s.gauge.Me) && c.now-s.since >= datum.JoinPause {
 			out = append(out, s.gauge.Me)
 		}
 	})
@@ -79,7 +82,7 @@
 
 // mendView starts and drives this machine's rounds.
 func (c *Chain) mendView() {
-	if !c.member() || c.store.Sick() {
+	if !c.member() || c.Relay || c.store.Sick() {
 		c.round = nil
 		return
 	}
@@ -108,20 +111,20 @@
 	if c.now < c.troubleAt {
 		return
 	}
-	live := 1
-	c.others(func(p string) {
-		if c.alive(p) {
+	live := 0
+	for _, m := range c.agr.View.Voters {
+		if c.alive(m.Addr) {
 			live++
 		}
-	})
-	if live < 2 {
-		return // no majority to be had; stay as we are
+	}
+	if live < c.majority() {
+		return // none to be had; stay as we are
 	}
 	c.rounds = max(c.rounds, c.agr.Promised.Round) + 1
 	r := &round{slot: c.agr.View.Num + 1, ballot: Ballot{c.rounds, c.Me.Addr}, began: c.now,
-		promises: map[string]Promise{}, synced: map[string]bool{}, accepted: map[string]bool{}}
+		promises: map[string]Promise{}, synced: map[string]bool{}, accepted: map[Member]bool{}}
 	c.round = r
-	p := Prepare{r.slot, r.ballot, ver(c.held)}
+	p := Prepare{r.slot, r.ballot, at(c.held)}
 	c.send(c.Me.Addr, p)
 	if c.round != r || len(r.promises) == 0 {
 		c.round = nil
@@ -168,8 +171,8 @@
 	if from != c.Me.Addr {
 		c.yield() // to its round
 	}
-	p := Promise{Slot: m.Slot, Ballot: m.Ballot, Me: c.Me, Accepted: a.Accepted, View: a.Next, HeldVer: ver(c.held)}
-	if ver(c.held) > m.Held {
+	p := Promise{Slot: m.Slot, Ballot: m.Ballot, Me: c.Me, Accepted: a.Accepted, View: a.Next, HeldAt: at(c.held)}
+	if m.Held.Less(at(c.held)) {
 		p.Held = c.held
 	}
 	c.send(from, p)
@@ -177,11 +180,11 @@
 
 func (c *Chain) onPromise(from string, m Promise) {
 	r := c.round
-	if r == nil || m.Slot != r.slot || m.Ballot != r.ballot || r.chosen != nil || r.value != nil {
+	if r == nil || m.Slot != r.slot || m.Ballot != r.ballot || r.chosen != nil || r.value != nil || !c.agr.View.votes(m.Me) {
 		return
 	}
 	r.promises[from] = m
-	if len(r.promises) == len(c.peers) {
+	if len(r.promises) == len(c.agr.View.Voters) {
 		c.chooseMembers(r)
 	}
 }
@@ -190,7 +193,7 @@
 // earlier round may have decided, or else with the live members of the sealed
 // view in their order and the newcomers after them.
 func (c *Chain) chooseMembers(r *round) {
-	if len(r.promises) <= len(c.peers)/2 || len(r.promises) < len(c.peers) && c.now-r.began < datum.PromiseWait {
+	if len(r.promises) < c.majority() || len(r.promises) < len(c.agr.View.Voters) && c.now-r.began < datum.PromiseWait {
 		return
 	}
 	var best Promise
@@ -206,7 +209,7 @@
 	}
 	doc := c.held
 	for _, p := range r.promises {
-		if p.HeldVer > ver(doc) && p.Held != nil {
+		if at(doc).Less(p.HeldAt) && p.Held != nil {
 			doc = p.Held
 		}
 	}
@@ -220,7 +223,9 @@
 			r.chosen = append(r.chosen, m)
 		}
 	}
-	if len(r.chosen) <= len(c.peers)/2 {
+	// A promise stands on a majority, and on more disks than may be lost, as
+	// far as there are so many voters.
+	if len(r.chosen) < max(c.majority(), min(c.Tolerate+1, len(c.agr.View.Voters))) {
 		r.chosen = nil
 		return
 	}
@@ -240,8 +245,8 @@
 	if m.Doc != nil && !c.keep(*m.Doc) {
 		return
 	}
-	s := Synced{Slot: m.Slot, Ballot: m.Ballot, Me: c.Me, HeldVer: ver(c.held)}
-	if ver(c.held) > ver(m.Doc) {
+	s := Synced{Slot: m.Slot, Ballot: m.Ballot, Me: c.Me, HeldAt: at(c.held)}
+	if at(m.Doc).Less(at(c.held)) {
 		s.Held = c.held
 	}
 	c.send(from, s)
@@ -252,7 +257,7 @@
 	if r == nil || m.Slot != r.slot || m.Ballot != r.ballot || r.value != nil || !slices.Contains(r.chosen, m.Me) {
 		return
 	}
-	if ver(m.Held) > ver(r.doc) {
+	if at(r.doc).Less(at(m.Held)) {
 		// Held by a member since before it was sealed: all take it up.
 		r.doc = m.Held
 		r.synced = map[string]bool{}
@@ -264,13 +269,29 @@
 		}
 		return
 	}
-	if m.HeldVer < ver(r.doc) {
+	if m.HeldAt.Less(at(r.doc)) {
 		return // answers an earlier Sync
 	}
 	r.synced[from] = true
 	if len(r.synced) == len(r.chosen) {
-		c.propose(r, View{Num: r.slot, Members: r.chosen, Start: ver(r.doc)})
+		c.propose(r, c.nextView(r))
+	}
+}
+
+// nextView is the view a round proposes. A newcomer becomes a voter with it: in
+// the place of its earlier self, whose disk is gone, or as one more.
+func (c *Chain) nextView(r *round) View {
+	v := View{Num: r.slot, Members: r.chosen, Voters: slices.Clone(c.agr.View.Voters), Epoch: c.agr.View.Epoch, Start: at(r.doc)}
+	for _, m := range r.chosen {
+		i := slices.IndexFunc(v.Voters, func(o Member) bool { return o.Addr == m.Addr })
+		if i >= 0 {
+			v.Voters[i] = m
+		} else {
+			v.Voters = append(v.Voters, m)
+			v.Epoch = r.slot
+		}
 	}
+	return v
 }
 
 func (c *Chain) propose(r *round, v View) {
@@ -293,7 +314,7 @@
 	a := c.agr
 	a.Promised, a.Accepted, a.Next = m.Ballot, m.Ballot, m.View
 	if c.put(a) {
-		c.send(from, Accepted{m.Slot, m.Ballot})
+		c.send(from, Accepted{m.Slot, m.Ballot, c.Me})
 	}
 }
 
@@ -302,8 +323,10 @@
 	if r == nil || r.value == nil || m.Slot != r.slot || m.Ballot != r.ballot {
 		return
 	}
-	r.accepted[from] = true
-	if len(r.accepted) > len(c.peers)/2 {
+	if c.agr.View.votes(m.Me) {
+		r.accepted[m.Me] = true
+	}
+	if len(r.accepted) >= c.majority() {
 		v := *r.value
 		c.learn(v)
 		c.others(func(p string) { c.send(p, Decide{v}) })
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -33,12 +33,75 @@
 	Instances []Instance
 }
 
+// Change is the difference between two numbered lists; Base 0 stands for none.
+type Change struct {
+	Base, Num uint64
+	Put       []Instance
+	Gone      []string // ids
+}
+
 func init() { conduit.Register(List{}) }
 
-// Same says whether two lists name the same upstreams in the same states; how
-// long each stays slow is counted down by whoever holds the list.
+// Diff tells a list as its difference from an earlier one, which may be nil.
+func Diff(base, l *List) *Change {
+	c := &Change{Num: l.Num}
+	old := map[string]Instance{}
+	if base != nil {
+		c.Base = base.Num
+		for _, i := range base.Instances {
+			old[i.ID] = i
+		}
+	}
+	for _, i := range l.Instances {
+		was, ok := old[i.ID]
+		delete(old, i.ID)
+		is := i
+		was.Warmup, is.Warmup = 0, 0
+		if !ok || was != is || i.Warmup > 0 {
+			c.Put = append(c.Put, i)
+		}
+	}
+	for id := range old {
+		c.Gone = append(c.Gone, id)
+	}
+	sort.Strings(c.Gone)
+	return c
+}
+
+// Apply gives the list after the change; false when it does not fit base.
+func (c *Change) Apply(base *List) (*List, bool) {
+	by := map[string]Instance{}
+	if c.Base > 0 {
+		if base == nil || base.Num != c.Base {
+			return nil, false
+		}
+		for _, i := range base.Instances {
+			i.Warmup = 0 // counted down by whoever was told of it
+			by[i.ID] = i
+		}
+	}
+	for _, id := range c.Gone {
+		delete(by, id)
+	}
+	for _, i := range c.Put {
+		by[i.ID] = i
+	}
+	l := &List{Num: c.Num}
+	for _, i := range by {
+		l.Instances = append(l.Instances, i)
+	}
+	sort.Slice(l.Instances, func(a, b int) bool { return l.Instances[a].ID < l.Instances[b].ID })
+	return l, true
+}
+
+// Same says whether a later list names the same upstreams in the same states. How
+// long each stays cold is counted down by whoever holds the list, so only one
+// that turned cold again makes a difference.
 func Same(a, b []Instance) bool {
 	return slices.EqualFunc(a, b, func(x, y Instance) bool {
+		if y.Warmup > x.Warmup {
+			return false
+		}
 		x.Warmup, y.Warmup = 0, 0
 		return x == y
 	})
--- a/internal/penstock/line.go
+++ b/internal/penstock/line.go
@@ -2,6 +2,8 @@
 
 import (
 	"errors"
+	"hash/fnv"
+	"sort"
 	"sync"
 	"time"
 
@@ -17,8 +19,13 @@
 type Line struct {
 	mu      sync.Mutex
 	me      Tap
+	region  string
 	ends    map[string]*end
-	order   []string
+	order   []string        // of preference: own zone, own region, the rest
+	where   map[string]Peer // as control tells
+	doc     *scheme.Doc     // held, to tell differences from
+	list    *intake.List
+	whole   bool
 	full    string // whose contents we take
 	dial    func(addr string, h conduit.Handler) *conduit.Main
 	apply   func(Fresh)
@@ -28,10 +35,13 @@
 	current time.Time // when a control machine that hears a majority last spoke
 	heard   time.Time
 	proxies int
+	state   uint64
+	evacs   []string
 }
 
 type end struct {
 	m        *conduit.Main
+	tapped   bool
 	news     News
 	at       time.Time // last answer or push
 	tapAt    time.Time
@@ -47,12 +57,16 @@
 	Proxies  int
 	Trackers []string
 	Coming   map[string]weir.Quota
+	// State numbers the orders known here; Evacuated are the zones nothing is
+	// sent to. State 0 is no news yet.
+	State     uint64
+	Evacuated []string
 }
 
 // NewLine makes a proxy's end, with the control machines it knows to begin
 // with; apply is called, one call at a time, with what is newer.
-func NewLine(me Tap, peers []string, dial func(addr string, h conduit.Handler) *conduit.Main, apply func(Fresh)) *Line {
-	l := &Line{me: me, ends: map[string]*end{}, dial: dial, apply: apply, heard: time.Now()}
+func NewLine(me Tap, region string, peers []string, dial func(addr string, h conduit.Handler) *conduit.Main, apply func(Fresh)) *Line {
+	l := &Line{me: me, region: region, where: map[string]Peer{}, ends: map[string]*end{}, dial: dial, apply: apply, heard: time.Now()}
 	l.addLocked(peers)
 	return l
 }
@@ -72,6 +86,62 @@
 		l.ends[a] = e
 		l.order = append(l.order, a)
 	}
+	l.sortLocked()
+}
+
+// meetLocked takes control's word on where its machines stand.
+func (l *Line) meetLocked(ps []Peer) {
+	if len(ps) == 0 {
+		return
+	}
+	var addrs []string
+	for _, p := range ps {
+		l.where[p.Addr] = p
+		addrs = append(addrs, p.Addr)
+	}
+	l.addLocked(addrs)
+	l.sortLocked()
+}
+
+// sortLocked puts near machines first, and equals in an order of this proxy's
+// own, so that proxies spread.
+func (l *Line) sortLocked() {
+	far := func(a string) int {
+		switch p, ok := l.where[a]; {
+		case !ok || p.Zone == "":
+			return 2 // nothing is known of it yet
+		case p.Zone == l.me.Zone:
+			return 0
+		case p.Region == l.region:
+			return 1
+		}
+		return 3
+	}
+	lot := func(a string) uint32 {
+		h := fnv.New32a()
+		h.Write([]byte(l.me.Node + " " + a))
+		return h.Sum32()
+	}
+	sort.SliceStable(l.order, func(i, j int) bool {
+		a, b := l.order[i], l.order[j]
+		if far(a) != far(b) {
+			return far(a) < far(b)
+		}
+		return lot(a) < lot(b)
+	})
+}
+
+// pickLocked decides which control machines are tapped: the first few, and for
+// each of them that is silent or hears no majority one more.
+func (l *Line) pickLocked(now time.Time) {
+	good := 0
+	for _, a := range l.order {
+		e := l.ends[a]
+		e.tapped = good < datum.TapCount
+		if e.everWord && now.Sub(e.at) <= datum.TapSilence && e.news.Current {
+			good++
+		}
+	}
 }
 
 // Add makes further control machines known.
@@ -86,9 +156,13 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.me.Ready = ready
+	l.pickLocked(now)
 	l.chooseLocked(now)
 	for _, a := range l.order {
 		e := l.ends[a]
+		if !e.tapped {
+			continue
+		}
 		every := datum.TapEveryFar
 		if a == l.full || !e.everWord {
 			every = datum.TapEvery
@@ -107,6 +181,7 @@
 		e.asking, e.tapAt, e.pullAt = true, now, time.Time{}
 		t := l.me
 		t.Version, t.ListNum, t.Full, t.Proxies = l.version, l.listNum, a == l.full || pull, l.proxies
+		t.Whole = l.whole && t.Full
 		go l.ask(a, e, t)
 	}
 }
@@ -115,7 +190,7 @@
 // one in the own zone does; a silent one, or one that hears no majority, is
 // passed over.
 func (l *Line) chooseLocked(now time.Time) {
-	speaks := func(e *end) bool { return e != nil && e.everWord && now.Sub(e.at) <= datum.TapSilence }
+	speaks := func(e *end) bool { return e != nil && e.tapped && e.everWord && now.Sub(e.at) <= datum.TapSilence }
 	rank := func(a string) int {
 		e := l.ends[a]
 		switch {
@@ -171,17 +246,33 @@
 	e.at, e.everWord = now, true
 	c, li := n.Config, n.List
 	n.Config, n.List = nil, nil
+	if n.Trackers == nil {
+		n.Trackers = e.news.Trackers
+	}
+	l.meetLocked(n.Peers)
+	n.Peers = nil
+	coming := n.Coming
+	n.Coming = nil
 	e.news = n
-	e.news.Coming = nil
 	l.heard = now
-	l.addLocked(n.Peers)
 	var f Fresh
 	if c != nil && c.Version > l.version {
-		l.version, f.Config = c.Version, c
+		d, err := c.Unpack(l.doc, datum.ConfigMax)
+		if l.whole = err != nil; err == nil {
+			l.version, l.doc, f.Config = d.Version, d, d
+		}
 	}
 	if li != nil && li.Num > l.listNum {
-		l.listNum, f.List = li.Num, li
+		if full, ok := li.Apply(l.list); ok {
+			l.listNum, l.list, f.List = full.Num, full, full
+		} else {
+			l.whole = true
+		}
 	}
+	if n.StateNum > l.state {
+		l.state, l.evacs = n.StateNum, n.Evacuated
+	}
+	f.State, f.Evacuated = l.state, l.evacs
 	if n.Current {
 		l.current = now
 		if n.ListNum == l.listNum && n.ListNum > 0 {
@@ -210,10 +301,19 @@
 	if p > 0 {
 		l.proxies = p
 	}
-	f.Proxies, f.Trackers, f.Coming = l.proxies, trackers, n.Coming
+	f.Proxies, f.Trackers, f.Coming = l.proxies, trackers, coming
 	l.apply(f)
 }
 
+// Announce has every tapped control machine told with the next step.
+func (l *Line) Announce() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, e := range l.ends {
+		e.tapAt = time.Time{}
+	}
+}
+
 // State tells how far this proxy is in touch.
 type State struct {
 	Version, ListNum uint64
@@ -238,10 +338,10 @@
 // Ask sends a question to a control machine over its held connection.
 func (l *Line) Ask(addr string, body any, timeout time.Duration) (any, error) {
 	l.mu.Lock()
+	if l.ends[addr] == nil {
+		l.addLocked([]string{addr})
+	}
 	e := l.ends[addr]
 	l.mu.Unlock()
-	if e == nil {
-		return nil, conduit.ErrClosed
-	}
 	return e.m.Call(body, timeout)
 }
--- a/internal/penstock/penstock.go
+++ b/internal/penstock/penstock.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"slateridge/internal/conduit"
+	"slateridge/internal/datum"
 	"slateridge/internal/intake"
 	"slateridge/internal/scheme"
 	"slateridge/internal/weir"
@@ -25,21 +26,31 @@
 		Version uint64
 		ListNum uint64
 		Full    bool
+		Whole   bool // what was told as a difference did not fit: tell all
 		Ready   bool
 		Proxies int
+		Region  string
+		Front   string  // where clients connect
+		Weight  float64 // part of a core
 	}
+	// Peer is a control machine.
+	Peer struct{ Addr, Zone, Region string }
 	// News is a numbered change, or the answer to a Tap.
 	News struct {
-		Current  bool   // this control machine hears a majority
-		Zone     string // where it stands
-		Version  uint64
-		ListNum  uint64
-		ListAge  time.Duration
-		Proxies  int
-		Trackers []string
-		Peers    []string
-		Config   *scheme.Doc
-		List     *intake.List
+		Current bool   // this control machine hears a majority
+		Zone    string // where it stands
+		Version uint64
+		ListNum uint64
+		ListAge time.Duration
+		// StateNum orders what the operator has ordered; Evacuated are the
+		// zones nothing is to be sent to, as of that state.
+		StateNum  uint64
+		Evacuated []string
+		Proxies   int
+		Trackers  []string // these two only when they differ from what was told last
+		Peers     []Peer
+		Config    *scheme.Packed
+		List      *intake.Change
 		// Coming are the limits of a version that has arrived but is not in
 		// force; they are only evaluated.
 		ComingVer uint64
@@ -67,10 +78,19 @@
 	gotList  uint64
 	trackers string
 	proxies  int
-	told     [2]uint64
+	told     [3]uint64
+	peers    string
 	coming   uint64 // limits sent for evaluation
 }
 
+func named(ps []Peer) string {
+	out := ""
+	for _, p := range ps {
+		out += p.Addr + "/" + p.Zone + "/" + p.Region + " "
+	}
+	return out
+}
+
 // Penstock is the control side.
 type Penstock struct {
 	mu    sync.Mutex
@@ -79,7 +99,58 @@
 	// sharing says whether a proxy may be told the live count: from then on it
 	// uses a share of the split quotas.
 	sharing func(node string) bool
+	Closed  func(node string) // told when a proxy's last held connection ends
 	pushes  uint64
+	docs    []*scheme.Doc // lately in force, the newest last, to tell differences from
+	packed  map[uint64]*scheme.Packed
+	lists   []*intake.List
+	changes map[uint64]*intake.Change
+}
+
+// pack tells the configuration in force as its difference from a version a
+// proxy holds; the work is done once for all proxies that hold it.
+func (ps *Penstock) pack(d *scheme.Doc, have uint64) *scheme.Packed {
+	if n := len(ps.docs); n == 0 || ps.docs[n-1].Version != d.Version {
+		ps.docs = append(ps.docs, d)
+		ps.docs = ps.docs[max(0, len(ps.docs)-datum.KeptStates):]
+		ps.packed = map[uint64]*scheme.Packed{}
+	}
+	var base *scheme.Doc
+	for _, o := range ps.docs {
+		if o.Version == have && have > 0 {
+			base = o
+		}
+	}
+	if base == nil {
+		have = 0
+	}
+	if ps.packed[have] == nil {
+		p := scheme.Pack(base, d)
+		ps.packed[have] = &p
+	}
+	return ps.packed[have]
+}
+
+// change does the same for the list of upstreams.
+func (ps *Penstock) change(l *intake.List, have uint64) *intake.Change {
+	if n := len(ps.lists); n == 0 || ps.lists[n-1].Num != l.Num {
+		ps.lists = append(ps.lists, l)
+		ps.lists = ps.lists[max(0, len(ps.lists)-datum.KeptStates):]
+		ps.changes = map[uint64]*intake.Change{}
+	}
+	var base *intake.List
+	for _, o := range ps.lists {
+		if o.Num == have && have > 0 {
+			base = o
+		}
+	}
+	if base == nil {
+		have = 0
+	}
+	if ps.changes[have] == nil {
+		ps.changes[have] = intake.Diff(base, l)
+	}
+	return ps.changes[have]
 }
 
 // New makes the control side; face tells what is in force.
@@ -100,10 +171,20 @@
 			<-p.Done()
 			ps.mu.Lock()
 			delete(ps.pipes, p)
+			last := true
+			for _, o := range ps.pipes {
+				last = last && o.tap.Node != t.Node
+			}
 			ps.mu.Unlock()
+			if last && ps.Closed != nil {
+				ps.Closed(t.Node)
+			}
 		}()
 	}
 	c.tap, c.at, c.gotVer, c.gotList = t, time.Now(), t.Version, t.ListNum
+	if t.Whole {
+		c.gotVer, c.gotList = 0, 0
+	}
 	return ps.news(c, f)
 }
 
@@ -115,19 +196,29 @@
 	}
 	if c.tap.Full {
 		if f.ConfigDoc != nil && f.ConfigDoc.Version > c.gotVer {
-			n.Config, c.gotVer = f.ConfigDoc, f.ConfigDoc.Version
+			n.Config, c.gotVer = ps.pack(f.ConfigDoc, c.gotVer), f.ConfigDoc.Version
 		}
 		if f.Upstreams != nil && f.Upstreams.Num > c.gotList {
-			n.List, c.gotList = f.Upstreams, f.Upstreams.Num
+			n.List, c.gotList = ps.change(f.Upstreams, c.gotList), f.Upstreams.Num
 		}
 	}
-	if n.ComingVer <= n.Version || n.ComingVer == c.coming {
+	if n.ComingVer <= n.Version || n.ComingVer == c.coming || !c.tap.Full {
 		n.ComingVer, n.Coming = 0, nil
 	} else {
 		c.coming = n.ComingVer
 	}
-	c.told = [2]uint64{n.Version, n.ListNum}
-	c.proxies, c.trackers = n.Proxies, joined(n.Trackers)
+	c.told = [3]uint64{n.Version, n.ListNum, n.StateNum}
+	c.proxies = n.Proxies
+	if t := joined(n.Trackers); t == c.trackers {
+		n.Trackers = nil
+	} else {
+		c.trackers = t
+	}
+	if p := named(n.Peers); p == c.peers {
+		n.Peers = nil
+	} else {
+		c.peers = p
+	}
 	return n
 }
 
@@ -145,8 +236,11 @@
 	ps.mu.Lock()
 	defer ps.mu.Unlock()
 	for p, c := range ps.pipes {
+		if time.Since(c.at) > datum.TapSilence {
+			continue // it takes its news elsewhere, or is gone; its next word is answered
+		}
 		lacks := c.tap.Full && (f.Version > c.gotVer || f.ListNum > c.gotList)
-		if !lacks && (f.ComingVer <= f.Version || f.ComingVer == c.coming) && c.told == [2]uint64{f.Version, f.ListNum} && (c.proxies == f.Proxies || c.proxies == 0 && !ps.sharing(c.tap.Node)) && c.trackers == joined(f.Trackers) {
+		if !lacks && (f.ComingVer <= f.Version || f.ComingVer == c.coming || !c.tap.Full) && c.told == [3]uint64{f.Version, f.ListNum, f.StateNum} && (c.proxies == f.Proxies || c.proxies == 0 && !ps.sharing(c.tap.Node)) && c.trackers == joined(f.Trackers) {
 			continue
 		}
 		ps.pushes++
--- a/internal/scheme/scheme.go
+++ b/internal/scheme/scheme.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"io"
 	"math"
+	"slices"
 	"sort"
 	"strconv"
 	"strings"
@@ -25,10 +26,47 @@
 	NonIdempotent = "non_idempotent"
 )
 
-// Doc is one configuration as the operator sent it, with its version's number.
+// Stamp orders the states of the control plane: the number of the view whose
+// head made it, and a count within.
+type Stamp struct{ View, Seq uint64 }
+
+// Less says whether s is older than o.
+func (s Stamp) Less(o Stamp) bool { return s.View < o.View || s.View == o.View && s.Seq < o.Seq }
+
+// Num is the stamp as one number that orders alike; views and orders within one
+// stay far below 2^32.
+func (s Stamp) Num() uint64 { return s.View<<32 | s.Seq&(1<<32-1) }
+
+// Evac is the latest order on a zone's evacuation. Num counts the orders on the
+// zone; IDs are the latest ones, by which whoever sent one knows it has been
+// taken.
+type Evac struct {
+	On  bool
+	Num uint64
+	IDs []uint64
+}
+
+// Doc is one state of what the operator has ordered: the configuration as it
+// was sent, with its version's number, and the evacuations by zone.
 type Doc struct {
+	Stamp   Stamp
 	Version uint64
 	Raw     []byte
+	Evac    map[string]Evac
+}
+
+// Evacuated lists the zones under evacuation, sorted.
+func (d *Doc) Evacuated() []string {
+	var out []string
+	if d != nil {
+		for z, e := range d.Evac {
+			if e.On {
+				out = append(out, z)
+			}
+		}
+	}
+	sort.Strings(out)
+	return out
 }
 
 // Fault says which item and field of a configuration is wrong.
@@ -65,20 +103,24 @@
 	WeightedTargets []target  `json:"weightedTargets" validate:"dive"`
 	MaxAttempts     int       `json:"maxAttempts" validate:"gte=1"`
 	Public          bool      `json:"public"`
+	AllowedRegions  []string  `json:"allowedRegions" validate:"dive,required"`
 }
 
 type serviceSpec struct {
-	HealthCheckPath string `json:"healthCheckPath" validate:"omitempty,startswith=/"`
-	MaxConnections  int    `json:"maxConnections" validate:"gte=0"`
-	Protocol        string `json:"protocol" validate:"omitempty,oneof=h1"`
-	TLSEnabled      bool   `json:"tlsEnabled" validate:"eq=false"`
+	HealthCheckPath string    `json:"healthCheckPath" validate:"omitempty,startswith=/"`
+	MaxConnections  int       `json:"maxConnections" validate:"gte=0"`
+	Protocol        string    `json:"protocol" validate:"omitempty,oneof=h1"`
+	TLSEnabled      bool      `json:"tlsEnabled" validate:"eq=false"`
+	Warmup          sill.Span `json:"warmup" validate:"gte=0"`
+	WarmupPerS      float64   `json:"warmupPerS" validate:"gte=0"`
 }
 
 type tenantSpec struct {
-	APIKeys   []string `json:"apiKeys" validate:"dive,required"`
-	Priority  *int     `json:"priority" validate:"omitempty,gte=0"`
-	RatePerS  float64  `json:"ratePerS" validate:"gte=0"`
-	BurstSize float64  `json:"burstSize" validate:"gte=0"`
+	APIKeys        []string `json:"apiKeys" validate:"dive,required"`
+	Priority       *int     `json:"priority" validate:"omitempty,gte=0"`
+	RatePerS       float64  `json:"ratePerS" validate:"gte=0"`
+	BurstSize      float64  `json:"burstSize" validate:"gte=0"`
+	AllowedRegions []string `json:"allowedRegions" validate:"dive,required"`
 }
 
 type limitsSpec struct {
@@ -116,6 +158,24 @@
 	MaxAttempts        int
 	Public             bool
 	Targets            []Target
+	Homes              []string // regions it may be served in; none named means all
+}
+
+// Homes are the regions in which a request may be served, where both its route
+// and its tenant have a say; all says that neither has.
+func Homes(r *Route, t *Tenant) (homes []string, all bool) {
+	if t == nil || len(t.Homes) == 0 {
+		return r.Homes, len(r.Homes) == 0
+	}
+	if len(r.Homes) == 0 {
+		return t.Homes, false
+	}
+	for _, h := range r.Homes {
+		if slices.Contains(t.Homes, h) {
+			homes = append(homes, h)
+		}
+	}
+	return homes, false
 }
 
 // Pick chooses a target; u is drawn evenly from 0 to 1.
@@ -143,6 +203,8 @@
 type Service struct {
 	Name, HealthPath string
 	MaxConnections   int
+	Warmup           time.Duration // how long an upstream stays cold
+	WarmupPerS       float64       // requests a second a cold one bears; 0 is no bound
 }
 
 // Tenant is a holder of keys, with its quota; Rate 0 is no limit.
@@ -151,6 +213,7 @@
 	Priority    int
 	HasPriority bool
 	Rate, Burst float64
+	Homes       []string
 }
 
 // Limits bound what clients may send.
@@ -299,13 +362,14 @@
 			if err := decode(r.Spec, &sp); err != nil {
 				return nil, fault(err)
 			}
-			s.Services[r.Metadata.Name] = &Service{Name: r.Metadata.Name, HealthPath: sp.HealthCheckPath, MaxConnections: sp.MaxConnections}
+			s.Services[r.Metadata.Name] = &Service{Name: r.Metadata.Name, HealthPath: sp.HealthCheckPath, MaxConnections: sp.MaxConnections,
+				Warmup: sp.Warmup.D(), WarmupPerS: sp.WarmupPerS}
 		case "tenants":
 			var sp tenantSpec
 			if err := decode(r.Spec, &sp); err != nil {
 				return nil, fault(err)
 			}
-			t := &Tenant{Name: r.Metadata.Name, Rate: sp.RatePerS, Burst: sp.BurstSize}
+			t := &Tenant{Name: r.Metadata.Name, Rate: sp.RatePerS, Burst: sp.BurstSize, Homes: sp.AllowedRegions}
 			if sp.Priority != nil {
 				t.Priority, t.HasPriority = *sp.Priority, true
 			}
@@ -332,7 +396,7 @@
 	for i, sp := range routes {
 		item := "routes " + routeNames[i]
 		r := &Route{Name: routeNames[i], Host: strings.ToLower(sp.Host), Prefix: sp.PathPrefix, Idempotent: sp.RouteType == Idempotent,
-			Timeout: sp.Timeout.D(), Aim: sp.TargetLatency.D(), Priority: sp.Priority, MaxAttempts: sp.MaxAttempts, Public: sp.Public}
+			Timeout: sp.Timeout.D(), Aim: sp.TargetLatency.D(), Priority: sp.Priority, MaxAttempts: sp.MaxAttempts, Public: sp.Public, Homes: sp.AllowedRegions}
 		place := r.Host + r.Prefix
 		if other, ok := places[place]; ok {
 			return nil, &Fault{Item: item, Field: "pathPrefix", Why: "route " + other + " has the same host and prefix"}
--- a/internal/sill/sill.go
+++ b/internal/sill/sill.go
@@ -8,12 +8,15 @@
 	"fmt"
 	"net"
 	"os"
+	"slices"
 	"sort"
 	"strconv"
 	"strings"
 	"time"
 
 	"github.com/go-playground/validator/v10"
+
+	"slateridge/internal/datum"
 )
 
 // EnvFile names the variable that holds the settings file's path.
@@ -64,13 +67,23 @@
 	Frontend     string `json:"frontend" validate:"omitempty,hostname_port"`
 	Readiness    string `json:"readiness" validate:"omitempty,hostname_port"`
 	ControlPlane string `json:"controlPlane" validate:"omitempty,hostname_port"`
+	Directory    string `json:"directory" validate:"omitempty,hostname_port"`
 }
 
 // Limits are the machine's.
 type Limits struct {
-	MemoryMb     int `json:"memoryMb" validate:"gte=0"`
-	MaxOpenFiles int `json:"maxOpenFiles" validate:"gte=0"`
-	DiskMb       int `json:"diskMb" validate:"gte=0"`
+	MemoryMb     int     `json:"memoryMb" validate:"gte=0"`
+	MaxOpenFiles int     `json:"maxOpenFiles" validate:"gte=0"`
+	DiskMb       int     `json:"diskMb" validate:"gte=0"`
+	CPUShare     float64 `json:"cpuShare" validate:"gte=0"`
+	LinkMbps     float64 `json:"linkMbps" validate:"gte=0"`
+}
+
+// Tolerance is what may be lost at once while every rule still holds.
+type Tolerance struct {
+	MachineFailures int `json:"machineFailures" validate:"gte=0"`
+	Zones           int `json:"zones" validate:"gte=0"`
+	RegionFailures  int `json:"regionFailures" validate:"gte=0"`
 }
 
 // Bounds are the figures of the rules in force.
@@ -81,8 +94,12 @@
 	RetryBudgetRatio float64 `json:"retryBudgetRatio" validate:"gte=0,lte=1"`
 	RetryWindow      Span    `json:"retryWindow" validate:"gt=0"`
 	RetryBudgetSlack float64 `json:"retryBudgetSlack" validate:"gte=0"`
-	QuotaWindow      Span    `json:"quotaWindow" validate:"gt=0"`
+	QuotaWindow      Span    `json:"quotaWindow"`
 	QuotaSlack       float64 `json:"quotaSlack" validate:"gte=0"`
+	WarmupOverage    float64 `json:"warmupOverage" validate:"gte=0"`
+	WarmupSlack      float64 `json:"warmupSlack" validate:"gte=0"`
+	Evacuation       Span    `json:"evacuation"`
+	TTLMax           Span    `json:"ttl_max"`
 }
 
 // CloudAPI is where the platform keeps its list.
@@ -107,6 +124,10 @@
 	Limits          Limits            `json:"limits"`
 	DataDirectory   string            `json:"dataDirectory"`
 	Bounds          Bounds            `json:"bounds" validate:"required"`
+	FaultTolerance  Tolerance         `json:"faultTolerance"`
+	Contracts       []string          `json:"contracts"`
+	DeploymentID    string            `json:"deploymentId"`
+	EntryMode       string            `json:"entryMode"`
 	CloudAPI        CloudAPI          `json:"cloudApi"`
 }
 
@@ -137,18 +158,39 @@
 	if err := checker.Struct(s); err != nil {
 		return nil, fmt.Errorf("settings file %s: %s", path, FirstFault(err))
 	}
+	if s.Has("quota") && s.Bounds.QuotaWindow <= 0 {
+		return nil, fmt.Errorf("settings file %s: bounds.quotaWindow: missing, contract quota needs it", path)
+	}
 	if s.InternalPorts[1]-s.InternalPorts[0] < 4 {
 		return nil, fmt.Errorf("settings file %s: internalPorts: five ports are needed", path)
 	}
 	for _, n := range needs {
 		if map[string]string{"frontend": s.ListenAddresses.Frontend, "readiness": s.ListenAddresses.Readiness,
-			"controlPlane": s.ListenAddresses.ControlPlane, "dataDirectory": s.DataDirectory}[n] == "" {
+			"controlPlane": s.ListenAddresses.ControlPlane, "directory": s.ListenAddresses.Directory}[n] == "" {
 			return nil, fmt.Errorf("settings file %s: %s: missing, this role needs it", path, n)
 		}
 	}
 	return s, nil
 }
 
+// Has says whether a part of the rules is in force; a file that names none
+// means the gateway's own.
+func (s *Settings) Has(contract string) bool {
+	if s.Contracts == nil {
+		return slices.Contains([]string{"quota", "tenants"}, contract)
+	}
+	return slices.Contains(s.Contracts, contract)
+}
+
+// Trackers is how many shards the throttle keys are spread over: none where
+// there are no quotas, and more where more machines may be lost at once.
+func (s *Settings) Trackers() int {
+	if !s.Has("quota") {
+		return 0
+	}
+	return datum.TrackerDuty * max(1, s.FaultTolerance.MachineFailures)
+}
+
 // Internal is this machine's address for one of the internal ports.
 func (s *Settings) Internal(offset int) string { return s.PeerInternal(s.IPAddress, offset) }
 
--- a/internal/sluice/daemon.go
+++ b/internal/sluice/daemon.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -55,15 +56,16 @@
 	s := &Sluice{book: book, began: time.Now(), weir: weir.New(b.QuotaSlack)}
 	d.Sluice = s
 	s.allow = NewAllowance(0, b.RetryWindow.D(), b.RetryBudgetRatio, b.RetryBudgetSlack)
-	s.yard = NewYard(set.Zone, d.connCap)
+	s.yard = NewYard(set.IPAddress, set.Zone, set.Zones, d.connCap, d.warmup)
 	s.askFor = d.askTracker
 	d.trackers.Store(&[]string{})
 	// Each proxy tries the control machines in an order of its own, so that
 	// proxies spread.
 	ips := set.SeedIPs()
 	rand.Shuffle(len(ips), func(i, j int) { ips[i], ips[j] = ips[j], ips[i] })
-	me := penstock.Tap{Node: set.IPAddress, Name: set.NodeName, Zone: set.Zone}
-	d.line = penstock.NewLine(me, ips, func(ip string, h conduit.Handler) *conduit.Main {
+	me := penstock.Tap{Node: set.IPAddress, Name: set.NodeName, Zone: set.Zone, Region: set.Region,
+		Front: set.ListenAddresses.Frontend, Weight: set.Limits.CPUShare}
+	d.line = penstock.NewLine(me, set.Region, ips, func(ip string, h conduit.Handler) *conduit.Main {
 		return conduit.NewMain(set.PeerInternal(ip, datum.PortHeadworks), set.IPAddress, h)
 	}, d.apply)
 	return d
@@ -79,6 +81,15 @@
 	return max(1, int(datum.ConnShare*float64(sch.Services[service].MaxConnections))/n)
 }
 
+// warmup is how long a service's upstreams stay cold, where they may only be
+// sent so much.
+func (d *Daemon) warmup(service string) time.Duration {
+	if sch := d.scheme.Load(); sch != nil && sch.Services[service] != nil && sch.Services[service].WarmupPerS > 0 {
+		return sch.Services[service].Warmup
+	}
+	return 0
+}
+
 // apply puts what control sent in force.
 func (d *Daemon) apply(f penstock.Fresh) {
 	now := d.now()
@@ -101,6 +112,11 @@
 		d.haveList.Store(true)
 		d.book.Count("list_applied", 1)
 	}
+	if f.State > 0 {
+		if d.yard.Evacuate(time.Now(), f.Evacuated) {
+			d.book.Note("evacuations", strings.Join(f.Evacuated, " "))
+		}
+	}
 	if f.Proxies > 0 {
 		d.weir.SetProxies(now, f.Proxies)
 		d.allow.SetProxies(f.Proxies)
@@ -172,7 +188,7 @@
 // when no control machine has spoken for long.
 func (d *Daemon) step() {
 	now := time.Now()
-	d.line.Step(now, d.ready.Load())
+	d.line.Step(now, d.ready.Load() && !d.leaving.Load())
 	st := d.line.State(now)
 	if !d.ready.Load() && d.scheme.Load() != nil && d.haveList.Load() && st.ListAge < datum.NewsCurrent && st.Current < datum.NewsCurrent {
 		d.ready.Store(true)
@@ -203,9 +219,11 @@
 	return ""
 }
 
+func (d *Daemon) shard(key string) int { return weir.Shard(key, d.set.Load().Trackers()) }
+
 func (d *Daemon) askTracker(key string) {
 	asked := d.now()
-	to := d.tracker(weir.Shard(key))
+	to := d.tracker(d.shard(key))
 	if to != "" {
 		v, err := d.line.Ask(to, weir.AskGrants{Proxy: d.set.Load().IPAddress, Wants: []weir.Want{d.weir.Need(asked, key)}}, datum.GrantWait)
 		if g, ok := v.(weir.GrantsGiven); err == nil && ok && !g.Refused {
@@ -232,11 +250,11 @@
 	echo := maps.Clone(d.echo)
 	d.echoMu.Unlock()
 	by := map[string][]weir.Want{}
-	for _, w := range d.weir.Wants(asked, func(key string) (time.Duration, bool) {
-		h, ok := echo[d.tracker(weir.Shard(key))]
-		return h.at, ok
+	for _, w := range d.weir.Wants(asked, func(key string) (time.Duration, uint64, bool) {
+		h, ok := echo[d.tracker(d.shard(key))]
+		return h.at, h.stamp.Life, ok
 	}) {
-		if to := d.tracker(weir.Shard(w.Key)); to != "" {
+		if to := d.tracker(d.shard(w.Key)); to != "" {
 			by[to] = append(by[to], w)
 		}
 	}
@@ -286,8 +304,15 @@
 	began := time.Now()
 	d.leaving.Store(true)
 	d.book.Note("leaving", "readiness fails from now on")
-	grace := d.set.Load().Bounds.Grace.D() - datum.TermSpare
-	time.Sleep(min(datum.TermAccept, grace/2))
+	d.line.Announce()
+	set := d.set.Load()
+	grace := set.Bounds.Grace.D() - datum.TermSpare
+	// Where clients ask a directory, old answers name this proxy for some time.
+	accept := min(datum.TermAccept, grace/2)
+	if set.EntryMode == "directory" {
+		accept = min(3*datum.LookupTTL+datum.LeaveSpare, grace-datum.LeaveSpare)
+	}
+	time.Sleep(accept)
 	ctx, cancel := context.WithDeadline(context.Background(), began.Add(grace))
 	defer cancel()
 	d.gate.drain(ctx)
--- a/internal/sluice/flume.go
+++ b/internal/sluice/flume.go
@@ -170,6 +170,7 @@
 	hdrTenant   = "X-Slateridge-Tenant-Name"
 	hdrSeal     = "X-Slateridge-Response-Seal"
 	hdrNotRun   = "X-Slateridge-Not-Executed"
+	hdrLoad     = "X-Slateridge-Instance-Load"
 	hdrKey      = "X-Api-Key"
 )
 
--- a/internal/sluice/forward.go
+++ b/internal/sluice/forward.go
@@ -26,6 +26,7 @@
 	tenant   *scheme.Tenant
 	prio     int
 	service  string
+	homes    string    // regions it may be served in
 	head     []byte    // body held for another offer
 	rest     io.Reader // what follows it, offered once
 	length   int64     // of the body; -1 unknown
@@ -72,7 +73,7 @@
 // allowed checks once more, right before bytes go out, that the request may
 // still go there: the process may just have woken from a freeze.
 func (p *passage) allowed(o *Outfall) bool {
-	if !time.Now().Before(p.deadline) || p.r.Context().Err() != nil || !o.usable() {
+	if !time.Now().Before(p.deadline) || p.r.Context().Err() != nil || !o.usable(p.homes) {
 		return false
 	}
 	sch := p.s.scheme.Load()
@@ -84,7 +85,11 @@
 		route.Idempotent != p.route.Idempotent {
 		return false
 	}
-	p.sch, p.route, p.tenant = sch, route, tenant
+	homes := homesOf(scheme.Homes(route, tenant))
+	if !within(homes, o.region) {
+		return false
+	}
+	p.sch, p.route, p.tenant, p.homes = sch, route, tenant, homes
 	return true
 }
 
@@ -141,6 +146,9 @@
 		y.done(of, how)
 		return &result{how: how, sent: true, err: err}
 	}
+	if l := resp.Header.Get(hdrLoad); l != "" {
+		o.tells(l)
+	}
 	body, err := readSome(resp.Body, datum.AnswerBuffer)
 	res := &result{how: served, sent: true, resp: resp, body: body}
 	switch {
@@ -184,6 +192,7 @@
 	y := p.s.yard
 	now := p.s.now()
 	p.service = p.route.Pick(rand.Float64())
+	p.homes = homesOf(scheme.Homes(p.route, p.tenant))
 	p.s.allow.Request(now, p.service)
 	skip := map[*Outfall]bool{}
 	hold := time.Duration(float64(p.aim()) * datum.HoldShare)
@@ -191,9 +200,9 @@
 	var last *result
 	dials := 0
 	for {
-		of := y.Place(p.service, skip)
+		of := y.Place(want{p.service, p.homes}, skip)
 		if of == nil && last == nil {
-			of = y.Wait(p.r.Context(), p.service, p.prio, skip, min(time.Until(held), time.Until(p.deadline)))
+			of = y.Wait(p.r.Context(), want{p.service, p.homes}, p.prio, skip, min(time.Until(held), time.Until(p.deadline)))
 		}
 		if of == nil {
 			return last, http.StatusServiceUnavailable
@@ -217,6 +226,7 @@
 					return nil, code
 				}
 				p.sch, p.route, p.tenant = sch, route, tenant
+				p.homes = homesOf(scheme.Homes(route, tenant))
 				if !route.Goes(p.service) {
 					p.service = route.Pick(rand.Float64())
 				}
@@ -304,7 +314,7 @@
 			if p.sends+out >= p.route.MaxAttempts || !time.Now().Add(datum.LeastLeft).Before(p.deadline) {
 				continue
 			}
-			second := p.s.yard.Place(p.service, skip)
+			second := p.s.yard.Place(want{p.service, p.homes}, skip)
 			if second == nil {
 				continue
 			}
@@ -334,7 +344,7 @@
 func (p *passage) hedgeAfter() time.Duration {
 	y := p.s.yard
 	y.mu.Lock()
-	mean := meanDelay(y.svc[p.service])
+	mean := meanDelay(y.pick(want{p.service, p.homes}).few)
 	y.mu.Unlock()
 	return max(time.Duration(mean*datum.HedgeFactor*float64(time.Second)), time.Duration(float64(p.aim())*datum.HedgeFloor))
 }
--- a/internal/watermaster/watermaster.go
+++ b/internal/watermaster/watermaster.go
@@ -19,11 +19,13 @@
 	// Ask wants a lease or its renewal.
 	Ask struct {
 		Duty  string
+		Epoch uint64
 		Nonce uint64
 	}
 	// Grant answers; OK false names who holds it instead.
 	Grant struct {
 		Duty   string
+		Epoch  uint64
 		Nonce  uint64
 		OK     bool
 		Holder string
@@ -66,7 +68,9 @@
 // Watermaster is one machine's part: it grants, and it claims.
 type Watermaster struct {
 	me     string
-	peers  []string
+	epoch  uint64
+	peers  []string // the electorate; empty while it is not known
+	sealed bool
 	duties []string
 	start  time.Duration
 	grants map[string]grant
@@ -75,18 +79,38 @@
 	out    []Send
 }
 
-// New makes the machine; all peers name the same duties in the same order. life
-// is a number no earlier life of this machine is likely to have had.
-func New(now time.Duration, life uint64, me string, peers, duties []string) *Watermaster {
-	w := &Watermaster{me: me, peers: slices.Clone(peers), duties: duties, start: now, nonce: life,
-		grants: map[string]grant{}, claims: map[string]*claim{}}
-	sort.Strings(w.peers)
+// New makes the machine, without an electorate; all machines name the same
+// duties in the same order. life is a number no earlier life of this machine is
+// likely to have had.
+func New(now time.Duration, life uint64, me string, duties []string) *Watermaster {
+	w := &Watermaster{me: me, duties: duties, start: now, nonce: life, grants: map[string]grant{}, claims: map[string]*claim{}}
 	for _, d := range duties {
 		w.claims[d] = &claim{yes: map[string]bool{}}
 	}
 	return w
 }
 
+// SetElectorate takes the machines whose majority grants, under the number of
+// the view that made them so, and whether this machine has promised to leave
+// that view. A sealed machine grants nothing, and a majority is sealed before a
+// new electorate is decided; whoever learns of one grants nothing until all that
+// the old one granted has ended. So majorities of two electorates never meet.
+func (w *Watermaster) SetElectorate(now time.Duration, epoch uint64, peers []string, sealed bool) {
+	w.sealed = sealed
+	if epoch <= w.epoch {
+		return
+	}
+	w.epoch, w.peers = epoch, slices.Clone(peers)
+	sort.Strings(w.peers)
+	if w.start < now {
+		w.start = now
+	}
+	w.grants = map[string]grant{}
+	for _, c := range w.claims {
+		c.nonce, c.other, c.nextAt = 0, 0, 0 // what is held runs out
+	}
+}
+
 // Duties lists the duties by name.
 func (w *Watermaster) Duties() []string { return w.duties }
 
@@ -125,6 +149,9 @@
 
 // Tick claims and renews.
 func (w *Watermaster) Tick(now time.Duration) []Send {
+	if !slices.Contains(w.peers, w.me) {
+		return nil
+	}
 	for i, d := range w.duties {
 		c := w.claims[d]
 		held := c.until > now
@@ -148,7 +175,7 @@
 		c.nonce, c.asked, c.yes = w.nonce, now, map[string]bool{}
 		c.nextAt = now + datum.LeaseRenew
 		for _, p := range w.peers {
-			w.send(p, Ask{d, c.nonce}, now)
+			w.send(p, Ask{d, w.epoch, c.nonce}, now)
 		}
 	}
 	out := w.out
@@ -169,7 +196,7 @@
 func (w *Watermaster) take(now time.Duration, from string, msg any) {
 	switch m := msg.(type) {
 	case Ask:
-		if w.claims[m.Duty] == nil {
+		if w.claims[m.Duty] == nil || m.Epoch != w.epoch || w.sealed {
 			return
 		}
 		g := w.grants[m.Duty]
@@ -181,14 +208,14 @@
 			g = grant{from, m.Nonce, now + datum.LeaseLength + datum.LeaseMargin}
 			w.grants[m.Duty] = g
 		}
-		w.send(from, Grant{m.Duty, m.Nonce, ok, g.holder}, now)
+		w.send(from, Grant{m.Duty, w.epoch, m.Nonce, ok, g.holder}, now)
 	case Release:
 		if g := w.grants[m.Duty]; g.holder == from && g.nonce == m.Nonce {
 			delete(w.grants, m.Duty)
 		}
 	case Grant:
 		c := w.claims[m.Duty]
-		if c == nil || m.Nonce != c.nonce {
+		if c == nil || m.Nonce != c.nonce || m.Epoch != w.epoch {
 			return
 		}
 		if !m.OK {
--- a/internal/weir/tracker.go
+++ b/internal/weir/tracker.go
@@ -37,11 +37,11 @@
 	conduit.Register(GrantsGiven{})
 }
 
-// Shard is the tracker duty a throttle key hashes to.
-func Shard(key string) int {
+// Shard is the tracker duty a throttle key hashes to, of so many.
+func Shard(key string, of int) int {
 	h := fnv.New32a()
 	h.Write([]byte(key))
-	return int(h.Sum32() % datum.TrackerDuty)
+	return int(h.Sum32() % uint32(max(1, of)))
 }
 
 // lease is a rate given to one proxy. Until the proxy has told what it uses,
@@ -74,14 +74,15 @@
 	pools               map[string]*pool
 	quotas              map[string]Quota
 	known               map[string]time.Duration // since when a key has its limit
-	begun               [datum.TrackerDuty]time.Duration
+	shards              int
+	begun               map[int]time.Duration
 	Asked, Offered, Dry uint64
 }
 
 // NewGatehouse makes a tracker that knows no key yet; life tells it from all
 // others and from earlier ones.
-func NewGatehouse(life uint64) *Gatehouse {
-	return &Gatehouse{life: life, pools: map[string]*pool{}, quotas: map[string]Quota{}, known: map[string]time.Duration{}}
+func NewGatehouse(life uint64, shards int) *Gatehouse {
+	return &Gatehouse{life: life, shards: shards, begun: map[int]time.Duration{}, pools: map[string]*pool{}, quotas: map[string]Quota{}, known: map[string]time.Duration{}}
 }
 
 // SetQuotas takes the limits in force.
@@ -157,7 +158,7 @@
 	defer g.mu.Unlock()
 	out := GrantsGiven{Stamp: Stamp{g.life, now}}
 	for _, w := range a.Wants {
-		shard := Shard(w.Key)
+		shard := Shard(w.Key, g.shards)
 		at, ok := since(shard)
 		if !ok {
 			out.Refused = true
@@ -166,7 +167,7 @@
 		if g.begun[shard] != at {
 			g.begun[shard] = at
 			for k := range g.pools {
-				if Shard(k) == shard {
+				if Shard(k, g.shards) == shard {
 					delete(g.pools, k)
 				}
 			}
@@ -189,7 +190,7 @@
 			g.pools[w.Key] = p
 		}
 		if w.Lend {
-			if until := a.Echo.At + datum.LendLength; a.Echo.Life == g.life && w.Lent > 0 {
+			if until := a.Echo.At + lendLength(w.Long); a.Echo.Life == g.life && w.Lent > 0 {
 				p.loans[a.Proxy] = loan{w.Lent, w.Depth, until}
 			} else {
 				delete(p.loans, a.Proxy)
--- a/internal/weir/weir.go
+++ b/internal/weir/weir.go
@@ -6,6 +6,7 @@
 
 import (
 	"math"
+	"math/rand/v2"
 	"sort"
 	"sync"
 	"time"
@@ -59,6 +60,8 @@
 	lent       float64       // part of the split share, 0 to 1, lent to the tracker
 	lentAsked  time.Duration // the last question that told of it
 	lentEnds   time.Duration // by then the tracker has stopped using it
+	lentTo     uint64        // the tracker's life it was last told to
+	tellAt     time.Duration // when a share lent whole is to be told of again
 	dryUntil   time.Duration
 	arrived    float64 // since the last period
 	demand     float64 // requests a second, running mean
@@ -99,6 +102,12 @@
 	return 0
 }
 
+// tiny says whether a key's split share is too small to serve requests with: it
+// is lent whole, for longer, and the key is carried by its tracker alone.
+func (w *Weir) tiny(b *bay) bool {
+	return w.proxies > 0 && SplitFloor(w.proxies, w.slack) == 0 && datum.SplitPart*b.quota.Burst/float64(w.proxies) < datum.TinyShare
+}
+
 func (w *Weir) shape(b *bay, now time.Duration) {
 	q := b.quota
 	if w.proxies == 0 {
@@ -114,7 +123,7 @@
 	b.fast.set(now, datum.FastBucketRate*q.Rate, max(1, q.Rate*datum.FastBucketTime.Seconds()))
 	b.whole.set(now, q.Rate, max(1, q.Burst))
 	// A lowered limit cuts what was leased under the old one at once.
-	b.grant.set(now, min(b.grant.rate, (1-datum.SplitPart)*q.Rate), min(b.grant.depth, (1-datum.SplitPart)*q.Burst))
+	b.grant.set(now, min(b.grant.rate, max(0, q.Rate-b.split.rate)), min(b.grant.depth, max(0, q.Burst-b.split.depth)))
 }
 
 // SetProxies takes the live proxy count, as often as control speaks: when it
@@ -314,6 +323,15 @@
 	Lend   bool    // the next two count
 	Lent   float64 // rate of the split share lent to the tracker
 	Depth  float64 // and the burst with it
+	Long   bool    // for the longer time, as a share is that serves nobody where it is
+}
+
+// lendLength is how long a loan lasts.
+func lendLength(long bool) time.Duration {
+	if long {
+		return datum.LendLong
+	}
+	return datum.LendLength
 }
 
 // beyond is the rate to lease: of a hot key what the split share leaves open,
@@ -333,7 +351,7 @@
 // heard tells when the stamp that goes with a key's question reached this proxy:
 // the loan ends by that stamp, so it ends even when nothing gets through any
 // more. Without a stamp nothing is lent.
-func (w *Weir) Wants(now time.Duration, heard func(key string) (time.Duration, bool)) []Want {
+func (w *Weir) Wants(now time.Duration, heard func(key string) (at time.Duration, life uint64, ok bool)) []Want {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	span := (now - w.period).Seconds()
@@ -349,16 +367,28 @@
 		n := float64(w.proxies)
 		rate, depth := datum.SplitPart*b.quota.Rate/n, datum.SplitPart*b.quota.Burst/n
 		lend := 0.0
-		if at, ok := heard(k); ok && now < at+datum.LendLength {
-			lend = min(datum.LendMost, max(0, 1-b.demand*datum.LendKeep/rate))
-			b.lentEnds = max(b.lentEnds, at+datum.LendLength)
+		long := w.tiny(b)
+		at, life, ok := heard(k)
+		if ok && now < at+lendLength(long) {
+			if lend = min(datum.LendMost, max(0, 1-b.demand*datum.LendKeep/rate)); long {
+				lend = 1
+			}
+		}
+		beyond := b.beyond()
+		if long && math.Abs(lend-b.lent) < 1e-6 && life == b.lentTo && now < b.tellAt && beyond == 0 && b.grant.rate == 0 {
+			continue // the tracker knows all there is to know
+		}
+		if lend > 0 {
+			b.lentEnds = max(b.lentEnds, at+lendLength(long))
 			if lend > b.lent {
 				b.lent = lend
 				w.shape(b, now)
 			}
 		}
+		b.lentTo = life
+		b.tellAt = now + datum.LendLong/4 + time.Duration(rand.Int64N(int64(datum.LendLong/8)))
 		b.lentAsked = now
-		out = append(out, Want{Key: k, Demand: b.beyond(), Rate: b.grant.rate, Lend: true, Lent: lend * rate, Depth: lend * depth})
+		out = append(out, Want{Key: k, Demand: beyond, Rate: b.grant.rate, Lend: true, Lent: lend * rate, Depth: lend * depth, Long: long})
 	}
 	sort.Slice(out, func(i, j int) bool { return out[i].Key < out[j].Key })
 	return out
@@ -373,7 +403,11 @@
 		return Want{Key: key}
 	}
 	w.refresh(b, now)
-	return Want{Key: key, Demand: b.beyond(), Rate: b.grant.rate, Need: 1}
+	need := 1.0
+	if w.tiny(b) {
+		need += max(0, -b.split.tokens) // a share lent whole does not fill: what is owed has to be asked for too
+	}
+	return Want{Key: key, Demand: b.beyond(), Rate: b.grant.rate, Need: need}
 }
 
 // Given is a tracker's answer for one key.
@@ -399,7 +433,9 @@
 	w.refresh(b, now)
 	if ends := asked + datum.GrantLength; !g.Keep && ends > now && ends > b.grantEnds {
 		b.grantEnds = ends
-		b.grant.set(now, min(g.Rate, (1-datum.SplitPart)*b.quota.Rate), min(g.Depth, (1-datum.SplitPart)*b.quota.Burst))
+		// Never more than the limit leaves beside the split share: the lease may
+		// have been given under a higher one.
+		b.grant.set(now, min(g.Rate, max(0, b.quota.Rate-b.split.rate)), min(g.Depth, max(0, b.quota.Burst-b.split.depth)))
 	}
 	if g.Lent && asked == b.lentAsked && w.proxies > 0 {
 		if part := g.Loan * float64(w.proxies) / (datum.SplitPart * b.quota.Rate); part < b.lent {
@@ -408,6 +444,11 @@
 		}
 	}
 	if ends := asked + datum.OneOffLife; g.Tokens > 0 && ends > now {
+		if owed := max(0, -b.split.tokens); w.tiny(b) && owed > 0 {
+			paid := min(owed, max(0, g.Tokens-1))
+			b.split.tokens += paid
+			g.Tokens -= paid
+		}
 		b.oneOff += g.Tokens
 		b.oneOffEnds = ends
 	}
@@ -423,6 +464,9 @@
 	defer w.mu.Unlock()
 	if b := w.bays[key]; b != nil {
 		b.dryUntil = now + datum.GrantEvery
+		if w.tiny(b) {
+			b.dryUntil = now + datum.AskAgain // there is nobody else to ask
+		}
 	}
 }
 
