Cold upstreams by lot, foreign answers promise nothing, folder synced at opening, tests of the new parts

A rewrite killed between renaming and the folder's sync could lose what the next life acknowledged: the folder is now synced at every opening.

--- a/internal/cistern/cistern.go
+++ b/internal/cistern/cistern.go
@@ -103,7 +103,8 @@
 	return nil
 }
 
-func syncDir(dir string) error {
+// syncDir makes names in a folder last; tests count its calls and fail it.
+var syncDir = func(dir string) error {
 	d, err := os.Open(dir)
 	if err != nil {
 		return err
--- a/internal/cistern/cistern_test.go
+++ b/internal/cistern/cistern_test.go
@@ -114,3 +114,27 @@
 		t.Fatal(err)
 	}
 }
+
+// A process killed between the renaming of its rewritten file and the sync of
+// the folder leaves a name that a loss of power would undo. The next life must
+// sync the folder before it acknowledges anything.
+func TestFolderIsSyncedAfterAKillDuringRewrite(t *testing.T) {
+	dir := t.TempDir()
+	c := mustOpen(t, dir)
+	c.Put("held", "old")
+	real, calls := syncDir, 0
+	defer func() { syncDir = real }()
+	syncDir = func(string) error { return errors.New("killed here") }
+	if c.rewrite() == nil {
+		t.Fatal("a rewrite whose folder could not be synced passed")
+	}
+	syncDir = func(d string) error { calls++; return real(d) }
+	c = mustOpen(t, dir)
+	if calls == 0 {
+		t.Fatal("the folder was not synced before the first promise")
+	}
+	var got string
+	if !c.Get("held", &got) || got != "old" {
+		t.Fatalf("lost: %q", got)
+	}
+}
--- a/internal/datum/datum.go
+++ b/internal/datum/datum.go
@@ -63,7 +63,7 @@
 	RosterEvery   = time.Second             // control machines tell each other the proxies they know
 	RosterFar     = 3                       // times as long between words to other regions: bytes there are dear
 	RosterQuiet   = 3 * time.Second         // at the very first start the count is told only after all had time to come
-	PollEvery     = 600 * time.Millisecond  // the platform's list; a quarter of the drain bound, and calls are priced
+	PollShare     = 0.25                    // of the drain bound: how often the platform's list is read; calls are priced
 	ListStride    = 1 << 32                 // a new reader of the list begins in the next such span, at a number drawn by lot
 	PollTimeout   = 1200 * time.Millisecond // two polls
 	PullAfter     = 120 * time.Millisecond  // a change announced elsewhere is fetched there if it has not come so long after
@@ -91,6 +91,8 @@
 	NewConnPenalty  = 4 * time.Millisecond    // a new connection costs a handshake
 	DelayFade       = 6 * time.Second         // what was learned of an upstream's delay fades so fast
 	ChoiceNoise     = 0.15                    // proxies that know the same must not all choose the same
+	ColdOwners      = 3.0                     // proxies, on average, that send to a cold upstream whose rate is bounded: of eighty, sixteen or more by lot once in 1e7, and sixteen a second is what such a bound allows
+	ColdEvery       = 1100 * time.Millisecond // between two requests of one of them: longer than the second in which they are counted
 	WarmupFactor    = 1.6                     // a fresh upstream is slow
 	FullPause       = 80 * time.Millisecond   // an upstream that turned a request away is left alone so long
 	IdlePerUpstream = 4                       // connections kept by
@@ -146,7 +148,7 @@
 
 // Directory.
 const (
-	LookupTTL      = 1500 * time.Millisecond // an answer is used up to three times as long, and a leaving proxy serves on for that
+	LookupTTL      = 1500 * time.Millisecond // an answer is used up to three times as long; a leaving proxy takes new connections for two of them
 	GazetteerQuiet = 1500 * time.Millisecond // a process that has just started has not heard all yet
 	PlaceFresh     = 5 * time.Second         // a proxy unheard so long leaves the answers: longer than the slowest way its word takes
 	AnswerFresh    = 500 * time.Millisecond  // an answer is made anew after so long even if nobody spoke
@@ -154,7 +156,6 @@
 	AnswerMost     = 64                      // addresses a client takes
 	AnswerLeast    = 2                       // addresses, so that one that fails leaves another
 	ZoneEnough     = 0.6                     // part of a zone's proxies that carries the zone at its usual load
-	LeaveSpare     = 300 * time.Millisecond  // beyond the longest use of an answer
 )
 
 // Disk.
--- a/internal/headworks/chain.go
+++ b/internal/headworks/chain.go
@@ -25,13 +25,13 @@
 
 // View is the agreed chain. Voters are the machines that agree on the view after
 // it, members or not; Epoch is the number of the view that last changed their
-// addresses. Start is the state all members held when the view was agreed.
+// addresses. From is the state all members held when the view was agreed.
 type View struct {
 	Num     uint64
 	Members []Member
 	Voters  []Member
 	Epoch   uint64
-	Start   scheme.Stamp
+	From    scheme.Stamp
 }
 
 func (v View) votes(m Member) bool { return slices.Contains(v.Voters, m) }
@@ -402,7 +402,13 @@
 	if now >= c.gaugeAt {
 		c.gaugeAt = now + datum.GaugeEvery
 		g := c.gauge()
-		c.others(func(p string) { c.send(p, g) })
+		c.others(func(p string) {
+			o := g
+			if s := c.seen[p]; s != nil && s.gauge.View.Num >= g.View.Num {
+				o.View = View{Num: g.View.Num} // it has that view; its number is enough
+			}
+			c.send(p, o)
+		})
 	}
 	if c.store.Sick() && now >= c.mendAt {
 		c.mendAt = now + datum.MemberSilence
@@ -557,7 +563,7 @@
 		p.since = c.now
 	}
 	p.everSeen, p.heard, p.gauge = true, c.now, g
-	if g.View.Num > c.agr.View.Num {
+	if g.View.Num > c.agr.View.Num && len(g.View.Members) > 0 {
 		c.learn(g.View)
 	}
 	if at(c.committed).Less(g.Committed) {
--- a/internal/headworks/chain_test.go
+++ b/internal/headworks/chain_test.go
@@ -476,3 +476,54 @@
 		t.Fatalf("got %v", out)
 	}
 }
+
+// A machine without a say follows, passes calls on and is never taken in.
+func TestRelayFollows(t *testing.T) {
+	c := newCore(t, 7, []string{"a", "b", "c"}, 1)
+	c.names = append([]string{}, "a", "b", "c", "r")
+	c.disks["r"] = basin.NewDisk()
+	c.start("r", false)
+	c.chain["r"].Relay = true
+	c.b.Run(5*time.Second, nil)
+	c.sent[9] = "nine"
+	c.waits["r"][9] = true
+	c.run("r", c.life["r"], func(ch *Chain) []any {
+		return ch.Submit(c.b.Now, scheme.Doc{Version: 9, Raw: []byte("nine")})
+	})
+	c.b.Run(8*time.Second, nil)
+	if c.acked != 9 || c.inForce["r"] != 9 {
+		t.Fatalf("acknowledged r%d, the relay has r%d, want 9", c.acked, c.inForce["r"])
+	}
+	for _, n := range c.names {
+		if v := c.chain[n].View(); len(v.Members) != 3 || len(v.Voters) != 3 {
+			t.Fatalf("%s sees %+v: the relay was taken in", n, v)
+		}
+	}
+}
+
+// A store written when a view did not name its voters opens with those it had.
+func TestOldStoreOpens(t *testing.T) {
+	disk := basin.NewDisk()
+	type oldView struct {
+		Start   uint64
+		Num     uint64
+		Members []Member
+	}
+	disk.Put("incarnation", uint64(1))
+	disk.Put("peers", []string{"a", "b", "c"})
+	disk.Put("agreement", struct {
+		View   oldView
+		Joined bool
+	}{oldView{6, 4, []Member{{"a", 1}, {"b", 1}}}, true})
+	disk.Put("held", struct {
+		Version uint64
+		Raw     []byte
+	}{6, []byte("6")})
+	c, err := NewChain(0, "a", []string{"a", "b", "c"}, false, disk, rand.New(rand.NewPCG(1, 1)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if v := c.View(); v.Num != 4 || len(v.Voters) != 3 || c.majority() != 2 || !v.votes(Member{"b", 1}) || c.Status().Held.Seq != 6 {
+		t.Fatalf("opened as %+v holding %+v", v, c.Status().Held)
+	}
+}
--- a/internal/headworks/daemon.go
+++ b/internal/headworks/daemon.go
@@ -232,7 +232,7 @@
 		d.pen.Publish()
 	})
 	go d.poll(w.Context())
-	w.Turn(datum.PollEvery, func() { d.poll(w.Context()) })
+	w.Turn(time.Duration(datum.PollShare*float64(d.set.Bounds.Drain.D())), func() { d.poll(w.Context()) })
 	w.Turn(datum.RosterEvery, d.shareRoster)
 	w.Turn(staff.TickEvery, d.staff.Tick)
 	return nil
@@ -305,7 +305,7 @@
 			}
 			d.waitMu.Unlock()
 		case Moved:
-			d.book.Note("view", fmt.Sprintf("%d %v of %d voters from %d/%d", o.View.Num, addrs(o.View), len(o.View.Voters), o.View.Start.View, o.View.Start.Seq))
+			d.book.Note("view", fmt.Sprintf("%d %v of %d voters from %d/%d", o.View.Num, addrs(o.View), len(o.View.Voters), o.View.From.View, o.View.From.Seq))
 		}
 	}
 }
--- a/internal/headworks/view.go
+++ b/internal/headworks/view.go
@@ -36,7 +36,7 @@
 	c.passAt = 0
 	c.reads = nil
 	if v.has(c.Me) {
-		c.commitAt(v.Start)
+		c.commitAt(v.From)
 	}
 	c.out = append(c.out, Moved{v})
 }
@@ -281,7 +281,7 @@
 // nextView is the view a round proposes. A newcomer becomes a voter with it: in
 // the place of its earlier self, whose disk is gone, or as one more.
 func (c *Chain) nextView(r *round) View {
-	v := View{Num: r.slot, Members: r.chosen, Voters: slices.Clone(c.agr.View.Voters), Epoch: c.agr.View.Epoch, Start: at(r.doc)}
+	v := View{Num: r.slot, Members: r.chosen, Voters: slices.Clone(c.agr.View.Voters), Epoch: c.agr.View.Epoch, From: at(r.doc)}
 	for _, m := range r.chosen {
 		i := slices.IndexFunc(v.Voters, func(o Member) bool { return o.Addr == m.Addr })
 		if i >= 0 {
--- /dev/null
+++ b/internal/scheme/delta_test.go
@@ -0,0 +1,60 @@
+package scheme
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+)
+
+// TestDifferences packs seeded chains of configurations, each against any
+// earlier one, and wants the same bytes back; spoilt input must fail, not pass.
+func TestDifferences(t *testing.T) {
+	for seed := uint64(1); seed <= 50; seed++ {
+		r := rand.New(rand.NewPCG(seed, 1))
+		var its []string
+		item := func() string {
+			return fmt.Sprintf(`{"resourceKind":"routes","metadata":{"name":"r-%d"},"spec":{"host":"h%d.example"}}`, r.Uint64(), r.IntN(9))
+		}
+		for range r.IntN(300) {
+			its = append(its, item())
+		}
+		docs := []*Doc{nil}
+		for v := uint64(1); v < 6; v++ {
+			d := &Doc{Version: v, Raw: []byte(fmt.Sprintf(`{"configVersion":"r%d","resourceList":[%s]}`, v, strings.Join(its, ",")))}
+			for _, base := range docs {
+				p := Pack(base, d)
+				got, err := p.Unpack(base, 1<<20)
+				if err != nil || string(got.Raw) != string(d.Raw) || got.Version != v {
+					t.Fatalf("seed %d: r%d against %v: %v", seed, v, base, err)
+				}
+				if base != nil {
+					if _, err := p.Unpack(nil, 1<<20); !errors.Is(err, ErrBase) {
+						t.Fatalf("seed %d: unpacked without its base: %v", seed, err)
+					}
+					if len(its) > 100 && len(p.Z) > len(d.Raw)/8 {
+						t.Fatalf("seed %d: a difference of %d bytes in %d", seed, len(p.Z), len(d.Raw))
+					}
+				}
+				if len(p.Z) > 8 {
+					p.Z = append([]byte(nil), p.Z...)
+					p.Z[r.IntN(len(p.Z))] ^= 1 << r.IntN(8)
+					if got, err := p.Unpack(base, 1<<20); err == nil && string(got.Raw) != string(d.Raw) {
+						t.Fatalf("seed %d: spoilt bytes pass", seed)
+					}
+				}
+			}
+			docs = append(docs, d)
+			for range 3 {
+				if n := len(its); n > 0 {
+					its[r.IntN(n)] = item()
+				}
+				its = append(its, item())
+			}
+		}
+		if _, err := (&Packed{Version: 1, Z: Pack(nil, docs[3]).Z}).Unpack(nil, 10); err == nil {
+			t.Fatal("longer than allowed, and no error")
+		}
+	}
+}
--- a/internal/sluice/daemon.go
+++ b/internal/sluice/daemon.go
@@ -120,6 +120,7 @@
 	if f.Proxies > 0 {
 		d.weir.SetProxies(now, f.Proxies)
 		d.allow.SetProxies(f.Proxies)
+		d.yard.SetProxies(f.Proxies)
 	}
 	if f.Coming != nil {
 		d.weir.Evaluate(now, f.Coming)
@@ -310,7 +311,7 @@
 	// Where clients ask a directory, old answers name this proxy for some time.
 	accept := min(datum.TermAccept, grace/2)
 	if set.EntryMode == "directory" {
-		accept = min(3*datum.LookupTTL+datum.LeaveSpare, grace-datum.LeaveSpare)
+		accept = min(2*datum.LookupTTL, grace/2)
 	}
 	time.Sleep(accept)
 	ctx, cancel := context.WithDeadline(context.Background(), began.Add(grace))
--- a/internal/sluice/forward.go
+++ b/internal/sluice/forward.go
@@ -149,6 +149,10 @@
 	if l := resp.Header.Get(hdrLoad); l != "" {
 		o.tells(l)
 	}
+	owns, first := resp.Header.Get(hdrAttempt) == p.r.Header.Get(hdrAttempt), f.used == 0
+	if !owns && !first {
+		resp.Close = true // in doubt; it is not used again
+	}
 	body, err := readSome(resp.Body, datum.AnswerBuffer)
 	res := &result{how: served, sent: true, resp: resp, body: body}
 	switch {
@@ -163,7 +167,9 @@
 	}
 	switch {
 	case resp.Header.Get(hdrNotRun) != "" || resp.StatusCode == http.StatusMisdirectedRequest:
-		res.notRun = true
+		// Without this try's id, on a connection that has carried others, it may
+		// be a late word on one of those: nothing is promised on it.
+		res.notRun = owns || first
 		res.how = full
 		if resp.StatusCode == http.StatusMisdirectedRequest {
 			res.how = broken
--- a/internal/sluice/outfall.go
+++ b/internal/sluice/outfall.go
@@ -33,7 +33,8 @@
 	out      map[*offer]time.Time // requests there, since when
 	idle     []*Flume
 	conns    int
-	load     float64 // requests running and waiting for each slot, as it last told
+	coldAt   time.Time // last given a place while cold
+	load     float64   // requests running and waiting for each slot, as it last told
 	loadAt   time.Time
 	delay    float64 // running mean of the time to an answer, seconds; 0 unknown
 	delayAt  time.Time
@@ -56,6 +57,7 @@
 	evac    map[string]bool // zones nothing is sent to
 	regions map[string]string
 	warmup  func(service string) time.Duration // how long its upstreams are cold and bounded; 0 never
+	proxies int                                // live count
 	me      string
 	waits   map[string][]*waiter
 	connCap func(service string) int // this proxy's share of connections to one upstream
@@ -71,6 +73,23 @@
 // anywhere is the homes of a request that may be served in all regions.
 const anywhere = "*"
 
+// SetProxies takes the live count.
+func (y *Yard) SetProxies(n int) {
+	y.mu.Lock()
+	y.proxies = n
+	y.mu.Unlock()
+}
+
+// bears says whether a cold upstream may be sent a request from here now. Its
+// bound holds over all proxies, and nobody is asked: by lot a few of them own
+// it, and each sends one request at a time, spaced so that no second sees two.
+// The lot needs no roster, only the live count, and is as good while counts
+// differ.
+func (o *Outfall) bears(now time.Time) bool {
+	n := o.yard.proxies
+	return n > 0 && float64(o.lot)*float64(n) < datum.ColdOwners*(1<<32) && now.Sub(o.coldAt) >= datum.ColdEvery
+}
+
 // homesOf writes regions as a want has them.
 func homesOf(regions []string, all bool) string {
 	if all {
@@ -284,7 +303,7 @@
 		var best *Outfall
 		least := math.Inf(1)
 		for _, o := range os {
-			if o.draining || skip[o] || y.evac[o.inst.Zone] || bounded && now.Before(o.warmAt) || !ejectedToo && now.Before(o.ejected) {
+			if o.draining || skip[o] || y.evac[o.inst.Zone] || bounded && now.Before(o.warmAt) && !o.bears(now) || !ejectedToo && now.Before(o.ejected) {
 				continue
 			}
 			if o.fails > 0 && len(o.out) > 0 {
@@ -361,6 +380,9 @@
 	if o == nil {
 		return nil
 	}
+	if now.Before(o.warmAt) {
+		o.coldAt = now
+	}
 	p := &offer{o}
 	o.out[p] = now
 	return p
--- a/internal/watermaster/watermaster_test.go
+++ b/internal/watermaster/watermaster_test.go
@@ -148,3 +148,88 @@
 	w.SetElectorate(0, 1, peers, false)
 	return w
 }
+
+// TestElectorateGrows changes the electorate under seeded trouble, as views do:
+// a majority of the old one is sealed before the new one is decided, machines
+// learn of it at their own times, and some sleep through it. No duty has two
+// holders, and at the end it has one.
+func TestElectorateGrows(t *testing.T) {
+	for seed := uint64(1); seed <= 150; seed++ {
+		b := basin.New(seed)
+		b.Loss = []float64{0, 0.1}[seed%2]
+		b.Delay = []time.Duration{5, 100, 400}[seed%3] * time.Millisecond
+		all := []string{"a", "b", "c", "d", "e", "f", "g"}
+		ms := map[string]*Watermaster{}
+		epoch := uint64(1)
+		peers := all[:3]
+		known := map[string]uint64{}
+		lists := map[uint64][]string{1: peers}
+		sealed := map[string]bool{}
+		for _, n := range all {
+			ms[n] = New(0, b.Rng.Uint64(), n, []string{"x"})
+			known[n] = 1
+		}
+		var put func(n string, out []Send)
+		put = func(n string, out []Send) {
+			for _, s := range out {
+				b.Send(n, s.To, func() { put(s.To, ms[s.To].Recv(b.Now, n, s.Msg)) })
+			}
+		}
+		var tick func()
+		tick = func() {
+			for _, n := range all {
+				ms[n].SetElectorate(b.Now, known[n], lists[known[n]], sealed[n])
+				put(n, ms[n].Tick(b.Now))
+			}
+			b.After(datum.LeaseTick, tick)
+		}
+		tick()
+		var grow func()
+		grow = func() {
+			if len(peers) == len(all) {
+				return
+			}
+			first := b.Rng.IntN(len(peers))
+			for i := range len(peers)/2 + 1 { // promised and accepted
+				n := peers[(first+i)%len(peers)]
+				if known[n] != epoch {
+					b.After(time.Second, grow)
+					return
+				}
+				sealed[n] = true
+				ms[n].SetElectorate(b.Now, known[n], lists[known[n]], true)
+			}
+			epoch++
+			peers = all[:len(peers)+1+b.Rng.IntN(len(all)-len(peers))]
+			lists[epoch] = peers
+			for _, n := range all {
+				e := epoch
+				b.After(time.Duration(b.Rng.IntN(6000))*time.Millisecond, func() {
+					if known[n] < e {
+						known[n], sealed[n] = e, false
+					}
+				})
+			}
+			b.After(time.Duration(b.Rng.IntN(9000))*time.Millisecond, grow)
+		}
+		b.After(3*time.Second+time.Duration(b.Rng.IntN(3000))*time.Millisecond, grow)
+		holders := 0
+		b.Run(50*time.Second, func() {
+			holders = 0
+			for _, n := range all {
+				if _, ok := ms[n].Holds(b.Now, "x"); ok {
+					holders++
+				}
+			}
+			if holders > 1 {
+				t.Fatalf("seed %d at %v: %d holders", seed, b.Now, holders)
+			}
+			if b.Now > 40*time.Second {
+				b.Loss, b.Delay = 0, 5*time.Millisecond
+			}
+		})
+		if holders != 1 {
+			t.Fatalf("seed %d: %d holders after calm", seed, holders)
+		}
+	}
+}
