weir: standby rates for keys that their tracker alone carries

Now each proxy is told a standby rate that it uses only while it hears nothing from the tracker; the tracker leaves it out of its pool by the stamp that last reached the proxy. Buckets begin with a part drawn by lot, so low rates add up.

--- a/internal/headworks/daemon.go
+++ b/internal/headworks/daemon.go
@@ -121,7 +121,13 @@
 func NewDaemon(set *sill.Settings, book *logbook.Logbook) (*Daemon, error) {
 	d := &Daemon{set: set, book: book, began: time.Now(), seeds: set.SeedIPs(), mains: map[string]*conduit.Main{}, orders: map[uint64]chan struct{}{},
 		waits: map[chan struct{}]uint64{}, reads: map[uint64]chan *scheme.Doc{}, roster: map[string]*proxyEntry{},
-		heard: map[string]time.Time{}, where: map[string]penstock.Peer{}, gates: weir.NewGatehouse(rand.Uint64(), set.Trackers()), polls: intake.NewSource(set.CloudAPI.Address)}
+		heard: map[string]time.Time{}, where: map[string]penstock.Peer{}, polls: intake.NewSource(set.CloudAPI.Address)}
+	d.gates = weir.NewGatehouse(rand.Uint64(), set.Trackers(), func(q weir.Quota) bool {
+		d.mu.Lock()
+		n := len(d.roster)
+		d.mu.Unlock()
+		return weir.Tiny(n, set.Bounds.QuotaSlack, q)
+	})
 	relay := set.DataDirectory == "" || !set.QuorumMember
 	fresh := false
 	if relay {
--- a/internal/sluice/daemon.go
+++ b/internal/sluice/daemon.go
@@ -53,7 +53,7 @@
 	d := &Daemon{path: path, echo: map[string]heardStamp{}, source: intake.NewSource(set.CloudAPI.Address)}
 	d.set.Store(set)
 	b := set.Bounds
-	s := &Sluice{book: book, began: time.Now(), weir: weir.New(b.QuotaSlack)}
+	s := &Sluice{book: book, began: time.Now(), weir: weir.New(b.QuotaSlack, set.Trackers(), rand.Uint64())}
 	d.Sluice = s
 	s.allow = NewAllowance(0, b.RetryWindow.D(), b.RetryBudgetRatio, b.RetryBudgetSlack)
 	s.yard = NewYard(set.IPAddress, set.Zone, set.Zones, d.connCap, d.warmup)
@@ -226,8 +226,12 @@
 	asked := d.now()
 	to := d.tracker(d.shard(key))
 	if to != "" {
-		v, err := d.line.Ask(to, weir.AskGrants{Proxy: d.set.Load().IPAddress, Wants: []weir.Want{d.weir.Need(asked, key)}}, datum.GrantWait)
+		d.echoMu.Lock()
+		echo := d.echo[to].stamp
+		d.echoMu.Unlock()
+		v, err := d.line.Ask(to, weir.AskGrants{Proxy: d.set.Load().IPAddress, Wants: []weir.Want{d.weir.Need(asked, key)}, Echo: echo}, datum.GrantWait)
 		if g, ok := v.(weir.GrantsGiven); err == nil && ok && !g.Refused {
+			d.heardTracker(to, g.Stamp, d.shard(key))
 			for _, x := range g.Given {
 				d.weir.Take(d.now(), asked, x)
 			}
@@ -237,6 +241,19 @@
 	d.weir.Unanswered(d.now(), key)
 }
 
+// heardTracker notes a tracker's answer for some shards.
+func (d *Daemon) heardTracker(to string, s weir.Stamp, shards ...int) {
+	now := d.now()
+	d.echoMu.Lock()
+	if o := d.echo[to]; o.stamp.Life != s.Life || o.stamp.At < s.At {
+		d.echo[to] = heardStamp{s, now}
+	}
+	d.echoMu.Unlock()
+	for _, i := range shards {
+		d.weir.Heard(now, i)
+	}
+}
+
 // heardStamp is a tracker's latest stamp, and when it came here.
 type heardStamp struct {
 	stamp weir.Stamp
@@ -259,15 +276,22 @@
 			by[to] = append(by[to], w)
 		}
 	}
+	shards := map[string][]int{}
+	for i, to := range *d.trackers.Load() {
+		if to != "" {
+			shards[to] = append(shards[to], i)
+			if _, ok := by[to]; !ok && asked-echo[to].at > datum.ContactEvery {
+				by[to] = nil // nothing to say but that it is heard
+			}
+		}
+	}
 	for to, ws := range by {
 		go func() {
-			q := weir.AskGrants{Proxy: d.set.Load().IPAddress, Wants: ws, Echo: echo[to].stamp}
+			q := weir.AskGrants{Proxy: d.set.Load().IPAddress, Wants: ws, Echo: echo[to].stamp, Proxies: d.weir.Proxies()}
 			v, err := d.line.Ask(to, q, datum.CallTimeout)
 			if g, ok := v.(weir.GrantsGiven); err == nil && ok {
 				if !g.Refused { // what does not track borrows nothing
-					d.echoMu.Lock()
-					d.echo[to] = heardStamp{g.Stamp, d.now()}
-					d.echoMu.Unlock()
+					d.heardTracker(to, g.Stamp, shards[to]...)
 				}
 				for _, x := range g.Given {
 					d.weir.Take(d.now(), asked, x)
--- a/internal/weir/tracker.go
+++ b/internal/weir/tracker.go
@@ -13,9 +13,10 @@
 // says the machine asked does not track, or not yet.
 type (
 	AskGrants struct {
-		Proxy string
-		Wants []Want
-		Echo  Stamp // the tracker's latest that has reached the proxy
+		Proxy   string
+		Wants   []Want
+		Echo    Stamp // the tracker's latest that has reached the proxy
+		Proxies int   // the live count the proxy reckons with
 	}
 	GrantsGiven struct {
 		Refused bool
@@ -56,6 +57,11 @@
 // pool is one key at its tracker: what is not leased accrues here.
 type pool struct {
 	quota  Quota
+	long   bool // carried by its tracker alone, with standby in place of leases
+	stands map[string]*stand
+	open   time.Duration   // until then standby of an earlier tracker may be in use
+	told   map[string]bool // proxies that have told what they hold of these
+	of     int             // how many there are, by the largest count told
 	b      bucket
 	leases map[string]*lease
 	loans  map[string]loan
@@ -70,6 +76,9 @@
 // Gatehouse is the tracker of its shards' keys.
 type Gatehouse struct {
 	life                uint64
+	contact             map[string]time.Duration // by proxy, the latest stamp that has reached it
+	changed             map[string]time.Duration // when a key went from one way of sharing to the other
+	tiny                func(Quota) bool
 	mu                  sync.Mutex
 	pools               map[string]*pool
 	quotas              map[string]Quota
@@ -80,9 +89,10 @@
 }
 
 // NewGatehouse makes a tracker that knows no key yet; life tells it from all
-// others and from earlier ones.
-func NewGatehouse(life uint64, shards int) *Gatehouse {
-	return &Gatehouse{life: life, shards: shards, begun: map[int]time.Duration{}, pools: map[string]*pool{}, quotas: map[string]Quota{}, known: map[string]time.Duration{}}
+// others and from earlier ones, tiny which keys have split shares that serve
+// nobody.
+func NewGatehouse(life uint64, shards int, tiny func(Quota) bool) *Gatehouse {
+	return &Gatehouse{tiny: tiny, contact: map[string]time.Duration{}, changed: map[string]time.Duration{}, life: life, shards: shards, begun: map[int]time.Duration{}, pools: map[string]*pool{}, quotas: map[string]Quota{}, known: map[string]time.Duration{}}
 }
 
 // SetQuotas takes the limits in force.
@@ -102,6 +112,14 @@
 			continue
 		}
 		p.quota = q
+		g.shape(p, now)
+	}
+}
+
+func (g *Gatehouse) shape(p *pool, now time.Duration) {
+	if p.long {
+		p.shapeLong(now, g.contact)
+	} else {
 		p.shape(now)
 	}
 }
@@ -157,6 +175,9 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	out := GrantsGiven{Stamp: Stamp{g.life, now}}
+	if a.Echo.Life == g.life {
+		g.contact[a.Proxy] = max(g.contact[a.Proxy], a.Echo.At)
+	}
 	for _, w := range a.Wants {
 		shard := Shard(w.Key, g.shards)
 		at, ok := since(shard)
@@ -172,21 +193,42 @@
 				}
 			}
 		}
-		if now-at < datum.GrantLength {
-			out.Given = append(out.Given, Given{Key: w.Key, Keep: true, Dry: datum.GrantLength - (now - at), Lent: w.Lend})
+		q, ok := g.quotas[w.Key]
+		long := ok && q.Rate > 0 && g.tiny(q)
+		wait := datum.GrantLength
+		if long {
+			wait = datum.OneOffLife
+		}
+		if now-at < wait {
+			out.Given = append(out.Given, Given{Key: w.Key, Keep: true, Dry: wait - (now - at), Lent: w.Lend})
 			continue
 		}
-		q, ok := g.quotas[w.Key]
 		if !ok || q.Rate <= 0 {
 			continue
 		}
 		p := g.pools[w.Key]
+		if p != nil && p.long != long {
+			// The fleet has grown or shrunk past what a share can serve: as with a
+			// new tracker, what was given the other way has to end first.
+			g.changed[w.Key] = now
+			delete(g.pools, w.Key)
+			p = nil
+		}
+		if c, ok := g.changed[w.Key]; ok && now-c < datum.GrantLong {
+			out.Given = append(out.Given, Given{Key: w.Key, Keep: true, Dry: datum.GrantEvery, Lent: w.Lend})
+			continue
+		}
 		if p == nil {
 			p = &pool{quota: q, leases: map[string]*lease{}, loans: map[string]loan{}}
 			// Nobody else has given anything since what came before had ended,
 			// so the pool has been filling from then on.
-			p.b.at = min(now, max(at+datum.GrantLength, g.known[w.Key]))
+			p.b.at = min(now, max(at+wait, g.known[w.Key]))
 			p.b.rate, p.b.depth = p.tracked()
+			if long {
+				p.b.rate, p.b.depth = datum.LongPool*q.Rate, datum.LongPool*q.Burst
+				p.open = at + datum.GrantLong
+				p.told, p.stands, p.long = map[string]bool{}, map[string]*stand{}, true
+			}
 			g.pools[w.Key] = p
 		}
 		if w.Lend {
@@ -196,7 +238,11 @@
 				delete(p.loans, a.Proxy)
 			}
 		}
-		out.Given = append(out.Given, g.give(now, p, a.Proxy, w))
+		if p.long {
+			out.Given = append(out.Given, g.giveLong(now, p, a, w))
+		} else {
+			out.Given = append(out.Given, g.give(now, p, a.Proxy, w))
+		}
 	}
 	return out
 }
@@ -228,6 +274,11 @@
 	l.until = now + datum.GrantLength
 	p.shape(now)
 	out := Given{Key: w.Key, Rate: share, Depth: leaseDepth(share, p.quota), Lent: w.Lend, Loan: w.Lent}
+	return g.oneOff(p, w, out)
+}
+
+// oneOff gives tokens to a request that waits.
+func (g *Gatehouse) oneOff(p *pool, w Want, out Given) Given {
 	if w.Need > 0 {
 		if p.b.tokens >= w.Need {
 			p.b.tokens -= w.Need
@@ -250,7 +301,7 @@
 	defer g.mu.Unlock()
 	out := map[string]float64{}
 	for k, p := range g.pools {
-		p.shape(now)
+		g.shape(p, now)
 		out[k] = p.leased("")
 	}
 	return out
--- a/internal/weir/weir.go
+++ b/internal/weir/weir.go
@@ -66,6 +66,8 @@
 	arrived    float64 // since the last period
 	demand     float64 // requests a second, running mean
 	lastSeen   time.Duration
+	shard      int  // of trackers
+	standing   bool // the tracker is not heard: the grant bucket holds the standby
 	count      Count
 }
 
@@ -83,14 +85,17 @@
 	bays    map[string]*bay
 	proxies int // live count; 0 while unknown
 	slack   float64
+	rng     *rand.Rand
+	shards  int
+	heard   map[int]time.Duration // by shard, when its tracker last answered
 	period  time.Duration
 	fresh   bool          // no limits yet in this life
 	touch   time.Duration // when control last spoke
 }
 
 // New makes the stage; slack is the quota's absolute slack.
-func New(slack float64) *Weir {
-	return &Weir{bays: map[string]*bay{}, slack: slack, fresh: true}
+func New(slack float64, shards int, seed uint64) *Weir {
+	return &Weir{rng: rand.New(rand.NewPCG(seed, 1)), shards: shards, bays: map[string]*bay{}, slack: slack, fresh: true}
 }
 
 // SplitFloor is the least a split share may hold: one request, as long as such
@@ -102,12 +107,15 @@
 	return 0
 }
 
-// tiny says whether a key's split share is too small to serve requests with: it
-// is lent whole, for longer, and the key is carried by its tracker alone.
-func (w *Weir) tiny(b *bay) bool {
-	return w.proxies > 0 && SplitFloor(w.proxies, w.slack) == 0 && datum.SplitPart*b.quota.Burst/float64(w.proxies) < datum.TinyShare
+// Tiny says whether a key's split share is too small to serve requests with. It
+// is lent whole and not used where it is, and the key is carried by its tracker:
+// by long leases where requests keep coming, by questions elsewhere.
+func Tiny(proxies int, slack float64, q Quota) bool {
+	return proxies > 0 && SplitFloor(proxies, slack) == 0 && datum.SplitPart*q.Burst/float64(proxies) < datum.TinyShare
 }
 
+func (w *Weir) tiny(b *bay) bool { return Tiny(w.proxies, w.slack, b.quota) }
+
 func (w *Weir) shape(b *bay, now time.Duration) {
 	q := b.quota
 	if w.proxies == 0 {
@@ -118,7 +126,11 @@
 			b.split.rate, b.split.depth = datum.SplitPart*q.Rate/float64(w.proxies), datum.SplitPart*q.Burst/float64(w.proxies)
 		}
 		n := float64(w.proxies)
-		b.split.set(now, datum.SplitPart*q.Rate/n*(1-b.lent), max(datum.SplitPart*q.Burst/n*(1-b.lent), SplitFloor(w.proxies, w.slack)))
+		if w.tiny(b) {
+			b.split.set(now, 0, 0)
+		} else {
+			b.split.set(now, datum.SplitPart*q.Rate/n*(1-b.lent), max(datum.SplitPart*q.Burst/n*(1-b.lent), SplitFloor(w.proxies, w.slack)))
+		}
 	}
 	b.fast.set(now, datum.FastBucketRate*q.Rate, max(1, q.Rate*datum.FastBucketTime.Seconds()))
 	b.whole.set(now, q.Rate, max(1, q.Burst))
@@ -160,7 +172,7 @@
 			// All buckets start empty: a restart must not renew a burst. Those
 			// of the first limits of this life fill from its birth, since the
 			// life before had ended by then and spends no more.
-			b = &bay{}
+			b = &bay{shard: Shard(k, w.shards)}
 			b.split.at, b.grant.at, b.fast.at, b.whole.at = now, now, now, now
 			if w.fresh {
 				b.born = -datum.RestartTime
@@ -172,6 +184,12 @@
 			b.shadow = nil
 			continue
 		}
+		if q.Rate < b.quota.Rate {
+			// What is leased shrinks with the limit, so that leases told under the
+			// old one do not add up beyond the new.
+			part := q.Rate / b.quota.Rate
+			b.grant.set(now, b.grant.rate*part, b.grant.depth*part)
+		}
 		b.quota, b.shadow = q, nil
 		w.shape(b, now)
 	}
@@ -209,7 +227,15 @@
 	if now >= b.grantEnds {
 		b.grant.set(now, 0, 0)
 	}
+	if w.tiny(b) {
+		w.alone(b, now)
+	}
 	b.grant.fill(now)
+	if owed := -b.split.tokens; owed > 0 && b.grant.tokens > 0 && b.standing && w.tiny(b) {
+		paid := min(owed, b.grant.tokens) // a share that does not fill cannot pay
+		b.grant.tokens -= paid
+		b.split.tokens += paid
+	}
 	if now >= b.oneOffEnds {
 		b.oneOff = 0
 	}
@@ -249,7 +275,11 @@
 			}
 		}
 	}
-	have := b.split.tokens + b.grant.tokens + b.oneOff
+	grant := &b.grant.tokens
+	if w.tiny(b) && !b.standing {
+		grant = new(float64) // standby rests
+	}
+	have := b.split.tokens + *grant + b.oneOff
 	if b.fast.tokens >= 1 && have >= 1-1e-9 {
 		b.fast.tokens--
 		need := 1.0
@@ -260,7 +290,7 @@
 			}
 		}
 		if use(&b.oneOff); need > 0 {
-			use(&b.grant.tokens)
+			use(grant)
 		}
 		if need < 1 {
 			b.count.FromGrant++
@@ -318,7 +348,7 @@
 type Want struct {
 	Key    string
 	Demand float64 // requests a second beyond the split share
-	Rate   float64 // leased rate in use now
+	Rate   float64 // leased or standby rate held now
 	Need   float64 // tokens wanted at once
 	Lend   bool    // the next two count
 	Lent   float64 // rate of the split share lent to the tracker
@@ -326,6 +356,14 @@
 	Long   bool    // for the longer time, as a share is that serves nobody where it is
 }
 
+// grantLength is how long a lease lasts.
+func grantLength(long bool) time.Duration {
+	if long {
+		return datum.GrantLong
+	}
+	return datum.GrantLength
+}
+
 // lendLength is how long a loan lasts.
 func lendLength(long bool) time.Duration {
 	if long {
@@ -337,7 +375,10 @@
 // beyond is the rate to lease: of a hot key what the split share leaves open,
 // of others nothing, since a leased rate that lies unused here is missed where
 // the next requests come.
-func (b *bay) beyond() float64 {
+func (w *Weir) beyond(b *bay) float64 {
+	if w.tiny(b) {
+		return b.demand // for its standby
+	}
 	if b.demand < datum.HotRate {
 		return 0
 	}
@@ -374,8 +415,8 @@
 				lend = 1
 			}
 		}
-		beyond := b.beyond()
-		if long && math.Abs(lend-b.lent) < 1e-6 && life == b.lentTo && now < b.tellAt && beyond == 0 && b.grant.rate == 0 {
+		beyond := w.beyond(b)
+		if long && math.Abs(lend-b.lent) < 1e-6 && life == b.lentTo && now < b.tellAt {
 			continue // the tracker knows all there is to know
 		}
 		if lend > 0 {
@@ -386,7 +427,7 @@
 			}
 		}
 		b.lentTo = life
-		b.tellAt = now + datum.LendLong/4 + time.Duration(rand.Int64N(int64(datum.LendLong/8)))
+		b.tellAt = now + datum.LendLong/4 + time.Duration(w.rng.Int64N(int64(datum.LendLong/8)))
 		b.lentAsked = now
 		out = append(out, Want{Key: k, Demand: beyond, Rate: b.grant.rate, Lend: true, Lent: lend * rate, Depth: lend * depth, Long: long})
 	}
@@ -407,7 +448,7 @@
 	if w.tiny(b) {
 		need += max(0, -b.split.tokens) // a share lent whole does not fill: what is owed has to be asked for too
 	}
-	return Want{Key: key, Demand: b.beyond(), Rate: b.grant.rate, Need: need}
+	return Want{Key: key, Demand: w.beyond(b), Rate: b.grant.rate, Need: need, Long: w.tiny(b)}
 }
 
 // Given is a tracker's answer for one key.
@@ -416,6 +457,7 @@
 	Rate, Depth float64       // the lease
 	Tokens      float64       // at once
 	Keep        bool          // nothing is given yet; what an earlier tracker gave stands to its end
+	Long        bool          // the lease lasts for the longer time
 	Dry         time.Duration // no use asking again before
 	Lent        bool          // what was lent is known to be Loan
 	Loan        float64       // rate
@@ -431,11 +473,15 @@
 		return
 	}
 	w.refresh(b, now)
-	if ends := asked + datum.GrantLength; !g.Keep && ends > now && ends > b.grantEnds {
+	if ends := asked + grantLength(g.Long); !g.Keep && ends > now && ends > b.grantEnds {
 		b.grantEnds = ends
+		first := g.Long && b.grant.depth == 0
 		// Never more than the limit leaves beside the split share: the lease may
 		// have been given under a higher one.
 		b.grant.set(now, min(g.Rate, max(0, b.quota.Rate-b.split.rate)), min(g.Depth, max(0, b.quota.Burst-b.split.depth)))
+		if first {
+			b.grant.tokens = min(b.grant.depth, w.rng.Float64())
+		}
 	}
 	if g.Lent && asked == b.lentAsked && w.proxies > 0 {
 		if part := g.Loan * float64(w.proxies) / (datum.SplitPart * b.quota.Rate); part < b.lent {
--- a/internal/weir/weir_test.go
+++ b/internal/weir/weir_test.go
@@ -35,7 +35,7 @@
 	f.life[n]++
 	f.born[n] = f.b.Now
 	delete(f.echo, n)
-	w := New(20)
+	w := New(20, 3, f.b.Rng.Uint64())
 	w.SetQuotas(0, map[string]Quota{f.key: f.quota})
 	w.SetProxies(0, len(f.proxies))
 	f.proxies[n] = w
@@ -48,13 +48,14 @@
 		return
 	}
 	f.b.Send(n, to, func() {
-		got := f.gates[to].Ask(f.b.Now, AskGrants{n, wants, echo}, func(int) (time.Duration, bool) { return f.since, f.holder == to })
+		got := f.gates[to].Ask(f.b.Now, AskGrants{n, wants, echo, len(f.proxies)}, func(int) (time.Duration, bool) { return f.since, f.holder == to })
 		f.b.Send(to, n, func() {
 			if f.life[n] != life || got.Refused {
 				return
 			}
 			w.SetProxies(f.clock(n), len(f.proxies)) // control has spoken
 			f.echo[n], f.echoAt[n] = got.Stamp, f.clock(n)
+			w.Heard(f.clock(n), Shard(f.key, 3))
 			for _, g := range got.Given {
 				w.Take(f.clock(n), asked, g)
 			}
@@ -97,7 +98,7 @@
 		f.start(fmt.Sprint("p", i))
 	}
 	for _, n := range []string{"t0", "t1", "t2"} {
-		f.gates[n] = NewGatehouse(f.b.Rng.Uint64(), 3)
+		f.gates[n] = NewGatehouse(f.b.Rng.Uint64(), 3, func(q Quota) bool { return Tiny(proxies, 20, q) })
 		f.gates[n].SetQuotas(0, map[string]Quota{f.key: q})
 	}
 	f.holder = "t0"
@@ -230,7 +231,7 @@
 // A request that ran nowhere gets its token back; one that ran twice costs two,
 // below zero if need be.
 func TestCostIsSettledAfterwards(t *testing.T) {
-	w := New(20)
+	w := New(20, 3, 1)
 	w.SetProxies(0, 1)
 	w.SetQuotas(0, map[string]Quota{"k": {1, 2}})
 	now := 10 * time.Second
@@ -256,7 +257,7 @@
 // A lowered limit binds at once, leases given under the old one included; and
 // a proxy cut off for too long gives its share up.
 func TestLoweredLimitAndLongSilence(t *testing.T) {
-	w := New(20)
+	w := New(20, 3, 1)
 	w.SetProxies(0, 2)
 	w.SetQuotas(0, map[string]Quota{"k": {100, 100}})
 	w.Take(time.Second, time.Second, Given{Key: "k", Rate: 20, Depth: 20})
@@ -294,7 +295,7 @@
 // A limit that has arrived but is not in force refuses nobody; it is counted
 // what it would refuse, and from its version on it binds.
 func TestComingLimitIsOnlyCounted(t *testing.T) {
-	w := New(20)
+	w := New(20, 3, 1)
 	w.SetProxies(0, 1)
 	w.SetQuotas(0, map[string]Quota{"k": {100, 100}})
 	w.Evaluate(5*time.Second, map[string]Quota{"k": {2, 2}})
@@ -317,3 +318,40 @@
 		t.Fatalf("%d admitted at once under the limit in force, its burst is 2", admitted)
 	}
 }
+
+// While every tracker is lost, and when a new one begins, clients that stay with
+// their proxies go on being served by the leases there.
+func TestLeasesBridgeLostTrackers(t *testing.T) {
+	f := newFleet(6, 80, Quota{40, 40})
+	f.b.Delay = 2 * time.Millisecond
+	var come func()
+	come = func() {
+		f.request(fmt.Sprint("p", f.b.Rng.IntN(12)))
+		f.b.After(time.Duration(f.b.Rng.Int64N(int64(2*time.Second/25))), come)
+	}
+	f.b.After(2*time.Second, come)
+	f.b.Run(30*time.Second, nil)
+	share := func(span time.Duration) float64 {
+		a, s := f.asked, len(f.spent)
+		f.b.Run(f.b.Now+span, nil)
+		return float64(len(f.spent)-s) / float64(f.asked-a)
+	}
+	f.holder = ""
+	if got := share(5 * time.Second); got < 0.6 {
+		t.Errorf("%.2f served while no tracker is there", got)
+	}
+	for n := range f.gates { // all started anew
+		f.gates[n] = NewGatehouse(f.b.Rng.Uint64(), 3, func(Quota) bool { return true })
+		f.gates[n].SetQuotas(f.b.Now, map[string]Quota{"k": f.quota})
+	}
+	f.holder, f.since = "t1", f.b.Now
+	if got := share(3 * time.Second); got < 0.85 {
+		t.Errorf("%.2f served after a new one began", got)
+	}
+	if got := share(20 * time.Second); got < 0.97 {
+		t.Errorf("%.2f served afterwards", got)
+	}
+	if most, allowed := f.worst(5 * time.Second); float64(most) > allowed {
+		t.Errorf("%d ran in a window, %.0f are allowed", most, allowed)
+	}
+}
