--- a/internal/datum/datum.go
+++ b/internal/datum/datum.go
@@ -44,11 +44,12 @@
 
 // Leases of single duties.
 const (
-	LeaseLength = 1200 * time.Millisecond // a successor must poll well inside the drain bound
-	LeaseMargin = 300 * time.Millisecond  // a grant outlives the holder's own reckoning by this
-	LeaseTick   = 100 * time.Millisecond  // the machine's step, a quarter of the renewal
-	LeaseRenew  = 300 * time.Millisecond  // three tries inside a lease
-	TrackerDuty = 3                       // shards of throttle keys for each machine that may be lost
+	LeaseLength  = 800 * time.Millisecond // a successor must poll well inside the drain bound, and keys wait for their tracker
+	LeaseMargin  = 250 * time.Millisecond // a grant outlives the holder's own reckoning by this
+	LeaseTick    = 100 * time.Millisecond // the machine's step, a quarter of the renewal
+	LeaseRenew   = 200 * time.Millisecond // four tries inside a lease, each several round trips between regions
+	LeaseStagger = 200 * time.Millisecond // a later machine waits this much longer before it claims
+	TrackerDuty  = 3                      // shards of throttle keys for each machine that may be lost
 )
 
 // News to the data plane.
--- a/internal/watermaster/watermaster.go
+++ b/internal/watermaster/watermaster.go
@@ -3,7 +3,8 @@
 // from before it asked, a grantor from after it granted and longer, both by
 // the steady clock, so a holder has stopped before anyone else can start. A
 // grantor that has just started grants nothing until every lease it may have
-// granted before has ended.
+// granted before has ended. A holder that comes straight back may take up at once
+// what the others still have granted to it: the life that held it is over.
 package watermaster
 
 import (
@@ -21,6 +22,7 @@
 		Duty  string
 		Epoch uint64
 		Nonce uint64
+		Again bool // from a machine that has just started: only what is granted to it already
 	}
 	// Grant answers; OK false names who holds it instead.
 	Grant struct {
@@ -57,6 +59,7 @@
 
 type claim struct {
 	nonce  uint64
+	again  bool
 	asked  time.Duration
 	yes    map[string]bool
 	until  time.Duration // holder's own reckoning; 0 when not held
@@ -166,16 +169,19 @@
 				c.other = now // here it is known to be held
 				continue
 			}
-			wait := time.Duration(w.rank(i)) * datum.ProposeStagger
-			if now-w.start < datum.LeaseLength+datum.LeaseMargin+wait || c.other > 0 && now-c.other < wait {
+			wait := time.Duration(w.rank(i)) * datum.LeaseStagger
+			c.again = now-w.start < datum.LeaseLength+datum.LeaseMargin
+			if !c.again && (now-w.start < datum.LeaseLength+datum.LeaseMargin+wait || c.other > 0 && now-c.other < wait) {
 				continue
 			}
+		} else {
+			c.again = false
 		}
 		w.nonce++
 		c.nonce, c.asked, c.yes = w.nonce, now, map[string]bool{}
 		c.nextAt = now + datum.LeaseRenew
 		for _, p := range w.peers {
-			w.send(p, Ask{d, w.epoch, c.nonce}, now)
+			w.send(p, Ask{d, w.epoch, c.nonce, c.again}, now)
 		}
 	}
 	out := w.out
@@ -200,10 +206,13 @@
 			return
 		}
 		g := w.grants[m.Duty]
-		if g.holder == from && g.until > now && m.Nonce < g.nonce {
+		if g.holder == from && g.until > now && m.Nonce < g.nonce && !m.Again {
 			return // overtaken by a later one
 		}
 		ok := (g.until <= now || g.holder == from) && now-w.start >= datum.LeaseLength+datum.LeaseMargin
+		if m.Again && (g.until <= now || g.holder != from) {
+			return
+		}
 		if ok {
 			g = grant{from, m.Nonce, now + datum.LeaseLength + datum.LeaseMargin}
 			w.grants[m.Duty] = g
@@ -225,7 +234,7 @@
 					// Give back what was granted here and there, and wait a time
 					// of this machine's own: claims that split the votes would
 					// keep them split for ever.
-					c.nextAt = now + datum.LeaseRenew + datum.ProposeStagger*time.Duration(1+slices.Index(w.peers, w.me))
+					c.nextAt = now + datum.LeaseRenew + datum.LeaseStagger*time.Duration(1+slices.Index(w.peers, w.me))
 					for _, p := range w.peers {
 						w.send(p, Release{m.Duty, c.nonce}, now)
 					}
--- a/internal/watermaster/watermaster_test.go
+++ b/internal/watermaster/watermaster_test.go
@@ -120,13 +120,13 @@
 func TestRestartedGrantorWaits(t *testing.T) {
 	w := withPeers(New(0, 1, "a", []string{"x"}), []string{"a", "b", "c"})
 	for _, at := range []time.Duration{0, datum.LeaseLength} {
-		for _, s := range w.Recv(at, "b", Ask{"x", 1, 1}) {
+		for _, s := range w.Recv(at, "b", Ask{"x", 1, 1, false}) {
 			if g := s.Msg.(Grant); g.OK {
 				t.Fatalf("granted %v after its start", at)
 			}
 		}
 	}
-	out := w.Recv(datum.LeaseLength+datum.LeaseMargin, "b", Ask{"x", 1, 2})
+	out := w.Recv(datum.LeaseLength+datum.LeaseMargin, "b", Ask{"x", 1, 2, false})
 	if len(out) != 1 || !out[0].Msg.(Grant).OK {
 		t.Fatalf("not granted after the wait: %v", out)
 	}
@@ -233,3 +233,63 @@
 		}
 	}
 }
+
+// A holder that comes straight back takes its duty up again long before its
+// grants have ended, and takes no other's.
+func TestStraightBack(t *testing.T) {
+	for seed := uint64(1); seed <= 40; seed++ {
+		b := basin.New(seed)
+		b.Delay = 5 * time.Millisecond
+		names := []string{"a", "b", "c", "d", "e"}
+		ms := map[string]*Watermaster{}
+		start := func(n string) {
+			ms[n] = New(b.Now, b.Rng.Uint64(), n, []string{"x", "y"})
+			ms[n].SetElectorate(b.Now, 1, names, false)
+		}
+		for _, n := range names {
+			start(n)
+		}
+		var put func(n string, out []Send)
+		put = func(n string, out []Send) {
+			for _, s := range out {
+				b.Send(n, s.To, func() {
+					if w := ms[s.To]; w != nil {
+						put(s.To, w.Recv(b.Now, n, s.Msg))
+					}
+				})
+			}
+		}
+		var tick func()
+		tick = func() {
+			for _, n := range names {
+				if ms[n] != nil {
+					put(n, ms[n].Tick(b.Now))
+				}
+			}
+			b.After(datum.LeaseTick, tick)
+		}
+		tick()
+		b.Run(6*time.Second, nil)
+		held := func(d string) (who string) {
+			for _, n := range names {
+				if ms[n] != nil {
+					if _, ok := ms[n].Holds(b.Now, d); ok {
+						who += n
+					}
+				}
+			}
+			return who
+		}
+		x, y := held("x"), held("y")
+		ms[x] = nil
+		b.Run(b.Now+300*time.Millisecond, nil)
+		start(x)
+		b.Run(b.Now+300*time.Millisecond, nil)
+		if got := held("x"); got != x {
+			t.Fatalf("seed %d: %s was back after 300 ms, 300 ms later x is held by %q", seed, x, got)
+		}
+		if got := held("y"); got != y {
+			t.Fatalf("seed %d: y went from %q to %q", seed, y, got)
+		}
+	}
+}
