--- a/cmd/slateridge/status.go
+++ b/cmd/slateridge/status.go
@@ -5,9 +5,11 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"sort"
 	"strings"
 	"text/tabwriter"
@@ -132,16 +134,34 @@
 	switch {
 	case r.Chain.Sick:
 		state = "disk refuses writes"
+	case r.Chain.Relay:
+		state = "relays only: no disk of its own that counts"
 	case !r.Chain.Joined:
 		state = "waiting to be taken in"
 	case r.Chain.Sealed:
 		state = "view sealed, a new one is being agreed"
 	}
-	fmt.Fprintf(t, "  view\t%d: %s\n  state\t%s; majority heard: %v\n", v.Num, strings.Join(ms, ", "), state, r.Current)
-	fmt.Fprintf(t, "  configuration\tr%d in force, r%d held; %d of %d connected proxies hold it\n", r.Chain.Committed, r.Chain.Held, r.Acked, len(r.Proxies))
+	fmt.Fprintf(t, "  view\t%d of %d voters: %s\n  state\t%s; majority heard: %v\n", v.Num, len(v.Voters), strings.Join(ms, ", "), state, r.Current)
+	fmt.Fprintf(t, "  configuration\tr%d in force (state %d/%d, held %d/%d); %d of %d connected proxies hold it\n", r.Chain.Version, r.Chain.Committed.View, r.Chain.Committed.Seq, r.Chain.Held.View, r.Chain.Held.Seq, r.Acked, len(r.Proxies))
 	if late := r.Late(); len(late) > 0 {
 		fmt.Fprintf(t, "  behind\t%s\n", strings.Join(late, ", "))
 	}
+	showEvacuated(t, r.Evacuated)
+	if d := r.Directory; d != nil {
+		fmt.Fprintf(t, "  directory\t%d look-ups, %d unanswered, %d answers made that name other zones\n", d.Asked, d.Empty, d.Spilled)
+		zones := map[string]map[string]int{}
+		for _, p := range d.Places {
+			z := p.Region + "/" + p.Zone
+			if zones[z] == nil {
+				zones[z] = map[string]int{}
+			}
+			zones[z][p.State()]++
+		}
+		for _, z := range slices.Sorted(maps.Keys(zones)) {
+			n := zones[z]
+			fmt.Fprintf(t, "    %s\t%d named\t%d not ready\t%d gone\t%d silent\n", z, n["named"], n["not_ready"], n["gone"], n["silent"])
+		}
+	}
 	fmt.Fprintf(t, "  upstreams\t%d listed, list %d, read %s ago\n", r.Upstreams, r.ListNum, ago(r.ListAge))
 	var ds []string
 	for d, who := range r.Duties {
@@ -158,6 +178,12 @@
 	showCommon(t, r.Members, r.Events)
 }
 
+func showEvacuated(t io.Writer, zones []string) {
+	if len(zones) > 0 {
+		fmt.Fprintf(t, "  evacuated\t%s\n", strings.Join(zones, ", "))
+	}
+}
+
 func showSluice(t io.Writer, addr string, r sluice.Report) {
 	state := "not ready"
 	switch {
@@ -168,6 +194,7 @@
 	}
 	fmt.Fprintf(t, "sluice %s at %s: %s, %d in flight\n", r.Node, addr, state, r.InFlight)
 	fmt.Fprintf(t, "  configuration\tr%d from %s; control heard %s ago\n", r.Version, r.Line.From, ago(r.Line.Silent))
+	showEvacuated(t, r.Evacuated)
 	fmt.Fprintf(t, "  upstream list\t%d, known current %s ago\n", r.Line.ListNum, ago(r.Line.ListAge))
 	var rs []string
 	for k, n := range r.Requests {
--- a/internal/gazetteer/gazetteer.go
+++ b/internal/gazetteer/gazetteer.go
@@ -166,17 +166,18 @@
 		return all[i].far < all[j].far || all[i].far == all[j].far && (all[i].lot < all[j].lot || all[i].lot == all[j].lot && all[i].Front < all[j].Front)
 	})
 	var out []string
-	have := 0.0
+	have, beyond := 0.0, false
 	for _, c := range all {
 		if len(out) >= datum.AnswerMost || c.far > 0 && have >= want && len(out) >= datum.AnswerLeast {
 			break
 		}
-		if c.far > 0 && (len(out) == 0 || all[0].far != c.far) {
-			g.Spilled++
-		}
+		beyond = beyond || c.far > 0
 		out = append(out, c.Front)
 		have += c.Weight
 	}
+	if beyond {
+		g.Spilled++
+	}
 	slices.Sort(out)
 	return out
 }
@@ -189,6 +190,27 @@
 	Gone   bool
 }
 
+// State is how the directory treats the proxy.
+func (p PlaceState) State() string {
+	switch {
+	case p.Gone:
+		return "gone"
+	case !p.Ready:
+		return "not_ready"
+	case p.Silent > datum.PlaceFresh:
+		return "silent"
+	}
+	return "named"
+}
+
+// Counts are the calls, those without an answer, and the answers made that name
+// proxies beyond the zone asked for.
+func (g *Gazetteer) Counts() (asked, empty, spilled uint64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.Asked, g.Empty, g.Spilled
+}
+
 // States lists all places.
 func (g *Gazetteer) States(now time.Duration) []PlaceState {
 	g.mu.Lock()
--- a/internal/headworks/admin.go
+++ b/internal/headworks/admin.go
@@ -9,6 +9,7 @@
 
 	"slateridge/internal/datum"
 	"slateridge/internal/gaugeboard"
+	"slateridge/internal/gazetteer"
 	"slateridge/internal/logbook"
 	"slateridge/internal/penstock"
 	"slateridge/internal/staff"
@@ -25,6 +26,9 @@
 	ListAge   time.Duration
 	Upstreams int
 	Evacuated []string
+	Zone      string
+	Region    string
+	Directory *Directory // where this machine serves it
 	Live      int
 	Proxies   []penstock.ProxyState
 	Acked     int
@@ -35,12 +39,23 @@
 	Tallies   []logbook.Tally
 }
 
+// Directory is what the directory knows and has answered.
+type Directory struct {
+	Places                []gazetteer.PlaceState
+	Asked, Empty, Spilled uint64
+}
+
 // Report describes this machine for operators.
 func (d *Daemon) Report() Report {
 	f := d.face()
 	r := Report{Role: "headworks", Node: d.set.NodeName, Chain: *d.status.Load(), Current: f.Current, Duties: map[string]string{},
 		ListNum: f.ListNum, ListAge: f.ListAge, Live: f.Proxies, Proxies: d.pen.Proxies(), Leased: d.gates.Held(d.now()),
 		Members: d.staff.Members(), Evacuated: f.Evacuated, Events: d.book.Latest(20), Tallies: d.book.Tallies()}
+	r.Zone, r.Region = d.set.Zone, d.set.Region
+	if d.set.ListenAddresses.Directory != "" {
+		r.Directory = &Directory{Places: d.places.States(d.now())}
+		r.Directory.Asked, r.Directory.Empty, r.Directory.Spilled = d.places.Counts()
+	}
 	if f.Upstreams != nil {
 		r.Upstreams = len(f.Upstreams.Instances)
 	}
@@ -86,6 +101,19 @@
 	for key, rate := range r.Leased {
 		metrics.WriteGaugeFloat64(w, fmt.Sprintf("slateridge_quota_leased_rate{key=%q}", key), rate)
 	}
+	if d := r.Directory; d != nil {
+		metrics.WriteCounterUint64(w, "slateridge_directory_lookups_total", d.Asked)
+		metrics.WriteCounterUint64(w, "slateridge_directory_unanswered_total", d.Empty)
+		metrics.WriteCounterUint64(w, "slateridge_directory_spilled_answers_total", d.Spilled)
+		type group struct{ region, zone, state string }
+		ps := map[group]uint64{}
+		for _, p := range d.Places {
+			ps[group{p.Region, p.Zone, p.State()}]++
+		}
+		for k, n := range ps {
+			g(fmt.Sprintf("directory_proxies{region=%q,zone=%q,state=%q}", k.region, k.zone, k.state), n)
+		}
+	}
 	metrics.WriteCounterUint64(w, "slateridge_pushes_total", r.Pushes)
 	gaugeboard.WriteCommon(w, r.Members, r.Tallies)
 }
--- a/internal/sluice/admin.go
+++ b/internal/sluice/admin.go
@@ -24,6 +24,9 @@
 	Version   uint64
 	Line      penstock.State
 	Proxies   int
+	Zone      string
+	Region    string
+	Evacuated []string
 	Requests  map[string]uint64
 	Upstreams []OutfallState
 	NewConns  uint64
@@ -50,6 +53,7 @@
 	if s := d.scheme.Load(); s != nil {
 		r.Version = s.Version
 	}
+	r.Zone, r.Region, r.Evacuated = d.set.Load().Zone, d.set.Load().Region, d.yard.Evacuated()
 	for i, n := range countNames {
 		r.Requests[n] = d.counts[i].Load()
 	}
@@ -73,6 +77,7 @@
 	metrics.WriteGaugeUint64(w, "slateridge_upstream_list_number", r.Line.ListNum)
 	metrics.WriteGaugeFloat64(w, "slateridge_upstream_list_age_seconds", r.Line.ListAge.Seconds())
 	metrics.WriteGaugeFloat64(w, "slateridge_control_silence_seconds", r.Line.Silent.Seconds())
+	metrics.WriteGaugeUint64(w, "slateridge_zones_evacuated", uint64(len(r.Evacuated)))
 	metrics.WriteGaugeUint64(w, "slateridge_live_proxies", uint64(r.Proxies))
 	metrics.WriteCounterUint64(w, "slateridge_upstream_connections_total", r.NewConns)
 	metrics.WriteCounterUint64(w, "slateridge_upstream_ejections_total", r.Ejections)
@@ -81,13 +86,13 @@
 	metrics.WriteCounterUint64(w, "slateridge_retries_total", r.Retries)
 	metrics.WriteCounterUint64(w, "slateridge_retries_denied_total", r.Denied)
 	metrics.WriteCounterUint64(w, "slateridge_hedges_total", r.Hedges)
-	type group struct{ service, state string }
+	type group struct{ service, zone, state string }
 	ups := map[group]uint64{}
 	for _, u := range r.Upstreams {
-		ups[group{u.Service, u.State}]++
+		ups[group{u.Service, u.Zone, u.State}]++
 	}
 	for g, n := range ups {
-		metrics.WriteGaugeUint64(w, fmt.Sprintf("slateridge_upstreams{service=%q,state=%q}", g.service, g.state), n)
+		metrics.WriteGaugeUint64(w, fmt.Sprintf("slateridge_upstreams{service=%q,zone=%q,state=%q}", g.service, g.zone, g.state), n)
 	}
 	for _, q := range r.Quotas {
 		l := fmt.Sprintf("{key=%q}", q.Key)
--- a/internal/sluice/outfall.go
+++ b/internal/sluice/outfall.go
@@ -134,6 +134,13 @@
 	return p
 }
 
+// Evacuated lists the zones under evacuation.
+func (y *Yard) Evacuated() []string {
+	y.mu.Lock()
+	defer y.mu.Unlock()
+	return slices.Sorted(maps.Keys(y.evac))
+}
+
 // Evacuate takes the zones under evacuation; true when they are others than
 // before. The upstreams of a zone taken back may have turned cold meanwhile.
 func (y *Yard) Evacuate(now time.Time, zones []string) bool {
@@ -588,6 +595,7 @@
 // OutfallState is one upstream for operators.
 type OutfallState struct {
 	Instance, Service, Zone string
+	Region                  string
 	State                   string
 	Out, Idle, Conns, Fails int
 	DelayMs                 float64
@@ -608,11 +616,14 @@
 			st = "out"
 		case now.Before(o.warmAt):
 			st = "warming"
+			if y.warmup(o.inst.Service) > 0 {
+				st = "cold"
+			}
 		}
 		if y.evac[o.inst.Zone] {
 			st = "evacuated"
 		}
-		out = append(out, OutfallState{o.inst.ID, o.inst.Service, o.inst.Zone, st, len(o.out), len(o.idle), o.conns, o.fails,
+		out = append(out, OutfallState{o.inst.ID, o.inst.Service, o.inst.Zone, o.region, st, len(o.out), len(o.idle), o.conns, o.fails,
 			math.Round(o.delay*1e4) / 10, o.answers})
 	}
 	sort.Slice(out, func(a, b int) bool {
--- a/internal/watermaster/watermaster.go
+++ b/internal/watermaster/watermaster.go
@@ -170,7 +170,7 @@
 				continue
 			}
 			wait := time.Duration(w.rank(i)) * datum.LeaseStagger
-			c.again = now-w.start < datum.LeaseLength+datum.LeaseMargin
+			c.again = now-w.start < 2*datum.LeaseRenew // longer, and its asking would keep the duty from others
 			if !c.again && (now-w.start < datum.LeaseLength+datum.LeaseMargin+wait || c.other > 0 && now-c.other < wait) {
 				continue
 			}
@@ -244,7 +244,13 @@
 			return
 		}
 		c.yes[from] = true
-		if len(c.yes) > len(w.peers)/2 && c.asked+datum.LeaseLength > now {
+		// A holder that came straight back has forgotten its own grant. Half of all
+		// machines, itself not counted, leave too few for anyone else.
+		enough := len(w.peers)/2 + 1
+		if c.again {
+			enough = (len(w.peers) + 1) / 2
+		}
+		if len(c.yes) >= enough && c.asked+datum.LeaseLength > now {
 			if c.until <= now {
 				c.since = now
 			}
