--- a/internal/conduit/conduit.go
+++ b/internal/conduit/conduit.go
@@ -34,6 +34,8 @@
 var (
 	ErrClosed  = errors.New("connection closed")
 	ErrTimeout = errors.New("no answer in time")
+	// ErrRefused says that nobody listens there: the process is not running.
+	ErrRefused = errors.New("connection refused")
 )
 
 // Pipe is one connection, either end.
@@ -298,6 +300,7 @@
 	p    *Pipe
 	next time.Time
 	busy bool
+	gone bool // the last attempt was refused
 	held []any
 }
 
@@ -324,6 +327,7 @@
 			m.mu.Lock()
 			defer m.mu.Unlock()
 			m.busy, m.next = false, time.Now().Add(datum.RedialPause)
+			m.gone = errors.Is(err, syscall.ECONNREFUSED)
 			if err == nil {
 				m.p = p
 				for _, b := range m.held {
@@ -356,6 +360,11 @@
 func (m *Main) Call(body any, timeout time.Duration) (any, error) {
 	p := m.Pipe()
 	if p == nil {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		if m.gone {
+			return nil, ErrRefused
+		}
 		return nil, ErrClosed
 	}
 	return p.Call(body, timeout)
--- a/internal/datum/datum.go
+++ b/internal/datum/datum.go
@@ -163,7 +163,7 @@
 	AnswersKept    = 256                     // zones are few; made-up ones must not fill memory
 	AnswerMost     = 64                      // addresses a client takes
 	AnswerLeast    = 2                       // addresses, so that one that fails leaves another
-	ZoneEnough     = 0.6                     // part of a zone's proxies that carries the zone at its usual load
+	ZoneEnough     = 0.9                     // part of a zone's proxies below which others make up the number: at 0.6 the links of those left were full while a zone was rolled
 )
 
 // Disk.
--- a/internal/gazetteer/gazetteer.go
+++ b/internal/gazetteer/gazetteer.go
@@ -6,6 +6,7 @@
 
 import (
 	"hash/fnv"
+	"math"
 	"slices"
 	"sort"
 	"sync"
@@ -18,7 +19,6 @@
 type Place struct {
 	Front        string // where clients connect
 	Zone, Region string
-	Weight       float64 // its part of a core
 	Ready        bool
 }
 
@@ -125,7 +125,8 @@
 
 // answer names the ready proxies of the client's zone. When they are too few to
 // carry what the zone's proxies carry together, others make up for what is
-// missing, of the region first: as many as are needed, and so by degrees.
+// missing, of the region first: as many as are needed, and so by degrees. All
+// count alike: clients choose evenly among the addresses of an answer.
 func (g *Gazetteer) answer(now time.Duration, zone, region string) []string {
 	type cand struct {
 		*entry
@@ -133,7 +134,7 @@
 		lot uint32
 	}
 	var all []cand
-	want := 0.0
+	known := 0
 	old := true // nobody is known afresh: what was known last is better than nothing
 	for _, e := range g.places {
 		old = old && (e.gone || !e.Ready || now-e.at > datum.PlaceFresh)
@@ -144,7 +145,7 @@
 			continue
 		}
 		if e.Zone == zone {
-			want += e.Weight * datum.ZoneEnough
+			known++
 		}
 		if !e.Ready || !old && (e.gone || now-e.at > datum.PlaceFresh) {
 			continue
@@ -166,14 +167,14 @@
 		return all[i].far < all[j].far || all[i].far == all[j].far && (all[i].lot < all[j].lot || all[i].lot == all[j].lot && all[i].Front < all[j].Front)
 	})
 	var out []string
-	have, beyond := 0.0, false
+	beyond := false
+	want := int(math.Ceil(float64(known) * datum.ZoneEnough))
 	for _, c := range all {
-		if len(out) >= datum.AnswerMost || c.far > 0 && have >= want && len(out) >= datum.AnswerLeast {
+		if len(out) >= datum.AnswerMost || c.far > 0 && len(out) >= max(want, datum.AnswerLeast) {
 			break
 		}
 		beyond = beyond || c.far > 0
 		out = append(out, c.Front)
-		have += c.Weight
 	}
 	if beyond {
 		g.Spilled++
--- a/internal/gazetteer/gazetteer_test.go
+++ b/internal/gazetteer/gazetteer_test.go
@@ -25,6 +25,7 @@
 		type proxy struct {
 			Place
 			up      bool
+			gone    bool          // the directory was told, and has not heard it since
 			downAt  time.Duration // when it went
 			heardAt time.Duration
 		}
@@ -33,7 +34,7 @@
 		for z, reg := range zones {
 			for i := range 3 + r.IntN(9) {
 				n := fmt.Sprint(z, "-", i)
-				ps[n] = &proxy{Place: Place{Front: n, Zone: z, Region: reg, Weight: 0.16, Ready: true}, up: true, heardAt: -time.Hour}
+				ps[n] = &proxy{Place: Place{Front: n, Zone: z, Region: reg, Ready: true}, up: true, heardAt: -time.Hour}
 				names = append(names, n)
 			}
 		}
@@ -49,6 +50,7 @@
 				case p.up && r.IntN(400) == 0: // leaves, told or not
 					p.up, p.downAt = false, now
 					if r.IntN(2) == 0 && now >= cut {
+						p.gone = true
 						g.Gone(now, n, true)
 					}
 				case !p.up && r.IntN(60) == 0:
@@ -60,7 +62,7 @@
 					} else {
 						g.Tell(now, n, p.Place)
 					}
-					p.heardAt = now
+					p.heardAt, p.gone = now, false
 				}
 			}
 			zone := []string{"a1", "a2", "b1", "b2"}[r.IntN(4)]
@@ -70,7 +72,7 @@
 				if now-p.heardAt < datum.ProxyForget {
 					known++
 				}
-				if p.up && now-p.heardAt < datum.PlaceFresh-time.Second {
+				if p.up && !p.gone && now-p.heardAt < datum.PlaceFresh-time.Second {
 					fresh++
 					if p.Zone == zone {
 						near++
@@ -120,7 +122,7 @@
 func TestSpillsByDegrees(t *testing.T) {
 	g := New(-time.Minute, zones)
 	put := func(n, z string, ready bool) {
-		g.Tell(0, n, Place{Front: n, Zone: z, Region: zones[z], Weight: 1, Ready: ready})
+		g.Tell(0, n, Place{Front: n, Zone: z, Region: zones[z], Ready: ready})
 	}
 	for z := range zones {
 		for i := range 10 {
@@ -140,12 +142,12 @@
 				t.Fatalf("%d of 10 left, and %s of another region is named", 9-i, a)
 			}
 		}
-		if !ok || beyond-was > 1 || beyond < was || len(got) < 6 {
+		if !ok || beyond-was > 1 || beyond < was || len(got) < 9 {
 			t.Fatalf("%d of 10 left: %d beyond after %d, %d in all", 9-i, beyond, was, len(got))
 		}
 		was = beyond
 	}
-	if was != 6 {
-		t.Fatalf("nobody left: %d beyond are named, want 6", was)
+	if was != 9 {
+		t.Fatalf("nobody left: %d beyond are named, want 9", was)
 	}
 }
--- a/internal/headworks/daemon.go
+++ b/internal/headworks/daemon.go
@@ -473,7 +473,7 @@
 // count, so that the shares in use never add up to more than the whole.
 func (d *Daemon) seen(t penstock.Tap) {
 	node, count := t.Node, t.Proxies
-	place := gazetteer.Place{Front: t.Front, Zone: t.Zone, Region: t.Region, Weight: t.Weight, Ready: t.Ready}
+	place := gazetteer.Place{Front: t.Front, Zone: t.Zone, Region: t.Region, Ready: t.Ready}
 	if d.places.Tell(d.now(), node, place) {
 		w := Roster{Words: map[string]Word{node: {Count: count, Place: place}}}
 		for _, p := range d.peers() {
--- a/internal/penstock/penstock.go
+++ b/internal/penstock/penstock.go
@@ -30,8 +30,7 @@
 		Ready   bool
 		Proxies int
 		Region  string
-		Front   string  // where clients connect
-		Weight  float64 // part of a core
+		Front   string // where clients connect
 	}
 	// Peer is a control machine.
 	Peer struct{ Addr, Zone, Region string }
--- a/internal/sill/sill.go
+++ b/internal/sill/sill.go
@@ -72,11 +72,9 @@
 
 // Limits are the machine's.
 type Limits struct {
-	MemoryMb     int     `json:"memoryMb" validate:"gte=0"`
-	MaxOpenFiles int     `json:"maxOpenFiles" validate:"gte=0"`
-	DiskMb       int     `json:"diskMb" validate:"gte=0"`
-	CPUShare     float64 `json:"cpuShare" validate:"gte=0"`
-	LinkMbps     float64 `json:"linkMbps" validate:"gte=0"`
+	MemoryMb     int `json:"memoryMb" validate:"gte=0"`
+	MaxOpenFiles int `json:"maxOpenFiles" validate:"gte=0"`
+	DiskMb       int `json:"diskMb" validate:"gte=0"`
 }
 
 // Tolerance is what may be lost at once while every rule still holds.
--- a/internal/sluice/daemon.go
+++ b/internal/sluice/daemon.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"maps"
 	"math/rand/v2"
 	"net"
@@ -64,7 +65,7 @@
 	ips := set.SeedIPs()
 	rand.Shuffle(len(ips), func(i, j int) { ips[i], ips[j] = ips[j], ips[i] })
 	me := penstock.Tap{Node: set.IPAddress, Name: set.NodeName, Zone: set.Zone, Region: set.Region,
-		Front: set.ListenAddresses.Frontend, Weight: set.Limits.CPUShare}
+		Front: set.ListenAddresses.Frontend}
 	d.line = penstock.NewLine(me, set.Region, ips, func(ip string, h conduit.Handler) *conduit.Main {
 		return conduit.NewMain(set.PeerInternal(ip, datum.PortHeadworks), set.IPAddress, h)
 	}, d.apply)
@@ -237,6 +238,13 @@
 			}
 			return
 		}
+		if errors.Is(err, conduit.ErrRefused) {
+			for i, t := range *d.trackers.Load() {
+				if t == to {
+					d.weir.Gone(i)
+				}
+			}
+		}
 	}
 	d.weir.Unanswered(d.now(), key)
 }
--- a/internal/weir/standby.go
+++ b/internal/weir/standby.go
@@ -109,7 +109,7 @@
 // together, just what the rates add up to.
 func (w *Weir) alone(b *bay, now time.Duration) {
 	heard := w.heard[b.shard]
-	if now-heard < datum.StandbyAfter {
+	if now-heard < datum.StandbyAfter && !w.gone[b.shard] {
 		if b.standing {
 			b.grant.tokens -= math.Floor(b.grant.tokens)
 		}
@@ -121,6 +121,18 @@
 	}
 }
 
+// Gone notes that the tracker of a shard is known not to run: nothing listens
+// where it did. A life of it that starts later knows of no standby and gives, to
+// begin with, only what standby leaves over.
+func (w *Weir) Gone(shard int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.gone == nil {
+		w.gone = map[int]bool{}
+	}
+	w.gone[shard] = true
+}
+
 // Heard notes that the tracker of a shard has answered.
 func (w *Weir) Heard(now time.Duration, shard int) {
 	w.mu.Lock()
@@ -129,4 +141,5 @@
 		w.heard = map[int]time.Duration{}
 	}
 	w.heard[shard] = now
+	delete(w.gone, shard)
 }
--- a/internal/weir/weir.go
+++ b/internal/weir/weir.go
@@ -87,6 +87,7 @@
 	slack   float64
 	rng     *rand.Rand
 	shards  int
+	gone    map[int]bool          // by shard, its tracker does not run
 	heard   map[int]time.Duration // by shard, when its tracker last answered
 	period  time.Duration
 	fresh   bool          // no limits yet in this life
--- a/internal/weir/weir_test.go
+++ b/internal/weir/weir_test.go
@@ -319,6 +319,32 @@
 	}
 }
 
+// A proxy that finds nobody listening where its tracker was need not wait.
+func TestStandbyAtOnceWhenTheTrackerIsGone(t *testing.T) {
+	f := newFleet(8, 80, Quota{40, 40})
+	f.b.Delay = 2 * time.Millisecond
+	var come func()
+	come = func() { f.request("p1"); f.b.After(150*time.Millisecond, come) }
+	f.b.After(2*time.Second, come)
+	f.b.Run(20*time.Second, nil)
+	f.holder = ""
+	served := func() int {
+		n := len(f.spent)
+		f.b.Run(f.b.Now+900*time.Millisecond, nil)
+		return len(f.spent) - n
+	}
+	if n := served(); n != 0 {
+		t.Fatalf("%d served on standby while the tracker may still be giving", n)
+	}
+	f.holder = "t0"
+	f.b.Run(f.b.Now+3*time.Second, nil)
+	f.holder = ""
+	f.proxies["p1"].Gone(Shard("k", 3))
+	if n := served(); n < 3 {
+		t.Fatalf("%d of 6 served though the tracker is known to be gone", n)
+	}
+}
+
 // While every tracker is lost, and when a new one begins, clients that stay with
 // their proxies go on being served by the leases there.
 func TestLeasesBridgeLostTrackers(t *testing.T) {
