--- a/internal/datum/datum.go
+++ b/internal/datum/datum.go
@@ -156,10 +156,11 @@
 
 // Directory.
 const (
-	LookupTTL      = 1500 * time.Millisecond // an answer is used up to three times as long; a leaving proxy takes new connections for two of them
+	LookupTTL      = 1000 * time.Millisecond // an answer is used up to three times as long; a leaving proxy takes new connections for two of them
 	GazetteerQuiet = 1500 * time.Millisecond // a process that has just started has not heard all yet
 	PlaceFresh     = 5 * time.Second         // a proxy unheard so long leaves the answers: longer than the slowest way its word takes
-	AnswerFresh    = 500 * time.Millisecond  // an answer is made anew after so long even if nobody spoke
+	PlaceOften     = 1200 * time.Millisecond // likewise of one that speaks here every TapEvery: three words missed
+	AnswerFresh    = 200 * time.Millisecond  // an answer is made anew after so long even if nobody spoke
 	AnswersKept    = 256                     // zones are few; made-up ones must not fill memory
 	AnswerMost     = 64                      // addresses a client takes
 	AnswerLeast    = 2                       // addresses, so that one that fails leaves another
--- a/internal/gazetteer/gazetteer.go
+++ b/internal/gazetteer/gazetteer.go
@@ -27,6 +27,7 @@
 	Place
 	at     time.Duration // when this was so
 	direct time.Duration // when it last said so itself, to this machine
+	fresh  time.Duration // how long its word counts
 	gone   bool          // its connection ended and it has not spoken since
 }
 
@@ -49,12 +50,16 @@
 	return &Gazetteer{zones: zones, began: now, places: map[string]*entry{}, answers: map[string][]string{}}
 }
 
-// Tell takes a proxy's own word.
-func (g *Gazetteer) Tell(now time.Duration, node string, p Place) (changed bool) {
+// Tell takes a proxy's own word; often says that the next is due soon.
+func (g *Gazetteer) Tell(now time.Duration, node string, p Place, often bool) (changed bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	changed = g.put(now, node, p)
-	g.places[node].direct = now
+	e := g.places[node]
+	e.direct, e.fresh = now, datum.PlaceFresh
+	if often {
+		e.fresh = datum.PlaceOften
+	}
 	return changed
 }
 
@@ -65,16 +70,19 @@
 	defer g.mu.Unlock()
 	if e := g.places[node]; e == nil || now-age > e.at {
 		g.put(now-age, node, p)
+		if e := g.places[node]; now-e.direct > datum.PlaceFresh {
+			e.fresh = datum.PlaceFresh
+		}
 	}
 }
 
 func (g *Gazetteer) put(at time.Duration, node string, p Place) bool {
 	e := g.places[node]
 	if e == nil {
-		e = &entry{direct: -datum.ProxyForget}
+		e = &entry{direct: -datum.ProxyForget, fresh: datum.PlaceFresh}
 		g.places[node] = e
 	}
-	changed := e.Place != p || e.gone || at-e.at > datum.PlaceFresh
+	changed := e.Place != p || e.gone || at-e.at > e.fresh
 	e.Place, e.at, e.gone = p, at, false
 	if changed {
 		g.freshAt = 0
@@ -137,7 +145,7 @@
 	known := 0
 	old := true // nobody is known afresh: what was known last is better than nothing
 	for _, e := range g.places {
-		old = old && (e.gone || !e.Ready || now-e.at > datum.PlaceFresh)
+		old = old && (e.gone || !e.Ready || now-e.at > e.fresh)
 	}
 	for n, e := range g.places {
 		if now-e.at > datum.ProxyForget {
@@ -147,7 +155,7 @@
 		if e.Zone == zone {
 			known++
 		}
-		if !e.Ready || !old && (e.gone || now-e.at > datum.PlaceFresh) {
+		if !e.Ready || !old && (e.gone || now-e.at > e.fresh) {
 			continue
 		}
 		c := cand{entry: e}
@@ -189,6 +197,7 @@
 	Place
 	Silent time.Duration
 	Gone   bool
+	Old    bool // its word no longer counts
 }
 
 // State is how the directory treats the proxy.
@@ -198,7 +207,7 @@
 		return "gone"
 	case !p.Ready:
 		return "not_ready"
-	case p.Silent > datum.PlaceFresh:
+	case p.Old:
 		return "silent"
 	}
 	return "named"
@@ -218,7 +227,7 @@
 	defer g.mu.Unlock()
 	var out []PlaceState
 	for n, e := range g.places {
-		out = append(out, PlaceState{n, e.Place, now - e.at, e.gone})
+		out = append(out, PlaceState{n, e.Place, now - e.at, e.gone, now-e.at > e.fresh})
 	}
 	sort.Slice(out, func(i, j int) bool { return out[i].Node < out[j].Node })
 	return out
--- a/internal/gazetteer/gazetteer_test.go
+++ b/internal/gazetteer/gazetteer_test.go
@@ -60,7 +60,7 @@
 					if r.IntN(3) == 0 {
 						g.Hear(now, n, p.Place, time.Duration(r.IntN(300))*time.Millisecond)
 					} else {
-						g.Tell(now, n, p.Place)
+						g.Tell(now, n, p.Place, false)
 					}
 					p.heardAt, p.gone = now, false
 				}
@@ -122,7 +122,7 @@
 func TestSpillsByDegrees(t *testing.T) {
 	g := New(-time.Minute, zones)
 	put := func(n, z string, ready bool) {
-		g.Tell(0, n, Place{Front: n, Zone: z, Region: zones[z], Ready: ready})
+		g.Tell(0, n, Place{Front: n, Zone: z, Region: zones[z], Ready: ready}, true)
 	}
 	for z := range zones {
 		for i := range 10 {
--- a/internal/headworks/daemon.go
+++ b/internal/headworks/daemon.go
@@ -474,7 +474,7 @@
 func (d *Daemon) seen(t penstock.Tap) {
 	node, count := t.Node, t.Proxies
 	place := gazetteer.Place{Front: t.Front, Zone: t.Zone, Region: t.Region, Ready: t.Ready}
-	if d.places.Tell(d.now(), node, place) {
+	if d.places.Tell(d.now(), node, place, t.Full) {
 		w := Roster{Words: map[string]Word{node: {Count: count, Place: place}}}
 		for _, p := range d.peers() {
 			d.send(p, w)
