--- a/internal/headworks/daemon.go
+++ b/internal/headworks/daemon.go
@@ -57,15 +57,21 @@
 }
 
 // ListNews brings the list from the machine that polls to the other control
-// machines; without a list it says that the numbered one still holds.
-type ListNews struct {
-	Num  uint64
-	List *intake.List
-}
+// machines, as its difference from the one before; without a change it says that
+// the numbered one still holds. ListAsk wants it whole, from a machine that has
+// missed one.
+type (
+	ListNews struct {
+		Num    uint64
+		Change *intake.Change
+	}
+	ListAsk struct{}
+)
 
 func init() {
 	conduit.Register(Roster{})
 	conduit.Register(ListNews{})
+	conduit.Register(ListAsk{})
 }
 
 const dutyPoll = "poll"
@@ -453,7 +459,16 @@
 	case Roster:
 		d.takeRoster(m)
 	case ListNews:
-		d.takeList(m)
+		if !d.takeList(m) {
+			d.send(p.Remote, ListAsk{})
+		}
+	case ListAsk:
+		d.mu.Lock()
+		l := d.list
+		d.mu.Unlock()
+		if l != nil {
+			d.send(p.Remote, ListNews{l.Num, intake.Diff(nil, l)})
+		}
 	default:
 		if g, ok := body.(Gauge); ok {
 			d.mu.Lock()
@@ -674,13 +689,14 @@
 		changed = false
 	}
 	d.pollSince = since
+	before := d.list
 	// A list that is the same keeps its number; how long its upstreams stay cold
 	// is taken anew, to notice one that turns cold again.
 	d.list, d.listTop = &intake.List{Num: num, Instances: is}, max(num, d.listTop)
 	d.listOK = time.Now()
 	n := ListNews{Num: num}
 	if changed {
-		n.List = d.list
+		n.Change = intake.Diff(before, d.list)
 	}
 	d.mu.Unlock()
 	if held {
@@ -694,20 +710,26 @@
 	}
 }
 
-func (d *Daemon) takeList(m ListNews) {
+// takeList is false when the news does not fit what is held here.
+func (d *Daemon) takeList(m ListNews) bool {
 	d.mu.Lock()
 	d.listTop = max(d.listTop, m.Num)
-	if m.List != nil && (d.list == nil || m.List.Num > d.list.Num) {
-		d.list = m.List
+	took := false
+	if m.Change != nil && (d.list == nil || m.Num > d.list.Num) {
+		if l, fits := m.Change.Apply(d.list); fits {
+			d.list, took = l, true
+		}
 	}
 	ok := d.list != nil && d.list.Num == m.Num
+	missed := d.list == nil || d.list.Num < m.Num
 	if ok {
 		d.listOK = time.Now()
 	}
 	d.mu.Unlock()
-	if m.List != nil {
+	if took {
 		d.pen.Publish()
 	}
+	return !missed
 }
 
 // Reload reads the settings file again. A control machine takes nothing from
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -4,10 +4,12 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 )
 
 // The list is read through all its pages, or not at all: a part of it would
@@ -49,3 +51,35 @@
 		t.Error("lists are compared wrongly")
 	}
 }
+
+// A list told as its difference is the list, and fits no other base.
+func TestListDifferences(t *testing.T) {
+	r := rand.New(rand.NewPCG(1, 2))
+	var lists []*List
+	for num := uint64(1); num < 40; num++ {
+		l := &List{Num: num}
+		for i := range 60 {
+			if r.IntN(5) > 0 {
+				l.Instances = append(l.Instances, Instance{ID: fmt.Sprintf("i-%02d", i), Service: "s", Slots: 2, Draining: r.IntN(6) == 0})
+			}
+		}
+		lists = append(lists, l)
+		for _, base := range append([]*List{nil}, lists...) {
+			c := Diff(base, l)
+			got, ok := c.Apply(base)
+			if !ok || got.Num != num || !Same(got.Instances, l.Instances) {
+				t.Fatalf("list %d against %v: %v", num, base, ok)
+			}
+			if other := lists[r.IntN(len(lists))]; base != nil && other.Num != base.Num {
+				if _, ok := c.Apply(other); ok {
+					t.Fatalf("list %d against %d fits %d", num, base.Num, other.Num)
+				}
+			}
+		}
+	}
+	warm := []Instance{{ID: "i"}}
+	cold := []Instance{{ID: "i", Warmup: time.Second}}
+	if Same(warm, cold) || !Same(cold, warm) {
+		t.Error("one that turns cold makes a difference, one that warms up does not")
+	}
+}
--- a/internal/sluice/outfall.go
+++ b/internal/sluice/outfall.go
@@ -499,8 +499,13 @@
 		o.answers++
 		learn(took)
 	case errored:
-		o.fails = 0
+		// Few answers of a healthy upstream are failures, so one is evidence
+		// enough to leave it alone for a moment, whatever its health answer says;
+		// its connections are as good as before.
 		learn(max(took, datum.FirstDelay.Seconds()))
+		o.fails++
+		y.Ejected++
+		o.ejected = now.Add(min(datum.EjectFirst<<min(o.fails-1, 5), datum.EjectMax))
 	case full:
 		learn(max(2*meanDelay(y.pick(want{o.inst.Service, anywhere}).few), took))
 		o.ejected = now.Add(datum.FullPause)
--- a/internal/sluice/path_test.go
+++ b/internal/sluice/path_test.go
@@ -367,3 +367,27 @@
 		t.Errorf("got %d over %d connections, want 200 over one", w.Code, s.yard.News)
 	}
 }
+
+// An upstream that answers every request with a failure of its own is left alone
+// after one, and tried again sparingly; when all do, all are still tried.
+func TestFailingAnswersCount(t *testing.T) {
+	sick := newRaw(t, func(_ int, r *http.Request) (string, bool) {
+		return "HTTP/1.1 500 Ill\r\nX-Slateridge-Attempt-Id: " + r.Header.Get(hdrAttempt) + "\r\nX-Slateridge-Response-Seal: s\r\nContent-Length: 0\r\n\r\n", false
+	})
+	well := newRaw(t, func(_ int, r *http.Request) (string, bool) { return ok(r, "b"), false })
+	s := newSluice(t, sick.instance("i-1"), well.instance("i-2"))
+	for range 40 {
+		get(s, "POST", "/once/", "")
+	}
+	if n := sick.count(); n > 3 {
+		t.Errorf("the ill upstream got %d of 40 requests", n)
+	}
+	s = newSluice(t, sick.instance("i-1"))
+	before := sick.count()
+	for range 5 {
+		get(s, "POST", "/once/", "")
+	}
+	if n := sick.count() - before; n != 5 {
+		t.Errorf("the only upstream got %d of 5 requests", n)
+	}
+}
