--- a/internal/datum/datum.go
+++ b/internal/datum/datum.go
@@ -145,6 +145,7 @@
 	HotRate         = 8.0                     // requests a second at one proxy from which a key is hot and its rate leased
 	GrantEvery      = 250 * time.Millisecond  // proxies report demand and renew
 	GrantWait       = 80 * time.Millisecond   // a request may wait so long for tokens from its tracker: a busy one answers late, and a refusal costs the client more
+	RetryLost       = 300 * time.Millisecond  // told while a key's tracker is lost: about a third of what most requests have left, which clients will wait
 	AskAgain        = 40 * time.Millisecond   // pause after a question that brought no answer, for a key that its tracker alone carries
 	GrantHeadroom   = 1.3                     // asked over the demand seen
 	FastBucketTime  = time.Second             // the second bucket holds this much of the key's rate
--- a/internal/sluice/daemon.go
+++ b/internal/sluice/daemon.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -126,7 +127,9 @@
 	if f.Coming != nil {
 		d.weir.Evaluate(now, f.Coming)
 	}
-	d.trackers.Store(&f.Trackers)
+	if old := d.trackers.Swap(&f.Trackers); !slices.Equal(*old, f.Trackers) {
+		go d.renewGrants() // a new one should know soon what is held here
+	}
 }
 
 // Add puts the process's actors into its group.
@@ -253,9 +256,13 @@
 func (d *Daemon) heardTracker(to string, s weir.Stamp, shards ...int) {
 	now := d.now()
 	d.echoMu.Lock()
-	if o := d.echo[to]; o.stamp.Life != s.Life || o.stamp.At < s.At {
+	o := d.echo[to]
+	if o.stamp.Life != s.Life || o.stamp.At < s.At {
 		d.echo[to] = heardStamp{s, now}
 	}
+	if o.stamp.Life != s.Life {
+		defer func() { go d.renewGrants() }()
+	}
 	d.echoMu.Unlock()
 	for _, i := range shards {
 		d.weir.Heard(now, i)
--- a/internal/weir/standby.go
+++ b/internal/weir/standby.go
@@ -61,6 +61,10 @@
 		alone = 0
 	}
 	p.b.set(now, max(0, min(rate, p.quota.Rate)-alone), min(burst, p.quota.Burst))
+	if p.filled && burst >= 0.99*p.quota.Burst {
+		p.filled = false // once, when the shares have been lent
+		p.b.tokens = max(p.b.tokens, min(p.b.depth, p.quota.Rate*(now-p.spent).Seconds()-p.given))
+	}
 }
 
 // giveLong answers for a key carried by its tracker.
@@ -77,8 +81,11 @@
 	case now < p.open:
 		s.rate, s.count, s.demand = w.Rate, max(w.Rate, s.count), w.Demand
 		p.told[a.Proxy] = true
+		p.spent = max(p.spent, now-w.Idle)
 		if p.of = max(p.of, a.Proxies); p.of > 0 && len(p.told) >= p.of {
-			p.open = now // all have told: nothing unknown stands any more
+			// All have told: nothing unknown stands any more, and since the last
+			// of them let a request through the quota has been filling.
+			p.open, p.filled = now, true
 		}
 	default:
 		s.demand = w.Demand
--- a/internal/weir/tracker.go
+++ b/internal/weir/tracker.go
@@ -61,6 +61,9 @@
 	stands map[string]*stand
 	open   time.Duration   // until then standby of an earlier tracker may be in use
 	told   map[string]bool // proxies that have told what they hold of these
+	spent  time.Duration   // the latest moment, by what they told, at which any let a request through
+	given  float64         // tokens since the beginning
+	filled bool            // what has filled since spent is still to be added
 	of     int             // how many there are, by the largest count told
 	b      bucket
 	leases map[string]*lease
@@ -289,7 +292,8 @@
 	if w.Need > 0 {
 		if p.b.tokens >= w.Need {
 			p.b.tokens -= w.Need
-			out.Tokens = w.Need
+			p.given += w.Need
+			out.Tokens, out.Life = w.Need, g.life
 			g.Offered++
 		} else {
 			g.Dry++
--- a/internal/weir/weir.go
+++ b/internal/weir/weir.go
@@ -63,11 +63,14 @@
 	lentTo     uint64        // the tracker's life it was last told to
 	tellAt     time.Duration // when a share lent whole is to be told of again
 	dryUntil   time.Duration
-	arrived    float64 // since the last period
-	demand     float64 // requests a second, running mean
-	lastSeen   time.Duration
-	shard      int  // of trackers
-	standing   bool // the tracker is not heard: the grant bucket holds the standby
+	lostAt     time.Duration // a question brought no answer
+	arrived    float64       // since the last period
+	demand     float64       // requests a second, running mean
+	lastOK     time.Duration // a request was let through, other than by tokens of the tracker by
+	by         uint64        // life of the tracker that last gave tokens
+	byAt       time.Duration // a request was let through by them
+	shard      int           // of trackers
+	standing   bool          // the tracker is not heard: the grant bucket holds the standby
 	count      Count
 }
 
@@ -179,7 +182,10 @@
 				b.born = -datum.RestartTime
 				b.fast.at = b.born
 			}
-			b.lastSeen = -datum.ProxyForget
+			b.lastOK = now
+			if w.fresh {
+				b.lastOK = -datum.RestartTime // the life before had ended by then
+			}
 			w.bays[k] = b
 		} else if b.quota == q {
 			b.shadow = nil
@@ -264,7 +270,6 @@
 	room := b.whole.tokens >= 1
 	if !again {
 		b.arrived++
-		b.lastSeen = now
 		if room {
 			b.whole.tokens--
 		}
@@ -283,7 +288,7 @@
 	have := b.split.tokens + *grant + b.oneOff
 	if b.fast.tokens >= 1 && have >= 1-1e-9 {
 		b.fast.tokens--
-		need := 1.0
+		need, before := 1.0, *grant
 		use := func(from *float64) {
 			if t := min(need, max(0, *from)); t > 0 {
 				*from -= t
@@ -300,6 +305,9 @@
 		}
 		b.split.tokens -= need
 		b.count.Admitted++
+		if b.byAt = now; need > 0 || *grant != before {
+			b.lastOK = now
+		}
 		return Verdict{OK: true}
 	}
 	v := Verdict{Retry: time.Second}
@@ -311,6 +319,9 @@
 	if due := b.dryUntil - now; due < v.Retry {
 		v.Retry = max(due, datum.RetrySoon)
 	}
+	if b.lostAt > 0 && now-b.lostAt < datum.RetryLost {
+		v.Retry = datum.RetryLost // another proxy finds no tracker either; it takes its time to come back
+	}
 	// One question to the tracker costs less than a wrong refusal, unless it
 	// has just said that there is nothing.
 	if !again && now >= b.dryUntil && b.fast.tokens >= 1 {
@@ -348,13 +359,14 @@
 // Want is what a proxy tells a key's tracker.
 type Want struct {
 	Key    string
-	Demand float64 // requests a second beyond the split share
-	Rate   float64 // leased or standby rate held now
-	Need   float64 // tokens wanted at once
-	Lend   bool    // the next two count
-	Lent   float64 // rate of the split share lent to the tracker
-	Depth  float64 // and the burst with it
-	Long   bool    // for the longer time, as a share is that serves nobody where it is
+	Demand float64       // requests a second beyond the split share
+	Rate   float64       // leased or standby rate held now
+	Need   float64       // tokens wanted at once
+	Lend   bool          // the next two count
+	Lent   float64       // rate of the split share lent to the tracker
+	Depth  float64       // and the burst with it
+	Long   bool          // for the longer time, as a share is that serves nobody where it is
+	Idle   time.Duration // since the proxy last let a request of the key through, or started
 }
 
 // grantLength is how long a lease lasts.
@@ -430,12 +442,21 @@
 		b.lentTo = life
 		b.tellAt = now + datum.LendLong/4 + time.Duration(w.rng.Int64N(int64(datum.LendLong/8)))
 		b.lentAsked = now
-		out = append(out, Want{Key: k, Demand: beyond, Rate: b.grant.rate, Lend: true, Lent: lend * rate, Depth: lend * depth, Long: long})
+		out = append(out, Want{Key: k, Demand: beyond, Rate: b.grant.rate, Lend: true, Lent: lend * rate, Depth: lend * depth, Long: long, Idle: now - b.spentAt(life)})
 	}
 	sort.Slice(out, func(i, j int) bool { return out[i].Key < out[j].Key })
 	return out
 }
 
+// spentAt is when a request was last let through, as far as the tracker of a life
+// does not know it from what it gave.
+func (b *bay) spentAt(life uint64) time.Duration {
+	if b.by != life {
+		return max(b.lastOK, b.byAt)
+	}
+	return b.lastOK
+}
+
 // Need is the question for a request that waits.
 func (w *Weir) Need(now time.Duration, key string) Want {
 	w.mu.Lock()
@@ -457,6 +478,7 @@
 	Key         string
 	Rate, Depth float64       // the lease
 	Tokens      float64       // at once
+	Life        uint64        // of the tracker that gives them
 	Keep        bool          // nothing is given yet; what an earlier tracker gave stands to its end
 	Long        bool          // the lease lasts for the longer time
 	Dry         time.Duration // no use asking again before
@@ -496,6 +518,9 @@
 			b.split.tokens += paid
 			g.Tokens -= paid
 		}
+		if g.Life != b.by {
+			b.lastOK, b.by = b.spentAt(g.Life), g.Life
+		}
 		b.oneOff += g.Tokens
 		b.oneOffEnds = ends
 	}
@@ -513,6 +538,7 @@
 		b.dryUntil = now + datum.GrantEvery
 		if w.tiny(b) {
 			b.dryUntil = now + datum.AskAgain // there is nobody else to ask
+			b.lostAt = now
 		}
 	}
 }
