Second reading: one piece of code where the change had written it twice

Loans summed for both kinds of pool, differences kept for configurations and lists, the ejection after a failure, and answers that ask to come back each had a twin; a proxy's region stood beside the one in its Tap; the order of control machines was sorted twice; a message type no longer sent was still registered; a comment told of long leases, which were reverted. Behaviour is unchanged.

--- a/internal/headworks/api.go
+++ b/internal/headworks/api.go
@@ -21,6 +21,14 @@
 
 func why(s string) any { return map[string]string{"error": s} }
 
+const notAcknowledged = "not acknowledged by every member in time; it may or may not come into force"
+
+// unavailable asks the caller to come back in a second.
+func unavailable(w http.ResponseWriter, s string) {
+	w.Header().Set("Retry-After", "1")
+	fail(w, http.StatusServiceUnavailable, why(s))
+}
+
 // operatorAPI answers the operator; any control machine takes any call.
 func (d *Daemon) operatorAPI() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -86,8 +94,7 @@
 				d.waitMu.Lock()
 				delete(d.waits, ch)
 				d.waitMu.Unlock()
-				w.Header().Set("Retry-After", "1")
-				fail(w, http.StatusServiceUnavailable, why("not acknowledged by every member in time; it may or may not come into force"))
+				unavailable(w, notAcknowledged)
 				return
 			}
 		}
@@ -120,8 +127,7 @@
 		w.Header().Set("Content-Type", "application/json")
 		w.Write(doc.Raw)
 	case <-t.C:
-		w.Header().Set("Retry-After", "1")
-		fail(w, http.StatusServiceUnavailable, why("the chain's tail did not confirm in time"))
+		unavailable(w, "the chain's tail did not confirm in time")
 	}
 }
 
@@ -156,7 +162,6 @@
 		w.Header().Set("Content-Type", "application/json")
 		json.NewEncoder(w).Encode(map[string]any{"zone": zone, "evacuated": on})
 	case <-t.C:
-		w.Header().Set("Retry-After", "1")
-		fail(w, http.StatusServiceUnavailable, why("not acknowledged by every member in time; it may or may not come into force"))
+		unavailable(w, notAcknowledged)
 	}
 }
--- a/internal/headworks/directory.go
+++ b/internal/headworks/directory.go
@@ -22,7 +22,7 @@
 			fail(w, http.StatusMethodNotAllowed, why("lookups are made with GET"))
 			return
 		}
-		q, err := queryOf(r)
+		q, err := url.ParseQuery(r.URL.RawQuery) // garbled parts are a fault, not left out
 		if err != nil {
 			fail(w, http.StatusBadRequest, why("the query cannot be read: "+err.Error()))
 			return
@@ -33,8 +33,7 @@
 		}
 		as, ok := d.places.Lookup(d.now(), q.Get("zone"), q.Get("region"))
 		if !ok {
-			w.Header().Set("Retry-After", "1")
-			fail(w, http.StatusServiceUnavailable, why("no proxy is known here yet"))
+			unavailable(w, "no proxy is known here yet")
 			return
 		}
 		b, _ := json.Marshal(map[string]any{"addresses": as, "ttl": d.ttl()})
@@ -52,6 +51,3 @@
 	}
 	return strconv.FormatInt(int64(t/time.Millisecond), 10) + "ms"
 }
-
-// queryOf reads the query, of which garbled parts are a fault and not left out.
-func queryOf(r *http.Request) (url.Values, error) { return url.ParseQuery(r.URL.RawQuery) }
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -14,7 +14,6 @@
 	"sort"
 	"time"
 
-	"slateridge/internal/conduit"
 	"slateridge/internal/datum"
 	"slateridge/internal/sill"
 )
@@ -40,8 +39,6 @@
 	Gone      []string // ids
 }
 
-func init() { conduit.Register(List{}) }
-
 // Diff tells a list as its difference from an earlier one, which may be nil.
 func Diff(base, l *List) *Change {
 	c := &Change{Num: l.Num}
--- a/internal/penstock/line.go
+++ b/internal/penstock/line.go
@@ -19,7 +19,6 @@
 type Line struct {
 	mu      sync.Mutex
 	me      Tap
-	region  string
 	ends    map[string]*end
 	order   []string        // of preference: own zone, own region, the rest
 	where   map[string]Peer // as control tells
@@ -65,8 +64,8 @@
 
 // NewLine makes a proxy's end, with the control machines it knows to begin
 // with; apply is called, one call at a time, with what is newer.
-func NewLine(me Tap, region string, peers []string, dial func(addr string, h conduit.Handler) *conduit.Main, apply func(Fresh)) *Line {
-	l := &Line{me: me, region: region, where: map[string]Peer{}, ends: map[string]*end{}, dial: dial, apply: apply, heard: time.Now()}
+func NewLine(me Tap, peers []string, dial func(addr string, h conduit.Handler) *conduit.Main, apply func(Fresh)) *Line {
+	l := &Line{me: me, where: map[string]Peer{}, ends: map[string]*end{}, dial: dial, apply: apply, heard: time.Now()}
 	l.addLocked(peers)
 	return l
 }
@@ -99,8 +98,7 @@
 		l.where[p.Addr] = p
 		addrs = append(addrs, p.Addr)
 	}
-	l.addLocked(addrs)
-	l.sortLocked()
+	l.addLocked(addrs) // which sorts by what is known now
 }
 
 // sortLocked puts near machines first, and equals in an order of this proxy's
@@ -112,7 +110,7 @@
 			return 2 // nothing is known of it yet
 		case p.Zone == l.me.Zone:
 			return 0
-		case p.Region == l.region:
+		case p.Region == l.me.Region:
 			return 1
 		}
 		return 3
--- a/internal/penstock/penstock.go
+++ b/internal/penstock/penstock.go
@@ -100,61 +100,48 @@
 	sharing func(node string) bool
 	Closed  func(node string) // told when a proxy's last held connection ends
 	pushes  uint64
-	docs    []*scheme.Doc // lately in force, the newest last, to tell differences from
-	packed  map[uint64]*scheme.Packed
-	lists   []*intake.List
-	changes map[uint64]*intake.Change
+	docs    kept[scheme.Doc, scheme.Packed]
+	lists   kept[intake.List, intake.Change]
 }
 
-// pack tells the configuration in force as its difference from a version a
-// proxy holds; the work is done once for all proxies that hold it.
-func (ps *Penstock) pack(d *scheme.Doc, have uint64) *scheme.Packed {
-	if n := len(ps.docs); n == 0 || ps.docs[n-1].Version != d.Version {
-		ps.docs = append(ps.docs, d)
-		ps.docs = ps.docs[max(0, len(ps.docs)-datum.KeptStates):]
-		ps.packed = map[uint64]*scheme.Packed{}
-	}
-	var base *scheme.Doc
-	for _, o := range ps.docs {
-		if o.Version == have && have > 0 {
-			base = o
-		}
-	}
-	if base == nil {
-		have = 0
-	}
-	if ps.packed[have] == nil {
-		p := scheme.Pack(base, d)
-		ps.packed[have] = &p
-	}
-	return ps.packed[have]
+// kept are the latest states of a kind, the newest last, with its differences
+// from the earlier ones: each is worked out once for all proxies that need it.
+type kept[S any, D any] struct {
+	num    func(*S) uint64
+	diff   func(base, newest *S) *D
+	states []*S
+	diffs  map[uint64]*D
 }
 
-// change does the same for the list of upstreams.
-func (ps *Penstock) change(l *intake.List, have uint64) *intake.Change {
-	if n := len(ps.lists); n == 0 || ps.lists[n-1].Num != l.Num {
-		ps.lists = append(ps.lists, l)
-		ps.lists = ps.lists[max(0, len(ps.lists)-datum.KeptStates):]
-		ps.changes = map[uint64]*intake.Change{}
+// from is the newest state as its difference from the one a proxy holds, or whole
+// where that is not kept any more.
+func (k *kept[S, D]) from(newest *S, have uint64) *D {
+	if n := len(k.states); n == 0 || k.num(k.states[n-1]) != k.num(newest) {
+		k.states = append(k.states, newest)
+		k.states = k.states[max(0, len(k.states)-datum.KeptStates):]
+		k.diffs = map[uint64]*D{}
 	}
-	var base *intake.List
-	for _, o := range ps.lists {
-		if o.Num == have && have > 0 {
+	var base *S
+	for _, o := range k.states {
+		if k.num(o) == have && have > 0 {
 			base = o
 		}
 	}
 	if base == nil {
 		have = 0
 	}
-	if ps.changes[have] == nil {
-		ps.changes[have] = intake.Diff(base, l)
+	if k.diffs[have] == nil {
+		k.diffs[have] = k.diff(base, newest)
 	}
-	return ps.changes[have]
+	return k.diffs[have]
 }
 
 // New makes the control side; face tells what is in force.
 func New(face func() Face, sharing func(node string) bool) *Penstock {
-	return &Penstock{pipes: map[*conduit.Pipe]*tapped{}, face: face, sharing: sharing}
+	return &Penstock{pipes: map[*conduit.Pipe]*tapped{}, face: face, sharing: sharing,
+		docs: kept[scheme.Doc, scheme.Packed]{num: func(d *scheme.Doc) uint64 { return d.Version },
+			diff: func(base, d *scheme.Doc) *scheme.Packed { p := scheme.Pack(base, d); return &p }},
+		lists: kept[intake.List, intake.Change]{num: func(l *intake.List) uint64 { return l.Num }, diff: intake.Diff}}
 }
 
 // Tapped takes a proxy's word and answers it.
@@ -195,10 +182,10 @@
 	}
 	if c.tap.Full {
 		if f.ConfigDoc != nil && f.ConfigDoc.Version > c.gotVer {
-			n.Config, c.gotVer = ps.pack(f.ConfigDoc, c.gotVer), f.ConfigDoc.Version
+			n.Config, c.gotVer = ps.docs.from(f.ConfigDoc, c.gotVer), f.ConfigDoc.Version
 		}
 		if f.Upstreams != nil && f.Upstreams.Num > c.gotList {
-			n.List, c.gotList = ps.change(f.Upstreams, c.gotList), f.Upstreams.Num
+			n.List, c.gotList = ps.lists.from(f.Upstreams, c.gotList), f.Upstreams.Num
 		}
 	}
 	if n.ComingVer <= n.Version || n.ComingVer == c.coming || !c.tap.Full {
--- a/internal/penstock/penstock_test.go
+++ b/internal/penstock/penstock_test.go
@@ -54,7 +54,7 @@
 	b.set(2, 4, true)
 	var mu sync.Mutex
 	var versions, lists []uint64
-	l := NewLine(Tap{Node: "p", Zone: "z"}, "", []string{"127.0.0.21", "127.0.0.22"}, func(ip string, h conduit.Handler) *conduit.Main {
+	l := NewLine(Tap{Node: "p", Zone: "z"}, []string{"127.0.0.21", "127.0.0.22"}, func(ip string, h conduit.Handler) *conduit.Main {
 		return conduit.NewMain(fmt.Sprintf("%s:%d", ip, port), "127.0.0.23", h)
 	}, func(f Fresh) {
 		mu.Lock()
--- a/internal/sluice/daemon.go
+++ b/internal/sluice/daemon.go
@@ -67,7 +67,7 @@
 	rand.Shuffle(len(ips), func(i, j int) { ips[i], ips[j] = ips[j], ips[i] })
 	me := penstock.Tap{Node: set.IPAddress, Name: set.NodeName, Zone: set.Zone, Region: set.Region,
 		Front: set.ListenAddresses.Frontend}
-	d.line = penstock.NewLine(me, set.Region, ips, func(ip string, h conduit.Handler) *conduit.Main {
+	d.line = penstock.NewLine(me, ips, func(ip string, h conduit.Handler) *conduit.Main {
 		return conduit.NewMain(set.PeerInternal(ip, datum.PortHeadworks), set.IPAddress, h)
 	}, d.apply)
 	return d
--- a/internal/sluice/outfall.go
+++ b/internal/sluice/outfall.go
@@ -472,6 +472,13 @@
 	errored                // it answered with a failure of its own
 )
 
+// eject leaves an upstream alone after a failure, longer with each in a row.
+func (o *Outfall) eject(now time.Time) {
+	o.fails++
+	o.yard.Ejected++
+	o.ejected = now.Add(min(datum.EjectFirst<<min(o.fails-1, 5), datum.EjectMax))
+}
+
 // done ends an offer and learns from it.
 func (y *Yard) done(p *offer, how outcome) {
 	y.mu.Lock()
@@ -503,9 +510,7 @@
 		// enough to leave it alone for a moment, whatever its health answer says;
 		// its connections are as good as before.
 		learn(max(took, datum.FirstDelay.Seconds()))
-		o.fails++
-		y.Ejected++
-		o.ejected = now.Add(min(datum.EjectFirst<<min(o.fails-1, 5), datum.EjectMax))
+		o.eject(now)
 	case full:
 		learn(max(2*meanDelay(y.pick(want{o.inst.Service, anywhere}).few), took))
 		o.ejected = now.Add(datum.FullPause)
@@ -513,10 +518,7 @@
 		if how == silent {
 			learn(took)
 		}
-		o.fails++
-		y.Ejected++
-		out := datum.EjectFirst << min(o.fails-1, 5)
-		o.ejected = now.Add(min(out, datum.EjectMax))
+		o.eject(now)
 		o.closeIdle()
 	}
 	y.wakeLocked(o.inst.Service)
--- a/internal/weir/standby.go
+++ b/internal/weir/standby.go
@@ -43,15 +43,7 @@
 
 // shapeLong sets the pool of a key carried by its tracker.
 func (p *pool) shapeLong(now time.Duration, contact map[string]time.Duration) {
-	rate, burst := p.tracked()
-	for k, l := range p.loans {
-		if now >= l.until {
-			delete(p.loans, k)
-			continue
-		}
-		rate += l.rate
-		burst += l.depth
-	}
+	rate, burst := p.lentAndTracked(now)
 	alone, inTouch := p.standing(now, contact)
 	if now < p.open {
 		// Standby that an earlier tracker told of may be in use, beyond what
--- a/internal/weir/tracker.go
+++ b/internal/weir/tracker.go
@@ -133,6 +133,20 @@
 	return (1 - datum.SplitPart) * p.quota.Rate, (1 - datum.SplitPart) * p.quota.Burst
 }
 
+// lentAndTracked adds what proxies lend, and drops loans that have ended.
+func (p *pool) lentAndTracked(now time.Duration) (rate, burst float64) {
+	rate, burst = p.tracked()
+	for k, l := range p.loans {
+		if now >= l.until {
+			delete(p.loans, k)
+			continue
+		}
+		rate += l.rate
+		burst += l.depth
+	}
+	return rate, burst
+}
+
 func (p *pool) leased(but string) float64 {
 	sum := 0.0
 	for k, l := range p.leases {
@@ -159,15 +173,7 @@
 			delete(p.leases, k)
 		}
 	}
-	rate, burst := p.tracked()
-	for k, l := range p.loans {
-		if now >= l.until {
-			delete(p.loans, k)
-			continue
-		}
-		rate += l.rate
-		burst += l.depth
-	}
+	rate, burst := p.lentAndTracked(now)
 	leased := p.leased("")
 	p.b.set(now, max(0, rate-leased), max(0, burst-leaseDepth(leased, p.quota)))
 }
--- a/internal/weir/weir.go
+++ b/internal/weir/weir.go
@@ -113,7 +113,7 @@
 
 // Tiny says whether a key's split share is too small to serve requests with. It
 // is lent whole and not used where it is, and the key is carried by its tracker:
-// by long leases where requests keep coming, by questions elsewhere.
+// each request asks, and standby is there for when nobody answers.
 func Tiny(proxies int, slack float64, q Quota) bool {
 	return proxies > 0 && SplitFloor(proxies, slack) == 0 && datum.SplitPart*q.Burst/float64(proxies) < datum.TinyShare
 }
@@ -178,13 +178,10 @@
 			// life before had ended by then and spends no more.
 			b = &bay{shard: Shard(k, w.shards)}
 			b.split.at, b.grant.at, b.fast.at, b.whole.at = now, now, now, now
-			if w.fresh {
-				b.born = -datum.RestartTime
-				b.fast.at = b.born
-			}
 			b.lastOK = now
 			if w.fresh {
-				b.lastOK = -datum.RestartTime // the life before had ended by then
+				b.born = -datum.RestartTime
+				b.fast.at, b.lastOK = b.born, b.born
 			}
 			w.bays[k] = b
 		} else if b.quota == q {
