A configuration is read by its differences, and holds no question of a request up

Every proxy read the whole configuration at its 0.16 of a core while it held the lock that each question to a tracker takes, so questions outlived the time they are given. Ruled out: pools that begin anew (unchanged quotas keep theirs), lost pushes.

Now only items whose letters are new are read, a few at a time, outside that lock; a proxy's word names a version only once it is in force. A document that cannot be taken apart is read whole, as control machines always do.

--- a/internal/datum/datum.go
+++ b/internal/datum/datum.go
@@ -21,7 +21,10 @@
 	CallTimeout   = 800 * time.Millisecond  // longer than a slow disk's sync, shorter than a caller's second of patience
 	LinkSilence   = 1500 * time.Millisecond // unacknowledged bytes this long close a held connection (TCP_USER_TIMEOUT)
 	SendQueue     = 256                     // messages; a peer that does not read loses its connection, not our memory
+	PipeBuffer    = 2 << 10                 // bytes each way; most messages are a tenth, and long ones pass by the buffer
+	PipeKeep      = 16 << 10                // bytes of an encoding buffer kept between messages
 	RedialPause   = 50 * time.Millisecond   // between attempts at a peer that does not answer
+	MemoryPart    = 0.7                     // of the machine's limit, from which the collector works harder; the rest is for what it does not count
 	JournalEvents = 256                     // kept events in a process's journal; enough for a trouble's story
 )
 
@@ -29,6 +32,8 @@
 const (
 	ChainTick      = 50 * time.Millisecond   // the machine's step: well under every span below
 	GaugeEvery     = 250 * time.Millisecond  // headworks tell each other their state
+	RelayEvery     = 500 * time.Millisecond  // a relay asks one control machine after the other
+	RelayFresh     = 3 * time.Second         // and sends nobody to one whose answer is older: six questions, so that several may be lost
 	MemberSilence  = 1000 * time.Millisecond // four gauges missed, and longer than a disk slowed 25 times holds a sync
 	ProposeStagger = 300 * time.Millisecond  // a later member waits this much longer, so proposals seldom clash
 	PromiseWait    = 120 * time.Millisecond  // for the third promise once two are in
@@ -38,6 +43,7 @@
 	SubmitWait     = 900 * time.Millisecond  // an operator moves on after a second of silence; answer before it
 	StartQuiet     = 2500 * time.Millisecond // processes start unevenly; silence before this is no verdict
 	ConfigMax      = 3 << 20                 // bytes of a configuration; fits a frame between own processes
+	ReadAtOnce     = 8                       // items of a configuration read before other work of the process has its turn: a fraction of a millisecond
 	PassBytes      = 4 << 20                 // bytes a second that a state moves down the chain, sync and coding included
 	OrderIDs       = 8                       // latest orders remembered by zone; whoever sent one asks within SubmitWait
 )
@@ -62,6 +68,8 @@
 	ProxyForget   = 60 * time.Second        // a proxy unheard so long leaves the live count
 	NewsCurrent   = 3 * time.Second         // news older than this is not "known to be current" at start
 	RosterEvery   = time.Second             // control machines tell each other the proxies they know
+	RosterWord    = 2 * time.Second         // a proxy of which nothing is new is told of so often: well inside the time after which the directory drops it
+	RosterWhole   = 5                       // turns between the names of all that share, when none has changed
 	RosterFar     = 3                       // times as long between words to other regions: bytes there are dear
 	RosterQuiet   = 3 * time.Second         // at the very first start the count is told only after all had time to come
 	PollShare     = 0.25                    // of the drain bound: how often the platform's list is read; calls are priced
@@ -128,6 +136,7 @@
 	LongPool        = 0.3                     // part of a tracker-carried key's quota that is never told as standby: it serves while a new tracker does not know what stands
 	StandbyAfter    = 1200 * time.Millisecond // a proxy that hears nothing from a tracker so long uses its standby
 	StandbyRoom     = 1000 * time.Millisecond // and the tracker has left it out of its pool since this long after the stamp that reached it
+	TouchEvery      = 50 * time.Millisecond   // a tracker looks over whom it may have lost; it counts them as lost so much sooner
 	StandbyHeadroom = 1.5                     // standby over the demand seen, as far as there is so much
 	StandbyDepth    = 4.0                     // requests a standby bucket holds: what fills it is bounded by its rate, and one that holds less refuses what comes unevenly
 	ContactEvery    = 400 * time.Millisecond  // a tracker is spoken to at least so often
--- a/internal/penstock/line.go
+++ b/internal/penstock/line.go
@@ -17,7 +17,9 @@
 // Line is a proxy's end: held connections to all control machines, contents
 // from one of them and numbers from the rest, and whichever is newest counts.
 type Line struct {
-	mu      sync.Mutex
+	takeMu  sync.Mutex // one news after the other; held while it is put in force
+	mu      sync.Mutex // never held for long: every question of a request goes through here
+	taking  bool       // something is being put in force: no word until it is
 	me      Tap
 	ends    map[string]*end
 	order   []string        // of preference: own zone, own region, the rest
@@ -153,6 +155,9 @@
 func (l *Line) Step(now time.Time, ready bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.taking {
+		return
+	}
 	l.me.Ready = ready
 	l.pickLocked(now)
 	l.chooseLocked(now)
@@ -236,13 +241,45 @@
 	}
 }
 
+// take puts news in force. What a proxy says it holds is in force there, so its
+// words wait until that is so; the questions of its requests do not.
 func (l *Line) take(a string, n News) {
+	l.takeMu.Lock()
+	defer l.takeMu.Unlock()
+	var doc *scheme.Doc
+	var list *intake.List
+	misfit := false
+	// What is held changes under takeMu only.
+	if c := n.Config; c != nil && c.Version > l.version {
+		if d, err := c.Unpack(l.doc, datum.ConfigMax); err == nil {
+			doc = d
+		} else {
+			misfit = true
+		}
+	}
+	if li := n.List; li != nil && li.Num > l.listNum {
+		if full, ok := li.Apply(l.list); ok {
+			list = full
+		} else {
+			misfit = true
+		}
+	}
+	f := l.fold(a, n, doc, list, misfit)
+	l.apply(f)
+	if f.Config != nil || f.List != nil {
+		l.mu.Lock()
+		l.taking = false
+		l.mu.Unlock()
+	}
+}
+
+// fold takes news into what is held and tells what of it is new.
+func (l *Line) fold(a string, n News, doc *scheme.Doc, list *intake.List, misfit bool) Fresh {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := time.Now()
 	e := l.ends[a]
 	e.at, e.everWord = now, true
-	c, li := n.Config, n.List
 	n.Config, n.List = nil, nil
 	if n.Trackers == nil {
 		n.Trackers = e.news.Trackers
@@ -254,18 +291,14 @@
 	e.news = n
 	l.heard = now
 	var f Fresh
-	if c != nil && c.Version > l.version {
-		d, err := c.Unpack(l.doc, datum.ConfigMax)
-		if l.whole = err != nil; err == nil {
-			l.version, l.doc, f.Config = d.Version, d, d
-		}
+	if doc != nil {
+		l.version, l.doc, f.Config = doc.Version, doc, doc
 	}
-	if li != nil && li.Num > l.listNum {
-		if full, ok := li.Apply(l.list); ok {
-			l.listNum, l.list, f.List = full.Num, full, full
-		} else {
-			l.whole = true
-		}
+	if list != nil {
+		l.listNum, l.list, f.List = list.Num, list, list
+	}
+	if doc != nil || list != nil || misfit {
+		l.whole = misfit
 	}
 	if n.StateNum > l.state {
 		l.state, l.evacs = n.StateNum, n.Evacuated
@@ -300,7 +333,8 @@
 		l.proxies = p
 	}
 	f.Proxies, f.Trackers, f.Coming = l.proxies, trackers, coming
-	l.apply(f)
+	l.taking = f.Config != nil || f.List != nil
+	return f
 }
 
 // Announce has every tapped control machine told with the next step.
--- a/internal/penstock/penstock_test.go
+++ b/internal/penstock/penstock_test.go
@@ -97,3 +97,55 @@
 		}
 	}
 }
+
+// While a proxy puts a long configuration in force, the questions of its requests
+// are answered, and no word of it says that it holds what is not in force yet.
+func TestLongReadingHoldsNothingUp(t *testing.T) {
+	const port = 39158
+	a := newHead(t, "127.0.0.24", port)
+	a.set(3, 5, true)
+	reading, done := make(chan struct{}), make(chan struct{})
+	var once sync.Once
+	l := NewLine(Tap{Node: "p", Zone: "z"}, []string{"127.0.0.24"}, func(ip string, h conduit.Handler) *conduit.Main {
+		return conduit.NewMain(fmt.Sprintf("%s:%d", ip, port), "127.0.0.25", h)
+	}, func(f Fresh) {
+		if f.Config != nil {
+			once.Do(func() { close(reading); <-done })
+		}
+	})
+	step := func() { l.Step(time.Now(), true); time.Sleep(5 * time.Millisecond) }
+	for begun := false; !begun; {
+		step()
+		select {
+		case <-reading:
+			begun = true
+		default:
+		}
+	}
+	asked := make(chan error, 1)
+	go func() {
+		_, err := l.Ask("127.0.0.24", Tap{Node: "other"}, 10*time.Second)
+		asked <- err
+	}()
+	if err := <-asked; err != nil {
+		t.Fatalf("a question while the configuration is read: %v", err)
+	}
+	told := func() uint64 {
+		for _, p := range a.pen.Proxies() {
+			if p.Node == "p" {
+				return p.Version
+			}
+		}
+		return 0
+	}
+	for range 100 {
+		step()
+	}
+	if v := told(); v != 0 {
+		t.Errorf("r%d acknowledged before it is in force", v)
+	}
+	close(done)
+	for told() != 3 {
+		step() // the test's own time limit ends this if it never is
+	}
+}
--- a/internal/scheme/scheme.go
+++ b/internal/scheme/scheme.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"io"
 	"math"
+	"runtime"
 	"slices"
 	"sort"
 	"strconv"
@@ -17,6 +18,7 @@
 
 	"github.com/go-playground/validator/v10"
 
+	"slateridge/internal/datum"
 	"slateridge/internal/sill"
 )
 
@@ -301,7 +303,78 @@
 	return nil
 }
 
-var kinds = map[string]bool{"routes": true, "services": true, "tenants": true, "limits": true}
+// item is one entry of a configuration, read and checked by itself. It is never
+// changed, so schemes of several versions may share it.
+type item struct {
+	kind, name string
+	route      *routeSpec
+	service    *Service
+	tenant     *Tenant
+	keys       []string
+	limits     Limits
+}
+
+// label names an item in faults and among the names taken.
+func (it *item) label() string { return it.kind + " " + it.name }
+
+// readItem reads the entry at a place in the list.
+func readItem(i int, r *resource) (*item, error) {
+	it := &item{kind: r.ResourceKind, name: r.Metadata.Name}
+	fault := func(err error) error {
+		var f *Fault
+		if errors.As(err, &f) {
+			f.Item = it.label()
+			return f
+		}
+		return &Fault{Item: it.label(), Why: err.Error()}
+	}
+	at := fmt.Sprintf("resourceList[%d]", i)
+	if it.name == "" && it.kind != "limits" && slices.Contains([]string{"routes", "services", "tenants"}, it.kind) {
+		return nil, &Fault{Item: at, Field: "metadata.name", Why: "missing"}
+	}
+	switch it.kind {
+	case "routes":
+		it.route = &routeSpec{}
+		if err := decode(r.Spec, it.route); err != nil {
+			return nil, fault(err)
+		}
+	case "services":
+		var sp serviceSpec
+		if err := decode(r.Spec, &sp); err != nil {
+			return nil, fault(err)
+		}
+		it.service = &Service{Name: it.name, HealthPath: sp.HealthCheckPath, MaxConnections: sp.MaxConnections,
+			Warmup: sp.Warmup.D(), WarmupPerS: sp.WarmupPerS}
+	case "tenants":
+		var sp tenantSpec
+		if err := decode(r.Spec, &sp); err != nil {
+			return nil, fault(err)
+		}
+		it.tenant = &Tenant{Name: it.name, Rate: sp.RatePerS, Burst: sp.BurstSize, Homes: sp.AllowedRegions}
+		if sp.Priority != nil {
+			it.tenant.Priority, it.tenant.HasPriority = *sp.Priority, true
+		}
+		it.keys = sp.APIKeys
+	case "limits":
+		var sp limitsSpec
+		if err := decode(r.Spec, &sp); err != nil {
+			return nil, fault(err)
+		}
+		it.limits = Limits{sp.MaxHeaderBytes, sp.MaxBodyBytes, sp.HeaderTimeout.D(), sp.IdleTimeout.D()}
+	default:
+		return nil, &Fault{Item: at, Field: "resourceKind", Why: fmt.Sprintf("%q is not known", it.kind)}
+	}
+	return it, nil
+}
+
+// breathe lets other work of the process go on between the items of a long
+// configuration: on a small part of a core, reading hundreds of them at one go
+// is a stall that every request at this process would feel.
+func breathe(n int) {
+	if n%datum.ReadAtOnce == 0 {
+		runtime.Gosched()
+	}
+}
 
 // Read checks a whole configuration and makes it ready for use. Its error is
 // always a *Fault.
@@ -321,97 +394,141 @@
 	if d.ResourceList == nil {
 		return nil, &Fault{Field: "resourceList", Why: "missing"}
 	}
-	s := &Scheme{Version: ver, Services: map[string]*Service{}, Tenants: map[string]*Tenant{},
-		keys: map[string]*Tenant{}, hosts: map[string][]*Route{}}
-	names := map[string]bool{}
-	limits := false
-	var routes []routeSpec
-	var routeNames []string
-	for i, r := range d.ResourceList {
-		item := r.ResourceKind + " " + r.Metadata.Name
-		fault := func(err error) error {
-			var f *Fault
-			if errors.As(err, &f) {
-				f.Item = item
-				return f
+	var its []*item
+	for i := range d.ResourceList {
+		it, err := readItem(i, &d.ResourceList[i])
+		if err != nil {
+			return nil, err
+		}
+		its = append(its, it)
+		breathe(i)
+	}
+	return build(ver, its)
+}
+
+// Reader reads one configuration after another, and of each only the items that
+// the one before did not have, letter for letter.
+type Reader struct {
+	have map[string]*item // by their letters
+	New  int              // items the last document did not share with the one before
+}
+
+// Read is like the function of that name; a document that is written otherwise
+// than items can be told apart in is read whole.
+func (rd *Reader) Read(raw []byte) (*Scheme, error) {
+	if s, err := rd.changes(raw); err == nil {
+		return s, nil
+	}
+	rd.have, rd.New = nil, 0
+	return Read(raw)
+}
+
+var errWritten = errors.New("items cannot be told apart")
+
+func (rd *Reader) changes(raw []byte) (*Scheme, error) {
+	parts := items(raw)
+	var d document
+	head := strings.TrimSpace(string(parts[0]))
+	if len(parts) < 2 || !strings.HasSuffix(head, "[") || json.Unmarshal([]byte(head+"]}"), &d) != nil || len(d.ResourceList) > 0 {
+		return nil, errWritten
+	}
+	ver, err := ParseVersion(d.ConfigVersion)
+	if err != nil {
+		return nil, err
+	}
+	have := make(map[string]*item, len(parts))
+	var its []*item
+	rd.New = 0
+	for i, p := range parts[1:] {
+		text, ok := strings.TrimSpace(string(p)), true
+		if i == len(parts)-2 {
+			if text, ok = strings.CutSuffix(text, "}"); ok {
+				text, ok = strings.CutSuffix(strings.TrimSpace(text), "]")
 			}
-			return &Fault{Item: item, Why: err.Error()}
+		} else {
+			text, ok = strings.CutSuffix(text, ",")
 		}
-		if !kinds[r.ResourceKind] {
-			return nil, &Fault{Item: fmt.Sprintf("resourceList[%d]", i), Field: "resourceKind", Why: fmt.Sprintf("%q is not known", r.ResourceKind)}
+		if !ok {
+			return nil, errWritten
 		}
-		if r.ResourceKind != "limits" {
-			if r.Metadata.Name == "" {
-				return nil, &Fault{Item: fmt.Sprintf("resourceList[%d]", i), Field: "metadata.name", Why: "missing"}
+		text = strings.TrimSpace(text)
+		it := rd.have[text]
+		if it == nil {
+			var r resource
+			if json.Unmarshal([]byte(text), &r) != nil {
+				return nil, errWritten
 			}
-			if names[item] {
-				return nil, &Fault{Item: item, Field: "metadata.name", Why: "named twice"}
+			if it, err = readItem(i, &r); err != nil {
+				return nil, err
 			}
-			names[item] = true
+			rd.New++
+			breathe(rd.New)
 		}
-		switch r.ResourceKind {
-		case "routes":
-			var sp routeSpec
-			if err := decode(r.Spec, &sp); err != nil {
-				return nil, fault(err)
-			}
-			routes = append(routes, sp)
-			routeNames = append(routeNames, r.Metadata.Name)
-		case "services":
-			var sp serviceSpec
-			if err := decode(r.Spec, &sp); err != nil {
-				return nil, fault(err)
-			}
-			s.Services[r.Metadata.Name] = &Service{Name: r.Metadata.Name, HealthPath: sp.HealthCheckPath, MaxConnections: sp.MaxConnections,
-				Warmup: sp.Warmup.D(), WarmupPerS: sp.WarmupPerS}
-		case "tenants":
-			var sp tenantSpec
-			if err := decode(r.Spec, &sp); err != nil {
-				return nil, fault(err)
-			}
-			t := &Tenant{Name: r.Metadata.Name, Rate: sp.RatePerS, Burst: sp.BurstSize, Homes: sp.AllowedRegions}
-			if sp.Priority != nil {
-				t.Priority, t.HasPriority = *sp.Priority, true
-			}
-			s.Tenants[t.Name] = t
-			for _, k := range sp.APIKeys {
-				if h := s.keys[k]; h != nil && h != t {
-					return nil, &Fault{Item: item, Field: "apiKeys", Why: "a key is held by tenant " + h.Name + " too"}
-				}
-				s.keys[k] = t
-			}
-		case "limits":
+		have[text] = it
+		its = append(its, it)
+	}
+	s, err := build(ver, its)
+	if err == nil {
+		rd.have = have
+	}
+	return s, err
+}
+
+// build puts checked items together, and checks what concerns several.
+func build(ver uint64, its []*item) (*Scheme, error) {
+	s := &Scheme{Version: ver, Services: map[string]*Service{}, Tenants: map[string]*Tenant{},
+		keys: map[string]*Tenant{}, hosts: map[string][]*Route{}}
+	names := make(map[string]bool, len(its))
+	limits := false
+	for _, it := range its {
+		if it.kind == "limits" {
 			if limits {
 				return nil, &Fault{Item: "limits", Why: "stated twice"}
 			}
-			limits = true
-			var sp limitsSpec
-			if err := decode(r.Spec, &sp); err != nil {
-				return nil, fault(err)
+			limits, s.Limits = true, it.limits
+			continue
+		}
+		if names[it.label()] {
+			return nil, &Fault{Item: it.label(), Field: "metadata.name", Why: "named twice"}
+		}
+		names[it.label()] = true
+		switch {
+		case it.service != nil:
+			s.Services[it.name] = it.service
+		case it.tenant != nil:
+			s.Tenants[it.name] = it.tenant
+			for _, k := range it.keys {
+				if h := s.keys[k]; h != nil && h != it.tenant {
+					return nil, &Fault{Item: it.label(), Field: "apiKeys", Why: "a key is held by tenant " + h.Name + " too"}
+				}
+				s.keys[k] = it.tenant
 			}
-			s.Limits = Limits{sp.MaxHeaderBytes, sp.MaxBodyBytes, sp.HeaderTimeout.D(), sp.IdleTimeout.D()}
 		}
 	}
 	places := map[string]string{}
-	for i, sp := range routes {
-		item := "routes " + routeNames[i]
-		r := &Route{Name: routeNames[i], Host: strings.ToLower(sp.Host), Prefix: sp.PathPrefix, Idempotent: sp.RouteType == Idempotent,
+	for i, it := range its {
+		if it.route == nil {
+			continue
+		}
+		breathe(i)
+		sp := it.route
+		r := &Route{Name: it.name, Host: strings.ToLower(sp.Host), Prefix: sp.PathPrefix, Idempotent: sp.RouteType == Idempotent,
 			Timeout: sp.Timeout.D(), Aim: sp.TargetLatency.D(), Priority: sp.Priority, MaxAttempts: sp.MaxAttempts, Public: sp.Public, Homes: sp.AllowedRegions}
 		place := r.Host + r.Prefix
 		if other, ok := places[place]; ok {
-			return nil, &Fault{Item: item, Field: "pathPrefix", Why: "route " + other + " has the same host and prefix"}
+			return nil, &Fault{Item: it.label(), Field: "pathPrefix", Why: "route " + other + " has the same host and prefix"}
 		}
 		places[place] = r.Name
 		switch {
 		case sp.TargetService != "" && len(sp.WeightedTargets) > 0:
-			return nil, &Fault{Item: item, Field: "targetService", Why: "stands beside weightedTargets"}
+			return nil, &Fault{Item: it.label(), Field: "targetService", Why: "stands beside weightedTargets"}
 		case sp.TargetService != "":
 			r.Targets = []Target{{sp.TargetService, 1}}
 		default:
 			sum := 0.0
 			for _, t := range sp.WeightedTargets {
 				if s.Services[t.TargetService] == nil {
-					return nil, &Fault{Item: item, Field: "weightedTargets", Why: "service " + t.TargetService + " is not known"}
+					return nil, &Fault{Item: it.label(), Field: "weightedTargets", Why: "service " + t.TargetService + " is not known"}
 				}
 				if t.Weight > 0 {
 					sum += t.Weight
@@ -419,11 +536,11 @@
 				}
 			}
 			if sum == 0 {
-				return nil, &Fault{Item: item, Field: "targetService", Why: "no target has any weight"}
+				return nil, &Fault{Item: it.label(), Field: "targetService", Why: "no target has any weight"}
 			}
 		}
 		if s.Services[r.Targets[0].Service] == nil {
-			return nil, &Fault{Item: item, Field: "targetService", Why: "service " + r.Targets[0].Service + " is not known"}
+			return nil, &Fault{Item: it.label(), Field: "targetService", Why: "service " + r.Targets[0].Service + " is not known"}
 		}
 		s.hosts[r.Host] = append(s.hosts[r.Host], r)
 	}
--- a/internal/sluice/daemon.go
+++ b/internal/sluice/daemon.go
@@ -36,6 +36,7 @@
 	set      atomic.Pointer[sill.Settings]
 	path     string
 	line     *penstock.Line
+	reader   scheme.Reader // used by apply only, one call at a time
 	trackers atomic.Pointer[[]string]
 	ready    atomic.Bool
 	gate     *gate
@@ -96,7 +97,7 @@
 func (d *Daemon) apply(f penstock.Fresh) {
 	now := d.now()
 	if f.Config != nil {
-		sch, err := scheme.Read(f.Config.Raw)
+		sch, err := d.reader.Read(f.Config.Raw)
 		if err != nil {
 			d.book.Note("config_unreadable", err.Error()) // control checks before; never expected
 		} else {
