--- a/internal/weir/standby.go
+++ b/internal/weir/standby.go
@@ -26,25 +26,44 @@
 
 // standing sums the standby rates: of those who may be using them now, and of
 // the others.
-func (p *pool) standing(now time.Duration, contact map[string]time.Duration) (alone, inTouch float64) {
-	for k, s := range p.stands {
-		if now >= s.until {
-			delete(p.stands, k)
-			continue
+func (p *pool) standing(now time.Duration, g *Gatehouse) (alone, inTouch float64) {
+	if now >= p.standsEnd {
+		p.standCount, p.standDemand, p.standsEnd, p.turn = 0, 0, now+datum.GrantLong, 0
+		for k, s := range p.stands {
+			if now >= s.until {
+				delete(p.stands, k)
+				continue
+			}
+			p.standCount += s.count
+			p.standDemand += s.demand
+			p.standsEnd = min(p.standsEnd, s.until)
 		}
-		if at, ok := contact[k]; !ok || now-at > datum.StandbyRoom {
-			alone += s.count
-		} else {
-			inTouch += s.count
+	}
+	if p.turn != g.turn {
+		p.turn, p.alone = g.turn, 0
+		for n := range g.out {
+			if s := p.stands[n]; s != nil {
+				p.alone += s.count
+			}
 		}
 	}
-	return alone, inTouch
+	return max(0, p.alone), max(0, p.standCount-p.alone)
+}
+
+// change alters one proxy's standby and the sums with it.
+func (p *pool) change(g *Gatehouse, proxy string, s *stand, to stand) {
+	p.standCount += to.count - s.count
+	p.standDemand += to.demand - s.demand
+	if p.turn == g.turn && g.out[proxy] {
+		p.alone += to.count - s.count
+	}
+	*s = to
 }
 
 // shapeLong sets the pool of a key carried by its tracker.
-func (p *pool) shapeLong(now time.Duration, contact map[string]time.Duration) {
+func (p *pool) shapeLong(now time.Duration, g *Gatehouse) {
 	rate, burst := p.lentAndTracked(now)
-	alone, inTouch := p.standing(now, contact)
+	alone, inTouch := p.standing(now, g)
 	if now < p.open {
 		// Standby that an earlier tracker told of may be in use, beyond what
 		// proxies have said here: only what is never told, and what is known
@@ -62,16 +81,19 @@
 // giveLong answers for a key carried by its tracker.
 func (g *Gatehouse) giveLong(now time.Duration, p *pool, a AskGrants, w Want) Given {
 	g.Asked++
+	p.standing(now, g) // drops what has ended, so that the sums are of what stands
 	s := p.stands[a.Proxy]
 	if s == nil {
 		s = &stand{}
 		p.stands[a.Proxy] = s
 	}
-	s.until = now + datum.GrantLong
+	to := *s
+	to.until = now + datum.GrantLong
+	p.standsEnd = min(p.standsEnd, to.until)
 	switch {
 	case !w.Lend: // a question of a request; what stands, stands
 	case now < p.open:
-		s.rate, s.count, s.demand = w.Rate, max(w.Rate, s.count), w.Demand
+		to.rate, to.count, to.demand = w.Rate, max(w.Rate, s.count), w.Demand
 		p.told[a.Proxy] = true
 		p.spent = max(p.spent, now-w.Idle)
 		if p.of = max(p.of, a.Proxies); p.of > 0 && len(p.told) >= p.of {
@@ -80,24 +102,20 @@
 			p.open, p.filled = now, true
 		}
 	default:
-		s.demand = w.Demand
-		total, others := 0.0, 0.0
-		for _, o := range p.stands {
-			total += o.demand
-			if o != s {
-				others += o.count
-			}
-		}
+		to.demand = w.Demand
+		total := p.standDemand - s.demand + to.demand
+		others := max(0, p.standCount-s.count)
 		most := (1 - datum.LongPool) * p.quota.Rate
-		share := s.demand * datum.StandbyHeadroom
+		share := to.demand * datum.StandbyHeadroom
 		if total > 0 {
-			share = min(share, s.demand*most/total)
+			share = min(share, to.demand*most/total)
 		}
 		share = min(share, max(0, most-others))
-		s.count = max(share, s.rate, min(w.Rate, s.count))
-		s.rate = share
+		to.count = max(share, s.rate, min(w.Rate, s.count))
+		to.rate = share
 	}
-	p.shapeLong(now, g.contact)
+	p.change(g, a.Proxy, s, to)
+	p.shapeLong(now, g)
 	return g.oneOff(p, w, Given{Key: w.Key, Rate: s.rate, Depth: max(datum.StandbyDepth, s.rate), Long: true, Lent: w.Lend, Loan: w.Lent})
 }
 
--- a/internal/weir/tracker.go
+++ b/internal/weir/tracker.go
@@ -68,6 +68,16 @@
 	b      bucket
 	leases map[string]*lease
 	loans  map[string]loan
+
+	// Sums of the maps above, so that a question costs the same however many
+	// proxies there are: kept as entries change, and taken anew when the first
+	// entry ends.
+	loaned      loan // until is when the first loan ends
+	standCount  float64
+	standDemand float64
+	standsEnd   time.Duration // when the first stand ends
+	alone       float64       // count of those that may be using their standby, as of a turn
+	turn        uint64
 }
 
 // loan is a part of a proxy's split share that it leaves to the tracker.
@@ -76,10 +86,19 @@
 	until       time.Duration
 }
 
+// touch is what a tracker knows of its contact with a proxy.
+type touch struct {
+	stamp time.Duration // the latest that has reached it; none yet is long ago
+	spoke time.Duration // when it last asked here
+}
+
 // Gatehouse is the tracker of its shards' keys.
 type Gatehouse struct {
 	life                uint64
-	contact             map[string]time.Duration // by proxy, the latest stamp that has reached it
+	contact             map[string]touch // by proxy
+	out                 map[string]bool  // those that may have stopped hearing this tracker, as of a turn
+	turn                uint64
+	turnAt              time.Duration
 	changed             map[string]time.Duration // when a key went from one way of sharing to the other
 	tiny                func(proxies int, q Quota) bool
 	count               int // the largest live count any proxy told
@@ -96,7 +115,7 @@
 // others and from earlier ones, tiny which keys have split shares that serve
 // nobody.
 func NewGatehouse(life uint64, shards int, tiny func(proxies int, q Quota) bool) *Gatehouse {
-	return &Gatehouse{tiny: tiny, contact: map[string]time.Duration{}, changed: map[string]time.Duration{}, life: life, shards: shards, begun: map[int]time.Duration{}, pools: map[string]*pool{}, quotas: map[string]Quota{}, known: map[string]time.Duration{}}
+	return &Gatehouse{tiny: tiny, contact: map[string]touch{}, out: map[string]bool{}, changed: map[string]time.Duration{}, life: life, shards: shards, begun: map[int]time.Duration{}, pools: map[string]*pool{}, quotas: map[string]Quota{}, known: map[string]time.Duration{}}
 }
 
 // SetQuotas takes the limits in force.
@@ -122,7 +141,7 @@
 
 func (g *Gatehouse) shape(p *pool, now time.Duration) {
 	if p.long {
-		p.shapeLong(now, g.contact)
+		p.shapeLong(now, g)
 	} else {
 		p.shape(now)
 	}
@@ -133,18 +152,35 @@
 	return (1 - datum.SplitPart) * p.quota.Rate, (1 - datum.SplitPart) * p.quota.Burst
 }
 
+// lend notes what a proxy leaves to the tracker from now on; an empty loan is none.
+func (p *pool) lend(proxy string, l loan) {
+	was := p.loans[proxy]
+	p.loaned.rate += l.rate - was.rate
+	p.loaned.depth += l.depth - was.depth
+	if l == (loan{}) {
+		delete(p.loans, proxy)
+		return
+	}
+	p.loans[proxy] = l
+	p.loaned.until = min(p.loaned.until, l.until)
+}
+
 // lentAndTracked adds what proxies lend, and drops loans that have ended.
 func (p *pool) lentAndTracked(now time.Duration) (rate, burst float64) {
-	rate, burst = p.tracked()
-	for k, l := range p.loans {
-		if now >= l.until {
-			delete(p.loans, k)
-			continue
+	if now >= p.loaned.until {
+		p.loaned = loan{until: now + datum.GrantLong}
+		for k, l := range p.loans {
+			if now >= l.until {
+				delete(p.loans, k)
+				continue
+			}
+			p.loaned.rate += l.rate
+			p.loaned.depth += l.depth
+			p.loaned.until = min(p.loaned.until, l.until)
 		}
-		rate += l.rate
-		burst += l.depth
 	}
-	return rate, burst
+	rate, burst = p.tracked()
+	return rate + p.loaned.rate, burst + p.loaned.depth
 }
 
 func (p *pool) leased(but string) float64 {
@@ -191,9 +227,7 @@
 		return out
 	}
 	g.count = max(g.count, a.Proxies)
-	if a.Echo.Life == g.life {
-		g.contact[a.Proxy] = max(g.contact[a.Proxy], a.Echo.At)
-	}
+	g.touched(now, a)
 	for _, w := range a.Wants {
 		shard := Shard(w.Key, g.shards)
 		at, ok := since(shard)
@@ -249,9 +283,9 @@
 		}
 		if w.Lend {
 			if until := a.Echo.At + lendLength(w.Long); a.Echo.Life == g.life && w.Lent > 0 {
-				p.loans[a.Proxy] = loan{w.Lent, w.Depth, until}
+				p.lend(a.Proxy, loan{w.Lent, w.Depth, until})
 			} else {
-				delete(p.loans, a.Proxy)
+				p.lend(a.Proxy, loan{})
 			}
 		}
 		if p.long {
@@ -263,6 +297,34 @@
 	return out
 }
 
+// touched notes a proxy's word, and every so often whom this tracker may have lost.
+func (g *Gatehouse) touched(now time.Duration, a AskGrants) {
+	c, ok := g.contact[a.Proxy]
+	if !ok {
+		c.stamp = now - 2*datum.GrantLong
+		g.out[a.Proxy] = true
+		g.turn++
+	}
+	if a.Echo.Life == g.life {
+		c.stamp = max(c.stamp, a.Echo.At)
+	}
+	c.spoke = now
+	g.contact[a.Proxy] = c
+	if now < g.turnAt {
+		return
+	}
+	g.turnAt = now + datum.TouchEvery
+	g.turn++
+	clear(g.out)
+	for n, c := range g.contact {
+		if now-c.spoke > 2*datum.GrantLong {
+			delete(g.contact, n) // what it was told has ended
+		} else if now+datum.TouchEvery-c.stamp > datum.StandbyRoom {
+			g.out[n] = true // it may begin before the next look
+		}
+	}
+}
+
 func (g *Gatehouse) give(now time.Duration, p *pool, proxy string, w Want) Given {
 	g.Asked++
 	p.shape(now)
--- a/internal/weir/weir.go
+++ b/internal/weir/weir.go
@@ -61,7 +61,6 @@
 	lentAsked  time.Duration // the last question that told of it
 	lentEnds   time.Duration // by then the tracker has stopped using it
 	lentTo     uint64        // the tracker's life it was last told to
-	tellAt     time.Duration // when a share lent whole is to be told of again
 	dryUntil   time.Duration
 	lostAt     time.Duration // a question brought no answer
 	arrived    float64       // since the last period
@@ -93,8 +92,9 @@
 	gone    map[int]bool          // by shard, its tracker does not run
 	heard   map[int]time.Duration // by shard, when its tracker last answered
 	period  time.Duration
-	fresh   bool          // no limits yet in this life
-	touch   time.Duration // when control last spoke
+	tell    map[int]time.Duration // by shard, when shares lent whole are to be told of again, all in one word
+	fresh   bool                  // no limits yet in this life
+	touch   time.Duration         // when control last spoke
 }
 
 // New makes the stage; slack is the quota's absolute slack.
@@ -410,6 +410,10 @@
 		return nil
 	}
 	w.period = now
+	if w.tell == nil {
+		w.tell = map[int]time.Duration{}
+	}
+	told := map[int]bool{}
 	var out []Want
 	for k, b := range w.bays {
 		w.refresh(b, now)
@@ -426,9 +430,12 @@
 			}
 		}
 		beyond := w.beyond(b)
-		if long && math.Abs(lend-b.lent) < 1e-6 && life == b.lentTo && now < b.tellAt {
+		if long && math.Abs(lend-b.lent) < 1e-6 && life == b.lentTo && now < w.tell[b.shard] {
 			continue // the tracker knows all there is to know
 		}
+		if now >= w.tell[b.shard] {
+			told[b.shard] = true
+		}
 		if lend > 0 {
 			b.lentEnds = max(b.lentEnds, at+lendLength(long))
 			if lend > b.lent {
@@ -437,10 +444,12 @@
 			}
 		}
 		b.lentTo = life
-		b.tellAt = now + datum.LendLong/4 + time.Duration(w.rng.Int64N(int64(datum.LendLong/8)))
 		b.lentAsked = now
 		out = append(out, Want{Key: k, Demand: beyond, Rate: b.grant.rate, Lend: true, Lent: lend * rate, Depth: lend * depth, Long: long, Idle: now - b.spentAt(life)})
 	}
+	for shard := range told {
+		w.tell[shard] = now + datum.LendLong/4 + time.Duration(w.rng.Int64N(int64(datum.LendLong/8)))
+	}
 	sort.Slice(out, func(i, j int) bool { return out[i].Key < out[j].Key })
 	return out
 }
--- a/internal/weir/weir_test.go
+++ b/internal/weir/weir_test.go
@@ -152,6 +152,9 @@
 	for seed := uint64(1); seed <= 60; seed++ {
 		q := []Quota{{100, 100}, {18, 18}, {400, 80}, {5, 5}}[seed/4%4]
 		f := newFleet(seed, []int{11, 15, 18, 80}[seed%4], q)
+		if seed%20 == 7 {
+			f = newFleet(seed, 300, q)
+		}
 		f.b.Loss = 0.02
 		r := f.b.Rng
 		var press func()
@@ -447,3 +450,76 @@
 		}
 	}
 }
+
+// At three hundred proxies and as many keys as many tenants hold, a proxy speaks
+// to each tracker a few times in ten seconds to tell of its shares, not for each
+// key, and the tracker's sums are those of its entries, however they came about.
+func TestSharesAreToldTogetherAndSummed(t *testing.T) {
+	const keys, proxies, shards = 190, 300, 6
+	qs := map[string]Quota{}
+	for i := range keys {
+		qs[fmt.Sprint("k", i)] = Quota{float64(5 + i), float64(5 + i)}
+	}
+	b := basin.New(5)
+	g := NewGatehouse(1, shards, func(n int, q Quota) bool { return Tiny(n, 20, q) })
+	g.SetQuotas(0, qs)
+	since := func(int) (time.Duration, bool) { return 0, true }
+	ws, echo, words := make([]*Weir, proxies), make([]Stamp, proxies), 0
+	for i := range ws {
+		ws[i] = New(20, shards, uint64(i))
+		ws[i].SetQuotas(0, qs)
+		ws[i].SetProxies(0, proxies)
+	}
+	for now := 3 * time.Second; now < 33*time.Second; now += datum.GrantEvery {
+		for i, w := range ws {
+			if b.Rng.IntN(40) == 0 {
+				continue // its word is lost
+			}
+			w.SetProxies(now, proxies)
+			for range 3 {
+				w.Admit(now, fmt.Sprint("k", b.Rng.IntN(keys)), false)
+			}
+			by := map[int][]Want{}
+			for _, x := range w.Wants(now, func(string) (time.Duration, uint64, bool) { return now - 100*time.Millisecond, 1, echo[i].Life > 0 }) {
+				by[Shard(x.Key, shards)] = append(by[Shard(x.Key, shards)], x)
+			}
+			if now >= 13*time.Second && now < 23*time.Second {
+				words += len(by)
+			}
+			if i%50 == 7 && now > 20*time.Second {
+				continue // falls silent: what it had ends
+			}
+			by[0] = append(by[0], Want{Key: "k3", Need: 1, Long: true})
+			for s := range shards {
+				got := g.Ask(now, AskGrants{fmt.Sprint("p", i), by[s], echo[i], proxies}, since)
+				if i%50 != 8 { // which hears nothing, and so stands alone
+					echo[i] = got.Stamp
+				}
+			}
+		}
+		for k, p := range g.pools {
+			g.shape(p, now)
+			var l loan
+			var count, demand, alone float64
+			for _, x := range p.loans {
+				l.rate, l.depth = l.rate+x.rate, l.depth+x.depth
+			}
+			for n, x := range p.stands {
+				count, demand = count+x.count, demand+x.demand
+				if now-g.contact[n].stamp > datum.StandbyRoom {
+					alone += x.count
+				}
+			}
+			off := func(a, b float64) bool { return a-b > 1e-6 || b-a > 1e-6 }
+			if off(l.rate, p.loaned.rate) || off(l.depth, p.loaned.depth) || off(count, p.standCount) || off(demand, p.standDemand) || p.alone < alone-1e-6 {
+				t.Fatalf("%v, %s: sums %+v, %v, %v, %v of entries that make %+v, %v, %v, %v", now, k, p.loaned, p.standCount, p.standDemand, p.alone, l, count, demand, alone)
+			}
+		}
+	}
+	if per := float64(words) / proxies / shards; per > 5 {
+		t.Errorf("%.1f words a proxy and tracker in ten seconds", per)
+	}
+	if len(g.pools["k3"].loans) > proxies*98/100 || len(g.pools["k3"].stands) > proxies*98/100 {
+		t.Error("what the silent left has not ended")
+	}
+}
