headworks: relays cost next to nothing, rosters tell differences

Every control machine told all the others of every proxy and of all that share, each second.

A relay now sends callers on (307) to the machine it heard last, asks one of them twice a second, and holds nothing. Rosters tell what is new at once, the rest by turns, and no places where no directory is served. Limits of a coming version are worked out once, not for each word of each proxy.

Ruled out: count = 2 in the deploy file (nothing on machines added later).

--- a/internal/headworks/api.go
+++ b/internal/headworks/api.go
@@ -6,11 +6,13 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"time"
 
 	"slateridge/internal/datum"
 	"slateridge/internal/scheme"
+	"slateridge/internal/weir"
 )
 
 func fail(w http.ResponseWriter, code int, body any) {
@@ -54,10 +56,32 @@
 			fail(w, http.StatusMethodNotAllowed, why("calls are made with POST"))
 			return
 		}
+		if d.relay {
+			d.sendOn(w, r)
+			return
+		}
 		call(w, r)
 	})
 }
 
+// sendOn names a caller the control machine that this relay heard last. The
+// configuration does not pass through here: the link of such a machine is narrow
+// and carries requests.
+func (d *Daemon) sendOn(w http.ResponseWriter, r *http.Request) {
+	d.chainMu.Lock()
+	to, ok := d.chain.Ahead()
+	d.chainMu.Unlock()
+	if !ok {
+		unavailable(w, "no control machine with a say is known here now")
+		return
+	}
+	_, port, _ := net.SplitHostPort(d.set.ListenAddresses.ControlPlane) // alike on all machines
+	w.Header().Set("Location", "http://"+net.JoinHostPort(to, port)+r.URL.RequestURI())
+	w.Header().Set("Content-Length", "0")
+	w.WriteHeader(http.StatusTemporaryRedirect)
+	d.book.Count("sent_on", 1)
+}
+
 func (d *Daemon) replace(w http.ResponseWriter, r *http.Request) {
 	raw, err := io.ReadAll(http.MaxBytesReader(w, r.Body, datum.ConfigMax))
 	if err != nil {
@@ -76,8 +100,8 @@
 		return
 	}
 	if in := d.inForce.Load(); in == nil || in.Version < s.Version {
-		if c := d.coming.Load(); c == nil || c.Version < s.Version {
-			d.coming.Store(s) // its limits are evaluated until it is in force
+		if c := d.coming.Load(); c == nil || c.version < s.Version {
+			d.coming.Store(&coming{s.Version, weir.Quotas(s)})
 			d.pen.Publish()
 		}
 		ch := make(chan struct{})
--- a/internal/headworks/chain.go
+++ b/internal/headworks/chain.go
@@ -72,6 +72,7 @@
 		Sick            bool
 		Zone, Region    string
 		Relay           bool // has no say: it has no disk, or is not counted
+		Asks            bool // wants a gauge back: a relay, or a machine that no view has taken in yet
 		Committed, Held scheme.Stamp
 		Version         uint64 // of the configuration in force
 	}
@@ -256,6 +257,7 @@
 	now       time.Duration
 	started   time.Duration
 	gaugeAt   time.Duration
+	turn      int // a relay's: whom it asked last
 	passAt    time.Duration
 	fetchAt   time.Duration
 	mendAt    time.Duration
@@ -370,7 +372,7 @@
 func (c *Chain) Status() Gauge { return c.gauge() }
 
 func (c *Chain) gauge() Gauge {
-	return Gauge{Me: c.Me, View: c.agr.View, Joined: c.agr.Joined, Sealed: c.sealed(), Sick: c.store.Sick(), Relay: c.Relay, Zone: c.Zone, Region: c.Region,
+	return Gauge{Me: c.Me, View: c.agr.View, Joined: c.agr.Joined, Asks: c.Relay || !c.agr.Joined, Sealed: c.sealed(), Sick: c.store.Sick(), Relay: c.Relay, Zone: c.Zone, Region: c.Region,
 		Committed: at(c.committed), Held: at(c.held), Version: ver(c.committed)}
 }
 
@@ -396,19 +398,53 @@
 	return out
 }
 
+// tell sends a machine this one's gauge.
+func (c *Chain) tell(p string) {
+	g := c.gauge()
+	if s := c.seen[p]; s != nil && s.gauge.View.Num >= g.View.Num {
+		g.View = View{Num: g.View.Num} // it has that view; its number is enough
+	}
+	c.send(p, g)
+}
+
+// ask has a relay look at one machine after the other: whose answer came last
+// is where it sends those who call it.
+func (c *Chain) ask() {
+	if c.now < c.gaugeAt {
+		return
+	}
+	c.gaugeAt = c.now + datum.RelayEvery
+	for range c.peers {
+		c.turn++
+		if p := c.peers[c.turn%len(c.peers)]; p != c.Me.Addr {
+			c.tell(p)
+			return
+		}
+	}
+}
+
+// Ahead is the machine with a say that was heard last, for a relay to send its
+// callers to; none when nobody was heard lately.
+func (c *Chain) Ahead() (addr string, ok bool) {
+	last := c.now - datum.RelayFresh
+	for p, s := range c.seen {
+		if s.gauge.Joined && !s.gauge.Relay && s.heard > last {
+			addr, last, ok = p, s.heard, true
+		}
+	}
+	return addr, ok
+}
+
 // Tick advances time.
 func (c *Chain) Tick(now time.Duration) []any {
 	c.now = now
+	if c.Relay {
+		c.ask()
+		return c.flush()
+	}
 	if now >= c.gaugeAt {
 		c.gaugeAt = now + datum.GaugeEvery
-		g := c.gauge()
-		c.others(func(p string) {
-			o := g
-			if s := c.seen[p]; s != nil && s.gauge.View.Num >= g.View.Num {
-				o.View = View{Num: g.View.Num} // it has that view; its number is enough
-			}
-			c.send(p, o)
-		})
+		c.others(c.tell)
 	}
 	if c.store.Sick() && now >= c.mendAt {
 		c.mendAt = now + datum.MemberSilence
@@ -484,8 +520,21 @@
 // Recv takes a message.
 func (c *Chain) Recv(now time.Duration, from string, msg any) []any {
 	c.now = now
-	if _, ok := msg.(Gauge); ok {
-		c.meet(from)
+	if g, ok := msg.(Gauge); ok {
+		if g.Relay {
+			// It is told what it asks for and else left alone, however many there
+			// are of its kind.
+			if c.Relay && g.View.Num > c.agr.View.Num && len(g.View.Members) > 0 {
+				c.learn(g.View)
+			}
+		} else {
+			c.meet(from)
+			c.onGauge(from, g)
+		}
+		if g.Asks {
+			c.tell(from)
+		}
+		return c.flush()
 	}
 	if slices.Contains(c.peers, from) {
 		c.take(from, msg)
@@ -495,8 +544,6 @@
 
 func (c *Chain) take(from string, msg any) {
 	switch m := msg.(type) {
-	case Gauge:
-		c.onGauge(from, m)
 	case Prepare:
 		c.onPrepare(from, m)
 	case Promise:
@@ -566,7 +613,7 @@
 	if g.View.Num > c.agr.View.Num && len(g.View.Members) > 0 {
 		c.learn(g.View)
 	}
-	if at(c.committed).Less(g.Committed) {
+	if at(c.committed).Less(g.Committed) && !c.Relay {
 		// Copies found old are mended: from what is held here when it is that
 		// very version, or else by asking for it.
 		if at(c.held) == g.Committed {
--- a/internal/headworks/daemon.go
+++ b/internal/headworks/daemon.go
@@ -32,7 +32,8 @@
 
 // Roster tells the other control machines of the proxies that spoke here: how
 // long ago, the count they said they use, where they stand, and which share in
-// the split quotas. Gone are those whose connections have just ended.
+// the split quotas. It tells what has changed at once, and the rest by turns.
+// Gone are those whose connections have just ended.
 type Roster struct {
 	Words  map[string]Word
 	Shares []string
@@ -54,6 +55,8 @@
 	place  gazetteer.Place
 	shares bool
 	count  int // the live count it last said it uses, here or to another
+	told   Word
+	toldAt time.Time // when the others nearby were last told
 }
 
 // ListNews brings the list from the machine that polls to the other control
@@ -74,6 +77,13 @@
 	conduit.Register(ListAsk{})
 }
 
+// coming are the limits of a version that is not in force yet, as far as is known
+// here; they are evaluated until it is.
+type coming struct {
+	version uint64
+	quotas  map[string]weir.Quota
+}
+
 const dutyPoll = "poll"
 
 func dutyTrack(shard int) string { return fmt.Sprintf("track/%d", shard) }
@@ -84,6 +94,7 @@
 	book  *logbook.Logbook
 	began time.Time
 	seeds []string // control machines named in the settings
+	relay bool     // has no say, and only knows who has
 
 	mainMu sync.Mutex
 	mains  map[string]*conduit.Main
@@ -93,7 +104,7 @@
 	store   *cistern.Cistern
 	status  atomic.Pointer[Gauge]
 	inForce atomic.Pointer[scheme.Doc]
-	coming  atomic.Pointer[scheme.Scheme] // arrived here last, perhaps not in force
+	coming  atomic.Pointer[coming] // arrived here last, perhaps not in force
 
 	waitMu sync.Mutex
 	orders map[uint64]chan struct{} // evacuations, by order
@@ -104,10 +115,11 @@
 	leaseMu sync.Mutex
 	leases  *watermaster.Watermaster
 
-	gates  *weir.Gatehouse
-	places *gazetteer.Gazetteer
-	turns  int
-	pen    *penstock.Penstock
+	gates      *weir.Gatehouse
+	places     *gazetteer.Gazetteer
+	turns      int
+	sharesTold []string
+	pen        *penstock.Penstock
 
 	mu        sync.Mutex // list, roster, peers heard
 	list      *intake.List
@@ -134,11 +146,11 @@
 		d.mu.Unlock()
 		return weir.Tiny(n, set.Bounds.QuotaSlack, q)
 	})
-	relay := set.DataDirectory == "" || !set.QuorumMember
+	d.relay = set.DataDirectory == "" || !set.QuorumMember
 	fresh := false
-	if relay {
+	if d.relay {
 		d.store = cistern.Volatile()
-		book.Note("relay", "no disk of its own that counts: calls are passed on, nothing is decided here")
+		book.Note("relay", "no disk of its own that counts: callers are sent on, nothing is decided here")
 	} else {
 		var err error
 		if d.store, fresh, err = cistern.Open(set.DataDirectory); err != nil {
@@ -163,7 +175,7 @@
 	if err != nil {
 		return nil, err
 	}
-	d.chain.Relay, d.chain.Tolerate = relay, set.FaultTolerance.MachineFailures
+	d.chain.Relay, d.chain.Tolerate = d.relay, set.FaultTolerance.MachineFailures
 	d.chain.Zone, d.chain.Region = set.Zone, set.Region
 	duties := []string{dutyPoll}
 	for i := range set.Trackers() {
@@ -173,7 +185,7 @@
 	d.leases = watermaster.New(0, rng.Uint64(), set.IPAddress, duties)
 	d.pen = penstock.New(d.face, d.sharing)
 	d.pen.Closed = func(node string) {
-		if d.places.Gone(d.now(), node, true) {
+		if d.directory() && d.places.Gone(d.now(), node, true) {
 			for _, p := range d.peers() {
 				d.send(p, Roster{Gone: []string{node}})
 			}
@@ -183,6 +195,9 @@
 	return d, nil
 }
 
+// directory says whether anybody asks here where proxies stand.
+func (d *Daemon) directory() bool { return d.set.ListenAddresses.Directory != "" }
+
 // now is the steady time since this process began.
 func (d *Daemon) now() time.Duration { return time.Since(d.began) }
 
@@ -222,7 +237,13 @@
 		}
 		w.Serve(dir, d.directoryAPI())
 	}
-	w.Turn(datum.ChainTick, func() { d.step(func() []any { return d.chain.Tick(d.now()) }) })
+	w.Turn(staff.TickEvery, d.staff.Tick)
+	chain := func() { d.step(func() []any { return d.chain.Tick(d.now()) }) }
+	if d.relay {
+		w.Turn(datum.RelayEvery, chain)
+		return nil
+	}
+	w.Turn(datum.ChainTick, chain)
 	held := map[string]bool{}
 	w.Turn(datum.LeaseTick, func() {
 		v := d.status.Load()
@@ -246,7 +267,6 @@
 	go d.poll(w.Context())
 	w.Turn(time.Duration(datum.PollShare*float64(d.set.Bounds.Drain.D())), func() { d.poll(w.Context()) })
 	w.Turn(datum.RosterEvery, d.shareRoster)
-	w.Turn(staff.TickEvery, d.staff.Tick)
 	return nil
 }
 
@@ -399,8 +419,8 @@
 		f.Version = f.ConfigDoc.Version
 		f.StateNum, f.Evacuated = f.ConfigDoc.Stamp.Num(), f.ConfigDoc.Evacuated()
 	}
-	if s := d.coming.Load(); s != nil && s.Version > f.Version {
-		f.ComingVer, f.Coming = s.Version, weir.Quotas(s)
+	if c := d.coming.Load(); c != nil && c.version > f.Version {
+		f.ComingVer, f.Coming = c.version, c.quotas
 	}
 	d.leaseMu.Lock()
 	for i := range d.set.Trackers() {
@@ -439,6 +459,10 @@
 func (d *Daemon) onMessage(p *conduit.Pipe, body any) any {
 	switch m := body.(type) {
 	case penstock.Tap:
+		if d.relay {
+			// Where to turn is all it can tell.
+			return penstock.News{Zone: d.set.Zone, Peers: d.face().Peers}
+		}
 		d.seen(m)
 		d.mu.Lock()
 		d.listTop = max(d.listTop, m.ListNum)
@@ -488,8 +512,11 @@
 // count, so that the shares in use never add up to more than the whole.
 func (d *Daemon) seen(t penstock.Tap) {
 	node, count := t.Node, t.Proxies
-	place := gazetteer.Place{Front: t.Front, Zone: t.Zone, Region: t.Region, Ready: t.Ready}
-	if d.places.Tell(d.now(), node, place, t.Full) {
+	var place gazetteer.Place
+	if d.directory() {
+		place = gazetteer.Place{Front: t.Front, Zone: t.Zone, Region: t.Region, Ready: t.Ready}
+	}
+	if d.directory() && d.places.Tell(d.now(), node, place, t.Full) {
 		w := Roster{Words: map[string]Word{node: {Count: count, Place: place}}}
 		for _, p := range d.peers() {
 			d.send(p, w)
@@ -561,10 +588,11 @@
 }
 
 func (d *Daemon) shareRoster() {
-	r := Roster{Words: map[string]Word{}}
+	near, far := Roster{Words: map[string]Word{}}, Roster{Words: map[string]Word{}}
 	changed := false
 	facts := d.staff.Members()
 	d.mu.Lock()
+	d.turns++
 	// A proxy that cannot reach this machine but lives, as others vouch, stays
 	// on the roster.
 	for _, f := range facts {
@@ -573,35 +601,42 @@
 			e.at = time.Now()
 		}
 	}
+	var shares []string
 	for a, e := range d.roster {
 		if time.Since(e.at) > datum.ProxyForget {
 			delete(d.roster, a)
 			changed = true
 			continue
 		}
-		if age := time.Since(e.direct); age < datum.TapSilence {
-			r.Words[a] = Word{age, e.count, e.place} // the others' own proxies are theirs to tell of
+		if age := time.Since(e.direct); age < datum.TapSilence { // the others' own proxies are theirs to tell of
+			w := Word{age, e.count, e.place}
+			far.Words[a] = w
+			if e.told.Count != w.Count || e.told.Place != w.Place || time.Since(e.toldAt) >= datum.RosterWord {
+				near.Words[a], e.told, e.toldAt = w, w, time.Now()
+			}
 		}
 		if e.shares {
-			r.Shares = append(r.Shares, a)
+			shares = append(shares, a)
 		}
 	}
+	slices.Sort(shares)
+	if d.turns%datum.RosterWhole == 0 || !slices.Equal(shares, d.sharesTold) {
+		near.Shares, far.Shares, d.sharesTold = shares, shares, shares
+	}
+	farToo := d.turns%datum.RosterFar == 0 || far.Shares != nil
+	where := maps.Clone(d.where)
 	changed = d.admitLocked() || changed
 	d.mu.Unlock()
 	if changed {
 		d.keepRoster()
 		d.pen.Publish()
 	}
-	d.mu.Lock()
-	d.turns++
-	far := d.turns%datum.RosterFar != 0
-	where := maps.Clone(d.where)
-	d.mu.Unlock()
 	for _, p := range d.peers() {
-		if far && where[p].Region != d.set.Region {
-			continue
+		if where[p].Region == d.set.Region {
+			d.send(p, near)
+		} else if farToo {
+			d.send(p, far)
 		}
-		d.send(p, r)
 	}
 }
 
@@ -616,7 +651,9 @@
 		} else if at.After(e.at) {
 			e.at, e.count, e.place = at, w.Count, w.Place
 		}
-		d.places.Hear(d.now(), a, w.Place, w.Age)
+		if d.directory() {
+			d.places.Hear(d.now(), a, w.Place, w.Age)
+		}
 	}
 	for _, a := range m.Gone {
 		d.places.Gone(d.now(), a, false)
