Memory of held connections, a bound for the collector, status of many proxies

A core machine of a large site holds 300 connections, with 24 KB of buffers and an empty queue at each; its peak was 76 MB of 102. Queues now hold memory only while something waits, buffers are 2 KB, and the collector works harder from 0.7 of the machine's limit. status tells sums first and names what stands out (--all lists the rest).

--- a/cmd/slateridge/main.go
+++ b/cmd/slateridge/main.go
@@ -9,12 +9,14 @@
 	"io"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/alecthomas/kong"
 	"github.com/oklog/run"
 	"github.com/rs/zerolog"
 
+	"slateridge/internal/datum"
 	"slateridge/internal/headworks"
 	"slateridge/internal/logbook"
 	"slateridge/internal/scheme"
@@ -69,6 +71,14 @@
 	return logbook.New(zerolog.New(os.Stderr).With().Timestamp().Str("node", set.NodeName).Str("role", role).Logger())
 }
 
+// boundMemory has the collector work harder as the process comes near the
+// machine's limit, over which it would be ended.
+func boundMemory(set *sill.Settings) {
+	if mb := set.Limits.MemoryMb; mb > 0 {
+		debug.SetMemoryLimit(int64(float64(mb) * datum.MemoryPart * (1 << 20)))
+	}
+}
+
 // signals is the actor that ends the group after leaving in order.
 func signals(g *run.Group, reload, leave func()) {
 	ctx, cancel := context.WithCancel(context.Background())
@@ -97,6 +107,7 @@
 	if err != nil {
 		return usageError{err}
 	}
+	boundMemory(set)
 	d := sluice.NewDaemon(set, path, newBook(set, "sluice"))
 	var g run.Group
 	if err := d.Add(&g); err != nil {
@@ -112,6 +123,7 @@
 	if err != nil {
 		return usageError{err}
 	}
+	boundMemory(set)
 	d, err := headworks.NewDaemon(set, newBook(set, "headworks"))
 	if err != nil {
 		return err
--- a/cmd/slateridge/status.go
+++ b/cmd/slateridge/status.go
@@ -18,14 +18,17 @@
 	"slateridge/internal/datum"
 	"slateridge/internal/headworks"
 	"slateridge/internal/logbook"
+	"slateridge/internal/penstock"
 	"slateridge/internal/sill"
 	"slateridge/internal/sluice"
 	"slateridge/internal/staff"
+	"slateridge/internal/weir"
 )
 
 type statusCmd struct {
 	Address []string `arg:"" optional:"" help:"Admin addresses (HOST:PORT) of the daemons to ask; without any, those of this machine by its settings file."`
 	JSON    bool     `help:"Print what the daemons answer, unformatted."`
+	All     bool     `help:"List every proxy, upstream and quota, also where there are many."`
 	Timeout int      `default:"2000" help:"Milliseconds to wait for each."`
 }
 
@@ -103,20 +106,38 @@
 		if err := json.Unmarshal(body, &r); err != nil {
 			return err
 		}
-		showHeadworks(t, addr, r)
+		showHeadworks(t, addr, r, c.All)
 		return nil
 	}
 	var r sluice.Report
 	if err := json.Unmarshal(body, &r); err != nil {
 		return err
 	}
-	showSluice(t, addr, r)
+	showSluice(t, addr, r, c.All)
 	return nil
 }
 
+const statusRows = 24 // of a list; a longer one is told in sums, with what stands out by name
+
+// rows prints a list: whole when it is short or all of it is wanted, and else
+// what stands out, with the number of the others.
+func rows[T any](t io.Writer, all bool, list []T, out func(T) bool, line func(T)) {
+	all = all || len(list) <= statusRows
+	shown := 0
+	for _, x := range list {
+		if all || out(x) && shown < statusRows {
+			line(x)
+			shown++
+		}
+	}
+	if rest := len(list) - shown; rest > 0 {
+		fmt.Fprintf(t, "    and %d others (--all lists them)\n", rest)
+	}
+}
+
 func ago(d time.Duration) string { return d.Round(10 * time.Millisecond).String() }
 
-func showHeadworks(t io.Writer, addr string, r headworks.Report) {
+func showHeadworks(t io.Writer, addr string, r headworks.Report, all bool) {
 	v := r.Chain.View
 	fmt.Fprintf(t, "headworks %s at %s\n", r.Node, addr)
 	var ms []string
@@ -144,6 +165,9 @@
 	fmt.Fprintf(t, "  view\t%d of %d voters: %s\n  state\t%s; majority heard: %v\n", v.Num, len(v.Voters), strings.Join(ms, ", "), state, r.Current)
 	fmt.Fprintf(t, "  configuration\tr%d in force (state %d/%d, held %d/%d); %d of %d connected proxies hold it\n", r.Chain.Version, r.Chain.Committed.View, r.Chain.Committed.Seq, r.Chain.Held.View, r.Chain.Held.Seq, r.Acked, len(r.Proxies))
 	if late := r.Late(); len(late) > 0 {
+		if more := len(late) - statusRows; more > 0 && !all {
+			late = append(late[:statusRows], fmt.Sprintf("and %d others", more))
+		}
 		fmt.Fprintf(t, "  behind\t%s\n", strings.Join(late, ", "))
 	}
 	showEvacuated(t, r.Evacuated)
@@ -172,9 +196,11 @@
 	}
 	sort.Strings(ds)
 	fmt.Fprintf(t, "  duties\t%s\n  live proxies\t%d\n", strings.Join(ds, ", "), r.Live)
-	for _, p := range r.Proxies {
+	rows(t, all, r.Proxies, func(p penstock.ProxyState) bool {
+		return p.Version < r.Chain.Version || p.ListNum < r.ListNum || !p.Ready || p.Silent > datum.TapSilence
+	}, func(p penstock.ProxyState) {
 		fmt.Fprintf(t, "    %s\tr%d\tlist %d\tready %v\theard %s ago\n", p.Name, p.Version, p.ListNum, p.Ready, ago(p.Silent))
-	}
+	})
 	showCommon(t, r.Members, r.Events)
 }
 
@@ -184,7 +210,7 @@
 	}
 }
 
-func showSluice(t io.Writer, addr string, r sluice.Report) {
+func showSluice(t io.Writer, addr string, r sluice.Report, all bool) {
 	state := "not ready"
 	switch {
 	case r.Leaving:
@@ -204,14 +230,28 @@
 	fmt.Fprintf(t, "  requests\t%s\n", strings.Join(rs, ", "))
 	fmt.Fprintf(t, "  second tries\t%d made, %d denied by the budget, %d hedges\n  upstream connections\t%d opened; %d ejections; %d requests waited, %d found no room\n",
 		r.Retries, r.Denied, r.Hedges, r.NewConns, r.Ejections, r.Waited, r.Full)
+	states := map[string]map[string]int{}
 	for _, u := range r.Upstreams {
-		fmt.Fprintf(t, "    %s\t%s\t%s\t%s\tout %d\tidle %d\t%.1f ms\n", u.Service, u.Instance, u.Zone, u.State, u.Out, u.Idle, u.DelayMs)
+		if states[u.Service] == nil {
+			states[u.Service] = map[string]int{}
+		}
+		states[u.Service][u.State]++
+	}
+	for _, svc := range slices.Sorted(maps.Keys(states)) {
+		var n []string
+		for _, st := range slices.Sorted(maps.Keys(states[svc])) {
+			n = append(n, fmt.Sprintf("%d %s", states[svc][st], st))
+		}
+		fmt.Fprintf(t, "    %s\t%s\n", svc, strings.Join(n, ", "))
 	}
+	rows(t, all, r.Upstreams, func(u sluice.OutfallState) bool { return u.State != "in" }, func(u sluice.OutfallState) {
+		fmt.Fprintf(t, "    %s\t%s\t%s\t%s\tout %d\tidle %d\t%.1f ms\n", u.Service, u.Instance, u.Zone, u.State, u.Out, u.Idle, u.DelayMs)
+	})
 	fmt.Fprintf(t, "  quotas (split over %d proxies)\n", r.Proxies)
-	for _, q := range r.Quotas {
+	rows(t, all, r.Quotas, func(q weir.Report) bool { return q.Refused > 0 }, func(q weir.Report) {
 		fmt.Fprintf(t, "    %s\t%g/s burst %g\tseen here %.1f/s\tsplit %.1f/s lease %.1f/s\tadmitted %d refused %d (%d falsely)\n",
 			q.Key, q.Rate, q.Burst, q.Demand, q.SplitRate, q.GrantRate, q.Admitted, q.Refused, q.FalseRefused)
-	}
+	})
 	for _, a := range r.Audit {
 		fmt.Fprintf(t, "    changed\tr%d\t%s\t%g/s burst %g -> %g/s burst %g\t%s\n", a.Version, a.Key, a.Old.Rate, a.Old.Burst, a.New.Rate, a.New.Burst, a.When.Format(time.RFC3339))
 	}
@@ -227,6 +267,9 @@
 			odd = append(odd, m.Name+" "+m.State.String())
 		}
 	}
+	if more := len(odd) - statusRows; more > 0 {
+		odd = append(odd[:statusRows], fmt.Sprintf("and %d others", more))
+	}
 	fmt.Fprintf(t, "  members\t%d alive, %d suspected, %d dead %s\n", n[staff.Alive], n[staff.Suspect], n[staff.Dead], strings.Join(odd, ", "))
 	for _, e := range es {
 		fmt.Fprintf(t, "    %s\t%s\t%s\n", e.At.Format(time.RFC3339), e.Kind, e.About)
--- a/internal/conduit/conduit.go
+++ b/internal/conduit/conduit.go
@@ -41,7 +41,9 @@
 // Pipe is one connection, either end.
 type Pipe struct {
 	c      net.Conn
-	out    chan envelope
+	outMu  sync.Mutex
+	out    []envelope    // waiting to be written; bounded
+	some   chan struct{} // says that there is something
 	done   chan struct{}
 	once   sync.Once
 	mu     sync.Mutex
@@ -56,7 +58,7 @@
 
 func newPipe(c net.Conn, h Handler) *Pipe {
 	host, _, _ := net.SplitHostPort(c.RemoteAddr().String())
-	p := &Pipe{c: c, out: make(chan envelope, datum.SendQueue), done: make(chan struct{}),
+	p := &Pipe{c: c, some: make(chan struct{}, 1), done: make(chan struct{}),
 		wait: map[uint64]chan any{}, handle: h, Remote: host}
 	go p.writer()
 	go p.reader()
@@ -77,13 +79,31 @@
 		return ErrClosed
 	default:
 	}
-	select {
-	case p.out <- e:
-		return nil
-	default: // the peer does not read
+	p.outMu.Lock()
+	full := len(p.out) >= datum.SendQueue
+	if !full {
+		p.out = append(p.out, e)
+	}
+	p.outMu.Unlock()
+	if full { // the peer does not read
 		p.Close()
 		return ErrClosed
 	}
+	select {
+	case p.some <- struct{}{}:
+	default: // the writer has been told already
+	}
+	return nil
+}
+
+// waiting takes what is to be written. A queue that stands empty holds no memory:
+// a control machine has hundreds.
+func (p *Pipe) waiting() []envelope {
+	p.outMu.Lock()
+	defer p.outMu.Unlock()
+	es := p.out
+	p.out = nil
+	return es
 }
 
 // Send passes a message on and does not wait.
@@ -117,13 +137,15 @@
 	defer p.Close()
 	var buf bytes.Buffer
 	enc := gob.NewEncoder(&buf)
-	w := bufio.NewWriterSize(p.c, 8<<10)
+	w := bufio.NewWriterSize(p.c, datum.PipeBuffer)
 	for {
 		select {
 		case <-p.done:
 			return
-		case e := <-p.out:
-			for more := true; more; {
+		case <-p.some:
+		}
+		for es := p.waiting(); len(es) > 0; es = p.waiting() {
+			for _, e := range es {
 				buf.Reset()
 				if err := enc.Encode(e); err != nil || buf.Len() > datum.FrameMax {
 					return
@@ -132,16 +154,14 @@
 				binary.BigEndian.PutUint32(n[:], uint32(buf.Len()))
 				w.Write(n[:])
 				w.Write(buf.Bytes())
-				select {
-				case e = <-p.out:
-				default:
-					more = false
-				}
-			}
-			if w.Flush() != nil {
-				return
 			}
 		}
+		if w.Flush() != nil {
+			return
+		}
+		if buf.Cap() > datum.PipeKeep {
+			buf = bytes.Buffer{} // one long message must not be paid for for ever
+		}
 	}
 }
 
@@ -192,7 +212,7 @@
 
 func (p *Pipe) reader() {
 	defer p.Close()
-	f := &frames{r: bufio.NewReaderSize(p.c, 8<<10)}
+	f := &frames{r: bufio.NewReaderSize(p.c, datum.PipeBuffer)}
 	dec := gob.NewDecoder(f)
 	for {
 		var e envelope
