Refused connections to control are tried again at once; a later Retry-After at start

A proxy retried only what was closed with its next step, so after the loss of all machines proxies waited up to 1.2 s before they tried a control machine that was being started again, and refused with 503 meanwhile, asking for a second's pause that no client has.

Ruled out: watermaster's shorter asking, standby where nobody listens (no key is carried by its tracker there), failures of their own.

--- a/internal/datum/datum.go
+++ b/internal/datum/datum.go
@@ -120,6 +120,7 @@
 	HedgeFactor     = 3.0                     // a repeatable request goes elsewhere after so many usual delays
 	HedgeFloor      = 0.5                     // of the aim: not before
 	RetryAfterFull  = 50 * time.Millisecond   // told with a capacity refusal: about one unit of work
+	RetryStart      = 200 * time.Millisecond  // told while no configuration is known here yet: others may have one, and it comes within that time
 	TermAccept      = 2500 * time.Millisecond // after SIGTERM the platform may still send: two missed readiness checks and a bit
 	TermSpare       = 700 * time.Millisecond  // of grace kept for leaving
 	HeaderTimeout   = 3 * time.Second         // until a configuration says otherwise
--- a/internal/penstock/line.go
+++ b/internal/penstock/line.go
@@ -226,7 +226,7 @@
 	e.asking = false
 	if err != nil {
 		silent := time.Since(e.at) > datum.TapSilence && e.everWord
-		if errors.Is(err, conduit.ErrClosed) {
+		if errors.Is(err, conduit.ErrClosed) || errors.Is(err, conduit.ErrRefused) {
 			e.tapAt = time.Time{} // not connected yet: again with the next step
 		}
 		l.mu.Unlock()
--- a/internal/penstock/penstock_test.go
+++ b/internal/penstock/penstock_test.go
@@ -1,6 +1,7 @@
 package penstock
 
 import (
+	"errors"
 	"fmt"
 	"sync"
 	"testing"
@@ -149,3 +150,22 @@
 		step() // the test's own time limit ends this if it never is
 	}
 }
+
+// A control machine that refuses connections is being started: it is tried again
+// with the next step, like one whose connection is still being opened.
+func TestRefusedIsTriedAtOnce(t *testing.T) {
+	l := NewLine(Tap{Node: "p", Zone: "z"}, []string{"127.0.0.26"}, func(ip string, h conduit.Handler) *conduit.Main {
+		return conduit.NewMain(ip+":39159", "127.0.0.27", h) // nobody listens there
+	}, func(Fresh) {})
+	e := l.ends["127.0.0.26"]
+	for refused := false; !refused; {
+		_, err := e.m.Call(Tap{}, time.Second)
+		refused = errors.Is(err, conduit.ErrRefused)
+	}
+	now := time.Now()
+	e.tapAt = now
+	l.ask("127.0.0.26", e, Tap{})
+	if !e.tapAt.IsZero() {
+		t.Error("it is not tried again before the next regular word")
+	}
+}
--- a/internal/sluice/sluice.go
+++ b/internal/sluice/sluice.go
@@ -72,7 +72,7 @@
 	sch := s.scheme.Load()
 	if sch == nil {
 		s.counts[cNoRoom].Add(1)
-		s.refuse(w, r, http.StatusServiceUnavailable, time.Second)
+		s.refuse(w, r, http.StatusServiceUnavailable, datum.RetryStart)
 		return
 	}
 	route, tenant, code := match(sch, r)
