Starts of hundreds: lost words told again, lists read in turn, readings bounded

Found beside it: - Control machines that start together read the platform's list at once, 17 calls each at a rate of 50 a second, and numbered what they read alike, so a difference from one list could be put on another: a leaving could go unnoticed until the next change. They read in turn, ask each other first, and number by lot. - Proxies out of touch read the list every three to six seconds each; together they now use at most a quarter of the platform's rate. - After a start each member sent the head its whole state; now only when the head is known to hold an older one, and the head passes again when it first hears a member.

--- a/internal/datum/datum.go
+++ b/internal/datum/datum.go
@@ -74,6 +74,11 @@
 	RosterQuiet   = 3 * time.Second         // at the very first start the count is told only after all had time to come
 	PollShare     = 0.25                    // of the drain bound: how often the platform's list is read; calls are priced
 	ListStride    = 1 << 32                 // a new reader of the list begins in the next such span, at a number drawn by lot
+	BootTurn      = 300 * time.Millisecond  // control machines that start together and know no list read it one after the other, so far apart: about what a long list takes at the platform's rate
+	BootAgain     = time.Second             // after such a reading that failed: the platform may be at its rate, or away
+	BootLook      = 50 * time.Millisecond   // whether the list has come, or the turn
+	SelfPollPart  = 0.25                    // of the platform's rate that proxies out of touch use together
+	PollPage      = 50                      // entries reckoned for a call; only paces reading
 	PollTimeout   = 1200 * time.Millisecond // two polls
 	PullAfter     = 120 * time.Millisecond  // a change announced elsewhere is fetched there if it has not come so long after
 	SelfPollAfter = 4 * time.Second         // a proxy that hears no headworks so long polls for itself
--- a/internal/headworks/chain.go
+++ b/internal/headworks/chain.go
@@ -608,6 +608,9 @@
 	}
 	if !p.everSeen || c.now-p.heard > datum.MemberSilence || p.gauge.Me != g.Me {
 		p.since = c.now
+		if c.agr.View.index(from) >= 0 {
+			c.passAt = 0 // what was passed while it was not there has been lost
+		}
 	}
 	p.everSeen, p.heard, p.gauge = true, c.now, g
 	if g.View.Num > c.agr.View.Num && len(g.View.Members) > 0 {
@@ -719,10 +722,11 @@
 		c.passAt += time.Duration(len(c.held.Raw)*len(c.agr.View.Members)) * time.Second / datum.PassBytes
 	}
 	if c.member() && !c.sealed() && at(c.committed).Less(at(c.held)) {
-		if c.agr.View.Members[0] == c.Me {
+		head := c.agr.View.Members[0]
+		if head == c.Me {
 			c.pass(*c.held)
-		} else {
-			c.send(c.agr.View.Members[0].Addr, Higher{c.agr.View.Num, *c.held})
+		} else if s := c.seen[head.Addr]; s != nil && s.gauge.Held.Less(at(c.held)) {
+			c.send(head.Addr, Higher{c.agr.View.Num, *c.held})
 		}
 	}
 	var vs []uint64
--- a/internal/headworks/chain_test.go
+++ b/internal/headworks/chain_test.go
@@ -510,6 +510,30 @@
 	}
 }
 
+// All members are started one after the other: a long state that all hold is in
+// force soon after the last of them is there, not with the next regular pass.
+func TestAllStartAgain(t *testing.T) {
+	c := newCore(t, 3, three, 1)
+	c.b.Run(4*time.Second, nil)
+	long := string(make([]byte, 2<<20))
+	c.sent[9] = long
+	c.waits["a"][9] = true
+	c.run("a", c.life["a"], func(ch *Chain) []any { return ch.Submit(c.b.Now, scheme.Doc{Version: 9, Raw: []byte(long)}) })
+	c.b.Run(7*time.Second, nil)
+	for _, n := range three {
+		c.chain[n] = nil
+	}
+	for i, n := range []string{"a", "c", "b"} {
+		c.b.After(time.Duration(1+i)*300*time.Millisecond, func() { c.start(n, false) })
+	}
+	c.b.Run(7*time.Second+900*time.Millisecond+2*datum.GaugeEvery, nil)
+	for _, n := range three {
+		if c.inForce[n] != 9 {
+			t.Errorf("%s has r%d in force", n, c.inForce[n])
+		}
+	}
+}
+
 // A store written when a view did not name its voters opens with those it had.
 func TestOldStoreOpens(t *testing.T) {
 	disk := basin.NewDisk()
--- a/internal/headworks/daemon.go
+++ b/internal/headworks/daemon.go
@@ -130,7 +130,9 @@
 	heard     map[string]time.Time
 	where     map[string]penstock.Peer // control machines, as they say
 	polls     *intake.Source
-	bootRead  bool
+	polling   sync.Mutex    // one reading at a time
+	bootRead  bool          // the list has been read without the duty, once
+	bootTurn  time.Duration // not before: machines that start together read one after the other
 	staff     *staff.Agent
 	pollSince time.Duration
 }
@@ -264,7 +266,15 @@
 		}
 		d.pen.Publish()
 	})
-	go d.poll(w.Context())
+	d.bootRead, d.bootTurn = false, time.Duration(max(0, slices.Index(d.controls(), d.set.IPAddress)))*datum.BootTurn
+	go func() {
+		for _, p := range d.peers() {
+			d.send(p, ListAsk{}) // whoever has started before may have one
+		}
+		for d.polled(w.Context()) {
+			time.Sleep(datum.BootLook)
+		}
+	}()
 	w.Turn(time.Duration(datum.PollShare*float64(d.set.Bounds.Drain.D())), func() { d.poll(w.Context()) })
 	w.Turn(datum.RosterEvery, d.shareRoster)
 	return nil
@@ -675,11 +685,25 @@
 
 // ---- the list of upstreams
 
+// polled reads the list at the start, in this machine's turn; true while there is
+// none yet. Were all that start together to read at once, long lists would use up
+// the platform's rate before anyone had the whole.
+func (d *Daemon) polled(ctx context.Context) bool {
+	d.poll(ctx)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.list == nil && ctx.Err() == nil
+}
+
 // poll reads the platform's list while this machine holds the duty. A machine
 // that has just started and knows no list reads it once without the duty: for
 // as long as nobody may hold it yet, proxies that start too would stand idle,
 // and the first holder's list replaces whatever was read so.
 func (d *Daemon) poll(ctx context.Context) {
+	if !d.polling.TryLock() {
+		return
+	}
+	defer d.polling.Unlock()
 	duty := func() (time.Duration, bool) {
 		d.leaseMu.Lock()
 		defer d.leaseMu.Unlock()
@@ -687,8 +711,8 @@
 	}
 	since, held := duty()
 	d.mu.Lock()
-	first := !held && d.list == nil && !d.bootRead
-	d.bootRead = true
+	first := !held && d.list == nil && !d.bootRead && d.now() >= d.bootTurn
+	d.bootRead = d.bootRead || first
 	d.mu.Unlock()
 	if !held && !first {
 		return
@@ -698,7 +722,7 @@
 		d.book.Count("poll_failed", 1)
 		if first {
 			d.mu.Lock()
-			d.bootRead = false
+			d.bootRead, d.bootTurn = false, d.now()+datum.BootAgain
 			d.mu.Unlock()
 		}
 		return
@@ -715,7 +739,9 @@
 	changed := true
 	switch {
 	case first:
-		num = 1 // below every list that a holder of the duty has numbered
+		// Below every list that a holder of the duty has numbered, and apart from
+		// what others read so: a difference must not fit another list than its own.
+		num = bootNumber(rand.Uint64())
 	case d.list == nil || since != d.pollSince:
 		// Others numbered before, and two that take over one after the other may
 		// have heard of the same number: each begins at one of its own.
@@ -736,10 +762,8 @@
 		n.Change = intake.Diff(before, d.list)
 	}
 	d.mu.Unlock()
-	if held {
-		for _, p := range d.peers() {
-			d.send(p, n)
-		}
+	for _, p := range d.peers() { // with the duty, or as the first to know any list
+		d.send(p, n)
 	}
 	if changed {
 		d.book.Count("list_changed", 1)
@@ -753,6 +777,9 @@
 	return (heard/datum.ListStride+1)*datum.ListStride + lot%(datum.ListStride/2)
 }
 
+// bootNumber is the number of a list read without the duty.
+func bootNumber(lot uint64) uint64 { return 1 + lot%(datum.ListStride-1) }
+
 // takeList is false when the news does not fit what is held here.
 func (d *Daemon) takeList(m ListNews) bool {
 	d.mu.Lock()
--- a/internal/sluice/allowance_test.go
+++ b/internal/sluice/allowance_test.go
@@ -5,6 +5,8 @@
 	"sort"
 	"testing"
 	"time"
+
+	"slateridge/internal/datum"
 )
 
 // TestBudgetHoldsInEveryWindow lets a fleet of proxies spend all the further
@@ -70,3 +72,15 @@
 		t.Error("an old life has no slack")
 	}
 }
+
+// However many proxies are out of touch and however long the list, their readings
+// of it together leave most of the platform's rate to whoever reads for all.
+func TestReadingsOfProxiesOutOfTouch(t *testing.T) {
+	for _, c := range []struct{ upstreams, proxies int }{{25, 11}, {809, 300}, {5000, 2000}} {
+		every := selfPollEvery(c.upstreams, c.proxies, 50)
+		calls := float64(c.proxies*(c.upstreams/datum.PollPage+1)) / every.Seconds()
+		if calls > 50*datum.SelfPollPart*1.01 || every < datum.SelfPollEvery {
+			t.Errorf("%v: each reads every %v, %.0f calls a second together", c, every, calls)
+		}
+	}
+}
--- a/internal/sluice/daemon.go
+++ b/internal/sluice/daemon.go
@@ -201,7 +201,11 @@
 		d.book.Note("ready", "configuration and upstreams known")
 	}
 	if st.Silent > datum.SelfPollAfter && now.After(d.selfAt) && d.scheme.Load() != nil {
-		d.selfAt = now.Add(datum.SelfPollEvery + rand.N(datum.SelfPollEvery))
+		every := selfPollEvery(d.yard.Len(), d.weir.Proxies(), d.set.Load().CloudAPI.RatePerS)
+		first := d.selfAt.IsZero()
+		if d.selfAt = now.Add(every/2 + rand.N(every)); first && rand.Float64() > float64(datum.SelfPollEvery)/float64(every) {
+			return // most of a large fleet have to wait for their turn from the beginning
+		}
 		go func() {
 			is, err := d.source.Read(context.Background())
 			if err != nil {
@@ -217,6 +221,16 @@
 	}
 }
 
+// selfPollEvery is how often a proxy out of touch reads the list, so that all of
+// them together leave the platform's rate to whoever reads for everybody.
+func selfPollEvery(upstreams, proxies int, rate float64) time.Duration {
+	calls := float64(upstreams/datum.PollPage+1) * float64(max(1, proxies))
+	if rate <= 0 {
+		return datum.SelfPollEvery
+	}
+	return max(datum.SelfPollEvery, time.Duration(calls/(rate*datum.SelfPollPart)*float64(time.Second)))
+}
+
 // tracker is where a key's questions go.
 func (d *Daemon) tracker(shard int) string {
 	if t := *d.trackers.Load(); shard < len(t) {
@@ -312,6 +326,10 @@
 				for _, x := range g.Given {
 					d.weir.Take(d.now(), asked, x)
 				}
+			} else {
+				for _, i := range shards[to] {
+					d.weir.Untold(i)
+				}
 			}
 		}()
 	}
--- a/internal/sluice/outfall.go
+++ b/internal/sluice/outfall.go
@@ -73,6 +73,13 @@
 // anywhere is the homes of a request that may be served in all regions.
 const anywhere = "*"
 
+// Len is how many upstreams are known.
+func (y *Yard) Len() int {
+	y.mu.Lock()
+	defer y.mu.Unlock()
+	return len(y.by)
+}
+
 // SetProxies takes the live count.
 func (y *Yard) SetProxies(n int) {
 	y.mu.Lock()
--- a/internal/weir/weir.go
+++ b/internal/weir/weir.go
@@ -454,6 +454,15 @@
 	return out
 }
 
+// Untold notes that a word to the tracker of a shard brought no answer: all of it
+// is told again with the next. A new tracker gives little until every proxy has
+// told it what it holds, so one lost word would hold all others up.
+func (w *Weir) Untold(shard int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	delete(w.tell, shard)
+}
+
 // spentAt is when a request was last let through, as far as the tracker of a life
 // does not know it from what it gave.
 func (b *bay) spentAt(life uint64) time.Duration {
--- a/internal/weir/weir_test.go
+++ b/internal/weir/weir_test.go
@@ -516,6 +516,20 @@
 			}
 		}
 	}
+	w := ws[0]
+	heard := func(string) (time.Duration, uint64, bool) { return 33 * time.Second, 1, true }
+	w.Wants(33*time.Second, heard)
+	w.Untold(2)
+	for _, x := range w.Wants(33*time.Second+datum.GrantEvery, heard) {
+		if Shard(x.Key, shards) == 2 {
+			words = -words
+			break
+		}
+	}
+	if words > 0 {
+		t.Error("a word that was lost is not told again with the next")
+	}
+	words = -words
 	if per := float64(words) / proxies / shards; per > 5 {
 		t.Errorf("%.1f words a proxy and tracker in ten seconds", per)
 	}
