--- a/internal/sluice/daemon.go
+++ b/internal/sluice/daemon.go
@@ -275,10 +275,15 @@
 	if o.stamp.Life != s.Life || o.stamp.At < s.At {
 		d.echo[to] = heardStamp{s, now}
 	}
-	if o.stamp.Life != s.Life {
-		defer func() { go d.renewGrants() }()
-	}
 	d.echoMu.Unlock()
+	if o.stamp.Life != s.Life || o.stamp.Begun < s.Begun {
+		for i, t := range *d.trackers.Load() {
+			if t == to {
+				d.weir.Untold(i)
+			}
+		}
+		go d.renewGrants()
+	}
 	for _, i := range shards {
 		d.weir.Heard(now, i)
 	}
--- a/internal/weir/tracker.go
+++ b/internal/weir/tracker.go
@@ -28,8 +28,9 @@
 	// still keeps its share lowered when the loan ends here, however long its
 	// word was under way.
 	Stamp struct {
-		Life uint64
-		At   time.Duration
+		Life  uint64
+		At    time.Duration
+		Begun uint64 // how often in this life a shard has been begun anew
 	}
 )
 
@@ -108,6 +109,7 @@
 	known               map[string]time.Duration // since when a key has its limit
 	shards              int
 	begun               map[int]time.Duration
+	begins              uint64
 	Asked, Offered, Dry uint64
 }
 
@@ -217,10 +219,11 @@
 // Ask answers a proxy. since is when this machine began to track the shard
 // without a break: what an earlier tracker gave must have ended before anything
 // is given here, and the pools start empty.
-func (g *Gatehouse) Ask(now time.Duration, a AskGrants, since func(shard int) (time.Duration, bool)) GrantsGiven {
+func (g *Gatehouse) Ask(now time.Duration, a AskGrants, since func(shard int) (time.Duration, bool)) (out GrantsGiven) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	out := GrantsGiven{Stamp: Stamp{g.life, now}}
+	out = GrantsGiven{Stamp: Stamp{g.life, now, g.begins}}
+	defer func() { out.Stamp.Begun = g.begins }()
 	if len(g.quotas) == 0 {
 		// Started anew, and the configuration has not come yet: as good as nobody.
 		out.Refused = true
@@ -237,6 +240,7 @@
 		}
 		if g.begun[shard] != at {
 			g.begun[shard] = at
+			g.begins++
 			for k := range g.pools {
 				if Shard(k, g.shards) == shard {
 					delete(g.pools, k)
--- a/internal/weir/weir.go
+++ b/internal/weir/weir.go
@@ -454,9 +454,10 @@
 	return out
 }
 
-// Untold notes that a word to the tracker of a shard brought no answer: all of it
-// is told again with the next. A new tracker gives little until every proxy has
-// told it what it holds, so one lost word would hold all others up.
+// Untold notes that the tracker of a shard does not know what it was told, because
+// the word was lost or because it tracks the shard anew: all is told again with the
+// next word. A new tracker gives little until every proxy has told it what it
+// holds, so one that is late holds all others up.
 func (w *Weir) Untold(shard int) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/internal/weir/weir_test.go
+++ b/internal/weir/weir_test.go
@@ -54,6 +54,9 @@
 				return
 			}
 			w.SetProxies(f.clock(n), len(f.proxies)) // control has spoken
+			if was := f.echo[n]; was.Life != got.Stamp.Life || was.Begun < got.Stamp.Begun {
+				w.Untold(Shard(f.key, 3))
+			}
 			f.echo[n], f.echoAt[n] = got.Stamp, f.clock(n)
 			w.Heard(f.clock(n), Shard(f.key, 3))
 			for _, g := range got.Given {
@@ -396,6 +399,28 @@
 	}
 }
 
+// The duty of tracking ends and begins again at the same process after all proxies
+// were started anew and had told it what they hold. They tell it again, so that
+// what any of them might be using is not held back for seconds.
+func TestTrackerThatBeginsAgainIsTold(t *testing.T) {
+	f := newFleet(8, 300, Quota{200, 200})
+	f.b.Delay = 2 * time.Millisecond
+	f.clients(300, 120)
+	f.b.Run(20*time.Second, nil)
+	for i := range 300 {
+		f.start(fmt.Sprint("p", i))
+		f.proxies[fmt.Sprint("p", i)].SetProxies(0, 300)
+	}
+	f.b.Run(f.b.Now+700*time.Millisecond, nil)
+	f.holder = ""
+	f.b.Run(f.b.Now+300*time.Millisecond, nil)
+	f.holder, f.since = "t0", f.b.Now
+	f.b.Run(f.b.Now+700*time.Millisecond, nil)
+	if got := f.share(time.Second); got < 0.95 {
+		t.Errorf("%.2f served in the second after it had begun again", got)
+	}
+}
+
 // Half the fleet is cut off from the trackers and stands alone while all press:
 // the tracker must have left out what those use.
 func TestStandbyIsLeftOutOfThePool(t *testing.T) {
