--- a/cmd/slateridge/status.go
+++ b/cmd/slateridge/status.go
@@ -135,6 +135,14 @@
 	}
 }
 
+// names prints names in a line, and of very many only the number of the last.
+func names(all bool, list []string) string {
+	if more := len(list) - statusRows; more > 0 && !all {
+		list = append(list[:statusRows:statusRows], fmt.Sprintf("and %d others", more))
+	}
+	return strings.Join(list, ", ")
+}
+
 func ago(d time.Duration) string { return d.Round(10 * time.Millisecond).String() }
 
 func showHeadworks(t io.Writer, addr string, r headworks.Report, all bool) {
@@ -165,10 +173,7 @@
 	fmt.Fprintf(t, "  view\t%d of %d voters: %s\n  state\t%s; majority heard: %v\n", v.Num, len(v.Voters), strings.Join(ms, ", "), state, r.Current)
 	fmt.Fprintf(t, "  configuration\tr%d in force (state %d/%d, held %d/%d); %d of %d connected proxies hold it\n", r.Chain.Version, r.Chain.Committed.View, r.Chain.Committed.Seq, r.Chain.Held.View, r.Chain.Held.Seq, r.Acked, len(r.Proxies))
 	if late := r.Late(); len(late) > 0 {
-		if more := len(late) - statusRows; more > 0 && !all {
-			late = append(late[:statusRows], fmt.Sprintf("and %d others", more))
-		}
-		fmt.Fprintf(t, "  behind\t%s\n", strings.Join(late, ", "))
+		fmt.Fprintf(t, "  behind\t%s\n", names(all, late))
 	}
 	showEvacuated(t, r.Evacuated)
 	if d := r.Directory; d != nil {
@@ -267,10 +272,7 @@
 			odd = append(odd, m.Name+" "+m.State.String())
 		}
 	}
-	if more := len(odd) - statusRows; more > 0 {
-		odd = append(odd[:statusRows], fmt.Sprintf("and %d others", more))
-	}
-	fmt.Fprintf(t, "  members\t%d alive, %d suspected, %d dead %s\n", n[staff.Alive], n[staff.Suspect], n[staff.Dead], strings.Join(odd, ", "))
+	fmt.Fprintf(t, "  members\t%d alive, %d suspected, %d dead %s\n", n[staff.Alive], n[staff.Suspect], n[staff.Dead], names(false, odd))
 	for _, e := range es {
 		fmt.Fprintf(t, "    %s\t%s\t%s\n", e.At.Format(time.RFC3339), e.Kind, e.About)
 	}
--- a/internal/headworks/chain.go
+++ b/internal/headworks/chain.go
@@ -524,7 +524,7 @@
 		if g.Relay {
 			// It is told what it asks for and else left alone, however many there
 			// are of its kind.
-			if c.Relay && g.View.Num > c.agr.View.Num && len(g.View.Members) > 0 {
+			if c.Relay {
 				c.learn(g.View)
 			}
 		} else {
@@ -613,9 +613,7 @@
 		}
 	}
 	p.everSeen, p.heard, p.gauge = true, c.now, g
-	if g.View.Num > c.agr.View.Num && len(g.View.Members) > 0 {
-		c.learn(g.View)
-	}
+	c.learn(g.View)
 	if at(c.committed).Less(g.Committed) && !c.Relay {
 		// Copies found old are mended: from what is held here when it is that
 		// very version, or else by asking for it.
--- a/internal/headworks/daemon.go
+++ b/internal/headworks/daemon.go
@@ -266,7 +266,7 @@
 		}
 		d.pen.Publish()
 	})
-	d.bootRead, d.bootTurn = false, time.Duration(max(0, slices.Index(d.controls(), d.set.IPAddress)))*datum.BootTurn
+	d.bootTurn = time.Duration(max(0, slices.Index(d.controls(), d.set.IPAddress))) * datum.BootTurn
 	go func() {
 		for _, p := range d.peers() {
 			d.send(p, ListAsk{}) // whoever has started before may have one
@@ -525,11 +525,11 @@
 	var place gazetteer.Place
 	if d.directory() {
 		place = gazetteer.Place{Front: t.Front, Zone: t.Zone, Region: t.Region, Ready: t.Ready}
-	}
-	if d.directory() && d.places.Tell(d.now(), node, place, t.Full) {
-		w := Roster{Words: map[string]Word{node: {Count: count, Place: place}}}
-		for _, p := range d.peers() {
-			d.send(p, w)
+		if d.places.Tell(d.now(), node, place, t.Full) {
+			w := Roster{Words: map[string]Word{node: {Count: count, Place: place}}}
+			for _, p := range d.peers() {
+				d.send(p, w)
+			}
 		}
 	}
 	d.mu.Lock()
--- a/internal/headworks/view.go
+++ b/internal/headworks/view.go
@@ -19,9 +19,9 @@
 	return true
 }
 
-// learn takes up a decided view.
+// learn takes up a decided view, if it is newer and told whole.
 func (c *Chain) learn(v View) {
-	if v.Num <= c.agr.View.Num {
+	if v.Num <= c.agr.View.Num || len(v.Members) == 0 {
 		return
 	}
 	a := agreement{View: v, Joined: c.agr.Joined || v.votes(c.Me)}
--- a/internal/scheme/scheme.go
+++ b/internal/scheme/scheme.go
@@ -328,9 +328,9 @@
 		}
 		return &Fault{Item: it.label(), Why: err.Error()}
 	}
-	at := fmt.Sprintf("resourceList[%d]", i)
+	at := func() string { return fmt.Sprintf("resourceList[%d]", i) } // of one that has no name to go by
 	if it.name == "" && it.kind != "limits" && slices.Contains([]string{"routes", "services", "tenants"}, it.kind) {
-		return nil, &Fault{Item: at, Field: "metadata.name", Why: "missing"}
+		return nil, &Fault{Item: at(), Field: "metadata.name", Why: "missing"}
 	}
 	switch it.kind {
 	case "routes":
@@ -362,7 +362,7 @@
 		}
 		it.limits = Limits{sp.MaxHeaderBytes, sp.MaxBodyBytes, sp.HeaderTimeout.D(), sp.IdleTimeout.D()}
 	default:
-		return nil, &Fault{Item: at, Field: "resourceKind", Why: fmt.Sprintf("%q is not known", it.kind)}
+		return nil, &Fault{Item: at(), Field: "resourceKind", Why: fmt.Sprintf("%q is not known", it.kind)}
 	}
 	return it, nil
 }
@@ -488,10 +488,11 @@
 			limits, s.Limits = true, it.limits
 			continue
 		}
-		if names[it.label()] {
-			return nil, &Fault{Item: it.label(), Field: "metadata.name", Why: "named twice"}
+		label := it.label()
+		if names[label] {
+			return nil, &Fault{Item: label, Field: "metadata.name", Why: "named twice"}
 		}
-		names[it.label()] = true
+		names[label] = true
 		switch {
 		case it.service != nil:
 			s.Services[it.name] = it.service
@@ -499,7 +500,7 @@
 			s.Tenants[it.name] = it.tenant
 			for _, k := range it.keys {
 				if h := s.keys[k]; h != nil && h != it.tenant {
-					return nil, &Fault{Item: it.label(), Field: "apiKeys", Why: "a key is held by tenant " + h.Name + " too"}
+					return nil, &Fault{Item: label, Field: "apiKeys", Why: "a key is held by tenant " + h.Name + " too"}
 				}
 				s.keys[k] = it.tenant
 			}
--- a/internal/sluice/daemon.go
+++ b/internal/sluice/daemon.go
@@ -239,6 +239,17 @@
 	return ""
 }
 
+// shardsOf are those that a machine tracks.
+func (d *Daemon) shardsOf(tracker string) []int {
+	var out []int
+	for i, t := range *d.trackers.Load() {
+		if t == tracker {
+			out = append(out, i)
+		}
+	}
+	return out
+}
+
 func (d *Daemon) shard(key string) int { return weir.Shard(key, d.set.Load().Trackers()) }
 
 func (d *Daemon) askTracker(key string) {
@@ -257,10 +268,8 @@
 			return
 		}
 		if errors.Is(err, conduit.ErrRefused) {
-			for i, t := range *d.trackers.Load() {
-				if t == to {
-					d.weir.Gone(i)
-				}
+			for _, i := range d.shardsOf(to) {
+				d.weir.Gone(i)
 			}
 		}
 	}
@@ -277,10 +286,8 @@
 	}
 	d.echoMu.Unlock()
 	if o.stamp.Life != s.Life || o.stamp.Begun < s.Begun {
-		for i, t := range *d.trackers.Load() {
-			if t == to {
-				d.weir.Untold(i)
-			}
+		for _, i := range d.shardsOf(to) {
+			d.weir.Untold(i)
 		}
 		go d.renewGrants()
 	}
--- a/internal/weir/tracker.go
+++ b/internal/weir/tracker.go
@@ -219,11 +219,10 @@
 // Ask answers a proxy. since is when this machine began to track the shard
 // without a break: what an earlier tracker gave must have ended before anything
 // is given here, and the pools start empty.
-func (g *Gatehouse) Ask(now time.Duration, a AskGrants, since func(shard int) (time.Duration, bool)) (out GrantsGiven) {
+func (g *Gatehouse) Ask(now time.Duration, a AskGrants, since func(shard int) (time.Duration, bool)) GrantsGiven {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	out = GrantsGiven{Stamp: Stamp{g.life, now, g.begins}}
-	defer func() { out.Stamp.Begun = g.begins }()
+	out := GrantsGiven{Stamp: Stamp{g.life, now, g.begins}}
 	if len(g.quotas) == 0 {
 		// Started anew, and the configuration has not come yet: as good as nobody.
 		out.Refused = true
@@ -298,6 +297,7 @@
 			out.Given = append(out.Given, g.give(now, p, a.Proxy, w))
 		}
 	}
+	out.Stamp.Begun = g.begins // shards asked for may have begun just now
 	return out
 }
 
--- a/internal/weir/weir.go
+++ b/internal/weir/weir.go
@@ -99,7 +99,7 @@
 
 // New makes the stage; slack is the quota's absolute slack.
 func New(slack float64, shards int, seed uint64) *Weir {
-	return &Weir{rng: rand.New(rand.NewPCG(seed, 1)), shards: shards, bays: map[string]*bay{}, slack: slack, fresh: true}
+	return &Weir{rng: rand.New(rand.NewPCG(seed, 1)), shards: shards, bays: map[string]*bay{}, tell: map[int]time.Duration{}, slack: slack, fresh: true}
 }
 
 // SplitFloor is the least a split share may hold: one request, as long as such
@@ -410,9 +410,6 @@
 		return nil
 	}
 	w.period = now
-	if w.tell == nil {
-		w.tell = map[int]time.Duration{}
-	}
 	told := map[int]bool{}
 	var out []Want
 	for k, b := range w.bays {
--- a/internal/weir/weir_test.go
+++ b/internal/weir/weir_test.go
@@ -102,8 +102,7 @@
 		f.start(fmt.Sprint("p", i))
 	}
 	for _, n := range []string{"t0", "t1", "t2"} {
-		f.gates[n] = NewGatehouse(f.b.Rng.Uint64(), 3, func(n int, q Quota) bool { return Tiny(n, 20, q) })
-		f.gates[n].SetQuotas(0, map[string]Quota{f.key: q})
+		f.gates[n] = f.tracker(true)
 	}
 	f.holder = "t0"
 	for i := range proxies {
@@ -120,6 +119,24 @@
 	return f
 }
 
+// tracker is one that has just been started, knowing the limits or not yet.
+func (f *fleet) tracker(knows bool) *Gatehouse {
+	g := NewGatehouse(f.b.Rng.Uint64(), 3, func(n int, q Quota) bool { return Tiny(n, 20, q) })
+	if knows {
+		g.SetQuotas(f.b.Now, map[string]Quota{f.key: f.quota})
+	}
+	return g
+}
+
+// atWork is a fleet on a quick network that has served clients for a while.
+func atWork(seed uint64, proxies int, q Quota, on int, perS float64, span time.Duration) *fleet {
+	f := newFleet(seed, proxies, q)
+	f.b.Delay = 2 * time.Millisecond
+	f.clients(on, perS)
+	f.b.Run(span, nil)
+	return f
+}
+
 // worst is the most that ran in any window, against what the rule allows.
 func (f *fleet) worst(window time.Duration) (most int, allowed float64) {
 	j := 0
@@ -347,10 +364,7 @@
 // While every tracker is lost, and when a new one begins, clients that stay with
 // their proxies go on being served by the leases there.
 func TestLeasesBridgeLostTrackers(t *testing.T) {
-	f := newFleet(6, 80, Quota{40, 40})
-	f.b.Delay = 2 * time.Millisecond
-	f.clients(12, 25)
-	f.b.Run(30*time.Second, nil)
+	f := atWork(6, 80, Quota{40, 40}, 12, 25, 30*time.Second)
 	f.holder = ""
 	if got := f.share(900 * time.Millisecond); got > 0 {
 		t.Errorf("%.2f served on standby while the tracker may still be giving", got)
@@ -365,8 +379,7 @@
 		t.Errorf("%.2f served while no tracker is there", got)
 	}
 	for n := range f.gates { // all started anew
-		f.gates[n] = NewGatehouse(f.b.Rng.Uint64(), 3, func(n int, q Quota) bool { return Tiny(n, 20, q) })
-		f.gates[n].SetQuotas(f.b.Now, map[string]Quota{"k": f.quota})
+		f.gates[n] = f.tracker(true)
 	}
 	f.holder, f.since = "t1", f.b.Now
 	if got := f.share(3 * time.Second); got < 0.85 {
@@ -384,11 +397,8 @@
 // not pass for one: proxies go on with their standby, and once it knows the
 // limits it takes the fleet's size from them.
 func TestUnknowingTrackerIsNone(t *testing.T) {
-	f := newFleet(6, 80, Quota{40, 40})
-	f.b.Delay = 2 * time.Millisecond
-	f.clients(12, 25)
-	f.b.Run(30*time.Second, nil)
-	fresh := NewGatehouse(f.b.Rng.Uint64(), 3, func(n int, q Quota) bool { return Tiny(n, 20, q) })
+	f := atWork(6, 80, Quota{40, 40}, 12, 25, 30*time.Second)
+	fresh := f.tracker(false)
 	f.gates["t2"], f.holder, f.since = fresh, "t2", f.b.Now
 	if got := f.share(4 * time.Second); got < 0.5 {
 		t.Errorf("%.2f served beside a tracker without limits", got)
@@ -404,13 +414,9 @@
 // were started anew and had told it what they hold. They tell it again, so that
 // what any of them might be using is not held back for seconds.
 func TestTrackerThatBeginsAgainIsTold(t *testing.T) {
-	f := newFleet(8, 300, Quota{200, 200})
-	f.b.Delay = 2 * time.Millisecond
-	f.clients(300, 120)
-	f.b.Run(20*time.Second, nil)
+	f := atWork(8, 300, Quota{200, 200}, 300, 120, 20*time.Second)
 	for i := range 300 {
 		f.start(fmt.Sprint("p", i))
-		f.proxies[fmt.Sprint("p", i)].SetProxies(0, 300)
 	}
 	f.b.Run(f.b.Now+700*time.Millisecond, nil)
 	f.holder = ""
@@ -426,10 +432,7 @@
 // the tracker must have left out what those use.
 func TestStandbyIsLeftOutOfThePool(t *testing.T) {
 	for seed := uint64(1); seed <= 6; seed++ {
-		f := newFleet(seed, 80, Quota{200, 200})
-		f.b.Delay = 2 * time.Millisecond
-		f.clients(80, 800)
-		f.b.Run(20*time.Second, nil)
+		f := atWork(seed, 80, Quota{200, 200}, 80, 800, 20*time.Second)
 		f.spent = nil
 		for i := range 40 {
 			for g := range f.gates {
@@ -452,18 +455,13 @@
 // filled by then is there at once, and no window sees more than is allowed.
 func TestAllStartAnew(t *testing.T) {
 	for seed := uint64(1); seed <= 6; seed++ {
-		f := newFleet(seed, 80, Quota{100, 100})
-		f.b.Delay = 2 * time.Millisecond
-		f.clients(80, 300)
-		f.b.Run(20*time.Second, nil)
+		f := atWork(seed, 80, Quota{100, 100}, 80, 300, 20*time.Second)
 		f.holder = ""
 		for i := range 80 {
 			f.start(fmt.Sprint("p", i))
-			f.proxies[fmt.Sprint("p", i)].SetProxies(0, 80)
 		}
 		f.b.Run(f.b.Now+1500*time.Millisecond, nil)
-		f.gates["t1"] = NewGatehouse(f.b.Rng.Uint64(), 3, func(n int, q Quota) bool { return Tiny(n, 20, q) })
-		f.gates["t1"].SetQuotas(f.b.Now, map[string]Quota{"k": f.quota})
+		f.gates["t1"] = f.tracker(true)
 		f.holder, f.since = "t1", f.b.Now
 		before := len(f.spent)
 		f.b.Run(f.b.Now+1500*time.Millisecond, nil)
