--- a/internal/datum/datum.go
+++ b/internal/datum/datum.go
@@ -58,6 +58,40 @@
 	TrackerDuty  = 3                      // shards of throttle keys for each machine that may be lost
 )
 
+// Duties at the platform.
+const (
+	DutyMargin     = 60 * time.Millisecond  // an act begins only with this much of the lease left: a slow step, a late timer
+	DutyTick       = 50 * time.Millisecond  // the machine's step
+	DutyOrderAgain = 300 * time.Millisecond // an order whose effect is not seen is sent again: several passes down a chain of slow disks
+	DutySpacing    = 25 * time.Millisecond  // least time between two calls of one duty
+	DutyRatePart   = 0.4                    // of dutiesPerS for one duty; a successor's calls may fall into the same second
+	DutyTimeout    = 3 * time.Second        // a call without an answer is given up: the platform may be slow by dozens of times
+	DutyPause      = 150 * time.Millisecond // after a call that failed; doubles
+	DutyPauseMax   = 1200 * time.Millisecond
+	DutyGiveUp     = 60      // failures in a row, over a minute, after which the next act goes ahead of one the platform does not take
+	DutyRecent     = 8       // holders remembered, to see one that comes back
+	DutyBodyMax    = 1 << 20 // bytes of an act; 40,000 tenants with names of ten letters
+	NameMax        = 256     // bytes of a proxy's or tenant's name in own messages
+)
+
+// Usage.
+const (
+	UsageEvery   = time.Second             // a proxy's words to the holder: what one that dies loses is a fifth of the usual window
+	UsageWait    = 800 * time.Millisecond  // for the holder's answer
+	UsageKept    = 24                      // windows a proxy keeps that nobody has settled: two minutes
+	UsageTenants = 200_000                 // tenants in one word
+	UsageMost    = 1 << 40                 // requests of one tenant in a window; more is garbage
+	UsageAll     = 0.15                    // of the delay after a window's end: not before, even when all have told
+	UsageLate    = 0.55                    // of the delay: decided with what is known; the rest is for the platform
+	UsageSilent  = 2500 * time.Millisecond // a proxy unheard so long is not waited for
+)
+
+// Time of day.
+const (
+	ClockFresh = 5 * time.Second // a clock heard of longer ago has no say in the median
+	WallSane   = 1e18            // nanoseconds since 1970, 2001: a clock before it is no clock
+)
+
 // News to the data plane.
 const (
 	TapEvery      = 400 * time.Millisecond  // heartbeat on the held connection in the own zone
@@ -134,6 +168,15 @@
 	BudgetDefault   = 30 * time.Second        // a client that names no budget
 )
 
+// Streams.
+const (
+	PieceBuffer  = 4 << 10                 // bytes of a stream read before they are passed on
+	PieceWrite   = 5 * time.Second         // a client that takes nothing for so long is given up
+	AffinityTop  = 3                       // upstreams that one prefix turns to, in an order all proxies agree on
+	AffinityFull = 0.7                     // of an upstream's slots, from which the next is asked
+	ToldFades    = 1500 * time.Millisecond // what an upstream told of its load fades so fast toward the service's mean
+)
+
 // Admission.
 const (
 	SplitPart       = 0.8                     // of a key's rate split by live proxy count; the rest is granted by trackers
--- a/internal/headworks/admin.go
+++ b/internal/headworks/admin.go
@@ -22,6 +22,7 @@
 	Chain     Gauge
 	Current   bool
 	Duties    map[string]string
+	Platform  map[string]DutyReport // duties at the platform, with their fences
 	ListNum   uint64
 	ListAge   time.Duration
 	Upstreams int
@@ -51,6 +52,7 @@
 	r := Report{Role: "headworks", Node: d.set.NodeName, Chain: *d.status.Load(), Current: f.Current, Duties: map[string]string{},
 		ListNum: f.ListNum, ListAge: f.ListAge, Live: f.Proxies, Proxies: d.pen.Proxies(), Leased: d.gates.Held(d.now()),
 		Members: d.staff.Members(), Evacuated: f.Evacuated, Events: d.book.Latest(20), Tallies: d.book.Tallies()}
+	r.Platform = d.dutyReports()
 	r.Zone, r.Region = d.set.Zone, d.set.Region
 	if d.set.ListenAddresses.Directory != "" {
 		r.Directory = &Directory{Places: d.places.States(d.now())}
@@ -98,6 +100,17 @@
 		g(fmt.Sprintf("duty_assigned{duty=%q}", duty), gaugeboard.Flag(who != ""))
 		g(fmt.Sprintf("duty_held{duty=%q}", duty), gaugeboard.Flag(who == r.Chain.Me.Addr))
 	}
+	for name, p := range r.Platform {
+		l := fmt.Sprintf("{duty=%q}", name)
+		g("platform_duty_fence"+l, p.Fence)
+		g("platform_duty_decided"+l, p.Decided)
+		g("platform_duty_mine"+l, gaugeboard.Flag(p.Mine))
+		g("platform_duty_backlog"+l, gaugeboard.Flag(p.Backlog))
+		metrics.WriteGaugeFloat64(w, "slateridge_platform_duty_held_seconds"+l, p.Held.Seconds())
+		metrics.WriteCounterUint64(w, "slateridge_platform_duty_accepted_total"+l, p.Accepted)
+		metrics.WriteCounterUint64(w, "slateridge_platform_duty_refused_total"+l, p.Refused)
+		metrics.WriteCounterUint64(w, "slateridge_platform_duty_failed_total"+l, p.Failed)
+	}
 	for key, rate := range r.Leased {
 		metrics.WriteGaugeFloat64(w, fmt.Sprintf("slateridge_quota_leased_rate{key=%q}", key), rate)
 	}
--- a/internal/headworks/chain.go
+++ b/internal/headworks/chain.go
@@ -6,6 +6,7 @@
 package headworks
 
 import (
+	"errors"
 	"math/rand/v2"
 	"slices"
 	"sort"
@@ -13,6 +14,7 @@
 
 	"slateridge/internal/conduit"
 	"slateridge/internal/datum"
+	"slateridge/internal/duty"
 	"slateridge/internal/scheme"
 )
 
@@ -75,6 +77,7 @@
 		Asks            bool // wants a gauge back: a relay, or a machine that no view has taken in yet
 		Committed, Held scheme.Stamp
 		Version         uint64 // of the configuration in force
+		Wall            int64  // its time of day, in nanoseconds
 	}
 	// Prepare asks for a promise, which seals the view before the slot.
 	Prepare struct {
@@ -120,10 +123,17 @@
 		Me     Member
 	}
 	Decide struct{ View View }
-	// Pass hands a version down the chain.
+	// Pass hands a state down the chain. A bare one leaves out the configuration,
+	// which every member holds once it has been committed; a member that does not
+	// says so.
 	Pass struct {
 		View uint64
 		Doc  scheme.Doc
+		Bare bool
+	}
+	Lack struct {
+		View  uint64
+		Stamp scheme.Stamp
 	}
 	// Ack tells all members what the tail has committed.
 	Ack struct {
@@ -165,7 +175,7 @@
 )
 
 func init() {
-	for _, m := range []any{Gauge{}, Prepare{}, Promise{}, Nack{}, Sync{}, Synced{}, Accept{}, Accepted{}, Decide{}, Pass{}, Ack{}, Higher{},
+	for _, m := range []any{Gauge{}, Prepare{}, Promise{}, Nack{}, Sync{}, Synced{}, Accept{}, Accepted{}, Decide{}, Pass{}, Lack{}, Ack{}, Higher{},
 		Forward{}, Order{}, Confirm{}, Confirmed{}, Read{}, Answer{}, Fetch{}, Fetched{}} {
 		conduit.Register(m)
 	}
@@ -244,6 +254,7 @@
 	Relay        bool
 	Zone, Region string
 	Tolerate     int
+	Wall         func() int64 // the time of day, to tell others; nil where there is none
 
 	peers []string // control machines known, this one too: voters, seeds, and who spoke up
 	store Store
@@ -271,8 +282,20 @@
 	reads     []*reading
 	nonce     uint64
 	out       []any
+	raws      [2]rawRef // configurations on disk; states name them
+	Dropped   uint64    // words on duties from who has no vote
+}
+
+// rawRef is a configuration kept apart from the states that hold it.
+type rawRef struct {
+	Version, Sum uint64
+	Raw          []byte
 }
 
+func (r rawRef) of(d *scheme.Doc) bool { return d != nil && r.Version == d.Version && r.Sum == d.Sum }
+
+var rawKeys = [2]string{"raw0", "raw1"}
+
 // NewChain builds the machine from its store, knowing some control machines.
 // With founding set and an empty store the first view is made of them; otherwise
 // a machine without a history takes part in nothing until a view takes it in.
@@ -324,6 +347,22 @@
 		if d.Stamp == (scheme.Stamp{}) {
 			d.Stamp.Seq = d.Version // written when versions alone ordered states
 		}
+		if d.Raw != nil && d.Sum == 0 {
+			d.Sum = scheme.SumOf(d.Raw)
+		}
+		for i, k := range rawKeys {
+			var r rawRef
+			if store.Get(k, &r) {
+				if r.of(&d) && d.Raw == nil {
+					d.Raw = r.Raw
+				}
+				r.Raw = nil
+				c.raws[i] = r
+			}
+		}
+		if d.Raw == nil && d.Version > 0 {
+			return nil, errors.New("the configuration that the kept state names is not there")
+		}
 		c.held = &d
 	}
 	c.nonce = rng.Uint64()
@@ -372,8 +411,12 @@
 func (c *Chain) Status() Gauge { return c.gauge() }
 
 func (c *Chain) gauge() Gauge {
-	return Gauge{Me: c.Me, View: c.agr.View, Joined: c.agr.Joined, Asks: c.Relay || !c.agr.Joined, Sealed: c.sealed(), Sick: c.store.Sick(), Relay: c.Relay, Zone: c.Zone, Region: c.Region,
+	g := Gauge{Me: c.Me, View: c.agr.View, Joined: c.agr.Joined, Asks: c.Relay || !c.agr.Joined, Sealed: c.sealed(), Sick: c.store.Sick(), Relay: c.Relay, Zone: c.Zone, Region: c.Region,
 		Committed: at(c.committed), Held: at(c.held), Version: ver(c.committed)}
+	if c.Wall != nil {
+		g.Wall = c.Wall()
+	}
+	return g
 }
 
 func (c *Chain) send(to string, m any) {
@@ -573,14 +616,32 @@
 		if m.View == c.agr.View.Num {
 			c.admit(&m.Doc)
 		}
+	case Lack:
+		if v := c.agr.View; m.View == v.Num && c.member() && !c.sealed() && at(c.held) == m.Stamp {
+			if i := v.index(c.Me.Addr); i+1 < len(v.Members) && v.Members[i+1].Addr == from {
+				c.send(from, Pass{View: v.Num, Doc: *c.held})
+			}
+		}
 	case Forward:
 		if m.Doc.Version > ver(c.held) {
-			c.admit(&scheme.Doc{Stamp: c.nextStamp(), Version: m.Doc.Version, Raw: m.Doc.Raw, Evac: c.evacs()})
+			d := c.nextState()
+			d.Version, d.Raw, d.Sum, d.Ordered = m.Doc.Version, m.Doc.Raw, scheme.SumOf(m.Doc.Raw), d.Stamp
+			c.admit(&d)
 		} else {
 			c.admit(nil)
 		}
 	case Order:
 		c.onOrder(m)
+	case duty.Order:
+		if !slices.ContainsFunc(c.agr.View.Voters, func(v Member) bool { return v.Addr == from }) {
+			c.Dropped++
+			return
+		}
+		d := c.nextState()
+		var changes bool
+		if d.Duties, changes = d.Duties.Apply(m); changes {
+			c.admit(&d)
+		}
 	case Confirm:
 		if c.participant() && c.agr.View.votes(c.Me) && !c.sealed() && m.View == c.agr.View.Num {
 			c.send(from, Confirmed{m.Nonce, c.Me})
@@ -626,12 +687,27 @@
 	}
 }
 
-// keep makes a state durable here if it is newer than what is held.
+// keep makes a state durable here if it is newer than what is held. Its
+// configuration is written only when it is another one: a duty's decisions are
+// many and small.
 func (c *Chain) keep(d scheme.Doc) bool {
 	if !at(c.held).Less(d.Stamp) {
 		return true
 	}
-	if c.store.Put("held", d) != nil {
+	if d.Version > 0 && !c.raws[0].of(&d) && !c.raws[1].of(&d) {
+		i := 0
+		if c.raws[0].of(c.held) {
+			i = 1
+		}
+		if c.store.Put(rawKeys[i], rawRef{d.Version, d.Sum, d.Raw}) != nil {
+			c.raws[i] = rawRef{} // may or may not be there
+			return false
+		}
+		c.raws[i] = rawRef{Version: d.Version, Sum: d.Sum}
+	}
+	bare := d
+	bare.Raw = nil
+	if c.store.Put("held", bare) != nil {
 		return false
 	}
 	c.held = &d
@@ -666,6 +742,26 @@
 	return scheme.Stamp{View: s.View, Seq: s.Seq + 1}
 }
 
+// nextState is what is held, under the head's next stamp.
+func (c *Chain) nextState() scheme.Doc {
+	var d scheme.Doc
+	if c.held != nil {
+		d = *c.held
+	}
+	d.Stamp = c.nextStamp()
+	return d
+}
+
+// Act takes a duty's order to the head; whether it was taken shows in what is
+// committed.
+func (c *Chain) Act(now time.Duration, o duty.Order) []any {
+	c.now = now
+	if m := c.agr.View.Members; len(m) > 0 {
+		c.send(m[0].Addr, o)
+	}
+	return c.flush()
+}
+
 func (c *Chain) evacs() map[string]scheme.Evac {
 	if c.held == nil {
 		return nil
@@ -688,10 +784,8 @@
 	}
 	ids := append(slices.Clone(cur.IDs), o.ID)
 	evac[o.Zone] = scheme.Evac{On: o.On, Num: cur.Num + 1, IDs: ids[max(0, len(ids)-datum.OrderIDs):]}
-	d := scheme.Doc{Stamp: c.nextStamp(), Evac: evac}
-	if c.held != nil {
-		d.Version, d.Raw = c.held.Version, c.held.Raw
-	}
+	d := c.nextState()
+	d.Evac, d.Ordered = evac, d.Stamp
 	c.admit(&d)
 }
 
@@ -717,7 +811,9 @@
 	c.passAt = c.now + datum.PassAgain
 	if c.held != nil {
 		// A large state is under way longer.
-		c.passAt += time.Duration(len(c.held.Raw)*len(c.agr.View.Members)) * time.Second / datum.PassBytes
+		if !c.held.SameRaw(c.committed) {
+			c.passAt += time.Duration(len(c.held.Raw)*len(c.agr.View.Members)) * time.Second / datum.PassBytes
+		}
 	}
 	if c.member() && !c.sealed() && at(c.committed).Less(at(c.held)) {
 		head := c.agr.View.Members[0]
@@ -762,7 +858,11 @@
 	v := c.agr.View
 	i := v.index(c.Me.Addr)
 	if i+1 < len(v.Members) {
-		c.send(v.Members[i+1].Addr, Pass{v.Num, d})
+		p := Pass{View: v.Num, Doc: d, Bare: d.SameRaw(c.committed)}
+		if p.Bare {
+			p.Doc.Raw = nil
+		}
+		c.send(v.Members[i+1].Addr, p)
 		return
 	}
 	c.commit(d)
@@ -778,6 +878,14 @@
 	if i := v.index(c.Me.Addr); i == 0 || v.Members[i-1].Addr != from {
 		return
 	}
+	if m.Bare && m.Doc.Version > 0 {
+		if m.Doc.SameRaw(c.held) {
+			m.Doc.Raw = c.held.Raw
+		} else if at(c.held).Less(m.Doc.Stamp) {
+			c.send(from, Lack{m.View, m.Doc.Stamp})
+			return
+		}
+	}
 	if !c.keep(m.Doc) {
 		return
 	}
--- a/internal/headworks/chain_test.go
+++ b/internal/headworks/chain_test.go
@@ -422,8 +422,8 @@
 	old := scheme.Doc{Stamp: scheme.Stamp{View: 1, Seq: 1}, Version: 1, Raw: []byte("1")}
 	newer := scheme.Doc{Stamp: scheme.Stamp{View: 1, Seq: 2}, Version: 2, Raw: []byte("2")}
 	c := mk()
-	c.Recv(1, "b", Pass{1, old})
-	c.Recv(2, "b", Pass{1, newer})
+	c.Recv(1, "b", Pass{View: 1, Doc: old})
+	c.Recv(2, "b", Pass{View: 1, Doc: newer})
 	if ver(c.Committed()) != 2 {
 		t.Fatal("the tail did not commit what was passed to it")
 	}
@@ -450,7 +450,7 @@
 	if got := read(); len(got) != 0 {
 		t.Fatalf("answered r%d, though r2 was committed here", ver(got[0].Doc))
 	}
-	c.Recv(7, "b", Pass{1, newer})
+	c.Recv(7, "b", Pass{View: 1, Doc: newer})
 	if got := read(); len(got) == 0 || ver(got[len(got)-1].Doc) != 2 {
 		t.Fatalf("not answered once the chain had passed it again: %v", got)
 	}
--- a/internal/headworks/daemon.go
+++ b/internal/headworks/daemon.go
@@ -15,6 +15,7 @@
 	"github.com/oklog/run"
 
 	"slateridge/internal/cistern"
+	"slateridge/internal/clock"
 	"slateridge/internal/conduit"
 	"slateridge/internal/datum"
 	"slateridge/internal/gaugeboard"
@@ -25,6 +26,7 @@
 	"slateridge/internal/scheme"
 	"slateridge/internal/sill"
 	"slateridge/internal/staff"
+	"slateridge/internal/usage"
 	"slateridge/internal/watermaster"
 	"slateridge/internal/weir"
 	"slateridge/internal/wheel"
@@ -135,6 +137,10 @@
 	bootTurn  time.Duration // not before: machines that start together read one after the other
 	staff     *staff.Agent
 	pollSince time.Duration
+
+	clock *clock.Clock // agreed among the control machines
+	posts []*post      // duties at the platform
+	tally *usage.Tally
 }
 
 // NewDaemon opens the store and builds the machines.
@@ -148,6 +154,7 @@
 		d.mu.Unlock()
 		return weir.Tiny(n, set.Bounds.QuotaSlack, q)
 	})
+	d.clock, d.tally = clock.New(), usage.NewTally(rand.Uint64())
 	d.relay = set.DataDirectory == "" || !set.QuorumMember
 	fresh := false
 	if d.relay {
@@ -179,10 +186,15 @@
 	}
 	d.chain.Relay, d.chain.Tolerate = d.relay, set.FaultTolerance.MachineFailures
 	d.chain.Zone, d.chain.Region = set.Zone, set.Region
+	d.chain.Wall = func() int64 { return time.Now().UnixNano() }
 	duties := []string{dutyPoll}
 	for i := range set.Trackers() {
 		duties = append(duties, dutyTrack(i))
 	}
+	if set.Does(sill.DutyUsage) {
+		duties = append(duties, sill.DutyUsage)
+		d.posts = append(d.posts, d.newPost(sill.DutyUsage, "/usage-reports", d.planUsage))
+	}
 	d.places = gazetteer.New(0, set.Zones)
 	d.leases = watermaster.New(0, rng.Uint64(), set.IPAddress, duties)
 	d.pen = penstock.New(d.face, d.sharing)
@@ -266,6 +278,9 @@
 		}
 		d.pen.Publish()
 	})
+	if len(d.posts) > 0 {
+		w.Turn(datum.DutyTick, d.officiate)
+	}
 	d.bootTurn = time.Duration(max(0, slices.Index(d.controls(), d.set.IPAddress))) * datum.BootTurn
 	go func() {
 		for _, p := range d.peers() {
@@ -427,7 +442,7 @@
 	f.Zone = d.set.Zone
 	if f.ConfigDoc != nil {
 		f.Version = f.ConfigDoc.Version
-		f.StateNum, f.Evacuated = f.ConfigDoc.Stamp.Num(), f.ConfigDoc.Evacuated()
+		f.StateNum, f.Evacuated = f.ConfigDoc.OrderNum(), f.ConfigDoc.Evacuated()
 	}
 	if c := d.coming.Load(); c != nil && c.version > f.Version {
 		f.ComingVer, f.Coming = c.version, c.quotas
@@ -436,7 +451,13 @@
 	for i := range d.set.Trackers() {
 		f.Trackers = append(f.Trackers, d.leases.Holder(d.now(), dutyTrack(i)))
 	}
+	if d.set.Does(sill.DutyUsage) {
+		f.Metered = d.leases.Holder(d.now(), sill.DutyUsage)
+	}
 	d.leaseMu.Unlock()
+	if at, ok := d.clock.Now(d.now()); ok {
+		f.Wall = at.UnixNano()
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, a := range d.controls() {
@@ -490,6 +511,8 @@
 		out := d.leases.Recv(d.now(), p.Remote, m)
 		d.leaseMu.Unlock()
 		d.sendLeases(out)
+	case usage.Told:
+		return d.takeUsage(m)
 	case Roster:
 		d.takeRoster(m)
 	case ListNews:
@@ -508,6 +531,9 @@
 			d.mu.Lock()
 			d.where[p.Remote] = penstock.Peer{Addr: p.Remote, Zone: g.Zone, Region: g.Region}
 			d.heard[p.Remote] = time.Now()
+			if !g.Relay {
+				d.clock.Hear(p.Remote, g.Wall, d.now())
+			}
 			d.mu.Unlock()
 		}
 		d.step(func() []any { return d.chain.Recv(d.now(), p.Remote, body) })
--- /dev/null
+++ b/internal/headworks/duties.go
@@ -0,0 +1,247 @@
+package headworks
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"slateridge/internal/datum"
+	"slateridge/internal/duty"
+	"slateridge/internal/intake"
+	"slateridge/internal/sill"
+	"slateridge/internal/usage"
+)
+
+// post is one duty at this machine: its officer, and the calls it makes.
+type post struct {
+	name    string
+	path    string // at the platform
+	plan    func(now time.Duration, after uint64) (key uint64, body []byte, ok bool)
+	mu      sync.Mutex
+	officer *duty.Officer
+	client  *http.Client
+	cancel  context.CancelFunc
+	calling uint64
+	since   time.Duration // start of the unbroken holding
+}
+
+var errNotHeld = errors.New("the duty is not held any more")
+
+// guarded is a connection on which nothing is written once the lease is over: a
+// process that was frozen between its last look and the write looks again.
+type guarded struct {
+	net.Conn
+	held func() bool
+}
+
+func (g guarded) Write(b []byte) (int, error) {
+	if !g.held() {
+		g.Close()
+		return 0, errNotHeld
+	}
+	return g.Conn.Write(b)
+}
+
+func (d *Daemon) newPost(name, path string, plan func(time.Duration, uint64) (uint64, []byte, bool)) *post {
+	p := &post{name: name, path: path, plan: plan, officer: duty.NewOfficer(name, d.set.NodeName, d.set.Bounds.Lease.D(), d.set.CloudAPI.DutiesPerS, rand.New(rand.NewPCG(rand.Uint64(), 1)))}
+	dial := net.Dialer{Timeout: datum.DutyTimeout}
+	p.client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, DisableCompression: true, IdleConnTimeout: datum.DutyTimeout,
+		DialContext: func(ctx context.Context, _, addr string) (net.Conn, error) {
+			c, err := dial.DialContext(ctx, "tcp4", addr)
+			if err != nil {
+				return nil, err
+			}
+			return guarded{c, func() bool { until, _ := d.lease(name); return until > d.now() }}, nil
+		}}}
+	return p
+}
+
+// lease is the end of this machine's lease of a duty, and the start of its holding.
+func (d *Daemon) lease(name string) (until, since time.Duration) {
+	d.leaseMu.Lock()
+	defer d.leaseMu.Unlock()
+	now := d.now()
+	since, _ = d.leases.Holds(now, name)
+	return d.leases.Until(now, name), since
+}
+
+// record is the newest committed state of a duty.
+func (d *Daemon) record(name string) duty.Record {
+	if in := d.inForce.Load(); in != nil {
+		return in.Duties[name]
+	}
+	return duty.Record{}
+}
+
+// officiate drives the duties.
+func (d *Daemon) officiate() {
+	d.clock.Hear(d.set.IPAddress, time.Now().UnixNano(), d.now())
+	for _, p := range d.posts {
+		until, since := d.lease(p.name)
+		p.mu.Lock()
+		was := p.officer.Holding()
+		p.since = since
+		out := p.officer.Step(d.now(), until, d.record(p.name), func(after uint64) (uint64, []byte, bool) { return p.plan(d.now(), after) })
+		is := p.officer.Holding()
+		p.mu.Unlock()
+		if was != is {
+			d.book.Note(map[bool]string{true: "duty_fence_taken", false: "duty_fence_left"}[is > 0], p.name+" "+strconv.FormatUint(max(was, is), 10))
+		}
+		d.carryOut(p, out)
+	}
+}
+
+func (d *Daemon) carryOut(p *post, out []any) {
+	for _, o := range out {
+		switch o := o.(type) {
+		case duty.Order:
+			d.step(func() []any { return d.chain.Act(d.now(), o) })
+		case duty.Cut:
+			p.mu.Lock()
+			if p.cancel != nil && p.calling == o.ID {
+				p.cancel()
+			}
+			p.mu.Unlock()
+		case duty.Yield:
+			d.book.Note("duty_refused", p.name+": the platform has seen a higher fence")
+			d.leaseMu.Lock()
+			ss := d.leases.Leave(d.now(), p.name)
+			d.leaseMu.Unlock()
+			d.sendLeases(ss)
+		case duty.Post:
+			ctx, cancel := context.WithTimeout(context.Background(), datum.DutyTimeout)
+			p.mu.Lock()
+			p.cancel, p.calling = cancel, o.ID
+			p.mu.Unlock()
+			go func() {
+				defer cancel()
+				status, err := d.call(ctx, p, o)
+				p.mu.Lock()
+				more := p.officer.Answered(d.now(), o.ID, status)
+				p.mu.Unlock()
+				if status != http.StatusOK {
+					d.book.Count("duty_call_failed", 1)
+					if status != 0 && status != http.StatusConflict && status != http.StatusTooManyRequests {
+						d.book.Note("duty_answer", p.name+": the platform answered "+strconv.Itoa(status))
+					}
+				}
+				_ = err // no answer: counted, and tried again
+				d.carryOut(p, more)
+			}()
+		}
+	}
+}
+
+// call sends one act; status 0 is no answer.
+func (d *Daemon) call(ctx context.Context, p *post, o duty.Post) (int, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+d.set.CloudAPI.Address+p.path, bytes.NewReader(o.Body))
+	if err != nil {
+		return 0, err
+	}
+	req.Header.Set("Content-Type", "application/json")
+	req.Header.Set("X-Slateridge-Duty-Holder", d.set.NodeName)
+	req.Header.Set("X-Slateridge-Fence-Token", strconv.FormatUint(o.Fence, 10))
+	resp, err := p.client.Do(req)
+	if err != nil {
+		return 0, err
+	}
+	defer resp.Body.Close()
+	io.Copy(io.Discard, io.LimitReader(resp.Body, datum.HeaderBytes))
+	return resp.StatusCode, nil
+}
+
+// ---- usage
+
+// takeUsage merges what a proxy tells, while this machine holds the duty.
+func (d *Daemon) takeUsage(m usage.Told) any {
+	until, _ := d.lease(sill.DutyUsage)
+	at, ok := d.clock.Now(d.now())
+	if until == 0 || !ok {
+		return usage.Heard{}
+	}
+	h, _ := d.tally.Take(d.now(), usage.Window(at, d.set.Bounds.UsageWindow.D()), m)
+	return h
+}
+
+// planUsage names the next window's report.
+func (d *Daemon) planUsage(now time.Duration, after uint64) (uint64, []byte, bool) {
+	at, ok := d.clock.Now(now)
+	if !ok {
+		return 0, nil, false
+	}
+	_, since := d.lease(sill.DutyUsage)
+	b := d.set.Bounds
+	return d.tally.Next(usage.Moment{Steady: now, Agreed: at, Held: now - since}, after, b.UsageWindow.D(), b.UsageDelay.D(), d.freshProxies())
+}
+
+// freshProxies are those that have spoken lately, to any control machine.
+func (d *Daemon) freshProxies() []string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var out []string
+	for a, e := range d.roster {
+		if time.Since(e.at) < datum.UsageSilent {
+			out = append(out, a)
+		}
+	}
+	return out
+}
+
+// Instances of a service in a zone as the list here has them.
+func listed(l *intake.List, service, zone string) (n int) {
+	if l != nil {
+		for _, i := range l.Instances {
+			if i.Service == service && i.Zone == zone && !i.Draining {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// DutyReport is one duty for operators.
+type DutyReport struct {
+	Fence      uint64
+	Holder     string
+	Mine       bool
+	Held       time.Duration // how long without a break
+	Decided    uint64        // key of the last act decided: for usage, the window
+	Backlog    bool          // it is not known to have been accepted
+	Accepted   uint64        // counts of this life
+	Refused    uint64
+	Failed     uint64
+	LastStatus int
+	SinceOK    time.Duration
+	Tellers    int // lives of proxies that told their usage here
+}
+
+// dutyReports describes the duties at the platform.
+func (d *Daemon) dutyReports() map[string]DutyReport {
+	out := map[string]DutyReport{}
+	for _, p := range d.posts {
+		rec := d.record(p.name)
+		p.mu.Lock()
+		o := p.officer
+		r := DutyReport{Fence: rec.Fence, Holder: rec.Holder, Mine: o.Holding() > 0, Decided: rec.Key, Accepted: o.Accepted,
+			Refused: o.Refused, Failed: o.Failed, LastStatus: o.LastStatus}
+		if r.Mine {
+			r.Held, r.Backlog = d.now()-p.since, o.Backlog(rec) != 0
+		}
+		if o.AcceptedAt > 0 {
+			r.SinceOK = d.now() - o.AcceptedAt
+		}
+		p.mu.Unlock()
+		if p.name == sill.DutyUsage {
+			r.Tellers = d.tally.Tellers()
+		}
+		out[p.name] = r
+	}
+	return out
+}
--- /dev/null
+++ b/internal/headworks/duties_test.go
@@ -0,0 +1,295 @@
+package headworks
+
+import (
+	"encoding/json"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"slateridge/internal/datum"
+	"slateridge/internal/duty"
+	"slateridge/internal/usage"
+	"slateridge/internal/watermaster"
+)
+
+const (
+	testLease  = 3 * time.Second
+	testWindow = 2 * time.Second
+	testDelay  = 5 * time.Second
+	testDuty   = "usage"
+)
+
+// act is one call the stand-in platform took.
+type act struct {
+	at     time.Duration
+	holder string
+	fence  uint64
+	key    uint64
+	body   string
+}
+
+// works is a core with a platform, proxies that count, and a duty.
+type works struct {
+	*core
+	leases  map[string]*watermaster.Watermaster
+	men     map[string]*duty.Officer
+	tallies map[string]*usage.Tally
+	bornAs  map[string]int
+	born    map[string]time.Duration
+	meters  map[string]*usage.Meter
+	truth   map[uint64]usage.Counts
+
+	platformDown, platformSlow bool
+	fence                      uint64
+	by                         map[uint64]string // fence -> holder
+	content                    map[uint64]string // window -> body
+	acts                       []act
+	refused, lost              int
+}
+
+// epoch makes the simulated true time a time of day.
+var epoch = time.Unix(1_800_000_000, 0)
+
+func (w *works) agreed() time.Time { return epoch.Add(w.b.Now) }
+func (w *works) window() uint64    { return usage.Window(w.agreed(), testWindow) }
+
+func newWorks(t *testing.T, seed uint64, names []string, tolerate int) *works {
+	w := &works{core: newCore(t, seed, names, tolerate), leases: map[string]*watermaster.Watermaster{}, men: map[string]*duty.Officer{},
+		tallies: map[string]*usage.Tally{}, bornAs: map[string]int{}, born: map[string]time.Duration{}, meters: map[string]*usage.Meter{},
+		truth: map[uint64]usage.Counts{}, by: map[uint64]string{}, content: map[uint64]string{}}
+	for _, n := range names {
+		w.drive(n)
+	}
+	for _, p := range []string{"p", "q"} {
+		w.meters[p] = usage.NewMeter(w.b.Rng.Uint64())
+		w.proxy(p)
+	}
+	return w
+}
+
+// drive is a machine's loop: a new life of the process begins anew.
+func (w *works) drive(n string) {
+	defer w.b.After(datum.DutyTick, func() { w.drive(n) })
+	if w.chain[n] == nil || w.frozen[n] {
+		return
+	}
+	if w.leases[n] == nil || w.bornAs[n] != w.life[n] {
+		w.bornAs[n], w.born[n] = w.life[n], w.b.Now
+		w.leases[n] = watermaster.New(w.b.Now, w.b.Rng.Uint64(), n, []string{testDuty})
+		w.men[n] = duty.NewOfficer(testDuty, n, testLease, 50, rand.New(rand.NewPCG(w.seed, w.b.Rng.Uint64())))
+		w.tallies[n] = usage.NewTally(w.b.Rng.Uint64())
+	}
+	l, o, v := w.leases[n], w.men[n], w.chain[n].View()
+	l.SetElectorate(w.b.Now, v.Epoch, v.VoterAddrs(), w.chain[n].Status().Sealed)
+	w.lease(n, l.Tick(w.b.Now))
+	since, _ := l.Holds(w.b.Now, testDuty)
+	rec := w.record(n)
+	w.carry(n, o.Step(w.b.Now, l.Until(w.b.Now, testDuty), rec, func(after uint64) (uint64, []byte, bool) {
+		return w.tallies[n].Next(usage.Moment{Steady: w.b.Now, Agreed: w.agreed(), Held: w.b.Now - since}, after, testWindow, testDelay, []string{"p", "q"})
+	}))
+}
+
+func (w *works) record(n string) (r duty.Record) {
+	if c := w.chain[n].Committed(); c != nil {
+		r = c.Duties[testDuty]
+	}
+	return r
+}
+
+// later runs on a machine in its present life, after it wakes if it is frozen.
+func (w *works) later(n string, life int, f func()) {
+	if w.life[n] != life || w.chain[n] == nil || w.bornAs[n] != life {
+		return
+	}
+	if w.frozen[n] {
+		w.pending[n] = append(w.pending[n], func() { w.later(n, life, f) })
+		return
+	}
+	f()
+}
+
+func (w *works) lease(n string, out []watermaster.Send) {
+	for _, s := range out {
+		w.b.Send(n, s.To, func() {
+			w.later(s.To, w.life[s.To], func() { w.lease(s.To, w.leases[s.To].Recv(w.b.Now, n, s.Msg)) })
+		})
+	}
+}
+
+func (w *works) carry(n string, out []any) {
+	life := w.life[n]
+	for _, x := range out {
+		switch x := x.(type) {
+		case duty.Order:
+			w.run(n, life, func(ch *Chain) []any { return ch.Act(w.b.Now, x) })
+		case duty.Yield:
+			w.lease(n, w.leases[n].Leave(w.b.Now, testDuty))
+		case duty.Post:
+			if _, ok := w.leases[n].Holds(w.b.Now, testDuty); !ok {
+				w.fail("%s sends %d under fence %d without the lease", n, x.Key, x.Fence)
+			}
+			w.b.Send(n, "platform", func() { w.platform(n, life, x) })
+		}
+	}
+}
+
+// platform takes a call, checks the rules, and answers, perhaps late or never.
+func (w *works) platform(n string, life int, p duty.Post) {
+	if w.platformDown {
+		w.lost++
+		return
+	}
+	status := 200
+	if h, ok := w.by[p.Fence]; ok && h != n {
+		w.fail("fence %d is sent by %s and by %s", p.Fence, h, n)
+	}
+	w.by[p.Fence] = n
+	if p.Fence < w.fence {
+		status = 409
+		w.refused++
+	} else {
+		w.fence = p.Fence
+		if was, ok := w.content[p.Key]; ok && was != string(p.Body) {
+			w.fail("window %d is reported as %s and as %s", p.Key, was, p.Body)
+		}
+		w.content[p.Key] = string(p.Body)
+		w.acts = append(w.acts, act{w.b.Now, n, p.Fence, p.Key, string(p.Body)})
+		if len(w.acts) > 2000 {
+			w.acts = w.acts[1000:]
+		}
+		w.turns()
+		w.noMore(p.Key, p.Body)
+	}
+	wait := time.Duration(0)
+	if w.platformSlow {
+		wait = time.Duration(w.b.Rng.IntN(4000)) * time.Millisecond
+	}
+	w.b.After(wait, func() {
+		w.b.Send("platform", n, func() {
+			w.later(n, life, func() { w.carry(n, w.men[n].Answered(w.b.Now, p.ID, status)) })
+		})
+	})
+}
+
+// turns fails when the newest act ends an A-B-A inside the lease.
+func (w *works) turns() {
+	last := w.acts[len(w.acts)-1]
+	other := false
+	for i := len(w.acts) - 2; i >= 0 && last.at-w.acts[i].at < testLease; i-- {
+		if w.acts[i].holder != last.holder {
+			other = true
+		} else if other {
+			w.fail("%s acts again %v after another did", last.holder, last.at-w.acts[i].at)
+		}
+	}
+}
+
+// noMore fails when a report counts what did not happen.
+func (w *works) noMore(key uint64, body []byte) usage.Counts {
+	var r struct{ InstanceCounts usage.Counts }
+	if err := json.Unmarshal(body, &r); err != nil {
+		w.fail("window %d: %v", key, err)
+	}
+	for tenant, n := range r.InstanceCounts {
+		if n > w.truth[key][tenant] {
+			w.fail("window %d counts %d for %s, there were %d", key, n, tenant, w.truth[key][tenant])
+		}
+	}
+	return r.InstanceCounts
+}
+
+// proxy counts requests and tells whoever it believes to hold the duty.
+func (w *works) proxy(p string) {
+	for range w.b.Rng.IntN(8) {
+		tenant, k := []string{"x", "y", "z"}[w.b.Rng.IntN(3)], w.window()
+		w.meters[p].Begin(k)
+		w.b.After(time.Duration(w.b.Rng.IntN(700))*time.Millisecond, func() {
+			w.meters[p].Count(k, tenant)
+			w.meters[p].End(k)
+			if w.truth[k] == nil {
+				w.truth[k] = usage.Counts{}
+			}
+			w.truth[k][tenant]++
+		})
+	}
+	if t, some := w.meters[p].Tell(p, w.window()); some {
+		for _, n := range w.names {
+			if l := w.leases[n]; l != nil && w.chain[n] != nil && l.Until(w.b.Now, testDuty) > 0 {
+				for range 1 + w.b.Rng.IntN(2) { // some words come twice
+					w.b.Send(p, n, func() {
+						w.later(n, w.life[n], func() {
+							h, ok := w.tallies[n].Take(w.b.Now, w.window(), t)
+							if ok && w.leases[n].Until(w.b.Now, testDuty) > 0 {
+								w.b.Send(n, p, func() { w.meters[p].Heard(t, h) })
+							}
+						})
+					})
+				}
+			}
+		}
+	}
+	w.b.After(200*time.Millisecond, func() { w.proxy(p) })
+}
+
+// TestDutyUnderTrouble plays seeded days in which holders are killed, frozen, cut
+// off and lose disks, all stop at once, and the platform is down or slow. Checked at
+// each act: one holder a fence, one content a window, no A-B-A inside the lease,
+// nothing sent without the lease, nothing counted that did not happen. In the calm
+// at the end every window is reported and exact.
+func TestDutyUnderTrouble(t *testing.T) {
+	moves, acts, refused, lost := 0, 0, 0, 0
+	for seed := uint64(1); seed <= 80; seed++ {
+		names := [][]string{three, {"a", "b", "c", "d", "e", "f"}}[seed%2]
+		w := newWorks(t, seed, names, 1+int(seed%2))
+		w.b.Loss = []float64{0, 0.02, 0.1}[seed%3]
+		w.b.Delay = []time.Duration{5, 40, 200}[seed/3%3] * time.Millisecond
+		w.gap = []time.Duration{2, 6}[seed/9%2] * time.Second
+		w.b.After(100*time.Millisecond, w.operator)
+		w.b.After(5*time.Second, func() { w.trouble(6) })
+		var platform func()
+		platform = func() {
+			w.platformDown, w.platformSlow = !w.over && w.b.Rng.IntN(4) == 0, !w.over && w.b.Rng.IntN(3) == 0
+			w.b.After(time.Duration(w.b.Rng.IntN(5000))*time.Millisecond, platform)
+		}
+		w.b.After(6*time.Second, platform)
+		// Whoever acted last is struck, now and then, just after it acted.
+		var strike func()
+		strike = func() {
+			if n := len(w.acts); n > 0 && !w.over {
+				h := w.acts[n-1].holder
+				if w.chain[h] != nil && !w.frozen[h] {
+					w.chain[h], w.calm[h] = nil, 1<<62
+					w.life[h]++
+					w.b.After(time.Duration(w.b.Rng.IntN(3000))*time.Millisecond, func() { w.start(h, false); w.calm[h] = w.b.Now })
+				}
+			}
+			w.b.After(time.Duration(4+w.b.Rng.IntN(9))*time.Second, strike)
+		}
+		w.b.After(9*time.Second, strike)
+		w.b.Run(60*time.Second, nil)
+		w.platformDown, w.platformSlow = false, false
+		w.settle()
+		from := w.window()
+		w.b.Run(w.b.Now+8*testWindow+testDelay, nil)
+		for k := from + 1; k < from+7; k++ {
+			body, ok := w.content[k]
+			if !ok {
+				w.fail("window %d was never reported in calm; last act %+v, record %+v", k, w.acts[max(0, len(w.acts)-1):], w.record("a"))
+			}
+			got := w.noMore(k, []byte(body))
+			for tenant, n := range w.truth[k] {
+				if got[tenant] != n {
+					w.fail("window %d in calm: %s counted %d of %d", k, tenant, got[tenant], n)
+				}
+			}
+		}
+		moves += len(w.by)
+		acts += len(w.content)
+		refused += w.refused
+		lost += w.lost
+	}
+	if moves < 160 || acts < 1200 || lost < 20 {
+		t.Errorf("%d fences, %d windows, %d refused, %d lost over all seeds: too few to mean anything", moves, acts, refused, lost)
+	}
+	t.Logf("%d fences, %d windows, %d refused, %d lost", moves, acts, refused, lost)
+}
--- a/internal/penstock/line.go
+++ b/internal/penstock/line.go
@@ -38,6 +38,7 @@
 	proxies int
 	state   uint64
 	evacs   []string
+	metered string
 }
 
 type end struct {
@@ -62,6 +63,9 @@
 	// sent to. State 0 is no news yet.
 	State     uint64
 	Evacuated []string
+	From      string // the control machine that spoke
+	Wall      int64  // its agreed time of day; 0 unknown
+	Metered   string // who usage is told to, as last named by any
 }
 
 // NewLine makes a proxy's end, with the control machines it knows to begin
@@ -304,6 +308,13 @@
 		l.state, l.evacs = n.StateNum, n.Evacuated
 	}
 	f.State, f.Evacuated = l.state, l.evacs
+	if n.Metered != "" {
+		l.metered = n.Metered
+	}
+	f.From, f.Metered = a, l.metered
+	if n.Current {
+		f.Wall = n.Wall
+	}
 	if n.Current {
 		l.current = now
 		if n.ListNum == l.listNum && n.ListNum > 0 {
--- a/internal/penstock/penstock.go
+++ b/internal/penstock/penstock.go
@@ -46,6 +46,8 @@
 		StateNum  uint64
 		Evacuated []string
 		Proxies   int
+		Wall      int64    // the agreed time of day, in nanoseconds; 0 unknown
+		Metered   string   // the control machine that usage is told to
 		Trackers  []string // these two only when they differ from what was told last
 		Peers     []Peer
 		Config    *scheme.Packed
@@ -79,6 +81,7 @@
 	proxies  int
 	told     [3]uint64
 	peers    string
+	metered  string
 	coming   uint64 // limits sent for evaluation
 }
 
@@ -194,7 +197,7 @@
 		c.coming = n.ComingVer
 	}
 	c.told = [3]uint64{n.Version, n.ListNum, n.StateNum}
-	c.proxies = n.Proxies
+	c.proxies, c.metered = n.Proxies, n.Metered
 	if t := joined(n.Trackers); t == c.trackers {
 		n.Trackers = nil
 	} else {
@@ -226,7 +229,7 @@
 			continue // it takes its news elsewhere, or is gone; its next word is answered
 		}
 		lacks := c.tap.Full && (f.Version > c.gotVer || f.ListNum > c.gotList)
-		if !lacks && (f.ComingVer <= f.Version || f.ComingVer == c.coming || !c.tap.Full) && c.told == [3]uint64{f.Version, f.ListNum, f.StateNum} && (c.proxies == f.Proxies || c.proxies == 0 && !ps.sharing(c.tap.Node)) && c.trackers == joined(f.Trackers) {
+		if !lacks && (f.ComingVer <= f.Version || f.ComingVer == c.coming || !c.tap.Full) && c.told == [3]uint64{f.Version, f.ListNum, f.StateNum} && (c.metered == f.Metered || f.Metered == "") && (c.proxies == f.Proxies || c.proxies == 0 && !ps.sharing(c.tap.Node)) && c.trackers == joined(f.Trackers) {
 			continue
 		}
 		ps.pushes++
--- a/internal/scheme/scheme.go
+++ b/internal/scheme/scheme.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"hash/fnv"
 	"io"
 	"math"
 	"runtime"
@@ -19,6 +20,7 @@
 	"github.com/go-playground/validator/v10"
 
 	"slateridge/internal/datum"
+	"slateridge/internal/duty"
 	"slateridge/internal/sill"
 )
 
@@ -26,6 +28,7 @@
 const (
 	Idempotent    = "idempotent"
 	NonIdempotent = "non_idempotent"
+	Streaming     = "streaming" // answered piece by piece, and sent at most once
 )
 
 // Stamp orders the states of the control plane: the number of the view whose
@@ -48,13 +51,37 @@
 	IDs []uint64
 }
 
-// Doc is one state of what the operator has ordered: the configuration as it
-// was sent, with its version's number, and the evacuations by zone.
+// Doc is one state of the control plane: the configuration as it was sent, with
+// its version's number, the evacuations by zone, and the duties at the platform.
 type Doc struct {
 	Stamp   Stamp
+	Ordered Stamp // of the state in which the operator's part last changed
 	Version uint64
+	Sum     uint64 // of Raw, which is left out where the receiver has it
 	Raw     []byte
 	Evac    map[string]Evac
+	Duties  duty.Records
+}
+
+// SumOf is what Sum holds of a configuration.
+func SumOf(raw []byte) uint64 {
+	h := fnv.New64a()
+	h.Write(raw)
+	return h.Sum64()
+}
+
+// SameRaw says whether two states hold the same configuration, letter for letter.
+func (d *Doc) SameRaw(o *Doc) bool {
+	return d != nil && o != nil && d.Version == o.Version && d.Sum == o.Sum
+}
+
+// OrderNum orders what the operator has ordered; a state written before it was
+// told apart counts by its own stamp.
+func (d *Doc) OrderNum() uint64 {
+	if d.Ordered == (Stamp{}) {
+		return d.Stamp.Num()
+	}
+	return d.Ordered.Num()
 }
 
 // Evacuated lists the zones under evacuation, sorted.
@@ -97,7 +124,7 @@
 type routeSpec struct {
 	Host            string    `json:"host" validate:"required"`
 	PathPrefix      string    `json:"pathPrefix" validate:"required,startswith=/,endswith=/"`
-	RouteType       string    `json:"routeType" validate:"oneof=idempotent non_idempotent"`
+	RouteType       string    `json:"routeType" validate:"oneof=idempotent non_idempotent streaming"`
 	Timeout         sill.Span `json:"timeout" validate:"gt=0"`
 	TargetLatency   sill.Span `json:"targetLatency" validate:"gte=0"`
 	Priority        int       `json:"priority" validate:"gte=0"`
@@ -106,15 +133,24 @@
 	MaxAttempts     int       `json:"maxAttempts" validate:"gte=1"`
 	Public          bool      `json:"public"`
 	AllowedRegions  []string  `json:"allowedRegions" validate:"dive,required"`
+	SessionAffinity bool      `json:"sessionAffinity"`
+	Resumable       bool      `json:"resumable"`
+}
+
+type scalingSpec struct {
+	MinCount int       `json:"minCount" validate:"gte=0"`
+	MaxCount int       `json:"maxCount" validate:"gtefield=MinCount"`
+	BootTime sill.Span `json:"bootTime" validate:"gte=0"`
 }
 
 type serviceSpec struct {
-	HealthCheckPath string    `json:"healthCheckPath" validate:"omitempty,startswith=/"`
-	MaxConnections  int       `json:"maxConnections" validate:"gte=0"`
-	Protocol        string    `json:"protocol" validate:"omitempty,oneof=h1"`
-	TLSEnabled      bool      `json:"tlsEnabled" validate:"eq=false"`
-	Warmup          sill.Span `json:"warmup" validate:"gte=0"`
-	WarmupPerS      float64   `json:"warmupPerS" validate:"gte=0"`
+	HealthCheckPath string       `json:"healthCheckPath" validate:"omitempty,startswith=/"`
+	MaxConnections  int          `json:"maxConnections" validate:"gte=0"`
+	Protocol        string       `json:"protocol" validate:"omitempty,oneof=h1"`
+	TLSEnabled      bool         `json:"tlsEnabled" validate:"eq=false"`
+	Warmup          sill.Span    `json:"warmup" validate:"gte=0"`
+	WarmupPerS      float64      `json:"warmupPerS" validate:"gte=0"`
+	Scaling         *scalingSpec `json:"scaling"`
 }
 
 type tenantSpec struct {
@@ -155,6 +191,7 @@
 type Route struct {
 	Name, Host, Prefix string
 	Idempotent         bool
+	Stream, Affinity   bool
 	Timeout, Aim       time.Duration
 	Priority           int
 	MaxAttempts        int
@@ -207,6 +244,13 @@
 	MaxConnections   int
 	Warmup           time.Duration // how long an upstream stays cold
 	WarmupPerS       float64       // requests a second a cold one bears; 0 is no bound
+	Scaling          *Scaling      // nil: its upstreams are not ours to order
+}
+
+// Scaling bounds how many upstreams of a service are ordered in each zone.
+type Scaling struct {
+	Min, Max int
+	Boot     time.Duration
 }
 
 // Tenant is a holder of keys, with its quota; Rate 0 is no limit.
@@ -345,6 +389,9 @@
 		}
 		it.service = &Service{Name: it.name, HealthPath: sp.HealthCheckPath, MaxConnections: sp.MaxConnections,
 			Warmup: sp.Warmup.D(), WarmupPerS: sp.WarmupPerS}
+		if sc := sp.Scaling; sc != nil {
+			it.service.Scaling = &Scaling{sc.MinCount, sc.MaxCount, sc.BootTime.D()}
+		}
 	case "tenants":
 		var sp tenantSpec
 		if err := decode(r.Spec, &sp); err != nil {
@@ -514,6 +561,7 @@
 		breathe(i)
 		sp := it.route
 		r := &Route{Name: it.name, Host: strings.ToLower(sp.Host), Prefix: sp.PathPrefix, Idempotent: sp.RouteType == Idempotent,
+			Stream: sp.RouteType == Streaming, Affinity: sp.SessionAffinity,
 			Timeout: sp.Timeout.D(), Aim: sp.TargetLatency.D(), Priority: sp.Priority, MaxAttempts: sp.MaxAttempts, Public: sp.Public, Homes: sp.AllowedRegions}
 		place := r.Host + r.Prefix
 		if other, ok := places[place]; ok {
--- a/internal/sill/fault.go
+++ b/internal/sill/fault.go
@@ -32,7 +32,7 @@
 	switch f.Tag() {
 	case "required":
 		return path + ": missing"
-	case "len", "gt", "gte", "lt", "lte", "min", "max", "oneof":
+	case "len", "gt", "gte", "lt", "lte", "min", "max", "oneof", "gtefield":
 		return fmt.Sprintf("%s: must be %s %s, is %v", path, f.Tag(), f.Param(), f.Value())
 	}
 	return fmt.Sprintf("%s: %v is not a valid %s", path, f.Value(), f.Tag())
--- a/internal/sill/sill.go
+++ b/internal/sill/sill.go
@@ -97,6 +97,12 @@
 	WarmupOverage    float64 `json:"warmupOverage" validate:"gte=0"`
 	WarmupSlack      float64 `json:"warmupSlack" validate:"gte=0"`
 	Evacuation       Span    `json:"evacuation"`
+	FencingEnforced  bool    `json:"fencingEnforced"`
+	Lease            Span    `json:"lease" validate:"gte=0"`
+	ThawSlack        Span    `json:"thawSlack" validate:"gte=0"`
+	UsageWindow      Span    `json:"usageWindow" validate:"gte=0"`
+	UsageTolerance   float64 `json:"usageTolerance" validate:"gte=0,lte=1"`
+	UsageDelay       Span    `json:"usageDelay" validate:"gte=0"`
 	TTLMax           Span    `json:"ttl_max"`
 }
 
@@ -105,8 +111,17 @@
 	Address  string  `json:"address" validate:"omitempty,hostname_port"`
 	RatePerS float64 `json:"ratePerS" validate:"gte=0"`
 	MaxLag   Span    `json:"maxLag"`
+	// Duties are calls that one daemon at a time makes.
+	Duties     []string `json:"duties" validate:"dive,required"`
+	DutiesPerS float64  `json:"dutiesPerS" validate:"gte=0"`
 }
 
+// Duties at the platform that are known here.
+const (
+	DutyUsage   = "usage_report"
+	DutyScaling = "scaling"
+)
+
 // Settings are what a process is told when it starts.
 type Settings struct {
 	NodeName        string            `json:"nodeName" validate:"required"`
@@ -159,6 +174,9 @@
 	if s.Has("quota") && s.Bounds.QuotaWindow <= 0 {
 		return nil, fmt.Errorf("settings file %s: bounds.quotaWindow: missing, contract quota needs it", path)
 	}
+	if err := s.checkDuties(); err != nil {
+		return nil, fmt.Errorf("settings file %s: %w", path, err)
+	}
 	if s.InternalPorts[1]-s.InternalPorts[0] < 4 {
 		return nil, fmt.Errorf("settings file %s: internalPorts: five ports are needed", path)
 	}
@@ -171,6 +189,32 @@
 	return s, nil
 }
 
+// Does says whether a duty at the platform is the system's.
+func (s *Settings) Does(duty string) bool { return slices.Contains(s.CloudAPI.Duties, duty) }
+
+func (s *Settings) checkDuties() error {
+	b := s.Bounds
+	if s.Does(DutyUsage) || s.Does(DutyScaling) {
+		switch {
+		case b.Lease <= 0:
+			return errors.New("bounds.lease: missing, cloudApi.duties needs it")
+		case b.Lease <= b.ThawSlack:
+			return fmt.Errorf("bounds.lease: must be gt thawSlack, is %s and thawSlack %s", b.Lease, b.ThawSlack)
+		case s.CloudAPI.Address == "":
+			return errors.New("cloudApi.address: missing, cloudApi.duties needs it")
+		}
+	}
+	if s.Does(DutyUsage) {
+		switch {
+		case b.UsageWindow <= 0:
+			return errors.New("bounds.usageWindow: must be gt 0, duty usage_report needs it")
+		case b.UsageDelay <= 0:
+			return errors.New("bounds.usageDelay: must be gt 0, duty usage_report needs it")
+		}
+	}
+	return nil
+}
+
 // Has says whether a part of the rules is in force; a file that names none
 // means the gateway's own.
 func (s *Settings) Has(contract string) bool {
--- /dev/null
+++ b/internal/usage/usage.go
@@ -0,0 +1,324 @@
+// Package usage meters what upstreams ran for each tenant; in the field's terms:
+// windowed counters, cumulative by process life and merged by maximum, so that a
+// word told twice, late or out of order counts once. Proxies hold the counts and
+// tell them to whoever holds the duty; a successor is told all of what is open.
+package usage
+
+import (
+	"encoding/json"
+	"sync"
+	"time"
+
+	"slateridge/internal/conduit"
+	"slateridge/internal/datum"
+)
+
+type (
+	// Counts are cumulative numbers by tenant.
+	Counts map[string]uint64
+	// Told is one proxy's word to the duty's holder: of each window what has
+	// changed since that holder last answered. All windows up to Closed are final.
+	Told struct {
+		Proxy   string
+		Life    uint64
+		Term    uint64 // of the tally that what is left out has been told to
+		Windows map[uint64]Counts
+		Closed  uint64
+	}
+	// Heard answers it. Windows up to Settled are decided and need no telling.
+	Heard struct {
+		Term    uint64
+		Settled uint64
+	}
+)
+
+func init() {
+	conduit.Register(Told{})
+	conduit.Register(Heard{})
+}
+
+// Window is the number of the window a time lies in.
+func Window(at time.Time, length time.Duration) uint64 {
+	return uint64(max(0, at.UnixNano())) / uint64(length)
+}
+
+// Meter is a proxy's counts.
+type Meter struct {
+	mu      sync.Mutex
+	life    uint64
+	windows map[uint64]Counts
+	unsaid  map[uint64]map[string]bool // changed since the holder's last answer
+	open    map[uint64]int             // requests that may still count, by the window they came in
+	settled uint64
+	term    uint64
+	said    uint64 // closed, as last answered
+	Dropped uint64 // counts of windows that were decided before they came
+}
+
+// NewMeter makes an empty meter for one life of a proxy.
+func NewMeter(life uint64) *Meter {
+	return &Meter{life: life, windows: map[uint64]Counts{}, unsaid: map[uint64]map[string]bool{}, open: map[uint64]int{}}
+}
+
+// Begin notes a request that came in a window and may count in it or a later one.
+func (m *Meter) Begin(w uint64) {
+	m.mu.Lock()
+	m.open[w]++
+	m.mu.Unlock()
+}
+
+// End closes what Begin noted.
+func (m *Meter) End(w uint64) {
+	m.mu.Lock()
+	if m.open[w]--; m.open[w] <= 0 {
+		delete(m.open, w)
+	}
+	m.mu.Unlock()
+}
+
+// Count adds one run of a tenant's request in a window.
+func (m *Meter) Count(w uint64, tenant string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if w <= m.settled {
+		m.Dropped++
+		return
+	}
+	if m.windows[w] == nil {
+		m.windows[w], m.unsaid[w] = Counts{}, map[string]bool{}
+	}
+	m.windows[w][tenant]++
+	m.unsaid[w][tenant] = true
+}
+
+// Tell is what is to be said in window now; false when there is nothing new.
+func (m *Meter) Tell(proxy string, now uint64) (Told, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	t := Told{Proxy: proxy, Life: m.life, Term: m.term, Windows: map[uint64]Counts{}}
+	if now > 0 {
+		t.Closed = now - 1
+	}
+	for w := range m.open {
+		t.Closed = min(t.Closed, w-1)
+	}
+	for w, ts := range m.unsaid {
+		if w+datum.UsageKept < now {
+			delete(m.windows, w) // nobody has wanted it for so long
+			delete(m.unsaid, w)
+			continue
+		}
+		if len(ts) > 0 {
+			t.Windows[w] = Counts{}
+			for tenant := range ts {
+				t.Windows[w][tenant] = m.windows[w][tenant]
+			}
+		}
+	}
+	return t, len(t.Windows) > 0 || t.Closed > m.said
+}
+
+// Heard takes the holder's answer to a word. Another term means another holder, or
+// one that has begun anew: it is told all that is open.
+func (m *Meter) Heard(t Told, h Heard) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if h.Settled > m.settled {
+		m.settled = h.Settled
+		for w := range m.windows {
+			if w <= h.Settled {
+				delete(m.windows, w)
+				delete(m.unsaid, w)
+			}
+		}
+	}
+	if h.Term != m.term {
+		m.term, m.said = h.Term, 0
+		for w, c := range m.windows {
+			for tenant := range c {
+				m.unsaid[w][tenant] = true
+			}
+		}
+	}
+	if h.Term == t.Term {
+		m.said = max(m.said, t.Closed)
+	}
+	for w, c := range t.Windows { // told to this very tally
+		for tenant, n := range c {
+			if m.windows[w][tenant] == n {
+				delete(m.unsaid[w], tenant)
+			}
+		}
+	}
+}
+
+// teller is one life of a proxy, as a tally knows it.
+type teller struct {
+	proxy   string
+	closed  uint64
+	at      time.Duration
+	windows map[uint64]Counts
+}
+
+// Tally is the holder's gathering. It lives as long as the process: what a lost
+// one had gathered, the proxies tell its successor.
+type Tally struct {
+	mu      sync.Mutex
+	term    uint64
+	settled uint64
+	first   uint64 // window in which this tally was first asked, nothing being decided yet
+	lives   map[uint64]*teller
+	Garbage uint64
+}
+
+// NewTally makes an empty one; term is a number no other tally has.
+func NewTally(term uint64) *Tally { return &Tally{term: term | 1, lives: map[uint64]*teller{}} }
+
+// Take merges a proxy's word; now is the window at this moment. Words that cannot
+// be are dropped and counted.
+func (t *Tally) Take(at time.Duration, now uint64, m Told) (Heard, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	bad := m.Proxy == "" || len(m.Proxy) > datum.NameMax || len(m.Windows) > datum.UsageKept+2 || m.Closed > now+1
+	for w, c := range m.Windows {
+		bad = bad || w > now+1 || len(c) > datum.UsageTenants
+		for tenant, n := range c {
+			bad = bad || tenant == "" || len(tenant) > datum.NameMax || n > datum.UsageMost
+		}
+	}
+	if bad {
+		t.Garbage++
+		return Heard{}, false
+	}
+	l := t.lives[m.Life]
+	if l == nil {
+		l = &teller{proxy: m.Proxy, windows: map[uint64]Counts{}}
+		t.lives[m.Life] = l
+	}
+	l.at = at
+	if m.Term == t.term {
+		l.closed = max(l.closed, m.Closed) // else more is to come
+	}
+	for w, c := range m.Windows {
+		if w <= t.settled {
+			continue
+		}
+		if l.windows[w] == nil {
+			l.windows[w] = Counts{}
+		}
+		for tenant, n := range c {
+			l.windows[w][tenant] = max(l.windows[w][tenant], n)
+		}
+	}
+	return Heard{t.term, t.settled}, true
+}
+
+// Settle forgets windows that are decided.
+func (t *Tally) Settle(through uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.settled = max(t.settled, through)
+	for id, l := range t.lives {
+		for w := range l.windows {
+			if w <= t.settled {
+				delete(l.windows, w)
+			}
+		}
+		if len(l.windows) == 0 && l.closed+datum.UsageKept < t.settled {
+			delete(t.lives, id)
+		}
+	}
+}
+
+// Complete says whether all that may know something of a window have told it:
+// those that have spoken since a moment, and the proxies named as live.
+func (t *Tally) Complete(w uint64, since time.Duration, live []string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	newest := map[string]*teller{}
+	for _, l := range t.lives {
+		if o := newest[l.proxy]; o == nil || o.at < l.at {
+			newest[l.proxy] = l
+		}
+	}
+	for _, l := range newest {
+		if l.closed < w && l.at >= since {
+			return false
+		}
+	}
+	for _, p := range live {
+		if newest[p] == nil {
+			return false
+		}
+	}
+	return true
+}
+
+// Sum adds up a window over all lives.
+func (t *Tally) Sum(w uint64) Counts {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := Counts{}
+	for _, l := range t.lives {
+		for tenant, n := range l.windows[w] {
+			out[tenant] += n
+		}
+	}
+	return out
+}
+
+// Moment is when Next is asked: by the steady clock, by the agreed time of day, and
+// how long the duty has been held here.
+type Moment struct {
+	Steady time.Duration
+	Agreed time.Time
+	Held   time.Duration
+}
+
+// Next is the report that follows the window named, once all that may know of it
+// have told, or when waiting longer would leave the platform too little time.
+// Windows that ended longer ago than proxies keep theirs are passed over; with none
+// before, the first is the one under way.
+func (t *Tally) Next(m Moment, after uint64, length, delay time.Duration, live []string) (uint64, []byte, bool) {
+	cur := Window(m.Agreed, length)
+	if after == 0 {
+		t.mu.Lock()
+		if t.first == 0 {
+			t.first = cur
+		}
+		after = t.first - 1
+		t.mu.Unlock()
+	}
+	t.Settle(after)
+	w := max(after+1, cur-min(cur, datum.UsageKept))
+	if w >= cur {
+		return 0, nil, false
+	}
+	age := float64(m.Agreed.Sub(time.Unix(0, int64(w+1)*int64(length))))
+	if age < float64(delay)*datum.UsageAll {
+		return 0, nil, false
+	}
+	if !t.Complete(w, m.Steady-delay, live) && (age < float64(delay)*datum.UsageLate || m.Held < 2*datum.UsageEvery) {
+		return 0, nil, false
+	}
+	return w, Body(w, t.Sum(w)), true
+}
+
+// Tellers is how many lives are known.
+func (t *Tally) Tellers() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.lives)
+}
+
+// Body is a window's report as the platform wants it.
+func Body(w uint64, c Counts) []byte {
+	b, err := json.Marshal(struct {
+		Window uint64 `json:"windowNumber"`
+		Counts Counts `json:"instanceCounts"`
+	}{w, c})
+	if err != nil {
+		panic("usage: a report cannot be written: " + err.Error())
+	}
+	return b
+}
--- a/internal/watermaster/watermaster.go
+++ b/internal/watermaster/watermaster.go
@@ -124,6 +124,15 @@
 	return c.since, c.until > now
 }
 
+// Until is when this machine's lease of a duty ends by its own reckoning; 0 while
+// it has none.
+func (w *Watermaster) Until(now time.Duration, duty string) time.Duration {
+	if c := w.claims[duty]; c != nil && c.until > now {
+		return c.until
+	}
+	return 0
+}
+
 // Holder is who this machine has granted a duty to, if anyone. Its own grant to
 // itself does not count without a majority's.
 func (w *Watermaster) Holder(now time.Duration, duty string) string {
@@ -259,10 +268,10 @@
 	}
 }
 
-// Leave gives up what is held, before a planned stop.
-func (w *Watermaster) Leave(now time.Duration) []Send {
+// Leave gives up what is held, before a planned stop, or the one duty named.
+func (w *Watermaster) Leave(now time.Duration, only ...string) []Send {
 	for d, c := range w.claims {
-		if c.until > now {
+		if c.until > now && (len(only) == 0 || slices.Contains(only, d)) {
 			c.until, c.since, c.nextAt = 0, 0, now+datum.LeaseLength*4
 			for _, p := range w.peers {
 				w.send(p, Release{d, c.nonce}, now)
