Proxies meter usage and pass streams on

A request counts once, where the run that served it was sent; a stream with its first piece.

Streams: each piece is written and flushed before more is read; sent at most once; an end that is not the stream's ends the connection; a client's going away closes the upstream's connection.

--- a/internal/sluice/daemon.go
+++ b/internal/sluice/daemon.go
@@ -17,6 +17,7 @@
 
 	"github.com/oklog/run"
 
+	"slateridge/internal/clock"
 	"slateridge/internal/conduit"
 	"slateridge/internal/datum"
 	"slateridge/internal/gaugeboard"
@@ -26,6 +27,7 @@
 	"slateridge/internal/scheme"
 	"slateridge/internal/sill"
 	"slateridge/internal/staff"
+	"slateridge/internal/usage"
 	"slateridge/internal/weir"
 	"slateridge/internal/wheel"
 )
@@ -49,6 +51,9 @@
 	staff    *staff.Agent
 	echoMu   sync.Mutex
 	echo     map[string]heardStamp // by tracker
+	clock    *clock.Clock          // agreed, as control tells
+	metered  atomic.Pointer[string]
+	telling  sync.Mutex // one word on usage at a time
 }
 
 // NewDaemon builds the process's parts.
@@ -61,6 +66,10 @@
 	s.allow = NewAllowance(0, b.RetryWindow.D(), b.RetryBudgetRatio, b.RetryBudgetSlack)
 	s.yard = NewYard(set.IPAddress, set.Zone, set.Zones, d.connCap, d.warmup)
 	s.askFor = d.askTracker
+	d.clock = clock.New()
+	if set.Does(sill.DutyUsage) {
+		s.meter, s.window = usage.NewMeter(rand.Uint64()), d.windowAt
+	}
 	d.trackers.Store(&[]string{})
 	// Each proxy tries the control machines in an order of its own, so that
 	// proxies spread.
@@ -125,6 +134,10 @@
 		d.allow.SetProxies(f.Proxies)
 		d.yard.SetProxies(f.Proxies)
 	}
+	d.clock.Hear(f.From, f.Wall, now)
+	if old := d.metered.Swap(&f.Metered); d.meter != nil && (old == nil || *old != f.Metered) {
+		go d.tellUsage() // a successor gathers anew
+	}
 	if f.Coming != nil {
 		d.weir.Evaluate(now, f.Coming)
 	}
@@ -172,6 +185,9 @@
 	go d.step()
 	w.Turn(datum.StepEvery, d.step)
 	w.Turn(datum.GrantEvery, d.renewGrants)
+	if d.meter != nil {
+		w.Turn(datum.UsageEvery, d.tellUsage)
+	}
 	w.Turn(datum.RetireEvery, func() { d.yard.Retire(time.Now()) })
 	w.Turn(datum.SettingsEvery, d.lookAtSettings)
 	w.Turn(staff.TickEvery, d.staff.Tick)
@@ -347,6 +363,44 @@
 	}
 }
 
+// windowAt is the usage window that a moment lies in, by the agreed time.
+func (d *Daemon) windowAt(at time.Time) uint64 {
+	agreed, ok := d.clock.Now(d.now())
+	if !ok {
+		agreed = time.Now()
+	}
+	return usage.Window(agreed.Add(-time.Since(at)), d.set.Load().Bounds.UsageWindow.D())
+}
+
+// tellUsage brings what has been counted to the duty's holder, until it has heard
+// all.
+func (d *Daemon) tellUsage() {
+	if !d.telling.TryLock() {
+		return
+	}
+	defer d.telling.Unlock()
+	to := d.metered.Load()
+	if to == nil || *to == "" || d.scheme.Load() == nil {
+		return
+	}
+	for range 2 { // a new holder's first answer asks for the rest
+		t, some := d.meter.Tell(d.set.Load().IPAddress, d.windowAt(time.Now()))
+		if !some {
+			return
+		}
+		v, err := d.line.Ask(*to, t, datum.UsageWait)
+		h, ok := v.(usage.Heard)
+		if err != nil || !ok || h.Term == 0 {
+			d.book.Count("usage_untold", 1)
+			return
+		}
+		d.meter.Heard(t, h)
+		if h.Term == t.Term {
+			return
+		}
+	}
+}
+
 // lookAtSettings reloads a settings file that has changed.
 func (d *Daemon) lookAtSettings() {
 	if fi, err := os.Stat(d.path); err == nil {
--- a/internal/sluice/flume.go
+++ b/internal/sluice/flume.go
@@ -172,6 +172,7 @@
 	hdrNotRun   = "X-Slateridge-Not-Executed"
 	hdrLoad     = "X-Slateridge-Instance-Load"
 	hdrKey      = "X-Api-Key"
+	hdrPrefix   = "X-Slateridge-Prompt-Prefix"
 )
 
 // hop are the headers that concern one connection only, and those this proxy
--- a/internal/sluice/forward.go
+++ b/internal/sluice/forward.go
@@ -32,17 +32,22 @@
 	length   int64     // of the body; -1 unknown
 	runs     int       // upstream runs this request may have caused
 	sends    int       // upstreams it was sent to
+	stop     func() bool
+	ranAt    time.Time // when the run that counts as usage was sent
 }
 
 // result is what came of one offer.
 type result struct {
 	how    outcome
-	sent   bool // a byte of the request went out
-	notRun bool // the upstream said so, or nothing went out
-	gone   bool // the request may not be sent any more: deadline, route or key
+	at     time.Time // when it had been sent
+	sent   bool      // a byte of the request went out
+	notRun bool      // the upstream said so, or nothing went out
+	gone   bool      // the request may not be sent any more: deadline, route or key
 	resp   *http.Response
 	body   []byte
 	flume  *Flume // when the body is longer than what is held
+	ended  func() // to be called when a stream is over, before its connection is used again
+	stream *offer // of a stream under way: its place is taken until it ends
 	err    error
 }
 
@@ -123,6 +128,10 @@
 			name = p.tenant.Name
 		}
 		length := p.length
+		if p.route.Stream {
+			// A client that goes away frees the upstream's place.
+			p.watch(f)
+		}
 		head := requestHead(p.r, o.inst.ID, name, left, length)
 		sent, err := f.send(head, p.head, p.rest, length < 0, p.deadline.Add(datum.AnswerGrace))
 		if err != nil && !sent && reused {
@@ -132,10 +141,11 @@
 		if err != nil {
 			o.drop(f)
 			y.done(of, broken)
-			return &result{how: broken, sent: sent, notRun: !sent, err: err}
+			return &result{how: broken, at: time.Now(), sent: sent, notRun: !sent, err: err}
 		}
 		again = false
 	}
+	at := time.Now()
 	resp, err := f.answer(p.r.Method, p.r.Header.Get(hdrAttempt))
 	if err != nil {
 		o.drop(f)
@@ -144,7 +154,7 @@
 			how = silent
 		}
 		y.done(of, how)
-		return &result{how: how, sent: true, err: err}
+		return &result{how: how, at: at, sent: true, err: err}
 	}
 	if l := resp.Header.Get(hdrLoad); l != "" {
 		o.tells(l)
@@ -153,8 +163,12 @@
 	if !owns && !first {
 		resp.Close = true // in doubt; it is not used again
 	}
+	if p.route.Stream && resp.StatusCode/100 == 2 && resp.Header.Get(hdrSeal) != "" {
+		return p.firstPiece(of, f, resp, at)
+	}
+	p.unwatch()
 	body, err := readSome(resp.Body, datum.AnswerBuffer)
-	res := &result{how: served, sent: true, resp: resp, body: body}
+	res := &result{how: served, at: at, sent: true, resp: resp, body: body}
 	switch {
 	case err == nil:
 		f.over(resp)
@@ -163,7 +177,7 @@
 	default:
 		o.drop(f)
 		y.done(of, broken)
-		return &result{how: broken, sent: true, err: err}
+		return &result{how: broken, at: at, sent: true, err: err}
 	}
 	switch {
 	case resp.Header.Get(hdrNotRun) != "" || resp.StatusCode == http.StatusMisdirectedRequest:
@@ -206,9 +220,9 @@
 	var last *result
 	dials := 0
 	for {
-		of := y.Place(want{p.service, p.homes}, skip)
+		of := y.Place(p.want(), skip)
 		if of == nil && last == nil {
-			of = y.Wait(p.r.Context(), want{p.service, p.homes}, p.prio, skip, min(time.Until(held), time.Until(p.deadline)))
+			of = y.Wait(p.r.Context(), p.want(), p.prio, skip, min(time.Until(held), time.Until(p.deadline)))
 		}
 		if of == nil {
 			return last, http.StatusServiceUnavailable
@@ -271,11 +285,25 @@
 	}
 }
 
+// want is what this request asks of the yard.
+func (p *passage) want() want {
+	w := want{service: p.service, homes: p.homes}
+	if p.route.Stream {
+		w.stream, w.prefix = true, ""
+		if p.route.Affinity {
+			w.prefix = p.r.Header.Get(hdrPrefix)
+		}
+	}
+	return w
+}
+
 func (p *passage) count(r *result) {
 	if r.sent {
 		p.sends++
 		if !r.notRun {
-			p.runs++
+			if p.runs++; p.ranAt.IsZero() || r.resp != nil && r.resp.StatusCode/100 == 2 {
+				p.ranAt = r.at
+			}
 		}
 	}
 }
@@ -320,7 +348,7 @@
 			if p.sends+out >= p.route.MaxAttempts || !time.Now().Add(datum.LeastLeft).Before(p.deadline) {
 				continue
 			}
-			second := p.s.yard.Place(want{p.service, p.homes}, skip)
+			second := p.s.yard.Place(p.want(), skip)
 			if second == nil {
 				continue
 			}
@@ -350,7 +378,7 @@
 func (p *passage) hedgeAfter() time.Duration {
 	y := p.s.yard
 	y.mu.Lock()
-	mean := meanDelay(y.pick(want{p.service, p.homes}).few)
+	mean := meanDelay(y.pick(p.want()).few)
 	y.mu.Unlock()
 	return max(time.Duration(mean*datum.HedgeFactor*float64(time.Second)), time.Duration(float64(p.aim())*datum.HedgeFloor))
 }
--- a/internal/sluice/outfall.go
+++ b/internal/sluice/outfall.go
@@ -35,6 +35,7 @@
 	conns    int
 	coldAt   time.Time // last given a place while cold
 	load     float64   // requests running and waiting for each slot, as it last told
+	ownThen  int       // of them from here
 	loadAt   time.Time
 	delay    float64 // running mean of the time to an answer, seconds; 0 unknown
 	delayAt  time.Time
@@ -44,7 +45,10 @@
 }
 
 // offer is one request's place at an upstream.
-type offer struct{ of *Outfall }
+type offer struct {
+	of    *Outfall
+	first float64 // seconds to a stream's first piece; 0 none yet
+}
 
 // Yard knows all upstreams and holds requests that wait for room.
 type Yard struct {
@@ -68,7 +72,14 @@
 }
 
 // want is what a request asks for: an upstream of a service, in certain regions.
-type want struct{ service, homes string }
+type want struct {
+	service, homes string
+	stream         bool   // it runs for long, and beside others in a batch
+	prefix         string // what its prompt has in common with others
+}
+
+// group is the want without what tells requests for the same upstreams apart.
+func (w want) group() want { return want{service: w.service, homes: w.homes} }
 
 // anywhere is the homes of a request that may be served in all regions.
 const anywhere = "*"
@@ -120,6 +131,7 @@
 type pick struct{ few, all []*Outfall }
 
 func (y *Yard) pick(w want) *pick {
+	w = w.group()
 	p := y.picks[w]
 	if p == nil {
 		p = &pick{}
@@ -277,7 +289,7 @@
 		return
 	}
 	o.yard.mu.Lock()
-	o.load, o.loadAt = (n[0]+n[1])/n[2], time.Now()
+	o.load, o.loadAt, o.ownThen = (n[0]+n[1])/n[2], time.Now(), len(o.out)
 	o.yard.mu.Unlock()
 }
 
@@ -309,6 +321,9 @@
 // has room. Among those out after failures the longest out is taken only when
 // too few are left.
 func (y *Yard) choose(w want, skip map[*Outfall]bool, now time.Time) *Outfall {
+	if w.stream {
+		return y.chooseStream(w, skip, now)
+	}
 	pk := y.pick(w)
 	few, os := pk.few, pk.all
 	mean := meanDelay(few)
@@ -397,7 +412,7 @@
 	if now.Before(o.warmAt) {
 		o.coldAt = now
 	}
-	p := &offer{o}
+	p := &offer{of: o}
 	o.out[p] = now
 	return p
 }
@@ -498,11 +513,14 @@
 	delete(o.out, p)
 	now := time.Now()
 	took := now.Sub(began).Seconds()
+	if p.first > 0 {
+		took = p.first
+	}
 	learn := func(s float64) {
 		if o.delay == 0 {
 			o.delay = s
 		} else {
-			o.delay = o.expect(now, meanDelay(y.pick(want{o.inst.Service, anywhere}).few))
+			o.delay = o.expect(now, meanDelay(y.pick(want{service: o.inst.Service, homes: anywhere}).few))
 			o.delay += datum.DelayWeight * (s - o.delay)
 		}
 		o.delayAt = now
@@ -519,7 +537,7 @@
 		learn(max(took, datum.FirstDelay.Seconds()))
 		o.eject(now)
 	case full:
-		learn(max(2*meanDelay(y.pick(want{o.inst.Service, anywhere}).few), took))
+		learn(max(2*meanDelay(y.pick(want{service: o.inst.Service, homes: anywhere}).few), took))
 		o.ejected = now.Add(datum.FullPause)
 	case broken, silent:
 		if how == silent {
--- a/internal/sluice/path_test.go
+++ b/internal/sluice/path_test.go
@@ -352,7 +352,7 @@
 	}
 	p.deadline = time.Now().Add(-time.Millisecond)
 	s.scheme.Store(sch)
-	if of := s.yard.Place(want{"svc", anywhere}, nil); of == nil || !p.try(of).notRun || u.count() != 0 {
+	if of := s.yard.Place(want{service: "svc", homes: anywhere}, nil); of == nil || !p.try(of).notRun || u.count() != 0 {
 		t.Error("sent after its deadline")
 	}
 }
--- a/internal/sluice/places_test.go
+++ b/internal/sluice/places_test.go
@@ -128,7 +128,7 @@
 	y.Apply(time.Now(), is)
 	got := map[string]int{}
 	for range 60 * 2 {
-		if of := y.Place(want{"svc", anywhere}, nil); of != nil {
+		if of := y.Place(want{service: "svc", homes: anywhere}, nil); of != nil {
 			got[of.of.inst.Zone]++
 			if got["z2"] == 0 && got["y"] > 0 {
 				t.Fatalf("another region while the own has room: %v", got)
@@ -155,7 +155,7 @@
 			y.Apply(now, []intake.Instance{in})
 			y.SetProxies(fleet - r.IntN(30))
 			for at := now; at.Before(now.Add(4 * time.Second)); at = at.Add(time.Duration(r.IntN(60)) * time.Millisecond) {
-				if o := y.choose(want{"svc", anywhere}, nil, at); o != nil {
+				if o := y.choose(want{service: "svc", homes: anywhere}, nil, at); o != nil {
 					o.coldAt = at
 					times = append(times, at)
 				}
@@ -202,7 +202,7 @@
 		r.Header.Set(hdrKey, "k1")
 		route, tenant, _ := match(sch, r)
 		p := &passage{s: s, r: r, sch: sch, route: route, tenant: tenant, service: "svc", homes: anywhere, deadline: time.Now().Add(time.Second)}
-		of := s.yard.Place(want{"svc", anywhere}, nil)
+		of := s.yard.Place(want{service: "svc", homes: anywhere}, nil)
 		change(s)
 		if of == nil || !p.try(of).notRun || u.count() != 0 {
 			t.Errorf("%s: a request went out all the same", name)
--- a/internal/sluice/sluice.go
+++ b/internal/sluice/sluice.go
@@ -11,9 +11,12 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"slateridge/internal/datum"
 	"slateridge/internal/logbook"
 	"slateridge/internal/scheme"
+	"slateridge/internal/usage"
 	"slateridge/internal/weir"
 )
 
@@ -24,12 +27,20 @@
 	scheme  atomic.Pointer[scheme.Scheme]
 	yard    *Yard
 	weir    *weir.Weir
+	meter   *usage.Meter // nil where usage is not reported
+	window  func(at time.Time) uint64
 	allow   *Allowance
 	askFor  func(key string) // one question to a key's tracker, answered or not
 	leaving atomic.Bool
 	hedges  atomic.Uint64
 	open    atomic.Int64
 	counts  [6]atomic.Uint64
+
+	streams     atomic.Int64  // under way
+	streamsCut  atomic.Uint64 // ended by their upstream before their end
+	streamsLeft atomic.Uint64 // ended by their client
+	firstPieces metrics.Histogram
+	pauses      metrics.Histogram
 }
 
 // What became of requests, for the counters.
@@ -106,9 +117,17 @@
 			return
 		}
 	}
+	if s.meter != nil && tenant != nil {
+		w := s.window(arrived)
+		s.meter.Begin(w)
+		defer s.meter.End(w)
+	}
 	settle := func() {
 		if tenant != nil {
 			s.weir.Settle(s.now(), tenant.Name, p.runs)
+			if s.meter != nil && p.runs > 0 && !p.route.Stream { // streams count with their first piece
+				s.meter.Count(s.window(p.ranAt), tenant.Name)
+			}
 		}
 	}
 	if code := p.readBody(w); code != 0 {
@@ -116,6 +135,7 @@
 		s.refuse(w, r, code, 0)
 		return
 	}
+	defer p.unwatch()
 	res, code := p.forward()
 	settle()
 	s.reply(w, p, res, code)
@@ -213,7 +233,11 @@
 	if _, ok := h["Content-Type"]; !ok {
 		h["Content-Type"] = nil
 	}
-	if res.flume == nil {
+	if res.stream != nil {
+		if res.resp.ContentLength >= 0 {
+			h.Set("Content-Length", strconv.FormatInt(res.resp.ContentLength, 10))
+		}
+	} else if res.flume == nil {
 		h.Set("Content-Length", strconv.Itoa(len(res.body)))
 		if res.resp.Request.Method == http.MethodHead {
 			h.Del("Content-Length")
@@ -230,6 +254,10 @@
 		s.counts[cFailed].Add(1)
 	}
 	w.WriteHeader(res.resp.StatusCode)
+	if res.stream != nil {
+		s.stream(w, res)
+		return
+	}
 	w.Write(res.body)
 	if res.flume == nil {
 		return
