Scaling: a law over concurrency, ordered under lease and fence

Proxies tell once a second what runs and waits for them; the holder orders by service and zone, between minCount and maxCount, by a law that stands in package scaling: Little's law at half of all places, a dead band, up at once, down by a quarter each pause and only on fresh words of all. What is ordered is decided in the chain as one state, so a successor goes on from it.

The pacing test found a pause after a failure that was shorter than the spacing of calls: mended.

--- a/internal/datum/datum.go
+++ b/internal/datum/datum.go
@@ -86,6 +86,23 @@
 	UsageSilent  = 2500 * time.Millisecond // a proxy unheard so long is not waited for
 )
 
+// Scaling; the law stands in package scaling.
+const (
+	ScaleEvery    = time.Second             // a proxy's word on what runs
+	ScaleFresh    = 2500 * time.Millisecond // a word older than two and a half of them says nothing
+	ScaleHold     = 6 * time.Second         // the largest load of so long is reckoned with: longer than a boot
+	ScaleRise     = 3 * time.Second         // over which a rise is measured
+	ScaleAhead    = 0.5                     // part of the rise until a boot ends that is believed: noise rises too
+	ScaleTaken    = 0.5                     // part of all places to be taken: a burst of half as much again fits without an order
+	ScaleHigh     = 0.62                    // part taken from which more are ordered: the daily ripple of a sixth stays below it
+	ScaleLow      = 0.40                    // and below which fewer are
+	ScaleSmooth   = time.Second             // over which the load is averaged: single requests come and go
+	ScaleDown     = 0.25                    // at most this part is given up at a time
+	ScalePause    = 1500 * time.Millisecond // between two times
+	ScaleServices = 1024                    // services in one word
+	ScaleMost     = 1 << 20                 // requests of a service at one proxy; more is garbage
+)
+
 // Time of day.
 const (
 	ClockFresh = 5 * time.Second // a clock heard of longer ago has no say in the median
--- a/internal/duty/officer.go
+++ b/internal/duty/officer.go
@@ -130,7 +130,7 @@
 	o.fails++
 	o.Failed++
 	pause := min(datum.DutyPause<<min(o.fails-1, 5), datum.DutyPauseMax)
-	o.nextAt = now + pause/2 + time.Duration(o.rng.Int64N(int64(pause)))
+	o.nextAt = max(o.nextAt, now+pause/2+time.Duration(o.rng.Int64N(int64(pause))))
 }
 
 // Answered takes the platform's answer to a call; status 0 is none.
--- a/internal/headworks/daemon.go
+++ b/internal/headworks/daemon.go
@@ -23,6 +23,7 @@
 	"slateridge/internal/intake"
 	"slateridge/internal/logbook"
 	"slateridge/internal/penstock"
+	"slateridge/internal/scaling"
 	"slateridge/internal/scheme"
 	"slateridge/internal/sill"
 	"slateridge/internal/staff"
@@ -141,6 +142,11 @@
 	clock *clock.Clock // agreed among the control machines
 	posts []*post      // duties at the platform
 	tally *usage.Tally
+
+	scheme  atomic.Pointer[scheme.Scheme] // in force here
+	load    *scaling.Gauge
+	law     *scaling.Law
+	zonesOf map[scaling.Subject]int // slots of an upstream, where any was seen
 }
 
 // NewDaemon opens the store and builds the machines.
@@ -195,6 +201,13 @@
 		duties = append(duties, sill.DutyUsage)
 		d.posts = append(d.posts, d.newPost(sill.DutyUsage, "/usage-reports", d.planUsage))
 	}
+	d.load, d.law, d.zonesOf = scaling.NewGauge(), scaling.NewLaw(), map[scaling.Subject]int{}
+	if set.Does(sill.DutyScaling) {
+		duties = append(duties, sill.DutyScaling)
+		p := d.newPost(sill.DutyScaling, "/scaling", d.planScaling)
+		p.split, p.officer.Latest = scaling.Split, true
+		d.posts = append(d.posts, p)
+	}
 	d.places = gazetteer.New(0, set.Zones)
 	d.leases = watermaster.New(0, rng.Uint64(), set.IPAddress, duties)
 	d.pen = penstock.New(d.face, d.sharing)
@@ -396,6 +409,7 @@
 		if err != nil {
 			panic("headworks: an invalid configuration was committed: " + err.Error())
 		}
+		d.scheme.Store(s)
 		d.gates.SetQuotas(d.now(), weir.Quotas(s))
 		d.book.Note("config", fmt.Sprintf("r%d in force", doc.Version))
 	}
@@ -454,6 +468,9 @@
 	if d.set.Does(sill.DutyUsage) {
 		f.Metered = d.leases.Holder(d.now(), sill.DutyUsage)
 	}
+	if d.set.Does(sill.DutyScaling) {
+		f.Scaler = d.leases.Holder(d.now(), sill.DutyScaling)
+	}
 	d.leaseMu.Unlock()
 	if at, ok := d.clock.Now(d.now()); ok {
 		f.Wall = at.UnixNano()
@@ -513,6 +530,8 @@
 		d.sendLeases(out)
 	case usage.Told:
 		return d.takeUsage(m)
+	case scaling.Told:
+		return d.takeLoad(m)
 	case Roster:
 		d.takeRoster(m)
 	case ListNews:
--- a/internal/headworks/duties.go
+++ b/internal/headworks/duties.go
@@ -5,16 +5,18 @@
 	"context"
 	"errors"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
 
 	"slateridge/internal/datum"
 	"slateridge/internal/duty"
-	"slateridge/internal/intake"
+	"slateridge/internal/scaling"
 	"slateridge/internal/sill"
 	"slateridge/internal/usage"
 )
@@ -30,6 +32,12 @@
 	cancel  context.CancelFunc
 	calling uint64
 	since   time.Duration // start of the unbroken holding
+	// split makes several calls of one act, by subject; nil: it is one call. Those
+	// the platform has taken under the present fence are not made again.
+	split  func(body []byte) map[string][]byte
+	acting sync.Mutex // a call that has been cut may still be on its way out
+	taken  map[string]string
+	under  uint64
 }
 
 var errNotHeld = errors.New("the duty is not held any more")
@@ -122,7 +130,7 @@
 			p.mu.Unlock()
 			go func() {
 				defer cancel()
-				status, err := d.call(ctx, p, o)
+				status := d.act(ctx, p, o)
 				p.mu.Lock()
 				more := p.officer.Answered(d.now(), o.ID, status)
 				p.mu.Unlock()
@@ -132,29 +140,52 @@
 						d.book.Note("duty_answer", p.name+": the platform answered "+strconv.Itoa(status))
 					}
 				}
-				_ = err // no answer: counted, and tried again
 				d.carryOut(p, more)
 			}()
 		}
 	}
 }
 
-// call sends one act; status 0 is no answer.
-func (d *Daemon) call(ctx context.Context, p *post, o duty.Post) (int, error) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+d.set.CloudAPI.Address+p.path, bytes.NewReader(o.Body))
+// act sends what was decided, in as many calls as it takes; status 0 is no answer.
+func (d *Daemon) act(ctx context.Context, p *post, o duty.Post) int {
+	if p.split == nil {
+		return d.call(ctx, p, o.Fence, o.Body)
+	}
+	p.acting.Lock()
+	defer p.acting.Unlock()
+	if p.under != o.Fence {
+		p.under, p.taken = o.Fence, map[string]string{}
+	}
+	parts := p.split(o.Body)
+	for _, s := range slices.Sorted(maps.Keys(parts)) {
+		if p.taken[s] == string(parts[s]) {
+			continue
+		}
+		if status := d.call(ctx, p, o.Fence, parts[s]); status != http.StatusOK {
+			return status
+		}
+		p.taken[s] = string(parts[s])
+		time.Sleep(datum.DutySpacing)
+	}
+	return http.StatusOK
+}
+
+// call makes one call to the platform.
+func (d *Daemon) call(ctx context.Context, p *post, fence uint64, body []byte) int {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+d.set.CloudAPI.Address+p.path, bytes.NewReader(body))
 	if err != nil {
-		return 0, err
+		return 0
 	}
 	req.Header.Set("Content-Type", "application/json")
 	req.Header.Set("X-Slateridge-Duty-Holder", d.set.NodeName)
-	req.Header.Set("X-Slateridge-Fence-Token", strconv.FormatUint(o.Fence, 10))
+	req.Header.Set("X-Slateridge-Fence-Token", strconv.FormatUint(fence, 10))
 	resp, err := p.client.Do(req)
 	if err != nil {
-		return 0, err
+		return 0 // counted by the caller, and tried again
 	}
 	defer resp.Body.Close()
 	io.Copy(io.Discard, io.LimitReader(resp.Body, datum.HeaderBytes))
-	return resp.StatusCode, nil
+	return resp.StatusCode
 }
 
 // ---- usage
@@ -194,16 +225,65 @@
 	return out
 }
 
-// Instances of a service in a zone as the list here has them.
-func listed(l *intake.List, service, zone string) (n int) {
-	if l != nil {
-		for _, i := range l.Instances {
-			if i.Service == service && i.Zone == zone && !i.Draining {
-				n++
+// ---- scaling
+
+// takeLoad keeps what a proxy tells, while this machine holds the duty.
+func (d *Daemon) takeLoad(t scaling.Told) any {
+	if until, _ := d.lease(sill.DutyScaling); until == 0 {
+		return scaling.Heard{}
+	}
+	return scaling.Heard{OK: d.load.Take(d.now(), t)}
+}
+
+// scalable lists what may be ordered: each service with bounds, in each zone where
+// the platform's list has ever shown it here.
+func (d *Daemon) scalable() map[scaling.Subject]scaling.Bound {
+	sch := d.scheme.Load()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	out := map[scaling.Subject]scaling.Bound{}
+	if sch == nil || d.list == nil {
+		return out
+	}
+	for _, i := range d.list.Instances {
+		s := scaling.Subject{Service: i.Service, Zone: i.Zone}
+		if sv := sch.Services[i.Service]; sv != nil && sv.Scaling != nil {
+			if d.zonesOf[s] == 0 {
+				d.zonesOf[s] = i.Slots
+			}
+			b := out[s]
+			if !i.Draining {
+				b.Present++
 			}
+			out[s] = b
+		}
+	}
+	for s, slots := range d.zonesOf {
+		sv := sch.Services[s.Service]
+		if sv == nil || sv.Scaling == nil {
+			continue
+		}
+		b := out[s]
+		b.Min, b.Max, b.Boot, b.Slots = sv.Scaling.Min, sv.Scaling.Max, sv.Scaling.Boot, slots
+		out[s] = b
+	}
+	return out
+}
+
+// planScaling names the next orders, once they differ from those decided before.
+func (d *Daemon) planScaling(now time.Duration, after uint64) (uint64, []byte, bool) {
+	sum, whole := d.load.Sum(now, d.freshProxies())
+	had := scaling.Read(d.record(sill.DutyScaling).Body)
+	wanted, changed := d.law.Step(now, sum, whole, d.scalable(), had)
+	if !changed {
+		return 0, nil, false
+	}
+	for _, o := range wanted {
+		if was, ok := had.Of(scaling.Subject{Service: o.TargetService, Zone: o.Zone}); !ok || was != o.DesiredCount {
+			d.book.Note("scale", o.TargetService+" in "+o.Zone+": "+strconv.Itoa(was)+" -> "+strconv.Itoa(o.DesiredCount)+" ("+d.law.Why(scaling.Subject{Service: o.TargetService, Zone: o.Zone})+")")
 		}
 	}
-	return n
+	return after + 1, wanted.Bytes(), true
 }
 
 // DutyReport is one duty for operators.
--- a/internal/headworks/duties_test.go
+++ b/internal/headworks/duties_test.go
@@ -12,12 +12,7 @@
 	"slateridge/internal/watermaster"
 )
 
-const (
-	testLease  = 3 * time.Second
-	testWindow = 2 * time.Second
-	testDelay  = 5 * time.Second
-	testDuty   = "usage"
-)
+const testDuty = "usage"
 
 // act is one call the stand-in platform took.
 type act struct {
@@ -39,6 +34,7 @@
 	meters  map[string]*usage.Meter
 	truth   map[uint64]usage.Counts
 
+	span, delay, turn          time.Duration // window, usageDelay, lease
 	platformDown, platformSlow bool
 	fence                      uint64
 	by                         map[uint64]string // fence -> holder
@@ -51,12 +47,12 @@
 var epoch = time.Unix(1_800_000_000, 0)
 
 func (w *works) agreed() time.Time { return epoch.Add(w.b.Now) }
-func (w *works) window() uint64    { return usage.Window(w.agreed(), testWindow) }
+func (w *works) window() uint64    { return usage.Window(w.agreed(), w.span) }
 
-func newWorks(t *testing.T, seed uint64, names []string, tolerate int) *works {
+func newWorks(t *testing.T, seed uint64, names []string, tolerate int, span, delay, turn time.Duration) *works {
 	w := &works{core: newCore(t, seed, names, tolerate), leases: map[string]*watermaster.Watermaster{}, men: map[string]*duty.Officer{},
 		tallies: map[string]*usage.Tally{}, bornAs: map[string]int{}, born: map[string]time.Duration{}, meters: map[string]*usage.Meter{},
-		truth: map[uint64]usage.Counts{}, by: map[uint64]string{}, content: map[uint64]string{}}
+		span: span, delay: delay, turn: turn, truth: map[uint64]usage.Counts{}, by: map[uint64]string{}, content: map[uint64]string{}}
 	for _, n := range names {
 		w.drive(n)
 	}
@@ -76,7 +72,7 @@
 	if w.leases[n] == nil || w.bornAs[n] != w.life[n] {
 		w.bornAs[n], w.born[n] = w.life[n], w.b.Now
 		w.leases[n] = watermaster.New(w.b.Now, w.b.Rng.Uint64(), n, []string{testDuty})
-		w.men[n] = duty.NewOfficer(testDuty, n, testLease, 50, rand.New(rand.NewPCG(w.seed, w.b.Rng.Uint64())))
+		w.men[n] = duty.NewOfficer(testDuty, n, w.turn, 50, rand.New(rand.NewPCG(w.seed, w.b.Rng.Uint64())))
 		w.tallies[n] = usage.NewTally(w.b.Rng.Uint64())
 	}
 	l, o, v := w.leases[n], w.men[n], w.chain[n].View()
@@ -85,7 +81,7 @@
 	since, _ := l.Holds(w.b.Now, testDuty)
 	rec := w.record(n)
 	w.carry(n, o.Step(w.b.Now, l.Until(w.b.Now, testDuty), rec, func(after uint64) (uint64, []byte, bool) {
-		return w.tallies[n].Next(usage.Moment{Steady: w.b.Now, Agreed: w.agreed(), Held: w.b.Now - since}, after, testWindow, testDelay, []string{"p", "q"})
+		return w.tallies[n].Next(usage.Moment{Steady: w.b.Now, Agreed: w.agreed(), Held: w.b.Now - since}, after, w.span, w.delay, []string{"p", "q"})
 	}))
 }
 
@@ -175,7 +171,7 @@
 func (w *works) turns() {
 	last := w.acts[len(w.acts)-1]
 	other := false
-	for i := len(w.acts) - 2; i >= 0 && last.at-w.acts[i].at < testLease; i-- {
+	for i := len(w.acts) - 2; i >= 0 && last.at-w.acts[i].at < w.turn; i-- {
 		if w.acts[i].holder != last.holder {
 			other = true
 		} else if other {
@@ -240,7 +236,13 @@
 	moves, acts, refused, lost := 0, 0, 0, 0
 	for seed := uint64(1); seed <= 80; seed++ {
 		names := [][]string{three, {"a", "b", "c", "d", "e", "f"}}[seed%2]
-		w := newWorks(t, seed, names, 1+int(seed%2))
+		// Every other day has short windows and a long lease: holders that come back
+		// act again soon, and have to wait.
+		span, delay, turn := 2*time.Second, 5*time.Second, 3*time.Second
+		if seed/2%2 == 0 {
+			span, delay, turn = 400*time.Millisecond, 3*time.Second, 7*time.Second
+		}
+		w := newWorks(t, seed, names, 1+int(seed%2), span, delay, turn)
 		w.b.Loss = []float64{0, 0.02, 0.1}[seed%3]
 		w.b.Delay = []time.Duration{5, 40, 200}[seed/3%3] * time.Millisecond
 		w.gap = []time.Duration{2, 6}[seed/9%2] * time.Second
@@ -270,7 +272,7 @@
 		w.platformDown, w.platformSlow = false, false
 		w.settle()
 		from := w.window()
-		w.b.Run(w.b.Now+8*testWindow+testDelay, nil)
+		w.b.Run(w.b.Now+8*w.span+w.delay+w.turn, nil)
 		for k := from + 1; k < from+7; k++ {
 			body, ok := w.content[k]
 			if !ok {
--- a/internal/penstock/line.go
+++ b/internal/penstock/line.go
@@ -39,6 +39,7 @@
 	state   uint64
 	evacs   []string
 	metered string
+	scaler  string
 }
 
 type end struct {
@@ -66,6 +67,7 @@
 	From      string // the control machine that spoke
 	Wall      int64  // its agreed time of day; 0 unknown
 	Metered   string // who usage is told to, as last named by any
+	Scaler    string // likewise what runs
 }
 
 // NewLine makes a proxy's end, with the control machines it knows to begin
@@ -311,7 +313,10 @@
 	if n.Metered != "" {
 		l.metered = n.Metered
 	}
-	f.From, f.Metered = a, l.metered
+	if n.Scaler != "" {
+		l.scaler = n.Scaler
+	}
+	f.From, f.Metered, f.Scaler = a, l.metered, l.scaler
 	if n.Current {
 		f.Wall = n.Wall
 	}
--- a/internal/penstock/penstock.go
+++ b/internal/penstock/penstock.go
@@ -48,6 +48,7 @@
 		Proxies   int
 		Wall      int64    // the agreed time of day, in nanoseconds; 0 unknown
 		Metered   string   // the control machine that usage is told to
+		Scaler    string   // and what runs, where upstreams are ordered
 		Trackers  []string // these two only when they differ from what was told last
 		Peers     []Peer
 		Config    *scheme.Packed
--- /dev/null
+++ b/internal/scaling/scaling.go
@@ -0,0 +1,267 @@
+// Package scaling decides how many upstreams of a service each zone is to have; in
+// the field's terms: a feed-forward control loop over concurrency (Little's law),
+// fast up, slow down. Proxies tell what runs and waits for them, the duty's holder
+// adds it up, and what it orders is kept in the chain, so a successor goes on there.
+//
+// The law. With n requests running or waiting in a zone, slots places an upstream
+// and a part u of them to be taken, n/(u x slots) upstreams are wanted. n is the
+// largest mean over a second in the last hold time, or what its rise over the last
+// rise time makes of it until a new upstream has booted. Between a low and a high
+// part taken nothing is changed. Above the high one what is wanted is ordered at once.
+// Below the low one fewer are ordered, at most a part of them each pause, and only
+// while every live proxy's word is fresh and something has been asked lately. One hold time is longer than a period of the daily ripple and than a boot,
+// so an order is not taken back before its effect is seen: that is what keeps the
+// loop from swinging.
+package scaling
+
+import (
+	"cmp"
+	"encoding/json"
+	"math"
+	"slices"
+	"sync"
+	"time"
+
+	"slateridge/internal/conduit"
+	"slateridge/internal/datum"
+)
+
+// Subject is a service in a zone.
+type Subject struct{ Service, Zone string }
+
+// Told is one proxy's word: what runs and waits for it now, by service.
+type Told struct {
+	Proxy, Zone string
+	Running     map[string]int
+}
+
+// Heard answers it; false from who does not hold the duty.
+type Heard struct{ OK bool }
+
+func init() {
+	conduit.Register(Told{})
+	conduit.Register(Heard{})
+}
+
+type word struct {
+	at time.Duration
+	t  Told
+}
+
+// Gauge adds up the proxies' words.
+type Gauge struct {
+	mu      sync.Mutex
+	by      map[string]word
+	Garbage uint64
+}
+
+// NewGauge makes an empty one.
+func NewGauge() *Gauge { return &Gauge{by: map[string]word{}} }
+
+// Take keeps a proxy's latest word; one that cannot be is dropped and counted.
+func (g *Gauge) Take(now time.Duration, t Told) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	bad := t.Proxy == "" || len(t.Proxy) > datum.NameMax || len(t.Zone) > datum.NameMax || len(t.Running) > datum.ScaleServices
+	for _, n := range t.Running {
+		bad = bad || n < 0 || n > datum.ScaleMost
+	}
+	if bad {
+		g.Garbage++
+		return false
+	}
+	g.by[t.Proxy] = word{now, t}
+	return true
+}
+
+// Sum is what runs, by subject, and whether all live proxies have spoken lately.
+func (g *Gauge) Sum(now time.Duration, live []string) (sum map[Subject]float64, whole bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	sum, whole = map[Subject]float64{}, len(live) > 0
+	for p, w := range g.by {
+		if now-w.at > datum.ScaleFresh {
+			if now-w.at > datum.ScaleHold {
+				delete(g.by, p)
+			}
+			continue
+		}
+		for s, n := range w.t.Running {
+			sum[Subject{s, w.t.Zone}] += float64(n)
+		}
+	}
+	for _, p := range live {
+		if w, ok := g.by[p]; !ok || now-w.at > datum.ScaleFresh {
+			whole = false
+		}
+	}
+	return sum, whole
+}
+
+// Bound is what is known of a subject beside its load.
+type Bound struct {
+	Min, Max int
+	Boot     time.Duration
+	Slots    int
+	Present  int // on the platform's list and not leaving
+}
+
+// Orders are the counts ordered, as they are kept and sent.
+type Orders []Order
+
+// Order is one subject's count.
+type Order struct {
+	TargetService string `json:"targetService"`
+	Zone          string `json:"zone"`
+	DesiredCount  int    `json:"desiredCount"`
+}
+
+// Read gives orders as they were written; none when they cannot be read.
+func Read(b []byte) Orders {
+	var os Orders
+	if json.Unmarshal(b, &os) != nil {
+		return nil
+	}
+	return os
+}
+
+// Bytes writes orders.
+func (os Orders) Bytes() []byte {
+	b, err := json.Marshal(os)
+	if err != nil {
+		panic("scaling: orders cannot be written: " + err.Error())
+	}
+	return b
+}
+
+// Of is the count ordered of a subject.
+func (os Orders) Of(s Subject) (int, bool) {
+	for _, o := range os {
+		if o.TargetService == s.Service && o.Zone == s.Zone {
+			return o.DesiredCount, true
+		}
+	}
+	return 0, false
+}
+
+type point struct {
+	at time.Duration
+	n  float64
+}
+
+type track struct {
+	past   []point // as measured
+	smooth []point
+	downAt time.Duration
+	why    string
+}
+
+// Law is the loop's memory of the load at one holder. What has been ordered is not
+// in it: that comes from the chain.
+type Law struct {
+	by map[Subject]*track
+}
+
+// NewLaw makes one that has seen nothing.
+func NewLaw() *Law { return &Law{by: map[Subject]*track{}} }
+
+// Step takes a measurement and gives the orders that are wanted now, given the
+// present ones; changed says that they differ.
+func (l *Law) Step(now time.Duration, load map[Subject]float64, whole bool, bounds map[Subject]Bound, present Orders) (wanted Orders, changed bool) {
+	subjects := make([]Subject, 0, len(bounds))
+	for s := range bounds {
+		subjects = append(subjects, s)
+	}
+	slices.SortFunc(subjects, func(a, b Subject) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Zone, b.Zone))
+	})
+	for _, s := range subjects {
+		b := bounds[s]
+		t := l.by[s]
+		if t == nil {
+			t = &track{downAt: now}
+			l.by[s] = t
+		}
+		n := load[s]
+		if whole || n > 0 {
+			t.past = append(t.past, point{now, n})
+		}
+		for len(t.past) > 0 && now-t.past[0].at > datum.ScaleHold {
+			t.past = t.past[1:]
+		}
+		is, ordered := present.Of(s)
+		if !ordered {
+			is = b.Present
+		}
+		count := min(max(l.next(now, t, b, is, whole), b.Min), b.Max)
+		if !ordered && count == is {
+			continue // nothing is ordered before there is a reason to
+		}
+		wanted = append(wanted, Order{s.Service, s.Zone, count})
+		changed = changed || !ordered || count != is
+	}
+	return wanted, changed
+}
+
+// next is the count wanted when is are ordered.
+func (l *Law) next(now time.Duration, t *track, b Bound, is int, whole bool) int {
+	if len(t.past) == 0 || b.Slots < 1 {
+		return is
+	}
+	mean := func(until time.Duration) (sum float64, ok bool) { // over the smoothing time before
+		n := 0.0
+		for _, p := range t.past {
+			if p.at <= until && until-p.at < datum.ScaleSmooth {
+				sum, n = sum+p.n, n+1
+			}
+		}
+		return sum / max(n, 1), n > 0
+	}
+	last, ok := mean(now)
+	t.smooth = append(t.smooth, point{now, last})
+	for now-t.smooth[0].at > datum.ScaleHold {
+		t.smooth = t.smooth[1:]
+	}
+	most := 0.0
+	for _, p := range t.smooth {
+		most = max(most, p.n)
+	}
+	if most == 0 || !ok {
+		return is // nobody asks: no measurement of what they would
+	}
+	if before, ok := mean(now - datum.ScaleRise); ok && before > 0 && last > before {
+		most = max(most, last+(last-before)*b.Boot.Seconds()/datum.ScaleRise.Seconds()*datum.ScaleAhead)
+	}
+	want := int(math.Ceil(most / (datum.ScaleTaken * float64(b.Slots))))
+	taken := most / float64(max(1, is)*b.Slots)
+	if taken > datum.ScaleHigh {
+		t.why, t.downAt = "load", now
+		return want
+	}
+	if !whole || now-t.smooth[0].at < datum.ScaleHold*3/4 || now-t.downAt < datum.ScalePause || taken >= datum.ScaleLow {
+		return is
+	}
+	t.why, t.downAt = "idle", now
+	return max(want, int(math.Ceil(float64(is)*(1-datum.ScaleDown))))
+}
+
+// Why is the reason of a subject's last change.
+func (l *Law) Why(s Subject) string {
+	if t := l.by[s]; t != nil {
+		return t.why
+	}
+	return ""
+}
+
+// Split makes one call a subject of the orders.
+func Split(body []byte) map[string][]byte {
+	out := map[string][]byte{}
+	for _, o := range Read(body) {
+		b, err := json.Marshal(o)
+		if err != nil {
+			panic("scaling: an order cannot be written: " + err.Error())
+		}
+		out[o.TargetService+" "+o.Zone] = b
+	}
+	return out
+}
--- /dev/null
+++ b/internal/scaling/scaling_test.go
@@ -0,0 +1,159 @@
+package scaling
+
+import (
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"slateridge/internal/datum"
+)
+
+var subject = Subject{"svc", "z"}
+
+// plant is a zone of upstreams that boot, under a load.
+type plant struct {
+	ready  int
+	boots  []time.Duration // when each one ordered becomes ready
+	orders Orders
+	counts []int // after each change
+}
+
+func (p *plant) order(now time.Duration, boot time.Duration, os Orders) {
+	n, _ := os.Of(subject)
+	for p.ready+len(p.boots) < n {
+		p.boots = append(p.boots, now+boot)
+	}
+	for p.ready+len(p.boots) > n {
+		if len(p.boots) > 0 {
+			p.boots = p.boots[:len(p.boots)-1]
+		} else {
+			p.ready--
+		}
+	}
+	p.orders = os
+	p.counts = append(p.counts, n)
+}
+
+// play runs a law over a load; each is asked every 100 ms.
+func play(l *Law, p *plant, from, until time.Duration, load func(time.Duration) float64, whole func(time.Duration) bool, check func(now time.Duration)) {
+	b := Bound{Min: 10, Max: 80, Boot: 4 * time.Second, Slots: 4}
+	for now := from; now < until; now += 100 * time.Millisecond {
+		for len(p.boots) > 0 && p.boots[0] <= now {
+			p.boots, p.ready = p.boots[1:], p.ready+1
+		}
+		b.Present = p.ready
+		if os, changed := l.Step(now, map[Subject]float64{subject: load(now)}, whole(now), map[Subject]Bound{subject: b}, p.orders); changed {
+			p.order(now, b.Boot, os)
+		}
+		if n, ok := p.orders.Of(subject); ok && (n < b.Min || n > b.Max) {
+			panic("out of bounds")
+		}
+		if check != nil {
+			check(now)
+		}
+	}
+}
+
+func always(time.Duration) bool { return true }
+
+func flat(n float64) func(time.Duration) float64 { return func(time.Duration) float64 { return n } }
+
+// A load that falls is followed down in steps, one that rises at once, so that a boot
+// later there is room for it; the count settles and stays.
+func TestStep(t *testing.T) {
+	p := &plant{ready: 50}
+	load := func(now time.Duration) float64 {
+		if now > 40*time.Second {
+			return 120
+		}
+		return 40
+	}
+	play(NewLaw(), p, 0, 39*time.Second, load, always, nil)
+	want := int(math.Ceil(40 / (4 * datum.ScaleTaken)))
+	if p.ready < want || p.ready > want+3 {
+		t.Fatalf("%d upstreams for 40 requests at once, want %d: %v", p.ready, want, p.counts)
+	}
+	l := NewLaw()
+	play(l, p, 30*time.Second, 46*time.Second, load, always, nil)
+	if p.ready*4 < 120 {
+		t.Fatalf("%d upstreams of 4 places 6 s after the load rose to 120", p.ready)
+	}
+	settled := len(p.counts)
+	play(l, p, 60*time.Second, 90*time.Second, load, always, nil)
+	if len(p.counts) > settled+3 {
+		t.Fatalf("the count does not settle: %v", p.counts[settled:])
+	}
+}
+
+// A wave and noise do not set it swinging: once it has settled it turns round seldom,
+// and there is always room for all.
+func TestWaveDoesNotSwing(t *testing.T) {
+	for seed := uint64(1); seed <= 60; seed++ {
+		r := rand.New(rand.NewPCG(seed, 3))
+		base, period := 60+60*r.Float64(), 5+10*r.Float64()
+		p := &plant{ready: 60}
+		load := func(now time.Duration) float64 {
+			return math.Round(base * (1 + 0.15*math.Sin(now.Seconds()*2*math.Pi/period) + 0.05*r.NormFloat64()))
+		}
+		turns := 0
+		play(NewLaw(), p, 0, 90*time.Second, load, always, func(now time.Duration) {
+			if now > 20*time.Second && float64(p.ready*4) < base*1.3 {
+				t.Fatalf("seed %d at %v: %d upstreams for %.0f", seed, now, p.ready, base)
+			}
+		})
+		for i := 2; i < len(p.counts); i++ {
+			if (p.counts[i]-p.counts[i-1])*(p.counts[i-1]-p.counts[i-2]) < 0 {
+				turns++
+			}
+		}
+		if turns > 4 {
+			t.Errorf("seed %d: %d turns in 90 s: %v", seed, turns, p.counts)
+		}
+	}
+}
+
+// Without a word from every proxy, or with nobody asking, nothing is given up; and a
+// rise is followed all the same.
+func TestStaleNeverScalesIn(t *testing.T) {
+	p := &plant{ready: 50}
+	play(NewLaw(), p, 0, 60*time.Second, flat(10), func(time.Duration) bool { return false }, nil)
+	play(NewLaw(), p, 60*time.Second, 120*time.Second, flat(0), always, nil)
+	if p.ready != 50 || len(p.counts) > 0 {
+		t.Fatalf("%d left of 50: %v", p.ready, p.counts)
+	}
+	play(NewLaw(), p, 0, 10*time.Second, flat(150), func(time.Duration) bool { return false }, nil)
+	if p.ready < 60 {
+		t.Fatalf("%d upstreams for 150 while some proxies are silent", p.ready)
+	}
+}
+
+// A successor goes on from what is ordered: it takes nothing back for a hold time.
+func TestSuccessorGoesOn(t *testing.T) {
+	p := &plant{ready: 20}
+	play(NewLaw(), p, 0, 10*time.Second, flat(100), always, nil)
+	n, _ := p.orders.Of(subject)
+	play(NewLaw(), p, 10*time.Second, 10*time.Second+datum.ScaleHold/2, flat(30), always, nil)
+	if m, _ := p.orders.Of(subject); m != n {
+		t.Fatalf("a successor's first order is %d, %d were ordered", m, n)
+	}
+}
+
+// Words that cannot be are dropped, old ones count for nothing.
+func TestGaugeBounds(t *testing.T) {
+	g := NewGauge()
+	if g.Take(0, Told{Proxy: "p", Zone: "z", Running: map[string]int{"svc": -1}}) || g.Take(0, Told{Running: map[string]int{"svc": 1}}) || g.Garbage != 2 {
+		t.Error("a word that cannot be was taken")
+	}
+	g.Take(0, Told{Proxy: "p", Zone: "z", Running: map[string]int{"svc": 3}})
+	g.Take(0, Told{Proxy: "p", Zone: "z", Running: map[string]int{"svc": 3}}) // twice
+	if sum, whole := g.Sum(time.Second, []string{"p"}); sum[subject] != 3 || !whole {
+		t.Errorf("%v %v, want 3 of all", sum, whole)
+	}
+	if _, whole := g.Sum(time.Second, []string{"p", "q"}); whole {
+		t.Error("whole without q")
+	}
+	if sum, whole := g.Sum(datum.ScaleFresh+1, []string{"p"}); sum[subject] != 0 || whole {
+		t.Errorf("%v %v of an old word", sum, whole)
+	}
+}
--- a/internal/sluice/affinity.go
+++ b/internal/sluice/affinity.go
@@ -19,6 +19,17 @@
 	}
 }
 
+// Busy is how many requests of a service run and wait here.
+func (y *Yard) Busy(service string) int {
+	y.mu.Lock()
+	defer y.mu.Unlock()
+	n := len(y.waits[service])
+	for _, o := range y.svc[service] {
+		n += len(o.out)
+	}
+	return n
+}
+
 // busy is how full an upstream is thought to be, in parts of its slots: what it last
 // told, fading toward the service's mean, with what has changed here since; never
 // less than what this proxy has there.
--- a/internal/sluice/daemon.go
+++ b/internal/sluice/daemon.go
@@ -24,6 +24,7 @@
 	"slateridge/internal/intake"
 	"slateridge/internal/logbook"
 	"slateridge/internal/penstock"
+	"slateridge/internal/scaling"
 	"slateridge/internal/scheme"
 	"slateridge/internal/sill"
 	"slateridge/internal/staff"
@@ -53,6 +54,7 @@
 	echo     map[string]heardStamp // by tracker
 	clock    *clock.Clock          // agreed, as control tells
 	metered  atomic.Pointer[string]
+	scaler   atomic.Pointer[string]
 	telling  sync.Mutex // one word on usage at a time
 }
 
@@ -135,6 +137,7 @@
 		d.yard.SetProxies(f.Proxies)
 	}
 	d.clock.Hear(f.From, f.Wall, now)
+	d.scaler.Store(&f.Scaler)
 	if old := d.metered.Swap(&f.Metered); d.meter != nil && (old == nil || *old != f.Metered) {
 		go d.tellUsage() // a successor gathers anew
 	}
@@ -185,6 +188,9 @@
 	go d.step()
 	w.Turn(datum.StepEvery, d.step)
 	w.Turn(datum.GrantEvery, d.renewGrants)
+	if set.Does(sill.DutyScaling) {
+		w.Turn(datum.ScaleEvery, d.tellLoad)
+	}
 	if d.meter != nil {
 		w.Turn(datum.UsageEvery, d.tellUsage)
 	}
@@ -372,6 +378,25 @@
 	return usage.Window(agreed.Add(-time.Since(at)), d.set.Load().Bounds.UsageWindow.D())
 }
 
+// tellLoad says what runs and waits here of the services that are scaled.
+func (d *Daemon) tellLoad() {
+	to, sch := d.scaler.Load(), d.scheme.Load()
+	if to == nil || *to == "" || sch == nil {
+		return
+	}
+	set := d.set.Load()
+	t := scaling.Told{Proxy: set.IPAddress, Zone: set.Zone, Running: map[string]int{}}
+	for name, s := range sch.Services {
+		if s.Scaling != nil {
+			t.Running[name] = d.yard.Busy(name)
+		}
+	}
+	v, err := d.line.Ask(*to, t, datum.UsageWait)
+	if h, ok := v.(scaling.Heard); err != nil || !ok || !h.OK {
+		d.book.Count("load_untold", 1)
+	}
+}
+
 // tellUsage brings what has been counted to the duty's holder, until it has heard
 // all.
 func (d *Daemon) tellUsage() {
--- /dev/null
+++ b/internal/usage/usage_test.go
@@ -0,0 +1,111 @@
+package usage
+
+import (
+	"testing"
+	"time"
+
+	"slateridge/internal/datum"
+)
+
+// A successor is told all that is open, by proxies that had told it to another, and
+// knows that it has not heard all before it has.
+func TestSuccessorGathersAnew(t *testing.T) {
+	m, old, next := NewMeter(7), NewTally(10), NewTally(20)
+	tell := func(to *Tally, now uint64) Told {
+		w, _ := m.Tell("p", now)
+		if h, ok := to.Take(0, now, w); ok {
+			m.Heard(w, h)
+		}
+		return w
+	}
+	m.Count(100, "x")
+	m.Count(100, "y")
+	tell(old, 101)
+	tell(old, 101)
+	if !old.Complete(100, 0, []string{"p"}) || old.Sum(100)["x"] != 1 {
+		t.Fatalf("the first holder has %v", old.Sum(100))
+	}
+	m.Count(100, "x") // late
+	w, _ := m.Tell("p", 101)
+	h, _ := next.Take(0, 101, w)
+	if next.Complete(100, 0, []string{"p"}) {
+		t.Fatal("the successor takes a difference for the whole")
+	}
+	m.Heard(w, h)
+	tell(next, 101)
+	if got := next.Sum(100); !next.Complete(100, 0, []string{"p"}) || got["x"] != 2 || got["y"] != 1 {
+		t.Fatalf("the successor has %v", got)
+	}
+	if next.Complete(100, 0, []string{"p", "q"}) {
+		t.Error("complete without q")
+	}
+}
+
+// A request under way keeps its window open; one that has been settled takes nothing.
+func TestOpenWindows(t *testing.T) {
+	m := NewMeter(1)
+	m.Begin(50)
+	if w, _ := m.Tell("p", 53); w.Closed != 49 {
+		t.Fatalf("closed up to %d with a request of 50 under way", w.Closed)
+	}
+	m.End(50)
+	w, some := m.Tell("p", 53)
+	if !some || w.Closed != 52 {
+		t.Fatalf("closed up to %d", w.Closed)
+	}
+	m.Heard(w, Heard{Term: 1, Settled: 52})
+	m.Count(52, "x")
+	if w, _ := m.Tell("p", 53); m.Dropped != 1 || len(w.Windows) > 0 {
+		t.Errorf("counted after it was settled: %v", w)
+	}
+}
+
+// Words that cannot be are dropped, and memory stays bounded when nobody listens.
+func TestGarbageAndBounds(t *testing.T) {
+	y := NewTally(1)
+	long := make([]byte, datum.NameMax+1)
+	for _, w := range []Told{
+		{Life: 1},
+		{Proxy: string(long)},
+		{Proxy: "p", Closed: 1000},
+		{Proxy: "p", Windows: map[uint64]Counts{9: {"x": datum.UsageMost + 1}}},
+		{Proxy: "p", Windows: map[uint64]Counts{1 << 60: {"x": 1}}},
+		{Proxy: "p", Windows: map[uint64]Counts{9: {"": 1}}},
+	} {
+		if _, ok := y.Take(0, 10, w); ok {
+			t.Errorf("%+.60v was taken", w)
+		}
+	}
+	if y.Garbage != 6 || y.Tellers() != 0 {
+		t.Errorf("%d counted, %d tellers", y.Garbage, y.Tellers())
+	}
+	m := NewMeter(1)
+	for w := uint64(1); w < 1000; w++ {
+		m.Count(w, "x")
+		m.Tell("p", w)
+	}
+	if w, _ := m.Tell("p", 1000); len(w.Windows) > datum.UsageKept+1 {
+		t.Errorf("%d windows kept", len(w.Windows))
+	}
+}
+
+// Long-past windows are passed over, the rest come one by one and in order.
+func TestNextInOrder(t *testing.T) {
+	const span, delay = time.Second, 5 * time.Second
+	y := NewTally(1)
+	at := func(s float64) Moment {
+		return Moment{Steady: time.Duration(s * 1e9), Agreed: time.Unix(1000, 0).Add(time.Duration(s * 1e9)), Held: time.Hour}
+	}
+	if w, _, ok := y.Next(at(30), 900, span, delay, nil); !ok || w != 1030-datum.UsageKept {
+		t.Fatalf("after 900 comes %d %v", w, ok)
+	}
+	if w, _, ok := y.Next(at(30), 1020, span, delay, nil); !ok || w != 1021 {
+		t.Fatalf("after 1020 comes %d %v", w, ok)
+	}
+	if _, _, ok := y.Next(at(30.9), 1028, span, delay, []string{"p"}); ok {
+		t.Error("decided before its proxies have told")
+	}
+	if w, _, ok := y.Next(at(30+delay.Seconds()*datum.UsageLate), 1028, span, delay, []string{"p"}); !ok || w != 1029 {
+		t.Error("held up for ever by a silent proxy")
+	}
+}
