--- a/internal/scaling/scaling.go
+++ b/internal/scaling/scaling.go
@@ -193,9 +193,13 @@
 		if !ordered {
 			is = b.Present
 		}
-		count := min(max(l.next(now, t, b, is, whole), b.Min), b.Max)
+		count, known := l.next(now, t, b, is, whole)
+		if !ordered && !known {
+			continue // nothing is ordered before anything has been measured
+		}
+		count = min(max(count, b.Min), b.Max)
 		if !ordered && count == is {
-			continue // nothing is ordered before there is a reason to
+			continue
 		}
 		wanted = append(wanted, Order{s.Service, s.Zone, count})
 		changed = changed || !ordered || count != is
@@ -203,10 +207,11 @@
 	return wanted, changed
 }
 
-// next is the count wanted when is are ordered.
-func (l *Law) next(now time.Duration, t *track, b Bound, is int, whole bool) int {
+// next is the count wanted when is are ordered; known is false while nothing has
+// been measured.
+func (l *Law) next(now time.Duration, t *track, b Bound, is int, whole bool) (count int, known bool) {
 	if len(t.past) == 0 || b.Slots < 1 {
-		return is
+		return is, false
 	}
 	mean := func(until time.Duration) (sum float64, ok bool) { // over the smoothing time before
 		n := 0.0
@@ -227,7 +232,7 @@
 		most = max(most, p.n)
 	}
 	if most == 0 || !ok {
-		return is // nobody asks: no measurement of what they would
+		return is, false // nobody asks: no measurement of what they would
 	}
 	if before, ok := mean(now - datum.ScaleRise); ok && before > 0 && last > before {
 		most = max(most, last+(last-before)*b.Boot.Seconds()/datum.ScaleRise.Seconds()*datum.ScaleAhead)
@@ -236,13 +241,13 @@
 	taken := most / float64(max(1, is)*b.Slots)
 	if taken > datum.ScaleHigh {
 		t.why, t.downAt = "load", now
-		return want
+		return want, true
 	}
 	if !whole || now-t.smooth[0].at < datum.ScaleHold*3/4 || now-t.downAt < datum.ScalePause || taken >= datum.ScaleLow {
-		return is
+		return is, true
 	}
 	t.why, t.downAt = "idle", now
-	return max(want, int(math.Ceil(float64(is)*(1-datum.ScaleDown))))
+	return max(want, int(math.Ceil(float64(is)*(1-datum.ScaleDown)))), true
 }
 
 // Why is the reason of a subject's last change.
--- a/internal/scaling/scaling_test.go
+++ b/internal/scaling/scaling_test.go
@@ -116,7 +116,12 @@
 // Without a word from every proxy, or with nobody asking, nothing is given up; and a
 // rise is followed all the same.
 func TestStaleNeverScalesIn(t *testing.T) {
-	p := &plant{ready: 50}
+	p := &plant{ready: 2} // fewer than minCount, and nothing known yet
+	play(NewLaw(), p, 0, 10*time.Second, flat(0), always, nil)
+	if len(p.counts) > 0 {
+		t.Fatalf("ordered before anything was measured: %v", p.counts)
+	}
+	p = &plant{ready: 50}
 	play(NewLaw(), p, 0, 60*time.Second, flat(10), func(time.Duration) bool { return false }, nil)
 	play(NewLaw(), p, 60*time.Second, 120*time.Second, flat(0), always, nil)
 	if p.ready != 50 || len(p.counts) > 0 {
