Streams: tests, histograms, status; a cut in the first piece is passed on as a cut

An upstream that broke off in the same segment as its first event was answered with 502 and not counted as usage, though it had begun: what came is passed on and the connection ended.

--- a/cmd/slateridge/status.go
+++ b/cmd/slateridge/status.go
@@ -143,6 +143,13 @@
 	return strings.Join(list, ", ")
 }
 
+func or(s, def string) string {
+	if s == "" {
+		return def
+	}
+	return s
+}
+
 func ago(d time.Duration) string { return d.Round(10 * time.Millisecond).String() }
 
 func showHeadworks(t io.Writer, addr string, r headworks.Report, all bool) {
@@ -201,6 +208,20 @@
 	}
 	sort.Strings(ds)
 	fmt.Fprintf(t, "  duties\t%s\n  live proxies\t%d\n", strings.Join(ds, ", "), r.Live)
+	for _, name := range slices.Sorted(maps.Keys(r.Platform)) {
+		p := r.Platform[name]
+		fmt.Fprintf(t, "  platform\t%s: fence %d, holder %s; last decided %d", name, p.Fence, or(p.Holder, "nobody"), p.Decided)
+		if p.Mine {
+			fmt.Fprintf(t, "; held here for %s, backlog %v, accepted %d (last %s ago), refused %d, failed %d, last answer %d", ago(p.Held), p.Backlog, p.Accepted, ago(p.SinceOK), p.Refused, p.Failed, p.LastStatus)
+			if p.Tellers > 0 {
+				fmt.Fprintf(t, ", told by %d lives of proxies", p.Tellers)
+			}
+		}
+		fmt.Fprintln(t)
+	}
+	for _, s := range r.Scaling {
+		fmt.Fprintf(t, "    %s\t%s\tordered %d\tpresent %d\t%s\n", s.Service, s.Zone, s.Ordered, s.Present, s.Why)
+	}
 	rows(t, all, r.Proxies, func(p penstock.ProxyState) bool {
 		return p.Version < r.Chain.Version || p.ListNum < r.ListNum || !p.Ready || p.Silent > datum.TapSilence
 	}, func(p penstock.ProxyState) {
@@ -235,6 +256,13 @@
 	fmt.Fprintf(t, "  requests\t%s\n", strings.Join(rs, ", "))
 	fmt.Fprintf(t, "  second tries\t%d made, %d denied by the budget, %d hedges\n  upstream connections\t%d opened; %d ejections; %d requests waited, %d found no room\n",
 		r.Retries, r.Denied, r.Hedges, r.NewConns, r.Ejections, r.Waited, r.Full)
+	if s := r.Streams; s.Open > 0 || s.Cut+s.Left+s.First+s.Next+s.Elsewhere > 0 {
+		fmt.Fprintf(t, "  streams\t%d open; %d cut by upstreams, %d left by clients; prefixes: %d at their first upstream, %d at one of the next, %d elsewhere\n",
+			s.Open, s.Cut, s.Left, s.First, s.Next, s.Elsewhere)
+	}
+	if u := r.Usage; u.Told != "" {
+		fmt.Fprintf(t, "  usage\ttold to %s; %d windows open, %d runs came too late\n", u.Told, u.Windows, u.Dropped)
+	}
 	states := map[string]map[string]int{}
 	for _, u := range r.Upstreams {
 		if states[u.Service] == nil {
--- a/internal/headworks/admin.go
+++ b/internal/headworks/admin.go
@@ -23,6 +23,7 @@
 	Current   bool
 	Duties    map[string]string
 	Platform  map[string]DutyReport // duties at the platform, with their fences
+	Scaling   []ScalingReport
 	ListNum   uint64
 	ListAge   time.Duration
 	Upstreams int
@@ -52,7 +53,7 @@
 	r := Report{Role: "headworks", Node: d.set.NodeName, Chain: *d.status.Load(), Current: f.Current, Duties: map[string]string{},
 		ListNum: f.ListNum, ListAge: f.ListAge, Live: f.Proxies, Proxies: d.pen.Proxies(), Leased: d.gates.Held(d.now()),
 		Members: d.staff.Members(), Evacuated: f.Evacuated, Events: d.book.Latest(20), Tallies: d.book.Tallies()}
-	r.Platform = d.dutyReports()
+	r.Platform, r.Scaling = d.dutyReports(), d.scalingReports()
 	r.Zone, r.Region = d.set.Zone, d.set.Region
 	if d.set.ListenAddresses.Directory != "" {
 		r.Directory = &Directory{Places: d.places.States(d.now())}
@@ -100,6 +101,11 @@
 		g(fmt.Sprintf("duty_assigned{duty=%q}", duty), gaugeboard.Flag(who != ""))
 		g(fmt.Sprintf("duty_held{duty=%q}", duty), gaugeboard.Flag(who == r.Chain.Me.Addr))
 	}
+	for _, s := range r.Scaling {
+		l := fmt.Sprintf("{service=%q,zone=%q}", s.Service, s.Zone)
+		g("upstreams_ordered"+l, uint64(max(0, s.Ordered)))
+		g("upstreams_present"+l, uint64(max(0, s.Present)))
+	}
 	for name, p := range r.Platform {
 		l := fmt.Sprintf("{duty=%q}", name)
 		g("platform_duty_fence"+l, p.Fence)
--- a/internal/headworks/duties.go
+++ b/internal/headworks/duties.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -302,6 +303,31 @@
 	Tellers    int // lives of proxies that told their usage here
 }
 
+// ScalingReport is one service in one zone.
+type ScalingReport struct {
+	Service, Zone    string
+	Ordered, Present int    // ordered -1: nothing has been
+	Why              string // of the last change by this machine
+}
+
+func (d *Daemon) scalingReports() (out []ScalingReport) {
+	if !d.set.Does(sill.DutyScaling) {
+		return nil
+	}
+	orders := scaling.Read(d.record(sill.DutyScaling).Body)
+	for s, b := range d.scalable() {
+		n, ok := orders.Of(s)
+		if !ok {
+			n = -1
+		}
+		out = append(out, ScalingReport{s.Service, s.Zone, n, b.Present, d.law.Why(s)})
+	}
+	slices.SortFunc(out, func(a, b ScalingReport) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Zone, b.Zone))
+	})
+	return out
+}
+
 // dutyReports describes the duties at the platform.
 func (d *Daemon) dutyReports() map[string]DutyReport {
 	out := map[string]DutyReport{}
--- a/internal/scaling/scaling.go
+++ b/internal/scaling/scaling.go
@@ -159,6 +159,7 @@
 // Law is the loop's memory of the load at one holder. What has been ordered is not
 // in it: that comes from the chain.
 type Law struct {
+	mu sync.Mutex
 	by map[Subject]*track
 }
 
@@ -168,6 +169,8 @@
 // Step takes a measurement and gives the orders that are wanted now, given the
 // present ones; changed says that they differ.
 func (l *Law) Step(now time.Duration, load map[Subject]float64, whole bool, bounds map[Subject]Bound, present Orders) (wanted Orders, changed bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	subjects := make([]Subject, 0, len(bounds))
 	for s := range bounds {
 		subjects = append(subjects, s)
@@ -252,6 +255,8 @@
 
 // Why is the reason of a subject's last change.
 func (l *Law) Why(s Subject) string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	if t := l.by[s]; t != nil {
 		return t.why
 	}
--- a/internal/sluice/admin.go
+++ b/internal/sluice/admin.go
@@ -36,11 +36,28 @@
 	Retries   uint64
 	Denied    uint64
 	Hedges    uint64
+	Streams   Streams
+	Usage     Usage
 	Quotas    []weir.Report
 	Audit     []AuditEntry
 	Members   []staff.Fact
 	Events    []logbook.Event
 	Tallies   []logbook.Tally
+	marks     *marks
+}
+
+// Streams is what a proxy passes on piece by piece.
+type Streams struct {
+	Open                   int64
+	Cut, Left              uint64 // by their upstream, by their client
+	First, Next, Elsewhere uint64 // placed at their prefix's own upstream, at one of the next, elsewhere
+}
+
+// Usage is what is metered here.
+type Usage struct {
+	Told    string // the control machine it is told to
+	Windows int    // open ones held here
+	Dropped uint64 // runs that came after their window had been reported
 }
 
 // Report describes this proxy for operators.
@@ -57,7 +74,16 @@
 	for i, n := range countNames {
 		r.Requests[n] = d.counts[i].Load()
 	}
+	r.Streams.Open, r.Streams.Cut, r.Streams.Left = d.streams.Load(), d.streamsCut.Load(), d.streamsLeft.Load()
+	if d.meter != nil {
+		r.Usage.Windows, r.Usage.Dropped = d.meter.Held()
+		if to := d.metered.Load(); to != nil {
+			r.Usage.Told = *to
+		}
+	}
+	r.marks = d.marks
 	d.yard.mu.Lock()
+	r.Streams.First, r.Streams.Next, r.Streams.Elsewhere = d.yard.Kept[0], d.yard.Kept[1], d.yard.Kept[2]
 	r.NewConns, r.Ejections, r.Waited, r.Full = d.yard.News, d.yard.Ejected, d.yard.Waited, d.yard.Full
 	d.yard.mu.Unlock()
 	d.allow.mu.Lock()
@@ -86,6 +112,17 @@
 	metrics.WriteCounterUint64(w, "slateridge_retries_total", r.Retries)
 	metrics.WriteCounterUint64(w, "slateridge_retries_denied_total", r.Denied)
 	metrics.WriteCounterUint64(w, "slateridge_hedges_total", r.Hedges)
+	metrics.WriteGaugeUint64(w, "slateridge_streams_open", uint64(max(0, r.Streams.Open)))
+	metrics.WriteCounterUint64(w, "slateridge_streams_cut_total", r.Streams.Cut)
+	metrics.WriteCounterUint64(w, "slateridge_streams_left_total", r.Streams.Left)
+	for at, n := range map[string]uint64{"first": r.Streams.First, "next": r.Streams.Next, "elsewhere": r.Streams.Elsewhere} {
+		metrics.WriteCounterUint64(w, fmt.Sprintf("slateridge_prefix_placed_total{at=%q}", at), n)
+	}
+	metrics.WriteGaugeUint64(w, "slateridge_usage_windows_open", uint64(r.Usage.Windows))
+	metrics.WriteCounterUint64(w, "slateridge_usage_dropped_total", r.Usage.Dropped)
+	if r.marks != nil {
+		r.marks.set.WritePrometheus(w)
+	}
 	type group struct{ service, zone, state string }
 	ups := map[group]uint64{}
 	for _, u := range r.Upstreams {
--- a/internal/sluice/affinity.go
+++ b/internal/sluice/affinity.go
@@ -105,9 +105,11 @@
 				break
 			}
 			if c.busy < datum.AffinityFull {
+				y.Kept[min(i, 1)]++
 				return c.o
 			}
 		}
+		y.Kept[2]++
 	}
 	least := func(cs []cand) (best *Outfall, busy float64) {
 		busy = math.Inf(1)
--- a/internal/sluice/daemon.go
+++ b/internal/sluice/daemon.go
@@ -63,7 +63,7 @@
 	d := &Daemon{path: path, echo: map[string]heardStamp{}, source: intake.NewSource(set.CloudAPI.Address)}
 	d.set.Store(set)
 	b := set.Bounds
-	s := &Sluice{book: book, began: time.Now(), weir: weir.New(b.QuotaSlack, set.Trackers(), rand.Uint64())}
+	s := &Sluice{book: book, marks: newMarks(), began: time.Now(), weir: weir.New(b.QuotaSlack, set.Trackers(), rand.Uint64())}
 	d.Sluice = s
 	s.allow = NewAllowance(0, b.RetryWindow.D(), b.RetryBudgetRatio, b.RetryBudgetSlack)
 	s.yard = NewYard(set.IPAddress, set.Zone, set.Zones, d.connCap, d.warmup)
--- a/internal/sluice/outfall.go
+++ b/internal/sluice/outfall.go
@@ -67,6 +67,7 @@
 	connCap func(service string) int // this proxy's share of connections to one upstream
 	News    uint64                   // new connections
 	Ejected uint64
+	Kept    [3]uint64 // streams at their prefix's first upstream, at one of the next, elsewhere
 	Waited  uint64
 	Full    uint64
 }
@@ -632,6 +633,7 @@
 	Out, Idle, Conns, Fails int
 	DelayMs                 float64
 	Answers                 uint64
+	Busy                    float64 // how full it is thought to be, in parts of its slots, where it tells
 }
 
 // States lists all upstreams.
@@ -639,6 +641,10 @@
 	y.mu.Lock()
 	defer y.mu.Unlock()
 	var out []OutfallState
+	means := map[string]float64{}
+	for s, os := range y.svc {
+		means[s] = meanBusy(os, now)
+	}
 	for _, o := range y.by {
 		st := "in"
 		switch {
@@ -656,7 +662,10 @@
 			st = "evacuated"
 		}
 		out = append(out, OutfallState{o.inst.ID, o.inst.Service, o.inst.Zone, o.region, st, len(o.out), len(o.idle), o.conns, o.fails,
-			math.Round(o.delay*1e4) / 10, o.answers})
+			math.Round(o.delay*1e4) / 10, o.answers, 0})
+		if !o.loadAt.IsZero() {
+			out[len(out)-1].Busy = math.Round(o.busy(now, means[o.inst.Service])*100) / 100
+		}
 	}
 	sort.Slice(out, func(a, b int) bool {
 		return out[a].Service < out[b].Service || out[a].Service == out[b].Service && out[a].Instance < out[b].Instance
--- a/internal/sluice/path_test.go
+++ b/internal/sluice/path_test.go
@@ -92,6 +92,7 @@
 {"resourceKind":"routes","metadata":{"name":"safe"},"spec":{"host":"h.example","pathPrefix":"/safe/","routeType":"idempotent","timeout":"2s","targetLatency":"400ms","priority":2,"targetService":"svc","maxAttempts":2}},
 {"resourceKind":"routes","metadata":{"name":"once"},"spec":{"host":"h.example","pathPrefix":"/once/","routeType":"non_idempotent","timeout":"2s","targetLatency":"400ms","priority":1,"targetService":"svc","maxAttempts":3}},
 {"resourceKind":"routes","metadata":{"name":"open"},"spec":{"host":"h.example","pathPrefix":"/open/","routeType":"idempotent","timeout":"2s","targetLatency":"400ms","priority":1,"targetService":"svc","maxAttempts":1,"public":true}},
+{"resourceKind":"routes","metadata":{"name":"flow"},"spec":{"host":"h.example","pathPrefix":"/flow/","routeType":"streaming","timeout":"9s","targetLatency":"400ms","priority":1,"targetService":"svc","maxAttempts":3,"sessionAffinity":true,"resumable":false}},
 {"resourceKind":"services","metadata":{"name":"svc"},"spec":{"healthCheckPath":"/health","maxConnections":100,"protocol":"h1","tlsEnabled":false}},
 {"resourceKind":"tenants","metadata":{"name":"ten"},"spec":{"apiKeys":["k1"],"ratePerS":0,"burstSize":0}},
 {"resourceKind":"tenants","metadata":{"name":"tight"},"spec":{"apiKeys":["k2"],"ratePerS":0.001,"burstSize":1}},
@@ -102,7 +103,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := &Sluice{book: logbook.New(zerolog.Nop()), began: time.Now().Add(-time.Minute), weir: weir.New(20, 3, 1)}
+	s := &Sluice{marks: newMarks(), book: logbook.New(zerolog.Nop()), began: time.Now().Add(-time.Minute), weir: weir.New(20, 3, 1)}
 	s.allow = NewAllowance(0, 10*time.Second, 0.2, 60)
 	s.allow.SetProxies(1)
 	s.yard = NewYard("p", "z", map[string]string{"z": "r", "z2": "r", "far": "r2"}, func(string) int { return 10 }, func(string) time.Duration { return 0 })
--- a/internal/sluice/sluice.go
+++ b/internal/sluice/sluice.go
@@ -39,8 +39,20 @@
 	streams     atomic.Int64  // under way
 	streamsCut  atomic.Uint64 // ended by their upstream before their end
 	streamsLeft atomic.Uint64 // ended by their client
-	firstPieces metrics.Histogram
-	pauses      metrics.Histogram
+	marks       *marks
+}
+
+// marks are this proxy's histograms.
+type marks struct {
+	set                 *metrics.Set
+	firstPieces, pauses *metrics.Histogram
+}
+
+func newMarks() *marks {
+	m := &marks{set: metrics.NewSet()}
+	m.firstPieces = m.set.NewHistogram("slateridge_stream_first_piece_seconds")
+	m.pauses = m.set.NewHistogram("slateridge_stream_pause_seconds")
+	return m
 }
 
 // What became of requests, for the counters.
--- a/internal/sluice/stream.go
+++ b/internal/sluice/stream.go
@@ -31,14 +31,14 @@
 	for n == 0 && err == nil {
 		n, err = resp.Body.Read(buf)
 	}
-	if n == 0 || err != nil && err != io.EOF {
+	if n == 0 { // an end after the first bytes is met again when more is read
 		f.of.drop(f)
 		p.s.yard.done(of, broken)
 		return &result{how: broken, at: at, sent: true, err: err}
 	}
 	now := time.Now()
 	p.s.yard.began(of, now)
-	p.s.firstPieces.Update(now.Sub(p.arrived).Seconds())
+	p.s.marks.firstPieces.Update(now.Sub(p.arrived).Seconds())
 	if p.s.meter != nil && p.tenant != nil {
 		p.s.meter.Count(p.s.window(now), p.tenant.Name)
 	}
@@ -71,7 +71,7 @@
 		piece = buf[:n]
 		if n > 0 {
 			now := time.Now()
-			s.pauses.Update(now.Sub(last).Seconds())
+			s.marks.pauses.Update(now.Sub(last).Seconds())
 			last = now
 		}
 	}
--- /dev/null
+++ b/internal/sluice/stream_test.go
@@ -0,0 +1,324 @@
+package sluice
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"slateridge/internal/intake"
+	"slateridge/internal/usage"
+)
+
+const eventHead = "HTTP/1.1 200 OK\r\nX-Slateridge-Attempt-Id: id-1\r\nX-Slateridge-Response-Seal: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+func event(n int) string {
+	e := fmt.Sprintf("id: %d\ndata: piece %d\n\n", n, n)
+	return fmt.Sprintf("%x\r\n%s\r\n", len(e), e)
+}
+
+// source is an upstream stand-in whose answers are written by the test, a connection
+// at a time.
+func source(t *testing.T, answer func(c net.Conn, r *http.Request)) (intake.Instance, *atomic.Int64) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	runs := &atomic.Int64{}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				br := bufio.NewReader(c)
+				for {
+					r, err := http.ReadRequest(br)
+					if err != nil {
+						return
+					}
+					io.Copy(io.Discard, r.Body)
+					runs.Add(1)
+					answer(c, r)
+				}
+			}()
+		}
+	}()
+	return intake.Instance{ID: "i-" + l.Addr().String(), Service: "svc", Address: l.Addr().String(), Zone: "z", Slots: 4}, runs
+}
+
+// flow opens a stream through a real server.
+func flow(t *testing.T, s *Sluice) (net.Conn, *bufio.Reader) {
+	srv := httptest.NewServer(s)
+	t.Cleanup(srv.Close)
+	c, err := net.Dial("tcp4", srv.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	c.SetDeadline(time.Now().Add(20 * time.Second))
+	return c, bufio.NewReader(c)
+}
+
+func ask(c net.Conn, path string) {
+	fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: h.example\r\nX-Slateridge-Attempt-Id: id-1\r\nX-Slateridge-Time-Budget-Ms: 9000\r\nX-Api-Key: k1\r\nX-Slateridge-Prompt-Prefix: 17\r\nContent-Length: 2\r\n\r\nhi", path)
+}
+
+// Each event reaches the client before the upstream has made the next; the stream
+// counts as usage once, with its first; its connection serves another afterwards.
+func TestEventsComeAsTheyAreMade(t *testing.T) {
+	seen := make(chan int)
+	up, runs := source(t, func(c net.Conn, _ *http.Request) {
+		io.WriteString(c, eventHead)
+		for n := 1; n <= 5; n++ {
+			io.WriteString(c, event(n))
+			select {
+			case got := <-seen:
+				if got != n {
+					t.Errorf("the client has seen %d, made was %d", got, n)
+				}
+			case <-time.After(10 * time.Second):
+				t.Error("an event waits for its successor")
+				return
+			}
+		}
+		io.WriteString(c, "0\r\n\r\n")
+	})
+	s := newSluice(t, up)
+	s.meter, s.window = usage.NewMeter(1), func(time.Time) uint64 { return 40 }
+	c, br := flow(t, s)
+	for round := range 2 {
+		ask(c, "/flow/x")
+		resp, err := http.ReadResponse(br, nil)
+		if err != nil || resp.StatusCode != 200 || resp.Header.Get(hdrSeal) != "s" {
+			t.Fatal(resp, err)
+		}
+		body := bufio.NewReader(resp.Body)
+		for n := 1; n <= 5; n++ {
+			want := []string{fmt.Sprintf("id: %d\n", n), fmt.Sprintf("data: piece %d\n", n), "\n"}
+			for _, w := range want {
+				if l, err := body.ReadString('\n'); l != w || err != nil {
+					t.Fatalf("event %d: %q %v", n, l, err)
+				}
+			}
+			seen <- n
+		}
+		if _, err := body.ReadByte(); err != io.EOF {
+			t.Fatalf("round %d: the end: %v", round, err)
+		}
+	}
+	if told, _ := s.meter.Tell("p", 41); told.Windows[40]["ten"] != 2 || runs.Load() != 2 {
+		t.Errorf("%d runs, counted %v", runs.Load(), told.Windows)
+	}
+	s.yard.mu.Lock()
+	defer s.yard.mu.Unlock()
+	if s.yard.News != 1 {
+		t.Errorf("%d connections for two streams, one after the other", s.yard.News)
+	}
+}
+
+// A stream that its upstream cuts, between events or inside one, does not look
+// complete, and is not sent again.
+func TestCutStreamLooksCut(t *testing.T) {
+	for _, last := range []string{"", "1c\r\nid: 2\ndata: pie"} {
+		up, runs := source(t, func(c net.Conn, _ *http.Request) {
+			io.WriteString(c, eventHead+event(1)+last)
+			c.Close()
+		})
+		s := newSluice(t, up)
+		c, br := flow(t, s)
+		ask(c, "/flow/x")
+		resp, err := http.ReadResponse(br, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		b, err := io.ReadAll(resp.Body)
+		if err == nil || !strings.HasPrefix(string(b), "id: 1\ndata: piece 1\n\n") {
+			t.Errorf("after %q: %q, %v", last, b, err)
+		}
+		if runs.Load() != 1 || s.streamsCut.Load() != 1 {
+			t.Errorf("%d runs, %d cut", runs.Load(), s.streamsCut.Load())
+		}
+	}
+}
+
+// Before its first event a stream has been promised to nobody: a reset is answered
+// with 502 and not tried again, an upstream's word that it has not run is tried
+// elsewhere, and neither counts as usage.
+func TestStreamIsSentOnce(t *testing.T) {
+	reset, resets := source(t, func(c net.Conn, _ *http.Request) { c.(*net.TCPConn).SetLinger(0); c.Close() })
+	s := newSluice(t, reset)
+	s.meter, s.window = usage.NewMeter(1), func(time.Time) uint64 { return 40 }
+	if w := get(s, "POST", "/flow/x", "hi"); w.Code != 502 || resets.Load() != 1 {
+		t.Errorf("after a reset: %d, sent %d times", w.Code, resets.Load())
+	}
+	full, fulls := source(t, func(c net.Conn, _ *http.Request) {
+		io.WriteString(c, "HTTP/1.1 503 Service Unavailable\r\nX-Slateridge-Attempt-Id: id-1\r\nX-Slateridge-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n")
+	})
+	s.yard.Apply(time.Now(), []intake.Instance{full})
+	if w := get(s, "POST", "/flow/x", "hi"); w.Code != 503 || w.Header().Get("Retry-After") == "" || fulls.Load() != 1 {
+		t.Errorf("turned away: %d %v, sent %d times", w.Code, w.Header(), fulls.Load())
+	}
+	if told, _ := s.meter.Tell("p", 41); len(told.Windows) > 0 {
+		t.Errorf("counted %v", told.Windows)
+	}
+}
+
+// A client that goes away, before the first event or in the middle, frees the
+// upstream's place.
+func TestLeavingClientFreesThePlace(t *testing.T) {
+	for _, first := range []string{"", eventHead + event(1)} {
+		ended := make(chan bool, 1)
+		up, _ := source(t, func(c net.Conn, _ *http.Request) {
+			io.WriteString(c, first)
+			c.SetReadDeadline(time.Now().Add(10 * time.Second))
+			_, err := c.Read(make([]byte, 1))
+			ne, timeout := err.(net.Error)
+			ended <- err != nil && !(timeout && ne.Timeout())
+		})
+		s := newSluice(t, up)
+		c, br := flow(t, s)
+		ask(c, "/flow/x")
+		if first == "" {
+			for s.yard.Busy("svc") == 0 {
+				time.Sleep(time.Millisecond)
+			}
+			time.Sleep(20 * time.Millisecond) // sent on
+		} else if _, err := http.ReadResponse(br, nil); err != nil {
+			t.Fatal(err)
+		}
+		c.Close()
+		if !<-ended {
+			t.Errorf("first %q: the upstream works on for nobody", first)
+		}
+		for s.yard.Busy("svc") > 0 {
+			time.Sleep(time.Millisecond)
+		}
+	}
+}
+
+// A client that reads nothing holds its upstream up; nothing is gathered here.
+func TestSlowReaderHoldsItsUpstream(t *testing.T) {
+	var made atomic.Int64
+	piece := event(1)
+	piece = strings.Repeat(piece, 100)
+	up, _ := source(t, func(c net.Conn, _ *http.Request) {
+		io.WriteString(c, eventHead)
+		for {
+			if n, err := io.WriteString(c, piece); err != nil {
+				return
+			} else {
+				made.Add(int64(n))
+			}
+		}
+	})
+	c, _ := flow(t, newSluice(t, up))
+	ask(c, "/flow/x")
+	last := int64(-1)
+	for n := made.Load(); n != last || n == 0; n = made.Load() { // until it stands still
+		last = n
+		time.Sleep(200 * time.Millisecond)
+		if n > 64<<20 {
+			t.Fatal("an endless stream is taken in for a client that reads nothing")
+		}
+	}
+}
+
+// Requests sent ahead are answered in their order, one by one, with failures between
+// them; what stands behind an answer that closes the connection goes to no upstream.
+func TestPipelinedInOrder(t *testing.T) {
+	u := newRaw(t, func(n int, r *http.Request) (string, bool) {
+		if strings.HasSuffix(r.RequestURI, "/3") {
+			return "HTTP/1.1 404 Not Found\r\nX-Slateridge-Attempt-Id: " + r.Header.Get(hdrAttempt) + "\r\nContent-Length: 4\r\n\r\nnone", false
+		}
+		if n == 1 {
+			time.Sleep(50 * time.Millisecond) // those behind it are there by now
+		}
+		return ok(r, r.RequestURI), false
+	})
+	s := newSluice(t, u.instance("i-1"))
+	c, br := flow(t, s)
+	one := func(path string) string {
+		return "GET " + path + " HTTP/1.1\r\nHost: h.example\r\nX-Slateridge-Attempt-Id: " + path[len(path)-1:] + "\r\nX-Slateridge-Time-Budget-Ms: 2000\r\nX-Api-Key: k1\r\n\r\n"
+	}
+	io.WriteString(c, one("/safe/1")+one("/safe/2")+one("/safe/3")+one("/nowhere/4")+one("/safe/5"))
+	for i, want := range []string{"/safe/1", "/safe/2", "none", "", "/safe/5"} {
+		resp, err := http.ReadResponse(br, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if b, _ := io.ReadAll(resp.Body); string(b) != want || resp.Header.Get(hdrAttempt) != fmt.Sprint(i+1) {
+			t.Fatalf("answer %d is %q for %s", i+1, b, resp.Header.Get(hdrAttempt))
+		}
+	}
+	before := u.count()
+	s.leaving.Store(true)
+	io.WriteString(c, one("/safe/6")+one("/safe/7"))
+	resp, err := http.ReadResponse(br, nil)
+	if err != nil || !resp.Close {
+		t.Fatal(resp, err)
+	}
+	io.ReadAll(resp.Body)
+	if _, err := br.ReadByte(); err == nil || u.count() != before+1 {
+		t.Errorf("%d went on behind an answer that closes: %v", u.count()-before-1, err)
+	}
+}
+
+// Proxies that never speak to each other keep a prefix at the same upstreams, also
+// when their lists differ by a few; a change moves few prefixes; what is full is
+// passed over, so a prefix that everybody asks for spreads.
+func TestPrefixesKeepTheirPlaces(t *testing.T) {
+	list := func(n int) (is []intake.Instance) {
+		for i := range n {
+			is = append(is, intake.Instance{ID: fmt.Sprintf("i-%03d", i), Service: "svc", Address: "127.0.0.1:9", Zone: []string{"z", "z2"}[i%2], Slots: 4})
+		}
+		return is
+	}
+	a, b := newSluice(t, list(60)...), newSluice(t, list(60)...)
+	b.yard.me = "other"
+	b.yard.Apply(time.Now(), list(56)) // four are gone here already
+	moved, seen := 0, map[string]int{}
+	for p := range 1000 {
+		w := want{service: "svc", homes: anywhere, stream: true, prefix: fmt.Sprint(p)}
+		x, y := a.yard.choose(w, nil, time.Now()), b.yard.choose(w, nil, time.Now())
+		if x.inst.Zone != "z" || y.inst.Zone != "z" {
+			t.Fatal("a prefix leaves its zone while there is room")
+		}
+		if x.inst.ID != y.inst.ID {
+			moved++
+			if !slices.Contains([]string{"i-056", "i-058"}, x.inst.ID) {
+				t.Fatalf("prefix %d went from %s to %s, which are both there", p, x.inst.ID, y.inst.ID)
+			}
+		}
+		seen[x.inst.ID]++
+	}
+	if moved > 130 {
+		t.Errorf("%d of 1000 prefixes moved when 2 of 30 upstreams left", moved)
+	}
+	for id, n := range seen {
+		if n > 3*1000/30 {
+			t.Errorf("%s keeps %d of 1000 prefixes", id, n)
+		}
+	}
+	hot, most := want{service: "svc", homes: anywhere, stream: true, prefix: "hot"}, 0
+	for range 60 {
+		of := a.yard.Place(hot, nil)
+		if of == nil {
+			t.Fatal("no room while most upstreams are idle")
+		}
+		most = max(most, len(of.of.out))
+	}
+	if most > 4 {
+		t.Errorf("%d of one prefix at one upstream of four places", most)
+	}
+}
--- a/internal/usage/usage.go
+++ b/internal/usage/usage.go
@@ -152,6 +152,13 @@
 	}
 }
 
+// Held is how many windows are open here, and the runs that came too late for theirs.
+func (m *Meter) Held() (windows int, dropped uint64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(m.windows), m.Dropped
+}
+
 // teller is one life of a proxy, as a tally knows it.
 type teller struct {
 	proxy   string
