View: a machine just left out is no newcomer before it is heard again

Cause: its last words from before the view counted, so a second change began at once, waited for a machine that was not there and kept every voter sealed for up to 0.7 s; trackers and duties lost their leases. Its words now count from the view that left it out, and must have come for the whole pause.

--- a/internal/headworks/chain_test.go
+++ b/internal/headworks/chain_test.go
@@ -581,3 +581,47 @@
 		t.Fatalf("a new order was not taken: %v", z)
 	}
 }
+
+// A machine that a view has just left out is no newcomer before it has been heard
+// again: were it one by its last words from before, a second change would begin at
+// once, wait for a machine that is not there, and keep every voter sealed meanwhile,
+// so that leases end.
+func TestJustLeftIsNoNewcomer(t *testing.T) {
+	for seed := uint64(1); seed <= 20; seed++ {
+		c := newCore(t, seed, []string{"a", "b", "c", "d", "e", "f"}, 2)
+		c.b.Delay = 5 * time.Millisecond
+		c.b.Run(7*time.Second, nil)
+		kill := func(n string) { c.chain[n] = nil; c.life[n]++ }
+		kill("e")
+		c.b.Run(c.b.Now+700*time.Millisecond, nil)
+		kill("f") // its last word is young when the view without it is agreed
+		without := func() bool {
+			for _, n := range []string{"a", "b", "c", "d"} {
+				if c.chain[n].View().index("f") >= 0 {
+					return false
+				}
+			}
+			return true
+		}
+		end := c.b.Now + 3*time.Second
+		for !without() && c.b.Now < end {
+			c.b.Run(c.b.Now+10*time.Millisecond, nil)
+		}
+		if !without() {
+			t.Fatalf("seed %d: f is still in the view", seed)
+		}
+		num := c.chain["a"].View().Num
+		c.b.Run(c.b.Now+1500*time.Millisecond, func() {
+			for _, n := range []string{"a", "b", "c", "d"} {
+				if c.chain[n].sealed() {
+					t.Fatalf("seed %d at %v: %s is sealed for a view after %d, with nobody to take in", seed, c.b.Now, n, num)
+				}
+			}
+		})
+		c.start("f", false)
+		c.b.Run(c.b.Now+2*time.Second, nil)
+		if c.chain["a"].View().index("f") < 0 {
+			t.Fatalf("seed %d: f is back and not taken in", seed)
+		}
+	}
+}
--- a/internal/headworks/view.go
+++ b/internal/headworks/view.go
@@ -31,6 +31,11 @@
 	for _, m := range v.Voters {
 		c.meet(m.Addr)
 	}
+	for _, s := range c.seen {
+		if !v.has(s.gauge.Me) {
+			s.since = c.now // what was heard before the view left it out says nothing of now
+		}
+	}
 	c.round = nil
 	c.troubleAt = 0
 	c.passAt = 0
@@ -68,12 +73,13 @@
 	return len(c.newcomers()) > 0 || c.sealed()
 }
 
-// newcomers are live machines outside the view, heard long enough.
+// newcomers are live machines outside the view, heard long enough since it was
+// agreed.
 func (c *Chain) newcomers() []Member {
 	var out []Member
 	c.others(func(p string) {
 		s := c.seen[p]
-		if s != nil && c.alive(p) && !s.gauge.Relay && !c.agr.View.has(s.gauge.Me) && c.now-s.since >= datum.JoinPause {
+		if s != nil && c.alive(p) && !s.gauge.Relay && !c.agr.View.has(s.gauge.Me) && c.now-s.since >= datum.JoinPause && s.heard-s.since >= datum.JoinPause-datum.GaugeEvery {
 			out = append(out, s.gauge.Me)
 		}
 	})
