Usage: what the holder has gathered outlasts a loss of all power

The holder keeps the open windows' words on its disk once a second; after a start it tells them to whoever holds the duty, as words of lives that are over. They merge by life, so a word told twice or beside its proxy's own adds nothing.

--- a/internal/headworks/daemon.go
+++ b/internal/headworks/daemon.go
@@ -142,6 +142,7 @@
 	clock *clock.Clock // agreed among the control machines
 	posts []*post      // duties at the platform
 	tally *usage.Tally
+	kept  []usage.Told // what this machine had gathered in the life before
 
 	scheme  atomic.Pointer[scheme.Scheme] // in force here
 	load    *scaling.Gauge
@@ -173,6 +174,7 @@
 		}
 	}
 	store := d.store
+	store.Get(usageKey, &d.kept)
 	var known []string
 	if store.Get("roster", &known) {
 		d.rosterIn = true
@@ -293,6 +295,9 @@
 	})
 	if len(d.posts) > 0 {
 		w.Turn(datum.DutyTick, d.officiate)
+		if d.set.Does(sill.DutyUsage) {
+			w.Turn(datum.UsageEvery, d.keepUsage)
+		}
 	}
 	d.bootTurn = time.Duration(max(0, slices.Index(d.controls(), d.set.IPAddress))) * datum.BootTurn
 	go func() {
--- a/internal/headworks/duties.go
+++ b/internal/headworks/duties.go
@@ -202,6 +202,37 @@
 	return h
 }
 
+const usageKey = "usage"
+
+// keepUsage has what is gathered here outlast this process, where it holds the duty,
+// and tells whoever holds it now what was kept in the life before: when all stop at
+// once, that is all that is left of the proxies' counts.
+func (d *Daemon) keepUsage() {
+	until, _ := d.lease(sill.DutyUsage)
+	d.leaseMu.Lock()
+	holder := d.leases.Holder(d.now(), sill.DutyUsage)
+	d.leaseMu.Unlock()
+	if d.kept != nil && holder != "" {
+		for _, m := range d.kept {
+			if holder == d.set.IPAddress {
+				d.takeUsage(m)
+			} else {
+				d.send(holder, m)
+			}
+		}
+		d.book.Note("usage_handed_on", strconv.Itoa(len(d.kept))+" lives to "+holder)
+		d.kept = nil
+	}
+	if until == 0 || d.kept != nil {
+		return
+	}
+	if ms, changed := d.tally.Keep(); changed {
+		d.chainMu.Lock()
+		d.store.Put(usageKey, ms) // one that cannot be kept is told by its proxies while they live
+		d.chainMu.Unlock()
+	}
+}
+
 // planUsage names the next window's report.
 func (d *Daemon) planUsage(now time.Duration, after uint64) (uint64, []byte, bool) {
 	at, ok := d.clock.Now(now)
--- a/internal/usage/usage.go
+++ b/internal/usage/usage.go
@@ -6,6 +6,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"sync"
 	"time"
 
@@ -173,6 +174,7 @@
 	mu      sync.Mutex
 	term    uint64
 	settled uint64
+	dirty   bool
 	first   uint64 // window in which this tally was first asked, nothing being decided yet
 	lives   map[uint64]*teller
 	Garbage uint64
@@ -203,6 +205,7 @@
 		t.lives[m.Life] = l
 	}
 	l.at = at
+	t.dirty = true
 	if m.Term == t.term {
 		l.closed = max(l.closed, m.Closed) // else more is to come
 	}
@@ -220,6 +223,29 @@
 	return Heard{t.term, t.settled}, true
 }
 
+// Keep is what a tally knows of open windows, as words that can be told to another:
+// lives that are over tell nothing any more. Changed since the last Keep, or false.
+func (t *Tally) Keep() ([]Told, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.dirty {
+		return nil, false
+	}
+	t.dirty = false
+	var out []Told
+	for id, l := range t.lives {
+		if len(l.windows) == 0 {
+			continue
+		}
+		m := Told{Proxy: l.proxy, Life: id, Windows: map[uint64]Counts{}}
+		for w, c := range l.windows {
+			m.Windows[w] = maps.Clone(c)
+		}
+		out = append(out, m)
+	}
+	return out, true
+}
+
 // Settle forgets windows that are decided.
 func (t *Tally) Settle(through uint64) {
 	t.mu.Lock()
--- a/internal/usage/usage_test.go
+++ b/internal/usage/usage_test.go
@@ -41,6 +41,30 @@
 	}
 }
 
+// What a tally has kept can be told to another, twice and beside the proxies' own
+// words: it adds nothing to those that live, and all of those that do not.
+func TestKeptWordsMerge(t *testing.T) {
+	a, b := NewTally(1), NewTally(2)
+	dead := Told{Proxy: "p", Life: 1, Windows: map[uint64]Counts{5: {"x": 3}}}
+	live := Told{Proxy: "q", Life: 2, Windows: map[uint64]Counts{5: {"x": 4}}}
+	a.Take(0, 6, dead)
+	a.Take(0, 6, live)
+	kept, changed := a.Keep()
+	if _, again := a.Keep(); !changed || again || len(kept) != 2 {
+		t.Fatalf("kept %v, changed %v, again %v", kept, changed, again)
+	}
+	live.Windows[5]["x"] = 6
+	b.Take(0, 6, live)
+	for range 2 {
+		for _, m := range kept {
+			b.Take(0, 6, m)
+		}
+	}
+	if got := b.Sum(5)["x"]; got != 9 {
+		t.Errorf("%d runs, there were 9", got)
+	}
+}
+
 // A request under way keeps its window open; one that has been settled takes nothing.
 func TestOpenWindows(t *testing.T) {
 	m := NewMeter(1)
