--- a/internal/conduit/conduit.go
+++ b/internal/conduit/conduit.go
@@ -28,6 +28,9 @@
 // Register makes a message type known; each slice registers its own.
 func Register(v any) { gob.Register(v) }
 
+// Traffic counts the bytes and messages of all own connections of this process.
+var Traffic struct{ InBytes, OutBytes, In, Out atomic.Uint64 }
+
 // Garbled counts input that was no message; such connections are closed.
 var Garbled atomic.Uint64
 
@@ -154,6 +157,8 @@
 				binary.BigEndian.PutUint32(n[:], uint32(buf.Len()))
 				w.Write(n[:])
 				w.Write(buf.Bytes())
+				Traffic.Out.Add(1)
+				Traffic.OutBytes.Add(uint64(buf.Len()) + 4)
 			}
 		}
 		if w.Flush() != nil {
@@ -187,6 +192,8 @@
 			n[i] = c
 		}
 		f.left = binary.BigEndian.Uint32(n[:])
+		Traffic.In.Add(1)
+		Traffic.InBytes.Add(uint64(f.left) + 4)
 		if f.left > datum.FrameMax {
 			Garbled.Add(1)
 			return 0, errors.New("frame too long")
--- a/internal/gaugeboard/gaugeboard.go
+++ b/internal/gaugeboard/gaugeboard.go
@@ -54,6 +54,11 @@
 		metrics.WriteGaugeUint64(w, fmt.Sprintf("slateridge_members{state=%q}", s), states[s])
 	}
 	metrics.WriteCounterUint64(w, "slateridge_internal_garbage_total", conduit.Garbled.Load())
+	t := &conduit.Traffic
+	metrics.WriteCounterUint64(w, `slateridge_internal_messages_total{dir="in"}`, t.In.Load())
+	metrics.WriteCounterUint64(w, `slateridge_internal_messages_total{dir="out"}`, t.Out.Load())
+	metrics.WriteCounterUint64(w, `slateridge_internal_bytes_total{dir="in"}`, t.InBytes.Load())
+	metrics.WriteCounterUint64(w, `slateridge_internal_bytes_total{dir="out"}`, t.OutBytes.Load())
 	for _, t := range tallies {
 		metrics.WriteCounterUint64(w, fmt.Sprintf("slateridge_events_total{event=%q}", t.Kind), t.N)
 	}
--- a/internal/sluice/daemon.go
+++ b/internal/sluice/daemon.go
@@ -174,6 +174,15 @@
 	w := wheel.New(g)
 	w.Serve(rl, http.HandlerFunc(d.readiness))
 	w.Serve(adm, gaugeboard.Handler(d.Report))
+	w.Turn(datum.SettingsEvery, d.lookAtSettings)
+	return d.AddHollow(g, w)
+}
+
+// AddHollow puts in what keeps a proxy informed and is said to others, without the
+// path of requests: many such proxies can share one process, to try control's size.
+func (d *Daemon) AddHollow(g *run.Group, w *wheel.Wheel) error {
+	set := d.set.Load()
+	var err error
 	var seeds []string
 	for _, ip := range set.SeedIPs() {
 		seeds = append(seeds, set.PeerInternal(ip, datum.PortStaff))
@@ -195,7 +204,6 @@
 		w.Turn(datum.UsageEvery, d.tellUsage)
 	}
 	w.Turn(datum.RetireEvery, func() { d.yard.Retire(time.Now()) })
-	w.Turn(datum.SettingsEvery, d.lookAtSettings)
 	w.Turn(staff.TickEvery, d.staff.Tick)
 	return nil
 }
@@ -369,6 +377,35 @@
 	}
 }
 
+// Version is the configuration in force here, and Upstreams how many are known.
+func (d *Daemon) Version() uint64 {
+	if s := d.scheme.Load(); s != nil {
+		return s.Version
+	}
+	return 0
+}
+
+// Upstreams is how many are known here.
+func (d *Daemon) Upstreams() int { return d.yard.Len() }
+
+// Rehearse takes one made-up request through admission and metering as the path of
+// requests does, and sends it nowhere; false when it was refused.
+func (d *Daemon) Rehearse(tenant string) bool {
+	v := d.weir.Admit(d.now(), tenant, false)
+	if v.Ask {
+		d.askTracker(tenant)
+		v = d.weir.Admit(d.now(), tenant, true)
+	}
+	if !v.OK {
+		return false
+	}
+	d.weir.Settle(d.now(), tenant, 1)
+	if d.meter != nil {
+		d.meter.Count(d.windowAt(time.Now()), tenant)
+	}
+	return true
+}
+
 // windowAt is the usage window that a moment lies in, by the agreed time.
 func (d *Daemon) windowAt(at time.Time) uint64 {
 	agreed, ok := d.clock.Now(d.now())
