Leases: answers to earlier questions count; lists told with their age; items by hash

Words from who has no vote or of another electorate are counted.

A list that a control machine gets from another at its start says how old it is.

--- a/cmd/scalerun/main.go
+++ b/cmd/scalerun/main.go
@@ -50,6 +50,7 @@
 	Changes   int           `default:"5" help:"Configuration changes whose way is timed."`
 	Kill      bool          `help:"Kill one control process and time until the others have mended the view."`
 	Wait      time.Duration `default:"90s" help:"Longest wait for anything."`
+	Slopes    bool          `help:"Instead of a run, what single operations cost at three sizes each."`
 	Verbose   bool          `help:"Show what the processes write."`
 }
 
@@ -114,9 +115,14 @@
 }
 
 func configuration(version int) []byte {
-	var rs []any
+	type resource struct { // in the order in which operators write them
+		ResourceKind string            `json:"resourceKind"`
+		Metadata     map[string]string `json:"metadata"`
+		Spec         any               `json:"spec"`
+	}
+	var rs []resource
 	item := func(kind, name string, spec any) {
-		rs = append(rs, map[string]any{"resourceKind": kind, "metadata": map[string]string{"name": name}, "spec": spec})
+		rs = append(rs, resource{kind, map[string]string{"name": name}, spec})
 	}
 	for i := range cli.Routes {
 		timeout := 1000
@@ -418,6 +424,10 @@
 
 func main() {
 	kong.Parse(&cli, kong.Description("Tries the control plane's size on loopback, with hollow proxies. Bounded in time; ends by itself."))
+	if cli.Slopes {
+		slopes(os.Stdout)
+		return
+	}
 	if err := trial(); err != nil {
 		fmt.Fprintf(os.Stderr, "scalerun: %s\n", err)
 		os.Exit(1)
--- /dev/null
+++ b/cmd/scalerun/slopes.go
@@ -0,0 +1,167 @@
+package main
+
+import (
+	"encoding/gob"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"runtime"
+	"time"
+
+	"slateridge/internal/intake"
+	"slateridge/internal/scheme"
+	"slateridge/internal/sluice"
+	"slateridge/internal/staff"
+	"slateridge/internal/usage"
+	"slateridge/internal/weir"
+)
+
+// heap is the live heap after a collection, in bytes.
+func heap() float64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc)
+}
+
+func timed(n int, f func()) time.Duration {
+	began := time.Now()
+	for range n {
+		f()
+	}
+	return time.Since(began) / time.Duration(n)
+}
+
+// counted is how many bytes a value has between own processes.
+type counted int64
+
+func (c *counted) Write(b []byte) (int, error) { *c += counted(len(b)); return len(b), nil }
+
+func gobSize(v any) int64 {
+	var c counted
+	if err := gob.NewEncoder(&c).Encode(v); err != nil {
+		panic(err)
+	}
+	return int64(c)
+}
+
+// slopes prints what single operations cost at three sizes each, in this process,
+// without a network: per-operation figures, as against the whole processes' of a run.
+func slopes(w io.Writer) {
+	fmt.Fprintln(w, "configuration: routes, raw MB, packed KB, read s, heap MB, next version: difference bytes, read s, heap MB of both")
+	for _, n := range []int{1_100, 11_000, 110_000} {
+		cli.Routes, cli.Services, cli.Tenants, cli.Proxies, cli.PerProxy = n, max(1, n/44), 100, 100, 10
+		raw, next := configuration(1), configuration(2)
+		base := heap()
+		var rd scheme.Reader
+		var a, b *scheme.Scheme
+		took := timed(1, func() { a = must(rd.Read(raw)) })
+		one := heap() - base
+		again := timed(1, func() { b = must(rd.Read(next)) })
+		two := heap() - base
+		da, db := &scheme.Doc{Version: 1, Raw: raw}, &scheme.Doc{Version: 2, Raw: next}
+		whole, diff := scheme.Pack(nil, da), scheme.Pack(da, db)
+		fmt.Fprintf(w, "  %d, %.2f, %.0f, %.3f, %.1f, %d, %.3f, %.1f\n", n, float64(len(raw))/1e6, float64(gobSize(whole))/1e3, took.Seconds(), one/1e6, gobSize(diff), again.Seconds(), two/1e6)
+		runtime.KeepAlive(a)
+		runtime.KeepAlive(b)
+		runtime.KeepAlive(rd)
+	}
+	fmt.Fprintln(w, "upstreams: number, list MB as held and sent, heap MB at a proxy, first taking ms, taking a difference of ten ms, calls to read it")
+	for _, n := range []int{620, 6_200, 62_000} {
+		l := &intake.List{Num: 1}
+		for i := range n {
+			l.Instances = append(l.Instances, intake.Instance{ID: fmt.Sprintf("i-%010x", i), Service: fmt.Sprintf("svc%04d", i%max(1, n/25)), Address: fmt.Sprintf("10.%d.%d.%d:8080", i/65536, i/256%256, i%256), Zone: fmt.Sprintf("z%d", i%8), Slots: 2})
+		}
+		base := heap()
+		y := sluice.NewYard("p", "z1", map[string]string{"z1": "r"}, func(string) int { return 5 }, func(string) time.Duration { return 0 })
+		first := timed(1, func() { y.Apply(time.Now(), l.Instances) })
+		held := heap() - base
+		again := timed(5, func() { y.Apply(time.Now(), l.Instances[:n-10]) })
+		fmt.Fprintf(w, "  %d, %.2f, %.1f, %.2f, %.2f, %d\n", n, float64(gobSize(intake.Diff(nil, l)))/1e6, held/1e6, first.Seconds()*1e3, again.Seconds()*1e3, (n+49)/50)
+		runtime.KeepAlive(y)
+	}
+	fmt.Fprintln(w, "a stream's placement: upstreams of its service in its zone, microseconds")
+	for _, n := range []int{50, 500, 5_000} {
+		y := sluice.NewYard("p", "z", map[string]string{"z": "r"}, func(string) int { return 5 }, func(string) time.Duration { return 0 })
+		var is []intake.Instance
+		for i := range n {
+			is = append(is, intake.Instance{ID: fmt.Sprintf("i-%010x", i), Service: "svc", Zone: "z", Slots: 4})
+		}
+		y.Apply(time.Now(), is)
+		i := 0
+		fmt.Fprintf(w, "  %d, %.1f\n", n, float64(timed(300, func() { y.PlaceStream("svc", fmt.Sprint(i)); i++ }).Nanoseconds())/1e3)
+	}
+	fmt.Fprintln(w, "usage at the holder: proxies of 40 tenants each, microseconds a word, heap MB of a window, then tenants in a report: MB, ms to add up and write it")
+	for i, n := range []int{52, 520, 5_200} {
+		base := heap()
+		t := usage.NewTally(1)
+		for p := range n {
+			c := usage.Counts{}
+			for k := range 40 {
+				c[fmt.Sprintf("t%06d", (p*37+k*k)%200_000)] = 3
+			}
+			t.Take(0, 101, usage.Told{Proxy: fmt.Sprint(p), Life: uint64(p + 1), Windows: map[uint64]usage.Counts{100: c}})
+		}
+		held := heap() - base
+		c := usage.Counts{}
+		for k := range 40 {
+			c[fmt.Sprintf("t%06d", k)] = 3
+		}
+		word := timed(1000, func() {
+			t.Take(0, 101, usage.Told{Proxy: "0", Life: 1, Windows: map[uint64]usage.Counts{100: c}})
+		})
+		many := []int{2_000, 20_000, 200_000}[i]
+		sum := usage.Counts{}
+		for k := range many {
+			sum[fmt.Sprintf("t%06d", k)] = 30
+		}
+		var body []byte
+		wrote := timed(1, func() { body = usage.Body(100, sum) })
+		fmt.Fprintf(w, "  %d, %.1f, %.2f; %d, %.2f, %.1f\n", n, float64(word.Nanoseconds())/1e3, held/1e6, many, float64(len(body))/1e6, wrote.Seconds()*1e3)
+	}
+	fmt.Fprintln(w, "admission at a tracker: keys, proxies asking for two each, heap MB, microseconds a question")
+	for _, n := range [][2]int{{2_000, 52}, {20_000, 520}, {200_000, 5_200}} {
+		base := heap()
+		g := weir.NewGatehouse(1, 6, func(int, weir.Quota) bool { return true })
+		qs := map[string]weir.Quota{}
+		for k := range n[0] {
+			qs[fmt.Sprintf("t%06d", k)] = weir.Quota{Rate: 10, Burst: 10}
+		}
+		g.SetQuotas(0, qs)
+		asked, now := 0, 10*time.Second
+		began := time.Now()
+		for p := range n[1] {
+			for k := range 2 {
+				now += time.Microsecond
+				g.Ask(now, weir.AskGrants{Proxy: fmt.Sprint(p), Proxies: n[1], Wants: []weir.Want{{Key: fmt.Sprintf("t%06d", (p*31+k)%n[0]), Demand: 1}}},
+					func(int) (time.Duration, bool) { return 0, true })
+				asked++
+			}
+		}
+		took := time.Since(began)
+		fmt.Fprintf(w, "  %d, %d, %.1f, %.1f\n", n[0], n[1], (heap()-base)/1e6, float64(took.Nanoseconds())/float64(asked)/1e3)
+		runtime.KeepAlive(g)
+	}
+	fmt.Fprintln(w, "membership: members, heap MB, microseconds a datagram")
+	for _, n := range []int{52, 520, 5_200} {
+		base := heap()
+		s := staff.New(0, "10.0.0.1:1", "me", nil, rand.New(rand.NewPCG(1, 1)))
+		i := 0
+		took := timed(n, func() {
+			a := net.JoinHostPort(fmt.Sprintf("10.1.%d.%d", i/250, i%250), "7563")
+			s.Recv(time.Duration(i)*time.Millisecond, a, staff.Msg{Seq: uint64(i), Facts: []staff.Fact{{Addr: a, Name: fmt.Sprintf("edge-some-hall-%d/sluice", i)}}})
+			i++
+		})
+		fmt.Fprintf(w, "  %d, %.2f, %.1f\n", n, (heap()-base)/1e6, float64(took.Nanoseconds())/1e3)
+		runtime.KeepAlive(s)
+	}
+}
+
+func must[T any](v T, err error) T {
+	if err != nil {
+		panic(err)
+	}
+	return v
+}
--- a/internal/headworks/admin.go
+++ b/internal/headworks/admin.go
@@ -35,6 +35,7 @@
 	Proxies   []penstock.ProxyState
 	Acked     int
 	Pushes    uint64
+	Dropped   uint64 // words on leases and duties from who has no vote, or of an older view
 	Leased    map[string]float64
 	Members   []staff.Fact
 	Events    []logbook.Event
@@ -69,6 +70,7 @@
 	}
 	r.Pushes = d.pen.Pushed()
 	d.leaseMu.Lock()
+	r.Dropped = d.leases.Dropped
 	for _, duty := range d.leases.Duties() {
 		r.Duties[duty] = d.leases.Holder(d.now(), duty)
 	}
@@ -134,6 +136,7 @@
 		}
 	}
 	metrics.WriteCounterUint64(w, "slateridge_pushes_total", r.Pushes)
+	metrics.WriteCounterUint64(w, "slateridge_lease_words_dropped_total", r.Dropped+r.Chain.Dropped)
 	gaugeboard.WriteCommon(w, r.Members, r.Tallies)
 }
 
--- a/internal/headworks/chain.go
+++ b/internal/headworks/chain.go
@@ -78,6 +78,7 @@
 		Committed, Held scheme.Stamp
 		Version         uint64 // of the configuration in force
 		Wall            int64  // its time of day, in nanoseconds
+		Dropped         uint64 // words on duties from who has no vote
 	}
 	// Prepare asks for a promise, which seals the view before the slot.
 	Prepare struct {
@@ -283,7 +284,7 @@
 	nonce     uint64
 	out       []any
 	raws      [2]rawRef // configurations on disk; states name them
-	Dropped   uint64    // words on duties from who has no vote
+	Dropped   uint64
 }
 
 // rawRef is a configuration kept apart from the states that hold it.
@@ -412,7 +413,7 @@
 
 func (c *Chain) gauge() Gauge {
 	g := Gauge{Me: c.Me, View: c.agr.View, Joined: c.agr.Joined, Asks: c.Relay || !c.agr.Joined, Sealed: c.sealed(), Sick: c.store.Sick(), Relay: c.Relay, Zone: c.Zone, Region: c.Region,
-		Committed: at(c.committed), Held: at(c.held), Version: ver(c.committed)}
+		Committed: at(c.committed), Held: at(c.held), Version: ver(c.committed), Dropped: c.Dropped}
 	if c.Wall != nil {
 		g.Wall = c.Wall()
 	}
--- a/internal/headworks/daemon.go
+++ b/internal/headworks/daemon.go
@@ -70,6 +70,7 @@
 	ListNews struct {
 		Num    uint64
 		Change *intake.Change
+		Age    time.Duration // since it was known to be current
 	}
 	ListAsk struct{}
 )
@@ -545,10 +546,10 @@
 		}
 	case ListAsk:
 		d.mu.Lock()
-		l := d.list
+		l, age := d.list, time.Since(d.listOK)
 		d.mu.Unlock()
 		if l != nil {
-			d.send(p.Remote, ListNews{l.Num, intake.Diff(nil, l)})
+			d.send(p.Remote, ListNews{l.Num, intake.Diff(nil, l), age})
 		}
 	default:
 		if g, ok := body.(Gauge); ok {
@@ -842,8 +843,8 @@
 	}
 	ok := d.list != nil && d.list.Num == m.Num
 	missed := d.list == nil || d.list.Num < m.Num
-	if ok {
-		d.listOK = time.Now()
+	if at := time.Now().Add(-m.Age); ok && at.After(d.listOK) {
+		d.listOK = at
 	}
 	d.mu.Unlock()
 	if took {
--- a/internal/scheme/scheme.go
+++ b/internal/scheme/scheme.go
@@ -4,6 +4,7 @@
 
 import (
 	"bytes"
+	"crypto/sha256"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -453,11 +454,20 @@
 	return build(ver, its)
 }
 
+// letters stand for an item's text, which need not be kept to know it again.
+type letters [16]byte
+
+func lettersOf(text string) (l letters) {
+	sum := sha256.Sum256([]byte(text))
+	copy(l[:], sum[:])
+	return l
+}
+
 // Reader reads one configuration after another, and of each only the items that
 // the one before did not have, letter for letter.
 type Reader struct {
-	have map[string]*item // by their letters
-	New  int              // items the last document did not share with the one before
+	have map[letters]*item
+	New  int // items the last document did not share with the one before
 }
 
 // Read is like the function of that name; a document that is written otherwise
@@ -483,7 +493,7 @@
 	if err != nil {
 		return nil, err
 	}
-	have := make(map[string]*item, len(parts))
+	have := make(map[letters]*item, len(parts))
 	var its []*item
 	rd.New = 0
 	for i, p := range parts[1:] {
@@ -499,7 +509,8 @@
 			return nil, errWritten
 		}
 		text = strings.TrimSpace(text)
-		it := rd.have[text]
+		key := lettersOf(text)
+		it := rd.have[key]
 		if it == nil {
 			var r resource
 			if json.Unmarshal([]byte(text), &r) != nil {
@@ -511,7 +522,7 @@
 			rd.New++
 			breathe(rd.New)
 		}
-		have[text] = it
+		have[key] = it
 		its = append(its, it)
 	}
 	s, err := build(ver, its)
--- a/internal/sluice/affinity.go
+++ b/internal/sluice/affinity.go
@@ -19,6 +19,16 @@
 	}
 }
 
+// PlaceStream finds room for a stream whose prompt begins with a prefix, in any
+// region, and gives it up again: what a placement costs.
+func (y *Yard) PlaceStream(service, prefix string) bool {
+	of := y.Place(want{service: service, homes: anywhere, stream: true, prefix: prefix}, nil)
+	if of != nil {
+		y.done(of, unused)
+	}
+	return of != nil
+}
+
 // Busy is how many requests of a service run and wait here.
 func (y *Yard) Busy(service string) int {
 	y.mu.Lock()
--- a/internal/watermaster/watermaster.go
+++ b/internal/watermaster/watermaster.go
@@ -57,11 +57,18 @@
 	until  time.Duration
 }
 
+// question is one round of asking; several may be under way, since answers can take
+// longer than the time between two.
+type question struct {
+	nonce uint64
+	again bool
+	asked time.Duration
+	yes   map[string]bool
+}
+
 type claim struct {
-	nonce  uint64
-	again  bool
-	asked  time.Duration
-	yes    map[string]bool
+	nonce  uint64        // of the latest question; 0: none counts
+	open   []question    // the latest last
 	until  time.Duration // holder's own reckoning; 0 when not held
 	since  time.Duration // start of the unbroken holding
 	nextAt time.Duration
@@ -80,6 +87,8 @@
 	claims map[string]*claim
 	nonce  uint64
 	out    []Send
+
+	Dropped uint64 // words from who has no vote, of another electorate, or on no duty
 }
 
 // New makes the machine, without an electorate; all machines name the same
@@ -88,7 +97,7 @@
 func New(now time.Duration, life uint64, me string, duties []string) *Watermaster {
 	w := &Watermaster{me: me, duties: duties, start: now, nonce: life, grants: map[string]grant{}, claims: map[string]*claim{}}
 	for _, d := range duties {
-		w.claims[d] = &claim{yes: map[string]bool{}}
+		w.claims[d] = &claim{}
 	}
 	return w
 }
@@ -110,7 +119,7 @@
 	}
 	w.grants = map[string]grant{}
 	for _, c := range w.claims {
-		c.nonce, c.other, c.nextAt = 0, 0, 0 // what is held runs out
+		c.nonce, c.open, c.other, c.nextAt = 0, nil, 0, 0 // what is held runs out
 	}
 }
 
@@ -173,24 +182,25 @@
 		if now < c.nextAt {
 			continue
 		}
+		again := false
 		if !held {
 			if g := w.grants[d]; g.until > now && g.holder != w.me {
 				c.other = now // here it is known to be held
 				continue
 			}
 			wait := time.Duration(w.rank(i)) * datum.LeaseStagger
-			c.again = now-w.start < 2*datum.LeaseRenew // longer, and its asking would keep the duty from others
-			if !c.again && (now-w.start < datum.LeaseLength+datum.LeaseMargin+wait || c.other > 0 && now-c.other < wait) {
+			again = now-w.start < 2*datum.LeaseRenew // longer, and its asking would keep the duty from others
+			if !again && (now-w.start < datum.LeaseLength+datum.LeaseMargin+wait || c.other > 0 && now-c.other < wait) {
 				continue
 			}
-		} else {
-			c.again = false
 		}
 		w.nonce++
-		c.nonce, c.asked, c.yes = w.nonce, now, map[string]bool{}
+		c.nonce = w.nonce
+		c.open = append(c.open, question{w.nonce, again, now, map[string]bool{}})
+		c.open = c.open[max(0, len(c.open)-int(datum.LeaseLength/datum.LeaseRenew)):]
 		c.nextAt = now + datum.LeaseRenew
 		for _, p := range w.peers {
-			w.send(p, Ask{d, w.epoch, c.nonce, c.again}, now)
+			w.send(p, Ask{d, w.epoch, c.nonce, again}, now)
 		}
 	}
 	out := w.out
@@ -202,6 +212,8 @@
 func (w *Watermaster) Recv(now time.Duration, from string, msg any) []Send {
 	if slices.Contains(w.peers, from) {
 		w.take(now, from, msg)
+	} else {
+		w.Dropped++
 	}
 	out := w.out
 	w.out = nil
@@ -211,7 +223,11 @@
 func (w *Watermaster) take(now time.Duration, from string, msg any) {
 	switch m := msg.(type) {
 	case Ask:
-		if w.claims[m.Duty] == nil || m.Epoch != w.epoch || w.sealed {
+		if w.claims[m.Duty] == nil || m.Epoch != w.epoch {
+			w.Dropped++
+			return
+		}
+		if w.sealed {
 			return
 		}
 		g := w.grants[m.Duty]
@@ -233,10 +249,19 @@
 		}
 	case Grant:
 		c := w.claims[m.Duty]
-		if c == nil || m.Nonce != c.nonce || m.Epoch != w.epoch {
+		if c == nil || m.Epoch != w.epoch {
+			w.Dropped++
 			return
 		}
+		i := slices.IndexFunc(c.open, func(q question) bool { return q.nonce == m.Nonce })
+		if i < 0 {
+			return // overtaken
+		}
+		q := c.open[i]
 		if !m.OK {
+			if m.Nonce != c.nonce {
+				return
+			}
 			if m.Holder != "" && m.Holder != w.me {
 				c.other = now
 				if c.until <= now {
@@ -247,23 +272,23 @@
 					for _, p := range w.peers {
 						w.send(p, Release{m.Duty, c.nonce}, now)
 					}
-					c.nonce = 0
+					c.nonce, c.open = 0, nil
 				}
 			}
 			return
 		}
-		c.yes[from] = true
+		q.yes[from] = true
 		// A holder that came straight back has forgotten its own grant. Half of all
 		// machines, itself not counted, leave too few for anyone else.
 		enough := len(w.peers)/2 + 1
-		if c.again {
+		if q.again {
 			enough = (len(w.peers) + 1) / 2
 		}
-		if len(c.yes) >= enough && c.asked+datum.LeaseLength > now {
+		if until := q.asked + datum.LeaseLength; len(q.yes) >= enough && until > now && until > c.until {
 			if c.until <= now {
 				c.since = now
 			}
-			c.until = c.asked + datum.LeaseLength
+			c.until = until
 		}
 	}
 }
@@ -276,7 +301,7 @@
 			for _, p := range w.peers {
 				w.send(p, Release{d, c.nonce}, now)
 			}
-			c.nonce = 0 // an answer still under way must not bring it back
+			c.nonce, c.open = 0, nil // an answer still under way must not bring it back
 		}
 	}
 	out := w.out
--- a/internal/watermaster/watermaster_test.go
+++ b/internal/watermaster/watermaster_test.go
@@ -284,3 +284,45 @@
 		}
 	}
 }
+
+// Answers that take longer than the time between two questions renew all the same.
+func TestSlowAnswersRenew(t *testing.T) {
+	for seed := uint64(1); seed <= 20; seed++ {
+		b := basin.New(seed)
+		b.Delay = 170 * time.Millisecond
+		names := []string{"a", "b", "c", "d", "e"}
+		ms := map[string]*Watermaster{}
+		for _, n := range names {
+			ms[n] = withPeers(New(0, b.Rng.Uint64(), n, []string{"x"}), names)
+		}
+		p := &pond{b, ms}
+		p.run(names, func(string) {})
+		b.Run(10*time.Second, nil)
+		if len(p.holders(names, "x")) != 1 {
+			t.Fatalf("seed %d: held by %q", seed, p.holders(names, "x"))
+		}
+		lost := 0
+		b.Run(40*time.Second, func() {
+			if p.holders(names, "x") == "" {
+				lost++
+			}
+		})
+		if lost > 0 {
+			t.Errorf("seed %d: the lease is lost while answers take up to 340 ms", seed)
+		}
+	}
+}
+
+// Words from who has no vote, or of another electorate, are dropped and counted.
+func TestForeignWordsAreDropped(t *testing.T) {
+	w := withPeers(New(0, 1, "a", []string{"x"}), []string{"a", "b", "c"})
+	late := 10 * time.Second
+	for i, word := range []struct {
+		from string
+		msg  any
+	}{{"z", Ask{"x", 1, 9, false}}, {"b", Ask{"x", 7, 9, false}}, {"b", Ask{"y", 1, 9, false}}, {"z", Grant{"x", 1, 9, true, "a"}}, {"b", Grant{"x", 7, 9, true, "a"}}} {
+		if out := w.Recv(late, word.from, word.msg); len(out) > 0 || w.Dropped != uint64(i+1) || w.Holder(late, "x") != "" {
+			t.Errorf("%+v: answered %v, %d dropped", word, out, w.Dropped)
+		}
+	}
+}
