Revoked keys: a proxy that has not known for long refuses what needs a key

Control machines work out since when nothing newer than what they hold committed had been committed: so many voters that one must be a member of the view, unsealed, have told of nothing newer after that moment, by echoed stamps, however long their words were under way. Proxies take it from answers, reckoned from their question. Above revoke less 0.4 s a request with a key gets 503 and is not sent; where revocationStrict is false nothing changes.

TestChainUnderTrouble checks each claim at each step, TestUnheardKeysAreRefused the refusal.

--- a/internal/datum/datum.go
+++ b/internal/datum/datum.go
@@ -180,6 +180,8 @@
 	TermAccept      = 2500 * time.Millisecond // after SIGTERM the platform may still send: two missed readiness checks and a bit
 	TermSpare       = 700 * time.Millisecond  // of grace kept for leaving
 	HeaderTimeout   = 3 * time.Second         // until a configuration says otherwise
+	RevokeSpare     = 400 * time.Millisecond  // of the bound on revoked keys kept for clocks that count unevenly and a slow step
+	RetryUnsure     = 400 * time.Millisecond  // told while a proxy does not know whether a key still holds: one word to control
 	IdleTimeout     = 15 * time.Second        // likewise
 	HeaderBytes     = 64 << 10                // hard bound before a configuration's own
 	BudgetDefault   = 30 * time.Second        // a client that names no budget
--- a/internal/headworks/chain.go
+++ b/internal/headworks/chain.go
@@ -78,6 +78,7 @@
 		Committed, Held scheme.Stamp
 		Version         uint64 // of the configuration in force
 		Wall            int64  // its time of day, in nanoseconds
+		At, Echo        uint64 // a moment of the sender's, and the latest of the receiver's that reached it
 		Dropped         uint64 // words on duties from who has no vote
 	}
 	// Prepare asks for a promise, which seals the view before the slot.
@@ -219,6 +220,7 @@
 
 type peerState struct {
 	gauge    Gauge
+	echoed   time.Duration // moment here that its last gauge follows; negative: none known
 	heard    time.Duration // last gauge
 	since    time.Duration // first gauge of the present run of them
 	everSeen bool
@@ -282,6 +284,8 @@
 	orderAt   map[uint64]time.Duration
 	reads     []*reading
 	nonce     uint64
+	stampBase uint64        // moments of this life are told apart from those of others by it
+	surely    time.Duration // nothing newer than what is committed here had been committed at this moment; negative: never known
 	out       []any
 	raws      [2]rawRef // configurations on disk; states name them
 	Dropped   uint64
@@ -366,7 +370,7 @@
 		}
 		c.held = &d
 	}
-	c.nonce = rng.Uint64()
+	c.nonce, c.stampBase, c.surely = rng.Uint64(), rng.Uint64()>>1, -1
 	c.rounds = c.agr.Promised.Round
 	return c, nil
 }
@@ -448,6 +452,10 @@
 	if s := c.seen[p]; s != nil && s.gauge.View.Num >= g.View.Num {
 		g.View = View{Num: g.View.Num} // it has that view; its number is enough
 	}
+	g.At = c.stampBase + uint64(c.now)
+	if s := c.seen[p]; s != nil {
+		g.Echo = s.gauge.At
+	}
 	c.send(p, g)
 }
 
@@ -496,9 +504,49 @@
 	}
 	c.drive()
 	c.mendView()
+	c.lookSure()
 	return c.flush()
 }
 
+// lookSure works out since when this machine is sure to know what is committed. A
+// state that is committed is held by every member of its view. So once so many voters
+// that one of them must be a member have told, after some moment, of nothing newer than
+// what is committed here, nothing newer had been committed in this view at that moment;
+// and with a majority of them unsealed after it, no later view had been decided. Their
+// words count from the moment of this machine's that they follow, however long they
+// were under way.
+func (c *Chain) lookSure() {
+	if !c.agr.Joined || c.committed == nil || c.Relay || c.sealed() {
+		return
+	}
+	var since []time.Duration
+	for _, v := range c.agr.View.Voters {
+		if v == c.Me {
+			if at(c.committed) == at(c.held) {
+				since = append(since, c.now)
+			}
+			continue
+		}
+		s := c.seen[v.Addr]
+		if s == nil || s.gauge.Me != v || s.echoed < 0 || !s.gauge.Joined || s.gauge.Sealed {
+			continue
+		}
+		if s.gauge.View.Num > c.agr.View.Num || at(c.committed).Less(s.gauge.Held) {
+			continue // it knows more, or may
+		}
+		since = append(since, s.echoed)
+	}
+	v := c.agr.View
+	if n := max(c.majority(), len(v.Voters)-len(v.Members)+1); len(since) >= n {
+		slices.SortFunc(since, func(a, b time.Duration) int { return int(b - a) })
+		c.surely = max(c.surely, since[n-1])
+	}
+}
+
+// Surely is the moment at which nothing newer than what is committed here had been
+// committed; false while none is known.
+func (c *Chain) Surely() (time.Duration, bool) { return c.surely, c.surely >= 0 }
+
 // Submit takes an operator's valid change; it is committed, or overtaken, when
 // a Commit of its version or a higher one comes out.
 func (c *Chain) Submit(now time.Duration, d scheme.Doc) []any {
@@ -675,6 +723,10 @@
 		}
 	}
 	p.everSeen, p.heard, p.gauge = true, c.now, g
+	p.echoed = -1
+	if since := g.Echo - c.stampBase; since <= uint64(c.now) {
+		p.echoed = time.Duration(since)
+	}
 	c.learn(g.View)
 	if at(c.committed).Less(g.Committed) && !c.Relay {
 		// Copies found old are mended: from what is held here when it is that
--- a/internal/headworks/chain_test.go
+++ b/internal/headworks/chain_test.go
@@ -38,6 +38,7 @@
 	next    uint64
 	sent    map[uint64]string
 	acked   uint64            // highest version acknowledged to the operator
+	ackedAt []ackedAt         // each time it rose
 	inForce map[string]uint64 // per life
 	views   map[uint64]string
 	acks    int
@@ -48,6 +49,25 @@
 
 var three = []string{"a", "b", "c"}
 
+type ackedAt struct {
+	at      time.Duration
+	version uint64
+}
+
+// sure checks what a machine claims to know: at the moment it names, nothing newer
+// than what is committed there had been acknowledged.
+func (c *core) sure(n string) {
+	at, ok := c.chain[n].Surely()
+	for i := len(c.ackedAt) - 1; ok && i >= 0; i-- {
+		if a := c.ackedAt[i]; a.at < at {
+			if a.version > ver(c.chain[n].Committed()) {
+				c.fail("%s is sure of r%d at %v, r%d was acknowledged at %v", n, ver(c.chain[n].Committed()), at, a.version, a.at)
+			}
+			return
+		}
+	}
+}
+
 func newCore(t *testing.T, seed uint64, names []string, tolerate int) *core {
 	c := &core{t: t, seed: seed, b: basin.New(seed), names: names, seeds: names[:3], disks: map[string]*basin.Disk{}, chain: map[string]*Chain{},
 		life: map[string]int{}, frozen: map[string]bool{}, pending: map[string][]func(){}, calm: map[string]time.Duration{},
@@ -101,7 +121,9 @@
 		}
 		return
 	}
-	for _, o := range f(c.chain[n]) {
+	out := f(c.chain[n])
+	c.sure(n)
+	for _, o := range out {
 		switch o := o.(type) {
 		case Send:
 			to := o.To
@@ -121,7 +143,10 @@
 			for w := range c.waits[n] {
 				if w <= v {
 					delete(c.waits[n], w)
-					c.acked = max(c.acked, w)
+					if w > c.acked {
+						c.acked = w
+						c.ackedAt = append(c.ackedAt, ackedAt{c.b.Now, w})
+					}
 					c.acks++
 				}
 			}
@@ -376,6 +401,9 @@
 		c.fail("nothing was acknowledged in 6 s of calm: %+v", c.chain["a"].Status())
 	}
 	for _, n := range c.names {
+		if at, ok := c.chain[n].Surely(); !ok || c.b.Now-at > datum.MemberSilence {
+			c.fail("%s is sure of what it knows only as of %v", n, at)
+		}
 		if got := len(c.chain[n].View().Members); got != len(c.names) {
 			c.fail("%s sees a view of %d members after calm", n, got)
 		}
--- a/internal/headworks/daemon.go
+++ b/internal/headworks/daemon.go
@@ -88,6 +88,12 @@
 	quotas  map[string]weir.Quota
 }
 
+// sureness says that no version above one had been committed at a moment.
+type sureness struct {
+	at      time.Duration
+	version uint64
+}
+
 const dutyPoll = "poll"
 
 func dutyTrack(shard int) string { return fmt.Sprintf("track/%d", shard) }
@@ -108,6 +114,7 @@
 	store   *cistern.Cistern
 	status  atomic.Pointer[Gauge]
 	inForce atomic.Pointer[scheme.Doc]
+	surely  atomic.Pointer[sureness]
 	coming  atomic.Pointer[coming] // arrived here last, perhaps not in force
 
 	waitMu sync.Mutex
@@ -397,6 +404,9 @@
 func (d *Daemon) snapshot() {
 	g := d.chain.Status()
 	d.status.Store(&g)
+	if at, ok := d.chain.Surely(); ok {
+		d.surely.Store(&sureness{at, g.Version})
+	}
 }
 
 // committed puts a version in force here: for the proxies, for the trackers,
@@ -458,6 +468,9 @@
 // face is what proxies are told.
 func (d *Daemon) face() penstock.Face {
 	f := penstock.Face{ConfigDoc: d.inForce.Load()}
+	if s := d.surely.Load(); s != nil {
+		f.SureVersion, f.SureAge = s.version, d.now()-s.at
+	}
 	f.Current = d.current()
 	f.Zone = d.set.Zone
 	if f.ConfigDoc != nil {
--- a/internal/penstock/line.go
+++ b/internal/penstock/line.go
@@ -33,6 +33,7 @@
 	version uint64
 	listNum uint64
 	listAt  time.Time // when the held list was last known to be current
+	sure    time.Time
 	current time.Time // when a control machine that hears a majority last spoke
 	heard   time.Time
 	proxies int
@@ -227,6 +228,7 @@
 }
 
 func (l *Line) ask(a string, e *end, t Tap) {
+	asked := time.Now()
 	v, err := e.m.Call(t, datum.CallTimeout)
 	l.mu.Lock()
 	e.asking = false
@@ -244,9 +246,24 @@
 	l.mu.Unlock()
 	if n, ok := v.(News); ok {
 		l.take(a, n)
+		l.mu.Lock()
+		// An answer was made after its question: only from there can its age be
+		// reckoned, however long it was under way.
+		if at := asked.Add(-n.SureAge); n.SureVersion > 0 && n.SureVersion <= l.version && at.After(l.sure) {
+			l.sure = at
+		}
+		l.mu.Unlock()
 	}
 }
 
+// Sure is the latest moment at which nothing newer than what is in force here had
+// been acknowledged to an operator.
+func (l *Line) Sure() time.Time {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.sure
+}
+
 // take puts news in force. What a proxy says it holds is in force there, so its
 // words wait until that is so; the questions of its requests do not.
 func (l *Line) take(a string, n News) {
--- a/internal/penstock/penstock.go
+++ b/internal/penstock/penstock.go
@@ -46,13 +46,16 @@
 		StateNum  uint64
 		Evacuated []string
 		Proxies   int
-		Wall      int64    // the agreed time of day, in nanoseconds; 0 unknown
-		Metered   string   // the control machine that usage is told to
-		Scaler    string   // and what runs, where upstreams are ordered
-		Trackers  []string // these two only when they differ from what was told last
-		Peers     []Peer
-		Config    *scheme.Packed
-		List      *intake.Change
+		Wall      int64  // the agreed time of day, in nanoseconds; 0 unknown
+		Metered   string // the control machine that usage is told to
+		Scaler    string // and what runs, where upstreams are ordered
+		// No version above SureVersion had been committed SureAge ago; 0: not known.
+		SureVersion uint64
+		SureAge     time.Duration
+		Trackers    []string // these two only when they differ from what was told last
+		Peers       []Peer
+		Config      *scheme.Packed
+		List        *intake.Change
 		// Coming are the limits of a version that has arrived but is not in
 		// force; they are only evaluated.
 		ComingVer uint64
--- a/internal/scheme/scheme_test.go
+++ b/internal/scheme/scheme_test.go
@@ -39,21 +39,22 @@
 		t.Error("weights are read wrongly")
 	}
 	for name, c := range map[string]struct{ old, new, says string }{
-		"cut short":          {good[len(good)/2:], "", "cannot be read"},
-		"more after the end": {`"15000ms"}}]}`, `"15000ms"}}]}{}`, "more follows"},
-		"no version":         {`"r7"`, `"7"`, "configVersion"},
-		"unknown service":    {`"targetService":"y","maxAttempts"`, `"targetService":"z","maxAttempts"`, "routes b: targetService"},
-		"unknown weighted":   {`{"targetService":"y","weight":10}`, `{"targetService":"z","weight":10}`, "routes a: weightedTargets"},
-		"same place":         {`"/a/b/"`, `"/a/"`, "routes b: pathPrefix"},
-		"no attempts":        {`"maxAttempts":2,"public":false}},` + "\n" + `{"resourceKind":"services","metadata":{"name":"x"}`, `"maxAttempts":0,"public":false}},` + "\n" + `{"resourceKind":"services","metadata":{"name":"x"}`, "routes b: maxAttempts"},
-		"no host":            {`"H.example"`, `""`, "routes a: host"},
-		"no weight":          {`"weight":90},{"targetService":"y","weight":10}`, `"weight":0},{"targetService":"y","weight":0}`, "routes a: targetService"},
-		"no timeout":         {`"timeout":"1.5s"`, `"timeout":"0ms"`, "routes a: timeout"},
-		"no unit":            {`"timeout":"1.5s"`, `"timeout":"15"`, "routes a"},
-		"no slash":           {`"/a/b/"`, `"/a/b"`, "routes b: pathPrefix"},
-		"shared key":         {`["k3"]`, `["k1"]`, "tenants u: apiKeys"},
-		"unknown kind":       {`"resourceKind":"limits"`, `"resourceKind":"limit"`, "resourceKind"},
-		"wrong type":         {`"maxConnections":150,"protocol":"h1","tlsEnabled":false}},` + "\n" + `{"resourceKind":"services","metadata":{"name":"y"}`, `"maxConnections":"x"}},` + "\n" + `{"resourceKind":"services","metadata":{"name":"y"}`, "services x: maxConnections"},
+		"cut short":           {good[len(good)/2:], "", "cannot be read"},
+		"more after the end":  {`"15000ms"}}]}`, `"15000ms"}}]}{}`, "more follows"},
+		"no version":          {`"r7"`, `"7"`, "configVersion"},
+		"unknown service":     {`"targetService":"y","maxAttempts"`, `"targetService":"z","maxAttempts"`, "routes b: targetService"},
+		"unknown weighted":    {`{"targetService":"y","weight":10}`, `{"targetService":"z","weight":10}`, "routes a: weightedTargets"},
+		"same place":          {`"/a/b/"`, `"/a/"`, "routes b: pathPrefix"},
+		"no attempts":         {`"maxAttempts":2,"public":false}},` + "\n" + `{"resourceKind":"services","metadata":{"name":"x"}`, `"maxAttempts":0,"public":false}},` + "\n" + `{"resourceKind":"services","metadata":{"name":"x"}`, "routes b: maxAttempts"},
+		"no host":             {`"H.example"`, `""`, "routes a: host"},
+		"no weight":           {`"weight":90},{"targetService":"y","weight":10}`, `"weight":0},{"targetService":"y","weight":0}`, "routes a: targetService"},
+		"no timeout":          {`"timeout":"1.5s"`, `"timeout":"0ms"`, "routes a: timeout"},
+		"no unit":             {`"timeout":"1.5s"`, `"timeout":"15"`, "routes a"},
+		"no slash":            {`"/a/b/"`, `"/a/b"`, "routes b: pathPrefix"},
+		"shared key":          {`["k3"]`, `["k1"]`, "tenants u: apiKeys"},
+		"scaling upside down": {`"healthCheckPath":"/health"`, `"healthCheckPath":"/health","scaling":{"minCount":5,"maxCount":4,"bootTime":"4s"}`, "services x: scaling.maxCount"},
+		"unknown kind":        {`"resourceKind":"limits"`, `"resourceKind":"limit"`, "resourceKind"},
+		"wrong type":          {`"maxConnections":150,"protocol":"h1","tlsEnabled":false}},` + "\n" + `{"resourceKind":"services","metadata":{"name":"y"}`, `"maxConnections":"x"}},` + "\n" + `{"resourceKind":"services","metadata":{"name":"y"}`, "services x: maxConnections"},
 	} {
 		bad := strings.Replace(good, c.old, c.new, 1)
 		if bad == good {
--- a/internal/sill/sill.go
+++ b/internal/sill/sill.go
@@ -97,6 +97,8 @@
 	WarmupOverage    float64 `json:"warmupOverage" validate:"gte=0"`
 	WarmupSlack      float64 `json:"warmupSlack" validate:"gte=0"`
 	Evacuation       Span    `json:"evacuation"`
+	RevocationStrict bool    `json:"revocationStrict"`
+	Revoke           Span    `json:"revoke" validate:"gte=0"`
 	FencingEnforced  bool    `json:"fencingEnforced"`
 	Lease            Span    `json:"lease" validate:"gte=0"`
 	ThawSlack        Span    `json:"thawSlack" validate:"gte=0"`
@@ -174,6 +176,9 @@
 	if s.Has("quota") && s.Bounds.QuotaWindow <= 0 {
 		return nil, fmt.Errorf("settings file %s: bounds.quotaWindow: missing, contract quota needs it", path)
 	}
+	if s.Bounds.RevocationStrict && s.Bounds.Revoke.D() <= 2*datum.RevokeSpare {
+		return nil, fmt.Errorf("settings file %s: bounds.revoke: must be gt %v where revocationStrict is true, is %s", path, 2*datum.RevokeSpare, s.Bounds.Revoke)
+	}
 	if err := s.checkDuties(); err != nil {
 		return nil, fmt.Errorf("settings file %s: %w", path, err)
 	}
--- a/internal/sill/sill_test.go
+++ b/internal/sill/sill_test.go
@@ -48,6 +48,23 @@
 			t.Errorf("want one line that says %s, got %v", says, err)
 		}
 	}
+	duties := strings.Replace(strings.Replace(good, `"quotaSlack":20`, `"quotaSlack":20,"lease":"3s","thawSlack":"300ms","usageWindow":"5s","usageDelay":"10s"`, 1),
+		`"bounds":`, `"cloudApi":{"address":"10.9.0.1:80","duties":["usage_report","scaling"],"dutiesPerS":50},"bounds":`, 1)
+	if s, err := load(t, duties); err != nil || !s.Does(DutyUsage) || !s.Does(DutyScaling) {
+		t.Fatal(err)
+	}
+	for says, c := range map[string][2]string{
+		"bounds.lease: must be gt thawSlack": {`"lease":"3s"`, `"lease":"300ms"`},
+		"bounds.lease: missing":              {`"lease":"3s",`, ``},
+		"bounds.usageWindow":                 {`"usageWindow":"5s"`, `"usageWindow":"0s"`},
+		"bounds.usageDelay":                  {`,"usageDelay":"10s"`, ``},
+		"cloudApi.address":                   {`"address":"10.9.0.1:80",`, ``},
+	} {
+		_, err := load(t, strings.Replace(duties, c[0], c[1], 1))
+		if err == nil || !strings.Contains(err.Error(), says) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("want one line that says %s, got %v", says, err)
+		}
+	}
 	if _, err := Load(""); err == nil {
 		t.Error("no path, no error")
 	}
--- a/internal/sluice/daemon.go
+++ b/internal/sluice/daemon.go
@@ -82,6 +82,9 @@
 	d.line = penstock.NewLine(me, ips, func(ip string, h conduit.Handler) *conduit.Main {
 		return conduit.NewMain(set.PeerInternal(ip, datum.PortHeadworks), set.IPAddress, h)
 	}, d.apply)
+	if b.RevocationStrict {
+		s.strict, s.sure = b.Revoke.D()-datum.RevokeSpare, d.line.Sure
+	}
 	return d
 }
 
--- a/internal/sluice/path_test.go
+++ b/internal/sluice/path_test.go
@@ -185,6 +185,26 @@
 }
 
 // What an upstream does, and what a client may then be told.
+// Where revoked keys may not be used even by a proxy out of touch, one that has not
+// known for long whether a key still holds refuses it, and sends nothing on; what
+// needs no key goes on.
+func TestUnheardKeysAreRefused(t *testing.T) {
+	u := newRaw(t, func(_ int, r *http.Request) (string, bool) { return ok(r, "x"), false })
+	s := newSluice(t, u.instance("i-1"))
+	known := time.Now()
+	s.strict, s.sure = 4*time.Second, func() time.Time { return known }
+	if w := get(s, "GET", "/safe/x", ""); w.Code != 200 {
+		t.Errorf("a key known to hold: %d", w.Code)
+	}
+	known = time.Now().Add(-5 * time.Second)
+	if w := get(s, "GET", "/safe/x", ""); w.Code != 503 || w.Header().Get("Retry-After") == "" || u.count() != 1 {
+		t.Errorf("a key that may be gone: %d %v, %d sent", w.Code, w.Header(), u.count())
+	}
+	if w := get(s, "GET", "/open/x", ""); w.Code != 200 {
+		t.Errorf("no key needed: %d", w.Code)
+	}
+}
+
 func TestAmbiguityIsNotPromised(t *testing.T) {
 	plain := func(status string) script {
 		return func(_ int, r *http.Request) (string, bool) {
--- a/internal/sluice/sluice.go
+++ b/internal/sluice/sluice.go
@@ -34,7 +34,9 @@
 	leaving atomic.Bool
 	hedges  atomic.Uint64
 	open    atomic.Int64
-	counts  [6]atomic.Uint64
+	counts  [7]atomic.Uint64
+	strict  time.Duration    // how long a key may be trusted unheard; 0: for ever
+	sure    func() time.Time // when what is in force here was last known to be the newest
 
 	streams     atomic.Int64  // under way
 	streamsCut  atomic.Uint64 // ended by their upstream before their end
@@ -63,9 +65,10 @@
 	cOverQuota
 	cNoRoom
 	cFailed
+	cUnsure
 )
 
-var countNames = [...]string{"served", "key_unknown", "no_route", "over_quota", "no_capacity", "failed"}
+var countNames = [...]string{"served", "key_unknown", "no_route", "over_quota", "no_capacity", "failed", "key_unsure"}
 
 func (s *Sluice) now() time.Duration { return time.Since(s.began) }
 
@@ -115,6 +118,12 @@
 	p := &passage{s: s, r: r, arrived: arrived, sch: sch, route: route, tenant: tenant, prio: route.Priority,
 		deadline: arrived.Add(min(budget(r), route.Timeout))}
 	if tenant != nil {
+		if s.strict > 0 && arrived.Sub(s.sure()) > s.strict {
+			// The key may have been taken away, and nobody here would know.
+			s.counts[cUnsure].Add(1)
+			s.refuse(w, r, http.StatusServiceUnavailable, datum.RetryUnsure)
+			return
+		}
 		if tenant.HasPriority {
 			p.prio = tenant.Priority
 		}
