--- a/cmd/scalerun/main.go
+++ b/cmd/scalerun/main.go
@@ -48,6 +48,7 @@
 	PerProxy  float64       `default:"10" help:"Made-up requests a second and proxy."`
 	For       time.Duration `default:"15s" help:"How long the steady state is measured."`
 	Changes   int           `default:"5" help:"Configuration changes whose way is timed."`
+	Load      float64       `help:"Requests a second through the real proxy, to stand-in upstreams that answer at once; the same are sent there directly, to see what the proxy adds."`
 	Kill      bool          `help:"Kill one control process and time until the others have mended the view."`
 	Wait      time.Duration `default:"90s" help:"Longest wait for anything."`
 	Slopes    bool          `help:"Instead of a run, what single operations cost at three sizes each."`
@@ -102,6 +103,10 @@
 	from, _ := strconv.Atoi(r.URL.Query().Get("pageToken"))
 	type inst map[string]any
 	out := map[string][]inst{}
+	for i := 0; from == 0 && i < echoes; i++ {
+		out["z0"] = append(out["z0"], inst{"instanceId": fmt.Sprintf("echo-%d", i), "targetService": "echo", "zone": "z0",
+			"address": echoAddr(i), "capacitySlots": 16, "state": "ready", "warmupLeft": "0ms"})
+	}
 	for i := from; i < min(from+datum.PollPage, cli.Upstreams); i++ {
 		z := fmt.Sprintf("z%d", i%4)
 		out[z] = append(out[z], inst{"instanceId": fmt.Sprintf("i-%08d", i), "targetService": fmt.Sprintf("svc%04d", i%cli.Services), "zone": z,
@@ -114,6 +119,61 @@
 	json.NewEncoder(w).Encode(map[string]any{"instances": out, "nextPageToken": next})
 }
 
+const echoes = 8
+
+func echoAddr(i int) string { return fmt.Sprintf("127.9.1.%d:18080", i+1) }
+
+// echo is an upstream that answers at once.
+func echo(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("X-Slateridge-Attempt-Id", r.Header.Get("X-Slateridge-Attempt-Id"))
+	w.Header().Set("X-Slateridge-Response-Seal", "s")
+	io.WriteString(w, "a small answer")
+}
+
+// load sends requests at a steady rate for a time and gives the sorted times they
+// took, and how many failed.
+func load(to string, rate float64, span time.Duration) (took []time.Duration, failed int) {
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}, Timeout: 2 * time.Second}
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	tick := time.NewTicker(time.Duration(float64(time.Second) / rate))
+	defer tick.Stop()
+	for end := time.Now().Add(span); time.Now().Before(end); {
+		<-tick.C
+		wg.Go(func() {
+			req, _ := http.NewRequest("GET", "http://"+to+"/echo/x", nil)
+			req.Host = "echo.example"
+			req.Header.Set("X-Slateridge-Attempt-Id", strconv.FormatUint(rand.Uint64(), 16))
+			req.Header.Set("X-Slateridge-Time-Budget-Ms", "1000")
+			req.Header.Set("X-Api-Key", "key-echo")
+			began := time.Now()
+			resp, err := client.Do(req)
+			ok := err == nil && resp.StatusCode == 200
+			if err == nil {
+				io.Copy(io.Discard, resp.Body)
+				resp.Body.Close()
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			if !ok {
+				failed++
+			} else {
+				took = append(took, time.Since(began))
+			}
+		})
+	}
+	wg.Wait()
+	slices.Sort(took)
+	return took, failed
+}
+
+func at(sorted []time.Duration, part float64) time.Duration {
+	if len(sorted) == 0 {
+		return 0
+	}
+	return sorted[int(part*float64(len(sorted)-1))]
+}
+
 func configuration(version int) []byte {
 	type resource struct { // in the order in which operators write them
 		ResourceKind string            `json:"resourceKind"`
@@ -132,6 +192,9 @@
 		item("routes", fmt.Sprintf("r%06d", i), map[string]any{"host": fmt.Sprintf("h%d.example", i%50), "pathPrefix": fmt.Sprintf("/p%d/", i), "routeType": "idempotent",
 			"timeout": fmt.Sprintf("%dms", timeout), "targetLatency": "300ms", "priority": 1, "targetService": fmt.Sprintf("svc%04d", i%cli.Services), "maxAttempts": 2})
 	}
+	item("routes", "echo", map[string]any{"host": "echo.example", "pathPrefix": "/echo/", "routeType": "idempotent", "timeout": "1000ms", "targetLatency": "300ms", "priority": 1, "targetService": "echo", "maxAttempts": 2})
+	item("services", "echo", map[string]any{"healthCheckPath": "/health", "maxConnections": 10_000})
+	item("tenants", "echo", map[string]any{"apiKeys": []string{"key-echo"}, "ratePerS": 100_000, "burstSize": 100_000})
 	for i := range cli.Services {
 		item("services", fmt.Sprintf("svc%04d", i), map[string]any{"healthCheckPath": "/health", "maxConnections": 500})
 	}
@@ -279,6 +342,13 @@
 	}
 	pl := &stand{}
 	go http.Serve(l, pl)
+	for i := range echoes {
+		l, err := net.Listen("tcp4", echoAddr(i))
+		if err != nil {
+			return err
+		}
+		go http.Serve(l, http.HandlerFunc(echo))
+	}
 	var controls []*proc
 	defer func() {
 		for _, p := range controls {
@@ -308,6 +378,13 @@
 	var empty runtime.MemStats
 	runtime.GC()
 	runtime.ReadMemStats(&empty)
+	used := func() (d time.Duration) {
+		for _, p := range controls[:cli.Control] {
+			d += cpu(p.cmd.Process.Pid)
+		}
+		return d
+	}
+	began := used()
 	g := &run.Group{}
 	w := wheel.New(g)
 	var ds []*sluice.Daemon
@@ -328,6 +405,7 @@
 	if err != nil {
 		return err
 	}
+	joining := used() - began
 	stop := make(chan struct{})
 	var wg sync.WaitGroup
 	var made, refused sync.Map
@@ -374,12 +452,21 @@
 	runtime.ReadMemStats(&full)
 	a := real.read()
 	fmt.Printf("proxies %d, control %d, upstreams %d, routes %d, tenants %d, %g requests/s a proxy\n", cli.Proxies, cli.Control, cli.Upstreams, cli.Routes, cli.Tenants, cli.PerProxy)
-	fmt.Printf("  all informed after %v\n", informed.Round(10*time.Millisecond))
+	fmt.Printf("  all started at once were informed after %v; that took %.2f ms of processor time a proxy, of all control processes\n", informed.Round(10*time.Millisecond), joining.Seconds()*1e3/n)
 	fmt.Printf("  control process: cores mean %.4f most %.4f; peak memory %.0f MB; %.1f KB/s out, %.0f messages/s\n", mean(cs), slices.Max(cs), most, bytesOut/1e3, msgs)
 	fmt.Printf("  hollow proxy: cores %.5f; heap and stacks %.2f MB; %.2f KB/s in, %.2f KB/s out, %.1f messages/s (made-up requests included)\n", (is.cpu-mine.cpu).Seconds()/s/n,
 		float64(full.HeapInuse+full.StackInuse-empty.HeapInuse-empty.StackInuse)/n/1e6, (is.in-mine.in)/s/n/1e3, (is.out-mine.out)/s/n/1e3, (is.inMs-mine.inMs+is.outM-mine.outM)/s/n)
 	last := before[len(before)-1]
 	fmt.Printf("  real proxy, idle: cores %.4f; peak memory %.0f MB; %.2f KB/s in and out\n", (a.cpu-last.cpu).Seconds()/s, rss(real.cmd.Process.Pid), (a.in+a.out-last.in-last.out)/s/1e3)
+	if cli.Load > 0 {
+		b := real.read()
+		through, failed := load(net.JoinHostPort(real.ip, strconv.Itoa(portFront)), cli.Load, cli.For)
+		a := real.read()
+		direct, _ := load(echoAddr(0), cli.Load, cli.For)
+		n := float64(len(through) + failed)
+		fmt.Printf("  real proxy at %g requests/s: p50 %v p99 %v, directly p50 %v p99 %v: it adds %v at p50, %v at p99; %d of %.0f failed; %.3f ms of processor time a request\n", cli.Load,
+			at(through, 0.5), at(through, 0.99), at(direct, 0.5), at(direct, 0.99), at(through, 0.5)-at(direct, 0.5), at(through, 0.99)-at(direct, 0.99), failed, n, (a.cpu-b.cpu).Seconds()*1e3/n)
+	}
 	var ways []time.Duration
 	for v := 2; v < 2+cli.Changes; v++ {
 		began := time.Now()
