--- a/internal/sluice/path_test.go
+++ b/internal/sluice/path_test.go
@@ -34,12 +34,13 @@
 
 type script func(n int, r *http.Request) (answer string, close bool)
 
-func newRaw(t *testing.T, s script) *raw {
+// upstream listens and has each request answered on its connection, until answer
+// says that the connection ends.
+func upstream(t *testing.T, answer func(c net.Conn, r *http.Request, body string) (more bool)) net.Listener {
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	u := &raw{l: l}
 	t.Cleanup(func() { l.Close() })
 	go func() {
 		for {
@@ -50,26 +51,32 @@
 			go func() {
 				defer c.Close()
 				br := bufio.NewReader(c)
-				for {
+				for more := true; more; {
 					r, err := http.ReadRequest(br)
 					if err != nil {
 						return
 					}
 					b, _ := io.ReadAll(r.Body)
-					u.mu.Lock()
-					u.runs = append(u.runs, r.Method+" "+r.RequestURI+" "+string(b))
-					u.heads = append(u.heads, r.Header)
-					n := len(u.runs)
-					u.mu.Unlock()
-					a, end := s(n, r)
-					io.WriteString(c, a)
-					if end {
-						return
-					}
+					more = answer(c, r, string(b))
 				}
 			}()
 		}
 	}()
+	return l
+}
+
+func newRaw(t *testing.T, s script) *raw {
+	u := &raw{}
+	u.l = upstream(t, func(c net.Conn, r *http.Request, body string) bool {
+		u.mu.Lock()
+		u.runs = append(u.runs, r.Method+" "+r.RequestURI+" "+body)
+		u.heads = append(u.heads, r.Header)
+		n := len(u.runs)
+		u.mu.Unlock()
+		a, end := s(n, r)
+		io.WriteString(c, a)
+		return !end
+	})
 	return u
 }
 
--- a/internal/sluice/stream_test.go
+++ b/internal/sluice/stream_test.go
@@ -24,36 +24,14 @@
 	return fmt.Sprintf("%x\r\n%s\r\n", len(e), e)
 }
 
-// source is an upstream stand-in whose answers are written by the test, a connection
-// at a time.
+// source is an upstream stand-in whose answers are written by the test.
 func source(t *testing.T, answer func(c net.Conn, r *http.Request)) (intake.Instance, *atomic.Int64) {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { l.Close() })
 	runs := &atomic.Int64{}
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer c.Close()
-				br := bufio.NewReader(c)
-				for {
-					r, err := http.ReadRequest(br)
-					if err != nil {
-						return
-					}
-					io.Copy(io.Discard, r.Body)
-					runs.Add(1)
-					answer(c, r)
-				}
-			}()
-		}
-	}()
+	l := upstream(t, func(c net.Conn, r *http.Request, _ string) bool {
+		runs.Add(1)
+		answer(c, r)
+		return true
+	})
 	return intake.Instance{ID: "i-" + l.Addr().String(), Service: "svc", Address: l.Addr().String(), Zone: "z", Slots: 4}, runs
 }
 
