--- a/cmd/slateridge/status.go
+++ b/cmd/slateridge/status.go
@@ -220,7 +220,11 @@
 		fmt.Fprintln(t)
 	}
 	for _, s := range r.Scaling {
-		fmt.Fprintf(t, "    %s\t%s\tordered %d\tpresent %d\t%s\n", s.Service, s.Zone, s.Ordered, s.Present, s.Why)
+		ordered := "nothing ordered"
+		if s.Ordered >= 0 {
+			ordered = fmt.Sprintf("ordered %d", s.Ordered)
+		}
+		fmt.Fprintf(t, "    %s\t%s\t%s\tpresent %d\t%s\n", s.Service, s.Zone, ordered, s.Present, s.Why)
 	}
 	rows(t, all, r.Proxies, func(p penstock.ProxyState) bool {
 		return p.Version < r.Chain.Version || p.ListNum < r.ListNum || !p.Ready || p.Silent > datum.TapSilence
--- a/cmd/slateridge/whole_test.go
+++ b/cmd/slateridge/whole_test.go
@@ -33,6 +33,24 @@
 	stops    map[string]func()
 	mu       sync.Mutex
 	list     []map[string]any
+	reports  map[string]string // usage reports taken: window -> body
+	holders  map[string]string // fence -> holder
+	odd      []string          // what may not be
+}
+
+// report is the platform's side of a usage report.
+func (s *site) report(w http.ResponseWriter, r *http.Request) {
+	b, _ := io.ReadAll(r.Body)
+	var m struct{ WindowNumber json.Number }
+	json.Unmarshal(b, &m)
+	holder, fence, win := r.Header.Get("X-Slateridge-Duty-Holder"), r.Header.Get("X-Slateridge-Fence-Token"), m.WindowNumber.String()
+	if was, ok := s.reports[win]; r.URL.Path != "/usage-reports" || win == "" || holder == "" || ok && was != string(b) {
+		s.odd = append(s.odd, fmt.Sprintf("%s from %s: %s after %s", r.URL.Path, holder, b, was))
+	}
+	if was, ok := s.holders[fence]; ok && was != holder {
+		s.odd = append(s.odd, "fence "+fence+" of "+was+" and "+holder)
+	}
+	s.reports[win], s.holders[fence] = string(b), holder
 }
 
 func freePort(t *testing.T) int {
@@ -45,10 +63,14 @@
 }
 
 func newSite(t *testing.T) *site {
-	s := &site{t: t, dir: t.TempDir(), port: freePort(t), stops: map[string]func(){}}
-	p := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+	s := &site{t: t, dir: t.TempDir(), port: freePort(t), stops: map[string]func(){}, reports: map[string]string{}, holders: map[string]string{}}
+	p := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		s.mu.Lock()
 		defer s.mu.Unlock()
+		if r.Method == http.MethodPost {
+			s.report(w, r)
+			return
+		}
 		json.NewEncoder(w).Encode(map[string]any{"instances": map[string]any{"z": s.list}, "nextPageToken": nil})
 	}))
 	t.Cleanup(p.Close)
@@ -69,8 +91,9 @@
 		"seedNodes":       []string{fmt.Sprintf("%s:%d", s.ip(0), s.port+2), fmt.Sprintf("%s:%d", s.ip(1), s.port+2), fmt.Sprintf("%s:%d", s.ip(2), s.port+2)},
 		"bootstrap":       bootstrap, "quorumMember": true, "dataDirectory": dir,
 		"bounds": map[string]any{"drain": "2500ms", "grace": "6s", "configApply": "2500ms", "retryBudgetRatio": 0.2, "retryWindow": "10s",
-			"retryBudgetSlack": 62, "quotaWindow": "5s", "quotaSlack": 20},
-		"cloudApi": map[string]any{"address": s.platform, "ratePerS": 44, "maxLag": "800ms"},
+			"retryBudgetSlack": 62, "quotaWindow": "5s", "quotaSlack": 20,
+			"fencingEnforced": true, "lease": "1s", "thawSlack": "300ms", "usageWindow": "500ms", "usageDelay": "2s"},
+		"cloudApi": map[string]any{"address": s.platform, "ratePerS": 44, "maxLag": "800ms", "duties": []string{"usage_report"}, "dutiesPerS": 50},
 	})
 	path := filepath.Join(dir, "boot.json")
 	os.WriteFile(path, raw, 0o644)
@@ -267,6 +290,21 @@
 		return nil
 	})
 	served("/c/x", 200, 0, 1, 2)
+	// Usage is reported on, across the loss of the first machine; each window has one
+	// content, each fence one holder.
+	reported := func() int { s.mu.Lock(); defer s.mu.Unlock(); return len(s.reports) }
+	before := reported()
+	s.until("usage reports", func() error {
+		if n := reported(); before == 0 || n < before+3 {
+			return fmt.Errorf("%d, then %d", before, n)
+		}
+		return nil
+	})
+	s.mu.Lock()
+	if len(s.odd) > 0 {
+		t.Error(s.odd)
+	}
+	s.mu.Unlock()
 	for _, off := range []int{4, 5} {
 		if err := (statusCmd{Address: []string{fmt.Sprintf("%s:%d", s.ip(0), s.port+off)}, Timeout: 2000}).Run(); err != nil {
 			t.Errorf("status: %v", err)
