--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -1,6 +1,7 @@
-// Package clock keeps a time of day that the fleet agrees on: the median of what
-// its members' clocks say, carried on by the steady clock. One that jumps moves
-// nothing while more than half do not.
+// Package clock keeps a time of day that the fleet agrees on. A process that has just
+// started takes the median of what others say, who tell what they have agreed on; from
+// then on the steady clock carries it, and the median only draws it slowly. So clocks
+// that jump, even most of them at once, move next to nothing.
 package clock
 
 import (
@@ -22,6 +23,7 @@
 	by   map[string]said
 	off  time.Duration
 	set  bool
+	at   time.Duration // when off was last drawn
 	last int64
 }
 
@@ -45,10 +47,17 @@
 		offs = append(offs, s.off)
 	}
 	slices.Sort(offs)
-	c.off, c.set = offs[(len(offs)-1)/2], true
+	median := offs[(len(offs)-1)/2]
+	if !c.set || steady < datum.ClockSettle {
+		c.off, c.set, c.last = median, true, 0
+	} else {
+		most := time.Duration(float64(steady-c.at) * datum.ClockSlew)
+		c.off += min(max(median-c.off, -most), most)
+	}
+	c.at = steady
 }
 
-// Now is the agreed time; it never goes back. False while nothing was heard.
+// Now is the agreed time; once settled it never goes back. False while nothing was heard.
 func (c *Clock) Now(steady time.Duration) (time.Time, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/headworks/daemon.go
+++ b/internal/headworks/daemon.go
@@ -202,7 +202,12 @@
 	}
 	d.chain.Relay, d.chain.Tolerate = d.relay, set.FaultTolerance.MachineFailures
 	d.chain.Zone, d.chain.Region = set.Zone, set.Region
-	d.chain.Wall = func() int64 { return time.Now().UnixNano() }
+	d.chain.Wall = func() int64 {
+		if at, ok := d.clock.Now(d.now()); ok {
+			return at.UnixNano()
+		}
+		return time.Now().UnixNano()
+	}
 	duties := []string{dutyPoll}
 	for i := range set.Trackers() {
 		duties = append(duties, dutyTrack(i))
