Usage: a holder hands on what it gathered to the one after it

Whoever loses the duty hands its open windows on, also when it thaws or starts again; a window in which another gathered waits for that, or until it is late.

--- a/internal/datum/datum.go
+++ b/internal/datum/datum.go
@@ -79,6 +79,7 @@
 	UsageEvery   = time.Second             // a proxy's words to the holder: what one that dies loses is a fifth of the usual window
 	UsageWait    = 800 * time.Millisecond  // for the holder's answer
 	UsageKept    = 24                      // windows a proxy keeps that nobody has settled: two minutes
+	UsageAtOnce  = 200                     // lives in one message when a holder hands on what it knows
 	UsageTenants = 200_000                 // tenants in one word
 	UsageMost    = 1 << 40                 // requests of one tenant in a window; more is garbage
 	UsageAll     = 0.15                    // of the delay after a window's end: not before, even when all have told
--- a/internal/headworks/daemon.go
+++ b/internal/headworks/daemon.go
@@ -147,10 +147,11 @@
 	staff     *staff.Agent
 	pollSince time.Duration
 
-	clock *clock.Clock // agreed among the control machines
-	posts []*post      // duties at the platform
-	tally *usage.Tally
-	kept  []usage.Told // what this machine had gathered in the life before
+	clock           *clock.Clock // agreed among the control machines
+	posts           []*post      // duties at the platform
+	tally           *usage.Tally
+	kept            []usage.Told // what another holder should know; used by keepUsage only
+	gathers, handOn bool         // the usage duty was held at keepUsage's last turn; there is something to hand on
 
 	scheme  atomic.Pointer[scheme.Scheme] // in force here
 	load    *scaling.Gauge
@@ -552,6 +553,8 @@
 		out := d.leases.Recv(d.now(), p.Remote, m)
 		d.leaseMu.Unlock()
 		d.sendLeases(out)
+	case usage.Handover:
+		d.takeHandover(m)
 	case usage.Told:
 		return d.takeUsage(m)
 	case scaling.Told:
--- a/internal/headworks/duties.go
+++ b/internal/headworks/duties.go
@@ -205,25 +205,33 @@
 const usageKey = "usage"
 
 // keepUsage has what is gathered here outlast this process, where it holds the duty,
-// and tells whoever holds it now what was kept in the life before: when all stop at
-// once, that is all that is left of the proxies' counts.
+// and hands on what another holder should know: what was kept in the life before, and
+// what had been gathered when the lease was lost. Of proxies whose lives are over that
+// is all that is left.
 func (d *Daemon) keepUsage() {
 	until, _ := d.lease(sill.DutyUsage)
 	d.leaseMu.Lock()
 	holder := d.leases.Holder(d.now(), sill.DutyUsage)
 	d.leaseMu.Unlock()
-	if d.kept != nil && holder != "" {
-		for _, m := range d.kept {
+	if lost := d.gathers && until == 0; lost {
+		d.kept = append(d.kept, d.tally.All()...)
+		d.handOn = true
+	}
+	d.gathers = until > 0
+	if (d.handOn || len(d.kept) > 0) && holder != "" {
+		for i := 0; i == 0 || i < len(d.kept); i += datum.UsageAtOnce {
+			end := min(i+datum.UsageAtOnce, len(d.kept))
+			m := usage.Handover{Words: d.kept[i:end], Last: end == len(d.kept)}
 			if holder == d.set.IPAddress {
-				d.takeUsage(m)
+				d.takeHandover(m)
 			} else {
 				d.send(holder, m)
 			}
 		}
 		d.book.Note("usage_handed_on", strconv.Itoa(len(d.kept))+" lives to "+holder)
-		d.kept = nil
+		d.kept, d.handOn = nil, false
 	}
-	if until == 0 || d.kept != nil {
+	if until == 0 {
 		return
 	}
 	if ms, changed := d.tally.Keep(); changed {
@@ -233,6 +241,15 @@
 	}
 }
 
+func (d *Daemon) takeHandover(m usage.Handover) {
+	for _, t := range m.Words {
+		d.takeUsage(t)
+	}
+	if m.Last {
+		d.tally.Handed(d.now())
+	}
+}
+
 // planUsage names the next window's report.
 func (d *Daemon) planUsage(now time.Duration, after uint64) (uint64, []byte, bool) {
 	at, ok := d.clock.Now(now)
--- a/internal/usage/usage.go
+++ b/internal/usage/usage.go
@@ -33,7 +33,15 @@
 	}
 )
 
+// Handover is what a holder that was knows, to the one that is; the last says that
+// this was all.
+type Handover struct {
+	Words []Told
+	Last  bool
+}
+
 func init() {
+	conduit.Register(Handover{})
 	conduit.Register(Told{})
 	conduit.Register(Heard{})
 }
@@ -175,7 +183,8 @@
 	term    uint64
 	settled uint64
 	dirty   bool
-	first   uint64 // window in which this tally was first asked, nothing being decided yet
+	handed  time.Duration // when a holder before last handed on what it knew
+	first   uint64        // window in which this tally was first asked, nothing being decided yet
 	lives   map[uint64]*teller
 	Garbage uint64
 }
@@ -232,7 +241,24 @@
 		return nil, false
 	}
 	t.dirty = false
-	var out []Told
+	return t.allLocked(), true
+}
+
+// All is the same, changed or not.
+func (t *Tally) All() []Told {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.allLocked()
+}
+
+// Handed notes that a holder before has handed on what it knew.
+func (t *Tally) Handed(at time.Duration) {
+	t.mu.Lock()
+	t.handed = at
+	t.mu.Unlock()
+}
+
+func (t *Tally) allLocked() (out []Told) {
 	for id, l := range t.lives {
 		if len(l.windows) == 0 {
 			continue
@@ -243,7 +269,7 @@
 		}
 		out = append(out, m)
 	}
-	return out, true
+	return out
 }
 
 // Settle forgets windows that are decided.
@@ -331,7 +357,12 @@
 	if age < float64(delay)*datum.UsageAll {
 		return 0, nil, false
 	}
-	if !t.Complete(w, m.Steady-delay, live) && (age < float64(delay)*datum.UsageLate || m.Held < 2*datum.UsageEvery) {
+	// Of a window that another holder gathered in, that one may know of lives that are
+	// over: it, or its successor from its disk, hands on what it knew.
+	t.mu.Lock()
+	alone := m.Agreed.Add(-m.Held).Before(time.Unix(0, int64(w)*int64(length))) || t.handed > m.Steady-m.Held
+	t.mu.Unlock()
+	if !(alone && t.Complete(w, m.Steady-delay, live)) && (age < float64(delay)*datum.UsageLate || m.Held < 2*datum.UsageEvery) {
 		return 0, nil, false
 	}
 	return w, Body(w, t.Sum(w)), true
--- a/internal/usage/usage_test.go
+++ b/internal/usage/usage_test.go
@@ -113,6 +113,32 @@
 	}
 }
 
+// A window in which another gathered waits for what that one hands on, or until it is
+// late; one that began after the takeover does not.
+func TestHandoverIsWaitedFor(t *testing.T) {
+	const span, delay = time.Second, 5 * time.Second
+	y := NewTally(1)
+	at := func(s float64) Moment {
+		return Moment{Steady: time.Duration(s * 1e9), Agreed: time.Unix(1000, 0).Add(time.Duration(s * 1e9)), Held: time.Duration((s - 10.5) * 1e9)}
+	}
+	if _, _, ok := y.Next(at(12), 1009, span, delay, nil); ok {
+		t.Fatal("decided without what the holder before knew")
+	}
+	if w, _, ok := y.Next(at(12), 1010, span, delay, nil); ok || w != 0 {
+		t.Fatal("decided before its time")
+	}
+	if w, _, ok := y.Next(at(13), 1010, span, delay, nil); !ok || w != 1011 {
+		t.Fatal("a window of its own waits")
+	}
+	if w, _, ok := y.Next(at(11+delay.Seconds()*datum.UsageLate), 1009, span, delay, nil); !ok || w != 1010 {
+		t.Fatal("held up for ever")
+	}
+	y.Handed(11 * time.Second)
+	if w, _, ok := y.Next(at(12), 1009, span, delay, nil); !ok || w != 1010 {
+		t.Fatal("waits after all has been handed on")
+	}
+}
+
 // Long-past windows are passed over, the rest come one by one and in order.
 func TestNextInOrder(t *testing.T) {
 	const span, delay = time.Second, 5 * time.Second
