--- a/internal/duty/duty_test.go
+++ b/internal/duty/duty_test.go
@@ -35,7 +35,7 @@
 		}
 	}
 	rs, _ = rs.Apply(Order{Duty: "d", Base: 2, Holder: "a"})
-	if r := rs["d"]; !r.Back || r.Fence != 3 || !r.Decided(5, []byte("five")) {
+	if r := rs["d"]; !r.Back || r.Fence != 3 || r.Key != 5 || string(r.Body) != "five" {
 		t.Errorf("a is back: %+v", r)
 	}
 	if rs, _ = rs.Apply(Order{Duty: "d", Base: 3, Holder: "c"}); rs["d"].Back {
--- a/internal/duty/record.go
+++ b/internal/duty/record.go
@@ -5,7 +5,6 @@
 package duty
 
 import (
-	"bytes"
 	"slices"
 
 	"slateridge/internal/conduit"
@@ -69,8 +68,3 @@
 	out[o.Duty] = r
 	return out, true
 }
-
-// Decided says whether a record holds just this decision.
-func (r Record) Decided(key uint64, body []byte) bool {
-	return r.Key == key && bytes.Equal(r.Body, body)
-}
--- a/internal/sluice/forward.go
+++ b/internal/sluice/forward.go
@@ -289,7 +289,7 @@
 func (p *passage) want() want {
 	w := want{service: p.service, homes: p.homes}
 	if p.route.Stream {
-		w.stream, w.prefix = true, ""
+		w.stream = true
 		if p.route.Affinity {
 			w.prefix = p.r.Header.Get(hdrPrefix)
 		}
