--- a/internal/headworks/chain.go
+++ b/internal/headworks/chain.go
@@ -748,6 +748,9 @@
 		return true
 	}
 	if d.Version > 0 && !c.raws[0].of(&d) && !c.raws[1].of(&d) {
+		if d.Raw == nil {
+			return false // it should have come whole; whoever sent it sends it again
+		}
 		i := 0
 		if c.raws[0].of(c.held) {
 			i = 1
--- a/internal/sluice/affinity.go
+++ b/internal/sluice/affinity.go
@@ -72,7 +72,8 @@
 // chooseStream places a stream: by rendezvous hashing of its prefix over the zone's
 // upstreams, the first of a few that is not full, so that proxies that never speak
 // to each other agree where a prefix is kept; else the least busy one of the zone,
-// and of other zones when it is full.
+// and of other zones when it is full. With all of them as full as they may be, there
+// is no room: the request waits its short time and is refused.
 func (y *Yard) chooseStream(w want, skip map[*Outfall]bool, now time.Time) *Outfall {
 	all := y.pick(w).all
 	mean := meanBusy(all, now)
@@ -96,6 +97,9 @@
 			continue
 		}
 		c := cand{o: o, busy: o.busy(now, mean)}
+		if c.busy >= datum.StreamFull {
+			continue // what it cannot queue it resets, and a stream is sent once
+		}
 		if now.Before(o.warmAt) {
 			c.busy += datum.WarmupFactor - 1
 		}
--- a/internal/sluice/stream_test.go
+++ b/internal/sluice/stream_test.go
@@ -288,6 +288,24 @@
 			t.Errorf("%s keeps %d of 1000 prefixes", id, n)
 		}
 	}
+	tell := func(load float64, but string) {
+		a.yard.mu.Lock()
+		for _, o := range a.yard.by {
+			if o.load, o.loadAt, o.ownThen = load, time.Now(), 0; o.inst.ID == but {
+				o.load = 0.1
+			}
+		}
+		a.yard.mu.Unlock()
+	}
+	tell(3, "i-007")
+	if o := a.yard.choose(want{service: "svc", homes: anywhere, stream: true, prefix: "5"}, nil, time.Now()); o == nil || o.inst.ID != "i-007" {
+		t.Errorf("the one upstream with room is not found: %v", o)
+	}
+	tell(3, "")
+	if w := get(a, "POST", "/flow/x", "hi"); w.Code != 503 || w.Header().Get("Retry-After") == "" {
+		t.Errorf("with no room anywhere: %d %v", w.Code, w.Header())
+	}
+	tell(0, "")
 	hot, most := want{service: "svc", homes: anywhere, stream: true, prefix: "hot"}, 0
 	for range 60 {
 		of := a.yard.Place(hot, nil)
