--- a/internal/datum/datum.go
+++ b/internal/datum/datum.go
@@ -196,7 +196,7 @@
 	PieceWrite   = 5 * time.Second         // a client that takes nothing for so long is given up
 	AffinityTop  = 3                       // upstreams that one prefix turns to, in an order all proxies agree on
 	AffinityFull = 0.7                     // of an upstream's slots, from which the next is asked
-	StreamFull   = 2.5                    // of an upstream's slots at work and waiting, from which it is sent no stream: those seen hold three times their slots, queue included
+	StreamFull   = 2.5                     // of an upstream's slots at work and waiting, from which it is sent no stream: those seen hold three times their slots, queue included
 	ToldFades    = 1500 * time.Millisecond // what an upstream told of its load fades so fast toward the service's mean
 )
 
