Reading the change once more: one bound on ejection, one order of subjects, dead counts out

The choice of an upstream and that of a stream's each counted how many are left alone after failures; both now ask mostOut, which is the same sum. Scaling's law and its report order subjects by one function. A counter nobody read, a condition written twice and a comment on a field that is not there are gone.

Seen and left: planScaling reads the orders and walks the platform's list at each step of 50 ms; chooseStream sorts a zone's upstreams to use three of them. Both are work by the size of the list and want a measurement of their own.

--- a/internal/duty/officer.go
+++ b/internal/duty/officer.go
@@ -8,8 +8,7 @@
 )
 
 // Post is an act to send: the bytes that were decided, under the holder's fence.
-// Until is the lease's end as it stands; a call still under way when the lease is
-// lost is cut.
+// A call still under way when the lease is lost is cut.
 type Post struct {
 	ID    uint64
 	Fence uint64
@@ -48,9 +47,9 @@
 	outKey   uint64
 	outAt    time.Duration
 
-	Sent, Accepted, Refused, Failed uint64
-	LastStatus                      int
-	AcceptedAt                      time.Duration
+	Accepted, Refused, Failed uint64
+	LastStatus                int
+	AcceptedAt                time.Duration
 }
 
 // NewOfficer makes the machine; me is the node's name, lease the bound within
@@ -100,7 +99,6 @@
 			o.calls++
 			o.out, o.outKey, o.outAt = o.calls, rec.Key, now
 			o.nextAt = now + o.spacing
-			o.Sent++
 			out = append(out, Post{o.calls, rec.Fence, rec.Key, rec.Body})
 		}
 		if !o.Latest && o.fails < datum.DutyGiveUp {
--- a/internal/headworks/duties.go
+++ b/internal/headworks/duties.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -213,7 +212,7 @@
 	d.leaseMu.Lock()
 	holder := d.leases.Holder(d.now(), sill.DutyUsage)
 	d.leaseMu.Unlock()
-	if lost := d.gathers && until == 0; lost {
+	if d.gathers && until == 0 {
 		d.kept = append(d.kept, d.tally.All()...)
 		d.handOn = true
 	}
@@ -371,7 +370,7 @@
 		out = append(out, ScalingReport{s.Service, s.Zone, n, b.Present, d.law.Why(s)})
 	}
 	slices.SortFunc(out, func(a, b ScalingReport) int {
-		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Zone, b.Zone))
+		return scaling.Subject{Service: a.Service, Zone: a.Zone}.Compare(scaling.Subject{Service: b.Service, Zone: b.Zone})
 	})
 	return out
 }
--- a/internal/scaling/scaling.go
+++ b/internal/scaling/scaling.go
@@ -29,6 +29,11 @@
 // Subject is a service in a zone.
 type Subject struct{ Service, Zone string }
 
+// Compare orders subjects by service and then zone.
+func (s Subject) Compare(o Subject) int {
+	return cmp.Or(cmp.Compare(s.Service, o.Service), cmp.Compare(s.Zone, o.Zone))
+}
+
 // Told is one proxy's word: what runs and waits for it now, by service.
 type Told struct {
 	Proxy, Zone string
@@ -175,9 +180,7 @@
 	for s := range bounds {
 		subjects = append(subjects, s)
 	}
-	slices.SortFunc(subjects, func(a, b Subject) int {
-		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Zone, b.Zone))
-	})
+	slices.SortFunc(subjects, Subject.Compare)
 	for _, s := range subjects {
 		b := bounds[s]
 		t := l.by[s]
--- a/internal/sluice/affinity.go
+++ b/internal/sluice/affinity.go
@@ -77,15 +77,7 @@
 func (y *Yard) chooseStream(w want, skip map[*Outfall]bool, now time.Time) *Outfall {
 	all := y.pick(w).all
 	mean := meanBusy(all, now)
-	in, out := 0, 0
-	for _, o := range all {
-		if !o.draining && !y.evac[o.inst.Zone] {
-			if in++; now.Before(o.ejected) {
-				out++
-			}
-		}
-	}
-	tooFew := out*2 > in // ejection is bounded: with most out, all are asked again
+	tooFew := y.mostOut(all, now)
 	type cand struct {
 		o    *Outfall
 		busy float64
--- a/internal/sluice/outfall.go
+++ b/internal/sluice/outfall.go
@@ -382,19 +382,24 @@
 			return o
 		}
 	}
-	in, all := 0, 0
+	if y.mostOut(os, now) {
+		return pass(os, true)
+	}
+	return nil
+}
+
+// mostOut says that more than half of some upstreams are left alone after failures:
+// ejection is bounded, and then all are asked again.
+func (y *Yard) mostOut(os []*Outfall, now time.Time) bool {
+	all, out := 0, 0
 	for _, o := range os {
 		if !o.draining && !y.evac[o.inst.Zone] {
-			all++
-			if !now.Before(o.ejected) {
-				in++
+			if all++; now.Before(o.ejected) {
+				out++
 			}
 		}
 	}
-	if in*2 < all {
-		return pass(os, true)
-	}
-	return nil
+	return out*2 > all
 }
 
 // Place finds room at an upstream at once, or nil.
