Chain: a head that caught up before it learnt of the view stamps nothing

Cause: a head cut off one way took up what a later view had committed, but not yet the view, and gave its next state a stamp of the later view; that view's head gives the same stamp to another state, and whoever holds the first takes it for committed when it hears the stamp. Found by the chain's model once it had one-way cuts of 20 s (a read gave four orders where five had been acknowledged).

Change: a machine whose held or committed state is of a later view than its own has no part in the chain. Test: failed before, with a state stamped {2 10} by the head of view 1; passes now.

--- a/internal/headworks/chain.go
+++ b/internal/headworks/chain.go
@@ -282,6 +282,17 @@
 func (c *Chain) member() bool { return c.agr.Joined && c.agr.View.has(c.Me) }
 func (c *Chain) sealed() bool { return c.agr.Promised != Ballot{} }
 
+// serves says whether this machine has its part in the chain: a member of an unsealed
+// view, and of the newest it knows of. One that holds a state of a later view has caught
+// up with what that view committed and not yet learnt of the view itself: were it to
+// head, its next state would bear a stamp that the later view's head may give to another.
+func (c *Chain) serves() bool {
+	return c.member() && !c.sealed() && at(c.held).View <= c.agr.View.Num && at(c.committed).View <= c.agr.View.Num
+}
+
+// heads says whether orders enter here.
+func (c *Chain) heads() bool { return c.serves() && c.agr.View.Members[0] == c.Me }
+
 func (c *Chain) send(to string, m any) {
 	if to == c.Me.Addr {
 		c.take(to, m)
--- a/internal/headworks/orders.go
+++ b/internal/headworks/orders.go
@@ -123,7 +123,7 @@
 
 // admit is the head's entry: a newer state, or nil to pass on what it holds.
 func (c *Chain) admit(d *scheme.Doc) {
-	if !c.member() || c.sealed() || c.agr.View.Members[0] != c.Me || d != nil && !c.keep(*d) {
+	if !c.heads() || d != nil && !c.keep(*d) {
 		return
 	}
 	if d == nil && c.now < c.passAt {
@@ -147,7 +147,7 @@
 			c.passAt += time.Duration(len(c.held.Raw)*len(c.agr.View.Members)) * time.Second / datum.PassBytes
 		}
 	}
-	if c.member() && !c.sealed() && at(c.committed).Less(at(c.held)) {
+	if c.serves() && at(c.committed).Less(at(c.held)) {
 		head := c.agr.View.Members[0]
 		if head == c.Me {
 			c.pass(*c.held)
@@ -204,7 +204,7 @@
 
 func (c *Chain) onPass(from string, m Pass) {
 	v := c.agr.View
-	if m.View != v.Num || !c.member() || c.sealed() {
+	if m.View != v.Num || !c.serves() {
 		return
 	}
 	if i := v.index(c.Me.Addr); i == 0 || v.Members[i-1].Addr != from {
