Leases: late words of a holder's earlier life take nothing from its present one

An Ask of the earlier life that came after one of the present life replaced its nonce at the grantor, and the earlier life's Release then gave the grant back: the duty could go to another while the present life still relied on it. Nonces now tell the life, a grantor keeps what each life may rely on, and a later life whose number is lower is no longer taken for an overtaken word. TestLateWordsOfAnEarlierLife fails on the code before.

--- a/internal/watermaster/electorate_test.go
+++ b/internal/watermaster/electorate_test.go
@@ -344,6 +344,7 @@
 // in an old life or a new one, or with an empty disk. No moment has two holders, and
 // in calm there is one within a stated time.
 func TestElectorateLosesVoters(t *testing.T) {
+	t.Parallel()
 	moves, views := 0, 0
 	var longest time.Duration
 	for seed := uint64(1); seed <= 150; seed++ {
--- /dev/null
+++ b/internal/watermaster/lives_test.go
@@ -0,0 +1,69 @@
+package watermaster
+
+import (
+	"testing"
+	"time"
+
+	"slateridge/internal/datum"
+)
+
+// allowed says whether a grantor says yes to an Ask.
+func allowed(w *Watermaster, now time.Duration, from string, a Ask) bool {
+	for _, s := range w.Recv(now, from, a) {
+		if g, ok := s.Msg.(Grant); ok {
+			return g.OK
+		}
+	}
+	return false
+}
+
+// Words of a holder's earlier life that come late, on a connection of their own, do
+// not take away what its present life relies on.
+func TestLateWordsOfAnEarlierLife(t *testing.T) {
+	for _, again := range []bool{false, true} {
+		for _, lives := range [][2]uint64{{3 << 32, 7 << 32}, {7 << 32, 3 << 32}} {
+			early, late := lives[0], lives[1]
+			w := withPeers(New(0, 1, "a", []string{"x"}), []string{"a", "b", "c"})
+			now := 10 * time.Second
+			if !allowed(w, now, "b", Ask{"x", 1, early + 1, false}) {
+				t.Fatal("not granted to the first life")
+			}
+			now += 50 * time.Millisecond
+			if !allowed(w, now, "b", Ask{"x", 1, late + 1, true}) {
+				t.Fatal("not granted to the life that came straight back")
+			}
+			held := now + datum.LeaseLength
+			w.Recv(now, "b", Ask{"x", 1, early + 2, again})
+			w.Recv(now, "b", Release{"x", early + 2})
+			for ; now < held; now += 10 * time.Millisecond {
+				if allowed(w, now, "c", Ask{"x", 1, 1, false}) {
+					t.Fatalf("granted to another %v before the present life's lease ends (again: %v)", held-now, again)
+				}
+			}
+			now = held + 2*datum.LeaseMargin
+			if !allowed(w, now, "c", Ask{"x", 1, 2, false}) {
+				t.Errorf("still kept from another %v after it ended", now-held)
+			}
+		}
+	}
+}
+
+// A Release gives back at once what its own life was granted.
+func TestReleaseOfOneLife(t *testing.T) {
+	w := withPeers(New(0, 1, "a", []string{"x"}), []string{"a", "b", "c"})
+	now := 10 * time.Second
+	for n := range uint64(3) {
+		allowed(w, now, "b", Ask{"x", 1, 9<<32 + n, false})
+	}
+	if allowed(w, now, "b", Ask{"x", 1, 9 << 32, true}) {
+		t.Error("an overtaken word of the same life is granted")
+	}
+	w.Recv(now, "b", Release{"x", 9<<32 + 1}) // an earlier claim's
+	if allowed(w, now, "c", Ask{"x", 1, 1, false}) {
+		t.Error("an earlier claim's Release gave the later one back")
+	}
+	w.Recv(now, "b", Release{"x", 9<<32 + 2})
+	if !allowed(w, now, "c", Ask{"x", 1, 2, false}) {
+		t.Error("not free after its Release")
+	}
+}
--- a/internal/watermaster/watermaster.go
+++ b/internal/watermaster/watermaster.go
@@ -55,8 +55,13 @@
 	holder string
 	nonce  uint64 // of the holder's latest Ask
 	until  time.Duration
+	other  time.Duration // until when another life of the holder may rely on it
 }
 
+// sameLife says whether one life of a machine asked both: the upper half of a nonce
+// is the life's number, the lower half counts.
+func sameLife(a, b uint64) bool { return a>>32 == b>>32 }
+
 // question is one round of asking; several may be under way, since answers can take
 // longer than the time between two.
 type question struct {
@@ -95,7 +100,7 @@
 // duties in the same order. life is a number no earlier life of this machine is
 // likely to have had.
 func New(now time.Duration, life uint64, me string, duties []string) *Watermaster {
-	w := &Watermaster{me: me, duties: duties, start: now, nonce: life, grants: map[string]grant{}, claims: map[string]*claim{}}
+	w := &Watermaster{me: me, duties: duties, start: now, nonce: life << 32, grants: map[string]grant{}, claims: map[string]*claim{}}
 	for _, d := range duties {
 		w.claims[d] = &claim{}
 	}
@@ -231,7 +236,8 @@
 			return
 		}
 		g := w.grants[m.Duty]
-		if g.holder == from && g.until > now && m.Nonce < g.nonce && !m.Again {
+		known := g.holder == from && g.until > now
+		if known && sameLife(m.Nonce, g.nonce) && m.Nonce < g.nonce {
 			return // overtaken by a later one
 		}
 		ok := (g.until <= now || g.holder == from) && now-w.start >= datum.LeaseLength+datum.LeaseMargin
@@ -239,13 +245,22 @@
 			return
 		}
 		if ok {
-			g = grant{from, m.Nonce, now + datum.LeaseLength + datum.LeaseMargin}
+			// Of two lives of the holder nothing tells here which is the later one, as
+			// words of the one that is over may come last: each keeps what it got.
+			other := time.Duration(0)
+			if known {
+				other = g.other
+				if !sameLife(m.Nonce, g.nonce) {
+					other = max(other, g.until)
+				}
+			}
+			g = grant{from, m.Nonce, now + datum.LeaseLength + datum.LeaseMargin, other}
 			w.grants[m.Duty] = g
 		}
 		w.send(from, Grant{m.Duty, w.epoch, m.Nonce, ok, g.holder}, now)
 	case Release:
 		if g := w.grants[m.Duty]; g.holder == from && g.nonce == m.Nonce {
-			delete(w.grants, m.Duty)
+			w.grants[m.Duty] = grant{holder: from, until: g.other, other: g.other}
 		}
 	case Grant:
 		c := w.claims[m.Duty]
