Leases: a machine outside the electorate grants nothing

One that had been voted out, or not yet taken in, answered and granted to the voters. Their electorate did not count its word, so no two holders came of it, but it named a holder of its own to its proxies. TestOutsideTheElectorate fails on the code before.

--- a/internal/watermaster/lives_test.go
+++ b/internal/watermaster/lives_test.go
@@ -67,3 +67,42 @@
 		t.Error("not free after its Release")
 	}
 }
+
+// A machine outside the electorate neither grants nor claims, also one that was voted
+// out; what it holds runs out.
+func TestOutsideTheElectorate(t *testing.T) {
+	w := withPeers(New(0, 1, "a", []string{"x"}), []string{"a"})
+	now := time.Duration(0)
+	for ; now < 5*time.Second; now += datum.LeaseTick {
+		w.Tick(now)
+	}
+	if _, ok := w.Holds(now, "x"); !ok {
+		t.Fatal("alone, it does not hold")
+	}
+	w.SetElectorate(now, 2, []string{"b", "c"}, false)
+	end := now + datum.LeaseLength + datum.LeaseMargin
+	for ; now < 3*end; now += datum.LeaseTick {
+		if out := w.Tick(now); len(out) > 0 {
+			t.Fatalf("voted out it says %v", out)
+		}
+		if _, ok := w.Holds(now, "x"); ok && now >= end {
+			t.Fatal("voted out it still holds")
+		}
+		was := w.Dropped
+		for _, from := range []string{"b", "z"} {
+			if out := w.Recv(now, from, Ask{"x", 2, uint64(now), false}); len(out) > 0 {
+				t.Fatalf("voted out it answers %v", out)
+			}
+		}
+		if w.Dropped != was+2 || w.Holder(now, "x") != "" && now >= end {
+			t.Fatalf("%d dropped, holder %q", w.Dropped-was, w.Holder(now, "x"))
+		}
+	}
+	w.SetElectorate(now, 5, []string{"a", "b", "c"}, false) // back, two views later
+	if allowed(w, now+datum.LeaseLength, "b", Ask{"x", 5, 1, false}) {
+		t.Error("back in the electorate it grants at once")
+	}
+	if !allowed(w, now+datum.LeaseLength+datum.LeaseMargin, "b", Ask{"x", 5, 2, false}) {
+		t.Error("back in the electorate it does not grant")
+	}
+}
--- a/internal/watermaster/watermaster.go
+++ b/internal/watermaster/watermaster.go
@@ -93,7 +93,7 @@
 	nonce  uint64
 	out    []Send
 
-	Dropped uint64 // words from who has no vote, of another electorate, or on no duty
+	Dropped uint64 // words from or to who has no vote, of another electorate, or on no duty
 }
 
 // New makes the machine, without an electorate; all machines name the same
@@ -215,7 +215,7 @@
 
 // Recv takes a message.
 func (w *Watermaster) Recv(now time.Duration, from string, msg any) []Send {
-	if slices.Contains(w.peers, from) {
+	if from != w.me && slices.Contains(w.peers, from) && slices.Contains(w.peers, w.me) {
 		w.take(now, from, msg)
 	} else {
 		w.Dropped++
