Leases: what is told late of an earlier electorate does not unseal

SetElectorate took the flag before it looked at the number, so a word of an electorate that is over could unseal the present one. TestLateElectorate fails on the code before.

--- a/internal/watermaster/lives_test.go
+++ b/internal/watermaster/lives_test.go
@@ -106,3 +106,19 @@
 		t.Error("back in the electorate it does not grant")
 	}
 }
+
+// What is told late of an earlier electorate changes nothing: it does not unseal, nor
+// bring its voters back.
+func TestLateElectorate(t *testing.T) {
+	w := withPeers(New(0, 1, "a", []string{"x"}), []string{"a", "b", "c"})
+	w.SetElectorate(0, 9, []string{"a", "d", "e"}, true)
+	w.SetElectorate(0, 5, []string{"a", "b", "c"}, false)
+	now := 10 * time.Second
+	if allowed(w, now, "b", Ask{"x", 5, 1, false}) || allowed(w, now, "d", Ask{"x", 9, 1, false}) {
+		t.Error("an electorate that is over was taken up again")
+	}
+	w.SetElectorate(now, 9, []string{"a", "d", "e"}, false) // a view that changes no voter
+	if !allowed(w, now, "d", Ask{"x", 9, 2, false}) {
+		t.Error("unsealed it does not grant")
+	}
+}
--- a/internal/watermaster/watermaster.go
+++ b/internal/watermaster/watermaster.go
@@ -113,8 +113,11 @@
 // new electorate is decided; whoever learns of one grants nothing until all that
 // the old one granted has ended. So majorities of two electorates never meet.
 func (w *Watermaster) SetElectorate(now time.Duration, epoch uint64, peers []string, sealed bool) {
+	if epoch < w.epoch {
+		return // told late
+	}
 	w.sealed = sealed
-	if epoch <= w.epoch {
+	if epoch == w.epoch {
 		return
 	}
 	w.epoch, w.peers = epoch, slices.Clone(peers)
