Leases: what was given up is not claimed again when the electorate changes

A change of the electorate made every claim due at once, that of a machine too that had just given its duties up in order to stop, and whose leaving was the change. TestGivenUpStaysGivenUp fails on the code before.

--- a/internal/watermaster/lives_test.go
+++ b/internal/watermaster/lives_test.go
@@ -122,3 +122,27 @@
 		t.Error("unsealed it does not grant")
 	}
 }
+
+// What was given up on purpose is left to others for a while, also when the electorate
+// changes meanwhile, as it does when a voter that stops leaves it.
+func TestGivenUpStaysGivenUp(t *testing.T) {
+	w := withPeers(New(0, 1, "a", []string{"x"}), []string{"a"})
+	now := time.Duration(0)
+	for ; now < 3*time.Second; now += datum.LeaseTick {
+		w.Tick(now)
+	}
+	if _, ok := w.Holds(now, "x"); !ok {
+		t.Fatal("alone, it does not hold")
+	}
+	left := now
+	w.Leave(now)
+	w.SetElectorate(now, 2, []string{"a", "b"}, false)
+	for ; now < left+datum.LeaseLength*4; now += datum.LeaseTick {
+		if out := w.Tick(now); len(out) > 0 {
+			t.Fatalf("%v after it was given up it is claimed: %v", now-left, out)
+		}
+	}
+	if out := w.Tick(now); len(out) == 0 {
+		t.Error("never claimed again")
+	}
+}
--- a/internal/watermaster/watermaster.go
+++ b/internal/watermaster/watermaster.go
@@ -77,6 +77,7 @@
 	until  time.Duration // holder's own reckoning; 0 when not held
 	since  time.Duration // start of the unbroken holding
 	nextAt time.Duration
+	away   time.Duration // given up on purpose: not claimed before
 	other  time.Duration // last heard that another holds it
 }
 
@@ -187,7 +188,7 @@
 		if !held {
 			c.since = 0
 		}
-		if now < c.nextAt {
+		if now < max(c.nextAt, c.away) {
 			continue
 		}
 		again := false
@@ -315,7 +316,7 @@
 func (w *Watermaster) Leave(now time.Duration, only ...string) []Send {
 	for d, c := range w.claims {
 		if c.until > now && (len(only) == 0 || slices.Contains(only, d)) {
-			c.until, c.since, c.nextAt = 0, 0, now+datum.LeaseLength*4
+			c.until, c.since, c.away = 0, 0, now+datum.LeaseLength*4
 			for _, p := range w.peers {
 				w.send(p, Release{d, c.nonce}, now)
 			}
