Leases: garbled words are dropped and counted

Words that are none, gave back a duty that there is not, or named a holder without a vote went uncounted, and the last kept the machine from claiming. TestGarbledWords fails on the code before.

--- a/internal/watermaster/lives_test.go
+++ b/internal/watermaster/lives_test.go
@@ -146,3 +146,29 @@
 		t.Error("never claimed again")
 	}
 }
+
+// Garbled words change nothing and are counted.
+func TestGarbledWords(t *testing.T) {
+	now := 10 * time.Second
+	for i, word := range []struct {
+		from string
+		msg  any
+	}{
+		{"b", "not a word of leases"},
+		{"b", nil},
+		{"b", &Ask{"x", 1, 1, false}},
+		{"b", Release{"no such duty", 1}},
+		{"b", Grant{"x", 1, 1<<32 + 1, false, "z"}}, // names one without a vote as the holder
+		{"a", Ask{"x", 1, 9, false}},                // in this machine's own name
+		{"z", Release{"x", 1}},
+	} {
+		w := withPeers(New(0, 1, "a", []string{"x"}), []string{"a", "b", "c"})
+		w.Tick(now)
+		if out := w.Recv(now, word.from, word.msg); len(out) > 0 || w.Dropped != 1 {
+			t.Errorf("%d, %#v: answered %v, %d dropped", i, word.msg, out, w.Dropped)
+		}
+		if out := w.Tick(now + datum.LeaseRenew); len(out) == 0 {
+			t.Errorf("%d, %#v: it keeps the machine from claiming", i, word.msg)
+		}
+	}
+}
--- a/internal/watermaster/watermaster.go
+++ b/internal/watermaster/watermaster.go
@@ -263,12 +263,16 @@
 		}
 		w.send(from, Grant{m.Duty, w.epoch, m.Nonce, ok, g.holder}, now)
 	case Release:
+		if w.claims[m.Duty] == nil {
+			w.Dropped++
+			return
+		}
 		if g := w.grants[m.Duty]; g.holder == from && g.nonce == m.Nonce {
 			w.grants[m.Duty] = grant{holder: from, until: g.other, other: g.other}
 		}
 	case Grant:
 		c := w.claims[m.Duty]
-		if c == nil || m.Epoch != w.epoch {
+		if c == nil || m.Epoch != w.epoch || !m.OK && m.Holder != "" && !slices.Contains(w.peers, m.Holder) {
 			w.Dropped++
 			return
 		}
@@ -309,6 +313,8 @@
 			}
 			c.until = until
 		}
+	default:
+		w.Dropped++
 	}
 }
 
