Leases: the argument, and what the teller of the electorate owes

Two things are owed by the caller that the daemon does not give yet: a promise told to the leases before its word leaves the machine, and a voter whose disk is new told as sealed. TestWhatTheElectorateMustTell shows on one course of events each that two machines hold a duty without.

--- a/internal/watermaster/lives_test.go
+++ b/internal/watermaster/lives_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"slateridge/internal/basin"
 	"slateridge/internal/datum"
 )
 
@@ -172,3 +173,50 @@
 		}
 	}
 }
+
+// TestWhatTheElectorateMustTell holds, on one course of events each, what the teller of
+// the electorate owes the leases: c is cut off and has not learned that a and b have
+// put d in its place. With the promise told before it leaves b, and b not taken for a
+// voter of the old view once its disk is new, one holds the duty; without, two do.
+func TestWhatTheElectorateMustTell(t *testing.T) {
+	for _, wiped := range []bool{false, true} {
+		for _, owed := range []bool{true, false} {
+			b := basin.New(1)
+			b.Delay = 5 * time.Millisecond
+			all, before, after := []string{"a", "b", "c", "d"}, []string{"a", "b", "c"}, []string{"a", "b", "d"}
+			ms := map[string]*Watermaster{}
+			for i, n := range all {
+				ms[n] = New(0, uint64(i+1), n, []string{"x"})
+				ms[n].SetElectorate(0, 1, before, false)
+			}
+			p := &pond{b, ms}
+			p.run(all, func(string) {})
+			b.Run(3*time.Second, nil)
+			for _, n := range []string{"a", "d"} { // c hears b alone
+				for _, m := range []string{"b", "c"} {
+					b.Cut(n, m, true)
+					b.Cut(m, n, true)
+				}
+			}
+			back := ms["b"]
+			delete(ms, "b") // frozen or wiped, right after its promise
+			if owed && !wiped {
+				back.SetElectorate(b.Now, 1, before, true)
+			}
+			ms["a"].SetElectorate(b.Now, 1, before, true)
+			ms["a"].SetElectorate(b.Now, 2, after, false)
+			ms["d"].SetElectorate(b.Now, 2, after, false)
+			b.Run(10*time.Second, nil)
+			if wiped { // c tells it of the view it knows itself
+				back = New(b.Now, 99, "b", []string{"x"})
+				back.SetElectorate(b.Now, 1, before, owed)
+			}
+			ms["b"] = back
+			most := 0
+			b.Run(20*time.Second, func() { most = max(most, len(p.holders(all, "x"))) })
+			if want := map[bool]int{true: 1, false: 2}[owed]; most != want {
+				t.Errorf("wiped %v, told what is owed %v: %d holders at a time", wiped, owed, most)
+			}
+		}
+	}
+}
--- a/internal/watermaster/watermaster.go
+++ b/internal/watermaster/watermaster.go
@@ -5,6 +5,25 @@
 // grantor that has just started grants nothing until every lease it may have
 // granted before has ended. A holder that comes straight back may take up at once
 // what the others still have granted to it: the life that held it is over.
+//
+// Why there are never two holders, whatever the electorate does:
+//
+//   - Within one electorate two majorities share a grantor, and it grants to one
+//     holder at a time: until its grant has run out, or that holder has given back
+//     what its latest Ask got. What another life of the holder got is kept.
+//   - Half of the others stand for a majority where a holder comes straight back: with
+//     its own vote, which grants nothing yet, too few are left for a majority that
+//     none of them is in.
+//   - A new electorate is decided by a view that a majority of the voters before has
+//     promised. Who has promised is sealed and grants nothing until it knows a newer
+//     view. So any lease of the old electorate has a grantor that granted it before
+//     the decision, and ends at most LeaseLength after the decision. Whoever grants in
+//     the new electorate has learned of it after the decision and waits LeaseLength +
+//     LeaseMargin from then. The same holds view by view for one that skips some.
+//   - Numbers of electorates name them: words of another are dropped. A machine that
+//     slept through a change is a minority of the old electorate with all that did.
+//
+// What that asks of who calls SetElectorate stands there.
 package watermaster
 
 import (
@@ -113,6 +132,11 @@
 // that view. A sealed machine grants nothing, and a majority is sealed before a
 // new electorate is decided; whoever learns of one grants nothing until all that
 // the old one granted has ended. So majorities of two electorates never meet.
+//
+// The caller owes that the number changes whenever the addresses do; that a promise is
+// told here before the word of it leaves the machine, and no older word after it; and
+// that a machine whose disk has forgotten its promises is told as sealed until a view
+// names its new disk. TestWhatTheElectorateMustTell shows what comes of less.
 func (w *Watermaster) SetElectorate(now time.Duration, epoch uint64, peers []string, sealed bool) {
 	if epoch < w.epoch {
 		return // told late
