Store: file operations behind a port, stopped and refused one by one; foreign and damaged files refused

The store's file operations go through a small port, with a model of a disk in tests. Every sequence of puts, rewritings, a refused put and mending is stopped after each single operation, by a kill and by a loss of power with every outcome that the pages allow (writes there, missing or torn; each name kept or lost by itself), and a second life after a kill likewise.

Faults that this found or that were found beside it, each seen on the store as it was, and mended: - What Open read was not made durable: a record written but not synced when the process was killed was shown, acted on, and lost with the power. Every opening now writes the file anew. - A file of another program was cut to nothing and opened as a new store; one damaged in its middle was cut there, so that what had been replaced came back. Both are refused with one line. A header record names the format; a newer one is refused, a store without one opens and gets it. - buntdb panics on a file with an empty command, and by its code where a write fails and its undoing too. It no longer touches the file by itself: it reads and writes its log through the port, and holds the values, once instead of twice. - With a live state over 4 MiB every put rewrote the file. The bound is now 4 MiB or three times the live state. - A Put whose value was synced failed if the rewriting after it did. It returns nil, and a rewriting that cannot be made is put off.

TestFolderIsSyncedAfterAKillDuringRewrite counts the same syncs through the port instead of a variable. StoreShrinkAt is StoreCompactAt, by the field's word.

--- a/internal/cistern/cistern.go
+++ b/internal/cistern/cistern.go
@@ -1,14 +1,34 @@
 // Package cistern keeps what must outlast the process; in the field's terms: a
-// small durable store over buntdb with each commit synced and checked.
+// small durable key-value store, a log that is compacted, over buntdb.
 //
-// buntdb itself drops the error of its sync, cannot open a file whose last,
-// unsynced write was torn in its middle, and does not sync the folder after it
-// rewrites its file. So a commit here is one record with a checksum under a
-// fresh key, followed by a sync of our own on the same file whose error counts;
-// a file that cannot be read whole is cut back to its last whole record, which
-// can only be one that was never acknowledged; and the file is rewritten by
-// us, as a new one that is synced and renamed, followed by a sync of the
-// folder.
+// buntdb holds the values, reads the file and writes its compaction. What it
+// would do with the file by itself it does not do here: it drops the error of its
+// sync, panics when a write fails and its undoing too, cannot open a file whose
+// last, unsynced write was torn in its middle, and does not sync the folder after
+// it has rewritten its file. So a commit is one record with a checksum, appended
+// and synced by us through a port that tests can stop and fail.
+//
+// What holds:
+//
+//   - Put returns nil only once the value is synced under a name that is synced.
+//     From then on every opening shows it or a later one, whatever kills and
+//     losses of power came between.
+//   - After a Put that failed the old value stands in this life, and the store is
+//     sick: it takes nothing until Mend has written the acknowledged values, and
+//     only those, into a new file. Until then a restart may show the value whose
+//     Put failed; it is then as good as one whose Put was under way at a kill.
+//     Once Mend has returned nil it never shows.
+//   - What Open shows is durable before it returns: nobody learns from this
+//     machine what a loss of power would take back.
+//   - Open refuses a file that no kill or loss of power could have left, instead
+//     of making an empty store of it: a machine would forget its promises.
+//   - The file is at most datum.StoreCompactAt or StoreCompactTimes the live
+//     state, whichever is more, and one record; beside it stands, while it is
+//     compacted, one of the size of the live state. Values are in memory once.
+//
+// Not promised: anything after a disk lost or changed what it had synced, but
+// that a record that fails its checksum is never shown. Damage to the very last
+// record looks like a torn write, and the value before it is shown.
 package cistern
 
 import (
@@ -16,10 +36,8 @@
 	"encoding/gob"
 	"errors"
 	"fmt"
-	"hash/crc32"
+	"io"
 	"os"
-	"path/filepath"
-	"strconv"
 	"strings"
 
 	"github.com/tidwall/buntdb"
@@ -33,166 +51,138 @@
 
 // Cistern is the store: one value per key, replaced whole.
 type Cistern struct {
-	dir  string // empty: nothing outlasts the process
-	db   *buntdb.DB
-	f    *os.File // the same file, for syncs whose outcome we see
-	sick bool
-	vals map[string]string
+	fs      fileSystem // nil: nothing outlasts the process
+	db      *buntdb.DB // the acknowledged values, sealed; in memory
+	f       file       // the log; nil if there never was a good one in this life
+	size    int64      // of the log
+	live    int64      // of it what is not replaced
+	floor   int64      // size up to which it is not compacted; tests make it small
+	retryAt int64      // size at which a compaction that failed is tried again
+	sick    bool
 }
 
-const fileName = "slateridge.db"
+const (
+	fileName = "slateridge.db"
+	newName  = fileName + ".new" // a compacted file before it has its name
+)
 
-// Open reads the store in a folder, or makes it. New says it held nothing.
+// Open reads the store in a folder, or makes it. New says it held nothing. On a
+// disk that takes no new file an existing store opens sick.
 func Open(dir string) (c *Cistern, isNew bool, err error) {
-	path := filepath.Join(dir, fileName)
-	os.Remove(path + ".new")
-	os.Remove(path + ".tmp")
-	if err := cutTorn(path); err != nil {
-		return nil, false, err
-	}
-	c = &Cistern{dir: dir, vals: map[string]string{}}
-	if err := c.open(); err != nil {
-		return nil, false, err
-	}
-	err = c.db.View(func(tx *buntdb.Tx) error {
-		return tx.AscendKeys("*", func(k, v string) bool {
-			if body, ok := unseal(v); ok {
-				c.vals[k] = body
-			}
-			return true
-		})
-	})
+	c, isNew, err = open(folder(dir))
 	if err != nil {
-		return nil, false, err
+		return nil, false, fmt.Errorf("%s: %w", folder(dir).path(fileName), err)
 	}
-	return c, len(c.vals) == 0, nil
+	return c, isNew, nil
 }
 
-// Volatile is a store for a machine without a disk.
-func Volatile() *Cistern { return &Cistern{vals: map[string]string{}} }
-
-func (c *Cistern) open() error {
-	path := filepath.Join(c.dir, fileName)
-	_, statErr := os.Stat(path)
-	db, err := buntdb.Open(path)
-	if err != nil {
-		return err
-	}
-	if err := db.SetConfig(buntdb.Config{SyncPolicy: buntdb.Never, AutoShrinkDisabled: true}); err != nil {
-		db.Close()
-		return err
+func open(fs fileSystem) (c *Cistern, isNew bool, err error) {
+	b, err := fs.ReadFile(fileName)
+	exists := err == nil
+	if err != nil && !errors.Is(err, os.ErrNotExist) {
+		return nil, false, err
 	}
-	f, err := os.OpenFile(path, os.O_RDWR, 0)
+	from, to, headed, err := inspect(b)
 	if err != nil {
-		db.Close()
-		return err
+		return nil, false, err
 	}
-	// The folder is synced at every opening: a life that was killed between the
-	// renaming of a rewritten file and the sync of the folder leaves a name that
-	// a loss of power would undo, and with it all that is promised from now on.
-	err = syncDir(c.dir)
-	if statErr != nil {
-		err = errors.Join(f.Sync(), err)
+	c = Volatile()
+	c.fs = fs
+	if err := c.db.Load(bytes.NewReader(b[from:to])); err != nil {
+		c.Close()
+		return nil, false, err
 	}
-	if err != nil {
-		f.Close()
-		db.Close()
-		return err
+	if !headed {
+		c.reseal()
 	}
-	c.db, c.f = db, f
-	return nil
+	// Every opening writes the file anew. So what was read is durable also if the
+	// life before was killed ahead of its sync, or its sync failed and the next
+	// would pass without having written anything; and a torn end is gone.
+	if err := c.compact(); err != nil {
+		c.sick = true
+		if !exists {
+			c.Close()
+			return nil, false, err
+		}
+		if err := c.syncInPlace(); err != nil {
+			c.Close()
+			return nil, false, err
+		}
+	}
+	return c, c.empty(), nil
 }
 
-// syncDir makes names in a folder last; tests count its calls and fail it.
-var syncDir = func(dir string) error {
-	d, err := os.Open(dir)
+// Volatile is a store for a machine without a disk.
+func Volatile() *Cistern {
+	db, err := buntdb.Open(":memory:")
 	if err != nil {
-		return err
+		panic(fmt.Sprintf("cistern: no store in memory: %v", err)) // opens no file
 	}
-	defer d.Close()
-	return d.Sync()
-}
-
-func seal(body string) string {
-	return strconv.FormatUint(uint64(crc32.ChecksumIEEE([]byte(body))), 16) + " " + body
+	return &Cistern{db: db, floor: datum.StoreCompactAt}
 }
 
-func unseal(v string) (string, bool) {
-	sum, body, ok := strings.Cut(v, " ")
-	if !ok {
-		return "", false
+// reseal brings values of a file without a header into the present form.
+func (c *Cistern) reseal() {
+	vals := map[string]string{}
+	c.db.View(func(tx *buntdb.Tx) error {
+		return tx.Ascend("", func(key, val string) bool {
+			if body, ok := checked(val); ok {
+				vals[key] = body
+			}
+			return true
+		})
+	})
+	for key, body := range vals {
+		c.set(key, seal(key, body))
 	}
-	n, err := strconv.ParseUint(sum, 16, 32)
-	return body, err == nil && uint32(n) == crc32.ChecksumIEEE([]byte(body))
 }
 
-// cutTorn shortens the file to its leading whole records. A sync covers all
-// before it, so what follows the first record that cannot be read, or whose
-// checksum is wrong, was never acknowledged.
-func cutTorn(path string) error {
-	b, err := os.ReadFile(path)
-	if errors.Is(err, os.ErrNotExist) {
-		return nil
-	}
-	if err != nil {
+// set takes a sealed value into memory, and says what it replaced.
+func (c *Cistern) set(key, val string) (old string, replaced bool) {
+	err := c.db.Update(func(tx *buntdb.Tx) (err error) {
+		old, replaced, err = tx.Set(key, val, nil)
 		return err
-	}
-	good := wholeRecords(b)
-	if good == len(b) {
-		return nil
-	}
-	f, err := os.OpenFile(path, os.O_RDWR, 0)
+	})
 	if err != nil {
-		return err
+		panic(fmt.Sprintf("cistern: the store in memory refused a value: %v", err)) // no file, no index
 	}
-	defer f.Close()
-	return errors.Join(f.Truncate(int64(good)), f.Sync())
+	return old, replaced
 }
 
-// wholeRecords is the length of the leading run of "set key value" commands in
-// buntdb's append-only file whose values pass their checksum.
-func wholeRecords(b []byte) int {
-	pos := 0
-	for pos < len(b) {
-		p := pos
-		number := func(mark byte) (int, bool) {
-			nl := bytes.Index(b[p:], []byte("\r\n"))
-			if nl < 2 || nl > 12 || b[p] != mark {
-				return 0, false
-			}
-			n, err := strconv.Atoi(string(b[p+1 : p+nl]))
-			p += nl + 2
-			return n, err == nil && n >= 0 && n <= len(b)
-		}
-		n, ok := number('*')
-		if !ok || n != 3 {
-			return pos
-		}
-		var part []byte
-		for range 3 {
-			l, ok := number('$')
-			if !ok || p+l+2 > len(b) || b[p+l] != '\r' || b[p+l+1] != '\n' {
-				return pos
-			}
-			part = b[p : p+l]
-			p += l + 2
-		}
-		if _, ok := unseal(string(part)); !ok {
-			return pos
-		}
-		pos = p
+func (c *Cistern) empty() bool {
+	n := 0
+	c.db.View(func(tx *buntdb.Tx) (err error) {
+		n, err = tx.Len()
+		return err
+	})
+	return n == 0
+}
+
+// syncInPlace makes what stands under the file's name durable without writing.
+func (c *Cistern) syncInPlace() error {
+	f, err := c.fs.Open(fileName)
+	if err != nil {
+		return err
 	}
-	return pos
+	return errors.Join(f.Sync(), f.Close(), c.fs.SyncFolder())
 }
 
 // Get reads a value into v; false where there is none.
 func (c *Cistern) Get(key string, v any) bool {
-	s, ok := c.vals[key]
-	return ok && gob.NewDecoder(strings.NewReader(s)).Decode(v) == nil
+	body, ok := "", false
+	c.db.View(func(tx *buntdb.Tx) error {
+		val, err := tx.Get(key)
+		if err == nil {
+			body, ok = unseal(key, val)
+		}
+		return err
+	})
+	return ok && gob.NewDecoder(strings.NewReader(body)).Decode(v) == nil
 }
 
-// Put replaces a value and returns once it is synced. After an error the value
-// may or may not be on disk, and the store is sick until Mend.
+// Put replaces a value and returns nil once it is synced. After an error the
+// value may or may not be on disk, Get gives the old one, and the store is sick
+// until Mend.
 func (c *Cistern) Put(key string, v any) error {
 	if c.sick {
 		return ErrSick
@@ -201,15 +191,13 @@
 	if err := gob.NewEncoder(&b).Encode(v); err != nil {
 		panic(fmt.Sprintf("cistern: %s cannot be encoded: %v", key, err)) // a broken invariant: our own type
 	}
-	body := b.String()
-	if c.dir == "" {
-		c.vals[key] = body
+	val := seal(key, b.String())
+	if c.fs == nil {
+		c.set(key, val)
 		return nil
 	}
-	err := c.db.Update(func(tx *buntdb.Tx) error {
-		_, _, err := tx.Set(key, seal(body), nil)
-		return err
-	})
+	rec := appendRecord(nil, key, val)
+	_, err := c.f.Write(rec)
 	if err == nil {
 		err = c.f.Sync()
 	}
@@ -217,9 +205,18 @@
 		c.sick = true
 		return fmt.Errorf("%w: %v", ErrSick, err)
 	}
-	c.vals[key] = body
-	if fi, err := c.f.Stat(); err == nil && fi.Size() > datum.StoreShrinkAt {
-		return c.rewrite()
+	old, replaced := c.set(key, val)
+	c.size += int64(len(rec))
+	c.live += int64(len(rec))
+	if replaced {
+		c.live -= recordSize(key, old)
+	}
+	// The value is safe, so a compaction that fails is not this Put's failure. One
+	// that has not touched the names is put off; otherwise the store is sick.
+	if c.size > max(c.floor, datum.StoreCompactTimes*c.live) && c.size >= c.retryAt {
+		if c.compact() != nil {
+			c.retryAt = c.size + max(c.live, c.floor/4)
+		}
 	}
 	return nil
 }
@@ -227,48 +224,64 @@
 // Sick says whether the disk has failed.
 func (c *Cistern) Sick() bool { return c.sick }
 
-// Mend tries the disk again, by rewriting the store from what was acknowledged.
+// Mend tries the disk again, by writing what was acknowledged into a new file.
 func (c *Cistern) Mend() error {
 	if !c.sick {
 		return nil
 	}
-	return c.rewrite()
+	return c.compact()
 }
 
-// rewrite puts the current values, and only those, into a new file.
-func (c *Cistern) rewrite() error {
-	c.sick = true
-	path := filepath.Join(c.dir, fileName)
-	var out bytes.Buffer
-	for k, body := range c.vals {
-		v := seal(body)
-		fmt.Fprintf(&out, "*3\r\n$3\r\nset\r\n$%d\r\n%s\r\n$%d\r\n%s\r\n", len(k), k, len(v), v)
-	}
-	f, err := os.Create(path + ".new")
+// compact puts the current values, and only those, into a new file, which takes
+// the old one's place. Until it is given the name the old one stands untouched.
+func (c *Cistern) compact() error {
+	f, err := c.fs.Create(newName)
 	if err != nil {
 		return fmt.Errorf("%w: %v", ErrSick, err)
 	}
-	_, werr := f.Write(out.Bytes())
-	if err := errors.Join(werr, f.Sync(), f.Close()); err != nil {
-		os.Remove(path + ".new")
-		return fmt.Errorf("%w: %v", ErrSick, err)
+	w := &counter{to: f}
+	if _, err = w.Write(header()); err == nil {
+		err = c.db.Save(w)
 	}
-	if err := errors.Join(os.Rename(path+".new", path), syncDir(c.dir)); err != nil {
+	if err == nil {
+		err = f.Sync()
+	}
+	if err != nil {
+		f.Close()
+		c.fs.Remove(newName) // gives its space back, if it can; the next one is written over it
 		return fmt.Errorf("%w: %v", ErrSick, err)
 	}
-	c.f.Close()
-	c.db.Close()
-	if err := c.open(); err != nil {
+	c.sick = true // from here on either file may be the one that the next life finds
+	if err = c.fs.Rename(newName, fileName); err == nil {
+		err = c.fs.SyncFolder()
+	}
+	if err != nil {
+		f.Close()
 		return fmt.Errorf("%w: %v", ErrSick, err)
 	}
-	c.sick = false
+	if c.f != nil {
+		c.f.Close()
+	}
+	c.f, c.size, c.live, c.retryAt, c.sick = f, w.n, w.n, 0, false
 	return nil
 }
 
+// counter counts what goes through.
+type counter struct {
+	to io.Writer
+	n  int64
+}
+
+func (c *counter) Write(b []byte) (int, error) {
+	n, err := c.to.Write(b)
+	c.n += int64(n)
+	return n, err
+}
+
 // Close releases the files.
 func (c *Cistern) Close() {
-	if c.dir != "" {
+	if c.f != nil {
 		c.f.Close()
-		c.db.Close()
 	}
+	c.db.Close()
 }
--- a/internal/cistern/cistern_test.go
+++ b/internal/cistern/cistern_test.go
@@ -26,6 +26,7 @@
 // write each part is there, missing or torn. Every such end must open with all
 // that was acknowledged.
 func TestTornTailKeepsWhatWasSynced(t *testing.T) {
+	t.Parallel()
 	dir := t.TempDir()
 	c := mustOpen(t, dir)
 	for i, v := range []string{"first", "second", strings.Repeat("long ", 300)} {
@@ -81,7 +82,7 @@
 		if err := c.Put("held", big+string(rune('a'+i%26))); err != nil {
 			t.Fatal(err)
 		}
-		if fi, _ := os.Stat(filepath.Join(dir, fileName)); fi.Size() > datum.StoreShrinkAt+1<<20 {
+		if fi, _ := os.Stat(filepath.Join(dir, fileName)); fi.Size() > datum.StoreCompactAt+1<<20 {
 			t.Fatalf("the file has grown to %d bytes", fi.Size())
 		}
 	}
@@ -115,22 +116,43 @@
 	}
 }
 
+// folderSyncs is a real folder whose own syncs are counted and can fail.
+type folderSyncs struct {
+	folder
+	err   error
+	calls int
+}
+
+func (d *folderSyncs) SyncFolder() error {
+	d.calls++
+	if d.err != nil {
+		return d.err
+	}
+	return d.folder.SyncFolder()
+}
+
 // A process killed between the renaming of its rewritten file and the sync of
 // the folder leaves a name that a loss of power would undo. The next life must
 // sync the folder before it acknowledges anything.
 func TestFolderIsSyncedAfterAKillDuringRewrite(t *testing.T) {
-	dir := t.TempDir()
-	c := mustOpen(t, dir)
+	fs := &folderSyncs{folder: folder(t.TempDir())}
+	c, _, err := open(fs)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
 	c.Put("held", "old")
-	real, calls := syncDir, 0
-	defer func() { syncDir = real }()
-	syncDir = func(string) error { return errors.New("killed here") }
-	if c.rewrite() == nil {
+	fs.err = errors.New("killed here")
+	if c.compact() == nil {
 		t.Fatal("a rewrite whose folder could not be synced passed")
 	}
-	syncDir = func(d string) error { calls++; return real(d) }
-	c = mustOpen(t, dir)
-	if calls == 0 {
+	fs.err, fs.calls = nil, 0
+	c, _, err = open(fs)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	if fs.calls == 0 {
 		t.Fatal("the folder was not synced before the first promise")
 	}
 	var got string
--- a/internal/datum/datum.go
+++ b/internal/datum/datum.go
@@ -263,7 +263,8 @@
 
 // Disk.
 const (
-	StoreShrinkAt = 4 << 20 // bytes of the store's file at which it is rewritten; a sixteenth of the smallest disk seen
+	StoreCompactAt    = 4 << 20 // bytes of the store's file up to which it is never compacted; a sixteenth of the smallest disk seen
+	StoreCompactTimes = 3       // the live state: beyond this too it is compacted, so at most half as much again is written as is put, and a live state of 12 MiB and the file made beside it stay within 64 MB
 )
 
 // Membership.
