Upstream answers: a number that is no status is no answer

Cause: an upstream that sends garble may put any three digits where the status stands. Below 100 the client side's server panics on it (the connection of a long answer was then never given back), 101 passed for a switch that nobody asked for and its connection was kept, and beyond 599 it was handed on.

Change: such an answer is a broken one, its connection is dropped, and the client is told 502, or another upstream is asked where that is allowed.

Test: TestAmbiguityIsNotPromised has a row for each.

--- a/internal/sluice/flume.go
+++ b/internal/sluice/flume.go
@@ -51,6 +51,7 @@
 var (
 	errStale   = errors.New("connection no longer usable")
 	errForeign = errors.New("answer belongs to another request")
+	errStatus  = errors.New("no status of an answer")
 )
 
 func newFlume(of *Outfall, c net.Conn) *Flume {
@@ -126,7 +127,12 @@
 			return nil, err
 		}
 		f.in.left = unbounded
-		if resp.StatusCode/100 == 1 && resp.StatusCode != http.StatusSwitchingProtocols {
+		switch c := resp.StatusCode; {
+		case c < 100 || c > 599 || c == http.StatusSwitchingProtocols:
+			// Nothing was asked to switch, and other numbers are no statuses: what
+			// follows on the connection cannot be told either.
+			return nil, errStatus
+		case c < 200:
 			continue
 		}
 		if got := resp.Header.Get(hdrAttempt); attempt != "" && got != attempt && (got != "" || resp.StatusCode/100 == 2) {
