Upstream answers: one that is replaced gives its connection back

Cause: an answer longer than what is held stays on its connection until it is read. Where another upstream then served, or a hedged offer's failure took its place, the connection was neither read nor closed nor counted down: the share of connections to that upstream shrank by one for as long as it lived.

Change: every answer that is passed over is given back in one place.

Test: TestReplacedAnswersGiveConnectionsBack. Before, one of two connections was left open in two of its three rows; now none is.

--- a/internal/sluice/forward.go
+++ b/internal/sluice/forward.go
@@ -65,6 +65,13 @@
 	return true
 }
 
+// giveBack ends the connection of an answer that nobody is to read to its end.
+func (r *result) giveBack() {
+	if r != nil && r.flume != nil {
+		r.flume.of.drop(r.flume)
+	}
+}
+
 // retryable says whether another upstream might do better.
 func (r *result) retryable() bool {
 	if r.resp == nil {
@@ -260,12 +267,11 @@
 			continue
 		}
 		if res.whole() && !(p.route.Idempotent && res.retryable()) && !res.notRun {
+			last.giveBack()
 			return res, 0
 		}
 		if last == nil || !last.sent || res.resp != nil {
-			if last != nil && last.flume != nil {
-				last.flume.of.drop(last.flume)
-			}
+			last.giveBack()
 			last = res
 		}
 		// Another upstream: always when nothing went out, as the request's kind
@@ -336,9 +342,11 @@
 					p.runs += out // it may well run; its cost is known too late
 					go discard(ch, out)
 				}
+				best.giveBack()
 				return r
 			}
 			if best == nil || !best.sent || r.resp != nil {
+				best.giveBack()
 				best = r
 			}
 			if out == 0 {
@@ -369,9 +377,7 @@
 
 func discard(ch chan *result, n int) {
 	for range n {
-		if r := <-ch; r.flume != nil {
-			r.flume.of.drop(r.flume)
-		}
+		(<-ch).giveBack()
 	}
 }
 
--- a/internal/sluice/path_test.go
+++ b/internal/sluice/path_test.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -451,3 +452,56 @@
 		t.Errorf("on a new connection: got %d, want the promise 503", w.Code)
 	}
 }
+
+// connsOpen is how many connections to upstreams are reckoned as open, and how many
+// of them are at rest.
+func connsOpen(s *Sluice) (open, idle int) {
+	s.yard.mu.Lock()
+	defer s.yard.mu.Unlock()
+	for _, o := range s.yard.by {
+		open, idle = open+o.conns, idle+len(o.idle)
+	}
+	return open, idle
+}
+
+// A long answer that another upstream's takes the place of gives its connection
+// back: an upstream bears few, and those lost here were lost for ever.
+func TestReplacedAnswersGiveConnectionsBack(t *testing.T) {
+	for name, c := range map[string]struct {
+		pause  time.Duration // of the first asked, before it fails
+		serves bool          // the second does
+		code   int
+	}{
+		"the second serves": {0, true, 200},
+		"both fail":         {0, false, 500},
+		"both fail, hedged": {600 * time.Millisecond, false, 500},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var arrivals atomic.Int64
+			var second time.Duration
+			began := time.Now()
+			answer := func(_ int, r *http.Request) (string, bool) {
+				if arrivals.Add(1) == 1 {
+					time.Sleep(c.pause)
+				} else if second = time.Since(began); c.serves {
+					return ok(r, "x"), false
+				}
+				return fmt.Sprintf("HTTP/1.1 500 Oops\r\nX-Slateridge-Attempt-Id: id-1\r\nContent-Length: 600000\r\n\r\n%s", strings.Repeat("x", 600000)), false
+			}
+			a, b := newRaw(t, answer), newRaw(t, answer)
+			s := newSluice(t, a.instance("i-1"), b.instance("i-2"))
+			for range 400 {
+				s.allow.Request(s.now(), "svc")
+			}
+			if w := get(s, "GET", "/safe/", ""); w.Code != c.code || a.count() != 1 || b.count() != 1 {
+				t.Fatalf("got %d after %d and %d arrivals, want %d after one each", w.Code, a.count(), b.count(), c.code)
+			}
+			if c.pause > 0 && second >= c.pause {
+				t.Fatal("not hedged")
+			}
+			if open, idle := connsOpen(s); open != idle {
+				t.Errorf("%d connections are reckoned as open and %d of them at rest, with no request under way", open, idle)
+			}
+		})
+	}
+}
--- a/internal/sluice/sluice.go
+++ b/internal/sluice/sluice.go
@@ -220,9 +220,7 @@
 		s.relay(w, res)
 		return
 	}
-	if res.flume != nil {
-		res.flume.of.drop(res.flume)
-	}
+	res.giveBack()
 	switch {
 	case p.runs == 0 && p.sends == 0 || p.runs == 0 && res.notRun:
 		// Nothing ran, and nothing will: the promise can be given.
