Upstream answers: what may be another caller's is shown to nobody

Cause: an answer without an id on a connection that had carried other requests was promised nothing on, but was handed to the client where its status was no promise: a late 404 or 500 of an earlier caller, body and all. A request without an id was given any answer, also one with another's id. Of two ids in an answer only the first was looked at.

Change: such an answer in doubt is answered with 502 (or another upstream is asked where that is allowed); every id in an answer must be the request's; a request without an id, whose answer only its connection tells, gets a connection of its own.

Test: TestLateAnswerReachesNobodyElse.

--- a/internal/sluice/flume.go
+++ b/internal/sluice/flume.go
@@ -135,9 +135,15 @@
 		case c < 200:
 			continue
 		}
-		if got := resp.Header.Get(hdrAttempt); attempt != "" && got != attempt && (got != "" || resp.StatusCode/100 == 2) {
+		got := resp.Header[hdrAttempt]
+		if attempt != "" && len(got) == 0 && resp.StatusCode/100 == 2 {
 			return nil, errForeign
 		}
+		for _, id := range got {
+			if id != attempt { // also where the request has none
+				return nil, errForeign
+			}
+		}
 		return resp, nil
 	}
 }
--- a/internal/sluice/forward.go
+++ b/internal/sluice/forward.go
@@ -42,6 +42,7 @@
 	at     time.Time // when it had been sent
 	sent   bool      // a byte of the request went out
 	notRun bool      // the upstream said so, or nothing went out
+	doubt  bool      // the answer has no id, and its connection has carried other requests
 	gone   bool      // the request may not be sent any more: deadline, route or key
 	resp   *http.Response
 	body   []byte
@@ -53,7 +54,7 @@
 
 // whole says whether the result can be given to the client as it is.
 func (r *result) whole() bool {
-	if r.resp == nil {
+	if r.resp == nil || r.doubt {
 		return false
 	}
 	switch c := r.resp.StatusCode; {
@@ -74,7 +75,7 @@
 
 // retryable says whether another upstream might do better.
 func (r *result) retryable() bool {
-	if r.resp == nil {
+	if r.resp == nil || r.doubt {
 		return true
 	}
 	c := r.resp.StatusCode
@@ -111,11 +112,12 @@
 	y := p.s.yard
 	ctx, cancel := context.WithDeadline(context.WithoutCancel(p.r.Context()), p.deadline)
 	defer cancel()
+	attempt := p.r.Header.Get(hdrAttempt)
 	var f *Flume
 	for again := true; again; {
 		var reused bool
 		var err error
-		f, reused, err = o.connect(ctx)
+		f, reused, err = o.connect(ctx, attempt == "")
 		if err != nil {
 			how := broken
 			if errors.Is(err, errStale) || !time.Now().Before(p.deadline) {
@@ -153,7 +155,7 @@
 		again = false
 	}
 	at := time.Now()
-	resp, err := f.answer(p.r.Method, p.r.Header.Get(hdrAttempt))
+	resp, err := f.answer(p.r.Method, attempt)
 	if err != nil {
 		o.drop(f)
 		how := broken
@@ -166,16 +168,18 @@
 	if l := resp.Header.Get(hdrLoad); l != "" {
 		o.tells(l)
 	}
-	owns, first := resp.Header.Get(hdrAttempt) == p.r.Header.Get(hdrAttempt), f.used == 0
-	if !owns && !first {
-		resp.Close = true // in doubt; it is not used again
+	// Without this try's id, on a connection that has carried others, it may be a late
+	// word on one of those: nobody is shown it, and nothing is promised on it.
+	doubt := f.used > 0 && resp.Header.Get(hdrAttempt) == ""
+	if doubt {
+		resp.Close = true // it is not used again
 	}
-	if p.route.Stream && resp.StatusCode/100 == 2 && resp.Header.Get(hdrSeal) != "" {
+	if p.route.Stream && !doubt && resp.StatusCode/100 == 2 && resp.Header.Get(hdrSeal) != "" {
 		return p.firstPiece(of, f, resp, at)
 	}
 	p.unwatch()
 	body, err := readSome(resp.Body, datum.AnswerBuffer)
-	res := &result{how: served, at: at, sent: true, resp: resp, body: body}
+	res := &result{how: served, at: at, sent: true, resp: resp, body: body, doubt: doubt}
 	switch {
 	case err == nil:
 		f.over(resp)
@@ -188,9 +192,7 @@
 	}
 	switch {
 	case resp.Header.Get(hdrNotRun) != "" || resp.StatusCode == http.StatusMisdirectedRequest:
-		// Without this try's id, on a connection that has carried others, it may
-		// be a late word on one of those: nothing is promised on it.
-		res.notRun = owns || first
+		res.notRun = !doubt
 		res.how = full
 		if resp.StatusCode == http.StatusMisdirectedRequest {
 			res.how = broken
--- a/internal/sluice/outfall.go
+++ b/internal/sluice/outfall.go
@@ -555,19 +555,20 @@
 	y.wakeLocked(o.inst.Service)
 }
 
-// connect gives an idle connection, or a new one.
-func (o *Outfall) connect(ctx context.Context) (f *Flume, reused bool, err error) {
+// connect gives an idle connection, or a new one; where nothing but its connection
+// ties the answer to the request, always a new one.
+func (o *Outfall) connect(ctx context.Context, fresh bool) (f *Flume, reused bool, err error) {
 	y := o.yard
 	now := time.Now()
 	for {
 		y.mu.Lock()
-		if len(o.idle) == 0 {
+		if len(o.idle) == 0 || fresh && o.conns < y.connCap(o.inst.Service) {
 			break
 		}
 		f := o.idle[len(o.idle)-1]
 		o.idle = o.idle[:len(o.idle)-1]
 		y.mu.Unlock()
-		if now.Sub(f.idleAt) < f.idleFor && f.clean() {
+		if !fresh && now.Sub(f.idleAt) < f.idleFor && f.clean() {
 			return f, true, nil
 		}
 		o.drop(f)
--- a/internal/sluice/path_test.go
+++ b/internal/sluice/path_test.go
@@ -505,3 +505,49 @@
 		})
 	}
 }
+
+// An answer that may belong to an earlier caller of the connection is shown to
+// nobody, whatever its status. A request without an id of its own, whose answer
+// nothing but the connection tells, gets a connection of its own.
+func TestLateAnswerReachesNobodyElse(t *testing.T) {
+	for _, c := range []struct {
+		late string // what comes in place of the second answer
+		id   string // of the second request
+		code int
+	}{
+		{"HTTP/1.1 404 Not Found\r\nContent-Length: 5\r\n\r\nother", "id-2", 502},
+		{"HTTP/1.1 500 Oops\r\nContent-Length: 5\r\n\r\nother", "id-2", 502},
+		{"HTTP/1.1 500 Oops\r\nX-Slateridge-Attempt-Id: id-1\r\nContent-Length: 5\r\n\r\nother", "id-2", 502},
+		{"HTTP/1.1 500 Oops\r\nX-Slateridge-Attempt-Id: id-2\r\nContent-Length: 5\r\n\r\nother", "id-2", 500}, // its own
+		{"HTTP/1.1 500 Oops\r\nX-Slateridge-Attempt-Id: id-2\r\nX-Slateridge-Attempt-Id: id-1\r\nContent-Length: 5\r\n\r\nother", "id-2", 502},
+		{"HTTP/1.1 200 OK\r\nX-Slateridge-Attempt-Id: id-1\r\nX-Slateridge-Response-Seal: s\r\nContent-Length: 5\r\n\r\nother", "", 502},
+		{"HTTP/1.1 400 Bad Request\r\nX-Slateridge-Not-Executed: 1\r\nContent-Length: 5\r\n\r\nother", "", 400}, // on a connection of its own
+	} {
+		var to []string // remote addresses of requests
+		u := &raw{}
+		u.l = upstream(t, func(conn net.Conn, r *http.Request, _ string) bool {
+			u.mu.Lock()
+			to = append(to, conn.RemoteAddr().String())
+			a := c.late
+			if len(to) == 1 {
+				a = ok(r, "one")
+			}
+			u.mu.Unlock()
+			io.WriteString(conn, a)
+			return true
+		})
+		s := newSluice(t, u.instance("i-1"))
+		if w := get(s, "POST", "/once/", ""); w.Code != 200 {
+			t.Fatal(w.Code)
+		}
+		w := get(s, "POST", "/once/", "", hdrAttempt, c.id)
+		if w.Code != c.code || w.Code == 502 && w.Body.Len() > 0 {
+			t.Errorf("%q: got %d %q, want %d", c.late, w.Code, w.Body, c.code)
+		}
+		u.mu.Lock()
+		defer u.mu.Unlock()
+		if (c.id == "") == (to[0] == to[1]) {
+			t.Errorf("%q: sent over %v", c.late, to)
+		}
+	}
+}
