Upstream judging: a client that leaves is not its upstream's failure

Cause: when a stream's client goes away its upstream's connection is closed on purpose, so that nobody works for nobody; the error that this makes was read as the upstream's: it was left alone for a while, its idle connections were closed, and the stream was counted as cut. A client that broke its long body off did the same.

Change: such an end teaches nothing about the upstream, and counts as the client's leaving.

Test: TestLeavingClientIsNoFailure.

--- a/internal/sluice/flume.go
+++ b/internal/sluice/flume.go
@@ -51,6 +51,7 @@
 var (
 	errStale   = errors.New("connection no longer usable")
 	errForeign = errors.New("answer belongs to another request")
+	errUpload  = errors.New("the client's body broke off")
 	errStatus  = errors.New("no status of an answer")
 )
 
@@ -113,7 +114,7 @@
 			return true, err
 		}
 		if rerr != nil {
-			return true, rerr
+			return true, errors.Join(errUpload, rerr)
 		}
 	}
 }
--- a/internal/sluice/forward.go
+++ b/internal/sluice/forward.go
@@ -149,8 +149,9 @@
 		}
 		if err != nil {
 			o.drop(f)
-			y.done(of, broken)
-			return &result{how: broken, at: time.Now(), sent: sent, notRun: !sent, err: err}
+			how := p.blame(err)
+			y.done(of, how)
+			return &result{how: how, at: time.Now(), sent: sent, notRun: !sent, err: err}
 		}
 		again = false
 	}
@@ -158,7 +159,7 @@
 	resp, err := f.answer(p.r.Method, attempt)
 	if err != nil {
 		o.drop(f)
-		how := broken
+		how := p.blame(err)
 		if ne := net.Error(nil); errors.As(err, &ne) && ne.Timeout() {
 			how = silent
 		}
@@ -187,8 +188,9 @@
 		res.flume = f
 	default:
 		o.drop(f)
-		y.done(of, broken)
-		return &result{how: broken, at: at, sent: true, err: err}
+		how := p.blame(err)
+		y.done(of, how)
+		return &result{how: how, at: at, sent: true, err: err}
 	}
 	switch {
 	case resp.Header.Get(hdrNotRun) != "" || resp.StatusCode == http.StatusMisdirectedRequest:
@@ -204,6 +206,15 @@
 	return res
 }
 
+// blame is how an offer that failed ended. What a client broke by leaving, or by
+// breaking its body off, says nothing of the upstream.
+func (p *passage) blame(err error) outcome {
+	if p.route.Stream && p.r.Context().Err() != nil || errors.Is(err, errUpload) {
+		return unused
+	}
+	return broken
+}
+
 var errLong = errors.New("longer than what is held")
 
 // readSome reads a body whole, or says that it is longer than max.
--- a/internal/sluice/sluice.go
+++ b/internal/sluice/sluice.go
@@ -217,7 +217,7 @@
 		return
 	}
 	if res.whole() && !(res.notRun && res.resp.StatusCode >= 500) {
-		s.relay(w, res)
+		s.relay(w, r, res)
 		return
 	}
 	res.giveBack()
@@ -237,7 +237,7 @@
 
 // relay gives the upstream's answer to the client unchanged. An answer that
 // breaks off is broken off here too, so that it cannot look complete.
-func (s *Sluice) relay(w http.ResponseWriter, res *result) {
+func (s *Sluice) relay(w http.ResponseWriter, r *http.Request, res *result) {
 	h := w.Header()
 	drop := named(res.resp.Header)
 	for k, vs := range res.resp.Header {
@@ -274,7 +274,7 @@
 	}
 	w.WriteHeader(res.resp.StatusCode)
 	if res.stream != nil {
-		s.stream(w, res)
+		s.stream(w, r, res)
 		return
 	}
 	w.Write(res.body)
--- a/internal/sluice/stream.go
+++ b/internal/sluice/stream.go
@@ -33,8 +33,9 @@
 	}
 	if n == 0 { // an end after the first bytes is met again when more is read
 		f.of.drop(f)
-		p.s.yard.done(of, broken)
-		return &result{how: broken, at: at, sent: true, err: err}
+		how := p.blame(err)
+		p.s.yard.done(of, how)
+		return &result{how: how, at: at, sent: true, err: err}
 	}
 	now := time.Now()
 	p.s.yard.began(of, now)
@@ -49,7 +50,7 @@
 // before more is read, so a slow client slows its upstream and nothing is gathered.
 // A client that takes nothing for long is given up. An end that is not the stream's
 // own is an end of the connection.
-func (s *Sluice) stream(w http.ResponseWriter, res *result) {
+func (s *Sluice) stream(w http.ResponseWriter, r *http.Request, res *result) {
 	s.streams.Add(1)
 	defer s.streams.Add(-1)
 	rc := http.NewResponseController(w)
@@ -82,7 +83,7 @@
 		res.flume.over(res.resp)
 		s.yard.done(res.stream, served)
 		return
-	case werr != nil:
+	case werr != nil || r.Context().Err() != nil: // its leaving closes the upstream's end
 		s.streamsLeft.Add(1)
 		s.yard.done(res.stream, unused)
 	default:
--- a/internal/sluice/stream_test.go
+++ b/internal/sluice/stream_test.go
@@ -185,6 +185,58 @@
 	}
 }
 
+// What a client breaks by leaving, or by breaking its body off, is not the
+// upstream's failure: it keeps its place among the others.
+func TestLeavingClientIsNoFailure(t *testing.T) {
+	for name, c := range map[string]struct{ request, first string }{
+		"before the first event": {"POST /flow/x HTTP/1.1\r\nContent-Length: 2\r\n\r\nhi", ""},
+		"in a stream":            {"POST /flow/x HTTP/1.1\r\nContent-Length: 2\r\n\r\nhi", eventHead + event(1)},
+		"in its body":            {"POST /once/x HTTP/1.1\r\nContent-Length: 200000\r\n\r\n" + strings.Repeat("x", 100000), ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			began := make(chan bool, 1)
+			l, err := net.Listen("tcp4", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(func() { l.Close() })
+			go func() {
+				c1, err := l.Accept()
+				if err != nil {
+					return
+				}
+				defer c1.Close()
+				if _, err := http.ReadRequest(bufio.NewReader(c1)); err != nil {
+					return
+				}
+				io.WriteString(c1, c.first)
+				began <- true
+				c1.SetReadDeadline(time.Now().Add(10 * time.Second))
+				io.Copy(io.Discard, c1)
+			}()
+			s := newSluice(t, intake.Instance{ID: "i-1", Service: "svc", Address: l.Addr().String(), Zone: "z", Slots: 4})
+			conn, br := flow(t, s)
+			line, rest, _ := strings.Cut(c.request, "\r\n")
+			io.WriteString(conn, line+"\r\nHost: h.example\r\nX-Slateridge-Attempt-Id: id-1\r\nX-Slateridge-Time-Budget-Ms: 9000\r\nX-Api-Key: k1\r\n"+rest)
+			<-began
+			if c.first != "" {
+				if _, err := http.ReadResponse(br, nil); err != nil {
+					t.Fatal(err)
+				}
+			}
+			conn.Close()
+			for s.yard.Busy("svc") > 0 {
+				time.Sleep(time.Millisecond)
+			}
+			s.yard.mu.Lock()
+			defer s.yard.mu.Unlock()
+			if o := s.yard.by["i-1"]; o.fails > 0 || time.Now().Before(o.ejected) || s.streamsCut.Load() > 0 {
+				t.Errorf("%d failures, %d streams cut are held against the upstream", o.fails, s.streamsCut.Load())
+			}
+		})
+	}
+}
+
 // A client that reads nothing holds its upstream up; nothing is gathered here.
 func TestSlowReaderHoldsItsUpstream(t *testing.T) {
 	var made atomic.Int64
