Upstream answers: a 2xx that tells no end is not taken for whole

Cause: an answer with neither a length nor chunks goes on until its connection ends, and one that its upstream cut ends just so. It was handed on as a whole 2xx, given a length of our own; a stream likewise, with an end of our own.

Change: such a 2xx is a broken answer: it may have run, and the client is told 502 or another upstream is asked where that is allowed.

Test: two rows of TestAmbiguityIsNotPromised; before, both got 200.

--- a/internal/sluice/flume.go
+++ b/internal/sluice/flume.go
@@ -49,10 +49,11 @@
 const unbounded = int64(1) << 62
 
 var (
-	errStale   = errors.New("connection no longer usable")
-	errForeign = errors.New("answer belongs to another request")
-	errUpload  = errors.New("the client's body broke off")
-	errStatus  = errors.New("no status of an answer")
+	errStale    = errors.New("connection no longer usable")
+	errForeign  = errors.New("answer belongs to another request")
+	errUnframed = errors.New("answer says neither its length nor its end")
+	errUpload   = errors.New("the client's body broke off")
+	errStatus   = errors.New("no status of an answer")
 )
 
 func newFlume(of *Outfall, c net.Conn) *Flume {
@@ -149,6 +150,12 @@
 	}
 }
 
+// unframed says that a body goes on until its connection ends: one that was cut looks
+// like one that is whole.
+func unframed(resp *http.Response) bool {
+	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Body != http.NoBody
+}
+
 // over ends a whole exchange: the connection is kept when nothing speaks
 // against it.
 func (f *Flume) over(resp *http.Response) {
--- a/internal/sluice/forward.go
+++ b/internal/sluice/forward.go
@@ -175,10 +175,15 @@
 	if doubt {
 		resp.Close = true // it is not used again
 	}
-	if p.route.Stream && !doubt && resp.StatusCode/100 == 2 && resp.Header.Get(hdrSeal) != "" {
+	if p.route.Stream && !doubt && !unframed(resp) && resp.StatusCode/100 == 2 && resp.Header.Get(hdrSeal) != "" {
 		return p.firstPiece(of, f, resp, at)
 	}
 	p.unwatch()
+	if resp.StatusCode/100 == 2 && unframed(resp) {
+		o.drop(f)
+		y.done(of, broken)
+		return &result{how: broken, at: at, sent: true, err: errUnframed}
+	}
 	body, err := readSome(resp.Body, datum.AnswerBuffer)
 	res := &result{how: served, at: at, sent: true, resp: resp, body: body, doubt: doubt}
 	switch {
--- a/internal/sluice/path_test.go
+++ b/internal/sluice/path_test.go
@@ -233,9 +233,15 @@
 		"garbage, once":                  {func(int, *http.Request) (string, bool) { return "no answer at all\r\n\r\n", true }, "/once/", 502, 1},
 		"cut answer, once":               {func(_ int, r *http.Request) (string, bool) { return ok(r, "whole")[:len(ok(r, "whole"))-2], true }, "/once/", 502, 1},
 		"cut answer, safe":               {func(_ int, r *http.Request) (string, bool) { return ok(r, "whole")[:len(ok(r, "whole"))-2], true }, "/safe/", 502, 2},
-		"no status, once":                {plain("042 Odd"), "/once/", 502, 1},
-		"a status beyond all, once":      {plain("777 Odd"), "/once/", 502, 1},
-		"switches unasked, once":         {plain("101 Switching Protocols"), "/once/", 502, 1},
+		"no end to tell it whole, once": {func(int, *http.Request) (string, bool) {
+			return "HTTP/1.1 200 OK\r\nX-Slateridge-Attempt-Id: id-1\r\nX-Slateridge-Response-Seal: s\r\n\r\nperhaps cu", true
+		}, "/once/", 502, 1},
+		"no end to tell it whole, stream": {func(int, *http.Request) (string, bool) {
+			return "HTTP/1.1 200 OK\r\nX-Slateridge-Attempt-Id: id-1\r\nX-Slateridge-Response-Seal: s\r\n\r\nid: 1\n", true
+		}, "/flow/", 502, 1},
+		"no status, once":           {plain("042 Odd"), "/once/", 502, 1},
+		"a status beyond all, once": {plain("777 Odd"), "/once/", 502, 1},
+		"switches unasked, once":    {plain("101 Switching Protocols"), "/once/", 502, 1},
 		"another request's answer, once": {func(_ int, r *http.Request) (string, bool) {
 			return strings.Replace(ok(r, "x"), "id-1", "id-2", 1), false
 		}, "/once/", 502, 1},
