Upstream answers: a 2xx has run, whatever its headers say

Cause: an answer in trouble may bear both a 2xx with its seal and the header that says that it has not run. The header was believed, and a request that may not be repeated was sent to a second upstream.

Change: the header counts on refusals only.

Test: a row of TestAmbiguityIsNotPromised; before, the request arrived twice.

--- a/internal/sluice/forward.go
+++ b/internal/sluice/forward.go
@@ -198,7 +198,7 @@
 		return &result{how: how, at: at, sent: true, err: err}
 	}
 	switch {
-	case resp.Header.Get(hdrNotRun) != "" || resp.StatusCode == http.StatusMisdirectedRequest:
+	case resp.Header.Get(hdrNotRun) != "" && resp.StatusCode/100 != 2 || resp.StatusCode == http.StatusMisdirectedRequest:
 		res.notRun = !doubt
 		res.how = full
 		if resp.StatusCode == http.StatusMisdirectedRequest {
--- a/internal/sluice/path_test.go
+++ b/internal/sluice/path_test.go
@@ -239,6 +239,9 @@
 		"no end to tell it whole, stream": {func(int, *http.Request) (string, bool) {
 			return "HTTP/1.1 200 OK\r\nX-Slateridge-Attempt-Id: id-1\r\nX-Slateridge-Response-Seal: s\r\n\r\nid: 1\n", true
 		}, "/flow/", 502, 1},
+		"served, and yet not run, once": {func(_ int, r *http.Request) (string, bool) {
+			return strings.Replace(ok(r, "x"), "\r\n", "\r\nX-Slateridge-Not-Executed: 1\r\n", 1), false
+		}, "/once/", 200, 1},
 		"no status, once":           {plain("042 Odd"), "/once/", 502, 1},
 		"a status beyond all, once": {plain("777 Odd"), "/once/", 502, 1},
 		"switches unasked, once":    {plain("101 Switching Protocols"), "/once/", 502, 1},
