--- a/internal/sluice/outfall.go
+++ b/internal/sluice/outfall.go
@@ -20,7 +20,7 @@
 
 // Outfall is one life of an upstream, as this proxy knows it.
 type Outfall struct {
-	inst   intake.Instance
+	inst   intake.Instance // but for its slots it never changes; what does is kept below
 	yard   *Yard
 	far    int // 0 in this zone, 1 in this region, 2 beyond
 	region string
@@ -209,8 +209,14 @@
 	for _, i := range is {
 		seen[i.ID] = true
 		o := y.by[i.ID]
+		if o != nil && (o.inst.Address != i.Address || o.inst.Service != i.Service) {
+			// Requests under way hold on to what it was: this is another life.
+			o.gone = true
+			o.closeIdle()
+			o = nil
+		}
 		if o == nil {
-			o = &Outfall{yard: y, lot: lot(y.me, i.ID), region: y.regions[i.Zone], out: map[*offer]time.Time{}}
+			o = &Outfall{yard: y, inst: i, lot: lot(y.me, i.ID), region: y.regions[i.Zone], out: map[*offer]time.Time{}}
 			switch {
 			case i.Zone == y.zone:
 			case o.region == y.regions[y.zone]:
@@ -220,7 +226,7 @@
 			}
 			y.by[i.ID] = o
 		}
-		o.inst = i
+		o.inst.Slots = i.Slots
 		if at := now.Add(i.Warmup); i.Warmup > 0 && at.After(o.warmAt) {
 			o.warmAt = at
 		}
--- a/internal/sluice/path_test.go
+++ b/internal/sluice/path_test.go
@@ -560,3 +560,16 @@
 		}
 	}
 }
+
+// An upstream listed under the same id at another address, or for another service,
+// is another life: nothing goes over the connections of the one before.
+func TestMovedUpstreamIsAnother(t *testing.T) {
+	a := newRaw(t, func(_ int, r *http.Request) (string, bool) { return ok(r, "a"), false })
+	b := newRaw(t, func(_ int, r *http.Request) (string, bool) { return ok(r, "b"), false })
+	s := newSluice(t, a.instance("i-1"))
+	get(s, "POST", "/once/", "")
+	s.yard.Apply(time.Now(), []intake.Instance{b.instance("i-1")})
+	if w := get(s, "POST", "/once/", ""); w.Body.String() != "b" || a.count() != 1 {
+		t.Errorf("got %d %q, %d sent to where it was", w.Code, w.Body, a.count())
+	}
+}
