Pool of upstream connections: one put back unused rests on

Cause: a connection that was taken and, the request being no longer allowed, put back unused began its rest anew, while its upstream counted from the last exchange: it could be taken again just as it was being closed, and what is written then may or may not have run.

Change: only an exchange begins a rest.

Test: TestUnusedConnectionRestsOn; with the change taken out it fails.

--- a/internal/sluice/flume.go
+++ b/internal/sluice/flume.go
@@ -58,7 +58,7 @@
 
 func newFlume(of *Outfall, c net.Conn) *Flume {
 	m := &meter{c: c}
-	return &Flume{of: of, c: c, in: m, br: bufio.NewReaderSize(m, 4<<10), idleFor: datum.IdleDefault}
+	return &Flume{of: of, c: c, in: m, br: bufio.NewReaderSize(m, 4<<10), idleAt: time.Now(), idleFor: datum.IdleDefault}
 }
 
 // clean says whether the connection is open with nothing waiting on it: bytes
@@ -167,7 +167,7 @@
 	if s, ok := keepAlive(resp.Header); ok {
 		f.idleFor = max(s-datum.IdleSafety, s/4)
 	}
-	f.of.keep(f)
+	f.of.keep(f, true)
 }
 
 // keepAlive reads the time in a Keep-Alive header.
--- a/internal/sluice/forward.go
+++ b/internal/sluice/forward.go
@@ -127,7 +127,7 @@
 			return &result{how: how, notRun: true, err: err}
 		}
 		if !p.allowed(o) {
-			o.keep(f)
+			o.keep(f, false)
 			y.done(of, unused)
 			return &result{how: unused, notRun: true, gone: true, err: errStale}
 		}
--- a/internal/sluice/outfall.go
+++ b/internal/sluice/outfall.go
@@ -606,8 +606,9 @@
 	o.yard.mu.Unlock()
 }
 
-// keep puts a connection by for the next request.
-func (o *Outfall) keep(f *Flume) {
+// keep puts a connection by for the next request: after an exchange, or as it was
+// found, when nothing was sent. Its upstream counts the rest from the last exchange.
+func (o *Outfall) keep(f *Flume, exchanged bool) {
 	o.yard.mu.Lock()
 	defer o.yard.mu.Unlock()
 	if o.gone || o.draining || len(o.idle) >= datum.IdlePerUpstream {
@@ -615,7 +616,9 @@
 		o.conns--
 		return
 	}
-	f.idleAt = time.Now()
+	if exchanged {
+		f.idleAt = time.Now()
+	}
 	o.idle = append(o.idle, f)
 }
 
--- a/internal/sluice/path_test.go
+++ b/internal/sluice/path_test.go
@@ -573,3 +573,26 @@
 		t.Errorf("got %d %q, %d sent to where it was", w.Code, w.Body, a.count())
 	}
 }
+
+// A connection that was taken and put back unused has rested since its last
+// exchange, and is given up before its upstream closes it.
+func TestUnusedConnectionRestsOn(t *testing.T) {
+	u := newRaw(t, func(_ int, r *http.Request) (string, bool) { return ok(r, "x"), false })
+	s := newSluice(t, u.instance("i-1"))
+	get(s, "POST", "/once/", "")
+	f := s.yard.by["i-1"].idle[0]
+	f.idleAt = f.idleAt.Add(-f.idleFor / 2)
+	rested := f.idleAt
+	of := s.yard.Place(want{service: "svc", homes: anywhere}, nil)
+	r := httptest.NewRequest("POST", "/once/", nil)
+	r.RequestURI, r.Host = "/once/", "h.example"
+	sch := s.scheme.Load()
+	p := &passage{s: s, r: r, arrived: time.Now(), deadline: time.Now().Add(time.Second), sch: sch, route: sch.Match("h.example", "/once/"), homes: "none"}
+	r.Header.Set(hdrAttempt, "id-2")
+	if res := p.try(of); !res.gone || u.count() != 1 {
+		t.Fatalf("sent where it may not be: %+v", res)
+	}
+	if idle := s.yard.by["i-1"].idle; len(idle) != 1 || idle[0] != f || !f.idleAt.Equal(rested) {
+		t.Error("the connection's rest begins anew though nothing was exchanged")
+	}
+}
