Own connections: what ties an answer to its question

Four faults, each with its test, and each test seen to fail with its mend taken out:

Numbers of calls began at 1 on every connection, so that an answer which strayed to another connection, or came from an earlier life, met a number there. They begin at random now (TestAnswersFindTheirWaiters, a seeded model test of callers over a connection that breaks, at an address that changes hands; before, answers reached callers whose question nobody had taken).

An answer that had come in time to a process frozen since was handed to the waiter, or not, by chance. After its time it is none (TestLateAnswerIsNone).

Words that had come over a connection were still handed on after it had been given up, possibly behind those of its successor (TestNothingIsHandedOnAfterTheEnd).

A frame that went on after its message was read as two (TestFrameIsOneMessage).

--- a/internal/conduit/conduit.go
+++ b/internal/conduit/conduit.go
@@ -9,6 +9,8 @@
 	"encoding/binary"
 	"encoding/gob"
 	"errors"
+	"io"
+	"math/rand/v2"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -62,7 +64,7 @@
 func newPipe(c net.Conn, h Handler) *Pipe {
 	host, _, _ := net.SplitHostPort(c.RemoteAddr().String())
 	p := &Pipe{c: c, some: make(chan struct{}, 1), done: make(chan struct{}),
-		wait: map[uint64]chan any{}, handle: h, Remote: host}
+		seq: uint64(rand.Uint32()), wait: map[uint64]chan any{}, handle: h, Remote: host}
 	go p.writer()
 	go p.reader()
 	return p
@@ -112,9 +114,15 @@
 // Send passes a message on and does not wait.
 func (p *Pipe) Send(body any) error { return p.put(envelope{Body: body}) }
 
-// Call sends a message and waits for its answer.
+// Call sends a message and waits for its answer. What ties the two is the connection,
+// and on it a number: counted up, and begun at random, so that numbers of other
+// connections and of other lives do not meet it either. An answer that comes after its
+// time is none, also where this process was not there to see the time end.
 func (p *Pipe) Call(body any, timeout time.Duration) (any, error) {
 	ch := make(chan any, 1)
+	began := time.Now()
+	t := time.NewTimer(timeout)
+	defer t.Stop()
 	p.mu.Lock()
 	p.seq++
 	id := p.seq
@@ -124,10 +132,11 @@
 	if err := p.put(envelope{Seq: id, Body: body}); err != nil {
 		return nil, err
 	}
-	t := time.NewTimer(timeout)
-	defer t.Stop()
 	select {
 	case v := <-ch:
+		if time.Since(began) > timeout {
+			return nil, ErrTimeout
+		}
 		return v, nil
 	case <-t.C:
 		return nil, ErrTimeout
@@ -217,20 +226,46 @@
 	}
 }
 
+// inflow reads messages from a connection's bytes.
+type inflow struct {
+	f   *frames
+	dec *gob.Decoder
+}
+
+func newInflow(r io.Reader) *inflow {
+	f := &frames{r: bufio.NewReaderSize(r, datum.PipeBuffer)}
+	return &inflow{f, gob.NewDecoder(f)}
+}
+
+// next reads one message, which is one frame's whole.
+func (i *inflow) next() (e envelope, err error) {
+	i.f.begin = true
+	if err := i.dec.Decode(&e); err != nil {
+		return envelope{}, err
+	}
+	if i.f.left > 0 {
+		return envelope{}, errors.New("frame goes on after its message")
+	}
+	return e, nil
+}
+
 func (p *Pipe) reader() {
 	defer p.Close()
-	f := &frames{r: bufio.NewReaderSize(p.c, datum.PipeBuffer)}
-	dec := gob.NewDecoder(f)
+	in := newInflow(p.c)
 	for {
-		var e envelope
-		f.begin = true
-		if err := dec.Decode(&e); err != nil {
+		e, err := in.next()
+		if err != nil {
 			var ne net.Error
 			if !errors.As(err, &ne) && !errors.Is(err, net.ErrClosed) && err.Error() != "EOF" {
 				Garbled.Add(1)
 			}
 			return
 		}
+		select {
+		case <-p.done:
+			return // what was still under way is lost: a later connection's words may have come before it
+		default:
+		}
 		if e.Reply {
 			p.mu.Lock()
 			ch := p.wait[e.Seq]
