Leases: a machine that no view has taken in with this disk grants nothing

Its address may be a voter's whose promises the disk that is gone had kept: with the grant of such a machine one that slept through a change makes up a majority of the old electorate. TestWhatTheElectorateMustTell shows both courses.

--- a/internal/headworks/daemon.go
+++ b/internal/headworks/daemon.go
@@ -333,10 +333,12 @@
 
 // electLocked has the leases follow the view as it stands this moment. The promise that
 // seals a view is told here before it is told to anyone else, so that no lease is granted
-// after it, however long the process stood still in between.
+// after it, however long the process stood still in between. A machine that no view has
+// taken in with this disk counts as sealed: its address may be a voter's, whose promises
+// its disk has forgotten.
 func (d *Daemon) electLocked() {
 	v := d.status.Load()
-	d.leases.SetElectorate(d.now(), v.View.Epoch, v.View.VoterAddrs(), v.Sealed)
+	d.leases.SetElectorate(d.now(), v.View.Epoch, v.View.VoterAddrs(), v.Sealed || !v.Joined)
 }
 
 // Leave hands duties over before a planned stop, and waits for a view in which the
