A proxy that starts shows nothing of a control machine out of contact before it has looked for a better one

A control machine that hears no majority no longer hands its configuration, list, limits, orders and live count to a proxy that holds none; the proxy takes them from such a machine only after datum.StartLook without a word from one in contact, and says so. What is newer than what a proxy holds is taken from any: it was committed. Before: TestStartFindsContact showed the old version first, TestStartWithoutContact took it with no look, TestWhatIsHandedOutOfContact was handed all of it.

--- /dev/null
+++ b/internal/penstock/contact_test.go
@@ -0,0 +1,187 @@
+package penstock
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"slateridge/internal/conduit"
+	"slateridge/internal/datum"
+	"slateridge/internal/weir"
+)
+
+// shown is what a proxy put in force, in order.
+type shown struct {
+	mu       sync.Mutex
+	versions []uint64
+	lists    []uint64
+	latest   Fresh
+}
+
+func (s *shown) apply(f Fresh) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if f.Config != nil {
+		s.versions = append(s.versions, f.Config.Version)
+	}
+	if f.List != nil {
+		s.lists = append(s.lists, f.List.Num)
+	}
+	s.latest = f
+}
+
+func (s *shown) all() ([]uint64, []uint64, Fresh) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]uint64(nil), s.versions...), append([]uint64(nil), s.lists...), s.latest
+}
+
+// newProxy is the real proxy side, told of some control machines.
+func newProxy(port int, from string, seeds ...string) (*Line, *shown) {
+	s := &shown{}
+	return NewLine(Tap{Node: "p" + from, Zone: "z"}, seeds, func(ip string, h conduit.Handler) *conduit.Main {
+		return conduit.NewMain(fmt.Sprintf("%s:%d", ip, port), from, h)
+	}, s.apply), s
+}
+
+// until steps the line as its process does, and fails after a time.
+func until(t *testing.T, l *Line, what string, most time.Duration, f func() bool) {
+	t.Helper()
+	for end := time.Now().Add(most); time.Now().Before(end); time.Sleep(datum.StepEvery / 4) {
+		l.Step(time.Now(), true)
+		if f() {
+			return
+		}
+	}
+	t.Fatalf("%s: not within %v: %+v", what, most, l.State(time.Now()))
+}
+
+// change alters what a stand-in tells, and pushes it.
+func (h *head) change(f func(*Face)) {
+	h.mu.Lock()
+	f(&h.face)
+	h.mu.Unlock()
+	h.pen.Publish()
+}
+
+// A proxy that starts and was told only of a machine out of contact finds the others
+// by it, and shows nothing of that machine's before.
+func TestStartFindsContact(t *testing.T) {
+	const port = 39161
+	cut, good := newHead(t, "127.0.0.31", port), newHead(t, "127.0.0.32", port)
+	good.set(7, 9, true)
+	cut.set(3, 5, false)
+	cut.change(func(f *Face) {
+		f.Peers = []Peer{{Addr: "127.0.0.31", Zone: "z"}, {Addr: "127.0.0.32", Zone: "y"}}
+		f.StateNum, f.Evacuated = 4, []string{"y"}
+	})
+	good.change(func(f *Face) { f.StateNum, f.Evacuated = 6, []string{} })
+	l, s := newProxy(port, "127.0.0.33", "127.0.0.31")
+	until(t, l, "the newest", datum.StartLook, func() bool {
+		v, li, f := s.all()
+		if f.State == 4 {
+			t.Fatal("the evacuations of a machine out of contact were put in force")
+		}
+		return len(v) > 0 && len(li) > 0
+	})
+	if v, li, f := s.all(); v[0] != 7 || li[0] != 9 || f.State != 6 {
+		t.Errorf("shown first: versions %v, lists %v, orders as of %d", v, li, f.State)
+	}
+}
+
+// Where no machine in contact can be had, what one out of contact has is taken after
+// a look, and is left for better as soon as there is any.
+func TestStartWithoutContact(t *testing.T) {
+	const port = 39162
+	cut := newHead(t, "127.0.0.34", port)
+	cut.set(3, 5, false)
+	l, s := newProxy(port, "127.0.0.35", "127.0.0.34")
+	began := time.Now()
+	until(t, l, "what there is", 2*datum.StartLook, func() bool {
+		v, li, _ := s.all()
+		return len(v) > 0 && len(li) > 0
+	})
+	if took := time.Since(began); took < datum.StartLook {
+		t.Errorf("taken after %v, with no look for better", took)
+	}
+	if _, _, f := s.all(); f.Proxies != 3 {
+		t.Errorf("live count %d", f.Proxies)
+	}
+	cut.set(2, 4, true) // a machine in contact may be behind: never back
+	cut.set(4, 6, true)
+	until(t, l, "better", datum.StartLook, func() bool { v, li, _ := s.all(); return v[len(v)-1] == 4 && li[len(li)-1] == 6 })
+	if v, li, _ := s.all(); len(v) != 2 || len(li) != 2 {
+		t.Errorf("versions %v, lists %v", v, li)
+	}
+}
+
+// A proxy that holds something takes what is newer from a machine out of contact too:
+// whatever a control machine hands out has been committed.
+func TestNewerIsTakenOutOfContact(t *testing.T) {
+	const port = 39163
+	a := newHead(t, "127.0.0.36", port)
+	a.set(3, 5, true)
+	l, s := newProxy(port, "127.0.0.37", "127.0.0.36")
+	until(t, l, "first", datum.StartLook, func() bool { v, li, _ := s.all(); return len(v) == 1 && len(li) == 1 })
+	a.set(4, 6, false)
+	until(t, l, "newer", datum.StartLook, func() bool { v, li, _ := s.all(); return len(v) == 2 && len(li) == 2 })
+}
+
+// What a control machine out of contact says to a proxy, by what that one holds.
+func TestWhatIsHandedOutOfContact(t *testing.T) {
+	h := newHead(t, "127.0.0.38", 39164)
+	h.set(3, 5, false)
+	h.change(func(f *Face) {
+		f.StateNum, f.Evacuated = 4, []string{"y"}
+		f.ComingVer, f.Coming = 6, map[string]weir.Quota{"k": {Rate: 1, Burst: 1}}
+		f.Peers = []Peer{{Addr: "127.0.0.39"}}
+	})
+	var pushed []News
+	var mu sync.Mutex
+	m, err := conduit.Dial("127.0.0.38:39164", "127.0.0.39", func(_ *conduit.Pipe, v any) any {
+		mu.Lock()
+		defer mu.Unlock()
+		pushed = append(pushed, v.(News))
+		return nil
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer m.Close()
+	tell := func(tap Tap) News {
+		tap.Node, tap.Full = "p", true
+		v, err := m.Call(tap, time.Second)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return v.(News)
+	}
+	n := tell(Tap{})
+	if n.Config != nil || n.List != nil || n.Coming != nil || n.Proxies != 0 || n.StateNum != 0 || n.Evacuated != nil {
+		t.Errorf("to one that begins: %+v", n)
+	}
+	if len(n.Peers) != 1 {
+		t.Error("it was not told where the others are")
+	}
+	h.change(func(f *Face) { f.StateNum = 5 }) // pushed before the next answer on the same connection
+	if n := tell(Tap{}); n.Config != nil {
+		t.Errorf("to one that asks again: %+v", n)
+	}
+	mu.Lock()
+	for _, n := range pushed {
+		if n.Config != nil || n.List != nil || n.Coming != nil || n.Proxies != 0 || n.StateNum != 0 {
+			t.Errorf("pushed to one that begins: %+v", n)
+		}
+	}
+	mu.Unlock()
+	if n := tell(Tap{Stale: true}); n.Config == nil || n.List == nil || n.Coming == nil || n.Proxies != 3 || n.StateNum != 5 {
+		t.Errorf("to one that found nobody better: %+v", n)
+	}
+	if n := tell(Tap{Version: 2, ListNum: 4}); n.Config == nil || n.List == nil || n.Proxies != 3 || n.StateNum != 5 {
+		t.Errorf("to one that holds an older state: %+v", n)
+	}
+	if n := tell(Tap{Version: 2}); n.Config == nil || n.List != nil {
+		t.Errorf("to one that holds a configuration but no list: %+v", n)
+	}
+}
--- a/internal/penstock/line.go
+++ b/internal/penstock/line.go
@@ -36,6 +36,8 @@
 	sure    time.Time
 	current time.Time // when a control machine that hears a majority last spoke
 	heard   time.Time
+	first   time.Time // when any spoke first
+	stale   bool      // looked long enough for one that hears a majority: takes what may be old
 	proxies int
 	state   uint64
 	evacs   []string
@@ -166,6 +168,7 @@
 		return
 	}
 	l.me.Ready = ready
+	l.stale = !l.first.IsZero() && now.Sub(l.first) > datum.StartLook && now.Sub(l.current) > datum.TapSilence
 	l.pickLocked(now)
 	l.chooseLocked(now)
 	for _, a := range l.order {
@@ -191,7 +194,7 @@
 		e.asking, e.tapAt, e.pullAt = true, now, time.Time{}
 		t := l.me
 		t.Version, t.ListNum, t.Full, t.Proxies = l.version, l.listNum, a == l.full || pull, l.proxies
-		t.Whole = l.whole && t.Full
+		t.Whole, t.Stale = l.whole && t.Full, l.stale
 		go l.ask(a, e, t)
 	}
 }
@@ -223,8 +226,14 @@
 	}
 }
 
+// trustsLocked says whether a control machine's contents are taken by a proxy that
+// may hold an earlier state of them: newer is better, but what one out of contact has
+// is no beginning while better can be had.
+func (l *Line) trustsLocked(n News, holds bool) bool { return n.Current || holds || l.stale }
+
 func (l *Line) behindLocked(e *end) bool {
-	return e.news.Version > l.version || e.news.ListNum > l.listNum
+	return e.news.Version > l.version && l.trustsLocked(e.news, l.version > 0) ||
+		e.news.ListNum > l.listNum && l.trustsLocked(e.news, l.listNum > 0)
 }
 
 func (l *Line) ask(a string, e *end, t Tap) {
@@ -273,6 +282,14 @@
 	var list *intake.List
 	misfit := false
 	// What is held changes under takeMu only.
+	l.mu.Lock()
+	if !l.trustsLocked(n, l.version > 0) {
+		n.Config, n.Coming, n.StateNum, n.Proxies = nil, nil, 0, 0
+	}
+	if !l.trustsLocked(n, l.listNum > 0) {
+		n.List = nil
+	}
+	l.mu.Unlock()
 	if c := n.Config; c != nil && c.Version > l.version {
 		if d, err := c.Unpack(l.doc, datum.ConfigMax); err == nil {
 			doc = d
@@ -313,6 +330,9 @@
 	n.Coming = nil
 	e.news = n
 	l.heard = now
+	if l.first.IsZero() {
+		l.first = now
+	}
 	var f Fresh
 	if doc != nil {
 		l.version, l.doc, f.Config = doc.Version, doc, doc
--- a/internal/penstock/penstock.go
+++ b/internal/penstock/penstock.go
@@ -27,6 +27,7 @@
 		ListNum uint64
 		Full    bool
 		Whole   bool // what was told as a difference did not fit: tell all
+		Stale   bool // holds nothing and found nobody who hears a majority: takes what may be old
 		Ready   bool
 		Proxies int
 		Region  string
@@ -181,26 +182,43 @@
 	return ps.news(c, f)
 }
 
+// gives says whether contents may be handed to a proxy, which may hold an earlier
+// state of them. What is committed and newer than that is always better; to one that
+// holds nothing, all that a machine out of contact has would look like the newest.
+func (c *tapped) gives(f Face, holds bool) bool {
+	return c.tap.Full && (f.Current || holds || c.tap.Stale)
+}
+
+// lacks says what of the contents this proxy is to be handed.
+func (c *tapped) lacks(f Face) (config, list bool) {
+	config = f.ConfigDoc != nil && f.ConfigDoc.Version > c.gotVer && c.gives(f, c.tap.Version > 0)
+	list = f.Upstreams != nil && f.Upstreams.Num > c.gotList && c.gives(f, c.tap.ListNum > 0)
+	return config, list
+}
+
 // news fills in what this proxy lacks.
 func (ps *Penstock) news(c *tapped, f Face) News {
 	n := f.News
-	if !ps.sharing(c.tap.Node) {
+	c.told = [3]uint64{n.Version, n.ListNum, n.StateNum}
+	begins := !f.Current && c.tap.Version == 0 && !c.tap.Stale
+	if !ps.sharing(c.tap.Node) || begins {
 		n.Proxies = 0
 	}
-	if c.tap.Full {
-		if f.ConfigDoc != nil && f.ConfigDoc.Version > c.gotVer {
-			n.Config, c.gotVer = ps.docs.from(f.ConfigDoc, c.gotVer), f.ConfigDoc.Version
-		}
-		if f.Upstreams != nil && f.Upstreams.Num > c.gotList {
-			n.List, c.gotList = ps.lists.from(f.Upstreams, c.gotList), f.Upstreams.Num
-		}
+	if begins {
+		n.StateNum, n.Evacuated = 0, nil
+	}
+	config, list := c.lacks(f)
+	if config {
+		n.Config, c.gotVer = ps.docs.from(f.ConfigDoc, c.gotVer), f.ConfigDoc.Version
 	}
-	if n.ComingVer <= n.Version || n.ComingVer == c.coming || !c.tap.Full {
+	if list {
+		n.List, c.gotList = ps.lists.from(f.Upstreams, c.gotList), f.Upstreams.Num
+	}
+	if n.ComingVer <= n.Version || n.ComingVer == c.coming || !c.tap.Full || begins {
 		n.ComingVer, n.Coming = 0, nil
 	} else {
 		c.coming = n.ComingVer
 	}
-	c.told = [3]uint64{n.Version, n.ListNum, n.StateNum}
 	c.proxies, c.metered = n.Proxies, n.Metered
 	if t := joined(n.Trackers); t == c.trackers {
 		n.Trackers = nil
@@ -232,8 +250,8 @@
 		if time.Since(c.at) > datum.TapSilence {
 			continue // it takes its news elsewhere, or is gone; its next word is answered
 		}
-		lacks := c.tap.Full && (f.Version > c.gotVer || f.ListNum > c.gotList)
-		if !lacks && (f.ComingVer <= f.Version || f.ComingVer == c.coming || !c.tap.Full) && c.told == [3]uint64{f.Version, f.ListNum, f.StateNum} && (c.metered == f.Metered || f.Metered == "") && (c.proxies == f.Proxies || c.proxies == 0 && !ps.sharing(c.tap.Node)) && c.trackers == joined(f.Trackers) {
+		config, list := c.lacks(f)
+		if !config && !list && (f.ComingVer <= f.Version || f.ComingVer == c.coming || !c.tap.Full) && c.told == [3]uint64{f.Version, f.ListNum, f.StateNum} && (c.metered == f.Metered || f.Metered == "") && (c.proxies == f.Proxies || c.proxies == 0 && !ps.sharing(c.tap.Node)) && c.trackers == joined(f.Trackers) {
 			continue
 		}
 		ps.pushes++
