Words that a frozen control machine sends late are not news

A push names the proxy's latest word that its maker had heard, so the proxy knows how old it may be; an answer is as old as its question. Of a word older than datum.TapSilence only what is numbered counts: it is no sign of contact, and its live count, time of day and names of duties are not believed. How long ago a control machine in contact spoke, and how old the list is, is reckoned from when the word can have been made at the earliest, not from when it came. Before: TestLateWords, TestPushNamesWhatWasHeard and TestStartTrustsContactOnly failed.

--- a/internal/penstock/contact_test.go
+++ b/internal/penstock/contact_test.go
@@ -8,6 +8,8 @@
 
 	"slateridge/internal/conduit"
 	"slateridge/internal/datum"
+	"slateridge/internal/intake"
+	"slateridge/internal/scheme"
 	"slateridge/internal/weir"
 )
 
@@ -185,3 +187,90 @@
 		t.Errorf("to one that holds a configuration but no list: %+v", n)
 	}
 }
+
+// alone is a line that is told by hand.
+func alone(t *testing.T, heads ...string) (*Line, *shown) {
+	t.Helper()
+	l, s := newProxy(39165, "127.0.0.40", heads...) // nobody listens there
+	return l, s
+}
+
+// The proxy's own side holds to it too: a control machine of an earlier version hands
+// its contents to everybody.
+func TestStartTrustsContactOnly(t *testing.T) {
+	l, s := alone(t, "127.0.0.41")
+	old := func(current bool) News {
+		c := scheme.Pack(nil, &scheme.Doc{Version: 3, Raw: []byte("3")})
+		return News{Current: current, Version: 3, ListNum: 5, Proxies: 3, StateNum: 4, Evacuated: []string{"y"},
+			Config: &c, List: intake.Diff(nil, &intake.List{Num: 5}), ComingVer: 6, Coming: map[string]weir.Quota{"k": {}}}
+	}
+	l.take("127.0.0.41", old(false), time.Now())
+	if v, li, f := s.all(); len(v)+len(li) > 0 || f.State != 0 || f.Proxies != 0 || f.Coming != nil {
+		t.Errorf("taken of a machine out of contact: versions %v, lists %v, %+v", v, li, f)
+	}
+	// Nor is a word that says "in contact" believed long after it was made.
+	l.take("127.0.0.41", old(true), time.Now().Add(-2*datum.TapSilence))
+	if v, li, _ := s.all(); len(v)+len(li) > 0 {
+		t.Errorf("taken of a word long under way: versions %v, lists %v", v, li)
+	}
+	l.take("127.0.0.41", old(true), time.Now())
+	if v, li, f := s.all(); len(v) != 1 || len(li) != 1 || f.State != 4 || f.Proxies != 3 {
+		t.Errorf("of a machine in contact: versions %v, lists %v, %+v", v, li, f)
+	}
+}
+
+// Words that a frozen machine made before it stood still come when it thaws. What is
+// numbered never goes back, and the rest is not news any more.
+func TestLateWords(t *testing.T) {
+	l, s := alone(t, "127.0.0.41", "127.0.0.42")
+	now := time.Now()
+	l.take("127.0.0.42", News{Current: true, StateNum: 9, Evacuated: []string{}, Proxies: 4, Wall: 7e18, Trackers: []string{"b"}, Metered: "b", Scaler: "b"}, now)
+	l.listNum = 8
+	before := l.State(now)
+	late := now.Add(-20 * time.Second)
+	c := scheme.Pack(nil, &scheme.Doc{Version: 3, Raw: []byte("3")})
+	l.version = 6
+	l.take("127.0.0.41", News{Current: true, Version: 3, Config: &c, ListNum: 8, StateNum: 5, Evacuated: []string{"y"}, Proxies: 40,
+		Wall: 6e18, Trackers: []string{"a"}, Metered: "a", Scaler: "a"}, late)
+	v, _, f := s.all()
+	if len(v) > 0 || f.State != 9 || len(f.Evacuated) > 0 {
+		t.Errorf("an older state in force: versions %v, %+v", v, f)
+	}
+	if f.Proxies != 4 || f.Wall != 0 || f.Trackers[0] != "b" || f.Metered != "b" || f.Scaler != "b" {
+		t.Errorf("believed of a late word: %+v", f)
+	}
+	after := l.State(now)
+	if after.ListAge != before.ListAge || after.Ends["127.0.0.41"] != before.Ends["127.0.0.41"] {
+		t.Errorf("a late word is a sign of contact: %+v, was %+v", after, before)
+	}
+	// A later word of that machine leaves out what it has said before.
+	l.take("127.0.0.42", News{Current: true, Trackers: []string{""}}, now)
+	l.take("127.0.0.41", News{Current: true}, time.Now())
+	if _, _, f := s.all(); f.Trackers[0] != "a" {
+		t.Errorf("what the late word told differs is lost: %+v", f)
+	}
+}
+
+// A push is as old as the latest of this proxy's words that its maker had heard.
+func TestPushNamesWhatWasHeard(t *testing.T) {
+	const port = 39166
+	h := newHead(t, "127.0.0.43", port)
+	h.set(3, 5, true)
+	l, s := newProxy(port, "127.0.0.44", "127.0.0.43")
+	until(t, l, "first", datum.StartLook, func() bool { v, _, _ := s.all(); return len(v) == 1 })
+	time.Sleep(20 * time.Millisecond)
+	before := time.Now()
+	h.set(4, 6, true) // pushed, and no question is asked any more
+	for end := time.Now().Add(time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if v, _, _ := s.all(); len(v) == 2 {
+			break
+		}
+	}
+	if v, _, _ := s.all(); len(v) != 2 {
+		t.Fatal("nothing was pushed")
+	}
+	now := time.Now()
+	if at := now.Add(-l.State(now).Current); !at.Before(before) || now.Sub(at) > time.Second {
+		t.Errorf("in contact %v ago by a push, which can only vouch for the last word before it", now.Sub(at))
+	}
+}
--- a/internal/penstock/line.go
+++ b/internal/penstock/line.go
@@ -21,6 +21,7 @@
 	mu      sync.Mutex // never held for long: every question of a request goes through here
 	taking  bool       // something is being put in force: no word until it is
 	me      Tap
+	began   time.Time // what Sent and Heard are reckoned from
 	ends    map[string]*end
 	order   []string        // of preference: own zone, own region, the rest
 	where   map[string]Peer // as control tells
@@ -76,7 +77,7 @@
 // NewLine makes a proxy's end, with the control machines it knows to begin
 // with; apply is called, one call at a time, with what is newer.
 func NewLine(me Tap, peers []string, dial func(addr string, h conduit.Handler) *conduit.Main, apply func(Fresh)) *Line {
-	l := &Line{me: me, where: map[string]Peer{}, ends: map[string]*end{}, dial: dial, apply: apply, heard: time.Now()}
+	l := &Line{me: me, where: map[string]Peer{}, ends: map[string]*end{}, dial: dial, apply: apply, began: time.Now(), heard: time.Now()}
 	l.addLocked(peers)
 	return l
 }
@@ -89,7 +90,8 @@
 		e := &end{}
 		e.m = l.dial(a, func(_ *conduit.Pipe, body any) any {
 			if n, ok := body.(News); ok {
-				l.take(a, n)
+				// It was made after the Tap that it names, and maybe only just after.
+				l.take(a, n, l.began.Add(n.Heard))
 			}
 			return nil
 		})
@@ -193,6 +195,7 @@
 		}
 		e.asking, e.tapAt, e.pullAt = true, now, time.Time{}
 		t := l.me
+		t.Sent = now.Sub(l.began)
 		t.Version, t.ListNum, t.Full, t.Proxies = l.version, l.listNum, a == l.full || pull, l.proxies
 		t.Whole, t.Stale = l.whole && t.Full, l.stale
 		go l.ask(a, e, t)
@@ -254,7 +257,7 @@
 	}
 	l.mu.Unlock()
 	if n, ok := v.(News); ok {
-		l.take(a, n)
+		l.take(a, n, asked)
 		l.mu.Lock()
 		// An answer was made after its question: only from there can its age be
 		// reckoned, however long it was under way.
@@ -274,13 +277,20 @@
 }
 
 // take puts news in force. What a proxy says it holds is in force there, so its
-// words wait until that is so; the questions of its requests do not.
-func (l *Line) take(a string, n News) {
+// words wait until that is so; the questions of its requests do not. made is a moment
+// before which the news cannot have been made.
+func (l *Line) take(a string, n News, made time.Time) {
 	l.takeMu.Lock()
 	defer l.takeMu.Unlock()
 	var doc *scheme.Doc
 	var list *intake.List
 	misfit := false
+	// Of a word that was long under way, as a machine that was frozen sends them, only
+	// what is numbered counts: the rest may have changed since.
+	late := time.Since(made) > datum.TapSilence
+	if late {
+		n.Current, n.Metered, n.Scaler, n.Coming = false, "", "", nil
+	}
 	// What is held changes under takeMu only.
 	l.mu.Lock()
 	if !l.trustsLocked(n, l.version > 0) {
@@ -304,7 +314,7 @@
 			misfit = true
 		}
 	}
-	f := l.fold(a, n, doc, list, misfit)
+	f := l.fold(a, n, made, late, doc, list, misfit)
 	l.apply(f)
 	if f.Config != nil || f.List != nil {
 		l.mu.Lock()
@@ -314,22 +324,21 @@
 }
 
 // fold takes news into what is held and tells what of it is new.
-func (l *Line) fold(a string, n News, doc *scheme.Doc, list *intake.List, misfit bool) Fresh {
+func (l *Line) fold(a string, n News, made time.Time, late bool, doc *scheme.Doc, list *intake.List, misfit bool) Fresh {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := time.Now()
 	e := l.ends[a]
-	e.at, e.everWord = now, true
-	n.Config, n.List = nil, nil
+	l.meetLocked(n.Peers)
 	if n.Trackers == nil {
-		n.Trackers = e.news.Trackers
+		n.Trackers = e.news.Trackers // as told on this connection before
+	}
+	if late {
+		e.news.Trackers = n.Trackers // the next words only say what differs from it
+	} else {
+		e.at, e.everWord, e.news, l.heard = now, true, n, now
+		e.news.Config, e.news.List, e.news.Peers, e.news.Coming = nil, nil, nil, nil
 	}
-	l.meetLocked(n.Peers)
-	n.Peers = nil
-	coming := n.Coming
-	n.Coming = nil
-	e.news = n
-	l.heard = now
 	if l.first.IsZero() {
 		l.first = now
 	}
@@ -358,9 +367,11 @@
 		f.Wall = n.Wall
 	}
 	if n.Current {
-		l.current = now
+		if made.After(l.current) {
+			l.current = made
+		}
 		if n.ListNum == l.listNum && n.ListNum > 0 {
-			if at := now.Add(-n.ListAge); at.After(l.listAt) {
+			if at := made.Add(-n.ListAge); at.After(l.listAt) {
 				l.listAt = at
 			}
 		}
@@ -385,7 +396,7 @@
 	if p > 0 {
 		l.proxies = p
 	}
-	f.Proxies, f.Trackers, f.Coming = l.proxies, trackers, coming
+	f.Proxies, f.Trackers, f.Coming = l.proxies, trackers, n.Coming
 	l.taking = f.Config != nil || f.List != nil
 	return f
 }
--- a/internal/penstock/penstock.go
+++ b/internal/penstock/penstock.go
@@ -31,14 +31,16 @@
 		Ready   bool
 		Proxies int
 		Region  string
-		Front   string // where clients connect
+		Front   string        // where clients connect
+		Sent    time.Duration // by the proxy's own clock, since its line began
 	}
 	// Peer is a control machine.
 	Peer struct{ Addr, Zone, Region string }
 	// News is a numbered change, or the answer to a Tap.
 	News struct {
-		Current bool   // this control machine hears a majority
-		Zone    string // where it stands
+		Heard   time.Duration // the Sent of the latest Tap: this was made after it
+		Current bool          // this control machine hears a majority
+		Zone    string        // where it stands
 		Version uint64
 		ListNum uint64
 		ListAge time.Duration
@@ -199,6 +201,7 @@
 // news fills in what this proxy lacks.
 func (ps *Penstock) news(c *tapped, f Face) News {
 	n := f.News
+	n.Heard = c.tap.Sent
 	c.told = [3]uint64{n.Version, n.ListNum, n.StateNum}
 	begins := !f.Current && c.tap.Version == 0 && !c.tap.Stale
 	if !ps.sharing(c.tap.Node) || begins {
