A proxy believes a control machine in contact before one that is not, also in numbers

The live count, the trackers' names and who holds the other duties came from whichever machine spoke last, stood nearest or named the largest number. Now a machine that hears a majority goes before; while none speaks, the count may only rise. Before: TestContactGoesBefore failed.

--- a/internal/penstock/contact_test.go
+++ b/internal/penstock/contact_test.go
@@ -274,3 +274,40 @@
 		t.Errorf("in contact %v ago by a push, which can only vouch for the last word before it", now.Sub(at))
 	}
 }
+
+// Of two words the one of a machine in contact counts, whichever came last and
+// whichever machine stands nearer.
+func TestContactGoesBefore(t *testing.T) {
+	const cut, good = "127.0.0.41", "127.0.0.42"
+	l, s := alone(t, cut, good)
+	l.where = map[string]Peer{cut: {cut, "z", ""}, good: {good, "y", ""}} // the one cut off is near
+	l.mu.Lock()
+	l.sortLocked()
+	l.mu.Unlock()
+	now := time.Now()
+	l.version = 1
+	is := func(what string, proxies int, name string) {
+		t.Helper()
+		_, _, f := s.all()
+		if f.Proxies != proxies || f.Metered != name || f.Scaler != name || f.Trackers[0] != name || f.Trackers[1] != "also" {
+			t.Errorf("%s: %+v", what, f)
+		}
+	}
+	word := func(from string, current bool, proxies int, name, second string) {
+		l.take(from, News{Current: current, Proxies: proxies, Trackers: []string{name, second}, Metered: name, Scaler: name}, time.Now())
+	}
+	word(cut, false, 30, "old", "also")
+	is("only one out of contact", 30, "old")
+	word(good, true, 20, "new", "")
+	is("one in contact", 20, "new")
+	word(cut, false, 30, "old", "also")
+	is("the other once more", 20, "new")
+	// While nobody in contact speaks, the count may rise but not fall.
+	l.ends[good].at, l.current = now.Add(-2*datum.TapSilence), now.Add(-2*datum.TapSilence)
+	word(cut, false, 10, "old", "also")
+	is("nobody in contact, a smaller count", 20, "old")
+	word(cut, false, 25, "old", "also")
+	is("nobody in contact, a larger count", 25, "old")
+	word(good, true, 18, "new", "also")
+	is("in contact again", 18, "new")
+}
--- a/internal/penstock/line.go
+++ b/internal/penstock/line.go
@@ -356,11 +356,14 @@
 		l.state, l.evacs = n.StateNum, n.Evacuated
 	}
 	f.State, f.Evacuated = l.state, l.evacs
-	if n.Metered != "" {
-		l.metered = n.Metered
-	}
-	if n.Scaler != "" {
-		l.scaler = n.Scaler
+	// A machine out of contact is believed only while none in contact speaks.
+	if n.Current || now.Sub(l.current) > datum.TapSilence {
+		if n.Metered != "" {
+			l.metered = n.Metered
+		}
+		if n.Scaler != "" {
+			l.scaler = n.Scaler
+		}
 	}
 	f.From, f.Metered, f.Scaler = a, l.metered, l.scaler
 	if n.Current {
@@ -376,14 +379,18 @@
 			}
 		}
 	}
-	// The live count is the largest anybody lately told: too small a count
-	// would split the quotas too generously.
-	p := 0
+	// The live count is the largest that a machine in contact lately told: too small a
+	// count would split the quotas too generously. While none is, it may only rise. A
+	// tracker that no machine in contact knows may be known to another.
+	told := map[bool]int{false: l.proxies}
 	var trackers []string
-	for _, x := range l.order {
-		o := l.ends[x]
-		if o.everWord && now.Sub(o.at) < datum.TapSilence {
-			p = max(p, o.news.Proxies)
+	for _, current := range []bool{true, false} {
+		for _, x := range l.order {
+			o := l.ends[x]
+			if !o.everWord || now.Sub(o.at) >= datum.TapSilence || o.news.Current != current {
+				continue
+			}
+			told[current] = max(told[current], o.news.Proxies)
 			for i, t := range o.news.Trackers {
 				if len(trackers) <= i {
 					trackers = append(trackers, t)
@@ -393,8 +400,8 @@
 			}
 		}
 	}
-	if p > 0 {
-		l.proxies = p
+	if l.proxies = told[true]; l.proxies == 0 {
+		l.proxies = told[false]
 	}
 	f.Proxies, f.Trackers, f.Coming = l.proxies, trackers, n.Coming
 	l.taking = f.Config != nil || f.List != nil
