What a late answer told is told again

Trackers, the other control machines and coming limits are told once on a connection. When an answer came after its time it was thrown away, and they were not told again while the connection stood: a machine that stalls for about a second leaves it so. The proxy now says that it missed an answer. Before: TestLostAnswerIsToldAgain failed.

--- a/internal/penstock/contact_test.go
+++ b/internal/penstock/contact_test.go
@@ -311,3 +311,28 @@
 	word(good, true, 18, "new", "also")
 	is("in contact again", 18, "new")
 }
+
+// An answer that comes after its time is lost; what it told is told again, though the
+// control machine has told it on this connection.
+func TestLostAnswerIsToldAgain(t *testing.T) {
+	const port = 39167
+	h := newHead(t, "127.0.0.45", port)
+	h.set(3, 5, true)
+	l, s := newProxy(port, "127.0.0.46", "127.0.0.45")
+	until(t, l, "first", datum.StartLook, func() bool { v, _, _ := s.all(); return len(v) == 1 })
+	until(t, l, "nothing asked", time.Second, func() bool { l.mu.Lock(); defer l.mu.Unlock(); return !l.ends["127.0.0.45"].asking })
+	// The control machine stands still while it answers.
+	h.mu.Lock()
+	h.face.Trackers, h.face.Peers = []string{"t"}, []Peer{{Addr: "127.0.0.47"}}
+	e := l.ends["127.0.0.45"]
+	done := make(chan struct{})
+	go func() { l.ask("127.0.0.45", e, Tap{Node: "p", Version: 3, ListNum: 5, Full: true}); close(done) }()
+	<-done
+	h.mu.Unlock()
+	until(t, l, "what the lost answer told", 3*datum.TapEvery, func() bool {
+		_, _, f := s.all()
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		return len(f.Trackers) == 1 && f.Trackers[0] == "t" && l.ends["127.0.0.47"] != nil
+	})
+}
--- a/internal/penstock/line.go
+++ b/internal/penstock/line.go
@@ -55,6 +55,7 @@
 	asking   bool
 	pullAt   time.Time
 	everWord bool
+	missed   bool // its last answer did not come in time
 }
 
 // Fresh is what changed, for the proxy to put in force.
@@ -197,7 +198,7 @@
 		t := l.me
 		t.Sent = now.Sub(l.began)
 		t.Version, t.ListNum, t.Full, t.Proxies = l.version, l.listNum, a == l.full || pull, l.proxies
-		t.Whole, t.Stale = l.whole && t.Full, l.stale
+		t.Whole, t.Stale, t.Missed = l.whole && t.Full, l.stale, e.missed
 		go l.ask(a, e, t)
 	}
 }
@@ -244,6 +245,7 @@
 	v, err := e.m.Call(t, datum.CallTimeout)
 	l.mu.Lock()
 	e.asking = false
+	e.missed = errors.Is(err, conduit.ErrTimeout)
 	if err != nil {
 		silent := time.Since(e.at) > datum.TapSilence && e.everWord
 		if errors.Is(err, conduit.ErrClosed) || errors.Is(err, conduit.ErrRefused) {
--- a/internal/penstock/penstock.go
+++ b/internal/penstock/penstock.go
@@ -27,6 +27,7 @@
 		ListNum uint64
 		Full    bool
 		Whole   bool // what was told as a difference did not fit: tell all
+		Missed  bool // an answer did not come in time: tell again what only differences are told of
 		Stale   bool // holds nothing and found nobody who hears a majority: takes what may be old
 		Ready   bool
 		Proxies int
@@ -181,6 +182,9 @@
 	if t.Whole {
 		c.gotVer, c.gotList = 0, 0
 	}
+	if t.Missed {
+		c.trackers, c.peers, c.coming = "", "", 0
+	}
 	return ps.news(c, f)
 }
 
