Control machines that left are not dialled for ever

A proxy kept every address it ever learned among those it turns to: while fewer than three machines in contact spoke, it dialled one that had left ten times a second for the rest of its life. What a machine in contact doesn't name is now turned to only while nobody in contact speaks; a machine out of contact adds addresses and takes none away. Before: TestLeftAreLast failed.

--- a/internal/penstock/contact_test.go
+++ b/internal/penstock/contact_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -369,3 +370,40 @@
 	close(read)
 	until(t, l, "in force", patience, func() bool { return !l.sureBy(News{SureVersion: 4}, time.Now()).IsZero() })
 }
+
+// Machines that are none of control any more are not dialled for ever, and are the
+// last that a proxy turns to; their address may still lead back to the others.
+func TestLeftAreLast(t *testing.T) {
+	const gone, a, b = "127.0.0.41", "127.0.0.42", "127.0.0.43"
+	l, _ := alone(t, gone, a)
+	tapped := func() (out []string) {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.pickLocked(time.Now())
+		for _, x := range l.order {
+			if l.ends[x].tapped {
+				out = append(out, x)
+			}
+		}
+		return out
+	}
+	l.take(gone, News{Peers: []Peer{{Addr: gone, Zone: "z"}, {Addr: a, Zone: "y"}}}, time.Now())
+	if got := tapped(); len(got) != 2 {
+		t.Fatalf("before: %v", got)
+	}
+	l.take(a, News{Current: true, Zone: "y", Peers: []Peer{{Addr: a, Zone: "y"}, {Addr: b, Zone: "y"}}}, time.Now())
+	if got := tapped(); len(got) != 2 || slices.Contains(got, gone) {
+		t.Errorf("after it left: %v", got)
+	}
+	// What is learned of a machine out of contact adds addresses and takes none away.
+	l.take(b, News{Peers: []Peer{{Addr: gone}, {Addr: b}, {Addr: "127.0.0.44"}}}, time.Now())
+	if got := tapped(); len(got) != 2 || slices.Contains(got, gone) || l.ends["127.0.0.44"] == nil {
+		t.Errorf("after one out of contact named others: %v", got)
+	}
+	l.mu.Lock()
+	l.ends[a].at = time.Now().Add(-2 * datum.TapSilence)
+	l.mu.Unlock()
+	if got := tapped(); !slices.Contains(got, gone) || got[len(got)-1] != gone && got[len(got)-1] != "127.0.0.44" {
+		t.Errorf("nobody in contact: %v", got)
+	}
+}
--- a/internal/penstock/line.go
+++ b/internal/penstock/line.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"hash/fnv"
+	"slices"
 	"sort"
 	"sync"
 	"time"
@@ -25,6 +26,7 @@
 	ends    map[string]*end
 	order   []string        // of preference: own zone, own region, the rest
 	where   map[string]Peer // as control tells
+	named   []string        // those that the latest machine in contact named
 	doc     *scheme.Doc     // held, to tell differences from
 	list    *intake.List
 	whole   bool
@@ -103,8 +105,14 @@
 	l.sortLocked()
 }
 
-// meetLocked takes control's word on where its machines stand.
-func (l *Line) meetLocked(ps []Peer) {
+// leftLocked says whether a machine known here is none of control any more.
+func (l *Line) leftLocked(a string) bool {
+	return len(l.named) > 0 && !slices.Contains(l.named, a)
+}
+
+// meetLocked takes control's word on where its machines stand. Addresses are learned
+// from any; which machines are no more is believed of one in contact only.
+func (l *Line) meetLocked(ps []Peer, current bool) {
 	if len(ps) == 0 {
 		return
 	}
@@ -113,6 +121,9 @@
 		l.where[p.Addr] = p
 		addrs = append(addrs, p.Addr)
 	}
+	if current {
+		l.named = addrs
+	}
 	l.addLocked(addrs) // which sorts by what is known now
 }
 
@@ -121,6 +132,8 @@
 func (l *Line) sortLocked() {
 	far := func(a string) int {
 		switch p, ok := l.where[a]; {
+		case l.leftLocked(a):
+			return 4
 		case !ok || p.Zone == "":
 			return 2 // nothing is known of it yet
 		case p.Zone == l.me.Zone:
@@ -145,12 +158,13 @@
 }
 
 // pickLocked decides which control machines are tapped: the first few, and for
-// each of them that is silent or hears no majority one more.
+// each of them that is silent or hears no majority one more; those that left only
+// while there is no other.
 func (l *Line) pickLocked(now time.Time) {
 	good := 0
 	for _, a := range l.order {
 		e := l.ends[a]
-		e.tapped = good < datum.TapCount
+		e.tapped = good < datum.TapCount && (good == 0 || !l.leftLocked(a))
 		if e.everWord && now.Sub(e.at) <= datum.TapSilence && e.news.Current {
 			good++
 		}
@@ -338,7 +352,7 @@
 	defer l.mu.Unlock()
 	now := time.Now()
 	e := l.ends[a]
-	l.meetLocked(n.Peers)
+	l.meetLocked(n.Peers, n.Current)
 	if n.Trackers == nil {
 		n.Trackers = e.news.Trackers // as told on this connection before
 	}
