--- a/internal/penstock/contact_test.go
+++ b/internal/penstock/contact_test.go
@@ -407,3 +407,38 @@
 		t.Errorf("nobody in contact: %v", got)
 	}
 }
+
+// The addresses that a machine out of contact names are dialled at once, with no step
+// of the line between; a machine in contact leads to no further connections.
+func TestNamedAreDialledAtOnce(t *testing.T) {
+	const port = 39169
+	l, _ := newProxy(port, "127.0.0.50", "127.0.0.51")
+	dialled := func(ip string, most time.Duration) bool {
+		lis, err := conduit.Listen(fmt.Sprintf("%s:%d", ip, port))
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer lis.Close()
+		came := make(chan bool, 1)
+		go func() {
+			c, err := lis.Accept()
+			if err == nil {
+				c.Close()
+			}
+			came <- err == nil
+		}()
+		l.take("127.0.0.51", News{Current: ip == "127.0.0.53", Peers: []Peer{{Addr: "127.0.0.51"}, {Addr: ip}}}, time.Now())
+		select {
+		case <-came:
+			return true
+		case <-time.After(most):
+			return false
+		}
+	}
+	if !dialled("127.0.0.52", patience) {
+		t.Error("named by one out of contact, and not dialled")
+	}
+	if dialled("127.0.0.53", 200*time.Millisecond) {
+		t.Error("named by one in contact, and dialled before it is asked anything")
+	}
+}
--- a/internal/penstock/line.go
+++ b/internal/penstock/line.go
@@ -125,6 +125,15 @@
 		l.named = addrs
 	}
 	l.addLocked(addrs) // which sorts by what is known now
+	if !current {
+		// Better words are to be had elsewhere: dialled now, asked with the next step.
+		l.pickLocked(time.Now())
+		for _, a := range l.order {
+			if e := l.ends[a]; e.tapped && !e.everWord {
+				e.m.Pipe()
+			}
+		}
+	}
 }
 
 // sortLocked puts near machines first, and equals in an order of this proxy's
