A settings file that changes in a proxy's first second is read

The state of the file was noted at the first look, a second after it had been read: seeds written between were never seen unless the file changed once more. Before: TestSeedsChangeWhileRunning failed.

--- a/internal/sluice/daemon.go
+++ b/internal/sluice/daemon.go
@@ -47,7 +47,6 @@
 	selfAt   time.Time
 	haveList atomic.Bool
 	setStamp atomic.Int64
-	setSeen  atomic.Bool
 	audit    audit
 	staff    *staff.Agent
 	echoMu   sync.Mutex
@@ -62,6 +61,7 @@
 func NewDaemon(set *sill.Settings, path string, book *logbook.Logbook) *Daemon {
 	d := &Daemon{path: path, echo: map[string]heardStamp{}, source: intake.NewSource(set.CloudAPI.Address)}
 	d.set.Store(set)
+	d.setStamp.Store(d.settingsStamp()) // what changes from now on is read
 	b := set.Bounds
 	s := &Sluice{book: book, marks: newMarks(), began: time.Now(), weir: weir.New(b.QuotaSlack, set.Trackers(), rand.Uint64())}
 	d.Sluice = s
@@ -466,12 +466,19 @@
 	}
 }
 
+// settingsStamp tells one state of the settings file from another; 0 if there is none.
+func (d *Daemon) settingsStamp() int64 {
+	fi, err := os.Stat(d.path)
+	if err != nil {
+		return 0
+	}
+	return fi.ModTime().UnixNano() ^ fi.Size()
+}
+
 // lookAtSettings reloads a settings file that has changed.
 func (d *Daemon) lookAtSettings() {
-	if fi, err := os.Stat(d.path); err == nil {
-		if m := fi.ModTime().UnixNano() ^ fi.Size(); d.setStamp.Swap(m) != m && d.setSeen.Swap(true) {
-			d.Reload()
-		}
+	if is := d.settingsStamp(); is != 0 && d.setStamp.Swap(is) != is {
+		d.Reload()
 	}
 }
 
