A proxy reads the platform's list itself while no control machine in contact speaks

Before, any word held it off: a proxy beside a control machine that was cut off kept the list of before the cut. Test: TestListIsReadHereOutOfContact, over the condition, which looked at silence alone; that the reading itself follows it is played, not tested.

--- a/internal/datum/datum.go
+++ b/internal/datum/datum.go
@@ -148,7 +148,7 @@
 	PollTimeout   = 1200 * time.Millisecond // two polls
 	StartLook     = time.Second             // from the first word on, a proxy that starts looks so long for a control machine that hears a majority before it takes what may be old; several dials and questions, well inside contact and configApply
 	PullAfter     = 120 * time.Millisecond  // a change announced elsewhere is fetched there if it has not come so long after
-	SelfPollAfter = 4 * time.Second         // a proxy that hears no headworks so long polls for itself
+	SelfPollAfter = 4 * time.Second         // a proxy that hears no headworks in contact so long polls for itself
 	SelfPollEvery = 3 * time.Second         // slowly: the call rate is shared by all
 )
 
--- a/internal/sluice/daemon.go
+++ b/internal/sluice/daemon.go
@@ -224,7 +224,7 @@
 }
 
 // step drives the line, decides readiness, and reads the platform's list here
-// when no control machine has spoken for long.
+// when no control machine in contact has spoken for long.
 func (d *Daemon) step() {
 	now := time.Now()
 	d.line.Step(now, d.ready.Load() && !d.leaving.Load())
@@ -233,7 +233,7 @@
 		d.ready.Store(true)
 		d.book.Note("ready", "configuration and upstreams known")
 	}
-	if st.Silent > datum.SelfPollAfter && now.After(d.selfAt) && d.scheme.Load() != nil {
+	if d.outOfContact(st, now) && now.After(d.selfAt) && d.scheme.Load() != nil {
 		every := selfPollEvery(d.yard.Len(), d.weir.Proxies(), d.set.Load().CloudAPI.RatePerS)
 		first := d.selfAt.IsZero()
 		if d.selfAt = now.Add(every/2 + rand.N(every)); first && rand.Float64() > float64(datum.SelfPollEvery)/float64(every) {
@@ -245,7 +245,7 @@
 				d.book.Count("self_poll_failed", 1)
 				return
 			}
-			if d.line.State(time.Now()).Silent > datum.SelfPollAfter {
+			if now := time.Now(); d.outOfContact(d.line.State(now), now) {
 				d.yard.Apply(time.Now(), is)
 				d.haveList.Store(true)
 				d.book.Count("self_poll", 1)
@@ -254,6 +254,12 @@
 	}
 }
 
+// outOfContact says that the list has to be read here: what control machines without
+// contact say of it is what they knew before they lost it.
+func (d *Daemon) outOfContact(st penstock.State, now time.Time) bool {
+	return min(st.Current, now.Sub(d.began)) > datum.SelfPollAfter
+}
+
 // selfPollEvery is how often a proxy out of touch reads the list, so that all of
 // them together leave the platform's rate to whoever reads for everybody.
 func selfPollEvery(upstreams, proxies int, rate float64) time.Duration {
--- a/internal/sluice/settings_test.go
+++ b/internal/sluice/settings_test.go
@@ -10,6 +10,7 @@
 	"github.com/rs/zerolog"
 
 	"slateridge/internal/logbook"
+	"slateridge/internal/penstock"
 	"slateridge/internal/sill"
 )
 
@@ -58,3 +59,29 @@
 		t.Error("a change after a file that cannot be read is not seen")
 	}
 }
+
+// A proxy reads the platform's list itself while no control machine in contact speaks,
+// also when others do, but not in its first seconds, in which none can have spoken.
+func TestListIsReadHereOutOfContact(t *testing.T) {
+	now := time.Now()
+	d := &Daemon{Sluice: &Sluice{began: now.Add(-time.Minute)}}
+	is := func(current, silent, age time.Duration) bool {
+		d.began = now.Add(-age)
+		return d.outOfContact(penstock.State{Current: current, Silent: silent}, now)
+	}
+	never := now.Sub(time.Time{})
+	for _, c := range []struct {
+		current, silent, age time.Duration
+		want                 bool
+	}{
+		{100 * time.Millisecond, 0, time.Minute, false},
+		{20 * time.Second, 0, time.Minute, true},
+		{20 * time.Second, 20 * time.Second, time.Minute, true},
+		{never, 0, time.Second, false},
+		{never, 0, 20 * time.Second, true},
+	} {
+		if got := is(c.current, c.silent, c.age); got != c.want {
+			t.Errorf("%+v: %v", c, got)
+		}
+	}
+}
