--- /dev/null
+++ b/cmd/slateridge/explore.go
@@ -0,0 +1,94 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"slices"
+	"strings"
+	"time"
+
+	"slateridge/internal/explore"
+	"slateridge/internal/explore/chainmodel"
+	"slateridge/internal/explore/leasemodel"
+)
+
+type exploreCmd struct {
+	Model      string        `enum:"chain,leases" default:"chain" help:"What to drive: chain (orders, reads, views) or leases (single duties)."`
+	Strategy   string        `enum:"systematic,random" default:"systematic" help:"All schedules, those with fewer deviations first, or random walks within the same bounds."`
+	Deviations int           `default:"3" help:"Most deviations from the default schedule."`
+	Faults     int           `default:"4" help:"Most of them that are faults."`
+	Depth      int           `default:"6" help:"Most default steps between two deviations."`
+	Step       time.Duration `help:"Simulated time of a default step; the model's own if not given."`
+	Messages   bool          `help:"Deviate before every message of the protocol too, not only between steps."`
+	Kinds      []string      `help:"Only these kinds of deviations, e.g. leave,come,wipe."`
+	Without    []string      `help:"None of these kinds."`
+	Operators  int           `default:"2" help:"Operators who send orders."`
+	Warm       time.Duration `default:"4s" help:"Simulated time before the first deviation."`
+	Newcomers  int           `default:"2" help:"Machines that may come at new addresses."`
+	Seed       uint64        `default:"1" help:"Of random walks."`
+	Limit      time.Duration `default:"1m" help:"Wall time after which the search ends."`
+	Schedules  int           `help:"Number of schedules after which it ends; 0: no bound."`
+	Jobs       int           `default:"3" help:"Schedules run at once; with 1 the counts are the same each time."`
+	KeepGoing  bool          `help:"Look for a failure of every rule instead of ending with the first."`
+	Replay     string        `placeholder:"LIST" help:"Run one schedule, as it was printed: words separated by semicolons."`
+}
+
+var errBroken = errors.New("a rule was broken")
+
+func (c exploreCmd) model() (func() explore.Model, []string) {
+	if c.Model == "leases" {
+		cfg := leasemodel.Small()
+		cfg.Faults, cfg.Messages, cfg.Kinds, cfg.Without, cfg.Others, cfg.Warm = c.Faults, c.Messages, c.Kinds, c.Without, c.Newcomers, c.Warm
+		if c.Step > 0 {
+			cfg.Step = c.Step
+		}
+		return func() explore.Model { return leasemodel.New(cfg) }, leasemodel.ChoiceKinds
+	}
+	cfg := chainmodel.Small()
+	cfg.Faults, cfg.Messages, cfg.Kinds, cfg.Without, cfg.Newcomers, cfg.Operators, cfg.Warm = c.Faults, c.Messages, c.Kinds, c.Without, c.Newcomers, c.Operators, c.Warm
+	if c.Step > 0 {
+		cfg.Step = c.Step
+	}
+	return func() explore.Model { return chainmodel.New(cfg) }, chainmodel.ChoiceKinds
+}
+
+func (c exploreCmd) Run() error {
+	mk, kinds := c.model()
+	for _, k := range slices.Concat(c.Kinds, c.Without) {
+		if !slices.Contains(kinds, k) {
+			return usageError{fmt.Errorf("there is no kind %q; there are %s", k, strings.Join(kinds, ", "))}
+		}
+	}
+	if c.Deviations < 0 || c.Faults < 0 || c.Depth < 0 || c.Step < 0 || c.Jobs < 1 || c.Newcomers < 0 || c.Newcomers > 5 || c.Operators < 0 || c.Operators > 8 || c.Warm < 0 {
+		return usageError{errors.New("a bound is out of its range")}
+	}
+	if c.Replay != "" {
+		err := explore.Replay(mk(), explore.Parse(c.Replay))
+		if errors.Is(err, explore.ErrNotEnabled) {
+			return usageError{err}
+		}
+		if err != nil {
+			fmt.Println("broken:", err)
+			return errBroken
+		}
+		fmt.Println("no rule was broken")
+		return nil
+	}
+	run := explore.Systematic
+	if c.Strategy == "random" {
+		run = explore.Random
+	}
+	r := run(mk, explore.Options{Deviations: c.Deviations, Depth: c.Depth, Schedules: c.Schedules, Limit: c.Limit, Seed: c.Seed, Jobs: c.Jobs, KeepGoing: c.KeepGoing,
+		Progress: func(r explore.Report) {
+			fmt.Fprintf(os.Stderr, "%4.0f s: %d schedules, %d pruned, level %d: %d of %d, %d rules broken\n", r.Took.Seconds(), r.Schedules, r.Pruned, r.Level, r.LevelDone, r.LevelOf, len(r.Failures))
+		}})
+	fmt.Println(r)
+	for _, f := range r.Failures {
+		fmt.Printf("\nbroken: %s\nfound:  %s\nshrunk: %s\nas a test:\n%s\n", f.Err, f.Found, f.Shrunk, f.Source())
+	}
+	if len(r.Failures) > 0 {
+		return errBroken
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/explore/chainmodel/chainmodel.go
@@ -0,0 +1,607 @@
+// Package chainmodel has package explore drive the chain of control machines:
+// founders and newcomers, operators that order and ask again after lost answers,
+// and the rules that must hold through all of it.
+package chainmodel
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"slateridge/internal/basin"
+	"slateridge/internal/datum"
+	"slateridge/internal/explore"
+	"slateridge/internal/headworks"
+	"slateridge/internal/scheme"
+)
+
+// The rules, by the names under which a broken one is reported.
+const (
+	RuleOneView    = "one view a number"
+	RuleOneContent = "one content a number"
+	RuleOneState   = "one state a stamp"
+	RuleForward    = "never back"
+	RuleFreshRead  = "no old read"
+	RuleVoters     = "only voters promise and accept"
+	RuleServes     = "orders are confirmed after quiet"
+	RuleAnswers    = "reads are answered after quiet"
+	RuleStarts     = "a kept disk is enough to start"
+)
+
+// Config bounds a model.
+type Config struct {
+	Founders  int
+	Newcomers int
+	Tolerate  int
+	Operators int
+	Faults    int           // most in a schedule; a repair is not one
+	Orders    int           // most in a schedule, reads and evacuations too
+	Step      time.Duration // of the default, between two places for a choice
+	Messages  bool          // also before each message of the protocol, those of the machines' regular word apart
+	Kinds     []string      // of choices; empty: all
+	Without   []string      // kinds left out
+	Reckless  bool          // disks may be lost at any time: more than is promised, to see that it shows
+	Warm      time.Duration // before the first choice
+	CatchUp   time.Duration // without trouble before a disk may be lost: one machine at a time
+	Settle    time.Duration // after quiet, before orders must be served
+	Serve     time.Duration // within which an order is confirmed and a read answered then
+	LongAgo   time.Duration // longer than any time that the chain itself waits for anything
+}
+
+// Small is three founders and two newcomers with up to four faults.
+func Small() Config {
+	return Config{Founders: 3, Newcomers: 2, Tolerate: 1, Operators: 2, Faults: 4, Orders: 4, Step: 2 * time.Second,
+		Warm: 4 * time.Second, CatchUp: 4 * time.Second, Settle: 6 * time.Second, Serve: 3 * time.Second, LongAgo: 5 * time.Second}
+}
+
+// Order is an operator's configuration sent at a machine and waited for.
+type Order struct {
+	Operator string
+	Version  uint64
+	Content  string
+}
+
+// Confirms says whether a state that a machine knows to be in force confirms an
+// order that waits there, as the API judges it.
+func Confirms(in *scheme.Doc, o Order) bool { return in != nil && o.Version <= in.Version }
+
+// submit hands an order to a machine.
+func submit(c *headworks.Chain, now time.Duration, o Order) []any {
+	return c.Submit(now, scheme.Doc{Version: o.Version, Raw: []byte(o.Content)})
+}
+
+// waiting is a call of an operator that has no answer yet.
+type waiting struct {
+	Order
+	life int
+	at   time.Duration
+}
+
+type reading struct {
+	life    int
+	began   time.Duration
+	version uint64            // confirmed when it began
+	evacs   map[string]uint64 // likewise, by zone
+}
+
+type evacuation struct {
+	life int
+	zone string
+	on   bool
+}
+
+type state struct {
+	version uint64
+	content string
+}
+
+// Model is the chain as package explore drives it.
+type Model struct {
+	Config
+	w     *explore.World
+	chain map[string]*headworks.Chain
+	disks map[string]*basin.Disk
+	grid  time.Duration
+	err   error
+	quiet bool
+
+	faults, orders, came int
+	ids                  uint64
+	last                 map[string]Order // by operator
+	wanted               uint64           // highest version sent
+	waits                map[string][]waiting
+	reads                map[string]map[uint64]reading
+	evacs                map[string]map[uint64]evacuation
+
+	confirmed map[uint64]string // by version: its content
+	acked     uint64            // the highest version confirmed
+	evacAcked map[string]uint64
+	views     map[uint64]string
+	viewOf    map[string]uint64
+	states    map[scheme.Stamp]state
+	inForce   map[string]*scheme.Doc // of a process
+	answers   int                    // reads answered
+	confirms  int
+}
+
+// New makes one.
+func New(c Config) *Model { return &Model{Config: c} }
+
+var names = []string{"a", "b", "c", "d", "e", "f", "g", "h"}
+
+// skip are the marks of moments that are numbers, not durations, and so differ
+// each time.
+var skip = []string{"Gauge.At", "Gauge.Echo", "Gauge.Wall", "Chain.surely"}
+
+func (m *Model) Reset() {
+	m.w = explore.NewWorld(datum.ChainTick, m.tick, m.recv)
+	m.chain, m.disks = map[string]*headworks.Chain{}, map[string]*basin.Disk{}
+	m.grid, m.err, m.quiet = m.Warm, nil, false
+	m.faults, m.orders, m.came, m.ids, m.wanted = 0, 0, 0, 0, 0
+	m.last, m.waits = map[string]Order{}, map[string][]waiting{}
+	m.reads, m.evacs = map[string]map[uint64]reading{}, map[string]map[uint64]evacuation{}
+	m.confirmed, m.acked, m.evacAcked = map[uint64]string{}, 0, map[string]uint64{}
+	m.views, m.viewOf, m.states, m.inForce = map[uint64]string{}, map[string]uint64{}, map[scheme.Stamp]state{}, map[string]*scheme.Doc{}
+	m.answers, m.confirms = 0, 0
+	for _, n := range names[:m.Founders] {
+		m.start(n, true)
+	}
+	m.w.Run(m.Warm, nil, m.well)
+	m.w.Trouble = 0
+}
+
+func (m *Model) well() bool { return m.err == nil }
+
+func (m *Model) broken(rule, f string, a ...any) {
+	if m.err == nil {
+		m.err = explore.Broken(rule, "at %v: %s", m.w.Now, fmt.Sprintf(f, a...))
+	}
+}
+
+func (m *Model) Check() error { return m.err }
+
+// ---- machines
+
+// start brings a machine's process up: a founder, a newcomer that is told the
+// others, or one that comes back.
+func (m *Model) start(n string, founding bool) {
+	if m.disks[n] == nil {
+		m.disks[n] = basin.NewDisk()
+	}
+	peers := names[:m.Founders]
+	if !founding {
+		peers = append(slices.Clone(m.w.Names), n)
+	}
+	rng := rand.New(rand.NewPCG(uint64(n[0]), uint64(m.w.Life(n)+1)))
+	c, err := headworks.NewChain(m.w.Now, n, slices.Clone(peers), founding, m.disks[n], rng)
+	if err != nil {
+		if !m.disks[n].Refuse && !m.disks[n].Sick() {
+			m.broken(RuleStarts, "%s: %v", n, err)
+		}
+		return // it stays down
+	}
+	c.Tolerate = m.Tolerate
+	m.chain[n] = c
+	m.inForce[n], m.waits[n] = nil, nil
+	m.reads[n], m.evacs[n] = map[uint64]reading{}, map[uint64]evacuation{}
+	m.viewOf[n] = 0
+	m.w.Start(n)
+}
+
+func (m *Model) stop(n string) {
+	m.w.Stop(n)
+	m.chain[n] = nil
+	m.waits[n], m.reads[n], m.evacs[n] = nil, nil, nil
+}
+
+// back starts a stopped machine a little later.
+func (m *Model) back(n string) {
+	life := m.w.Life(n)
+	m.w.After(explore.Stall, func() {
+		if m.w.Life(n) == life && slices.Contains(m.w.Names, n) {
+			m.start(n, false)
+			m.w.Trouble = m.w.Now
+		}
+	})
+}
+
+func (m *Model) tick(n string) {
+	m.run(n, func(c *headworks.Chain) []any { return c.Tick(m.w.Now) })
+}
+
+func (m *Model) recv(e *explore.Event) {
+	m.run(e.To, func(c *headworks.Chain) []any { return c.Recv(m.w.Now, e.From, e.Msg) })
+}
+
+// run has a machine do something and checks the rules on what came of it.
+func (m *Model) run(n string, f func(*headworks.Chain) []any) {
+	c := m.chain[n]
+	if c == nil {
+		return
+	}
+	before := c.View()
+	for _, o := range f(c) {
+		switch o := o.(type) {
+		case headworks.Send:
+			switch s := o.Msg.(type) {
+			case headworks.Promise:
+				m.votes(c, before, s.Slot, "promises")
+			case headworks.Accepted:
+				m.votes(c, before, s.Slot, "accepts")
+			}
+			m.w.Send(n, o.To, o.Msg)
+		case headworks.Commit:
+			m.commit(n, o.Doc)
+		case headworks.ReadDone:
+			m.readDone(n, o)
+		}
+	}
+	if v := c.View(); v.Num != m.viewOf[n] {
+		m.viewOf[n] = v.Num
+		m.view(n, v)
+	}
+}
+
+func (m *Model) votes(c *headworks.Chain, before headworks.View, slot uint64, does string) {
+	for _, v := range []headworks.View{before, c.View()} {
+		if v.Num+1 == slot && slices.Contains(v.Voters, c.Me) {
+			return
+		}
+	}
+	m.broken(RuleVoters, "%v %s for view %d, and knows view %d with the voters %v", c.Me, does, slot, before.Num, before.Voters)
+}
+
+func (m *Model) view(n string, v headworks.View) {
+	if v.Num == 0 {
+		return
+	}
+	is := fmt.Sprint(v.Members, " of ", v.Voters)
+	if was, ok := m.views[v.Num]; ok && was != is {
+		m.broken(RuleOneView, "%s takes view %d to be %s, it was %s", n, v.Num, is, was)
+	}
+	m.views[v.Num] = is
+}
+
+func (m *Model) commit(n string, d scheme.Doc) {
+	if was := m.inForce[n]; was != nil && d.Stamp.Less(was.Stamp) {
+		m.broken(RuleForward, "%s goes back from %v to %v", n, was.Stamp, d.Stamp)
+	}
+	m.inForce[n] = &d
+	is := state{d.Version, string(d.Raw)}
+	if was, ok := m.states[d.Stamp]; !ok {
+		for s, o := range m.states {
+			if s.Less(d.Stamp) && o.version > is.version || d.Stamp.Less(s) && o.version < is.version {
+				m.broken(RuleForward, "%v holds r%d, %v holds r%d", s, o.version, d.Stamp, is.version)
+			}
+		}
+		m.states[d.Stamp] = is
+	} else if was != is {
+		m.broken(RuleOneState, "%s commits r%d %q at %v, it was r%d %q", n, is.version, is.content, d.Stamp, was.version, was.content)
+	}
+	if was, ok := m.confirmed[d.Version]; ok && was != is.content {
+		m.broken(RuleOneContent, "%s has r%d %q in force, %q was confirmed", n, d.Version, is.content, was)
+	}
+	m.waits[n] = slices.DeleteFunc(m.waits[n], func(w waiting) bool { return m.w.Now-w.at > datum.SubmitWait })
+	var left []waiting
+	for _, w := range m.waits[n] {
+		if !Confirms(&d, w.Order) {
+			left = append(left, w)
+		} else {
+			m.confirm(n, w.Order)
+		}
+	}
+	m.waits[n] = left
+	for z, e := range d.Evac {
+		for i, id := range e.IDs {
+			o, ok := m.evacs[n][id]
+			if !ok {
+				continue
+			}
+			delete(m.evacs[n], id)
+			if i == len(e.IDs)-1 && e.On != o.on {
+				m.broken(RuleForward, "%s: order %v on zone %s confirmed, it is %v", n, o.on, z, e.On)
+			}
+			m.evacAcked[z] = max(m.evacAcked[z], e.Num-uint64(len(e.IDs)-1-i))
+		}
+	}
+}
+
+// confirm is an operator told that its order is taken.
+func (m *Model) confirm(n string, o Order) {
+	if was, ok := m.confirmed[o.Version]; ok && was != o.Content {
+		m.broken(RuleOneContent, "%s confirms r%d %q to %s, %q was confirmed", n, o.Version, o.Content, o.Operator, was)
+	}
+	m.confirmed[o.Version] = o.Content
+	m.acked = max(m.acked, o.Version)
+	m.confirms++
+}
+
+func (m *Model) readDone(n string, o headworks.ReadDone) {
+	r, ok := m.reads[n][o.ID]
+	delete(m.reads[n], o.ID)
+	if !ok || m.w.Now-r.began > datum.SubmitWait {
+		return // its caller has gone
+	}
+	m.answers++
+	var v uint64
+	if o.Doc != nil {
+		v = o.Doc.Version
+		if was, ok := m.confirmed[v]; ok && was != string(o.Doc.Raw) {
+			m.broken(RuleOneContent, "a read at %s gives r%d %q, %q was confirmed", n, v, o.Doc.Raw, was)
+		}
+	}
+	if v < r.version {
+		m.broken(RuleFreshRead, "a read at %s gives r%d, r%d was confirmed before it began", n, v, r.version)
+	}
+	for z, num := range r.evacs {
+		if o.Doc == nil || o.Doc.Evac[z].Num < num {
+			m.broken(RuleFreshRead, "a read at %s lacks order %d on zone %s, confirmed before it began", n, num, z)
+		}
+	}
+}
+
+// ---- operators
+
+// order sends an operator's configuration to a machine.
+func (m *Model) order(n string, o Order) {
+	m.last[o.Operator] = o
+	m.wanted = max(m.wanted, o.Version)
+	if m.chain[n] == nil || m.w.Frozen(n) {
+		return // no answer
+	}
+	if Confirms(m.inForce[n], o) {
+		m.confirm(n, o)
+		return
+	}
+	m.waits[n] = append(m.waits[n], waiting{o, m.w.Life(n), m.w.Now})
+	m.run(n, func(c *headworks.Chain) []any { return submit(c, m.w.Now, o) })
+}
+
+func (m *Model) read(n string) {
+	if m.chain[n] == nil || m.w.Frozen(n) {
+		return
+	}
+	m.ids++
+	evacs := map[string]uint64{}
+	for z, k := range m.evacAcked {
+		evacs[z] = k
+	}
+	m.reads[n][m.ids] = reading{m.w.Life(n), m.w.Now, m.acked, evacs}
+	id := m.ids
+	m.run(n, func(c *headworks.Chain) []any { return c.Read(m.w.Now, id) })
+}
+
+func (m *Model) evacuate(n string, on bool) {
+	if m.chain[n] == nil || m.w.Frozen(n) {
+		return
+	}
+	m.ids++
+	id := m.ids
+	m.evacs[n][id] = evacuation{m.w.Life(n), "z", on}
+	m.run(n, func(c *headworks.Chain) []any { return c.Evacuate(m.w.Now, id, "z", on) })
+}
+
+// ---- choices
+
+// regular are words that machines say all the time and that come again.
+func regular(msg any) bool {
+	_, ok := msg.(headworks.Gauge)
+	return ok
+}
+
+func (m *Model) atMessage() *explore.Event {
+	if e := m.w.Head(); m.Messages && e != nil && !regular(e.Msg) {
+		return e
+	}
+	return nil
+}
+
+// whole says whether a disk may be lost: all machines are up and one chain, and
+// have had the time to catch up.
+func (m *Model) whole() bool {
+	if m.Reckless {
+		return true
+	}
+	if m.w.Parted() || len(m.w.Names) < m.Founders || m.w.Now-m.w.Trouble < m.CatchUp {
+		return false
+	}
+	for _, n := range m.w.Names {
+		if m.chain[n] == nil || m.w.Frozen(n) || m.disks[n].Refuse || m.disks[n].Sick() || !slices.ContainsFunc(m.chain[m.w.Names[0]].View().Members, func(x headworks.Member) bool { return x == m.chain[n].Me }) {
+			return false
+		}
+	}
+	return true
+}
+
+// faultKinds count as faults; the others repair, or are work.
+var faultKinds = []string{"isolate", "mute", "deafen", "cut", "part", "freeze", "lose", "double", "late", "restart", "stop", "power", "fill", "wipe", "leave"}
+
+// ChoiceKinds names all kinds of choices.
+var ChoiceKinds = append(slices.Clone(faultKinds), "join", "thaw", "start", "clear", "come", "order", "again", "read", "evacuate")
+
+func (m *Model) Choices() []string {
+	out := []string{"wait"}
+	add := func(ws ...string) {
+		for _, w := range ws {
+			kind := strings.Fields(w)[0]
+			if len(m.Kinds) > 0 && !slices.Contains(m.Kinds, kind) || slices.Contains(m.Without, kind) || m.faults >= m.Faults && slices.Contains(faultKinds, kind) {
+				continue
+			}
+			out = append(out, w)
+		}
+	}
+	if e := m.atMessage(); e != nil {
+		add(m.w.OnHead()...)
+	}
+	for _, n := range m.w.Names {
+		if m.w.Up(n) {
+			add("restart "+n, "stop "+n)
+		} else {
+			add("start " + n)
+		}
+	}
+	add("power")
+	for _, n := range m.w.Names {
+		if m.disks[n].Refuse {
+			add("clear " + n)
+		} else {
+			add("fill " + n)
+		}
+	}
+	if m.whole() {
+		for _, n := range m.w.Names {
+			add("wipe "+n, "leave "+n)
+		}
+	}
+	if m.came < m.Newcomers {
+		add("come " + names[m.Founders+m.came])
+	}
+	add(m.w.Freezes()...)
+	add(m.w.Paths()...)
+	if m.orders < m.Orders {
+		for _, n := range m.w.Names {
+			if !m.w.Up(n) {
+				continue
+			}
+			for i := range m.Operators {
+				p := string(rune('p' + i))
+				add(fmt.Sprintf("order %s at %s: r%d", p, n, m.wanted+1))
+				if m.wanted > 0 && m.last[p].Version != m.wanted {
+					add(fmt.Sprintf("order %s at %s: r%d", p, n, m.wanted))
+				}
+				if m.last[p].Version > 0 {
+					add(fmt.Sprintf("again %s at %s", p, n))
+				}
+			}
+			add("read "+n, "evacuate "+n+" on", "evacuate "+n+" off")
+		}
+	}
+	return out
+}
+
+func (m *Model) Apply(n int) {
+	if n == 0 {
+		m.w.Run(m.grid, func(*explore.Event) bool { return m.atMessage() != nil }, m.well)
+		if m.w.Now >= m.grid {
+			m.grid += m.Step
+		}
+		return
+	}
+	word := m.Choices()[n]
+	f := strings.Fields(word)
+	if slices.Contains(faultKinds, f[0]) {
+		m.faults++
+	}
+	if m.w.Do(word) {
+		return
+	}
+	switch f[0] {
+	case "restart":
+		m.stop(f[1])
+		m.back(f[1])
+	case "stop":
+		m.stop(f[1])
+	case "start":
+		m.start(f[1], false)
+	case "power":
+		for _, n := range m.w.Names {
+			m.stop(n)
+			m.back(n)
+		}
+	case "fill", "clear":
+		m.disks[f[1]].Refuse = f[0] == "fill"
+	case "wipe":
+		m.stop(f[1])
+		m.disks[f[1]] = basin.NewDisk()
+		m.back(f[1])
+	case "leave":
+		m.stop(f[1])
+		m.w.Leave(f[1])
+	case "come":
+		m.came++
+		m.start(f[1], false)
+	default:
+		m.orders++
+		switch f[0] {
+		case "order":
+			v, _ := strconv.ParseUint(strings.TrimPrefix(f[4], "r"), 10, 64)
+			m.order(strings.TrimSuffix(f[3], ":"), Order{f[1], v, fmt.Sprintf("r%d by %s", v, f[1])})
+		case "again":
+			m.order(f[3], m.last[f[1]])
+		case "read":
+			m.read(f[1])
+		case "evacuate":
+			m.evacuate(f[1], f[2] == "on")
+		}
+		return // no trouble
+	}
+	m.w.Trouble = m.w.Now
+}
+
+func (m *Model) Hash() uint64 {
+	a := explore.Abstraction{LongAgo: m.LongAgo, Skip: skip}
+	parts := []any{m.faults, m.orders, m.came, m.wanted, m.last, m.confirmed, m.evacAcked, m.grid, int(min(m.w.Now-m.w.Trouble, m.CatchUp))}
+	for _, n := range m.w.Names {
+		parts = append(parts, n, m.disks[n], m.inForce[n] != nil, m.waits[n], m.reads[n], m.evacs[n])
+		if c := m.chain[n]; c != nil {
+			parts = append(parts, c)
+		}
+	}
+	return a.Digest(m.w.Now, m.w.Hash(a), a.Digest(m.w.Now, parts...))
+}
+
+// Quiet ends all trouble; then every machine must have an order confirmed and a
+// read answered. The choices see to it that it may be asked: disks are lost one
+// at a time, with the others whole.
+func (m *Model) Quiet() error {
+	m.w.Heal()
+	for _, n := range slices.Clone(m.w.Names) {
+		m.disks[n].Refuse = false
+		if m.chain[n] == nil {
+			m.start(n, false)
+		}
+	}
+	m.w.Run(m.w.Now+m.Settle, nil, m.well)
+	for _, n := range m.w.Names {
+		o := Order{"quiet", m.wanted + 1, fmt.Sprintf("r%d after quiet", m.wanted+1)}
+		confirmed := func() bool { _, ok := m.confirmed[o.Version]; return ok }
+		until := m.w.Now + m.Serve
+		for m.err == nil && !confirmed() && m.w.Now < until {
+			m.order(n, o)
+			m.w.Run(m.w.Now+datum.SubmitWait, nil, func() bool { return m.err == nil && !confirmed() })
+		}
+		if m.err == nil && !confirmed() {
+			m.broken(RuleServes, "%s: nothing confirmed in %v of quiet and %v: %s", n, m.Settle, m.Serve, m.describe())
+		}
+	}
+	for _, n := range m.w.Names {
+		was, until := m.answers, m.w.Now+m.Serve
+		for m.err == nil && m.answers == was && m.w.Now < until {
+			m.read(n)
+			m.w.Run(m.w.Now+datum.SubmitWait, nil, func() bool { return m.err == nil && m.answers == was })
+		}
+		if m.err == nil && m.answers == was {
+			m.broken(RuleAnswers, "%s: no read answered in %v of quiet and %v: %s", n, m.Settle, m.Serve, m.describe())
+		}
+	}
+	return m.err
+}
+
+// describe tells what each machine knows.
+func (m *Model) describe() string {
+	var out []string
+	for _, n := range m.w.Names {
+		if c := m.chain[n]; c != nil {
+			g := c.Status()
+			var ms []string
+			for _, x := range g.View.Members {
+				ms = append(ms, x.Addr)
+			}
+			out = append(out, fmt.Sprintf("%s has view %d of %s, voters %s, sealed %v", n, g.View.Num, strings.Join(ms, ""), strings.Join(g.View.VoterAddrs(), ""), g.Sealed))
+		}
+	}
+	return strings.Join(out, "; ")
+}
--- /dev/null
+++ b/internal/explore/chainmodel/chainmodel_test.go
@@ -0,0 +1,100 @@
+package chainmodel
+
+import (
+	"testing"
+
+	"slateridge/internal/explore"
+)
+
+// found are schedules that broke a rule once, as the explorer printed them.
+var found = []struct {
+	rule     string
+	schedule explore.Schedule
+}{
+	// Voters that left for good counted for the majority for ever.
+	{RuleServes, explore.Schedule{"leave a", "come d", "+3", "leave b"}},
+	{RuleServes, explore.Schedule{"leave a", "come d", "+3", "leave c"}},
+	{RuleServes, explore.Schedule{"leave a", "come d", "+3", "wipe b"}},
+	{RuleServes, explore.Schedule{"leave a", "come d", "+3", "wipe c"}},
+	{RuleServes, explore.Schedule{"leave a", "come d", "+3", "leave b", "come e"}},
+	// A number was confirmed whatever stood under it.
+	{RuleOneContent, explore.Schedule{"order p at a: r1", "order q at a: r1"}},
+	{RuleOneContent, explore.Schedule{"order p at a: r1", "order q at b: r1"}},
+	{RuleOneContent, explore.Schedule{"order p at a: r1", "+1", "order q at c: r1"}},
+}
+
+func TestFound(t *testing.T) {
+	for _, f := range found {
+		t.Run(f.rule+"/"+f.schedule.String(), func(t *testing.T) {
+			if err := explore.Replay(New(Small()), f.schedule); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+}
+
+// Short searches in bounds that stay the same; slateridge explore runs long ones.
+func TestChain(t *testing.T) {
+	for _, s := range []struct {
+		name   string
+		change func(*Config)
+		random bool
+		o      explore.Options
+	}{
+		{"membership", func(c *Config) { c.Kinds = []string{"leave", "come", "wipe"} }, false, explore.Options{Deviations: 3, Depth: 4, Schedules: 130}},
+		{"orders", func(c *Config) { c.Kinds = []string{"order", "again", "read", "evacuate"} }, false, explore.Options{Deviations: 2, Depth: 1, Schedules: 120}},
+		{"faults", func(c *Config) { c.Newcomers, c.Operators = 0, 1 }, false, explore.Options{Deviations: 1, Depth: 1}},
+		{"messages", func(c *Config) { c.Newcomers, c.Operators, c.Messages = 0, 1, true }, true, explore.Options{Deviations: 4, Depth: 60, Schedules: 60, Seed: 1}},
+	} {
+		t.Run(s.name, func(t *testing.T) {
+			c := Small()
+			s.change(&c)
+			s.o.Jobs = 2
+			search := explore.Systematic
+			if s.random {
+				search = explore.Random
+			}
+			r := search(func() explore.Model { return New(c) }, s.o)
+			t.Log(r)
+			for _, f := range r.Failures {
+				t.Errorf("%v\n%s", f.Err, f.Source())
+			}
+			if len(r.Failures) == 0 && r.Schedules < 40 {
+				t.Errorf("%d schedules: too few to mean anything", r.Schedules)
+			}
+		})
+	}
+}
+
+// The search sees what it is there to see: disks lost as no promise allows.
+func TestLossesBeyondThePromiseAreFound(t *testing.T) {
+	c := Small()
+	c.Reckless, c.Kinds = true, []string{"wipe", "order"}
+	r := explore.Systematic(func() explore.Model { return New(c) }, explore.Options{Deviations: 2, Depth: 1})
+	t.Log(r)
+	for _, f := range r.Failures {
+		t.Log(f.Source())
+		if f.Rule == RuleServes && f.Shrunk.Deviations() == 2 {
+			return
+		}
+	}
+	t.Error("not found")
+}
+
+// The same schedule comes to the same state, by way of the same steps.
+func TestReplaysAlike(t *testing.T) {
+	s := explore.Schedule{"order p at a: r1", "+2", "restart b", "+1", "mute c", "evacuate a on", "+2", "join", "+3"}
+	a, b := New(Small()), New(Small())
+	for range 3 {
+		if err := explore.Replay(a, s); err != nil {
+			t.Fatal(err)
+		}
+		explore.Replay(b, s)
+		if a.Hash() != b.Hash() {
+			t.Fatal("two runs differ")
+		}
+	}
+	if a.answers != 3 || a.confirms < 4 {
+		t.Errorf("%d reads answered and %d orders confirmed", a.answers, a.confirms)
+	}
+}
--- /dev/null
+++ b/internal/explore/explore_test.go
@@ -0,0 +1,239 @@
+package explore
+
+import (
+	"errors"
+	"slices"
+	"testing"
+	"time"
+)
+
+// lock is a toy that breaks when "left" and, at least three steps later, "right"
+// is turned, with "knock" in between; "noise" does nothing that lasts.
+type lock struct {
+	now, left   int
+	knocked     bool
+	err         error
+	quietBroken bool
+	applied     int
+}
+
+func (l *lock) Reset()            { *l = lock{left: -1, quietBroken: l.quietBroken, applied: l.applied} }
+func (l *lock) Check() error      { return l.err }
+func (l *lock) Choices() []string { return []string{"wait", "noise", "left", "knock", "right"} }
+func (l *lock) Hash() uint64 {
+	return uint64(min(l.now, 9)) | uint64(l.left+1)<<8 | map[bool]uint64{true: 1 << 20}[l.knocked]
+}
+
+func (l *lock) Apply(n int) {
+	l.applied++
+	switch n {
+	case 0:
+		l.now++
+	case 2:
+		if l.left < 0 {
+			l.left = l.now
+		}
+	case 3:
+		l.knocked = l.knocked || l.left >= 0
+	case 4:
+		if l.knocked && l.now >= l.left+3 {
+			l.err = Broken("shut", "open at %d", l.now)
+		}
+	}
+}
+
+func (l *lock) Quiet() error {
+	if l.quietBroken && l.knocked {
+		return Broken("silent", "knocked")
+	}
+	return l.err
+}
+
+func TestSystematicFindsTheShortest(t *testing.T) {
+	mk := func() Model { return &lock{} }
+	if r := Systematic(mk, Options{Deviations: 2, Depth: 8}); len(r.Failures) > 0 || r.Complete != 2 {
+		t.Fatalf("two deviations are not enough: %v %v", r, r.Failures)
+	}
+	var last string
+	for _, jobs := range []int{1, 1, 3} {
+		r := Systematic(mk, Options{Deviations: 4, Depth: 8, Jobs: jobs})
+		if len(r.Failures) != 1 || r.Failures[0].Shrunk.Deviations() != 3 || r.Complete != 2 {
+			t.Fatalf("%v: %+v", r, r.Failures)
+		}
+		f := r.Failures[0]
+		if got := f.Shrunk.String(); last != "" && got != last && jobs == 1 {
+			t.Errorf("another run shrinks to %s, not %s", got, last)
+		} else {
+			last = got
+		}
+		if err := Replay(mk(), f.Shrunk); err == nil || err.Error() != f.Err.Error() {
+			t.Errorf("replayed: %v, found: %v", err, f.Err)
+		}
+	}
+}
+
+func TestQuietIsChecked(t *testing.T) {
+	r := Systematic(func() Model { return &lock{quietBroken: true} }, Options{Deviations: 3, Depth: 4})
+	if len(r.Failures) != 1 || r.Failures[0].Rule != "silent" || r.Failures[0].Shrunk.String() != "left; knock" {
+		t.Fatalf("%+v", r.Failures)
+	}
+	r = Systematic(func() Model { return &lock{quietBroken: true} }, Options{Deviations: 3, Depth: 4, KeepGoing: true})
+	if len(r.Failures) != 1 || r.Complete != 3 {
+		t.Fatalf("going on: %v %+v", r, r.Failures)
+	}
+}
+
+func TestRandomFindsAndRepeats(t *testing.T) {
+	run := func() Report {
+		return Random(func() Model { return &lock{} }, Options{Deviations: 6, Depth: 8, Seed: 3, Schedules: 20_000})
+	}
+	r, again := run(), run()
+	if len(r.Failures) != 1 || r.Failures[0].Found.String() != again.Failures[0].Found.String() || r.Schedules != again.Schedules {
+		t.Fatalf("%v %+v", r, r.Failures)
+	}
+	if s := r.Failures[0].Shrunk; s.Deviations() != 3 {
+		t.Errorf("shrunk to %s", s)
+	}
+}
+
+func TestShrink(t *testing.T) {
+	long := Schedule{"noise", "+2", "knock", "left", "noise", "+1", "+1", "knock", "+4", "noise", "knock", "+2", "left", "right", "+3"}
+	got := Shrink(&lock{}, long, "shut").String()
+	if got != "left; +3; knock; right" && got != "left; knock; +3; right" {
+		t.Errorf("shrunk to %s", got)
+	}
+}
+
+func TestReplayRefusesWhatIsNotEnabled(t *testing.T) {
+	if err := Replay(&lock{}, Parse("left; +2; sing ;knock")); !errors.Is(err, ErrNotEnabled) {
+		t.Errorf("got %v", err)
+	}
+	s := Parse(" left;+3 ; knock; right")
+	if err := Replay(&lock{}, s); err == nil || ruleOf(err) != "shut" {
+		t.Errorf("got %v", err)
+	}
+	if again := Parse(s.String()); !slices.Equal(again, s) {
+		t.Errorf("%v is read as %v", s, again)
+	}
+	want := "\t{\"shut\", explore.Schedule{\"left\", \"+3\"}}, // shut: why"
+	if got := (Failure{Rule: "shut", Shrunk: Schedule{"left", "+3"}, Err: Broken("shut", "why")}).Source(); got != want {
+		t.Errorf("printed %s", got)
+	}
+}
+
+func TestBoundsEndTheSearch(t *testing.T) {
+	mk := func() Model { return &lock{} }
+	if r := Systematic(mk, Options{Deviations: 2, Depth: 8, Schedules: 10}); r.Schedules != 10 || r.Complete >= 2 {
+		t.Errorf("%v", r)
+	}
+	if r := Systematic(mk, Options{Deviations: 2, Depth: 8, Limit: time.Nanosecond}); r.Schedules > 0 {
+		t.Errorf("%v", r)
+	}
+}
+
+// States that are seen again are not gone on from: without that, there would be
+// far more schedules.
+func TestStatesPrune(t *testing.T) {
+	l := &lock{}
+	r := Systematic(func() Model { return l }, Options{Deviations: 2, Depth: 8})
+	if r.Pruned == 0 || r.Schedules > 150 {
+		t.Errorf("%v", r)
+	}
+}
+
+func TestDigest(t *testing.T) {
+	type inner struct {
+		at   time.Duration
+		mark uint64
+	}
+	type outer struct {
+		in   map[string]*inner
+		list []any
+		f    func()
+	}
+	a := Abstraction{LongAgo: 5 * time.Second, Skip: []string{"inner.mark"}}
+	mk := func(at time.Duration, mark uint64, names ...string) outer {
+		o := outer{in: map[string]*inner{}, f: func() {}}
+		for _, n := range names {
+			o.in[n] = &inner{at, mark}
+			o.list = append(o.list, []byte(n))
+		}
+		return o
+	}
+	base := a.Digest(10*time.Second, mk(9*time.Second, 1, "x", "y"))
+	for name, c := range map[string]struct {
+		now  time.Duration
+		v    outer
+		same bool
+	}{
+		"again":                 {10 * time.Second, mk(9*time.Second, 1, "x", "y"), true},
+		"a field left out":      {10 * time.Second, mk(9*time.Second, 2, "x", "y"), true},
+		"all later":             {30 * time.Second, mk(29*time.Second, 1, "x", "y"), true},
+		"longer ago":            {30 * time.Second, mk(28*time.Second, 1, "x", "y"), false},
+		"never":                 {10 * time.Second, mk(0, 1, "x", "y"), false},
+		"other names":           {10 * time.Second, mk(9*time.Second, 1, "x", "z"), false},
+		"another order of them": {10 * time.Second, mk(9*time.Second, 1, "y", "x"), false},
+	} {
+		if got := a.Digest(c.now, c.v) == base; got != c.same {
+			t.Errorf("%s: the same is %v", name, got)
+		}
+	}
+	if a.Digest(30*time.Second, mk(1*time.Second, 1, "x")) != a.Digest(40*time.Second, mk(2*time.Second, 1, "x")) {
+		t.Error("what is long ago is told apart")
+	}
+}
+
+// A frozen machine takes what reached it when it thaws; one that was stopped
+// meanwhile does not.
+func TestWorld(t *testing.T) {
+	var got []string
+	w := NewWorld(time.Second, func(string) {}, func(e *Event) { got = append(got, e.From+e.To+e.Msg.(string)) })
+	for _, n := range []string{"a", "b", "c"} {
+		w.Start(n)
+	}
+	send := func() { w.Send("a", "b", "1"); w.Send("a", "c", "2") }
+	to := func(d time.Duration) { w.Run(w.Now+d, nil, nil) }
+	expect := func(what string, want ...string) {
+		t.Helper()
+		if !slices.Equal(got, want) {
+			t.Errorf("%s: got %v, want %v", what, got, want)
+		}
+		got = nil
+	}
+	w.Run(10*time.Millisecond, nil, nil)
+	w.Do("freeze b")
+	send()
+	to(Delay)
+	expect("b is frozen", "ac2")
+	w.Do("thaw b")
+	expect("b thaws", "ab1")
+	w.Do("freeze b")
+	send()
+	to(Delay)
+	w.Stop("b")
+	w.Start("b")
+	w.Do("thaw b")
+	expect("b was stopped", "ac2")
+	w.Do("cut a>b")
+	send()
+	w.Send("b", "a", "3")
+	to(Delay)
+	expect("one way", "ac2", "ba3")
+	w.Do("join")
+	send()
+	w.Do("late")
+	to(Delay)
+	expect("late", "ac2")
+	to(Late)
+	expect("then", "ab1")
+	send()
+	w.Do("double")
+	w.Do("isolate c")
+	to(Late + Delay)
+	expect("double, and c is alone", "ab1", "ab1")
+	w.Heal()
+	send()
+	w.Do("lose")
+	to(Late + Delay)
+	expect("lost", "ac2")
+}
--- /dev/null
+++ b/internal/explore/leasemodel/leasemodel.go
@@ -0,0 +1,307 @@
+// Package leasemodel has package explore drive the leases of single duties: never
+// two holders of a duty at one moment, and one after quiet, also while the
+// electorate changes.
+package leasemodel
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"slateridge/internal/datum"
+	"slateridge/internal/explore"
+	"slateridge/internal/watermaster"
+)
+
+// The rules.
+const (
+	RuleOneHolder = "one holder a duty"
+	RuleHeld      = "a duty is held after quiet"
+)
+
+// Config bounds a model.
+type Config struct {
+	Machines int // of the first electorate
+	Others   int // more, that an electorate may take in
+	Duties   []string
+	Faults   int
+	Changes  int // of the electorate
+	Step     time.Duration
+	Messages bool     // choices also before each message
+	Kinds    []string // of choices; empty: all
+	Without  []string // kinds left out
+	Warm     time.Duration
+	Settle   time.Duration // after quiet, before a duty must be held
+	// Skew is how much faster than true time each machine's steady clock counts,
+	// in thousandths, by the machines' order.
+	Skew []int
+}
+
+// Small is three machines, one more to come, and one duty; clocks differ by what
+// the margin allows.
+func Small() Config {
+	return Config{Machines: 3, Others: 1, Duties: []string{"x"}, Faults: 4, Changes: 2, Step: 200 * time.Millisecond,
+		Warm: 3 * time.Second, Settle: 8 * time.Second, Skew: []int{-40, 0, 40, 20}}
+}
+
+// electorate is one of those decided so far.
+type electorate struct{ peers []string }
+
+// Model is the leases as package explore drives them.
+type Model struct {
+	Config
+	w      *explore.World
+	ms     map[string]*watermaster.Watermaster
+	born   map[string]time.Duration
+	grid   time.Duration
+	err    error
+	faults int
+
+	agreed []electorate
+	knows  map[string]int // by machine: the number of the electorate it knows
+	sealed map[string]bool
+}
+
+// New makes one.
+func New(c Config) *Model { return &Model{Config: c} }
+
+// Grants are over after a second and a machine that has just started waits as long.
+var abstraction = explore.Abstraction{LongAgo: 3 * time.Second}
+
+var names = []string{"a", "b", "c", "d", "e", "f", "g", "h"}
+
+func (m *Model) Reset() {
+	m.w = explore.NewWorld(datum.LeaseTick, m.tick, m.recv)
+	m.ms, m.born = map[string]*watermaster.Watermaster{}, map[string]time.Duration{}
+	m.grid, m.err, m.faults = m.Warm, nil, 0
+	m.agreed = []electorate{{names[:m.Machines]}}
+	m.knows, m.sealed = map[string]int{}, map[string]bool{}
+	for _, n := range names[:m.Machines+m.Others] {
+		m.knows[n] = 1
+		m.start(n)
+	}
+	m.w.Run(m.Warm, nil, m.well)
+	m.w.Trouble = 0
+}
+
+// clock is a machine's steady clock.
+func (m *Model) clock(n string) time.Duration {
+	skew := 0
+	if i := slices.Index(names, n); i < len(m.Skew) {
+		skew = m.Skew[i]
+	}
+	return (m.w.Now - m.born[n]) * time.Duration(1000+skew) / 1000
+}
+
+// start brings a machine up, with what its disk holds of the electorate.
+func (m *Model) start(n string) {
+	m.born[n] = m.w.Now
+	life := uint64(m.w.Life(n)+1) << 32
+	m.ms[n] = watermaster.New(0, life, n, m.Duties)
+	m.w.Start(n)
+}
+
+func (m *Model) put(n string, out []watermaster.Send) {
+	for _, s := range out {
+		m.w.Send(n, s.To, s.Msg)
+	}
+}
+
+func (m *Model) tick(n string) {
+	k := m.knows[n]
+	m.ms[n].SetElectorate(m.clock(n), uint64(k), m.agreed[k-1].peers, m.sealed[n])
+	m.put(n, m.ms[n].Tick(m.clock(n)))
+}
+
+func (m *Model) recv(e *explore.Event) {
+	m.put(e.To, m.ms[e.To].Recv(m.clock(e.To), e.From, e.Msg))
+}
+
+func (m *Model) well() bool {
+	for _, d := range m.Duties {
+		if who := m.holders(d); len(who) > 1 && m.err == nil {
+			m.err = explore.Broken(RuleOneHolder, "at %v: %s is held by %s", m.w.Now, d, strings.Join(who, " and "))
+		}
+	}
+	return m.err == nil
+}
+
+func (m *Model) holders(duty string) (who []string) {
+	for _, n := range m.w.Names {
+		if m.w.Up(n) {
+			if _, ok := m.ms[n].Holds(m.clock(n), duty); ok {
+				who = append(who, n)
+			}
+		}
+	}
+	return who
+}
+
+func (m *Model) Check() error { return m.err }
+
+var faultKinds = []string{"isolate", "mute", "deafen", "cut", "part", "freeze", "lose", "double", "late", "restart", "stop"}
+
+// ChoiceKinds names all kinds of choices.
+var ChoiceKinds = append(slices.Clone(faultKinds), "join", "thaw", "start", "yield", "elect")
+
+// electable lists the electorates that may come next: one machine more, or one less.
+func (m *Model) electable() (out []string) {
+	now := m.agreed[len(m.agreed)-1].peers
+	if len(m.agreed) > m.Changes {
+		return nil
+	}
+	for _, n := range names[:m.Machines+m.Others] {
+		if !slices.Contains(now, n) {
+			out = append(out, "elect +"+n)
+		} else if len(now) > m.Machines {
+			out = append(out, "elect -"+n)
+		}
+	}
+	return out
+}
+
+// deciders are the first machines that can decide on a next electorate: a
+// majority of the present one that is there and knows it.
+func (m *Model) deciders() (out []string) {
+	now := m.agreed[len(m.agreed)-1].peers
+	for _, n := range now {
+		if m.w.Up(n) && !m.w.Frozen(n) && m.knows[n] == len(m.agreed) {
+			out = append(out, n)
+		}
+	}
+	if need := len(now)/2 + 1; len(out) >= need {
+		return out[:need]
+	}
+	return nil
+}
+
+func (m *Model) Choices() []string {
+	out := []string{"wait"}
+	add := func(ws ...string) {
+		for _, w := range ws {
+			kind := strings.Fields(w)[0]
+			if len(m.Kinds) > 0 && !slices.Contains(m.Kinds, kind) || slices.Contains(m.Without, kind) || m.faults >= m.Faults && slices.Contains(faultKinds, kind) {
+				continue
+			}
+			out = append(out, w)
+		}
+	}
+	if m.Messages && m.w.Head() != nil {
+		add(m.w.OnHead()...)
+	}
+	for _, n := range m.w.Names {
+		if !m.w.Up(n) {
+			add("start " + n)
+			continue
+		}
+		add("restart "+n, "stop "+n)
+		if !m.w.Frozen(n) {
+			add("yield " + n)
+		}
+	}
+	if m.deciders() != nil {
+		add(m.electable()...)
+	}
+	add(m.w.Freezes()...)
+	add(m.w.Paths()...)
+	return out
+}
+
+func (m *Model) Apply(n int) {
+	if n == 0 {
+		m.w.Run(m.grid, func(*explore.Event) bool { return m.Messages }, m.well)
+		if m.w.Now >= m.grid {
+			m.grid += m.Step
+		}
+		m.well()
+		return
+	}
+	word := m.Choices()[n]
+	f := strings.Fields(word)
+	if slices.Contains(faultKinds, f[0]) {
+		m.faults++
+	}
+	if m.w.Do(word) {
+		m.well()
+		return
+	}
+	switch f[0] {
+	case "restart":
+		m.w.Stop(f[1])
+		life := m.w.Life(f[1])
+		m.w.After(explore.Stall, func() {
+			if m.w.Life(f[1]) == life {
+				m.start(f[1])
+			}
+		})
+	case "stop":
+		m.w.Stop(f[1])
+	case "start":
+		m.start(f[1])
+	case "yield":
+		m.put(f[1], m.ms[f[1]].Leave(m.clock(f[1])))
+	case "elect":
+		m.elect(f[1])
+	}
+	m.w.Trouble = m.w.Now
+	m.well()
+}
+
+// elect decides on a next electorate as the views do: a majority of the present
+// one is sealed first; the first of it learns of the outcome at once, the others
+// one after the other, the latest much later.
+func (m *Model) elect(change string) {
+	peers := slices.Clone(m.agreed[len(m.agreed)-1].peers)
+	if n := change[1:]; change[0] == '+' {
+		peers = append(peers, n)
+	} else {
+		peers = slices.DeleteFunc(peers, func(o string) bool { return o == n })
+	}
+	for _, n := range m.deciders() {
+		m.sealed[n] = true
+		k := m.knows[n]
+		m.ms[n].SetElectorate(m.clock(n), uint64(k), m.agreed[k-1].peers, true)
+	}
+	m.agreed = append(m.agreed, electorate{peers})
+	num := len(m.agreed)
+	for i, n := range names[:m.Machines+m.Others] {
+		m.w.After(time.Duration(i*i)*explore.Stall, func() { m.learn(n, num) })
+	}
+}
+
+func (m *Model) learn(n string, num int) {
+	if m.knows[n] < num {
+		m.knows[n], m.sealed[n] = num, false
+	}
+}
+
+func (m *Model) Hash() uint64 {
+	parts := []any{m.faults, m.grid, m.knows, m.sealed}
+	for _, e := range m.agreed {
+		parts = append(parts, e.peers)
+	}
+	out := []any{m.w.Hash(abstraction), abstraction.Digest(m.w.Now, parts...)}
+	for _, n := range m.w.Names {
+		if m.w.Up(n) {
+			out = append(out, abstraction.Digest(m.clock(n), m.ms[n]))
+		}
+	}
+	return abstraction.Digest(m.w.Now, out...)
+}
+
+// Quiet ends all trouble; then each duty has its one holder.
+func (m *Model) Quiet() error {
+	m.w.Heal()
+	for _, n := range m.w.Names {
+		if !m.w.Up(n) {
+			m.start(n)
+		}
+	}
+	m.w.Run(m.w.Now+m.Settle, nil, m.well)
+	for _, d := range m.Duties {
+		if who := m.holders(d); m.err == nil && len(who) != 1 {
+			m.err = explore.Broken(RuleHeld, "at %v: after %v of quiet %s is held by %d machines", m.w.Now, m.Settle, d, len(who))
+		}
+	}
+	return m.err
+}
--- /dev/null
+++ b/internal/explore/leasemodel/leasemodel_test.go
@@ -0,0 +1,39 @@
+package leasemodel
+
+import (
+	"testing"
+	"time"
+
+	"slateridge/internal/explore"
+)
+
+// A short search in bounds that stay the same; slateridge explore runs long ones.
+func TestLeases(t *testing.T) {
+	report := func(r explore.Report, atLeast int) {
+		t.Helper()
+		t.Log(r)
+		for _, f := range r.Failures {
+			t.Errorf("%v\n%s", f.Err, f.Source())
+		}
+		if len(r.Failures) == 0 && r.Schedules < atLeast {
+			t.Errorf("%d schedules: too few to mean anything", r.Schedules)
+		}
+	}
+	c := Small()
+	mk := func() explore.Model { return New(c) }
+	report(explore.Systematic(mk, explore.Options{Deviations: 1, Depth: 4, Jobs: 2}), 150)
+	c.Messages = true
+	report(explore.Random(mk, explore.Options{Deviations: 5, Depth: 100, Schedules: 150, Seed: 1, Jobs: 2}), 150)
+}
+
+// The search sees what it is there to see: clocks that differ by more than the
+// margin allows make two holders.
+func TestTwoHoldersAreFound(t *testing.T) {
+	c := Small()
+	c.Skew, c.Step, c.Kinds = []int{-400, 300, 300, 300}, 400*time.Millisecond, []string{"yield", "isolate"}
+	r := explore.Systematic(func() explore.Model { return New(c) }, explore.Options{Deviations: 2, Depth: 4, Jobs: 2})
+	t.Log(r)
+	if len(r.Failures) != 1 || r.Failures[0].Rule != RuleOneHolder || r.Failures[0].Shrunk.Deviations() != 2 {
+		t.Errorf("found %+v", r.Failures)
+	}
+}
--- /dev/null
+++ b/internal/explore/world.go
@@ -0,0 +1,310 @@
+package explore
+
+import (
+	"container/heap"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Delays of a world's messages.
+const (
+	Delay = 5 * time.Millisecond   // of each message
+	Late  = 400 * time.Millisecond // more, of one that is overtaken: longer than any core waits before it says something again
+	Stall = 300 * time.Millisecond // a restart takes so long
+)
+
+// Event is a message on its way, or something timed.
+type Event struct {
+	At       time.Duration
+	Seq      uint64
+	From, To string
+	Msg      any
+	do       func()
+}
+
+type events []*Event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	return e[i].At < e[j].At || e[i].At == e[j].At && e[i].Seq < e[j].Seq
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(*Event)) }
+func (e *events) Pop() any {
+	old := *e
+	x := old[len(old)-1]
+	*e = old[:len(old)-1]
+	return x
+}
+
+// World is simulated machines, their processes and the network between them,
+// where nothing is left to chance: a message takes Delay, unless a choice says
+// otherwise.
+type World struct {
+	Now     time.Duration
+	Names   []string      // machines there are, those that left for good not among them
+	Trouble time.Duration // the last there was
+
+	tick    time.Duration
+	onTick  func(n string)
+	onRecv  func(e *Event)
+	queue   events
+	seq     uint64
+	cut     map[[2]string]bool
+	up      map[string]bool
+	frozen  map[string]bool
+	life    map[string]int
+	pending map[string][]func()
+	phase   map[string]time.Duration
+}
+
+// NewWorld makes one whose machines step every tick.
+func NewWorld(tick time.Duration, onTick func(n string), onRecv func(e *Event)) *World {
+	return &World{tick: tick, onTick: onTick, onRecv: onRecv, cut: map[[2]string]bool{}, up: map[string]bool{},
+		frozen: map[string]bool{}, life: map[string]int{}, pending: map[string][]func(){}, phase: map[string]time.Duration{}}
+}
+
+func (w *World) push(e *Event) {
+	w.seq++
+	e.Seq = w.seq
+	heap.Push(&w.queue, e)
+}
+
+// After does something later.
+func (w *World) After(d time.Duration, do func()) { w.push(&Event{At: w.Now + d, do: do}) }
+
+// Send puts a message on its way.
+func (w *World) Send(from, to string, msg any) {
+	if !w.cut[[2]string{from, to}] {
+		w.push(&Event{At: w.Now + Delay, From: from, To: to, Msg: msg})
+	}
+}
+
+// Up says whether a machine's process is there, Frozen whether it stands still,
+// Life which process of it this is.
+func (w *World) Up(n string) bool     { return w.up[n] }
+func (w *World) Frozen(n string) bool { return w.frozen[n] }
+func (w *World) Life(n string) int    { return w.life[n] }
+
+// Start has a machine's process step from now on; a new machine is added.
+func (w *World) Start(n string) {
+	if !slices.Contains(w.Names, n) {
+		w.Names = append(w.Names, n)
+	}
+	w.up[n] = true
+	w.life[n]++
+	w.step(n, w.life[n])
+}
+
+func (w *World) step(n string, life int) {
+	if w.life[n] != life || !w.up[n] {
+		return
+	}
+	w.act(n, func() { w.onTick(n) })
+	w.After(w.tick, func() { w.step(n, life) })
+}
+
+// act does something at a machine, when it thaws if it is frozen.
+func (w *World) act(n string, f func()) {
+	life := w.life[n]
+	if w.frozen[n] {
+		if len(w.pending[n]) < 100 {
+			w.pending[n] = append(w.pending[n], func() {
+				if w.life[n] == life {
+					f()
+				}
+			})
+		}
+		return
+	}
+	f()
+}
+
+// Stop ends a machine's process.
+func (w *World) Stop(n string) {
+	w.up[n], w.frozen[n], w.pending[n] = false, false, nil
+	w.life[n]++
+}
+
+// Leave takes a machine away for good.
+func (w *World) Leave(n string) {
+	w.Stop(n)
+	w.Names = slices.DeleteFunc(slices.Clone(w.Names), func(o string) bool { return o == n })
+}
+
+// Freeze has a machine's process stand still, or go on with all it missed.
+func (w *World) Freeze(n string, frozen bool) {
+	w.frozen[n] = frozen
+	if !frozen {
+		p := w.pending[n]
+		w.pending[n] = nil
+		for _, f := range p {
+			f()
+		}
+	}
+}
+
+// Head is the next event if it is a message that will reach a process.
+func (w *World) Head() *Event {
+	if len(w.queue) == 0 || w.queue[0].Msg == nil {
+		return nil
+	}
+	if e := w.queue[0]; w.up[e.To] && !w.cut[[2]string{e.From, e.To}] {
+		return e
+	}
+	return nil
+}
+
+// Run takes events until a moment, or until one is the next that stop names.
+func (w *World) Run(until time.Duration, stop func(*Event) bool, check func() bool) {
+	for first := true; len(w.queue) > 0 && w.queue[0].At <= until; first = false {
+		if e := w.Head(); !first && stop != nil && e != nil && stop(e) {
+			return
+		}
+		w.one()
+		if check != nil && !check() {
+			return
+		}
+	}
+	w.Now = until
+}
+
+func (w *World) one() {
+	e := heap.Pop(&w.queue).(*Event)
+	w.Now = e.At
+	if e.do != nil {
+		e.do()
+	} else if w.up[e.To] && !w.cut[[2]string{e.From, e.To}] {
+		w.act(e.To, func() { w.onRecv(e) })
+	}
+}
+
+// Paths lists the choices of the network, Freezes those of processes that stand
+// still, OnHead those of the next message.
+func (w *World) Paths() (out []string) {
+	for _, a := range w.Names {
+		out = append(out, "isolate "+a, "mute "+a, "deafen "+a)
+		for _, b := range w.Names {
+			if a != b && !w.cut[[2]string{a, b}] {
+				out = append(out, "cut "+a+">"+b)
+			}
+			if a < b {
+				out = append(out, "part "+a+"|"+b)
+			}
+		}
+	}
+	if w.Parted() {
+		out = append(out, "join")
+	}
+	return out
+}
+
+// Parted says whether any path is cut.
+func (w *World) Parted() bool { return len(w.cut) > 0 }
+
+func (w *World) Freezes() (out []string) {
+	for _, n := range w.Names {
+		if w.up[n] && !w.frozen[n] {
+			out = append(out, "freeze "+n)
+		} else if w.frozen[n] {
+			out = append(out, "thaw "+n)
+		}
+	}
+	return out
+}
+
+func (w *World) OnHead() []string { return []string{"lose", "double", "late"} }
+
+// Heal joins all paths and thaws all machines.
+func (w *World) Heal() {
+	w.cut = map[[2]string]bool{}
+	for _, n := range w.Names {
+		if w.frozen[n] {
+			w.Freeze(n, false)
+		}
+	}
+}
+
+// Do carries out a choice of the network's or of standing still; false for
+// others.
+func (w *World) Do(word string) bool {
+	kind, arg, _ := strings.Cut(word, " ")
+	all := func(f func(o string)) {
+		for _, o := range w.Names {
+			if o != arg {
+				f(o)
+			}
+		}
+	}
+	out := func(o string) { w.cut[[2]string{arg, o}] = true }
+	in := func(o string) { w.cut[[2]string{o, arg}] = true }
+	switch kind {
+	case "isolate":
+		all(out)
+		all(in)
+	case "mute":
+		all(out)
+	case "deafen":
+		all(in)
+	case "cut":
+		a, b, _ := strings.Cut(arg, ">")
+		w.cut[[2]string{a, b}] = true
+	case "part":
+		a, b, _ := strings.Cut(arg, "|")
+		w.cut[[2]string{a, b}], w.cut[[2]string{b, a}] = true, true
+	case "join":
+		w.cut = map[[2]string]bool{}
+	case "freeze":
+		w.Freeze(arg, true)
+	case "thaw":
+		w.Freeze(arg, false)
+	case "lose":
+		heap.Pop(&w.queue)
+	case "double":
+		e := *w.queue[0]
+		e.At += Late
+		w.push(&e)
+	case "late":
+		e := heap.Pop(&w.queue).(*Event)
+		e.At += Late
+		w.push(e)
+	default:
+		return false
+	}
+	w.Trouble = w.Now
+	return true
+}
+
+// Hash is of the network and the processes' being there; what they hold is the
+// model's. Of what is timed only the distance
+// counts, and not how long ago the last trouble was.
+func (w *World) Hash(a Abstraction) uint64 {
+	var flight []uint64
+	q := slices.Clone(w.queue)
+	slices.SortFunc(q, func(x, y *Event) int {
+		if q := (events{x, y}); q.Less(0, 1) {
+			return -1
+		}
+		return 1
+	})
+	for _, e := range q {
+		flight = append(flight, a.Digest(w.Now, e.At, e.From, e.To, e.Msg))
+	}
+	held := map[string]int{}
+	for n, p := range w.pending {
+		if len(p) > 0 {
+			held[n] = len(p)
+		}
+	}
+	on := func(m map[string]bool) (out []string) {
+		for k, v := range m {
+			if v {
+				out = append(out, k)
+			}
+		}
+		slices.Sort(out)
+		return out
+	}
+	return a.Digest(w.Now, flight, w.Names, w.cut, on(w.up), on(w.frozen), held)
+}
