--- a/cmd/slateridge/explore.go
+++ b/cmd/slateridge/explore.go
@@ -14,7 +14,7 @@
 )
 
 type exploreCmd struct {
-	Model      string        `enum:"chain,leases" default:"chain" help:"What to drive: chain (orders, reads, views) or leases (single duties)."`
+	Model      string        `enum:"chain,leases,duties" default:"chain" help:"What to drive: chain (orders, reads, views), leases (by themselves) or duties (a chain, its leases, and acts under their fences)."`
 	Strategy   string        `enum:"systematic,random" default:"systematic" help:"All schedules, those with fewer deviations first, or random walks within the same bounds."`
 	Deviations int           `default:"3" help:"Most deviations from the default schedule."`
 	Faults     int           `default:"4" help:"Most of them that are faults."`
@@ -47,6 +47,7 @@
 	}
 	cfg := chainmodel.Small()
 	cfg.Faults, cfg.Messages, cfg.Kinds, cfg.Without, cfg.Newcomers, cfg.Operators, cfg.Warm = c.Faults, c.Messages, c.Kinds, c.Without, c.Newcomers, c.Operators, c.Warm
+	cfg.Duties = c.Model == "duties"
 	if c.Step > 0 {
 		cfg.Step = c.Step
 	}
@@ -81,7 +82,11 @@
 	}
 	r := run(mk, explore.Options{Deviations: c.Deviations, Depth: c.Depth, Schedules: c.Schedules, Limit: c.Limit, Seed: c.Seed, Jobs: c.Jobs, KeepGoing: c.KeepGoing,
 		Progress: func(r explore.Report) {
-			fmt.Fprintf(os.Stderr, "%4.0f s: %d schedules, %d pruned, level %d: %d of %d, %d rules broken\n", r.Took.Seconds(), r.Schedules, r.Pruned, r.Level, r.LevelDone, r.LevelOf, len(r.Failures))
+			level := ""
+			if r.LevelOf > 0 {
+				level = fmt.Sprintf(", %d of %d with %d deviations", r.LevelDone, r.LevelOf, r.Level)
+			}
+			fmt.Fprintf(os.Stderr, "%4.0f s: %d schedules%s, deepest %d, %d rules broken\n", r.Took.Seconds(), r.Schedules, level, r.Deepest, len(r.Failures))
 		}})
 	fmt.Println(r)
 	for _, f := range r.Failures {
--- a/internal/explore/chainmodel/chainmodel.go
+++ b/internal/explore/chainmodel/chainmodel.go
@@ -16,6 +16,7 @@
 	"slateridge/internal/explore"
 	"slateridge/internal/headworks"
 	"slateridge/internal/scheme"
+	"slateridge/internal/watermaster"
 )
 
 // The rules, by the names under which a broken one is reported.
@@ -41,6 +42,7 @@
 	Orders    int           // most in a schedule, reads and evacuations too
 	Step      time.Duration // of the default, between two places for a choice
 	Messages  bool          // also before each message of the protocol, those of the machines' regular word apart
+	Duties    bool          // machines lease a duty, and act at a platform under its fence
 	Kinds     []string      // of choices; empty: all
 	Without   []string      // kinds left out
 	Reckless  bool          // disks may be lost at any time: more than is promised, to see that it shows
@@ -106,10 +108,10 @@
 	disks map[string]*basin.Disk
 	grid  time.Duration
 	err   error
-	quiet bool
 
 	faults, orders, came int
 	ids                  uint64
+	spare                string           // the machine that was last stopped while all was whole
 	last                 map[string]Order // by operator
 	wanted               uint64           // highest version sent
 	waits                map[string][]waiting
@@ -123,7 +125,9 @@
 	viewOf    map[string]uint64
 	states    map[scheme.Stamp]state
 	inForce   map[string]*scheme.Doc // of a process
-	answers   int                    // reads answered
+	officers  map[string]*officers
+	platform  platform
+	answers   int // reads answered
 	confirms  int
 }
 
@@ -139,13 +143,15 @@
 func (m *Model) Reset() {
 	m.w = explore.NewWorld(datum.ChainTick, m.tick, m.recv)
 	m.chain, m.disks = map[string]*headworks.Chain{}, map[string]*basin.Disk{}
-	m.grid, m.err, m.quiet = m.Warm, nil, false
+	m.grid, m.err = m.Warm, nil
 	m.faults, m.orders, m.came, m.ids, m.wanted = 0, 0, 0, 0, 0
+	m.spare = ""
 	m.last, m.waits = map[string]Order{}, map[string][]waiting{}
 	m.reads, m.evacs = map[string]map[uint64]reading{}, map[string]map[uint64]evacuation{}
 	m.confirmed, m.acked, m.evacAcked = map[uint64]string{}, 0, map[string]uint64{}
 	m.views, m.viewOf, m.states, m.inForce = map[uint64]string{}, map[string]uint64{}, map[scheme.Stamp]state{}, map[string]*scheme.Doc{}
 	m.answers, m.confirms = 0, 0
+	m.officers, m.platform = map[string]*officers{}, platform{by: map[uint64]string{}, bodies: map[uint64]string{}}
 	for _, n := range names[:m.Founders] {
 		m.start(n, true)
 	}
@@ -153,7 +159,13 @@
 	m.w.Trouble = 0
 }
 
-func (m *Model) well() bool { return m.err == nil }
+// well checks what must hold at every moment.
+func (m *Model) well() bool {
+	if m.Duties {
+		m.oneHolder()
+	}
+	return m.err == nil
+}
 
 func (m *Model) broken(rule, f string, a ...any) {
 	if m.err == nil {
@@ -171,6 +183,7 @@
 	if m.disks[n] == nil {
 		m.disks[n] = basin.NewDisk()
 	}
+	m.disks[n].Mend() // a new process opens it anew
 	peers := names[:m.Founders]
 	if !founding {
 		peers = append(slices.Clone(m.w.Names), n)
@@ -178,7 +191,7 @@
 	rng := rand.New(rand.NewPCG(uint64(n[0]), uint64(m.w.Life(n)+1)))
 	c, err := headworks.NewChain(m.w.Now, n, slices.Clone(peers), founding, m.disks[n], rng)
 	if err != nil {
-		if !m.disks[n].Refuse && !m.disks[n].Sick() {
+		if !m.disks[n].Refuse {
 			m.broken(RuleStarts, "%s: %v", n, err)
 		}
 		return // it stays down
@@ -188,12 +201,13 @@
 	m.inForce[n], m.waits[n] = nil, nil
 	m.reads[n], m.evacs[n] = map[uint64]reading{}, map[uint64]evacuation{}
 	m.viewOf[n] = 0
+	m.startDuties(n)
 	m.w.Start(n)
 }
 
 func (m *Model) stop(n string) {
 	m.w.Stop(n)
-	m.chain[n] = nil
+	m.chain[n], m.officers[n] = nil, nil
 	m.waits[n], m.reads[n], m.evacs[n] = nil, nil, nil
 }
 
@@ -210,9 +224,13 @@
 
 func (m *Model) tick(n string) {
 	m.run(n, func(c *headworks.Chain) []any { return c.Tick(m.w.Now) })
+	m.officiate(n)
 }
 
 func (m *Model) recv(e *explore.Event) {
+	if m.recvLease(e) {
+		return
+	}
 	m.run(e.To, func(c *headworks.Chain) []any { return c.Recv(m.w.Now, e.From, e.Msg) })
 }
 
@@ -388,8 +406,11 @@
 
 // regular are words that machines say all the time and that come again.
 func regular(msg any) bool {
-	_, ok := msg.(headworks.Gauge)
-	return ok
+	switch msg.(type) {
+	case headworks.Gauge, watermaster.Ask, watermaster.Grant:
+		return true
+	}
+	return false
 }
 
 func (m *Model) atMessage() *explore.Event {
@@ -417,10 +438,10 @@
 }
 
 // faultKinds count as faults; the others repair, or are work.
-var faultKinds = []string{"isolate", "mute", "deafen", "cut", "part", "freeze", "lose", "double", "late", "restart", "stop", "power", "fill", "wipe", "leave"}
+var faultKinds = []string{"isolate", "mute", "deafen", "cut", "part", "freeze", "lose", "double", "late", "restart", "stop", "power", "fill", "wipe", "leave", "outage"}
 
 // ChoiceKinds names all kinds of choices.
-var ChoiceKinds = append(slices.Clone(faultKinds), "join", "thaw", "start", "clear", "come", "order", "again", "read", "evacuate")
+var ChoiceKinds = append(slices.Clone(faultKinds), "join", "thaw", "start", "clear", "recover", "come", "order", "again", "read", "evacuate")
 
 func (m *Model) Choices() []string {
 	out := []string{"wait"}
@@ -456,6 +477,11 @@
 			add("wipe "+n, "leave "+n)
 		}
 	}
+	if m.Duties && m.platform.down {
+		add("recover")
+	} else if m.Duties {
+		add("outage")
+	}
 	if m.came < m.Newcomers {
 		add("come " + names[m.Founders+m.came])
 	}
@@ -503,8 +529,12 @@
 		m.stop(f[1])
 		m.back(f[1])
 	case "stop":
+		if m.whole() {
+			m.spare = f[1]
+		}
 		m.stop(f[1])
 	case "start":
+		m.spare = ""
 		m.start(f[1], false)
 	case "power":
 		for _, n := range m.w.Names {
@@ -513,6 +543,8 @@
 		}
 	case "fill", "clear":
 		m.disks[f[1]].Refuse = f[0] == "fill"
+	case "outage", "recover":
+		m.platform.down = f[0] == "outage"
 	case "wipe":
 		m.stop(f[1])
 		m.disks[f[1]] = basin.NewDisk()
@@ -543,51 +575,79 @@
 
 func (m *Model) Hash() uint64 {
 	a := explore.Abstraction{LongAgo: m.LongAgo, Skip: skip}
-	parts := []any{m.faults, m.orders, m.came, m.wanted, m.last, m.confirmed, m.evacAcked, m.grid, int(min(m.w.Now-m.w.Trouble, m.CatchUp))}
+	parts := []any{m.spare, m.faults, m.orders, m.came, m.wanted, m.last, m.confirmed, m.evacAcked, m.grid, int(min(m.w.Now-m.w.Trouble, m.CatchUp))}
 	for _, n := range m.w.Names {
 		parts = append(parts, n, m.disks[n], m.inForce[n] != nil, m.waits[n], m.reads[n], m.evacs[n])
 		if c := m.chain[n]; c != nil {
 			parts = append(parts, c)
 		}
 	}
+	if m.Duties {
+		parts = append(parts, m.dutiesHash(a))
+	}
 	return a.Digest(m.w.Now, m.w.Hash(a), a.Digest(m.w.Now, parts...))
 }
 
 // Quiet ends all trouble; then every machine must have an order confirmed and a
 // read answered. The choices see to it that it may be asked: disks are lost one
-// at a time, with the others whole.
+// at a time, with the others whole. A machine that was stopped while all was
+// whole stays down at first: the others have to do without it.
 func (m *Model) Quiet() error {
 	m.w.Heal()
-	for _, n := range slices.Clone(m.w.Names) {
+	m.platform.down = false
+	down := 0
+	for _, n := range m.w.Names {
 		m.disks[n].Refuse = false
+		if m.chain[n] == nil {
+			down++
+		}
+	}
+	if down == 1 && m.spare != "" && m.chain[m.spare] == nil && slices.Contains(m.w.Names, m.spare) {
+		m.serve()
+	}
+	for _, n := range slices.Clone(m.w.Names) {
 		if m.chain[n] == nil {
 			m.start(n, false)
 		}
 	}
+	m.serve()
+	return m.err
+}
+
+// serve lets things settle and asks each machine that is up for its service.
+func (m *Model) serve() {
 	m.w.Run(m.w.Now+m.Settle, nil, m.well)
+	if m.Duties {
+		m.quietDuties()
+	}
+	var up []string
 	for _, n := range m.w.Names {
+		if m.chain[n] != nil {
+			up = append(up, n)
+		}
+	}
+	for _, n := range up {
 		o := Order{"quiet", m.wanted + 1, fmt.Sprintf("r%d after quiet", m.wanted+1)}
 		confirmed := func() bool { _, ok := m.confirmed[o.Version]; return ok }
 		until := m.w.Now + m.Serve
 		for m.err == nil && !confirmed() && m.w.Now < until {
 			m.order(n, o)
-			m.w.Run(m.w.Now+datum.SubmitWait, nil, func() bool { return m.err == nil && !confirmed() })
+			m.w.Run(m.w.Now+datum.SubmitWait, nil, func() bool { return m.well() && !confirmed() })
 		}
 		if m.err == nil && !confirmed() {
 			m.broken(RuleServes, "%s: nothing confirmed in %v of quiet and %v: %s", n, m.Settle, m.Serve, m.describe())
 		}
 	}
-	for _, n := range m.w.Names {
+	for _, n := range up {
 		was, until := m.answers, m.w.Now+m.Serve
 		for m.err == nil && m.answers == was && m.w.Now < until {
 			m.read(n)
-			m.w.Run(m.w.Now+datum.SubmitWait, nil, func() bool { return m.err == nil && m.answers == was })
+			m.w.Run(m.w.Now+datum.SubmitWait, nil, func() bool { return m.well() && m.answers == was })
 		}
 		if m.err == nil && m.answers == was {
 			m.broken(RuleAnswers, "%s: no read answered in %v of quiet and %v: %s", n, m.Settle, m.Serve, m.describe())
 		}
 	}
-	return m.err
 }
 
 // describe tells what each machine knows.
--- a/internal/explore/chainmodel/chainmodel_test.go
+++ b/internal/explore/chainmodel/chainmodel_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"slateridge/internal/explore"
 )
@@ -17,6 +18,7 @@
 	{RuleServes, explore.Schedule{"leave a", "come d", "+3", "wipe b"}},
 	{RuleServes, explore.Schedule{"leave a", "come d", "+3", "wipe c"}},
 	{RuleServes, explore.Schedule{"leave a", "come d", "+3", "leave b", "come e"}},
+	{RuleServes, explore.Schedule{"leave a", "come d", "+3", "stop c"}},
 	// A number was confirmed whatever stood under it.
 	{RuleOneContent, explore.Schedule{"order p at a: r1", "order q at a: r1"}},
 	{RuleOneContent, explore.Schedule{"order p at a: r1", "order q at b: r1"}},
@@ -66,6 +68,26 @@
 	}
 }
 
+// Duties ride on the chain's views and records. Their keys count with time, so no
+// state comes twice: walks, not levels.
+func TestDuties(t *testing.T) {
+	c := Small()
+	c.Duties, c.Operators, c.Newcomers, c.Step = true, 1, 1, 300*time.Millisecond
+	c.Without = []string{"order", "again", "read", "evacuate"}
+	r := explore.Random(func() explore.Model { return New(c) }, explore.Options{Deviations: 4, Depth: 20, Schedules: 60, Seed: 2, Jobs: 2})
+	t.Log(r)
+	for _, f := range r.Failures {
+		t.Errorf("%v\n%s", f.Err, f.Source())
+	}
+	m := New(c)
+	if err := explore.Replay(m, explore.Schedule{"+2", "isolate a", "+10", "join", "+3", "outage", "+2", "recover", "freeze b", "+6", "thaw b"}); err != nil {
+		t.Error(err)
+	}
+	if m.platform.taken < 8 || len(m.platform.by) < 2 {
+		t.Errorf("%d acts under %d fences: too few to mean anything", m.platform.taken, len(m.platform.by))
+	}
+}
+
 // The search sees what it is there to see: disks lost as no promise allows.
 func TestLossesBeyondThePromiseAreFound(t *testing.T) {
 	c := Small()
--- /dev/null
+++ b/internal/explore/chainmodel/duties.go
@@ -0,0 +1,199 @@
+package chainmodel
+
+import (
+	"math/rand/v2"
+	"strconv"
+	"strings"
+	"time"
+
+	"slateridge/internal/duty"
+	"slateridge/internal/explore"
+	"slateridge/internal/headworks"
+	"slateridge/internal/watermaster"
+)
+
+// The rules on duties, checked when Config.Duties is set.
+const (
+	RuleOneHolder = "one holder a duty"
+	RuleOneFence  = "one holder a fence"
+	RuleOneAct    = "one body a key"
+	RuleLeased    = "no act without the lease"
+	RuleTurns     = "no turns inside the lease bound"
+	RuleHeld      = "a duty is held after quiet"
+	RuleActs      = "acts are taken after quiet"
+)
+
+const (
+	dutyName = "usage"
+	turn     = 3 * time.Second // within which no two holders may take turns
+	actEvery = time.Second
+)
+
+// officers are one machine's leases and its part in the duty.
+type officers struct {
+	lease   *watermaster.Watermaster
+	officer *duty.Officer
+}
+
+// act is one that the platform has taken.
+type act struct {
+	at     time.Duration
+	holder string
+}
+
+// platform is the stand-in: it refuses fences below the highest it has seen.
+type platform struct {
+	down   bool
+	fence  uint64
+	by     map[uint64]string // fence: whose
+	bodies map[uint64]string // key: what was sent
+	acts   []act
+	taken  int
+}
+
+func (m *Model) startDuties(n string) {
+	if !m.Duties {
+		return
+	}
+	life := uint64(m.w.Life(n)+1)<<32 | uint64(n[0])
+	m.officers[n] = &officers{
+		lease:   watermaster.New(m.w.Now, life, n, []string{dutyName}),
+		officer: duty.NewOfficer(dutyName, n, turn, 50, rand.New(rand.NewPCG(life, 2))),
+	}
+}
+
+// officiate is the duties' step at a machine.
+func (m *Model) officiate(n string) {
+	o, c := m.officers[n], m.chain[n]
+	if o == nil || c == nil {
+		return
+	}
+	v := c.View()
+	o.lease.SetElectorate(m.w.Now, v.Epoch, v.VoterAddrs(), c.Status().Sealed)
+	m.sendLease(n, o.lease.Tick(m.w.Now))
+	var rec duty.Record
+	if d := c.Committed(); d != nil {
+		rec = d.Duties[dutyName]
+	}
+	m.carryOut(n, o.officer.Step(m.w.Now, o.lease.Until(m.w.Now, dutyName), rec, func(after uint64) (uint64, []byte, bool) {
+		key := uint64(m.w.Now / actEvery)
+		return key, []byte(n + strconv.FormatUint(key, 10)), key > after
+	}))
+}
+
+func (m *Model) sendLease(n string, out []watermaster.Send) {
+	for _, s := range out {
+		m.w.Send(n, s.To, s.Msg)
+	}
+}
+
+// recvLease takes a message if it is one on leases.
+func (m *Model) recvLease(e *explore.Event) bool {
+	switch e.Msg.(type) {
+	case watermaster.Ask, watermaster.Grant, watermaster.Release:
+		if o := m.officers[e.To]; o != nil {
+			m.sendLease(e.To, o.lease.Recv(m.w.Now, e.From, e.Msg))
+		}
+		return true
+	}
+	return false
+}
+
+func (m *Model) carryOut(n string, out []any) {
+	for _, x := range out {
+		switch x := x.(type) {
+		case duty.Order:
+			m.run(n, func(c *headworks.Chain) []any { return c.Act(m.w.Now, x) })
+		case duty.Yield:
+			m.sendLease(n, m.officers[n].lease.Leave(m.w.Now, dutyName))
+		case duty.Post:
+			if _, ok := m.officers[n].lease.Holds(m.w.Now, dutyName); !ok {
+				m.broken(RuleLeased, "%s sends key %d under fence %d", n, x.Key, x.Fence)
+			}
+			life := m.w.Life(n)
+			m.w.After(explore.Delay, func() { m.post(n, life, x) })
+		}
+	}
+}
+
+// post is a call at the platform; its answer may find its caller frozen or gone.
+func (m *Model) post(n string, life int, p duty.Post) {
+	f := &m.platform
+	if f.down {
+		return
+	}
+	if was, ok := f.by[p.Fence]; ok && was != n {
+		m.broken(RuleOneFence, "fence %d is sent by %s and by %s", p.Fence, was, n)
+	}
+	f.by[p.Fence] = n
+	status := 409
+	if p.Fence >= f.fence {
+		status, f.fence = 200, p.Fence
+		if was, ok := f.bodies[p.Key]; ok && was != string(p.Body) {
+			m.broken(RuleOneAct, "key %d is sent as %s and as %s", p.Key, was, p.Body)
+		}
+		f.bodies[p.Key] = string(p.Body)
+		f.acts = append(f.acts, act{m.w.Now, n})
+		f.taken++
+		m.turns()
+	}
+	m.w.After(explore.Delay, func() {
+		if m.w.Life(n) == life && m.w.Up(n) {
+			m.w.Act(n, func() { m.carryOut(n, m.officers[n].officer.Answered(m.w.Now, p.ID, status)) })
+		}
+	})
+}
+
+// turns looks whether the newest act ends an A-B-A inside the lease bound.
+func (m *Model) turns() {
+	f := &m.platform
+	last, other := f.acts[len(f.acts)-1], false
+	for i := len(f.acts) - 2; i >= 0 && last.at-f.acts[i].at < turn; i-- {
+		if f.acts[i].holder != last.holder {
+			other = true
+		} else if other {
+			m.broken(RuleTurns, "%s acts again %v after another did", last.holder, last.at-f.acts[i].at)
+		}
+	}
+	f.acts = f.acts[max(0, len(f.acts)-200):]
+}
+
+func (m *Model) holders() (who []string) {
+	for _, n := range m.w.Names {
+		if o := m.officers[n]; o != nil && m.w.Up(n) {
+			if _, ok := o.lease.Holds(m.w.Now, dutyName); ok {
+				who = append(who, n)
+			}
+		}
+	}
+	return who
+}
+
+func (m *Model) oneHolder() {
+	if who := m.holders(); len(who) > 1 {
+		m.broken(RuleOneHolder, "held by %s", strings.Join(who, " and "))
+	}
+}
+
+// quietDuties: there is one holder, and what it decides is taken.
+func (m *Model) quietDuties() {
+	if m.err == nil && len(m.holders()) != 1 {
+		m.broken(RuleHeld, "held by %d machines after %v of quiet: %s", len(m.holders()), m.Settle, m.describe())
+	}
+	was, until := m.platform.taken, m.w.Now+turn+m.Serve
+	m.w.Run(until, nil, func() bool { return m.well() && m.platform.taken == was })
+	if m.err == nil && m.platform.taken == was {
+		m.broken(RuleActs, "none in %v: %s", turn+m.Serve, m.describe())
+	}
+}
+
+// dutiesHash is of what the duties' coming depends on.
+func (m *Model) dutiesHash(a explore.Abstraction) uint64 {
+	parts := []any{m.platform.down, m.platform.fence, m.platform.acts[max(0, len(m.platform.acts)-3):], int(m.w.Now % actEvery)}
+	for _, n := range m.w.Names {
+		if m.w.Up(n) {
+			parts = append(parts, n, m.officers[n])
+		}
+	}
+	return a.Digest(m.w.Now, parts...)
+}
--- a/internal/explore/explore.go
+++ b/internal/explore/explore.go
@@ -333,7 +333,7 @@
 	s.mu.Lock()
 	known := slices.ContainsFunc(s.rep.Failures, func(f Failure) bool { return f.Rule == rule })
 	if !known {
-		s.rep.Failures = append(s.rep.Failures, Failure{Rule: rule, Err: err, Found: slices.Clone(sch)})
+		s.rep.Failures = append(s.rep.Failures, Failure{Rule: rule, Err: err, Found: slices.Clone(sch.tidy())})
 	}
 	s.mu.Unlock()
 	if known {
--- a/internal/explore/world.go
+++ b/internal/explore/world.go
@@ -101,12 +101,12 @@
 	if w.life[n] != life || !w.up[n] {
 		return
 	}
-	w.act(n, func() { w.onTick(n) })
+	w.Act(n, func() { w.onTick(n) })
 	w.After(w.tick, func() { w.step(n, life) })
 }
 
-// act does something at a machine, when it thaws if it is frozen.
-func (w *World) act(n string, f func()) {
+// Act does something at a machine, when it thaws if it is frozen.
+func (w *World) Act(n string, f func()) {
 	life := w.life[n]
 	if w.frozen[n] {
 		if len(w.pending[n]) < 100 {
@@ -176,7 +176,7 @@
 	if e.do != nil {
 		e.do()
 	} else if w.up[e.To] && !w.cut[[2]string{e.From, e.To}] {
-		w.act(e.To, func() { w.onRecv(e) })
+		w.Act(e.To, func() { w.onRecv(e) })
 	}
 }
 
