--- a/internal/explore/chainmodel/chainmodel.go
+++ b/internal/explore/chainmodel/chainmodel.go
@@ -68,7 +68,13 @@
 
 // Confirms says whether a state that a machine knows to be in force confirms an
 // order that waits there, as the API judges it.
-func Confirms(in *scheme.Doc, o Order) bool { return in != nil && o.Version <= in.Version }
+func Confirms(in *scheme.Doc, o Order) bool {
+	if in == nil {
+		return false
+	}
+	sum, ok := in.Ledger.Find(o.Version)
+	return ok && sum == scheme.SumOf([]byte(o.Content))
+}
 
 // submit hands an order to a machine.
 func submit(c *headworks.Chain, now time.Duration, o Order) []any {
