Operators see the electorate and retire a dead voter; leases follow the view before any word of a step leaves

status names voters, what the next loss would leave, who is out of contact and whether and why it is on its way out; slateridge retire takes one that is gone for good out, by the same agreement as any view, refused with a line where it would break the majority or the tolerance, or names nobody or a machine that runs.

The leases are told the electorate within the step that changes it, with the promise that seals it, before the promise is sent: between two turns of a loop a frozen process could promise, thaw, and grant as if it had not (TestWhatTheElectorateMustTell).

--- a/cmd/slateridge/main.go
+++ b/cmd/slateridge/main.go
@@ -45,6 +45,7 @@
 	Headworks headworksCmd `cmd:"" help:"Run the control plane. Settings are read from the file named by SLATERIDGE_NODE_FILE."`
 	Check     checkCmd     `cmd:"" help:"Validate a configuration file with the errors the API gives."`
 	Status    statusCmd    `cmd:"" help:"Show what running daemons know: view, versions, acknowledgements, duties, upstreams, quotas."`
+	Retire    retireCmd    `cmd:"" help:"Take a control machine that is gone for good out of the electorate, by agreement of the others."`
 	Explore   exploreCmd   `cmd:"" help:"Look for schedules that break the rules of the control plane's machines."`
 	Version   versionCmd   `cmd:"" help:"Print the version."`
 }
--- a/cmd/slateridge/status.go
+++ b/cmd/slateridge/status.go
@@ -177,7 +177,12 @@
 	case r.Chain.Sealed:
 		state = "view sealed, a new one is being agreed"
 	}
-	fmt.Fprintf(t, "  view\t%d of %d voters: %s\n  state\t%s; majority heard: %v\n", v.Num, len(v.Voters), strings.Join(ms, ", "), state, r.Current)
+	contact := "never in contact with a majority"
+	if r.Contact >= 0 {
+		contact = fmt.Sprintf("in contact with a majority: %v, last %s ago", r.Current, ago(r.Contact))
+	}
+	fmt.Fprintf(t, "  view\t%d of %d voters: %s\n  state\t%s; %s\n", v.Num, len(v.Voters), strings.Join(ms, ", "), state, contact)
+	showVoters(t, r)
 	fmt.Fprintf(t, "  configuration\tr%d in force (state %d/%d, held %d/%d); %d of %d connected proxies hold it\n", r.Chain.Version, r.Chain.Committed.View, r.Chain.Committed.Seq, r.Chain.Held.View, r.Chain.Held.Seq, r.Acked, len(r.Proxies))
 	if late := r.Late(); len(late) > 0 {
 		fmt.Fprintf(t, "  behind\t%s\n", names(all, late))
@@ -234,6 +239,34 @@
 	showCommon(t, r.Members, r.Events)
 }
 
+// showVoters tells what the electorate can bear, and by name who is not as should be.
+func showVoters(t io.Writer, r headworks.Report) {
+	if len(r.Voters) == 0 {
+		return
+	}
+	left := fmt.Sprintf("%d more than a majority would be left", r.Margin)
+	if r.Margin < 0 {
+		left = fmt.Sprintf("%d too few for a majority would be left", -r.Margin)
+	}
+	fmt.Fprintf(t, "  voters\t%d; if as many are lost besides as may be, %s\n", len(r.Voters), left)
+	for _, v := range r.Voters {
+		if v.Member && v.State == "in contact" {
+			continue
+		}
+		s := v.State
+		if v.Gone > 0 {
+			s += " for " + ago(v.Gone)
+		}
+		if !v.Member {
+			s += ", no member"
+		}
+		if v.WayOut != "" {
+			s += "; " + v.WayOut
+		}
+		fmt.Fprintf(t, "    %s\t%s\n", v.Addr, s)
+	}
+}
+
 func showEvacuated(t io.Writer, zones []string) {
 	if len(zones) > 0 {
 		fmt.Fprintf(t, "  evacuated\t%s\n", strings.Join(zones, ", "))
--- a/internal/headworks/admin.go
+++ b/internal/headworks/admin.go
@@ -1,8 +1,11 @@
 package headworks
 
 import (
+	"encoding/json"
 	"fmt"
 	"io"
+	"net/http"
+	"slices"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -21,6 +24,9 @@
 	Node      string
 	Chain     Gauge
 	Current   bool
+	Contact   time.Duration // since it was last in contact with a majority both ways; negative: never
+	Voters    []Voter
+	Margin    int // voters beyond a majority that are left if as many were lost as may be
 	Duties    map[string]string
 	Platform  map[string]DutyReport // duties at the platform, with their fences
 	Scaling   []ScalingReport
@@ -42,6 +48,46 @@
 	Tallies   []logbook.Tally
 }
 
+func (d *Daemon) electorate() ([]Voter, int) {
+	d.chainMu.Lock()
+	defer d.chainMu.Unlock()
+	return d.chain.Electorate()
+}
+
+// adminAPI is the admin interface of a control machine: the report, and the operator's
+// word on voters that are gone for good.
+func (d *Daemon) adminAPI() http.Handler {
+	m := http.NewServeMux()
+	m.Handle("/", gaugeboard.Handler(d.Report))
+	m.HandleFunc("POST /retire", d.retire)
+	return m
+}
+
+// retire tries for a view whose electorate does without a machine. It is decided as any
+// view is; the answer says whether it was, or why it cannot be.
+func (d *Daemon) retire(w http.ResponseWriter, r *http.Request) {
+	addr := r.URL.Query().Get("machine")
+	var refused string
+	d.step(func() (out []any) {
+		out, refused = d.chain.Retire(d.now(), addr)
+		return out
+	})
+	if refused != "" {
+		d.book.Note("retire_refused", addr+": "+refused)
+		fail(w, http.StatusConflict, why(refused))
+		return
+	}
+	for end := d.now() + datum.RetireWish/2; d.now() < end; time.Sleep(datum.ChainTick) {
+		if !slices.Contains(d.status.Load().View.VoterAddrs(), addr) {
+			d.book.Note("retired", addr)
+			w.Header().Set("Content-Type", "application/json")
+			json.NewEncoder(w).Encode(map[string]any{"retired": addr, "voters": d.status.Load().View.VoterAddrs()})
+			return
+		}
+	}
+	unavailable(w, "no view without "+addr+" was agreed in time; it may still come")
+}
+
 // Directory is what the directory knows and has answered.
 type Directory struct {
 	Places                []gazetteer.PlaceState
@@ -54,6 +100,11 @@
 	r := Report{Role: "headworks", Node: d.set.NodeName, Chain: *d.status.Load(), Current: f.Current, Duties: map[string]string{},
 		ListNum: f.ListNum, ListAge: f.ListAge, Live: f.Proxies, Proxies: d.pen.Proxies(), Leased: d.gates.Held(d.now()),
 		Members: d.staff.Members(), Evacuated: f.Evacuated, Events: d.book.Latest(20), Tallies: d.book.Tallies()}
+	r.Contact = -1
+	if at := d.contact.Load(); at > 0 {
+		r.Contact = d.now() - time.Duration(at)
+	}
+	r.Voters, r.Margin = d.electorate()
 	r.Platform, r.Scaling = d.dutyReports(), d.scalingReports()
 	r.Zone, r.Region = d.set.Zone, d.set.Region
 	if d.set.ListenAddresses.Directory != "" {
@@ -87,6 +138,11 @@
 	g("view_sealed", gaugeboard.Flag(r.Chain.Sealed))
 	g("disk_sick", gaugeboard.Flag(r.Chain.Sick))
 	g("majority_heard", gaugeboard.Flag(r.Current))
+	metrics.WriteGaugeFloat64(w, "slateridge_majority_contact_age_seconds", r.Contact.Seconds())
+	metrics.WriteGaugeFloat64(w, "slateridge_electorate_margin", float64(r.Margin))
+	for _, v := range r.Voters {
+		g(fmt.Sprintf("voter{machine=%q,state=%q}", v.Addr, v.State), 1)
+	}
 	g("config_version", r.Chain.Version)
 	g("state_committed", r.Chain.Committed.Num())
 	g("state_held", r.Chain.Held.Num())
--- a/internal/headworks/chain_test.go
+++ b/internal/headworks/chain_test.go
@@ -34,8 +34,9 @@
 	pending  map[string][]func()      // for a frozen machine
 	calm     map[string]time.Duration // since when a machine has had no trouble
 
-	over    bool          // no more trouble
-	gap     time.Duration // longest pause between troubles
+	stepped func(n string) // after each step of a machine, before its words leave
+	over    bool           // no more trouble
+	gap     time.Duration  // longest pause between troubles
 	next    uint64
 	sent    []config               // all that was ever sent, to be sent again
 	known   map[scheme.Taken]bool  // likewise, to tell what was never sent
@@ -144,6 +145,9 @@
 		return
 	}
 	out := f(c.chain[n])
+	if c.stepped != nil {
+		c.stepped(n)
+	}
 	c.sure(n)
 	for _, o := range out {
 		switch o := o.(type) {
--- a/internal/headworks/daemon.go
+++ b/internal/headworks/daemon.go
@@ -18,7 +18,6 @@
 	"slateridge/internal/clock"
 	"slateridge/internal/conduit"
 	"slateridge/internal/datum"
-	"slateridge/internal/gaugeboard"
 	"slateridge/internal/gazetteer"
 	"slateridge/internal/intake"
 	"slateridge/internal/logbook"
@@ -278,7 +277,7 @@
 	g.Add(d.staff.Serve, func(error) { d.staff.Close() })
 	w := wheel.New(g)
 	w.Serve(ctl, d.operatorAPI())
-	w.Serve(adm, gaugeboard.Handler(d.Report))
+	w.Serve(adm, d.adminAPI())
 	if a := d.set.ListenAddresses.Directory; a != "" {
 		dir, err := net.Listen("tcp4", a)
 		if err != nil {
@@ -295,7 +294,6 @@
 	held := map[string]bool{}
 	w.Turn(datum.LeaseTick, func() {
 		d.leaseMu.Lock()
-		d.electLocked()
 		out := d.leases.Tick(d.now())
 		var moved []string
 		for _, duty := range d.leases.Duties() {
@@ -331,16 +329,6 @@
 	return nil
 }
 
-// electLocked has the leases follow the view as it stands this moment. The promise that
-// seals a view is told here before it is told to anyone else, so that no lease is granted
-// after it, however long the process stood still in between. A machine that no view has
-// taken in with this disk counts as sealed: its address may be a voter's, whose promises
-// its disk has forgotten.
-func (d *Daemon) electLocked() {
-	v := d.status.Load()
-	d.leases.SetElectorate(d.now(), v.View.Epoch, v.View.VoterAddrs(), v.Sealed || !v.Joined)
-}
-
 // Leave hands duties over before a planned stop, and waits for a view in which the
 // others go on without this machine: they need not find it silent first, and what it
 // holds is on as many disks as before.
@@ -450,6 +438,14 @@
 func (d *Daemon) snapshot() {
 	g := d.chain.Status()
 	d.status.Store(&g)
+	// The leases follow the view before any word of this step leaves: a promise that seals
+	// the view is told to them before it is told to anyone else, so that no lease is
+	// granted after it, however long the process stands still in between. A machine that
+	// no view has taken in with this disk counts as sealed: its address may be a voter's,
+	// whose promises its disk has forgotten.
+	d.leaseMu.Lock()
+	d.leases.SetElectorate(d.now(), g.View.Epoch, g.View.VoterAddrs(), g.Sealed || !g.Joined)
+	d.leaseMu.Unlock()
 	if at, ok := d.chain.Surely(); ok {
 		d.surely.Store(&sureness{at, g.Version})
 	}
@@ -606,7 +602,6 @@
 		})
 	case watermaster.Ask, watermaster.Grant, watermaster.Release:
 		d.leaseMu.Lock()
-		d.electLocked() // no grant by an electorate that this machine has promised to leave
 		out := d.leases.Recv(d.now(), p.Remote, m)
 		d.leaseMu.Unlock()
 		d.sendLeases(out)
--- a/internal/headworks/duties_test.go
+++ b/internal/headworks/duties_test.go
@@ -53,6 +53,7 @@
 	w := &works{core: newCore(t, seed, names, tolerate), leases: map[string]*watermaster.Watermaster{}, men: map[string]*duty.Officer{},
 		tallies: map[string]*usage.Tally{}, bornAs: map[string]int{}, born: map[string]time.Duration{}, meters: map[string]*usage.Meter{},
 		span: span, delay: delay, turn: turn, truth: map[uint64]usage.Counts{}, by: map[uint64]string{}, content: map[uint64]string{}}
+	w.stepped = w.elect
 	for _, n := range names {
 		w.drive(n)
 	}
@@ -75,8 +76,8 @@
 		w.men[n] = duty.NewOfficer(testDuty, n, w.turn, 50, rand.New(rand.NewPCG(w.seed, w.b.Rng.Uint64())))
 		w.tallies[n] = usage.NewTally(w.b.Rng.Uint64())
 	}
-	l, o, v := w.leases[n], w.men[n], w.chain[n].View()
-	l.SetElectorate(w.b.Now, v.Epoch, v.VoterAddrs(), w.chain[n].Status().Sealed)
+	l, o := w.leases[n], w.men[n]
+	w.elect(n)
 	w.lease(n, l.Tick(w.b.Now))
 	since, _ := l.Holds(w.b.Now, testDuty)
 	rec := w.record(n)
@@ -85,6 +86,14 @@
 	}))
 }
 
+// elect has a machine's leases follow its view, as the daemon does after each step.
+func (w *works) elect(n string) {
+	if w.leases[n] != nil && w.bornAs[n] == w.life[n] {
+		g := w.chain[n].Status()
+		w.leases[n].SetElectorate(w.b.Now, g.View.Epoch, g.View.VoterAddrs(), g.Sealed || !g.Joined)
+	}
+}
+
 func (w *works) record(n string) (r duty.Record) {
 	if c := w.chain[n].Committed(); c != nil {
 		r = c.Duties[testDuty]
--- a/internal/headworks/electorate.go
+++ b/internal/headworks/electorate.go
@@ -243,3 +243,44 @@
 }
 
 func (c *Chain) wishRetired(addr string) { c.retire[addr] = c.now }
+
+// Voter is a voter as this machine sees it, for operators.
+type Voter struct {
+	Addr         string
+	Zone, Region string
+	Member       bool
+	State        string        // in contact, out of contact, leaving, disk refuses writes
+	Gone         time.Duration // since it was last in contact, where it is not
+	WayOut       string        // why it is on its way out of the electorate; empty: it is not
+}
+
+// Electorate describes the voters for operators, and how many more than a majority are
+// left if as many were lost as may be.
+func (c *Chain) Electorate() (voters []Voter, margin int) {
+	v := c.agr.View
+	for _, m := range v.Voters {
+		x := Voter{Addr: m.Addr, Member: v.has(m), State: "in contact"}
+		x.Zone, x.Region = c.place(m)
+		switch {
+		case m.Addr == c.Me.Addr && m != c.Me:
+			x.State = "its disk came back empty: waits to be taken in"
+		case m == c.Me && c.store.Sick() || m != c.Me && c.inContact(m.Addr) && c.seen[m.Addr].gauge.Sick:
+			x.State = "disk refuses writes"
+		case c.goodbyes[m.Addr] > 0 || m == c.Me && c.leaving:
+			x.State = "leaving"
+		case !c.inContact(m.Addr):
+			x.State, x.Gone = "out of contact", c.now-c.lastHeard(m)
+		}
+		switch can := len(v.Voters) > c.smallest(v); {
+		case x.Member || x.State == "in contact":
+		case c.wished(m) && can:
+			x.WayOut = "an operator wants it out"
+		case can:
+			x.WayOut = fmt.Sprintf("leaves with a successor's coming, or after %v", max(0, datum.RetireAfter-x.Gone).Round(time.Second))
+		default:
+			x.WayOut = "leaves with a successor's coming: too few voters to go without"
+		}
+		voters = append(voters, x)
+	}
+	return voters, c.margin(v, 0)
+}
--- a/internal/headworks/view.go
+++ b/internal/headworks/view.go
@@ -122,7 +122,7 @@
 		if m == c.Me {
 			continue
 		}
-		if !c.alive(m.Addr) || c.seen[m.Addr].gauge.Me != m {
+		if s := c.seen[m.Addr]; !c.alive(m.Addr) || s == nil || s.gauge.Me != m {
 			return true
 		}
 	}
@@ -210,11 +210,11 @@
 	}
 	live := 0
 	for _, m := range c.agr.View.Voters {
-		if s := c.seen[m.Addr]; m == c.Me || c.inContact(m.Addr) && s.gauge.Me == m && !s.gauge.Sick {
+		if s := c.seen[m.Addr]; m == c.Me || s != nil && c.inContact(m.Addr) && s.gauge.Me == m && !s.gauge.Sick {
 			live++ // one that leaves votes until it is gone
 		}
 	}
-	there := func(m Member) bool { return m == c.Me || c.seen[m.Addr].gauge.Me == m }
+	there := func(m Member) bool { s := c.seen[m.Addr]; return m == c.Me || s != nil && s.gauge.Me == m }
 	if live < c.majority() || len(c.candidates(there)) < c.fewest() {
 		return // none to be had; stay as we are, and seal nothing
 	}
