Usage: what runs at a proxy is told with its words

A request counts as it ends, so what ran at a proxy as it was killed was lost along with what it had counted since its last word. Words now also say what has been sent whole and is not over; the latest says it, so one that ends is counted once, and of a life that is over it stands. TestRunningAtTheEnd, TestRunningIsTold.

--- a/internal/sluice/forward.go
+++ b/internal/sluice/forward.go
@@ -13,6 +13,7 @@
 
 	"slateridge/internal/datum"
 	"slateridge/internal/scheme"
+	"slateridge/internal/usage"
 )
 
 // passage is one client request on its way.
@@ -34,6 +35,7 @@
 	sends    int       // upstreams it was sent to
 	stop     func() bool
 	ranAt    time.Time // when the run that counts as usage was sent
+	run      *usage.Run
 }
 
 // result is what came of one offer.
@@ -156,6 +158,9 @@
 		again = false
 	}
 	at := time.Now()
+	if p.s.meter != nil && p.tenant != nil && !p.route.Stream {
+		p.s.meter.Sent(p.run, p.s.window(at), p.tenant.Name)
+	}
 	resp, err := f.answer(p.r.Method, attempt)
 	if err != nil {
 		o.drop(f)
--- a/internal/sluice/sluice.go
+++ b/internal/sluice/sluice.go
@@ -116,7 +116,7 @@
 		return
 	}
 	p := &passage{s: s, r: r, arrived: arrived, sch: sch, route: route, tenant: tenant, prio: route.Priority,
-		deadline: arrived.Add(min(budget(r), route.Timeout))}
+		deadline: arrived.Add(min(budget(r), route.Timeout)), run: &usage.Run{}}
 	if tenant != nil {
 		if s.strict > 0 && arrived.Sub(s.sure()) > s.strict {
 			// The key may have been taken away, and nobody here would know.
@@ -146,6 +146,9 @@
 	settle := func() {
 		if tenant != nil {
 			s.weir.Settle(s.now(), tenant.Name, p.runs)
+			if s.meter != nil {
+				s.meter.Over(p.run)
+			}
 			if s.meter != nil && p.runs > 0 && !p.route.Stream { // streams count with their first piece
 				s.meter.Count(s.window(p.ranAt), tenant.Name)
 			}
--- a/internal/sluice/stream_test.go
+++ b/internal/sluice/stream_test.go
@@ -370,3 +370,45 @@
 		t.Errorf("%d of one prefix at one upstream of four places", most)
 	}
 }
+
+// A request is told as running from its send until its answer, and then counts once; a
+// refused one was told too, and doesn't count.
+func TestRunningIsTold(t *testing.T) {
+	for _, c := range []struct {
+		answer string
+		counts uint64
+	}{
+		{"HTTP/1.1 200 OK\r\nX-Slateridge-Attempt-Id: id-1\r\nX-Slateridge-Response-Seal: s\r\nContent-Length: 2\r\n\r\nok", 1},
+		{"HTTP/1.1 503 Service Unavailable\r\nX-Slateridge-Attempt-Id: id-1\r\nX-Slateridge-Not-Executed: true\r\nContent-Length: 0\r\n\r\n", 0},
+	} {
+		came, release := make(chan bool, 10), make(chan bool)
+		up, _ := source(t, func(conn net.Conn, _ *http.Request) {
+			came <- true
+			<-release
+			io.WriteString(conn, c.answer)
+		})
+		s := newSluice(t, up)
+		s.meter, s.window = usage.NewMeter(1), func(time.Time) uint64 { return 40 }
+		y := usage.NewTally(1)
+		sum := func() uint64 {
+			told, _ := s.meter.Tell("p", 41)
+			if h, ok := y.Take(0, 41, told); ok {
+				s.meter.Heard(told, h)
+			}
+			return y.Sum(40)["ten"]
+		}
+		done := make(chan bool)
+		go func() { get(s, "POST", "/once/x", "hi"); close(done) }()
+		<-came
+		for end := time.Now().Add(5 * time.Second); sum() != 1; time.Sleep(time.Millisecond) {
+			if time.Now().After(end) {
+				t.Fatal("what runs is not told")
+			}
+		}
+		close(release)
+		<-done
+		if got := sum(); got != c.counts {
+			t.Errorf("%d runs count after %.12s", got, c.answer)
+		}
+	}
+}
--- a/internal/usage/usage.go
+++ b/internal/usage/usage.go
@@ -18,13 +18,16 @@
 	// Counts are cumulative numbers by tenant.
 	Counts map[string]uint64
 	// Told is one proxy's word to the duty's holder: of each window what has
-	// changed since that holder last answered. All windows up to Closed are final.
+	// changed since that holder last answered, and what is running. All windows up to
+	// Closed are final.
 	Told struct {
 		Proxy   string
 		Life    uint64
 		Term    uint64 // of the tally that what is left out has been told to
 		Windows map[uint64]Counts
 		Closed  uint64
+		Seq     uint64            // of this life's words: what runs is as the latest says
+		Running map[uint64]Counts // sent whole, and neither counted nor known not to have run
 	}
 	// Heard answers it. Windows up to Settled are decided and need no telling.
 	Heard struct {
@@ -66,12 +69,56 @@
 	settled uint64
 	term    uint64
 	said    uint64 // closed, as last answered
+	seq     uint64
+	running map[uint64]Counts
 	Dropped uint64 // counts of windows that were decided before they came
 }
 
 // NewMeter makes an empty meter for one life of a proxy.
 func NewMeter(life uint64) *Meter {
-	return &Meter{life: life, windows: map[uint64]Counts{}, unsaid: map[uint64]map[string]bool{}, open: map[uint64]int{}}
+	return &Meter{life: life, windows: map[uint64]Counts{}, unsaid: map[uint64]map[string]bool{}, open: map[uint64]int{}, running: map[uint64]Counts{}}
+}
+
+// Run is one request's, from when it has first been sent to an upstream until it is known
+// whether it counts. A process that is killed in between has told of it with its last
+// word, and it has mostly run.
+type Run struct {
+	window  uint64
+	tenant  string
+	on, off bool
+}
+
+// Sent notes a request that an upstream has been sent whole; again, or once the request
+// is over, it changes nothing.
+func (m *Meter) Sent(r *Run, w uint64, tenant string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if r.on || r.off {
+		return
+	}
+	r.window, r.tenant, r.on = w, tenant, true
+	if m.running[w] == nil {
+		m.running[w] = Counts{}
+	}
+	m.running[w][tenant]++
+}
+
+// Over ends what Sent began: the request counts from now on, or it never will.
+func (m *Meter) Over(r *Run) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	r.off = true
+	if !r.on {
+		return
+	}
+	r.on = false
+	c := m.running[r.window]
+	if c[r.tenant]--; c[r.tenant] == 0 {
+		delete(c, r.tenant)
+	}
+	if len(c) == 0 {
+		delete(m.running, r.window)
+	}
 }
 
 // Begin notes a request that came in a window and may count in it or a later one.
@@ -109,7 +156,11 @@
 func (m *Meter) Tell(proxy string, now uint64) (Told, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	t := Told{Proxy: proxy, Life: m.life, Term: m.term, Windows: map[uint64]Counts{}}
+	m.seq++
+	t := Told{Proxy: proxy, Life: m.life, Term: m.term, Windows: map[uint64]Counts{}, Seq: m.seq, Running: map[uint64]Counts{}}
+	for w, c := range m.running {
+		t.Running[w] = maps.Clone(c)
+	}
 	if now > 0 {
 		t.Closed = now - 1
 	}
@@ -179,6 +230,8 @@
 	closed  uint64
 	at      time.Duration
 	windows map[uint64]Counts
+	seq     uint64            // of the latest word
+	running map[uint64]Counts // as it said
 }
 
 // Tally is the holder's gathering. It lives as long as the process: what a lost
@@ -202,11 +255,14 @@
 func (t *Tally) Take(at time.Duration, now uint64, m Told) (Heard, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	bad := m.Proxy == "" || len(m.Proxy) > datum.NameMax || len(m.Windows) > datum.UsageKept+2 || m.Closed > now+1
-	for w, c := range m.Windows {
-		bad = bad || w > now+1 || len(c) > datum.UsageTenants
-		for tenant, n := range c {
-			bad = bad || tenant == "" || len(tenant) > datum.NameMax || n > datum.UsageMost
+	bad := m.Proxy == "" || len(m.Proxy) > datum.NameMax || m.Closed > now+1
+	for _, ws := range []map[uint64]Counts{m.Windows, m.Running} {
+		bad = bad || len(ws) > datum.UsageKept+2
+		for w, c := range ws {
+			bad = bad || w > now+1 || len(c) > datum.UsageTenants
+			for tenant, n := range c {
+				bad = bad || tenant == "" || len(tenant) > datum.NameMax || n > datum.UsageMost
+			}
 		}
 	}
 	if bad {
@@ -234,6 +290,14 @@
 			l.windows[w][tenant] = max(l.windows[w][tenant], n)
 		}
 	}
+	if m.Seq > l.seq {
+		l.seq, l.running = m.Seq, map[uint64]Counts{}
+		for w, c := range m.Running {
+			if w > t.settled {
+				l.running[w] = maps.Clone(c)
+			}
+		}
+	}
 	return Heard{t.term, t.settled}, true
 }
 
@@ -265,10 +329,13 @@
 
 func (t *Tally) allLocked() (out []Told) {
 	for id, l := range t.lives {
-		if len(l.windows) == 0 {
+		if len(l.windows) == 0 && len(l.running) == 0 {
 			continue
 		}
-		m := Told{Proxy: l.proxy, Life: id, Windows: map[uint64]Counts{}}
+		m := Told{Proxy: l.proxy, Life: id, Windows: map[uint64]Counts{}, Seq: l.seq, Running: map[uint64]Counts{}}
+		for w, c := range l.running {
+			m.Running[w] = maps.Clone(c)
+		}
 		for w, c := range l.windows {
 			m.Windows[w] = maps.Clone(c)
 		}
@@ -288,7 +355,12 @@
 				delete(l.windows, w)
 			}
 		}
-		if len(l.windows) == 0 && l.closed+datum.UsageKept < t.settled {
+		for w := range l.running {
+			if w <= t.settled {
+				delete(l.running, w)
+			}
+		}
+		if len(l.windows) == 0 && len(l.running) == 0 && l.closed+datum.UsageKept < t.settled {
 			delete(t.lives, id)
 		}
 	}
@@ -318,14 +390,17 @@
 	return true
 }
 
-// Sum adds up a window over all lives.
+// Sum adds up a window over all lives: what they have counted, and what was running as
+// they last spoke, which of one that is over nobody will count any more.
 func (t *Tally) Sum(w uint64) Counts {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	out := Counts{}
 	for _, l := range t.lives {
-		for tenant, n := range l.windows[w] {
-			out[tenant] += n
+		for _, c := range []Counts{l.windows[w], l.running[w]} {
+			for tenant, n := range c {
+				out[tenant] += n
+			}
 		}
 	}
 	return out
--- a/internal/usage/usage_test.go
+++ b/internal/usage/usage_test.go
@@ -196,3 +196,61 @@
 		}
 	}
 }
+
+// What runs at a proxy as it is killed counts as its last word told; at one that lives it
+// counts as it ends, once, or not at all when it had not run. Late, doubled and handed-on
+// words change nothing.
+func TestRunningAtTheEnd(t *testing.T) {
+	m, y := NewMeter(5), NewTally(1)
+	var words []Told
+	tell := func() {
+		w, _ := m.Tell("p", 8)
+		words = append(words, w)
+		if h, ok := y.Take(0, 8, w); ok {
+			m.Heard(w, h)
+		}
+	}
+	runs := []*Run{{}, {}, {}}
+	for _, r := range runs {
+		m.Sent(r, 7, "x")
+		m.Sent(r, 8, "x") // to a second upstream
+	}
+	m.Count(7, "x")
+	tell()
+	if got := y.Sum(7)["x"]; got != 4 {
+		t.Fatalf("killed now, %d runs would count, there are 4", got)
+	}
+	m.Over(runs[0])
+	m.Count(7, "x")
+	m.Over(runs[1]) // it had not run
+	m.Sent(runs[1], 7, "x")
+	tell()
+	if got := y.Sum(7)["x"]; got != 3 {
+		t.Fatalf("%d runs count, there are 3", got)
+	}
+	next := NewTally(2)
+	for range 2 {
+		for _, w := range append([]Told{words[1], words[0]}, y.All()...) {
+			y.Take(0, 8, w)
+			next.Take(0, 8, w)
+		}
+	}
+	if got, then := y.Sum(7)["x"], next.Sum(7)["x"]; got != 3 || then != 3 {
+		t.Fatalf("%d and %d runs count, there are 3", got, then)
+	}
+	m.Over(runs[2])
+	m.Count(7, "x")
+	tell()
+	if got := y.Sum(7)["x"]; got != 3 {
+		t.Fatalf("%d runs count, there are 3", got)
+	}
+	y.Settle(8)
+	y.Take(0, 8, words[0])
+	if got := y.Sum(7); len(got) > 0 || len(m.running) > 0 {
+		t.Errorf("kept: %v, %v", got, m.running)
+	}
+	bad := Told{Proxy: "p", Life: 5, Seq: 99, Running: map[uint64]Counts{7: {"x": datum.UsageMost + 1}}}
+	if _, ok := y.Take(0, 8, bad); ok || y.Garbage != 1 {
+		t.Error("garbage was taken")
+	}
+}
