Configurations: what is read by its differences is what is read whole

Cause: a reader that looks only at new items took any list that stood last in the document's beginning for the list of items, so that a document whose items stand under another name was refused whole and accepted by its differences, or read as empty whole and as full by its differences; and an empty document ended the process.

Change: nothing but the version may stand before the items, or the document is read whole.

--- a/internal/scheme/scheme.go
+++ b/internal/scheme/scheme.go
@@ -11,6 +11,7 @@
 	"hash/fnv"
 	"io"
 	"math"
+	"regexp"
 	"runtime"
 	"slices"
 	"sort"
@@ -476,13 +477,16 @@
 	return Read(raw)
 }
 
+// itemsFollow is the beginning of a document that has nothing before its items but its
+// version: whatever else stands there might be a list of something else.
+var itemsFollow = regexp.MustCompile(`^\s*\{\s*"configVersion"\s*:\s*"[^"\\]*"\s*,\s*"resourceList"\s*:\s*\[\s*$`)
+
 var errWritten = errors.New("items cannot be told apart")
 
 func (rd *Reader) changes(raw []byte) (*Scheme, error) {
 	parts := items(raw)
 	var d document
-	head := strings.TrimSpace(string(parts[0]))
-	if len(parts) < 2 || !strings.HasSuffix(head, "[") || json.Unmarshal([]byte(head+"]}"), &d) != nil || len(d.ResourceList) > 0 {
+	if len(parts) < 2 || !itemsFollow.Match(parts[0]) || json.Unmarshal(append(slices.Clone(parts[0]), "]}"...), &d) != nil {
 		return nil, errWritten
 	}
 	ver, err := ParseVersion(d.ConfigVersion)
