Configurations: a difference has no steps that say nothing

Cause: a step of no bytes was taken, and a kilobyte deflates to half a million of them: a garbled difference could hold its reader for long.

Test: TestEmptyStepsAreRefused; before, they passed for an empty document.

--- a/internal/scheme/delta.go
+++ b/internal/scheme/delta.go
@@ -104,6 +104,9 @@
 			return nil, err
 		}
 		if n == 0 {
+			if a == 0 {
+				return nil, errors.New("a step that says nothing") // few bytes may deflate to very many
+			}
 			if a > uint64(max-out.Len()) {
 				return nil, errors.New("longer than a configuration may be")
 			}
--- a/internal/scheme/delta_test.go
+++ b/internal/scheme/delta_test.go
@@ -1,6 +1,8 @@
 package scheme
 
 import (
+	"bytes"
+	"compress/flate"
 	"errors"
 	"fmt"
 	"math/rand/v2"
@@ -58,3 +60,14 @@
 		}
 	}
 }
+
+// Steps that say nothing are refused: a few bytes hold millions of them.
+func TestEmptyStepsAreRefused(t *testing.T) {
+	var z bytes.Buffer
+	w, _ := flate.NewWriter(&z, flate.BestCompression)
+	w.Write(make([]byte, 1<<20))
+	w.Close()
+	if _, err := (&Packed{Version: 1, Z: z.Bytes()}).Unpack(nil, 1<<20); err == nil {
+		t.Errorf("%d bytes made half a million steps of nothing", z.Len())
+	}
+}
