--- a/internal/sluice/forward.go
+++ b/internal/sluice/forward.go
@@ -161,6 +161,12 @@
 	if p.s.meter != nil && p.tenant != nil && !p.route.Stream {
 		p.s.meter.Sent(p.run, p.s.window(at), p.tenant.Name)
 	}
+	return p.read(of, f, attempt, at)
+}
+
+// read takes the answer to what was sent over a connection.
+func (p *passage) read(of *offer, f *Flume, attempt string, at time.Time) *result {
+	o, y := of.of, p.s.yard
 	resp, err := f.answer(p.r.Method, attempt)
 	if err != nil {
 		o.drop(f)
--- /dev/null
+++ b/internal/sluice/fuzz_test.go
@@ -0,0 +1,132 @@
+package sluice
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+)
+
+// spoken is a connection on which an upstream has said some bytes and then ended.
+type spoken struct {
+	net.Conn // nil: nothing else may be asked of it
+	r        io.Reader
+	closed   bool
+}
+
+func (c *spoken) Read(b []byte) (int, error)  { return c.r.Read(b) }
+func (c *spoken) Write(b []byte) (int, error) { return len(b), nil }
+func (c *spoken) Close() error                { c.closed = true; return nil }
+func (c *spoken) SetDeadline(time.Time) error { return nil }
+
+// FuzzUpstreamAnswer has the proxy read any bytes as the answer to a request, on a
+// connection that has carried others: what it gives the client is a 2xx only when the
+// answer was this request's, sealed and whole; nothing else of it is shown without the
+// request's id; and a connection is kept only when nothing was left on it.
+func FuzzUpstreamAnswer(f *testing.F) {
+	const id, seal = "X-Slateridge-Attempt-Id: id-1\r\n", "X-Slateridge-Response-Seal: s\r\n"
+	for _, s := range []string{
+		"HTTP/1.1 200 OK\r\n" + id + seal + "Content-Length: 2\r\n\r\nhi",
+		"HTTP/1.1 200 OK\r\n" + id + seal + "Content-Length: 2\r\n\r\nhiHTTP/1.1 200 OK\r\n\r\n",
+		"HTTP/1.1 200 OK\r\n" + id + seal + "Content-Length: 3\r\n\r\nhi",
+		"HTTP/1.1 200 OK\r\n" + id + seal + "\r\nhi",
+		"HTTP/1.1 200 OK\r\n" + id + seal + "Transfer-Encoding: chunked\r\n\r\n2;x=y\r\nhi\r\n0\r\nTrail: er\r\n\r\n",
+		"HTTP/1.1 200 OK\r\n" + id + seal + "Content-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n",
+		"HTTP/1.1 200 OK\r\n" + id + seal + "Content-Length: 2\r\nContent-Length: 3\r\n\r\nhi!",
+		"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 204 No Content\r\n" + id + seal + "Keep-Alive: timeout=5\r\n\r\n",
+		"HTTP/1.0 200 OK\r\n" + id + seal + "Connection: Keep-Alive, X-Slateridge-Response-Seal\r\nContent-Length: 2\r\n\r\nhi",
+		"HTTP/1.1 503 Full\r\nX-Slateridge-Not-Executed: 1\r\nX-Slateridge-Instance-Load: 1,2,3\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 421 Misdirected\r\n" + id + "X-Slateridge-Instance-Id: i-2\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 500 Oops\r\nX-Slateridge-Attempt-Id: id-2\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 404 Not Found\r\nContent-Length: 5\r\n\r\nother",
+		"HTTP/1.1 101 Switching Protocols\r\n" + id + "Upgrade: x\r\n\r\n",
+		"HTTP/1.1 042 Odd\r\n" + id + "\r\n",
+		"HTTP/1.1 777 Odd\r\n" + id + "\r\n",
+		"no answer at all\r\n\r\n", "HTTP/1.1 200\r\n", "",
+	} {
+		f.Add([]byte(s), false, "POST")
+		f.Add([]byte(s), true, "HEAD")
+	}
+	f.Fuzz(func(t *testing.T, data []byte, stream bool, method string) {
+		s := newSluice(t)
+		o := &Outfall{yard: s.yard, out: map[*offer]time.Time{}, conns: 1}
+		o.inst.ID, o.inst.Slots = "i-1", 2
+		s.yard.by["i-1"] = o
+		s.yard.svc["svc"] = []*Outfall{o}
+		c := &spoken{r: bytes.NewReader(data)}
+		fl := newFlume(o, c)
+		fl.used = 1
+		path := map[bool]string{true: "/flow/", false: "/once/"}[stream]
+		if method != "HEAD" && method != "GET" {
+			method = "POST"
+		}
+		r := httptest.NewRequest(method, path, nil)
+		r.RequestURI, r.Host = path, "h.example"
+		r.Header.Set(hdrAttempt, "id-1")
+		sch := s.scheme.Load()
+		p := &passage{s: s, r: r, arrived: time.Now(), deadline: time.Now().Add(time.Minute), sch: sch, route: sch.Match("h.example", path), service: "svc", homes: anywhere}
+		of := s.yard.Place(p.want(), nil)
+		if of == nil {
+			t.Fatal("no room")
+		}
+		p.unwatch()
+		res := p.read(of, fl, "id-1", time.Now())
+		p.count(res)
+		w, broken := httptest.NewRecorder(), false
+		func() {
+			defer func() {
+				if e := recover(); e == http.ErrAbortHandler {
+					broken = true
+				} else if e != nil {
+					panic(e)
+				}
+			}()
+			s.reply(w, p, res, http.StatusServiceUnavailable)
+		}()
+		if w.Code < 200 || w.Code > 599 {
+			t.Fatalf("the client is told %d", w.Code)
+		}
+		if w.Code == 429 || w.Code == 408 || w.Code == 421 || w.Code == 503 && !bytes.Contains(bytes.ToLower(data), []byte("id-1")) {
+			t.Fatalf("promised %d", w.Code)
+		}
+		ours := w.Header().Get(hdrAttempt) == "id-1"
+		if (w.Code/100 == 2 || w.Body.Len() > 0) && !ours {
+			t.Fatalf("shown what is not the request's: %d %v %q", w.Code, w.Header(), w.Body)
+		}
+		if w.Code/100 == 2 && !broken {
+			if w.Header().Get(hdrSeal) == "" {
+				t.Fatal("2xx without its seal")
+			}
+			// Read once more, plainly: the answer after the hints was whole.
+			br := bufio.NewReader(bytes.NewReader(data))
+			for {
+				resp, err := http.ReadResponse(br, &http.Request{Method: method})
+				if err != nil {
+					t.Fatal(err)
+				}
+				b, err := io.ReadAll(resp.Body)
+				if resp.StatusCode/100 == 1 {
+					continue
+				}
+				if err != nil || string(b) != w.Body.String() || unframed(resp) {
+					t.Fatalf("2xx with %q of %q, %v", w.Body, b, err)
+				}
+				if len(o.idle) > 0 && br.Buffered() > 0 {
+					t.Fatal("kept with bytes left on it")
+				}
+				break
+			}
+		}
+		if (len(o.idle) > 0) == c.closed || o.conns != len(o.idle) || len(o.out) > 0 {
+			t.Fatalf("%d idle, closed %v, %d reckoned as open, %d under way", len(o.idle), c.closed, o.conns, len(o.out))
+		}
+		if len(o.idle) > 0 && strings.Contains(strings.ToLower(w.Header().Get("Connection")), "close") {
+			t.Fatal("kept though it closes")
+		}
+	})
+}
