The explorer: late evacuation orders, contents committed beside a confirmed one

- An evacuation order may not take effect after one that was sent when the first one's sender had been answered; a content may not be confirmed when another one stands committed under its number.
- What was committed and agreed so far counts for the digest of a state: later checks depend on it.
- The duties' bound on turns is longer than the quickest return, so that it is tested.

--- /dev/null
+++ b/cmd/slateridge/explore_test.go
@@ -0,0 +1,35 @@
+package main
+
+import (
+	"errors"
+	"testing"
+
+	"github.com/alecthomas/kong"
+)
+
+// What is asked for wrongly is told apart from what was looked for and not found.
+func TestExploreUsage(t *testing.T) {
+	for _, c := range []struct {
+		args  []string
+		usage bool
+	}{
+		{[]string{"--replay", "+1; restart a; +2"}, false},
+		{[]string{"--model", "leases", "--deviations", "1", "--schedules", "20", "--jobs", "2"}, false},
+		{[]string{"--model", "duties", "--strategy", "random", "--schedules", "3"}, false},
+		{[]string{"--replay", "restart z"}, true},
+		{[]string{"--kinds", "leave,sing"}, true},
+		{[]string{"--model", "leases", "--without", "order"}, true},
+		{[]string{"--deviations=-1"}, true},
+		{[]string{"--newcomers", "9"}, true},
+	} {
+		var cmd exploreCmd
+		if _, err := kong.Must(&cmd).Parse(c.args); err != nil {
+			t.Errorf("%v: %v", c.args, err)
+			continue
+		}
+		var u usageError
+		if err := cmd.Run(); errors.As(err, &u) != c.usage || !c.usage && err != nil {
+			t.Errorf("%v: %v", c.args, err)
+		}
+	}
+}
--- a/internal/explore/chainmodel/chainmodel.go
+++ b/internal/explore/chainmodel/chainmodel.go
@@ -26,6 +26,7 @@
 	RuleOneState   = "one state a stamp"
 	RuleForward    = "never back"
 	RuleFreshRead  = "no old read"
+	RuleLateOrder  = "no order undoes one sent after its end"
 	RuleVoters     = "only voters promise and accept"
 	RuleServes     = "orders are confirmed after quiet"
 	RuleAnswers    = "reads are answered after quiet"
@@ -84,19 +85,16 @@
 // waiting is a call of an operator that has no answer yet.
 type waiting struct {
 	Order
-	life int
-	at   time.Duration
+	at time.Duration
 }
 
 type reading struct {
-	life    int
 	began   time.Duration
 	version uint64            // confirmed when it began
 	evacs   map[string]uint64 // likewise, by zone
 }
 
 type evacuation struct {
-	life int
 	zone string
 	on   bool
 }
@@ -127,6 +125,7 @@
 	confirmed map[uint64]string // by version: its content
 	acked     uint64            // the highest version confirmed
 	evacAcked map[string]uint64
+	evacSent  map[uint64]time.Duration
 	views     map[uint64]string
 	viewOf    map[string]uint64
 	states    map[scheme.Stamp]state
@@ -155,6 +154,7 @@
 	m.last, m.waits = map[string]Order{}, map[string][]waiting{}
 	m.reads, m.evacs = map[string]map[uint64]reading{}, map[string]map[uint64]evacuation{}
 	m.confirmed, m.acked, m.evacAcked = map[uint64]string{}, 0, map[string]uint64{}
+	m.evacSent = map[uint64]time.Duration{}
 	m.views, m.viewOf, m.states, m.inForce = map[uint64]string{}, map[string]uint64{}, map[scheme.Stamp]state{}, map[string]*scheme.Doc{}
 	m.answers, m.confirms = 0, 0
 	m.officers, m.platform = map[string]*officers{}, platform{by: map[uint64]string{}, bodies: map[uint64]string{}}
@@ -320,6 +320,11 @@
 	m.waits[n] = left
 	for z, e := range d.Evac {
 		for i, id := range e.IDs {
+			for _, before := range e.IDs[:i] {
+				if end := m.evacSent[id] + datum.SubmitWait; end < m.evacSent[before] {
+					m.broken(RuleLateOrder, "%s: zone %s: the order of %v, answered for by %v, takes effect after that of %v", n, z, m.evacSent[id], end, m.evacSent[before])
+				}
+			}
 			o, ok := m.evacs[n][id]
 			if !ok {
 				continue
@@ -338,6 +343,11 @@
 	if was, ok := m.confirmed[o.Version]; ok && was != o.Content {
 		m.broken(RuleOneContent, "%s confirms r%d %q to %s, %q was confirmed", n, o.Version, o.Content, o.Operator, was)
 	}
+	for at, s := range m.states {
+		if s.version == o.Version && s.content != o.Content {
+			m.broken(RuleOneContent, "%s confirms r%d %q to %s, %q was committed at %v", n, o.Version, o.Content, o.Operator, s.content, at)
+		}
+	}
 	m.confirmed[o.Version] = o.Content
 	m.acked = max(m.acked, o.Version)
 	m.confirms++
@@ -380,7 +390,7 @@
 		m.confirm(n, o)
 		return
 	}
-	m.waits[n] = append(m.waits[n], waiting{o, m.w.Life(n), m.w.Now})
+	m.waits[n] = append(m.waits[n], waiting{o, m.w.Now})
 	m.run(n, func(c *headworks.Chain) []any { return submit(c, m.w.Now, o) })
 }
 
@@ -393,7 +403,7 @@
 	for z, k := range m.evacAcked {
 		evacs[z] = k
 	}
-	m.reads[n][m.ids] = reading{m.w.Life(n), m.w.Now, m.acked, evacs}
+	m.reads[n][m.ids] = reading{m.w.Now, m.acked, evacs}
 	id := m.ids
 	m.run(n, func(c *headworks.Chain) []any { return c.Read(m.w.Now, id) })
 }
@@ -404,7 +414,8 @@
 	}
 	m.ids++
 	id := m.ids
-	m.evacs[n][id] = evacuation{m.w.Life(n), "z", on}
+	m.evacSent[id] = m.w.Now
+	m.evacs[n][id] = evacuation{"z", on}
 	m.run(n, func(c *headworks.Chain) []any { return c.Evacuate(m.w.Now, id, "z", on) })
 }
 
@@ -581,7 +592,7 @@
 
 func (m *Model) Hash() uint64 {
 	a := explore.Abstraction{LongAgo: m.LongAgo, Skip: skip}
-	parts := []any{m.spare, m.faults, m.orders, m.came, m.wanted, m.last, m.confirmed, m.evacAcked, m.grid, int(min(m.w.Now-m.w.Trouble, m.CatchUp))}
+	parts := []any{m.spare, m.faults, m.orders, m.came, m.wanted, m.last, m.confirmed, m.evacAcked, m.evacSent, m.states, m.views, m.grid, int(min(m.w.Now-m.w.Trouble, m.CatchUp))}
 	for _, n := range m.w.Names {
 		parts = append(parts, n, m.disks[n], m.inForce[n] != nil, m.waits[n], m.reads[n], m.evacs[n])
 		if c := m.chain[n]; c != nil {
--- a/internal/explore/chainmodel/duties.go
+++ b/internal/explore/chainmodel/duties.go
@@ -25,7 +25,7 @@
 
 const (
 	dutyName = "usage"
-	turn     = 3 * time.Second // within which no two holders may take turns
+	turn     = 6 * time.Second // within which no two holders may take turns
 	actEvery = time.Second
 )
 
