Founding: an end between its two writes does not make newcomers of the founders; who waits says so

Read by the one who tested the store: a founder that ended between writing its first view and its incarnation came back as a newcomer, and with all of them hit nobody had founded. TestFoundingEndsBetweenTwoWrites failed before (r1 not acknowledged) and passes.

--- a/internal/basin/basin.go
+++ b/internal/basin/basin.go
@@ -88,6 +88,7 @@
 type Disk struct {
 	vals   map[string][]byte
 	Refuse bool
+	Full   int // not 0: writes are refused once so many were taken
 	sick   bool
 }
 
@@ -102,7 +103,7 @@
 }
 
 func (d *Disk) Put(key string, v any) error {
-	if d.Refuse || d.sick {
+	if d.Refuse || d.sick || d.Full > 0 && len(d.vals) >= d.Full {
 		d.sick = true
 		return errRefused
 	}
--- a/internal/headworks/chain.go
+++ b/internal/headworks/chain.go
@@ -196,6 +196,15 @@
 	if !store.Get("incarnation", &inc) {
 		inc = rng.Uint64() | 2
 		a := agreement{}
+		// A founder that ended between these two writes founds all the same: it has said
+		// nothing yet, and were all to come back as newcomers, nobody would have founded.
+		if store.Get("agreement", &a) && a.Joined && a.View.Num == 1 && a.View.has(Member{addr, 1}) {
+			founding, c.peers = true, nil
+			for _, m := range a.View.Members {
+				c.meet(m.Addr)
+			}
+			a = agreement{}
+		}
 		if founding {
 			inc = 1
 			a.Joined = true
--- a/internal/headworks/daemon.go
+++ b/internal/headworks/daemon.go
@@ -108,16 +108,17 @@
 	mainMu sync.Mutex
 	mains  map[string]*conduit.Main
 
-	chainMu sync.Mutex // held while the disk works; nothing else waits for it
-	chain   *Chain
-	store   *cistern.Cistern
-	status  atomic.Pointer[Gauge]
-	inForce atomic.Pointer[scheme.Doc]
-	surely  atomic.Pointer[sureness]
-	contact atomic.Int64           // nanoseconds since this process began, at which it was last in contact with a majority; 0 never
-	stepped atomic.Int64           // likewise, at which the chain last advanced
-	thawed  atomic.Int64           // likewise, at which it was last seen to have stood still
-	coming  atomic.Pointer[coming] // arrived here last, perhaps not in force
+	chainMu  sync.Mutex // held while the disk works; nothing else waits for it
+	chain    *Chain
+	store    *cistern.Cistern
+	status   atomic.Pointer[Gauge]
+	inForce  atomic.Pointer[scheme.Doc]
+	surely   atomic.Pointer[sureness]
+	waitSaid time.Duration          // when it was last said that this machine waits to be taken in; the chain's loop only
+	contact  atomic.Int64           // nanoseconds since this process began, at which it was last in contact with a majority; 0 never
+	stepped  atomic.Int64           // likewise, at which the chain last advanced
+	thawed   atomic.Int64           // likewise, at which it was last seen to have stood still
+	coming   atomic.Pointer[coming] // arrived here last, perhaps not in force
 
 	waitMu sync.Mutex
 	orders map[uint64]chan struct{} // evacuations, by order
@@ -521,6 +522,11 @@
 		d.book.Count("stood_still", 1)
 	}
 	d.step(func() []any { return d.chain.Tick(d.now()) })
+	if g := d.status.Load(); !g.Joined && now-d.waitSaid > datum.JoinSay {
+		d.waitSaid = now
+		d.book.Note("waiting", fmt.Sprintf("no view has taken this machine in; known: view %d of %d voters, asked: %v. If no control machine has a view, a first start was cut short before a majority of the seeds had written: start those with empty disks and bootstrap true",
+			g.View.Num, len(g.View.Voters), d.peers()))
+	}
 }
 
 // face is what proxies are told.
--- a/internal/headworks/electorate_test.go
+++ b/internal/headworks/electorate_test.go
@@ -550,6 +550,30 @@
 	c.acknowledged("after a start that was cut short")
 }
 
+// A founder that ended between its first two writes founds all the same, though its disk
+// is not empty any more and bootstrap is false.
+func TestFoundingEndsBetweenTwoWrites(t *testing.T) {
+	c := newCore(t, 2, three, 1)
+	c.over = true
+	for _, n := range three {
+		c.wipe(n)
+		half := basin.NewDisk()
+		half.Full = 1 // the second write is refused: the process ends there
+		c.disks[n] = half
+		if _, err := NewChain(0, n, three, true, half, rand.New(rand.NewPCG(1, 1))); err == nil {
+			t.Fatal("started without its second write")
+		}
+		half.Full = 0
+		half.Mend()
+	}
+	for _, n := range three {
+		c.start(n, false)
+	}
+	c.b.Run(c.b.Now+4*time.Second, nil)
+	c.settled()
+	c.acknowledged("after founding ended between two writes")
+}
+
 // Garbled or foreign words of agreement change nothing.
 func TestForeignWordsOfAgreement(t *testing.T) {
 	c := calmCore(t, 6, 3, 1)
