Electorate: who was there at the founding says so, no clock decides it

The explorer's search of newcomers that leave, come, stop and lose disks (three deviations) found one more schedule: a newcomer four seconds after the founding passed for one of the founders, so that the place of a machine that left for good was kept and the next one stopped left no majority (come d; +3; leave a; +2; stop c). The founding number was raised for six seconds; now a machine that started with the founders says so until a view has taken it in. The schedule stands in the explorer's tests and passes; go test of headworks and explore passes.

--- a/internal/datum/datum.go
+++ b/internal/datum/datum.go
@@ -51,7 +51,6 @@
 	ContactFresh   = 2 * time.Second         // another's word that it heard this machine so long ago still proves a path both ways: a question and an answer of GaugeEvery each, over links of 250 ms, with two of them lost
 	ContactLook    = 300 * time.Millisecond  // an order is let wait so long before a machine out of contact sends its caller on: a view may be changing
 	RetireAfter    = 60 * time.Second        // a voter out of the view so long leaves the electorate: longer than a machine takes to start, and a change of electorate costs a second without leases
-	BaseSettle     = 6 * time.Second         // machines that join so soon after the founding were there from the start: they start within a second, and are taken in within four
 	LeaveWait      = 1500 * time.Millisecond // a leaver waits so long for the view without it: a silence and a round, well inside any grace
 	ThawGap        = 600 * time.Millisecond  // between two steps: the process stood still; twelve steps, and over a slow disk's sync
 	ThawQuiet      = 1000 * time.Millisecond // after that its picture of the others is old: it proposes nothing, and takes no order whose caller may have gone long ago
--- a/internal/explore/chainmodel/chainmodel_test.go
+++ b/internal/explore/chainmodel/chainmodel_test.go
@@ -19,6 +19,8 @@
 	{RuleServes, explore.Schedule{"leave a", "come d", "+3", "wipe c"}},
 	{RuleServes, explore.Schedule{"leave a", "come d", "+3", "leave b", "come e"}},
 	{RuleServes, explore.Schedule{"leave a", "come d", "+3", "stop c"}},
+	// One that came soon after the founding passed for a founder, and its place was kept.
+	{RuleServes, explore.Schedule{"come d", "+3", "leave a", "+2", "stop c"}},
 	// A number was confirmed whatever stood under it.
 	{RuleOneContent, explore.Schedule{"order p at a: r1", "order q at a: r1"}},
 	{RuleOneContent, explore.Schedule{"order p at a: r1", "order q at b: r1"}},
--- a/internal/headworks/chain.go
+++ b/internal/headworks/chain.go
@@ -139,6 +139,9 @@
 	Relay        bool
 	Zone, Region string
 	Tolerate     int
+	// Original is set on a machine that started with the founders and is none of them,
+	// until a view has taken it in.
+	Original bool
 	// Zones and Regions are how many of them may be lost at once in place of that.
 	Zones, Regions int
 	Wall           func() int64 // the time of day, to tell others; nil where there is none
@@ -171,7 +174,6 @@
 	nonce     uint64
 	stampBase uint64                   // moments of this life are told apart from those of others by it
 	surely    time.Duration            // nothing newer than what is committed here had been committed at this moment; negative: never known
-	founder   bool                     // the system was founded in this life
 	leaving   bool                     // this machine is about to stop
 	lastTick  time.Duration            // to see that the process stood still
 	quietTill time.Duration            // its picture of the others is old until then
@@ -209,7 +211,6 @@
 			inc = 1
 			a.Joined = true
 			a.View.Num, a.View.Epoch, a.View.Base = 1, 1, len(c.peers)
-			c.founder = true
 			for _, p := range c.peers {
 				a.View.Members = append(a.View.Members, Member{p, 1})
 			}
--- a/internal/headworks/chain_test.go
+++ b/internal/headworks/chain_test.go
@@ -117,7 +117,7 @@
 	if err != nil {
 		return // its disk refuses; it stays down
 	}
-	ch.Tolerate, ch.Relay = c.tolerate, n[0] == 'r'
+	ch.Tolerate, ch.Relay, ch.Original = c.tolerate, n[0] == 'r', founding && !slices.Contains(c.seeds, n)
 	c.chain[n] = ch
 	c.inForce[n] = nil
 	c.orders[n], c.evac[n] = map[uint64]order{}, nil
--- a/internal/headworks/daemon.go
+++ b/internal/headworks/daemon.go
@@ -204,6 +204,7 @@
 		return nil, err
 	}
 	d.chain.Relay, d.chain.Tolerate = d.relay, set.FaultTolerance.MachineFailures
+	d.chain.Original = set.Bootstrap && fresh && !founding && !d.relay
 	d.chain.Zones, d.chain.Regions = set.FaultTolerance.Zones, set.FaultTolerance.RegionFailures
 	// Reads are known by numbers of this life alone: an answer to an earlier life's may
 	// still be under way.
--- a/internal/headworks/electorate.go
+++ b/internal/headworks/electorate.go
@@ -23,7 +23,7 @@
 func (c *Chain) nextView(r *round) View {
 	old := c.agr.View
 	v := View{Num: r.slot, Members: r.chosen, Voters: slices.Clone(old.Voters), Epoch: old.Epoch, Base: old.Base, From: at(r.doc)}
-	joined := 0
+	joined, original := 0, 0
 	for _, m := range r.chosen {
 		i := slices.IndexFunc(v.Voters, func(o Member) bool { return o.Addr == m.Addr })
 		if i >= 0 {
@@ -31,14 +31,15 @@
 		} else {
 			v.Voters = append(v.Voters, m)
 			joined++
+			if s := c.seen[m.Addr]; s != nil && s.gauge.Me == m && s.gauge.Original {
+				original++
+			}
 		}
 	}
-	switch {
-	case v.Base == 0: // agreed before this was kept
+	if v.Base == 0 { // agreed before this was kept
 		v.Base = len(old.Voters)
-	case c.founder && c.now < datum.BaseSettle:
-		v.Base = max(v.Base, len(v.Voters))
 	}
+	v.Base += original
 	retired := c.retired(v, joined)
 	v.Voters = slices.DeleteFunc(v.Voters, func(m Member) bool { return slices.Contains(retired, m) })
 	if joined+len(retired) > 0 {
--- a/internal/headworks/messages.go
+++ b/internal/headworks/messages.go
@@ -15,6 +15,7 @@
 		Sick            bool
 		Zone, Region    string
 		Relay           bool     // has no say: it has no disk, or is not counted
+		Original        bool     // was there at the founding, and no view has taken it in yet
 		Leaving         bool     // is about to stop in order: the others go on without it
 		Unheard         []string // control machines it has no contact with both ways
 		Asks            bool     // wants a gauge back: a relay, or a machine that no view has taken in yet
--- a/internal/headworks/view.go
+++ b/internal/headworks/view.go
@@ -29,6 +29,7 @@
 	if !c.put(a) {
 		return
 	}
+	c.Original = c.Original && !a.Joined
 	for _, m := range v.Voters {
 		c.meet(m.Addr)
 	}
