Test: machines replaced in a core of three regions, then a region lost

Eight machines, tolerance of two machines, a zone or a region; each is replaced by one of its region, before or after, and then the region is lost: orders and reads go on.

--- a/internal/headworks/chain_test.go
+++ b/internal/headworks/chain_test.go
@@ -34,9 +34,11 @@
 	pending  map[string][]func()      // for a frozen machine
 	calm     map[string]time.Duration // since when a machine has had no trouble
 
-	stepped func(n string) // after each step of a machine, before its words leave
-	over    bool           // no more trouble
-	gap     time.Duration  // longest pause between troubles
+	region  map[string]string // where machines stand, if anywhere; a zone each
+	regions int               // how many of them may be lost at once
+	stepped func(n string)    // after each step of a machine, before its words leave
+	over    bool              // no more trouble
+	gap     time.Duration     // longest pause between troubles
 	next    uint64
 	sent    []config               // all that was ever sent, to be sent again
 	known   map[scheme.Taken]bool  // likewise, to tell what was never sent
@@ -118,6 +120,9 @@
 		return // its disk refuses; it stays down
 	}
 	ch.Tolerate, ch.Relay, ch.Original = c.tolerate, n[0] == 'r', founding && !slices.Contains(c.seeds, n)
+	if r := c.region[n]; r != "" {
+		ch.Zone, ch.Region, ch.Zones, ch.Regions = "zone of "+n, r, 1, c.regions
+	}
 	c.chain[n] = ch
 	c.inForce[n] = nil
 	c.orders[n], c.evac[n] = map[uint64]order{}, nil
--- a/internal/headworks/electorate_test.go
+++ b/internal/headworks/electorate_test.go
@@ -138,6 +138,64 @@
 	}
 }
 
+// The same where whole regions may be lost: eight machines in three regions, each machine
+// replaced by one of its own region, before or after; then any region is lost, and what is
+// left goes on with all that was confirmed.
+func TestReplacedThenARegionLost(t *testing.T) {
+	for _, comesFirst := range []bool{false, true} {
+		t.Run(fmt.Sprintf("comesFirst=%v", comesFirst), func(t *testing.T) {
+			t.Parallel()
+			c := newCore(t, 8, machines(3), 2)
+			for _, n := range c.names { // begun anew, with their places
+				c.wipe(n)
+			}
+			c.names, c.over, c.regions, c.region = machines(8), true, 1, map[string]string{}
+			c.b.Delay = 30 * time.Millisecond
+			c.seeds = c.names[:3]
+			for i, n := range c.names {
+				c.region[n] = []string{"east", "west", "south"}[i%3]
+				c.disks[n] = basin.NewDisk()
+			}
+			for _, n := range c.names {
+				c.start(n, true)
+			}
+			c.b.Run(6*time.Second, nil)
+			c.acknowledged("at the start")
+			for i := range 8 {
+				old, young := c.names[0], fmt.Sprintf("n%d", i)
+				c.region[young] = c.region[old]
+				if comesFirst {
+					c.come(young)
+					c.b.Run(c.b.Now+catchUp, nil)
+					c.leave(old, i%2 == 0)
+					c.b.Run(c.b.Now+2*time.Second, nil)
+				} else {
+					c.leave(old, i%2 == 0)
+					c.b.Run(c.b.Now+2*time.Second, nil)
+					c.come(young)
+					c.b.Run(c.b.Now+catchUp, nil)
+				}
+				var lost []string
+				for _, n := range c.names {
+					if c.region[n] == c.region[young] {
+						lost = append(lost, n)
+					}
+				}
+				for _, n := range lost {
+					c.kill(n)
+				}
+				c.acknowledged(fmt.Sprintf("after replacement %d and the loss of %s", i+1, c.region[young]))
+				c.holds("with a region lost")
+				for _, n := range lost {
+					c.start(n, false)
+				}
+				c.b.Run(c.b.Now+catchUp, nil)
+			}
+			c.settled()
+		})
+	}
+}
+
 // settled wants one view of all machines, which may lose as many as may be.
 func (c *core) settled() {
 	c.t.Helper()
