Rename: the bound on how fresh a machine's knowledge is bears its own name

surely hid a lower bound of freshness; FreshAsOf, lookFresh, freshness. Names inside one process only: nothing on the wire or on disk changes, nor does behaviour.

--- a/internal/explore/chainmodel/chainmodel.go
+++ b/internal/explore/chainmodel/chainmodel.go
@@ -143,7 +143,7 @@
 
 // skip are the marks of moments that are numbers, not durations, and so differ
 // each time.
-var skip = []string{"Gauge.At", "Gauge.Echo", "Gauge.Wall", "Chain.surely"}
+var skip = []string{"Gauge.At", "Gauge.Echo", "Gauge.Wall", "Chain.freshAsOf"}
 
 func (m *Model) Reset() {
 	m.w = explore.NewWorld(datum.ChainTick, m.tick, m.recv)
--- a/internal/headworks/catchup.go
+++ b/internal/headworks/catchup.go
@@ -77,14 +77,14 @@
 	return addr, ok
 }
 
-// lookSure works out since when this machine is sure to know what is committed. A
+// lookFresh works out since when this machine is sure to know what is committed. A
 // state that is committed is held by every member of its view. So once so many voters
 // that one of them must be a member have told, after some moment, of nothing newer than
 // what is committed here, nothing newer had been committed in this view at that moment;
 // and with a majority of them unsealed after it, no later view had been decided. Their
 // words count from the moment of this machine's that they follow, however long they
 // were under way.
-func (c *Chain) lookSure() {
+func (c *Chain) lookFresh() {
 	if !c.agr.Joined || c.committed == nil || c.Relay || c.sealed() {
 		return
 	}
@@ -108,13 +108,13 @@
 	v := c.agr.View
 	if n := max(c.majority(), len(v.Voters)-len(v.Members)+1); len(since) >= n {
 		slices.SortFunc(since, func(a, b time.Duration) int { return int(b - a) })
-		c.surely = max(c.surely, since[n-1])
+		c.freshAsOf = max(c.freshAsOf, since[n-1])
 	}
 }
 
-// Surely is the moment at which nothing newer than what is committed here had been
+// FreshAsOf is the moment at which nothing newer than what is committed here had been
 // committed; false while none is known.
-func (c *Chain) Surely() (time.Duration, bool) { return c.surely, c.surely >= 0 }
+func (c *Chain) FreshAsOf() (time.Duration, bool) { return c.freshAsOf, c.freshAsOf >= 0 }
 
 func (c *Chain) onGauge(from string, g Gauge) {
 	p := c.seen[from]
--- a/internal/headworks/chain.go
+++ b/internal/headworks/chain.go
@@ -173,7 +173,7 @@
 	reads     []*reading
 	nonce     uint64
 	stampBase uint64                   // moments of this life are told apart from those of others by it
-	surely    time.Duration            // nothing newer than what is committed here had been committed at this moment; negative: never known
+	freshAsOf time.Duration            // nothing newer than what is committed here had been committed at this moment; negative: never known
 	leaving   bool                     // this machine is about to stop
 	lastTick  time.Duration            // to see that the process stood still
 	quietTill time.Duration            // its picture of the others is old until then
@@ -264,7 +264,7 @@
 		d.Complete()
 		c.held = &d
 	}
-	c.nonce, c.stampBase, c.surely = rng.Uint64(), rng.Uint64()>>1, -1
+	c.nonce, c.stampBase, c.freshAsOf = rng.Uint64(), rng.Uint64()>>1, -1
 	c.rounds = c.agr.Promised.Round
 	return c, nil
 }
@@ -361,7 +361,7 @@
 	}
 	c.drive()
 	c.mendView()
-	c.lookSure()
+	c.lookFresh()
 	return c.flush()
 }
 
--- a/internal/headworks/chain_test.go
+++ b/internal/headworks/chain_test.go
@@ -82,7 +82,7 @@
 // sure checks what a machine claims to know: at the moment it names, nothing newer
 // than what is committed there had been acknowledged.
 func (c *core) sure(n string) {
-	at, ok := c.chain[n].Surely()
+	at, ok := c.chain[n].FreshAsOf()
 	for i := len(c.ackedAt) - 1; ok && i >= 0; i-- {
 		if a := c.ackedAt[i]; a.at < at {
 			if a.version > ver(c.chain[n].Committed()) && a.version > 0 {
@@ -523,7 +523,7 @@
 		c.fail("%d orders acknowledged and %d reads answered in 6 s of calm: %+v", c.acks-before, c.reads-read, c.chain[c.names[0]].Status())
 	}
 	for _, n := range c.names {
-		if at, ok := c.chain[n].Surely(); !ok || c.b.Now-at > datum.MemberSilence {
+		if at, ok := c.chain[n].FreshAsOf(); !ok || c.b.Now-at > datum.MemberSilence {
 			c.fail("%s is sure of what it knows only as of %v", n, at)
 		}
 		v := c.chain[n].View()
--- a/internal/headworks/daemon.go
+++ b/internal/headworks/daemon.go
@@ -87,8 +87,8 @@
 	quotas  map[string]weir.Quota
 }
 
-// sureness says that no version above one had been committed at a moment.
-type sureness struct {
+// freshness says that no version above one had been committed at a moment.
+type freshness struct {
 	at      time.Duration
 	version uint64
 }
@@ -108,17 +108,17 @@
 	mainMu sync.Mutex
 	mains  map[string]*conduit.Main
 
-	chainMu  sync.Mutex // held while the disk works; nothing else waits for it
-	chain    *Chain
-	store    *cistern.Cistern
-	status   atomic.Pointer[Gauge]
-	inForce  atomic.Pointer[scheme.Doc]
-	surely   atomic.Pointer[sureness]
-	waitSaid time.Duration          // when it was last said that this machine waits to be taken in; the chain's loop only
-	contact  atomic.Int64           // nanoseconds since this process began, at which it was last in contact with a majority; 0 never
-	stepped  atomic.Int64           // likewise, at which the chain last advanced
-	thawed   atomic.Int64           // likewise, at which it was last seen to have stood still
-	coming   atomic.Pointer[coming] // arrived here last, perhaps not in force
+	chainMu   sync.Mutex // held while the disk works; nothing else waits for it
+	chain     *Chain
+	store     *cistern.Cistern
+	status    atomic.Pointer[Gauge]
+	inForce   atomic.Pointer[scheme.Doc]
+	freshAsOf atomic.Pointer[freshness]
+	waitSaid  time.Duration          // when it was last said that this machine waits to be taken in; the chain's loop only
+	contact   atomic.Int64           // nanoseconds since this process began, at which it was last in contact with a majority; 0 never
+	stepped   atomic.Int64           // likewise, at which the chain last advanced
+	thawed    atomic.Int64           // likewise, at which it was last seen to have stood still
+	coming    atomic.Pointer[coming] // arrived here last, perhaps not in force
 
 	waitMu sync.Mutex
 	orders map[uint64]chan struct{} // evacuations, by order
@@ -448,8 +448,8 @@
 	d.leaseMu.Lock()
 	d.leases.SetElectorate(d.now(), g.View.Epoch, g.View.VoterAddrs(), g.Sealed || !g.Joined)
 	d.leaseMu.Unlock()
-	if at, ok := d.chain.Surely(); ok {
-		d.surely.Store(&sureness{at, g.Version})
+	if at, ok := d.chain.FreshAsOf(); ok {
+		d.freshAsOf.Store(&freshness{at, g.Version})
 	}
 	if at, ok := d.chain.Contact(); ok {
 		d.contact.Store(max(int64(at), 1))
@@ -533,7 +533,7 @@
 // face is what proxies are told.
 func (d *Daemon) face() penstock.Face {
 	f := penstock.Face{ConfigDoc: d.inForce.Load()}
-	if s := d.surely.Load(); s != nil {
+	if s := d.freshAsOf.Load(); s != nil {
 		f.SureVersion, f.SureAge = s.version, d.now()-s.at
 	}
 	f.Current = d.current()
