Reading the change once more: one look-up of a voter by address, one n-th latest moment

View.voter serves five places that searched the voters by address, one of them older; the two bounds taken from a quorum's moments (contact, freshness) share nthLatest; both models of the explorer ask explore.Offered which kinds of choices are wanted.

Seen and left: each step of the chain builds the status with the voters sorted and those out of contact, though mostly nothing changed; moving that wants a measurement, since it is on the path of every message between control machines.

--- a/internal/explore/chainmodel/chainmodel.go
+++ b/internal/explore/chainmodel/chainmodel.go
@@ -464,11 +464,9 @@
 	out := []string{"wait"}
 	add := func(ws ...string) {
 		for _, w := range ws {
-			kind := strings.Fields(w)[0]
-			if len(m.Kinds) > 0 && !slices.Contains(m.Kinds, kind) || slices.Contains(m.Without, kind) || m.faults >= m.Faults && slices.Contains(faultKinds, kind) {
-				continue
+			if kind := strings.Fields(w)[0]; explore.Offered(kind, m.Kinds, m.Without) && (m.faults < m.Faults || !slices.Contains(faultKinds, kind)) {
+				out = append(out, w)
 			}
-			out = append(out, w)
 		}
 	}
 	if e := m.atMessage(); e != nil {
--- a/internal/headworks/catchup.go
+++ b/internal/headworks/catchup.go
@@ -1,7 +1,6 @@
 package headworks
 
 import (
-	"slices"
 	"time"
 
 	"slateridge/internal/datum"
@@ -106,9 +105,8 @@
 		since = append(since, s.echoed)
 	}
 	v := c.agr.View
-	if n := max(c.majority(), len(v.Voters)-len(v.Members)+1); len(since) >= n {
-		slices.SortFunc(since, func(a, b time.Duration) int { return int(b - a) })
-		c.freshAsOf = max(c.freshAsOf, since[n-1])
+	if at, ok := nthLatest(since, max(c.majority(), len(v.Voters)-len(v.Members)+1)); ok {
+		c.freshAsOf = max(c.freshAsOf, at)
 	}
 }
 
--- a/internal/headworks/chain.go
+++ b/internal/headworks/chain.go
@@ -39,6 +39,11 @@
 
 func (v View) votes(m Member) bool { return slices.Contains(v.Voters, m) }
 
+// voter is the place of an address among the voters, whatever its disk; -1: it is none.
+func (v View) voter(addr string) int {
+	return slices.IndexFunc(v.Voters, func(m Member) bool { return m.Addr == addr })
+}
+
 // VoterAddrs lists the voters' addresses, sorted.
 func (v View) VoterAddrs() []string {
 	var out []string
@@ -434,7 +439,7 @@
 	case Retire:
 		c.wishRetired(m.Voter)
 	case duty.Order:
-		if !slices.ContainsFunc(c.agr.View.Voters, func(v Member) bool { return v.Addr == from }) {
+		if c.agr.View.voter(from) < 0 {
 			c.Dropped++
 			return
 		}
--- a/internal/headworks/electorate.go
+++ b/internal/headworks/electorate.go
@@ -25,8 +25,7 @@
 	v := View{Num: r.slot, Members: r.chosen, Voters: slices.Clone(old.Voters), Epoch: old.Epoch, Base: old.Base, From: at(r.doc)}
 	joined, original := 0, 0
 	for _, m := range r.chosen {
-		i := slices.IndexFunc(v.Voters, func(o Member) bool { return o.Addr == m.Addr })
-		if i >= 0 {
+		if i := v.voter(m.Addr); i >= 0 {
 			v.Voters[i] = m
 		} else {
 			v.Voters = append(v.Voters, m)
@@ -180,7 +179,7 @@
 // forget drops control machines that are no voters and have long been silent.
 func (c *Chain) forget() {
 	for p, s := range c.seen {
-		if c.now-s.heard > datum.PeerForget && !slices.Contains(c.seeds, p) && !slices.ContainsFunc(c.agr.View.Voters, func(m Member) bool { return m.Addr == p }) {
+		if c.now-s.heard > datum.PeerForget && !slices.Contains(c.seeds, p) && c.agr.View.voter(p) < 0 {
 			delete(c.seen, p)
 			delete(c.goodbyes, p)
 			c.peers = slices.DeleteFunc(c.peers, func(o string) bool { return o == p })
@@ -228,7 +227,7 @@
 	switch {
 	case !c.agr.Joined || c.Relay:
 		return nil, "this machine has no vote: ask one that has"
-	case !slices.ContainsFunc(v.Voters, func(m Member) bool { return m.Addr == addr }):
+	case v.voter(addr) < 0:
 		return nil, fmt.Sprintf("%s is no voter", addr)
 	case addr == c.Me.Addr || c.inContact(addr):
 		return nil, fmt.Sprintf("%s is running and in contact: stop it first", addr)
--- a/internal/headworks/view.go
+++ b/internal/headworks/view.go
@@ -72,7 +72,7 @@
 	var out []string
 	c.others(func(p string) {
 		s := c.seen[p]
-		if !c.inContact(p) && (s != nil && s.everSeen || slices.ContainsFunc(c.agr.View.Voters, func(m Member) bool { return m.Addr == p })) {
+		if !c.inContact(p) && (s != nil && s.everSeen || c.agr.View.voter(p) >= 0) {
 			out = append(out, p)
 		}
 	})
@@ -105,11 +105,16 @@
 			since = append(since, s.echoed)
 		}
 	}
-	if n := c.majority(); len(since) >= n {
-		slices.SortFunc(since, func(a, b time.Duration) int { return int(b - a) })
-		return since[n-1], true
+	return nthLatest(since, c.majority())
+}
+
+// nthLatest is the moment that n of some are not before; false when they are fewer.
+func nthLatest(moments []time.Duration, n int) (time.Duration, bool) {
+	if len(moments) < n {
+		return 0, false
 	}
-	return 0, false
+	slices.SortFunc(moments, func(a, b time.Duration) int { return int(b - a) })
+	return moments[n-1], true
 }
 
 // wantsChange says whether the view should be mended: a member is silent, sick
