--- a/internal/datum/datum.go
+++ b/internal/datum/datum.go
@@ -218,7 +218,8 @@
 	SplitPart       = 0.8                     // of a key's rate split by live proxy count; the rest is granted by trackers
 	GrantLength     = time.Second             // a grant ends so long after it was asked for
 	GrantLong       = 10 * time.Second        // a standby rate ends so long after it was told: longer than all control machines need to come back
-	LongPool        = 0.3                     // part of a tracker-carried key's quota that is never told as standby: it serves while a new tracker does not know what stands
+	StandbyReserve  = 0.1                     // part of a tracker-carried key's quota that is lent whole and never told as standby: with the tracked part it serves while a new tracker does not know what stands
+	StandbyBasic    = 0.5                     // part of a share lent whole that its proxy uses, untold, while it hears no tracker: after a loss of everything demand is not known, and evenly spread it is well over half of the quotas seen
 	StandbyAfter    = 1200 * time.Millisecond // a proxy that hears nothing from a tracker so long uses its standby
 	StandbyRoom     = 1000 * time.Millisecond // and the tracker has left it out of its pool since this long after the stamp that reached it
 	TouchEvery      = 50 * time.Millisecond   // a tracker looks over whom it may have lost; it counts them as lost so much sooner
--- a/internal/penstock/line.go
+++ b/internal/penstock/line.go
@@ -47,6 +47,7 @@
 	evacs   []string
 	metered string
 	scaler  string
+	settled func() int // the live count the proxy reckons with; nil is proxies
 }
 
 type end struct {
@@ -86,6 +87,21 @@
 	return l
 }
 
+// ReckonBy sets how a proxy says which live count it reckons with, where that is not
+// simply the one it was told last.
+func (l *Line) ReckonBy(settled func() int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.settled = settled
+}
+
+func (l *Line) reckonsWith() int {
+	if l.settled == nil {
+		return l.proxies
+	}
+	return min(l.settled(), l.proxies)
+}
+
 func (l *Line) addLocked(addrs []string) {
 	for _, a := range addrs {
 		if l.ends[a] != nil || a == "" {
@@ -221,7 +237,7 @@
 		e.asking, e.tapAt, e.pullAt = true, now, time.Time{}
 		t := l.me
 		t.Sent = now.Sub(l.began)
-		t.Version, t.ListNum, t.Full, t.Proxies = l.version, l.listNum, a == l.full || pull, l.proxies
+		t.Version, t.ListNum, t.Full, t.Proxies = l.version, l.listNum, a == l.full || pull, l.reckonsWith()
 		t.Whole, t.Stale, t.Missed = l.whole && t.Full, l.stale, e.missed
 		go l.ask(a, e, t)
 	}
--- a/internal/sluice/daemon.go
+++ b/internal/sluice/daemon.go
@@ -82,6 +82,7 @@
 	d.line = penstock.NewLine(me, ips, func(ip string, h conduit.Handler) *conduit.Main {
 		return conduit.NewMain(set.PeerInternal(ip, datum.PortHeadworks), set.IPAddress, h)
 	}, d.apply)
+	d.line.ReckonBy(func() int { return d.weir.Settled(d.now()) })
 	if b.RevocationStrict {
 		s.strict, s.sure = b.Revoke.D()-datum.RevokeSpare, d.line.Sure
 	}
@@ -298,7 +299,7 @@
 		d.echoMu.Lock()
 		echo := d.echo[to].stamp
 		d.echoMu.Unlock()
-		v, err := d.line.Ask(to, weir.AskGrants{Proxy: d.set.Load().IPAddress, Wants: []weir.Want{d.weir.Need(asked, key)}, Echo: echo}, datum.GrantWait)
+		v, err := d.line.Ask(to, weir.AskGrants{Proxy: d.set.Load().IPAddress, Wants: []weir.Want{d.weir.Need(asked, key)}, Echo: echo, Proxies: d.weir.Proxies(), Life: d.weir.Life(), Sent: asked}, datum.GrantWait)
 		if g, ok := v.(weir.GrantsGiven); err == nil && ok && !g.Refused {
 			d.heardTracker(to, g.Stamp, d.shard(key))
 			for _, x := range g.Given {
@@ -325,9 +326,7 @@
 	}
 	d.echoMu.Unlock()
 	if o.stamp.Life != s.Life || o.stamp.Begun < s.Begun {
-		for _, i := range d.shardsOf(to) {
-			d.weir.Untold(i)
-		}
+		d.untold(d.shardsOf(to))
 		go d.renewGrants()
 	}
 	for _, i := range shards {
@@ -368,7 +367,7 @@
 	}
 	for to, ws := range by {
 		go func() {
-			q := weir.AskGrants{Proxy: d.set.Load().IPAddress, Wants: ws, Echo: echo[to].stamp, Proxies: d.weir.Proxies()}
+			q := weir.AskGrants{Proxy: d.set.Load().IPAddress, Wants: ws, Echo: echo[to].stamp, Proxies: d.weir.Proxies(), Life: d.weir.Life(), Sent: asked}
 			v, err := d.line.Ask(to, q, datum.CallTimeout)
 			if g, ok := v.(weir.GrantsGiven); err == nil && ok {
 				if !g.Refused { // what does not track borrows nothing
@@ -377,15 +376,23 @@
 				for _, x := range g.Given {
 					d.weir.Take(d.now(), asked, x)
 				}
-			} else {
-				for _, i := range shards[to] {
-					d.weir.Untold(i)
+				if g.Retell {
+					d.untold(shards[to])
 				}
+			} else {
+				d.untold(shards[to])
 			}
 		}()
 	}
 }
 
+// untold notes that the tracker of some shards does not know what it was told.
+func (d *Daemon) untold(shards []int) {
+	for _, i := range shards {
+		d.weir.Untold(i)
+	}
+}
+
 // Version is the configuration in force here, and Upstreams how many are known.
 func (d *Daemon) Version() uint64 {
 	if s := d.scheme.Load(); s != nil {
--- /dev/null
+++ b/internal/weir/handover_test.go
@@ -0,0 +1,237 @@
+package weir
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"slateridge/internal/datum"
+)
+
+// growing is a fleet whose live count rises and falls as control would tell it: one
+// proxy after the other learns of it, and a newcomer is told only when all that
+// have a share reckon with the larger count.
+type growing struct {
+	*fleet
+	members []string        // on the roster, newcomers last
+	sharing map[string]bool // have been told a count
+	cut     map[string]bool // hear neither control nor trackers
+	next    int             // number of the next newcomer
+	ended   map[string]int  // the last count of proxies that have ended and are still on the roster
+}
+
+func newGrowing(seed uint64, proxies int, q Quota) *growing {
+	f := newFleet(seed, proxies, q)
+	g := &growing{fleet: f, sharing: map[string]bool{}, cut: map[string]bool{}, ended: map[string]int{}, next: proxies}
+	f.counts = map[string]int{}
+	for i := range proxies {
+		n := fmt.Sprint("p", i)
+		g.members = append(g.members, n)
+		g.sharing[n], f.counts[n] = true, proxies
+	}
+	var control func()
+	control = func() {
+		g.tell()
+		f.b.After(100*time.Millisecond, control)
+	}
+	f.b.After(100*time.Millisecond, control)
+	return g
+}
+
+// tell is a turn of control: the count goes out to those that share it and can be
+// reached, each after a time of its own, and newcomers are let in when that is safe.
+func (g *growing) tell() {
+	count, all := g.roster(), true
+	for _, n := range g.members {
+		if !g.sharing[n] {
+			continue
+		}
+		if settled := g.proxies[n].Settled(g.clock(n)); settled < count {
+			all = false
+		}
+		if !g.cut[n] {
+			g.b.After(time.Duration(g.b.Rng.IntN(700))*time.Millisecond, func() { g.learn(n, count) })
+		}
+	}
+	for n, last := range g.ended {
+		all = all && (!g.sharing[n] || last >= count)
+	}
+	if all {
+		for _, n := range g.members {
+			g.sharing[n] = true
+		}
+	}
+}
+
+func (g *growing) learn(n string, count int) {
+	if g.cut[n] || g.frozen[n] || g.proxies[n] == nil || count != g.roster() {
+		return
+	}
+	g.counts[n] = count
+	g.proxies[n].SetProxies(g.clock(n), count)
+}
+
+// join starts a proxy that has no share yet.
+func (g *growing) join() {
+	n := fmt.Sprint("p", g.next)
+	g.next++
+	g.members = append(g.members, n)
+	g.start(n)
+	var renew func()
+	renew = func() {
+		if g.frozen[n] {
+			return // it has ended
+		}
+		wants := g.proxies[n].Wants(g.clock(n), func(string) (time.Duration, uint64, bool) {
+			return g.echoAt[n], g.echo[n].Life, g.echo[n] != Stamp{}
+		})
+		g.ask(n, wants, nil)
+		g.b.After(datum.GrantEvery, renew)
+	}
+	g.b.After(time.Millisecond, renew)
+}
+
+// forgetAfter is when control takes a proxy that has ended off the roster: after its
+// loans have ended, as with datum.ProxyForget, and sooner, so that runs stay short.
+const forgetAfter = datum.LendLong + time.Second
+
+// leave ends a proxy; the roster forgets it a while later.
+func (g *growing) leave(n string) {
+	for i, m := range g.members {
+		if m == n {
+			g.members = append(g.members[:i:i], g.members[i+1:]...)
+		}
+	}
+	g.life[n]++
+	g.frozen[n] = true
+	g.ended[n] = g.proxies[n].Settled(g.clock(n))
+	g.b.After(forgetAfter, func() { delete(g.ended, n) })
+}
+
+// roster is the live count by what control knows.
+func (g *growing) roster() int { return len(g.members) + len(g.ended) }
+
+// cutOff parts a proxy from control and trackers for a while.
+func (g *growing) cutOff(n string, span time.Duration) {
+	set := func(apart bool) {
+		g.cut[n] = apart
+		for t := range g.gates {
+			g.b.Cut(n, t, apart)
+			g.b.Cut(t, n, apart)
+		}
+	}
+	set(true)
+	g.b.After(span, func() { set(false) })
+}
+
+// flowing is the rate that may flow at this moment: what every proxy fills its
+// buckets with and what the tracker has left.
+func (g *growing) flowing() (split, held, pool float64) {
+	for _, n := range g.members {
+		w := g.proxies[n]
+		b := w.bays[g.key]
+		w.refresh(b, g.clock(n))
+		split += b.split.rate
+		if !b.carried || b.standing {
+			held += b.grant.rate
+		}
+	}
+	if p := g.gates[g.holder]; p != nil {
+		if p := p.pools[g.key]; p != nil {
+			p.shape(g.b.Now, g.gates[g.holder])
+			pool = p.b.rate
+		}
+	}
+	return split, held, pool
+}
+
+// press sends requests at the proxies that are members, so many a second.
+func (g *growing) press(perS float64) {
+	var come func()
+	come = func() {
+		g.request(g.members[g.b.Rng.IntN(len(g.members))])
+		g.b.After(time.Duration(g.b.Rng.Int64N(int64(2*float64(time.Second)/perS))), come)
+	}
+	g.b.After(time.Second, come)
+}
+
+// TestCountRisesAndFalls takes the live count up and down over the step from which
+// the tracker carries the key, one by one and several at once, while proxies are cut
+// off and hear nothing of it and the trackers' duty moves. At no moment may more
+// flow than the quota, and no window may see more run than the rule allows.
+func TestCountRisesAndFalls(t *testing.T) {
+	for seed := uint64(1); seed <= 60; seed++ {
+		q := []Quota{{100, 100}, {40, 40}, {200, 60}}[seed%3]
+		g := newGrowing(seed, []int{15, 18, 22}[seed/3%3], q)
+		g.b.Loss = []float64{0, 0.02}[seed%2]
+		r := g.b.Rng
+		g.press(q.Rate * 3)
+		var change func()
+		change = func() {
+			switch r.IntN(6) {
+			case 0, 1:
+				for range 1 + r.IntN(6) {
+					g.join()
+				}
+			case 2, 3:
+				for range min(1+r.IntN(6), len(g.members)-10) {
+					g.leave(g.members[r.IntN(len(g.members))])
+				}
+			case 4:
+				for range 1 + r.IntN(4) {
+					g.cutOff(g.members[r.IntN(len(g.members))], time.Duration(r.IntN(12000))*time.Millisecond)
+				}
+			case 5:
+				g.holder = ""
+				g.b.After(300*time.Millisecond, func() {
+					g.holder, g.since = fmt.Sprint("t", r.IntN(3)), g.b.Now
+				})
+			}
+			g.b.After(time.Duration(r.IntN(3000))*time.Millisecond, change)
+		}
+		g.b.After(3*time.Second, change)
+		for g.b.Now < 45*time.Second && !t.Failed() {
+			g.b.Run(g.b.Now+20*time.Millisecond, nil)
+			if split, held, pool := g.flowing(); split+held+pool > q.Rate*1.001 {
+				t.Errorf("seed %d, quota %v, %v: %.3f of split shares, %.3f held and %.3f at the tracker may flow a second", seed, q, g.b.Now, split, held, pool)
+			}
+		}
+		if most, allowed := g.worst(5 * time.Second); float64(most) > allowed {
+			t.Errorf("seed %d, quota %v: %d ran in a window, %.0f are allowed", seed, q, most, allowed)
+		}
+	}
+}
+
+// TestJoinersRefuseNobody lets proxies join and leave in groups of any size while
+// clients stay well within the quota: under a second of refusals is left in all.
+func TestJoinersRefuseNobody(t *testing.T) {
+	for seed := uint64(1); seed <= 20; seed++ {
+		q := []Quota{{60, 60}, {40, 40}, {160, 160}}[seed%3]
+		g := newGrowing(seed, 15, q)
+		g.b.Delay = 2 * time.Millisecond
+		perS := q.Rate * 0.6
+		g.press(perS)
+		g.b.Run(5*time.Second, nil)
+		step := []int{6, 2, 1}[seed/3%3]
+		for i := 0; i < 6; i += step { // 15 to 21 proxies
+			for range step {
+				g.join()
+			}
+			g.b.Run(g.b.Now+1500*time.Millisecond, nil)
+		}
+		g.b.Run(g.b.Now+6*time.Second, nil)
+		for range 6 { // and back
+			g.leave(g.members[g.b.Rng.IntN(len(g.members))])
+			g.b.Run(g.b.Now+300*time.Millisecond, nil)
+		}
+		g.b.Run(g.b.Now+forgetAfter+15*time.Second, nil)
+		if refused := g.asked - len(g.spent); float64(refused) > perS {
+			t.Errorf("seed %d, quota %v, steps of %d: %d of %d requests within the quota were refused, over a second's %.0f", seed, q, step, refused, g.asked, perS)
+		}
+		for _, n := range g.members {
+			if g.proxies[n].bays[g.key].carried {
+				t.Errorf("seed %d: the tracker still carries the key at %s, with %d proxies", seed, n, len(g.members))
+			}
+		}
+	}
+}
--- a/internal/weir/standby.go
+++ b/internal/weir/standby.go
@@ -22,6 +22,7 @@
 	count  float64 // the most it may be using when it stands alone
 	demand float64
 	until  time.Duration
+	sent   time.Duration // when the proxy sent the word that the last offer answers
 }
 
 // standing sums the standby rates: of those who may be using them now, and of
@@ -60,26 +61,16 @@
 	*s = to
 }
 
-// shapeLong sets the pool of a key carried by its tracker.
-func (p *pool) shapeLong(now time.Duration, g *Gatehouse) {
-	rate, burst := p.lentAndTracked(now)
-	alone, inTouch := p.standing(now, g)
-	if now < p.open {
-		// Standby that an earlier tracker told of may be in use, beyond what
-		// proxies have said here: only what is never told, and what is known
-		// not to be used, is there to give.
-		rate, burst = datum.LongPool*p.quota.Rate+inTouch, datum.LongPool*p.quota.Burst
-		alone = 0
-	}
-	p.b.set(now, max(0, min(rate, p.quota.Rate)-alone), min(burst, p.quota.Burst))
-	if p.filled && burst >= 0.99*p.quota.Burst {
-		p.filled = false // once, when the shares have been lent
-		p.b.tokens = max(p.b.tokens, min(p.b.depth, p.quota.Rate*(now-p.spent).Seconds()-p.given))
-	}
+// standbyMost is the most that all standby of a key may add up to, by what carried
+// proxies have lent: a tracker that begins without knowing any of it may still give
+// its own part and a tenth. Every proxy's basic standby fits into it.
+func (p *pool) standbyMost() float64 {
+	lent := min(p.loaned.long, datum.SplitPart*p.quota.Rate)
+	return max(lent*datum.StandbyBasic, lent-datum.StandbyReserve*p.quota.Rate)
 }
 
-// giveLong answers for a key carried by its tracker.
-func (g *Gatehouse) giveLong(now time.Duration, p *pool, a AskGrants, w Want) Given {
+// giveStandby answers a proxy that the key's tracker carries.
+func (g *Gatehouse) giveStandby(now time.Duration, p *pool, a AskGrants, w Want) Given {
 	g.Asked++
 	p.standing(now, g) // drops what has ended, so that the sums are of what stands
 	s := p.stands[a.Proxy]
@@ -90,35 +81,89 @@
 	to := *s
 	to.until = now + datum.GrantLong
 	p.standsEnd = min(p.standsEnd, to.until)
+	basic := p.loans[a.Proxy].rate * datum.StandbyBasic
 	switch {
 	case !w.Lend: // a question of a request; what stands, stands
 	case now < p.open:
-		to.rate, to.count, to.demand = w.Rate, max(w.Rate, s.count), w.Demand
-		p.told[a.Proxy] = true
-		p.spent = max(p.spent, now-w.Idle)
-		if p.of = max(p.of, a.Proxies); p.of > 0 && len(p.told) >= p.of {
-			// All have told: nothing unknown stands any more, and since the last
-			// of them let a request through the quota has been filling.
-			p.open, p.filled = now, true
-		}
+		to.rate, to.count, to.demand = w.Rate, max(w.Rate, s.count, basic), w.Demand
+		to.sent = w.RateOf // as if it had been offered here
 	default:
 		to.demand = w.Demand
 		total := p.standDemand - s.demand + to.demand
 		others := max(0, p.standCount-s.count)
-		most := (1 - datum.LongPool) * p.quota.Rate
+		most := p.standbyMost()
 		share := to.demand * datum.StandbyHeadroom
 		if total > 0 {
 			share = min(share, to.demand*most/total)
 		}
 		share = min(share, max(0, most-others))
-		to.count = max(share, s.rate, min(w.Rate, s.count))
-		to.rate = share
+		if w.Release {
+			share = 0 // it is about to need none
+		}
+		to.count = max(mayUse(s.count, s.sent, share, w), basic)
+		to.rate, to.sent = share, a.Sent
 	}
 	p.change(g, a.Proxy, s, to)
-	p.shapeLong(now, g)
+	p.shape(now, g)
 	return g.oneOff(p, w, Given{Key: w.Key, Rate: s.rate, Depth: max(datum.StandbyDepth, s.rate), Long: true, Lent: w.Lend, Loan: w.Lent})
 }
 
+// release gives a share that was lent whole back to its proxy, where the standby
+// of the others and what is leased need it no longer.
+func (p *pool) release(now time.Duration, g *Gatehouse, proxy string) bool {
+	if now < p.open {
+		return false // unknown standby may rest on it
+	}
+	p.standing(now, g)
+	kept := loan{}
+	if l, ok := p.loans[proxy]; ok {
+		kept = l
+	}
+	s := p.stands[proxy]
+	others := p.standCount
+	if s != nil {
+		others -= s.count
+	}
+	p.lend(proxy, loan{})
+	free := p.uncommitted(now, g)
+	if s != nil {
+		free += s.count
+	}
+	if others > p.standbyMost()+rateEpsilon || free < -rateEpsilon {
+		if kept != (loan{}) {
+			p.lend(proxy, kept)
+		}
+		return false
+	}
+	p.dropStandby(g, proxy)
+	return true
+}
+
+// dropStandby forgets the standby of a proxy that holds none.
+func (p *pool) dropStandby(g *Gatehouse, proxy string) {
+	if s := p.stands[proxy]; s != nil {
+		p.change(g, proxy, s, stand{})
+		delete(p.stands, proxy)
+	}
+}
+
+// shapeStandby sets the standby bucket of a key that its tracker carries: what the
+// tracker told, and without it the basic part of this proxy's own share, which the
+// tracker leaves out of its pool for every proxy that it does not hear.
+func (w *Weir) shapeStandby(b *bay, now time.Duration) {
+	rate := 0.0
+	if w.proxies > 0 && now-w.touch <= datum.SplitHold {
+		rate = datum.SplitPart * datum.StandbyBasic * b.quota.Rate / float64(w.proxies)
+	}
+	rate = max(rate, b.held(now))
+	depth := max(datum.StandbyDepth, rate)
+	if rate == 0 {
+		depth = b.grant.depth // keeps its part of a request
+	}
+	b.grant.set(now, rate, depth)
+	w.alone(b, now)
+}
+
 // alone lets the standby bucket fill only while the proxy has heard nothing from
 // the key's tracker for so long that it uses it; what accrues counts from the
 // last word. A bucket begins with a part of a request drawn by lot and keeps such
--- a/internal/weir/tracker.go
+++ b/internal/weir/tracker.go
@@ -2,6 +2,7 @@
 
 import (
 	"hash/fnv"
+	"slices"
 	"sync"
 	"time"
 
@@ -15,13 +16,16 @@
 	AskGrants struct {
 		Proxy   string
 		Wants   []Want
-		Echo    Stamp // the tracker's latest that has reached the proxy
-		Proxies int   // the live count the proxy reckons with
+		Echo    Stamp         // the tracker's latest that has reached the proxy
+		Proxies int           // the live count the proxy reckons with
+		Life    uint64        // of the proxy's process; 0 is not told
+		Sent    time.Duration // by that process's clock
 	}
 	GrantsGiven struct {
 		Refused bool
 		Given   []Given
 		Stamp   Stamp
+		Retell  bool // the word was overtaken by a newer one: shares told here are to be told of again
 	}
 	// Stamp is a moment on one tracker's clock. A loan is good for a time after
 	// the moment its proxy echoes: the proxy spoke later than that, so it
@@ -53,19 +57,22 @@
 	count  float64 // what it may be using
 	until  time.Duration
 	demand float64
+	sent   time.Duration // when the proxy sent the word that the last offer answers
 }
 
-// pool is one key at its tracker: what is not leased accrues here.
+// pool is one key at its tracker: what is not leased accrues here. Proxies that
+// use their split share get leases, those whose share is lent whole standby; which
+// of the two each one says itself, since they learn of a new live count one by one.
 type pool struct {
 	quota  Quota
-	long   bool // carried by its tracker alone, with standby in place of leases
 	stands map[string]*stand
-	open   time.Duration   // until then standby of an earlier tracker may be in use
-	told   map[string]bool // proxies that have told what they hold of these
-	spent  time.Duration   // the latest moment, by what they told, at which any let a request through
-	given  float64         // tokens since the beginning
-	filled bool            // what has filled since spent is still to be added
-	of     int             // how many there are, by the largest count told
+	open   time.Duration      // until then standby of an earlier tracker may be in use
+	told   map[string]float64 // proxies that have told what they hold of these, while open, and the tokens of standby they used
+	split  bool               // one of them uses its split share
+	spent  time.Duration      // the latest moment, by what they told, at which any let a request through
+	given  float64            // tokens since the beginning
+	filled bool               // what has filled since spent is still to be added
+	of     int                // how many there are, by the largest count told
 	b      bucket
 	leases map[string]*lease
 	loans  map[string]loan
@@ -85,12 +92,20 @@
 type loan struct {
 	rate, depth float64
 	until       time.Duration
+	long        float64 // the rate again, if the share is lent whole
 }
 
+// rateEpsilon is a rate, in requests a second, that counts as nothing: sums of
+// floating-point numbers are compared with it.
+const rateEpsilon = 1e-9
+
 // touch is what a tracker knows of its contact with a proxy.
 type touch struct {
-	stamp time.Duration // the latest that has reached it; none yet is long ago
-	spoke time.Duration // when it last asked here
+	stamp   time.Duration // the latest that has reached it; none yet is long ago
+	spoke   time.Duration // when it last asked here
+	proxies int           // the live count it told last
+	life    uint64        // of its process
+	sent    time.Duration // the newest word of that life that tells of shares
 }
 
 // Gatehouse is the tracker of its shards' keys.
@@ -100,9 +115,10 @@
 	out                 map[string]bool  // those that may have stopped hearing this tracker, as of a turn
 	turn                uint64
 	turnAt              time.Duration
-	changed             map[string]time.Duration // when a key went from one way of sharing to the other
+	carried             map[string]bool          // keys that this tracker has seen to be carried, or not
+	changed             map[string]time.Duration // when that last changed
 	tiny                func(proxies int, q Quota) bool
-	count               int // the largest live count any proxy told
+	count               int // the largest live count that proxies in contact reckon with
 	mu                  sync.Mutex
 	pools               map[string]*pool
 	quotas              map[string]Quota
@@ -117,7 +133,7 @@
 // others and from earlier ones, tiny which keys have split shares that serve
 // nobody.
 func NewGatehouse(life uint64, shards int, tiny func(proxies int, q Quota) bool) *Gatehouse {
-	return &Gatehouse{tiny: tiny, contact: map[string]touch{}, out: map[string]bool{}, changed: map[string]time.Duration{}, life: life, shards: shards, begun: map[int]time.Duration{}, pools: map[string]*pool{}, quotas: map[string]Quota{}, known: map[string]time.Duration{}}
+	return &Gatehouse{tiny: tiny, contact: map[string]touch{}, out: map[string]bool{}, carried: map[string]bool{}, changed: map[string]time.Duration{}, life: life, shards: shards, begun: map[int]time.Duration{}, pools: map[string]*pool{}, quotas: map[string]Quota{}, known: map[string]time.Duration{}}
 }
 
 // SetQuotas takes the limits in force.
@@ -137,15 +153,7 @@
 			continue
 		}
 		p.quota = q
-		g.shape(p, now)
-	}
-}
-
-func (g *Gatehouse) shape(p *pool, now time.Duration) {
-	if p.long {
-		p.shapeLong(now, g)
-	} else {
-		p.shape(now)
+		p.shape(now, g)
 	}
 }
 
@@ -159,6 +167,7 @@
 	was := p.loans[proxy]
 	p.loaned.rate += l.rate - was.rate
 	p.loaned.depth += l.depth - was.depth
+	p.loaned.long += l.long - was.long
 	if l == (loan{}) {
 		delete(p.loans, proxy)
 		return
@@ -167,22 +176,77 @@
 	p.loaned.until = min(p.loaned.until, l.until)
 }
 
-// lentAndTracked adds what proxies lend, and drops loans that have ended.
-func (p *pool) lentAndTracked(now time.Duration) (rate, burst float64) {
-	if now >= p.loaned.until {
-		p.loaned = loan{until: now + datum.GrantLong}
-		for k, l := range p.loans {
-			if now >= l.until {
-				delete(p.loans, k)
-				continue
-			}
-			p.loaned.rate += l.rate
-			p.loaned.depth += l.depth
-			p.loaned.until = min(p.loaned.until, l.until)
+// changeLoan takes what a proxy lends from now on, and returns the rate that counts
+// as lent. A larger loan counts at once; of a smaller one as much is given back as
+// nobody holds.
+func (p *pool) changeLoan(now time.Duration, g *Gatehouse, proxy string, to loan) float64 {
+	p.sumLoans(now)
+	was := p.loans[proxy]
+	if to.rate < was.rate {
+		back := min(was.rate-to.rate, max(0, p.uncommitted(now, g)))
+		if kept := was.rate - back; kept > rateEpsilon {
+			part := kept / was.rate
+			to = loan{rate: kept, depth: was.depth * part, until: max(was.until, to.until), long: was.long * part}
+		} else {
+			to = loan{}
 		}
 	}
+	p.lend(proxy, to)
+	return to.rate
+}
+
+// sumLoans drops loans that have ended and sums the others anew.
+func (p *pool) sumLoans(now time.Duration) {
+	if now < p.loaned.until {
+		return
+	}
+	p.loaned = loan{until: now + datum.GrantLong}
+	for k, l := range p.loans {
+		if now >= l.until {
+			delete(p.loans, k)
+			continue
+		}
+		p.loaned.rate += l.rate
+		p.loaned.depth += l.depth
+		p.loaned.long += l.long
+		p.loaned.until = min(p.loaned.until, l.until)
+	}
+}
+
+// available is what there is to give in all ways together: the tracked part and
+// what proxies lend. While standby of an earlier tracker may be in use, of which
+// nobody has told here, that part of what is lent whole stays out; what is known
+// to rest at proxies in touch does not.
+func (p *pool) available(now time.Duration, g *Gatehouse) (rate, burst float64) {
+	p.sumLoans(now)
 	rate, burst = p.tracked()
-	return rate + p.loaned.rate, burst + p.loaned.depth
+	if now >= p.open {
+		return min(rate+p.loaned.rate, p.quota.Rate), min(burst+p.loaned.depth, p.quota.Burst)
+	}
+	_, resting := p.standing(now, g)
+	sure := min(datum.StandbyReserve*p.quota.Rate, p.loaned.long*(1-datum.StandbyBasic))
+	lent := p.loaned.rate - p.loaned.long + sure
+	if p.loaned.rate > 0 {
+		burst += p.loaned.depth * lent / p.loaned.rate
+	}
+	return min(rate+lent+resting, p.quota.Rate), min(burst, p.quota.Burst)
+}
+
+// inUse is the rate of standby that proxies out of touch may be using.
+func (p *pool) inUse(now time.Duration, g *Gatehouse) float64 {
+	if now < p.open {
+		return 0 // unknown, and left out of what is available
+	}
+	alone, _ := p.standing(now, g)
+	return alone
+}
+
+// uncommitted is the rate that is neither leased nor told as standby, below zero
+// where more has been told than there is.
+func (p *pool) uncommitted(now time.Duration, g *Gatehouse) float64 {
+	rate, _ := p.available(now, g)
+	_, resting := p.standing(now, g)
+	return rate - p.leased("") - p.inUse(now, g) - resting
 }
 
 func (p *pool) leased(but string) float64 {
@@ -204,16 +268,20 @@
 	return rate * min(datum.LeaseDepthTime.Seconds(), q.Burst/q.Rate)
 }
 
-// shape drops leases that have ended and sets the pool to what is not leased.
-func (p *pool) shape(now time.Duration) {
+// shape drops leases that have ended and sets the pool to what nobody holds.
+func (p *pool) shape(now time.Duration, g *Gatehouse) {
 	for k, l := range p.leases {
 		if now >= l.until {
 			delete(p.leases, k)
 		}
 	}
-	rate, burst := p.lentAndTracked(now)
+	rate, burst := p.available(now, g)
 	leased := p.leased("")
-	p.b.set(now, max(0, rate-leased), max(0, burst-leaseDepth(leased, p.quota)))
+	p.b.set(now, max(0, rate-leased-p.inUse(now, g)), max(0, burst-leaseDepth(leased, p.quota)))
+	if p.filled && burst >= 0.99*p.quota.Burst {
+		p.filled = false // once, when the shares have been lent
+		p.b.tokens = max(p.b.tokens, min(p.b.depth, p.quota.Rate*(now-p.spent).Seconds()-p.given))
+	}
 }
 
 // Ask answers a proxy. since is when this machine began to track the shard
@@ -228,8 +296,8 @@
 		out.Refused = true
 		return out
 	}
-	g.count = max(g.count, a.Proxies)
-	g.touched(now, a)
+	late := g.touched(now, a)
+	out.Retell = late
 	for _, w := range a.Wants {
 		shard := Shard(w.Key, g.shards)
 		at, ok := since(shard)
@@ -246,63 +314,114 @@
 				}
 			}
 		}
-		q, ok := g.quotas[w.Key]
-		long := ok && q.Rate > 0 && g.tiny(g.count, q)
-		wait := datum.GrantLength
-		if long {
-			wait = datum.OneOffLife
-		}
+		q, limited := g.quotas[w.Key]
+		limited = limited && q.Rate > 0
+		wait := g.waitAfterBegin(now, w, q, limited)
 		if now-at < wait {
 			out.Given = append(out.Given, Given{Key: w.Key, Keep: true, Dry: wait - (now - at), Lent: w.Lend})
 			continue
 		}
-		if !ok || q.Rate <= 0 {
-			continue
-		}
-		p := g.pools[w.Key]
-		if p != nil && p.long != long {
-			// The fleet has grown or shrunk past what a share can serve: as with a
-			// new tracker, what was given the other way has to end first.
-			g.changed[w.Key] = now
-			delete(g.pools, w.Key)
-			p = nil
-		}
-		if c, ok := g.changed[w.Key]; ok && now-c < datum.GrantLong {
-			out.Given = append(out.Given, Given{Key: w.Key, Keep: true, Dry: datum.GrantEvery, Lent: w.Lend})
-			continue
-		}
-		if p == nil {
-			p = &pool{quota: q, leases: map[string]*lease{}, loans: map[string]loan{}}
-			// Nobody else has given anything since what came before had ended,
-			// so the pool has been filling from then on.
-			p.b.at = min(now, max(at+wait, g.known[w.Key]))
-			p.b.rate, p.b.depth = p.tracked()
-			if long {
-				p.b.rate, p.b.depth = datum.LongPool*q.Rate, datum.LongPool*q.Burst
-				p.open = at + datum.GrantLong
-				p.told, p.stands, p.long = map[string]bool{}, map[string]*stand{}, true
-			}
-			g.pools[w.Key] = p
-		}
-		if w.Lend {
-			if until := a.Echo.At + lendLength(w.Long); a.Echo.Life == g.life && w.Lent > 0 {
-				p.lend(a.Proxy, loan{w.Lent, w.Depth, until})
-			} else {
-				p.lend(a.Proxy, loan{})
-			}
-		}
-		if p.long {
-			out.Given = append(out.Given, g.giveLong(now, p, a, w))
-		} else {
-			out.Given = append(out.Given, g.give(now, p, a.Proxy, w))
+		if limited {
+			p := g.poolOf(w.Key, q, at, max(at+wait, g.known[w.Key]), now)
+			out.Given = append(out.Given, g.answer(now, p, a, w, late))
 		}
 	}
 	out.Stamp.Begun = g.begins // shards asked for may have begun just now
 	return out
 }
 
+// waitAfterBegin is how long a tracker that begins gives nothing, since what an
+// earlier one gave may still be used: tokens for waiting requests and, of a key
+// that is not carried or was not a moment ago, leases.
+func (g *Gatehouse) waitAfterBegin(now time.Duration, w Want, q Quota, limited bool) time.Duration {
+	carried := limited && g.tiny(g.count, q)
+	if was, seen := g.carried[w.Key]; seen && was != carried {
+		g.changed[w.Key] = now
+	}
+	g.carried[w.Key] = carried
+	changed, ok := g.changed[w.Key]
+	if carried && w.Long && (!ok || now-changed >= datum.GrantLength) {
+		return datum.OneOffLife
+	}
+	return datum.GrantLength
+}
+
+// poolOf finds a key's pool, or makes one that has been filling from a moment on:
+// nobody else has given anything since.
+func (g *Gatehouse) poolOf(key string, q Quota, begun, filling, now time.Duration) *pool {
+	if p := g.pools[key]; p != nil {
+		return p
+	}
+	p := &pool{quota: q, leases: map[string]*lease{}, loans: map[string]loan{}, stands: map[string]*stand{}, told: map[string]float64{}}
+	p.b.at = min(now, filling)
+	p.b.rate, p.b.depth = p.tracked()
+	p.open = begun + datum.GrantLong
+	g.pools[key] = p
+	return p
+}
+
+// answer takes one want of a proxy and gives what there is. Of a word that a newer
+// one has overtaken only the need counts.
+func (g *Gatehouse) answer(now time.Duration, p *pool, a AskGrants, w Want, late bool) Given {
+	if late {
+		w.Lend, w.Release = false, false
+	}
+	if !w.Lend {
+		return g.give(now, p, a, w)
+	}
+	p.takeTold(now, a, w)
+	if w.Long {
+		delete(p.leases, a.Proxy) // its lease ended with its split share
+	} else {
+		p.dropStandby(g, a.Proxy)
+	}
+	if w.Release && p.release(now, g, a.Proxy) {
+		p.shape(now, g)
+		return g.oneOff(p, w, Given{Key: w.Key, Long: true, Keep: true, Lent: true, Released: true})
+	}
+	to := loan{}
+	if a.Echo.Life == g.life && w.Lent > 0 {
+		to = loan{rate: w.Lent, depth: w.Depth, until: a.Echo.At + lendLength(w.Long)}
+		if w.Long {
+			to.long = to.rate
+		}
+	}
+	kept := p.changeLoan(now, g, a.Proxy, to)
+	out := g.give(now, p, a, w)
+	out.Loan = kept
+	return out
+}
+
+// takeTold notes, at a tracker that has begun lately, that a proxy has told what it
+// holds. When all have, nothing unknown is in use any more, and since the last of
+// them let a request through the quota has been filling.
+func (p *pool) takeTold(now time.Duration, a AskGrants, w Want) {
+	if now >= p.open {
+		p.told = nil
+		return
+	}
+	p.told[a.Proxy] = w.Stood
+	p.split = p.split || !w.Long
+	p.spent = max(p.spent, now-w.Idle)
+	if p.of = max(p.of, a.Proxies); p.of > 0 && len(p.told) >= p.of {
+		p.open, p.filled = now, !p.split
+		for _, used := range p.told {
+			p.given += used
+		}
+	}
+}
+
+// give answers with what the proxy's way of sharing asks for.
+func (g *Gatehouse) give(now time.Duration, p *pool, a AskGrants, w Want) Given {
+	if w.Long {
+		return g.giveStandby(now, p, a, w)
+	}
+	return g.giveLease(now, p, a, w)
+}
+
 // touched notes a proxy's word, and every so often whom this tracker may have lost.
-func (g *Gatehouse) touched(now time.Duration, a AskGrants) {
+// It says whether a newer word that tells of shares, by the same process, came before.
+func (g *Gatehouse) touched(now time.Duration, a AskGrants) (late bool) {
 	c, ok := g.contact[a.Proxy]
 	if !ok {
 		c.stamp = now - 2*datum.GrantLong
@@ -312,31 +431,52 @@
 	if a.Echo.Life == g.life {
 		c.stamp = max(c.stamp, a.Echo.At)
 	}
+	tells := slices.ContainsFunc(a.Wants, func(w Want) bool { return w.Lend })
+	late = tells && a.Life != 0 && a.Life == c.life && a.Sent < c.sent
+	if tells && !late {
+		c.life, c.sent = a.Life, a.Sent
+	}
+	if a.Proxies > 0 && !late {
+		c.proxies = a.Proxies
+	}
 	c.spoke = now
 	g.contact[a.Proxy] = c
+	g.count = max(g.count, c.proxies)
 	if now < g.turnAt {
-		return
+		return late
 	}
 	g.turnAt = now + datum.TouchEvery
 	g.turn++
 	clear(g.out)
+	g.count = 0
 	for n, c := range g.contact {
 		if now-c.spoke > 2*datum.GrantLong {
 			delete(g.contact, n) // what it was told has ended
-		} else if now+datum.TouchEvery-c.stamp > datum.StandbyRoom {
+			continue
+		}
+		if now-c.spoke <= datum.TapSilence {
+			g.count = max(g.count, c.proxies)
+		}
+		if now+datum.TouchEvery-c.stamp > datum.StandbyRoom {
 			g.out[n] = true // it may begin before the next look
 		}
 	}
+	return late
 }
 
-func (g *Gatehouse) give(now time.Duration, p *pool, proxy string, w Want) Given {
+// giveLease answers a proxy that uses its split share. A question for a request
+// that waits gets tokens and leaves the lease as it is.
+func (g *Gatehouse) giveLease(now time.Duration, p *pool, a AskGrants, w Want) Given {
 	g.Asked++
-	p.shape(now)
-	rate := p.b.rate + p.leased("") // all there is to give, loans included
-	l := p.leases[proxy]
+	p.shape(now, g)
+	if !w.Lend {
+		return g.oneOff(p, w, Given{Key: w.Key, Keep: true})
+	}
+	rate := max(0, p.uncommitted(now, g)+p.leased("")) // all that may be leased, loans included
+	l := p.leases[a.Proxy]
 	if l == nil {
 		l = &lease{}
-		p.leases[proxy] = l
+		p.leases[a.Proxy] = l
 	}
 	l.demand = max(0, w.Demand)
 	// Demand decides the shares; a part stays in the pool for sudden asks.
@@ -348,17 +488,25 @@
 	if leasable := rate * (1 - datum.PoolPart); total > leasable {
 		share = l.demand * leasable / total
 	}
-	share = min(share, max(0, rate-p.leased(proxy)))
-	// Until it reports otherwise the proxy may go on with the rate it last
-	// reported or, where two questions crossed, with the last one offered.
-	l.count = max(share, l.rate, min(w.Rate, l.count))
-	l.rate = share
+	share = min(share, max(0, rate-p.leased(a.Proxy)))
+	l.count = mayUse(l.count, l.sent, share, w)
+	l.rate, l.sent = share, a.Sent
 	l.until = now + datum.GrantLength
-	p.shape(now)
-	out := Given{Key: w.Key, Rate: share, Depth: leaseDepth(share, p.quota), Lent: w.Lend, Loan: w.Lent}
+	p.shape(now, g)
+	out := Given{Key: w.Key, Rate: share, Depth: leaseDepth(share, p.quota), Lent: true}
 	return g.oneOff(p, w, out)
 }
 
+// mayUse is the most that a proxy may be using when it is offered a rate. What was
+// offered before counts until the proxy reports what it holds by the newest offer,
+// since answers may be lost or overtake each other.
+func mayUse(counted float64, answered time.Duration, offer float64, w Want) float64 {
+	if w.RateOf == answered {
+		return max(offer, min(w.Rate, counted))
+	}
+	return max(offer, counted)
+}
+
 // oneOff gives tokens to a request that waits.
 func (g *Gatehouse) oneOff(p *pool, w Want, out Given) Given {
 	if w.Need > 0 {
@@ -384,7 +532,7 @@
 	defer g.mu.Unlock()
 	out := map[string]float64{}
 	for k, p := range g.pools {
-		g.shape(p, now)
+		p.shape(now, g)
 		out[k] = p.leased("")
 	}
 	return out
--- a/internal/weir/weir.go
+++ b/internal/weir/weir.go
@@ -51,7 +51,8 @@
 	split      bucket // the share by live count
 	grant      bucket // leased from the tracker
 	grantEnds  time.Duration
-	oneOff     float64 // granted for waiting requests, short-lived
+	grantAsked time.Duration // the question that brought it
+	oneOff     float64       // granted for waiting requests, short-lived
 	oneOffEnds time.Duration
 	fast       bucket // second in the chain: bounds the rate of a burst
 	whole      bucket // the entire quota against this proxy's traffic alone: an audit, decides nothing
@@ -61,6 +62,8 @@
 	lentAsked  time.Duration // the last question that told of it
 	lentEnds   time.Duration // by then the tracker has stopped using it
 	lentTo     uint64        // the tracker's life it was last told to
+	toldCount  int           // the live count it was last told by
+	loanCount  int           // the live count that the tracker's newest answer to such a word reckons with
 	dryUntil   time.Duration
 	lostAt     time.Duration // a question brought no answer
 	arrived    float64       // since the last period
@@ -70,6 +73,10 @@
 	byAt       time.Duration // a request was let through by them
 	shard      int           // of trackers
 	standing   bool          // the tracker is not heard: the grant bucket holds the standby
+	carried    bool          // carried by its tracker: the split share is lent whole, each request asks
+	releaseBy  time.Duration // carried, though the share could serve again: it does not before this unless the tracker agrees; 0 is no
+	standby    float64       // standby rate the tracker told, until grantEnds
+	stood      float64       // tokens of standby used since lastOK
 	count      Count
 }
 
@@ -95,11 +102,19 @@
 	tell    map[int]time.Duration // by shard, when shares lent whole are to be told of again, all in one word
 	fresh   bool                  // no limits yet in this life
 	touch   time.Duration         // when control last spoke
+	life    uint64                // tells this process's questions from those of an earlier one
+	settles countChange           // the count before the last ones, while loans of that time stand
+}
+
+// countChange is a live proxy count that loans still reckon with.
+type countChange struct {
+	from  int
+	until time.Duration
 }
 
 // New makes the stage; slack is the quota's absolute slack.
 func New(slack float64, shards int, seed uint64) *Weir {
-	return &Weir{rng: rand.New(rand.NewPCG(seed, 1)), shards: shards, bays: map[string]*bay{}, tell: map[int]time.Duration{}, slack: slack, fresh: true}
+	return &Weir{life: seed, rng: rand.New(rand.NewPCG(seed, 1)), shards: shards, bays: map[string]*bay{}, tell: map[int]time.Duration{}, slack: slack, fresh: true}
 }
 
 // SplitFloor is the least a split share may hold: one request, as long as such
@@ -118,28 +133,56 @@
 	return proxies > 0 && SplitFloor(proxies, slack) == 0 && datum.SplitPart*q.Burst/float64(proxies) < datum.TinyShare
 }
 
-func (w *Weir) tiny(b *bay) bool { return Tiny(w.proxies, w.slack, b.quota) }
+// updateMode decides whether the tracker carries a key. A share that becomes too
+// small is given up at once. One that has grown again is taken back only when the
+// tracker agrees to it, since it may have promised the share to others, or when
+// everything that it can have promised has ended.
+func (w *Weir) updateMode(b *bay, now time.Duration) {
+	tiny := Tiny(w.proxies, w.slack, b.quota)
+	switch {
+	case tiny && !b.carried:
+		b.carried, b.releaseBy = true, 0
+		b.standby, b.grantEnds = 0, 0
+		b.grant = bucket{at: now, tokens: w.rng.Float64(), depth: 1}
+	case tiny:
+		b.releaseBy = 0
+	case b.carried && b.releaseBy == 0:
+		b.releaseBy = now + datum.LendLong + datum.GrantLong
+	}
+}
+
+// takeShareBack ends a key's time with its tracker: the split share serves again.
+func (w *Weir) takeShareBack(b *bay, now time.Duration) {
+	b.carried, b.releaseBy, b.lent = false, 0, 0
+	b.standby, b.grantEnds = 0, 0
+	b.grant.set(now, 0, 0)
+	w.shape(b, now)
+}
 
 func (w *Weir) shape(b *bay, now time.Duration) {
 	q := b.quota
+	w.updateMode(b, now)
 	if w.proxies == 0 {
 		b.split.set(now, 0, 0)
 	} else {
+		n := float64(w.proxies)
+		rate, depth := datum.SplitPart*q.Rate/n, datum.SplitPart*q.Burst/n
 		if b.born != 0 {
 			b.split.at, b.born = b.born, 0
-			b.split.rate, b.split.depth = datum.SplitPart*q.Rate/float64(w.proxies), datum.SplitPart*q.Burst/float64(w.proxies)
+			b.split.rate, b.split.depth = rate, depth
 		}
-		n := float64(w.proxies)
-		if w.tiny(b) {
+		if b.carried {
 			b.split.set(now, 0, 0)
 		} else {
-			b.split.set(now, datum.SplitPart*q.Rate/n*(1-b.lent), max(datum.SplitPart*q.Burst/n*(1-b.lent), SplitFloor(w.proxies, w.slack)))
+			b.split.set(now, rate*(1-b.lent), max(depth*(1-b.lent), SplitFloor(w.proxies, w.slack)))
 		}
 	}
 	b.fast.set(now, datum.FastBucketRate*q.Rate, max(1, q.Rate*datum.FastBucketTime.Seconds()))
 	b.whole.set(now, q.Rate, max(1, q.Burst))
-	// A lowered limit cuts what was leased under the old one at once.
-	b.grant.set(now, min(b.grant.rate, max(0, q.Rate-b.split.rate)), min(b.grant.depth, max(0, q.Burst-b.split.depth)))
+	if !b.carried {
+		// A lowered limit cuts what was leased under the old one at once.
+		b.grant.set(now, min(b.grant.rate, max(0, q.Rate-b.split.rate)), min(b.grant.depth, max(0, q.Burst-b.split.depth)))
+	}
 }
 
 // SetProxies takes the live proxy count, as often as control speaks: when it
@@ -152,7 +195,15 @@
 	if n == w.proxies && !back {
 		return
 	}
+	if n > w.proxies {
+		// What was lent under the smaller count was more of a share than is ours now.
+		if now >= w.settles.until {
+			w.settles.from = w.proxies
+		}
+		w.settles.until = now + datum.LendLong
+	}
 	w.proxies = n
+	clear(w.tell)
 	for _, b := range w.bays {
 		w.shape(b, now)
 	}
@@ -193,6 +244,7 @@
 			// old one do not add up beyond the new.
 			part := q.Rate / b.quota.Rate
 			b.grant.set(now, b.grant.rate*part, b.grant.depth*part)
+			b.standby *= part
 		}
 		b.quota, b.shadow = q, nil
 		w.shape(b, now)
@@ -221,6 +273,9 @@
 }
 
 func (w *Weir) refresh(b *bay, now time.Duration) {
+	if b.carried && b.releaseBy > 0 && now >= max(b.releaseBy, b.lentEnds+datum.GrantLong) {
+		w.takeShareBack(b, now)
+	}
 	if now-w.touch > datum.SplitHold {
 		b.split.set(now, 0, 0) // others may share it by now
 	} else if b.lent > 0 && now >= b.lentEnds {
@@ -228,14 +283,13 @@
 		w.shape(b, now)
 	}
 	b.split.fill(now)
-	if now >= b.grantEnds {
+	if b.carried {
+		w.shapeStandby(b, now)
+	} else if now >= b.grantEnds {
 		b.grant.set(now, 0, 0)
 	}
-	if w.tiny(b) {
-		w.alone(b, now)
-	}
 	b.grant.fill(now)
-	if owed := -b.split.tokens; owed > 0 && b.grant.tokens > 0 && b.standing && w.tiny(b) {
+	if owed := -b.split.tokens; owed > 0 && b.grant.tokens > 0 && b.standing && b.carried {
 		paid := min(owed, b.grant.tokens) // a share that does not fill cannot pay
 		b.grant.tokens -= paid
 		b.split.tokens += paid
@@ -247,6 +301,9 @@
 	b.whole.fill(now)
 }
 
+// tokenEpsilon is a part of a token that counts as nothing.
+const tokenEpsilon = 1e-6
+
 // Verdict is what admission says of a request.
 type Verdict struct {
 	OK    bool
@@ -279,7 +336,7 @@
 		}
 	}
 	grant := &b.grant.tokens
-	if w.tiny(b) && !b.standing {
+	if b.carried && !b.standing {
 		grant = new(float64) // standby rests
 	}
 	have := b.split.tokens + *grant + b.oneOff
@@ -302,8 +359,15 @@
 		}
 		b.split.tokens -= need
 		b.count.Admitted++
-		if b.byAt = now; need > 0 || *grant != before {
-			b.lastOK = now
+		fromGrant := before - *grant
+		switch {
+		case b.carried && need < tokenEpsilon && fromGrant > 0:
+			b.stood += fromGrant
+		case need > 0 || fromGrant > 0:
+			b.lastOK, b.stood = now, 0
+		}
+		if fromGrant < 1-tokenEpsilon {
+			b.byAt = now
 		}
 		return Verdict{OK: true}
 	}
@@ -358,12 +422,16 @@
 	Key    string
 	Demand float64       // requests a second beyond the split share
 	Rate   float64       // leased or standby rate held now
+	RateOf time.Duration // when the question was sent whose answer told of that rate
 	Need   float64       // tokens wanted at once
 	Lend   bool          // the next two count
 	Lent   float64       // rate of the split share lent to the tracker
 	Depth  float64       // and the burst with it
 	Long   bool          // for the longer time, as a share is that serves nobody where it is
-	Idle   time.Duration // since the proxy last let a request of the key through, or started
+	Idle   time.Duration // since the proxy last let a request of the key through, or started; standby aside
+	Stood  float64       // tokens of standby used since then
+	// Release asks the tracker to give up a share that was lent whole.
+	Release bool
 }
 
 // grantLength is how long a lease lasts.
@@ -386,7 +454,7 @@
 // of others nothing, since a leased rate that lies unused here is missed where
 // the next requests come.
 func (w *Weir) beyond(b *bay) float64 {
-	if w.tiny(b) {
+	if b.carried {
 		return b.demand // for its standby
 	}
 	if b.demand < datum.HotRate {
@@ -419,7 +487,8 @@
 		n := float64(w.proxies)
 		rate, depth := datum.SplitPart*b.quota.Rate/n, datum.SplitPart*b.quota.Burst/n
 		lend := 0.0
-		long := w.tiny(b)
+		long := b.carried
+		returning := long && b.releaseBy > 0
 		at, life, ok := heard(k)
 		if ok && now < at+lendLength(long) {
 			if lend = min(datum.LendMost, max(0, 1-b.demand*datum.LendKeep/rate)); long {
@@ -427,7 +496,7 @@
 			}
 		}
 		beyond := w.beyond(b)
-		if long && math.Abs(lend-b.lent) < 1e-6 && life == b.lentTo && now < w.tell[b.shard] {
+		if long && !returning && math.Abs(lend-b.lent) < 1e-6 && life == b.lentTo && now < w.tell[b.shard] {
 			continue // the tracker knows all there is to know
 		}
 		if now >= w.tell[b.shard] {
@@ -441,8 +510,8 @@
 			}
 		}
 		b.lentTo = life
-		b.lentAsked = now
-		out = append(out, Want{Key: k, Demand: beyond, Rate: b.grant.rate, Lend: true, Lent: lend * rate, Depth: lend * depth, Long: long, Idle: now - b.spentAt(life)})
+		b.lentAsked, b.toldCount = now, w.proxies
+		out = append(out, Want{Key: k, Demand: beyond, Rate: b.held(now), RateOf: b.grantAsked, Lend: true, Lent: lend * rate, Depth: lend * depth, Long: long, Idle: now - b.spentAt(life), Stood: b.stood, Release: returning})
 	}
 	for shard := range told {
 		w.tell[shard] = now + datum.LendLong/4 + time.Duration(w.rng.Int64N(int64(datum.LendLong/8)))
@@ -461,6 +530,18 @@
 	delete(w.tell, shard)
 }
 
+// held is the rate that the tracker has told and this proxy may use: its standby
+// for a key that the tracker carries, its lease for any other.
+func (b *bay) held(now time.Duration) float64 {
+	switch {
+	case !b.carried:
+		return b.grant.rate
+	case now < b.grantEnds:
+		return b.standby
+	}
+	return 0
+}
+
 // spentAt is when a request was last let through, as far as the tracker of a life
 // does not know it from what it gave.
 func (b *bay) spentAt(life uint64) time.Duration {
@@ -480,10 +561,10 @@
 	}
 	w.refresh(b, now)
 	need := 1.0
-	if w.tiny(b) {
+	if b.carried {
 		need += max(0, -b.split.tokens) // a share lent whole does not fill: what is owed has to be asked for too
 	}
-	return Want{Key: key, Demand: w.beyond(b), Rate: b.grant.rate, Need: need, Long: w.tiny(b)}
+	return Want{Key: key, Demand: w.beyond(b), Rate: b.held(now), RateOf: b.grantAsked, Need: need, Long: b.carried}
 }
 
 // Given is a tracker's answer for one key.
@@ -497,6 +578,7 @@
 	Dry         time.Duration // no use asking again before
 	Lent        bool          // what was lent is known to be Loan
 	Loan        float64       // rate
+	Released    bool          // a share lent whole is given back
 }
 
 // Take applies an answer to a question asked at a time; all of it is reckoned
@@ -509,24 +591,22 @@
 		return
 	}
 	w.refresh(b, now)
-	if ends := asked + grantLength(g.Long); !g.Keep && g.Long == w.tiny(b) && ends > now && ends > b.grantEnds {
-		b.grantEnds = ends
-		first := g.Long && b.grant.depth == 0
-		// Never more than the limit leaves beside the split share: the lease may
-		// have been given under a higher one.
-		b.grant.set(now, min(g.Rate, max(0, b.quota.Rate-b.split.rate)), min(g.Depth, max(0, b.quota.Burst-b.split.depth)))
-		if first {
-			b.grant.tokens = min(b.grant.depth, w.rng.Float64())
+	if ends := asked + grantLength(g.Long); !g.Keep && g.Long == b.carried && ends > now && ends > b.grantEnds {
+		b.grantEnds, b.grantAsked = ends, asked
+		if g.Long {
+			b.standby = min(g.Rate, b.quota.Rate)
+			w.shapeStandby(b, now)
+		} else {
+			// Never more than the limit leaves beside the split share: the lease may
+			// have been given under a higher one.
+			b.grant.set(now, min(g.Rate, max(0, b.quota.Rate-b.split.rate)), min(g.Depth, max(0, b.quota.Burst-b.split.depth)))
 		}
 	}
 	if g.Lent && asked == b.lentAsked && w.proxies > 0 {
-		if part := g.Loan * float64(w.proxies) / (datum.SplitPart * b.quota.Rate); part < b.lent {
-			b.lent = max(0, part)
-			w.shape(b, now)
-		}
+		w.takeLoan(b, now, asked, g)
 	}
 	if ends := asked + datum.OneOffLife; g.Tokens > 0 && ends > now {
-		if owed := max(0, -b.split.tokens); w.tiny(b) && owed > 0 {
+		if owed := max(0, -b.split.tokens); b.carried && owed > 0 {
 			paid := min(owed, max(0, g.Tokens-1))
 			b.split.tokens += paid
 			g.Tokens -= paid
@@ -542,6 +622,29 @@
 	}
 }
 
+// takeLoan takes what a tracker says of the share that it was told is lent. It may
+// keep more of it than it was told, while others hold leases of that part.
+func (w *Weir) takeLoan(b *bay, now, asked time.Duration, g Given) {
+	b.loanCount = b.toldCount
+	if b.carried {
+		if g.Released && b.releaseBy > 0 {
+			w.takeShareBack(b, now)
+		} else if g.Keep {
+			b.lent = 0 // not noted there yet: told again with the next word
+		}
+		return
+	}
+	part := min(1, g.Loan*float64(w.proxies)/(datum.SplitPart*b.quota.Rate))
+	if part == b.lent {
+		return
+	}
+	if part > b.lent {
+		b.lentEnds = max(b.lentEnds, asked+datum.LendLength)
+	}
+	b.lent = max(0, part)
+	w.shape(b, now)
+}
+
 // Unanswered notes that a key's tracker did not answer: the next requests do
 // not wait for it.
 func (w *Weir) Unanswered(now time.Duration, key string) {
@@ -549,7 +652,7 @@
 	defer w.mu.Unlock()
 	if b := w.bays[key]; b != nil {
 		b.dryUntil = now + datum.GrantEvery
-		if w.tiny(b) {
+		if b.carried {
 			b.dryUntil = now + datum.AskAgain // there is nobody else to ask
 			b.lostAt = now
 		}
@@ -587,3 +690,24 @@
 	defer w.mu.Unlock()
 	return w.proxies
 }
+
+// Settled is the live count that control may take as the one this proxy reckons
+// with: after a rise, the smaller one until the trackers know of every loan what it
+// is under the larger.
+func (w *Weir) Settled(now time.Duration) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if now >= w.settles.until {
+		return w.proxies
+	}
+	for _, b := range w.bays {
+		if b.lent > 0 && now < b.lentEnds && b.loanCount < w.proxies {
+			return min(w.settles.from, w.proxies)
+		}
+	}
+	w.settles.until = now
+	return w.proxies
+}
+
+// Life tells this process's questions to a tracker from those of an earlier one.
+func (w *Weir) Life() uint64 { return w.life }
--- a/internal/weir/weir_test.go
+++ b/internal/weir/weir_test.go
@@ -28,6 +28,15 @@
 	spent   []time.Duration // when requests ran
 	refused int
 	asked   int
+	counts  map[string]int // live count by proxy, where it is not that of all
+}
+
+// count is the live count that a proxy has been told.
+func (f *fleet) count(n string) int {
+	if f.counts != nil {
+		return f.counts[n]
+	}
+	return len(f.proxies)
 }
 
 func (f *fleet) clock(n string) time.Duration { return f.b.Now - f.born[n] }
@@ -38,7 +47,9 @@
 	delete(f.echo, n)
 	w := New(20, 3, f.b.Rng.Uint64())
 	w.SetQuotas(0, map[string]Quota{f.key: f.quota})
-	w.SetProxies(0, len(f.proxies))
+	if n := f.count(n); n > 0 {
+		w.SetProxies(0, n)
+	}
 	f.proxies[n] = w
 }
 
@@ -49,13 +60,15 @@
 		return
 	}
 	f.b.Send(n, to, func() {
-		got := f.gates[to].Ask(f.b.Now, AskGrants{n, wants, echo, len(f.proxies)}, func(int) (time.Duration, bool) { return f.since, f.holder == to })
+		got := f.gates[to].Ask(f.b.Now, AskGrants{Proxy: n, Wants: wants, Echo: echo, Proxies: w.Proxies(), Life: w.Life(), Sent: asked}, func(int) (time.Duration, bool) { return f.since, f.holder == to })
 		f.b.Send(to, n, func() {
 			if f.life[n] != life || got.Refused {
 				return
 			}
-			w.SetProxies(f.clock(n), len(f.proxies)) // control has spoken
-			if was := f.echo[n]; was.Life != got.Stamp.Life || was.Begun < got.Stamp.Begun {
+			if count := f.count(n); count > 0 {
+				w.SetProxies(f.clock(n), count) // control has spoken
+			}
+			if was := f.echo[n]; was.Life != got.Stamp.Life || was.Begun < got.Stamp.Begun || got.Retell {
 				w.Untold(Shard(f.key, 3))
 			}
 			f.echo[n], f.echoAt[n] = got.Stamp, f.clock(n)
@@ -515,14 +528,14 @@
 			}
 			by[0] = append(by[0], Want{Key: "k3", Need: 1, Long: true})
 			for s := range shards {
-				got := g.Ask(now, AskGrants{fmt.Sprint("p", i), by[s], echo[i], proxies}, since)
+				got := g.Ask(now, AskGrants{Proxy: fmt.Sprint("p", i), Wants: by[s], Echo: echo[i], Proxies: proxies}, since)
 				if i%50 != 8 { // which hears nothing, and so stands alone
 					echo[i] = got.Stamp
 				}
 			}
 		}
 		for k, p := range g.pools {
-			g.shape(p, now)
+			p.shape(now, g)
 			var l loan
 			var count, demand, alone float64
 			for _, x := range p.loans {
