Admission: proxies serve from half of their shares before any tracker is back

Cause: after a loss of all power a key that its tracker carries was refused by every proxy until trackers held their duty and had been told by all.

--- a/internal/weir/standby.go
+++ b/internal/weir/standby.go
@@ -170,7 +170,11 @@
 // a part while it rests, so that many proxies with a low rate each admit, taken
 // together, just what the rates add up to.
 func (w *Weir) alone(b *bay, now time.Duration) {
-	heard := w.heard[b.shard]
+	heard, ok := w.heard[b.shard]
+	if !ok {
+		// The life before may have been heard until it ended, and no later.
+		heard = -datum.RestartTime
+	}
 	if now-heard < datum.StandbyAfter && !w.gone[b.shard] {
 		if b.standing {
 			b.grant.tokens -= math.Floor(b.grant.tokens)
--- a/internal/weir/weir_test.go
+++ b/internal/weir/weir_test.go
@@ -488,6 +488,26 @@
 	}
 }
 
+// Every machine is started anew and no tracker has its duty yet: a second later, when
+// one that went on running would have left them out, the proxies serve from half of
+// their own shares, though nobody has told them anything.
+func TestStandbyWithoutATracker(t *testing.T) {
+	for seed := uint64(1); seed <= 6; seed++ {
+		f := atWork(seed, 80, Quota{100, 100}, 80, 60, 20*time.Second)
+		f.holder = ""
+		for i := range 80 {
+			f.start(fmt.Sprint("p", i))
+		}
+		f.b.Run(f.b.Now+datum.StandbyAfter-datum.RestartTime, nil)
+		if got := f.share(2 * time.Second); got < 0.5 {
+			t.Errorf("seed %d: %.2f served without a tracker", seed, got)
+		}
+		if most, allowed := f.worst(5 * time.Second); float64(most) > allowed {
+			t.Errorf("seed %d: %d ran in a window, %.0f are allowed", seed, most, allowed)
+		}
+	}
+}
+
 // At three hundred proxies and as many keys as many tenants hold, a proxy speaks
 // to each tracker a few times in ten seconds to tell of its shares, not for each
 // key, and the tracker's sums are those of its entries, however they came about.
