Proxy: the newest idle bound holds for connections that are open

Cause: a client's connection kept the idleTimeout that was in force when it was opened. After a change that raised it, connections that clients may rest for four fifths of the new bound were closed at the old one; one that was opened under a lower bound closed on clients that had not heard of it yet. Change: the proxy notes when connections come to rest and closes those that have rested beyond every bound in force since; a lowered bound does not shorten a rest that began before clients could know it. The server's own idle deadline is not used. Test: TestRaisedIdleBoundReachesOpenConnections failed before (unexpected EOF after a rest inside the raised bound); TestIdleConnectionsAreClosed shows that bounds still bind, and when a lowered one does.

--- a/internal/sluice/daemon.go
+++ b/internal/sluice/daemon.go
@@ -178,6 +178,7 @@
 	w.Serve(rl, http.HandlerFunc(d.readiness))
 	w.Serve(adm, gaugeboard.Handler(d.Report))
 	w.Turn(datum.SettingsEvery, d.lookAtSettings)
+	w.Turn(datum.RetireEvery, func() { d.gate.closeIdle(time.Now()) })
 	return d.AddHollow(g, w)
 }
 
--- a/internal/sluice/gate.go
+++ b/internal/sluice/gate.go
@@ -6,6 +6,7 @@
 	"log"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -24,11 +25,20 @@
 	now     scheme.Limits
 	feed    *feed
 	servers []*http.Server
+	idle    map[net.Conn]time.Time // connections between two requests, since when
+	bound   time.Duration          // idle bound seen last
+	former  []idleBound            // bounds that still hold for connections idle since before
 	closed  bool
 	ended   chan struct{} // closed when all is over
 	once    sync.Once
 }
 
+// idleBound is an idle bound that another has replaced.
+type idleBound struct {
+	bound    time.Duration
+	replaced time.Time
+}
+
 // feed hands a server the connections it is to serve.
 type feed struct {
 	ch   chan net.Conn
@@ -50,7 +60,7 @@
 func (f *feed) Addr() net.Addr { return f.addr }
 
 func newGate(l net.Listener, h http.Handler, limits func() scheme.Limits) *gate {
-	return &gate{l: l, h: h, limits: limits, ended: make(chan struct{})}
+	return &gate{l: l, h: h, limits: limits, idle: map[net.Conn]time.Time{}, ended: make(chan struct{})}
 }
 
 func or[T int | time.Duration](v, def T) T {
@@ -89,13 +99,14 @@
 func (g *gate) feedFor(l scheme.Limits) *feed {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	l.BodyBytes = 0 // checked by the handler
+	l.BodyBytes, l.IdleTime = 0, 0 // checked by the handler, and by closeIdle
 	if g.feed != nil && l == g.now {
 		return g.feed
 	}
-	// Connections that are open stay with the bounds they came under.
+	// Connections that are open stay with these bounds, which clients keep within. The
+	// idle bound is not among them: clients rest for as long as the newest one allows.
 	f := &feed{ch: make(chan net.Conn), done: make(chan struct{}), addr: g.l.Addr()}
-	srv := &http.Server{Handler: g.h, ReadHeaderTimeout: or(l.HeaderTimeout, datum.HeaderTimeout), IdleTimeout: or(l.IdleTime, datum.IdleTimeout),
+	srv := &http.Server{Handler: g.h, ReadHeaderTimeout: or(l.HeaderTimeout, datum.HeaderTimeout), ConnState: g.track,
 		MaxHeaderBytes: or(l.HeaderBytes, datum.HeaderBytes), ErrorLog: log.New(io.Discard, "", 0), DisableGeneralOptionsHandler: true}
 	g.feed, g.now = f, l
 	g.servers = append(g.servers, srv)
@@ -103,6 +114,51 @@
 	return f
 }
 
+// track notes which connections are idle.
+func (g *gate) track(c net.Conn, state http.ConnState) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if state == http.StateIdle {
+		g.idle[c] = time.Now()
+		return
+	}
+	delete(g.idle, c)
+}
+
+// closeIdle closes connections that have been idle for longer than every bound that
+// was in force meanwhile, or shortly before, allows.
+func (g *gate) closeIdle(now time.Time) {
+	current := or(g.limits().IdleTime, datum.IdleTimeout)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.bound != current {
+		if g.bound > current {
+			g.former = append(g.former, idleBound{bound: g.bound, replaced: now})
+		}
+		g.bound = current
+	}
+	g.former = slices.DeleteFunc(g.former, func(f idleBound) bool {
+		return now.Sub(f.replaced) > f.bound+datum.IdleOverlap
+	})
+	for c, since := range g.idle {
+		if now.Sub(since) > g.boundSince(since) {
+			delete(g.idle, c)
+			c.Close()
+		}
+	}
+}
+
+// boundSince is how long a connection may be idle that has been so since a moment.
+func (g *gate) boundSince(since time.Time) time.Duration {
+	bound := g.bound
+	for _, f := range g.former {
+		if since.Before(f.replaced.Add(datum.IdleOverlap)) {
+			bound = max(bound, f.bound)
+		}
+	}
+	return bound
+}
+
 // drain stops accepting, and returns when all requests in flight have ended or
 // the time is over.
 func (g *gate) drain(ctx context.Context) {
