Proxy: a lowered maxAttempts binds requests that are under way

Change: the smaller of what the route allowed when the request came and what the newest configuration allows. Test: TestLoweredMaxAttemptsBindsRequestsUnderWay, two arrivals instead of one before, for a repeatable request, one that may not repeat and a stream.

--- a/internal/sluice/forward.go
+++ b/internal/sluice/forward.go
@@ -314,12 +314,26 @@
 			}
 			continue
 		}
-		if !res.notRun && !p.route.Idempotent || p.rest != nil || p.sends >= p.route.MaxAttempts || !p.s.allow.Take(p.s.now(), p.service) {
+		if !res.notRun && !p.route.Idempotent || p.rest != nil || p.sends >= p.maxAttempts() || !p.s.allow.Take(p.s.now(), p.service) {
 			return last, 0
 		}
 	}
 }
 
+// maxAttempts is how many upstreams the request may be sent to: what its route allowed
+// when it came, and what the newest configuration allows.
+func (p *passage) maxAttempts() int {
+	sch := p.s.scheme.Load()
+	if sch == p.sch {
+		return p.route.MaxAttempts
+	}
+	route, _, code := match(sch, p.r)
+	if code != 0 {
+		return p.route.MaxAttempts // allowed stops it before bytes go out
+	}
+	return min(p.route.MaxAttempts, route.MaxAttempts)
+}
+
 // want is what this request asks of the yard.
 func (p *passage) want() want {
 	w := want{service: p.service, homes: p.homes}
@@ -382,7 +396,7 @@
 				return best
 			}
 		case <-t.C:
-			if p.sends+out >= p.route.MaxAttempts || !time.Now().Add(datum.LeastLeft).Before(p.deadline) {
+			if p.sends+out >= p.maxAttempts() || !time.Now().Add(datum.LeastLeft).Before(p.deadline) {
 				continue
 			}
 			second := p.s.yard.Place(p.want(), skip)
