Test: failures that bear an upstream's seal have that upstream's status

The rule MIXED now also forbids a failure that bears an upstream's seal and another status than that upstream gave. The proxy's own refusals never bore one, which no test showed. The model test of the pool has upstreams fail and shed with a seal and twelve statuses, and checks each sealed failure that reaches a caller against what its upstream said.

--- a/internal/sluice/pool_test.go
+++ b/internal/sluice/pool_test.go
@@ -10,6 +10,8 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -28,7 +30,8 @@
 	mu       sync.Mutex
 	runs     map[string]int // by try
 	arrivals map[string]int
-	struck   map[string]int // by trouble
+	struck   map[string]int      // by trouble
+	failures map[string][]string // by try: seal and status of sealed failures
 }
 
 func (t *truth) ran(try string) {
@@ -37,6 +40,12 @@
 	t.mu.Unlock()
 }
 
+func (t *truth) failed(try, seal string, status int) {
+	t.mu.Lock()
+	t.failures[try] = append(t.failures[try], fmt.Sprint(seal, " ", status))
+	t.mu.Unlock()
+}
+
 // bodyFor is the one right answer to a try.
 func bodyFor(try string) string { return "for " + try + ", and nobody else" }
 
@@ -111,7 +120,7 @@
 // troubles are what an arrival may meet; the first of them, none, is the likeliest.
 var troubles = []string{"none", "closes after", "resets after", "answers twice", "answers twice, later", "a late shed follows", "a late failure follows",
 	"a late success follows", "garbled", "no status", "cut in the head", "cut in the body", "no seal", "no length, cut", "foreign", "reset before it ran",
-	"reset after it ran", "reset in the write", "silent after half", "silent", "silent, and late", "shed", "shed without id", "fails", "fails without id", "sheds and serves",
+	"reset after it ran", "reset in the write", "silent after half", "silent", "silent, and late", "shed", "shed without id", "fails", "fails, sealed", "sheds, sealed", "fails without id", "sheds and serves",
 	"asked to wait, then serves"}
 
 func answerOf(status, try, more, body string) string {
@@ -189,6 +198,11 @@
 		case "shed without id":
 			say(answerOf("503 Full", "", shed, ""))
 			continue
+		case "sheds, sealed":
+			status := []int{400, 408, 421, 429, 500, 503}[rng.IntN(6)]
+			w.t.failed(try, "seal-"+try, status)
+			say(answerOf(fmt.Sprint(status, " Shed"), try, seal+shed, ""))
+			continue
 		case "silent":
 			time.Sleep(400 * time.Millisecond)
 			return
@@ -226,6 +240,9 @@
 			for range 1 + rng.IntN(8) {
 				b[rng.IntN(strings.Index(good, "X-Slateridge"))] = byte(rng.IntN(256))
 			}
+			if status, err := strconv.Atoi(string(b[9:12])); err == nil {
+				w.t.failed(try, "seal-"+try, status) // it may have become another status
+			}
 			say(string(b))
 			return
 		case "no status":
@@ -256,6 +273,10 @@
 			say(good)
 		case "fails":
 			say(answerOf("500 Oops", try, "", bodyFor(try)))
+		case "fails, sealed":
+			status := []int{304, 400, 403, 404, 408, 422, 429, 500, 502, 503, 504, 511}[rng.IntN(12)]
+			w.t.failed(try, "seal-"+try, status)
+			say(answerOf(fmt.Sprint(status, " Oops"), try, seal, ""))
 		case "fails without id":
 			say(answerOf("500 Oops", "", "", bodyFor(try)))
 		case "sheds and serves":
@@ -304,10 +325,11 @@
 
 // Whatever upstreams and connections do: what may not be repeated runs at most once,
 // no answer reaches another's caller, a promise that a request has not run and never
-// will is true, a 2xx is whole and bears its seal, and no connection is lost count of.
+// will is true, a 2xx is whole and bears its seal, a failure with an upstream's seal has
+// the status which that upstream gave, and no connection is lost count of.
 func TestPoolAmongTroubles(t *testing.T) {
 	const seeds, callers, calls = 8, 10, 40
-	tr := &truth{runs: map[string]int{}, arrivals: map[string]int{}, struck: map[string]int{}}
+	tr := &truth{runs: map[string]int{}, arrivals: map[string]int{}, struck: map[string]int{}, failures: map[string][]string{}}
 	var mu sync.Mutex
 	var all []said
 	t.Run("seeds", func(t *testing.T) {
@@ -390,7 +412,7 @@
 	time.Sleep(500 * time.Millisecond) // whatever still runs has run
 	tr.mu.Lock()
 	defer tr.mu.Unlock()
-	codes := map[int]int{}
+	codes, sealed := map[int]int{}, map[int]int{}
 	for _, a := range all {
 		runs := tr.runs[a.try]
 		codes[a.code]++
@@ -403,6 +425,12 @@
 		if !strings.HasPrefix(bodyFor(a.try), a.body) || a.head.Get(hdrAttempt) != a.try && a.head.Get(hdrAttempt) != "" {
 			t.Errorf("%s %s got another's answer: %d %v %q", a.path, a.try, a.code, a.head, a.body)
 		}
+		if seal := a.head.Get(hdrSeal); seal != "" && a.code/100 != 2 {
+			sealed[a.code]++
+			if !slices.Contains(tr.failures[a.try], fmt.Sprint(seal, " ", a.code)) {
+				t.Errorf("%s %s was told %d with seal %q; its upstreams failed with %v", a.path, a.try, a.code, seal, tr.failures[a.try])
+			}
+		}
 		switch {
 		case a.left:
 		case a.code == 429 || a.code == 503 || a.code == 408 || a.code == 421:
@@ -423,5 +451,8 @@
 	if codes[200] < len(all)/4 || codes[502] == 0 || codes[503] == 0 || codes[504] == 0 {
 		t.Errorf("of %d calls: %v; too little of something to mean anything", len(all), codes)
 	}
-	t.Logf("%d calls: %v; troubles %v", len(all), codes, tr.struck)
+	if len(sealed) < 4 {
+		t.Errorf("sealed failures that reached callers: %v; too few to mean anything", sealed)
+	}
+	t.Logf("%d calls: %v; sealed failures %v; troubles %v", len(all), codes, sealed, tr.struck)
 }
