Proxy: a body that does not come is held no longer than the request

Cause: a client's body was read without a deadline. Change: a read deadline until the body's end. Where nothing was sent on the client gets 408 with Connection: close, which promises rightly that it has not run; where a part had been sent, 504. Test: TestBodyThatDoesNotComeIsNotHeld had no answer after 3 s before, for a short and a long body of a request with 300 ms. TestBodyThatCameLeavesNoDeadline shows that nothing of it is left for the next request on the connection.

--- /dev/null
+++ b/internal/sluice/hold_test.go
@@ -0,0 +1,74 @@
+package sluice
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+)
+
+// A client whose body does not come is answered when the request's time is over: a
+// promise where nothing was sent on, none where a part of it was.
+func TestBodyThatDoesNotComeIsNotHeld(t *testing.T) {
+	for name, c := range map[string]struct{ sent, length, code int }{
+		"short body": {100, 1000, http.StatusRequestTimeout},
+		"long body":  {100000, 500000, http.StatusGatewayTimeout},
+	} {
+		t.Run(name, func(t *testing.T) {
+			u := newRaw(t, func(_ int, r *http.Request) (string, bool) { return ok(r, "x"), false })
+			srv := httptest.NewServer(newSluice(t, u.instance("i-1")))
+			defer srv.Close()
+			conn, err := net.Dial("tcp4", srv.Listener.Addr().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer conn.Close()
+			conn.SetDeadline(time.Now().Add(3 * time.Second))
+			began := time.Now()
+			fmt.Fprintf(conn, "POST /once/ HTTP/1.1\r\nHost: h.example\r\nX-Slateridge-Attempt-Id: id-1\r\nX-Slateridge-Time-Budget-Ms: 300\r\nX-Api-Key: k1\r\nContent-Length: %d\r\n\r\n%s",
+				c.length, strings.Repeat("x", c.sent))
+			resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			if err != nil {
+				t.Fatalf("no answer after %v: %v", time.Since(began), err)
+			}
+			if held := time.Since(began); resp.StatusCode != c.code || held > 550*time.Millisecond || !resp.Close {
+				t.Errorf("got %d after %v, closing %v; want %d soon after 300 ms, closing", resp.StatusCode, held, resp.Close, c.code)
+			}
+		})
+	}
+}
+
+// A body that came whole leaves no deadline behind: the connection serves the next
+// request after the first one's time is over, and one that takes long is not cut.
+func TestBodyThatCameLeavesNoDeadline(t *testing.T) {
+	for _, size := range []int{10, 65536, 200000} {
+		u := newRaw(t, func(_ int, r *http.Request) (string, bool) {
+			time.Sleep(100 * time.Millisecond)
+			return ok(r, "x"), false
+		})
+		srv := httptest.NewServer(newSluice(t, u.instance("i-1")))
+		defer srv.Close()
+		conn, err := net.Dial("tcp4", srv.Listener.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+		conn.SetDeadline(time.Now().Add(5 * time.Second))
+		br := bufio.NewReader(conn)
+		for n := range 2 {
+			fmt.Fprintf(conn, "POST /once/ HTTP/1.1\r\nHost: h.example\r\nX-Slateridge-Attempt-Id: id-1\r\nX-Slateridge-Time-Budget-Ms: 300\r\nX-Api-Key: k1\r\nContent-Length: %d\r\n\r\n%s",
+				size, strings.Repeat("x", size))
+			resp, err := http.ReadResponse(br, nil)
+			if err != nil || resp.StatusCode != http.StatusOK {
+				t.Fatalf("%d bytes, request %d: %v %v", size, n+1, resp, err)
+			}
+			io.Copy(io.Discard, resp.Body)
+			time.Sleep(400 * time.Millisecond)
+		}
+	}
+}
--- a/internal/sluice/sluice.go
+++ b/internal/sluice/sluice.go
@@ -5,8 +5,10 @@
 
 import (
 	"bytes"
+	"errors"
 	"io"
 	"net/http"
+	"os"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -175,6 +177,27 @@
 	return n
 }
 
+// timedBody reads a client's body until the request's time is over. The deadline is
+// taken away with the body's end, since the connection is read on for other purposes.
+type timedBody struct {
+	body    io.Reader
+	control *http.ResponseController
+}
+
+func newTimedBody(w http.ResponseWriter, body io.Reader, deadline time.Time) *timedBody {
+	t := &timedBody{body: body, control: http.NewResponseController(w)}
+	t.control.SetReadDeadline(deadline)
+	return t
+}
+
+func (t *timedBody) Read(b []byte) (int, error) {
+	n, err := t.body.Read(b)
+	if err == io.EOF {
+		t.control.SetReadDeadline(time.Time{})
+	}
+	return n, err
+}
+
 // readBody holds the body, or its beginning when it is long.
 func (p *passage) readBody(w http.ResponseWriter) int {
 	r := p.r
@@ -187,8 +210,13 @@
 	if m := p.sch.Limits.BodyBytes; m > 0 {
 		body = http.MaxBytesReader(w, r.Body, m)
 	}
+	body = newTimedBody(w, body, p.deadline)
 	b, err := io.ReadAll(io.LimitReader(body, datum.BodyBuffer))
 	if err != nil {
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			w.Header().Set("Connection", "close") // what is left of the body may still come
+			return http.StatusRequestTimeout
+		}
 		if _, big := err.(*http.MaxBytesError); big {
 			return http.StatusRequestEntityTooLarge
 		}
