Proxy: a request that comes too late is refused, not sent

Change: no try, first or further, is sent with less than a tenth of the aim left unless the service's usual delay fits; the client gets 503. Test: TestTooLateToBeSent, arrivals and 504 before.

--- a/internal/sluice/forward.go
+++ b/internal/sluice/forward.go
@@ -256,6 +256,9 @@
 	var last *result
 	dials := 0
 	for {
+		if p.tooLate() {
+			return last, http.StatusServiceUnavailable
+		}
 		of := y.Place(p.want(), skip)
 		if of == nil && last == nil {
 			of = y.Wait(p.r.Context(), p.want(), p.prio, skip, min(time.Until(held), time.Until(p.deadline)))
@@ -305,7 +308,7 @@
 		}
 		// Another upstream: always when nothing went out, as the request's kind
 		// and the budget allow when something did.
-		if !time.Now().Add(datum.LeastLeft).Before(p.deadline) || p.r.Context().Err() != nil {
+		if p.tooLate() || p.r.Context().Err() != nil {
 			return last, 0
 		}
 		if !res.sent {
@@ -320,6 +323,19 @@
 	}
 }
 
+// tooLate says that the request has so little time left that it would hardly be served,
+// and that having been sent it could not be refused with a promise any more.
+func (p *passage) tooLate() bool {
+	left := time.Until(p.deadline)
+	if left <= datum.LeastLeft {
+		return true
+	}
+	if left >= time.Duration(float64(p.aim())*datum.LeastShare) {
+		return false
+	}
+	return left < p.usualDelay()
+}
+
 // maxAttempts is how many upstreams the request may be sent to: what its route allowed
 // when it came, and what the newest configuration allows.
 func (p *passage) maxAttempts() int {
@@ -396,7 +412,7 @@
 				return best
 			}
 		case <-t.C:
-			if p.sends+out >= p.maxAttempts() || !time.Now().Add(datum.LeastLeft).Before(p.deadline) {
+			if p.sends+out >= p.maxAttempts() || p.tooLate() {
 				continue
 			}
 			second := p.s.yard.Place(p.want(), skip)
@@ -425,11 +441,16 @@
 }
 
 func (p *passage) hedgeAfter() time.Duration {
+	usual := float64(p.usualDelay())
+	return time.Duration(max(usual*datum.HedgeFactor, float64(p.aim())*datum.HedgeFloor))
+}
+
+// usualDelay is the time in which upstreams of the service usually answer.
+func (p *passage) usualDelay() time.Duration {
 	y := p.s.yard
 	y.mu.Lock()
-	mean := meanDelay(y.pick(p.want()).few)
-	y.mu.Unlock()
-	return max(time.Duration(mean*datum.HedgeFactor*float64(time.Second)), time.Duration(float64(p.aim())*datum.HedgeFloor))
+	defer y.mu.Unlock()
+	return time.Duration(meanDelay(y.pick(p.want()).few) * float64(time.Second))
 }
 
 // match finds route and tenant, or the status that refuses the request.
--- a/internal/sluice/hold_test.go
+++ b/internal/sluice/hold_test.go
@@ -72,3 +72,21 @@
 		}
 	}
 }
+
+// A request with less than a tenth of its aim left is not sent: it would hardly be
+// served, and having been sent it could not be refused with a promise.
+func TestTooLateToBeSent(t *testing.T) {
+	u := newRaw(t, func(_ int, r *http.Request) (string, bool) {
+		time.Sleep(60 * time.Millisecond)
+		return ok(r, "x"), false
+	})
+	s := newSluice(t, u.instance("i-1"))
+	for _, path := range []string{"/once/", "/safe/", "/flow/"} { // their aim is 400 ms
+		if w := get(s, "POST", path, "", hdrBudget, "35"); w.Code != http.StatusServiceUnavailable || u.count() != 0 {
+			t.Errorf("%s with 35 ms left: got %d after %d arrivals, want 503 after none", path, w.Code, u.count())
+		}
+	}
+	if w := get(s, "POST", "/once/", "", hdrBudget, "90"); w.Code != http.StatusOK || u.count() != 1 {
+		t.Errorf("with 90 ms left: got %d after %d arrivals, want 200 after one", w.Code, u.count())
+	}
+}
