--- a/internal/sluice/gate_test.go
+++ b/internal/sluice/gate_test.go
@@ -113,6 +113,8 @@
 	g.idle[ours] = later
 	g.mu.Unlock()
 	g.closeIdle(later.Add(2100 * time.Millisecond))
+	g.mu.Lock()
+	defer g.mu.Unlock()
 	if _, is := g.idle[ours]; is || len(g.former) != 0 {
 		t.Error("the lowered bound never takes hold")
 	}
