Proxy: a hedge's copy of the request is made before its goroutine begins

Cause: the goroutine of a hedge copied the request itself. Where it began late, it read while the answer of the first try was being counted, and, had the request moved on to another configuration meanwhile, could have taken the route of one and the tenant of another. Machines that show several cores let threads take turns at any point. Change: the copy is made by the request's own goroutine.

--- a/internal/sluice/attempts_test.go
+++ b/internal/sluice/attempts_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"slateridge/internal/scheme"
 )
@@ -40,3 +41,35 @@
 		})
 	}
 }
+
+// A hedge carries the request as it was when the hedge was decided, also when its
+// goroutine begins only after the first answer has been counted. Shows with -race.
+func TestHedgeBesideAnAnswer(t *testing.T) {
+	answer := func(n int, r *http.Request) (string, bool) {
+		time.Sleep(time.Millisecond + time.Duration(n%40)*25*time.Microsecond)
+		return ok(r, "x"), false
+	}
+	a, b := newRaw(t, answer), newRaw(t, answer)
+	s := newSluice(t, a.instance("i-1"), b.instance("i-2"))
+	quick, err := scheme.Read([]byte(strings.ReplaceAll(fmt.Sprintf(testConfig, 2), `"targetLatency":"400ms"`, `"targetLatency":"3ms"`)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.scheme.Store(quick)
+	for range 4000 {
+		s.allow.Request(s.now(), "svc")
+	}
+	for range 400 {
+		s.yard.mu.Lock()
+		for _, o := range s.yard.by {
+			o.delay = 0.0001 // so that hedges come about when answers do
+		}
+		s.yard.mu.Unlock()
+		if w := get(s, "GET", "/safe/", ""); w.Code != http.StatusOK {
+			t.Fatalf("got %d", w.Code)
+		}
+	}
+	if s.hedges.Load() == 0 {
+		t.Error("no hedges")
+	}
+}
--- a/internal/sluice/forward.go
+++ b/internal/sluice/forward.go
@@ -385,7 +385,10 @@
 // counts. The other is left to finish.
 func (p *passage) hedged(of *offer, skip map[*Outfall]bool) *result {
 	ch := make(chan *result, 2)
-	run := func(of *offer) { go func() { ch <- p.clone().try(of) }() }
+	run := func(of *offer) {
+		c := p.clone() // before the goroutine begins: answers that come meanwhile change p
+		go func() { ch <- c.try(of) }()
+	}
 	run(of)
 	out := 1
 	t := time.NewTimer(p.hedgeAfter())
