Proxy: room at upstreams goes to the most urgent request, those that wait among them

Cause: a request that came took free room before those that waited were looked at. Room that comes by itself, as when an upstream's pause after a refusal or failure ends, thus went to whoever came next, urgent or not, and a more urgent request that waited got 503 (priced: a kind served less often than a less urgent one of the same service). Change: a request that comes takes its place among those that wait, by priority and then order of coming, and room is given out in that order. One that has been offered before waits for nothing, and takes what nobody waits for. Test: TestRoomGoesToTheMostUrgent, before: urgent 503, the other 200.

--- a/internal/sluice/forward.go
+++ b/internal/sluice/forward.go
@@ -259,9 +259,11 @@
 		if p.tooLate() {
 			return last, http.StatusServiceUnavailable
 		}
-		of := y.Place(p.want(), skip)
-		if of == nil && last == nil {
+		var of *offer
+		if last == nil {
 			of = y.Wait(p.r.Context(), p.want(), p.prio, skip, min(time.Until(held), time.Until(p.deadline)))
+		} else {
+			of = y.Place(p.want(), skip)
 		}
 		if of == nil {
 			return last, http.StatusServiceUnavailable
--- a/internal/sluice/outfall.go
+++ b/internal/sluice/outfall.go
@@ -63,7 +63,8 @@
 	warmup  func(service string) time.Duration // how long its upstreams are cold and bounded; 0 never
 	proxies int                                // live count
 	me      string
-	waits   map[string][]*waiter
+	waits   map[string][]*waiter     // by service, the most urgent first
+	queued  uint64                   // how many ever waited: the order in which they came
 	connCap func(service string) int // this proxy's share of connections to one upstream
 	News    uint64                   // new connections
 	Ejected uint64
@@ -408,10 +409,12 @@
 	return out*2 > all
 }
 
-// Place finds room at an upstream at once, or nil.
+// Place finds room at an upstream at once, or nil, for a request that has been offered
+// before: what others wait for is theirs.
 func (y *Yard) Place(w want, skip map[*Outfall]bool) *offer {
 	y.mu.Lock()
 	defer y.mu.Unlock()
+	y.wakeLocked(w.service)
 	return y.placeLocked(w, skip)
 }
 
@@ -429,31 +432,28 @@
 	return p
 }
 
-// Wait finds room within a time; the highest priority (lowest number) is
-// served first.
+// Wait finds room, at once or within a time. Requests get it by priority (the lowest
+// number first) and then as they came, those that wait already among them.
 func (y *Yard) Wait(ctx context.Context, wn want, prio int, skip map[*Outfall]bool, hold time.Duration) *offer {
-	service := wn.service
 	y.mu.Lock()
-	if len(y.waits[service]) == 0 {
+	if len(y.waits[wn.service]) == 0 {
 		if p := y.placeLocked(wn, skip); p != nil {
 			y.mu.Unlock()
 			return p
 		}
 	}
-	if hold <= 0 || len(y.pick(wn).all) == 0 {
+	if len(y.pick(wn).all) == 0 {
 		y.Full++
 		y.mu.Unlock()
 		return nil
 	}
-	y.Waited++
-	w := &waiter{want: wn, prio: prio, seq: y.Waited, ch: make(chan *offer, 1), skip: skip}
-	ws := append(y.waits[service], w)
-	sort.Slice(ws, func(a, b int) bool {
-		return ws[a].prio < ws[b].prio || ws[a].prio == ws[b].prio && ws[a].seq < ws[b].seq
-	})
-	y.waits[service] = ws
+	w := y.queueLocked(wn, prio, skip)
+	y.wakeLocked(wn.service) // room may have come by itself
+	if len(w.ch) == 0 {
+		y.Waited++
+	}
 	y.mu.Unlock()
-	t := time.NewTimer(hold)
+	t := time.NewTimer(max(0, hold))
 	defer t.Stop()
 	select {
 	case p := <-w.ch:
@@ -463,19 +463,32 @@
 	}
 	y.mu.Lock()
 	defer y.mu.Unlock()
-	ws = y.waits[service]
-	for i := range ws {
-		if ws[i] == w {
-			y.waits[service] = append(ws[:i:i], ws[i+1:]...)
-			y.Full++
-			return nil
-		}
+	ws := y.waits[wn.service]
+	if i := slices.Index(ws, w); i >= 0 {
+		y.waits[wn.service] = slices.Concat(ws[:i], ws[i+1:])
+		y.Full++
+		return nil
 	}
 	return <-w.ch // room came at the last moment
 }
 
+// queueLocked puts a request among those that wait.
+func (y *Yard) queueLocked(wn want, prio int, skip map[*Outfall]bool) *waiter {
+	y.queued++
+	w := &waiter{want: wn, prio: prio, seq: y.queued, ch: make(chan *offer, 1), skip: skip}
+	ws := append(y.waits[wn.service], w)
+	sort.Slice(ws, func(a, b int) bool {
+		return ws[a].prio < ws[b].prio || ws[a].prio == ws[b].prio && ws[a].seq < ws[b].seq
+	})
+	y.waits[wn.service] = ws
+	return w
+}
+
 func (y *Yard) wakeLocked(service string) {
 	ws := y.waits[service]
+	if len(ws) == 0 {
+		return
+	}
 	var still []*waiter
 	var full map[want]bool // wants that found no room: those behind with the same find none either
 	for _, w := range ws {
