--- a/internal/datum/datum.go
+++ b/internal/datum/datum.go
@@ -179,6 +179,7 @@
 	IdlePerUpstream = 4                       // connections kept by
 	MaxDials        = 4                       // upstreams that could not be reached before a request is given up
 	LeastLeft       = 15 * time.Millisecond   // no use offering a request that has less time
+	LeastShare      = 0.1                     // of the aim: with less time left an upstream's usual delay must fit; a send that has less counts as none
 	AcceptPause     = 20 * time.Millisecond   // after a failed accept
 	SettingsEvery   = time.Second             // a changed settings file is looked for
 	StepEvery       = 100 * time.Millisecond  // a proxy's line and duties are driven
@@ -199,6 +200,7 @@
 	RevokeSpare     = 400 * time.Millisecond  // of the bound on revoked keys kept for clocks that count unevenly and a slow step
 	RetryUnsure     = 400 * time.Millisecond  // told while a proxy does not know whether a key still holds: one word to control
 	IdleTimeout     = 15 * time.Second        // likewise
+	IdleOverlap     = 3 * time.Second         // a lowered idle bound is known to clients so much later: over the bound on a configuration's way
 	HeaderBytes     = 64 << 10                // hard bound before a configuration's own
 	BudgetDefault   = 30 * time.Second        // a client that names no budget
 )
