Leases: a promise stops no grant, an accepted electorate does

Cause: whoever had promised to leave a view granted no lease until it knew the next, also where the electorate stayed. A view waits for its slowest member, and duties went without a holder meanwhile: those handed over at an orderly stop, and those of a machine that was killed.

Change: a voter stops granting once it has accepted a view with another electorate (Chain.LeavesElectorate). That is enough: such a view is decided by a majority that has accepted it, each of which stopped before, so every lease of the old electorate has a grantor that granted it before the decision. An accepted view that another took the place of was not decided. The duties' model, the explorer's and the daemon tell leases by the same function; the explorer told them of promises only and not of a wiped disk.

Conclusion: leases lapse by a change of view only where the electorate changes.

--- a/internal/explore/chainmodel/duties.go
+++ b/internal/explore/chainmodel/duties.go
@@ -69,7 +69,7 @@
 		return
 	}
 	v := c.View()
-	o.lease.SetElectorate(m.w.Now, v.Epoch, v.VoterAddrs(), c.Status().Sealed)
+	o.lease.SetElectorate(m.w.Now, v.Epoch, v.VoterAddrs(), c.LeavesElectorate())
 	m.sendLease(n, o.lease.Tick(m.w.Now))
 	var rec duty.Record
 	if d := c.Committed(); d != nil {
--- a/internal/headworks/daemon.go
+++ b/internal/headworks/daemon.go
@@ -440,13 +440,11 @@
 func (d *Daemon) snapshot() {
 	g := d.chain.Status()
 	d.status.Store(&g)
-	// The leases follow the view before any word of this step leaves: a promise that seals
-	// the view is told to them before it is told to anyone else, so that no lease is
-	// granted after it, however long the process stands still in between. A machine that
-	// no view has taken in with this disk counts as sealed: its address may be a voter's,
-	// whose promises its disk has forgotten.
+	// The leases follow the view before any word of this step leaves: an acceptance of a
+	// view with another electorate is told to them before it is told to anyone else, so
+	// that no lease is granted after it, however long the process stands still in between.
 	d.leaseMu.Lock()
-	d.leases.SetElectorate(d.now(), g.View.Epoch, g.View.VoterAddrs(), g.Sealed || !g.Joined)
+	d.leases.SetElectorate(d.now(), g.View.Epoch, g.View.VoterAddrs(), d.chain.LeavesElectorate())
 	d.leaseMu.Unlock()
 	if at, ok := d.chain.FreshAsOf(); ok {
 		d.freshAsOf.Store(&freshness{at, g.Version})
--- a/internal/headworks/electorate.go
+++ b/internal/headworks/electorate.go
@@ -47,6 +47,16 @@
 	return v
 }
 
+// LeavesElectorate says whether this machine must not grant leases: it has accepted a
+// view with another electorate, which may have been decided since. A promise alone does
+// not matter to leases, nor does a view with the same electorate. A machine that no view
+// has taken in with this disk counts as leaving: its address may be a voter's, whose
+// acceptance its disk has forgotten.
+func (c *Chain) LeavesElectorate() bool {
+	accepted := c.agr.Accepted != Ballot{}
+	return !c.agr.Joined || accepted && c.agr.Next.Epoch != c.agr.View.Epoch
+}
+
 // smallest is the size under which no electorate is shrunk: with fewer voters the
 // tolerance could not hold even if all of them lived.
 func (c *Chain) smallest(v View) int { return max(2*c.Tolerate+1, min(v.Base, 3)) }
