Leases: a machine that stops in order names its successors

Cause: what a stopping machine gave back was free for all, each claiming in its turn, while the view changed; claims that split the votes wait and split again.

Change: Release names a successor, the first in rank of those that granted the latest renewals. Each grantor keeps the duty for it for LeaseReserve, and it asks at once. A Release covers earlier Asks of its life too, and a machine that stops claims nothing more.

Conclusion: an orderly stop costs each duty the words of its hand-over.

--- a/internal/watermaster/lives_test.go
+++ b/internal/watermaster/lives_test.go
@@ -35,7 +35,7 @@
 			}
 			held := now + datum.LeaseLength
 			w.Recv(now, "b", Ask{"x", 1, early + 2, again})
-			w.Recv(now, "b", Release{"x", early + 2})
+			w.Recv(now, "b", Release{"x", early + 2, ""})
 			for ; now < held; now += 10 * time.Millisecond {
 				if allowed(w, now, "c", Ask{"x", 1, 1, false}) {
 					t.Fatalf("granted to another %v before the present life's lease ends (again: %v)", held-now, again)
@@ -59,11 +59,11 @@
 	if allowed(w, now, "b", Ask{"x", 1, 9 << 32, true}) {
 		t.Error("an overtaken word of the same life is granted")
 	}
-	w.Recv(now, "b", Release{"x", 9<<32 + 1}) // an earlier claim's
+	w.Recv(now, "b", Release{"x", 9<<32 + 1, ""}) // an earlier claim's
 	if allowed(w, now, "c", Ask{"x", 1, 1, false}) {
 		t.Error("an earlier claim's Release gave the later one back")
 	}
-	w.Recv(now, "b", Release{"x", 9<<32 + 2})
+	w.Recv(now, "b", Release{"x", 9<<32 + 2, ""})
 	if !allowed(w, now, "c", Ask{"x", 1, 2, false}) {
 		t.Error("not free after its Release")
 	}
@@ -158,10 +158,10 @@
 		{"b", "not a word of leases"},
 		{"b", nil},
 		{"b", &Ask{"x", 1, 1, false}},
-		{"b", Release{"no such duty", 1}},
+		{"b", Release{"no such duty", 1, ""}},
 		{"b", Grant{"x", 1, 1<<32 + 1, false, "z"}}, // names one without a vote as the holder
 		{"a", Ask{"x", 1, 9, false}},                // in this machine's own name
-		{"z", Release{"x", 1}},
+		{"z", Release{"x", 1, ""}},
 	} {
 		w := withPeers(New(0, 1, "a", []string{"x"}), []string{"a", "b", "c"})
 		w.Tick(now)
--- a/internal/watermaster/watermaster.go
+++ b/internal/watermaster/watermaster.go
@@ -15,11 +15,13 @@
 //     its own vote, which grants nothing yet, too few are left for a majority that
 //     none of them is in.
 //   - A new electorate is decided by a view that a majority of the voters before has
-//     promised. Who has promised is sealed and grants nothing until it knows a newer
-//     view. So any lease of the old electorate has a grantor that granted it before
-//     the decision, and ends at most LeaseLength after the decision. Whoever grants in
-//     the new electorate has learned of it after the decision and waits LeaseLength +
-//     LeaseMargin from then. The same holds view by view for one that skips some.
+//     accepted. Who has accepted a view with another electorate is sealed and grants
+//     nothing until it knows a newer view, or has accepted another in its place, which
+//     shows that the first was not decided. So any lease of the old electorate has a
+//     grantor that granted it before the decision, and ends at most LeaseLength after
+//     the decision. Whoever grants in the new electorate has learned of it after the
+//     decision and waits LeaseLength + LeaseMargin from then. The same holds view by
+//     view for one that skips some. A view with the same electorate stops no grant.
 //   - Numbers of electorates name them: words of another are dropped. A machine that
 //     slept through a change is a minority of the old electorate with all that did.
 //
@@ -51,10 +53,12 @@
 		OK     bool
 		Holder string
 	}
-	// Release gives back the grant that answered an Ask.
+	// Release gives back the grant that answered an Ask. A machine that stops in order
+	// names who goes on: what it gives back is kept for that one for a moment.
 	Release struct {
-		Duty  string
-		Nonce uint64
+		Duty      string
+		Nonce     uint64
+		Successor string
 	}
 )
 
@@ -98,6 +102,7 @@
 	nextAt time.Duration
 	away   time.Duration // given up on purpose: not claimed before
 	other  time.Duration // last heard that another holds it
+	heir   time.Duration // until when it is kept here for this machine, its holder having stopped
 }
 
 // Watermaster is one machine's part: it grants, and it claims.
@@ -128,14 +133,14 @@
 }
 
 // SetElectorate takes the machines whose majority grants, under the number of
-// the view that made them so, and whether this machine has promised to leave
-// that view. A sealed machine grants nothing, and a majority is sealed before a
-// new electorate is decided; whoever learns of one grants nothing until all that
+// the view that made them so, and whether this machine has accepted a view with
+// another electorate. A sealed machine grants nothing, and a majority is sealed before
+// a new electorate is decided; whoever learns of one grants nothing until all that
 // the old one granted has ended. So majorities of two electorates never meet.
 //
-// The caller owes that the number changes whenever the addresses do; that a promise is
-// told here before the word of it leaves the machine, and no older word after it; and
-// that a machine whose disk has forgotten its promises is told as sealed until a view
+// The caller owes that the number changes whenever the addresses do; that an acceptance
+// is told here before the word of it leaves the machine, and no older word after it; and
+// that a machine whose disk has forgotten what it accepted is told as sealed until a view
 // names its new disk. TestWhatTheElectorateMustTell shows what comes of less.
 func (w *Watermaster) SetElectorate(now time.Duration, epoch uint64, peers []string, sealed bool) {
 	if epoch < w.epoch {
@@ -222,25 +227,45 @@
 				continue
 			}
 			wait := time.Duration(w.rank(i)) * datum.LeaseStagger
+			if now < c.heir {
+				wait = 0
+			}
 			again = now-w.start < 2*datum.LeaseRenew // longer, and its asking would keep the duty from others
 			if !again && (now-w.start < datum.LeaseLength+datum.LeaseMargin+wait || c.other > 0 && now-c.other < wait) {
 				continue
 			}
 		}
-		w.nonce++
-		c.nonce = w.nonce
-		c.open = append(c.open, question{w.nonce, again, now, map[string]bool{}})
-		c.open = c.open[max(0, len(c.open)-int(datum.LeaseLength/datum.LeaseRenew)):]
-		c.nextAt = now + datum.LeaseRenew
-		for _, p := range w.peers {
-			w.send(p, Ask{d, w.epoch, c.nonce, again}, now)
-		}
+		w.ask(now, d, again)
 	}
 	out := w.out
 	w.out = nil
 	return out
 }
 
+// ask begins a round of asking for a duty.
+func (w *Watermaster) ask(now time.Duration, duty string, again bool) {
+	c := w.claims[duty]
+	w.nonce++
+	c.nonce = w.nonce
+	c.open = append(c.open, question{w.nonce, again, now, map[string]bool{}})
+	c.open = c.open[max(0, len(c.open)-int(datum.LeaseLength/datum.LeaseRenew)):]
+	c.nextAt = now + datum.LeaseRenew
+	for _, p := range w.peers {
+		w.send(p, Ask{duty, w.epoch, c.nonce, again}, now)
+	}
+}
+
+// inherit takes up a duty whose holder has stopped and named this machine.
+func (w *Watermaster) inherit(now time.Duration, duty string) {
+	c := w.claims[duty]
+	if c.until > now || now < c.away || now-w.start < datum.LeaseLength+datum.LeaseMargin {
+		return
+	}
+	c.heir = now + datum.LeaseReserve
+	w.ask(now, duty, false)
+	c.nextAt = now // what a refusal by one that the Release has not reached yet costs is one step
+}
+
 // Recv takes a message.
 func (w *Watermaster) Recv(now time.Duration, from string, msg any) []Send {
 	if from != w.me && slices.Contains(w.peers, from) && slices.Contains(w.peers, w.me) {
@@ -291,8 +316,17 @@
 			w.Dropped++
 			return
 		}
-		if g := w.grants[m.Duty]; g.holder == from && g.nonce == m.Nonce {
-			w.grants[m.Duty] = grant{holder: from, until: g.other, other: g.other}
+		g := w.grants[m.Duty]
+		if g.holder != from || g.nonce != m.Nonce && !(sameLife(g.nonce, m.Nonce) && g.nonce < m.Nonce) {
+			return // of a later Ask, or of another life
+		}
+		w.grants[m.Duty] = grant{holder: from, until: g.other, other: g.other}
+		if m.Successor == "" || g.until <= now || g.other > now {
+			return
+		}
+		w.grants[m.Duty] = grant{holder: m.Successor, until: now + datum.LeaseReserve}
+		if m.Successor == w.me {
+			w.inherit(now, m.Duty)
 		}
 	case Grant:
 		c := w.claims[m.Duty]
@@ -311,13 +345,13 @@
 			}
 			if m.Holder != "" && m.Holder != w.me {
 				c.other = now
-				if c.until <= now {
+				if c.until <= now && now >= c.heir {
 					// Give back what was granted here and there, and wait a time
 					// of this machine's own: claims that split the votes would
 					// keep them split for ever.
 					c.nextAt = now + datum.LeaseRenew + datum.LeaseStagger*time.Duration(1+slices.Index(w.peers, w.me))
 					for _, p := range w.peers {
-						w.send(p, Release{m.Duty, c.nonce}, now)
+						w.send(p, Release{Duty: m.Duty, Nonce: c.nonce}, now)
 					}
 					c.nonce, c.open = 0, nil
 				}
@@ -342,18 +376,47 @@
 	}
 }
 
-// Leave gives up what is held, before a planned stop, or the one duty named.
+// Leave gives up what is held, before a planned stop, or the one duty named. Before a
+// stop each duty goes to a machine that has just granted its renewal, which takes it up
+// at once, and nothing is claimed any more.
 func (w *Watermaster) Leave(now time.Duration, only ...string) []Send {
-	for d, c := range w.claims {
-		if c.until > now && (len(only) == 0 || slices.Contains(only, d)) {
-			c.until, c.since, c.away = 0, 0, now+datum.LeaseLength*4
-			for _, p := range w.peers {
-				w.send(p, Release{d, c.nonce}, now)
-			}
-			c.nonce, c.open = 0, nil // an answer still under way must not bring it back
+	for i, d := range w.duties {
+		stops := len(only) == 0
+		if !stops && !slices.Contains(only, d) {
+			continue
+		}
+		successor := ""
+		if stops {
+			successor = w.successor(i)
+			w.claims[d].away = now + datum.LeaseLength*4
+		}
+		if w.claims[d].until > now {
+			w.giveUp(now, d, successor)
 		}
 	}
 	out := w.out
 	w.out = nil
 	return out
 }
+
+func (w *Watermaster) giveUp(now time.Duration, duty, successor string) {
+	c := w.claims[duty]
+	c.until, c.since, c.away = 0, 0, now+datum.LeaseLength*4
+	for _, p := range w.peers {
+		w.send(p, Release{duty, c.nonce, successor}, now)
+	}
+	c.nonce, c.open = 0, nil // an answer still under way must not bring it back
+}
+
+// successor is the first in rank for a duty of those that granted its latest renewals;
+// empty when none did.
+func (w *Watermaster) successor(duty int) string {
+	c := w.claims[w.duties[duty]]
+	for i := range w.peers {
+		p := w.peers[(duty+i)%len(w.peers)]
+		if p != w.me && slices.ContainsFunc(c.open, func(q question) bool { return q.yes[p] }) {
+			return p
+		}
+	}
+	return ""
+}
