Chain: asking for a state one that may not hear it holds up no other

Cause: a machine outside the chain learns what is committed by asking whoever tells of it, one at a time for GaugeEvery. Where the head is heard and does not hear, each second or third ask went to it and was lost.

Change: only the asking of a machine in contact both ways waits out GaugeEvery.

Conclusion: asks go to one that can answer.

--- a/internal/headworks/catchup.go
+++ b/internal/headworks/catchup.go
@@ -143,7 +143,9 @@
 		if at(c.held) == g.Committed {
 			c.commit(*c.held)
 		} else if c.now >= c.fetchAt {
-			c.fetchAt = c.now + datum.GaugeEvery
+			if c.inContact(from) { // the asking of one that may not hear it holds up no other
+				c.fetchAt = c.now + datum.GaugeEvery
+			}
 			c.send(from, Fetch{at(c.committed)})
 		}
 	}
