Control: an order reaches the head through another machine

Cause: a machine that reaches a majority and not the head sent orders to the head alone and gave no verdict until its caller asked elsewhere.

Change: where the head has not shown that it hears this machine (out of contact, or no echo since the order came, when it is sent again), the order also goes to another voter that is in contact and does not miss the head itself. Forward and Order carry PassOn; whoever gets one and is not the head sends it to the head without, so it makes one hop and no loop. Number and content, or the order's id and count, are the same, so that coming twice changes nothing.

Reads and the duties' acts are not passed on.

--- a/internal/headworks/chain.go
+++ b/internal/headworks/chain.go
@@ -321,7 +321,13 @@
 }
 
 // heads says whether orders enter here.
-func (c *Chain) heads() bool { return c.serves() && c.agr.View.Members[0] == c.Me }
+func (c *Chain) heads() bool { return c.serves() && c.leads() }
+
+// leads says whether this machine is the first of its view, sealed or not.
+func (c *Chain) leads() bool {
+	m := c.agr.View.Members
+	return len(m) > 0 && m[0] == c.Me
+}
 
 func (c *Chain) send(to string, m any) {
 	if to == c.Me.Addr {
@@ -434,8 +440,17 @@
 			}
 		}
 	case Forward:
+		if m.PassOn && !c.leads() {
+			c.sendHead(Forward{Doc: m.Doc})
+			return
+		}
 		c.onForward(m.Doc)
 	case Order:
+		if m.PassOn && !c.leads() {
+			m.PassOn = false
+			c.sendHead(m)
+			return
+		}
 		c.onOrder(m)
 	case Retire:
 		c.wishRetired(m.Voter)
--- a/internal/headworks/messages.go
+++ b/internal/headworks/messages.go
@@ -91,18 +91,23 @@
 		View uint64
 		Doc  scheme.Doc
 	}
-	// Forward brings an operator's configuration to the head.
-	Forward struct{ Doc scheme.Doc }
+	// Forward brings an operator's configuration to the head. With PassOn a machine
+	// that is not the head sends it on, without: it goes through one other at most.
+	Forward struct {
+		Doc    scheme.Doc
+		PassOn bool
+	}
 	// Retire wants a voter that is gone out of the electorate; its Member decides.
 	Retire struct{ Voter string }
 	// Order starts or stops the evacuation of a zone. It is taken only while
 	// the zone's count of orders is still Base: one that was held up on its way
-	// must not undo what was ordered since.
+	// must not undo what was ordered since. PassOn is as in Forward.
 	Order struct {
-		ID   uint64
-		Zone string
-		On   bool
-		Base uint64
+		ID     uint64
+		Zone   string
+		On     bool
+		Base   uint64
+		PassOn bool
 	}
 	// Confirm asks whether a view still stands unsealed.
 	Confirm struct{ View, Nonce uint64 }
--- a/internal/headworks/orders.go
+++ b/internal/headworks/orders.go
@@ -22,7 +22,7 @@
 	if !settled(c.committed, d.Version) {
 		k := scheme.Taken{Version: d.Version, Sum: d.Sum}
 		c.wanted[k], c.wantAt[k] = d, now
-		c.forward(d)
+		c.forward(d, 0)
 	}
 	return c.flush()
 }
@@ -52,7 +52,7 @@
 func (c *Chain) Evacuate(now time.Duration, id uint64, zone string, on bool) []any {
 	c.now = now
 	c.orders[id], c.orderAt[id] = Order{ID: id, Zone: zone, On: on}, now
-	c.forwardOrder(c.orders[id])
+	c.forwardOrder(c.orders[id], 0)
 	return c.flush()
 }
 
@@ -65,14 +65,16 @@
 	return c.flush()
 }
 
-func (c *Chain) forwardOrder(o Order) {
-	if len(c.agr.View.Members) == 0 {
-		return
-	}
+// forwardOrder sends an evacuation to the head; since is as for otherWay.
+func (c *Chain) forwardOrder(o Order, since time.Duration) {
 	if c.committed != nil {
 		o.Base = c.committed.Evac[o.Zone].Num
 	}
-	c.send(c.agr.View.Members[0].Addr, o)
+	c.sendHead(o)
+	if via, ok := c.otherWay(since); ok {
+		o.PassOn = true
+		c.send(via, o)
+	}
 }
 
 // Give up on forwarding changes whose caller has been answered.
@@ -91,10 +93,42 @@
 	}
 }
 
-func (c *Chain) forward(d scheme.Doc) {
-	if len(c.agr.View.Members) > 0 {
-		c.send(c.agr.View.Members[0].Addr, Forward{d})
+// forward sends a configuration to the head; since is as for otherWay.
+func (c *Chain) forward(d scheme.Doc, since time.Duration) {
+	c.sendHead(Forward{Doc: d})
+	if via, ok := c.otherWay(since); ok {
+		c.send(via, Forward{Doc: d, PassOn: true})
+	}
+}
+
+func (c *Chain) sendHead(m any) {
+	if members := c.agr.View.Members; len(members) > 0 {
+		c.send(members[0].Addr, m)
+	}
+}
+
+// otherWay is a machine to pass an order on where the head has not shown that it hears
+// this one: it is out of contact, or has heard nothing sent after a moment. Any voter
+// will do that is in contact and does not miss the head itself; it is drawn, so that the
+// next try goes another way. An order that comes twice changes nothing.
+func (c *Chain) otherWay(since time.Duration) (addr string, ok bool) {
+	if len(c.agr.View.Members) == 0 {
+		return "", false
+	}
+	head := c.agr.View.Members[0].Addr
+	if head == c.Me.Addr || c.inContact(head) && c.seen[head].reached >= since {
+		return "", false
+	}
+	var ways []string
+	for _, v := range c.agr.View.Voters {
+		if v.Addr != c.Me.Addr && v.Addr != head && c.alive(v.Addr) && !slices.Contains(c.seen[v.Addr].gauge.Unheard, head) {
+			ways = append(ways, v.Addr)
+		}
+	}
+	if len(ways) == 0 {
+		return "", false
 	}
+	return ways[c.rng.IntN(len(ways))], true
 }
 
 // nextStamp is the place of the head's next state.
@@ -192,7 +226,7 @@
 	})
 	for _, k := range ks {
 		if at, ok := c.wantAt[k]; ok && c.now > at && !settled(c.held, k.Version) {
-			c.forward(c.wanted[k])
+			c.forward(c.wanted[k], at)
 		}
 	}
 	var ids []uint64
@@ -202,7 +236,7 @@
 	slices.Sort(ids)
 	for _, id := range ids {
 		if since, ok := c.orderAt[id]; ok && c.now > since {
-			c.forwardOrder(c.orders[id])
+			c.forwardOrder(c.orders[id], since)
 		}
 	}
 	for _, r := range c.reads {
