Contact: a restart that is over before it is noticed changes no view

Change: the proof of a path both ways is kept beside what the last words follow. It counts until it is ContactFresh old, also across a restart of the peer with the same disk; a peer with another disk begins without. What is known of freshness, and who is taken in, goes by the last words as before.

--- a/internal/headworks/catchup.go
+++ b/internal/headworks/catchup.go
@@ -117,9 +117,12 @@
 func (c *Chain) onGauge(from string, g Gauge) {
 	p := c.seen[from]
 	if p == nil {
-		p = &peerState{}
+		p = &peerState{contact: -1}
 		c.seen[from] = p
 	}
+	if p.gauge.Me != g.Me {
+		p.contact = -1
+	}
 	if !p.everSeen || c.now-p.heard > datum.MemberSilence || p.gauge.Me != g.Me {
 		p.since = c.now
 		if c.agr.View.index(from) >= 0 {
@@ -130,6 +133,7 @@
 	p.echoed = -1
 	if since := g.Echo - c.stampBase; since <= uint64(c.now) {
 		p.echoed = time.Duration(since)
+		p.contact = max(p.contact, p.echoed)
 	}
 	c.heardGoodbye(from, g)
 	c.learn(g.View)
--- a/internal/headworks/chain.go
+++ b/internal/headworks/chain.go
@@ -108,6 +108,7 @@
 type peerState struct {
 	gauge    Gauge
 	echoed   time.Duration // moment here that its last gauge follows; negative: none known
+	contact  time.Duration // latest moment here that any gauge of its present disk follows; negative: none known
 	heard    time.Duration // last gauge
 	since    time.Duration // first gauge of the present run of them
 	everSeen bool
--- a/internal/headworks/chain_test.go
+++ b/internal/headworks/chain_test.go
@@ -778,3 +778,28 @@
 		}
 	}
 }
+
+// A member that ends and is back before its silence would be noticed stays one: its
+// first words name nothing that it heard, which says that it has just started, and not
+// that the others do not reach it. A change of the view would seal all members, take
+// the duties' leases, and make its place the last one.
+func TestShortRestartChangesNoView(t *testing.T) {
+	for seed := uint64(1); seed <= 20; seed++ {
+		c := newCore(t, seed, []string{"a", "b", "c", "d", "e", "f"}, 2)
+		c.b.Run(7*time.Second, nil)
+		before := c.chain["a"].View()
+		restarted := c.names[seed%6]
+		c.chain[restarted] = nil
+		c.life[restarted]++
+		c.b.Run(c.b.Now+500*time.Millisecond, nil)
+		c.start(restarted, false)
+		c.b.Run(c.b.Now+3*time.Second, func() {
+			for _, n := range c.names {
+				if num := c.chain[n].View().Num; num != before.Num || c.chain[n].sealed() {
+					t.Fatalf("seed %d at %v: %s is at view %d, sealed %v; %s was away for half a second of view %d",
+						seed, c.b.Now, n, num, c.chain[n].sealed(), restarted, before.Num)
+				}
+			}
+		})
+	}
+}
--- a/internal/headworks/electorate.go
+++ b/internal/headworks/electorate.go
@@ -77,7 +77,7 @@
 // lastHeard is when a voter was last in contact, as far as this life knows.
 func (c *Chain) lastHeard(m Member) time.Duration {
 	if s := c.seen[m.Addr]; s != nil && s.gauge.Me == m {
-		return max(s.echoed, c.started)
+		return max(s.contact, c.started)
 	}
 	return c.started
 }
--- a/internal/headworks/view.go
+++ b/internal/headworks/view.go
@@ -49,13 +49,14 @@
 }
 
 // inContact says whether a peer was heard lately, and has heard this machine lately:
-// a path one way alone carries no agreement.
+// a path one way alone carries no agreement. A peer that has just started again has heard
+// nobody yet and says so; what it said before counts until it is old.
 func (c *Chain) inContact(addr string) bool {
 	if addr == c.Me.Addr {
 		return true
 	}
 	p := c.seen[addr]
-	return p != nil && c.now-p.heard <= datum.MemberSilence && p.echoed >= 0 && c.now-p.echoed <= datum.ContactFresh
+	return p != nil && c.now-p.heard <= datum.MemberSilence && p.contact >= 0 && c.now-p.contact <= datum.ContactFresh
 }
 
 // alive says whether a machine can be a member: in contact, its disk works, and it
@@ -101,8 +102,8 @@
 	for _, v := range c.agr.View.Voters {
 		if v.Addr == c.Me.Addr {
 			since = append(since, c.now)
-		} else if s := c.seen[v.Addr]; s != nil && s.echoed >= 0 && s.gauge.Me == v {
-			since = append(since, s.echoed)
+		} else if s := c.seen[v.Addr]; s != nil && s.contact >= 0 && s.gauge.Me == v {
+			since = append(since, s.contact)
 		}
 	}
 	return nthLatest(since, c.majority())
