--- a/internal/headworks/catchup.go
+++ b/internal/headworks/catchup.go
@@ -117,7 +117,7 @@
 func (c *Chain) onGauge(from string, g Gauge) {
 	p := c.seen[from]
 	if p == nil {
-		p = &peerState{}
+		p = &peerState{reached: -1}
 		c.seen[from] = p
 	}
 	if !p.everSeen || c.now-p.heard > datum.MemberSilence || p.gauge.Me != g.Me {
--- a/internal/headworks/view.go
+++ b/internal/headworks/view.go
@@ -103,8 +103,8 @@
 	for _, v := range c.agr.View.Voters {
 		if v.Addr == c.Me.Addr {
 			since = append(since, c.now)
-		} else if s := c.seen[v.Addr]; s != nil && s.echoed >= 0 && s.gauge.Me == v {
-			since = append(since, s.echoed)
+		} else if s := c.seen[v.Addr]; s != nil && s.reached >= 0 && s.gauge.Me == v {
+			since = append(since, s.reached)
 		}
 	}
 	return nthLatest(since, c.majority())
