The wire: connections begin with a greeting that names the protocol versions

Cause: a build that an older one cannot understand would have had its connections closed as garbage, over and over, without a word on why. Change: the first envelope of each end is a greeting with the newest and the oldest version that it speaks; it goes with the first message, so it costs no write. Builds before greetings pass over it as a reply that nobody waits for. Where no version is in common both ends report it once, in one line, and the connection ends. The model test's raw peer, which answers every envelope, passes over greetings.

--- a/internal/conduit/conduit.go
+++ b/internal/conduit/conduit.go
@@ -20,11 +20,15 @@
 	"slateridge/internal/datum"
 )
 
-// envelope carries one message. Seq 0 is a message that wants no answer.
+// envelope carries one message. Seq 0 is a message that wants no answer. The first on a
+// connection is each end's greeting: a reply to nothing, which builds without greetings
+// pass over; Protocol and Oldest are the newest and the oldest it speaks.
 type envelope struct {
-	Seq   uint64
-	Reply bool
-	Body  any
+	Seq      uint64
+	Reply    bool
+	Body     any
+	Protocol uint64
+	Oldest   uint64
 }
 
 // Traffic counts the bytes and messages of all own connections of this process.
@@ -52,6 +56,7 @@
 	seq    uint64
 	wait   map[uint64]chan any
 	handle Handler
+	last   atomic.Bool // what waits to be written is the last
 	Remote string
 }
 
@@ -62,6 +67,7 @@
 	host, _, _ := net.SplitHostPort(c.RemoteAddr().String())
 	p := &Pipe{c: c, some: make(chan struct{}, 1), done: make(chan struct{}),
 		seq: uint64(rand.Uint32()), wait: map[uint64]chan any{}, handle: h, Remote: host}
+	p.out = []envelope{greeting} // goes with the first message
 	go p.writer()
 	go p.reader()
 	return p
@@ -167,7 +173,7 @@
 				Traffic.OutBytes.Add(uint64(buf.Len()) + 4)
 			}
 		}
-		if w.Flush() != nil {
+		if w.Flush() != nil || p.last.Load() {
 			return
 		}
 		if buf.Cap() > datum.PipeKeep {
@@ -249,7 +255,7 @@
 func (p *Pipe) reader() {
 	defer p.Close()
 	in := newInflow(p.c)
-	for {
+	for first := true; ; first = false {
 		e, err := in.next()
 		if err != nil {
 			var ne net.Error
@@ -263,6 +269,10 @@
 			return // what was still under way is lost: a later connection's words may have come before it
 		default:
 		}
+		if first && !ours.speaksWith(protocolOf(e)) {
+			p.refuse(protocolOf(e))
+			return
+		}
 		if e.Reply {
 			p.mu.Lock()
 			ch := p.wait[e.Seq]
--- a/internal/conduit/model_test.go
+++ b/internal/conduit/model_test.go
@@ -96,6 +96,9 @@
 								if err != nil {
 									return
 								}
+								if m.Protocol > 0 {
+									continue // the greeting
+								}
 								q := m.Body.(word).S
 								a := envelope{Seq: m.Seq, Reply: true, Body: word{life + "|" + q}}
 								mu.Lock()
--- /dev/null
+++ b/internal/conduit/protocol.go
@@ -0,0 +1,65 @@
+package conduit
+
+import (
+	"fmt"
+	"sync"
+	"sync/atomic"
+)
+
+// Protocol is what one end speaks: all versions from Oldest to Newest. A message, or a
+// field of one, may be added without a new version: gob leaves out what the receiver's
+// type does not have, and what the sender did not send stays zero. Whatever changes the
+// meaning of what is there, or takes away what an older build needs, gets a new one.
+type Protocol struct{ Newest, Oldest uint64 }
+
+// ours: version 1 brought greetings, and has the messages of the builds before, which
+// count as 0.
+var ours = Protocol{Newest: 1, Oldest: 0}
+
+var greeting = envelope{Reply: true, Protocol: ours.Newest, Oldest: ours.Oldest}
+
+// protocolOf is what the sender of a connection's first envelope speaks; one without a
+// greeting speaks 0 only.
+func protocolOf(e envelope) Protocol { return Protocol{Newest: e.Protocol, Oldest: e.Oldest} }
+
+// speaksWith says whether two ends have a version in common.
+func (p Protocol) speaksWith(o Protocol) bool { return p.Newest >= o.Oldest && o.Newest >= p.Oldest }
+
+// Incompatible is given to the Handler in place of a message when the other end's build
+// has no version in common with this one; the connection then ends. It is given once for
+// each machine and what it speaks. Nothing is lost by it: each end works on with what it
+// knows, as with a machine that is down.
+type Incompatible struct {
+	Peer   string // its address
+	Theirs Protocol
+	Ours   Protocol
+}
+
+func (i Incompatible) String() string {
+	side := "that build is the older one"
+	if i.Theirs.Oldest > i.Ours.Newest {
+		side = "this build is the older one"
+	}
+	return fmt.Sprintf("%s speaks protocol %d to %d, this process %d to %d: %s", i.Peer, i.Theirs.Oldest, i.Theirs.Newest, i.Ours.Oldest, i.Ours.Newest, side)
+}
+
+// IncompatibleEnds counts connections that ended because no version is in common.
+var IncompatibleEnds atomic.Uint64
+
+// reported holds what each machine spoke when it was last reported as incompatible.
+var reported sync.Map // address -> Protocol
+
+// refuse reports a peer that speaks no version of ours, and sees to it that it learns
+// what is spoken here before the connection ends.
+func (p *Pipe) refuse(theirs Protocol) {
+	IncompatibleEnds.Add(1)
+	if before, known := reported.Swap(p.Remote, theirs); p.handle != nil && (!known || before != theirs) {
+		p.handle(p, Incompatible{Peer: p.Remote, Theirs: theirs, Ours: ours})
+	}
+	p.last.Store(true)
+	select {
+	case p.some <- struct{}{}:
+	default:
+	}
+	<-p.done
+}
--- a/internal/gaugeboard/gaugeboard.go
+++ b/internal/gaugeboard/gaugeboard.go
@@ -54,6 +54,7 @@
 		metrics.WriteGaugeUint64(w, fmt.Sprintf("slateridge_members{state=%q}", s), states[s])
 	}
 	metrics.WriteCounterUint64(w, "slateridge_internal_garbage_total", conduit.Garbled.Load())
+	metrics.WriteCounterUint64(w, "slateridge_internal_incompatible_total", conduit.IncompatibleEnds.Load())
 	t := &conduit.Traffic
 	metrics.WriteCounterUint64(w, `slateridge_internal_messages_total{dir="in"}`, t.In.Load())
 	metrics.WriteCounterUint64(w, `slateridge_internal_messages_total{dir="out"}`, t.Out.Load())
--- a/internal/headworks/daemon.go
+++ b/internal/headworks/daemon.go
@@ -590,6 +590,8 @@
 // onMessage takes what other processes send.
 func (d *Daemon) onMessage(p *conduit.Pipe, body any) any {
 	switch m := body.(type) {
+	case conduit.Incompatible:
+		d.book.Note("protocol_incompatible", m.String())
 	case penstock.Tap:
 		if d.relay {
 			// Where to turn is all it can tell.
--- a/internal/sluice/daemon.go
+++ b/internal/sluice/daemon.go
@@ -80,7 +80,13 @@
 	me := penstock.Tap{Node: set.IPAddress, Name: set.NodeName, Zone: set.Zone, Region: set.Region,
 		Front: set.ListenAddresses.Frontend}
 	d.line = penstock.NewLine(me, ips, func(ip string, h conduit.Handler) *conduit.Main {
-		return conduit.NewMain(set.PeerInternal(ip, datum.PortHeadworks), set.IPAddress, h)
+		return conduit.NewMain(set.PeerInternal(ip, datum.PortHeadworks), set.IPAddress, func(p *conduit.Pipe, body any) any {
+			if other, ok := body.(conduit.Incompatible); ok {
+				d.book.Note("protocol_incompatible", other.String())
+				return nil
+			}
+			return h(p, body)
+		})
 	}, d.apply)
 	if b.RevocationStrict {
 		s.strict, s.sure = b.Revoke.D()-datum.RevokeSpare, d.line.Sure
