--- a/internal/headworks/chain.go
+++ b/internal/headworks/chain.go
@@ -457,7 +457,7 @@
 	case Read:
 		c.onRead(from, m)
 	case Answer:
-		c.out = append(c.out, ReadDone{m.ID, m.Doc})
+		c.out = append(c.out, ReadDone(m))
 	case Fetch:
 		if m.Have.Less(at(c.committed)) {
 			c.send(from, Fetched{*c.committed})
