--- /dev/null
+++ b/internal/gobtest/gobtest.go
@@ -0,0 +1,125 @@
+// Package gobtest helps tests of compatibility: it fills a value of any type with
+// content that depends only on the names that gob encodes, and describes a type by
+// them. Two builds that fill alike and describe alike understand each other.
+package gobtest
+
+import (
+	"fmt"
+	"hash/fnv"
+	"reflect"
+	"slices"
+	"strings"
+)
+
+// indent stands before each line of a description.
+const indent = "    "
+
+// sliceLength is how many elements a filled slice has.
+const sliceLength = 2
+
+// Fill sets everything that gob would encode of what pointer points to, as far as
+// fields names it, which is what Describe said of the type once; with empty fields all
+// of it. The content follows from name and from the names of the fields on the way to
+// each part, and is never the zero value, which gob leaves out.
+func Fill(name string, pointer any, fields string) {
+	var known []string
+	if fields != "" {
+		known = strings.Split(fields, "\n")
+	}
+	f := filler{known}
+	f.fill(name, "", reflect.ValueOf(pointer).Elem())
+}
+
+// filler fills what its lines of a description name; all, if it has none.
+type filler struct{ known []string }
+
+// names says whether a part, or something within it, is to be filled.
+func (f *filler) names(described string) bool {
+	return f.known == nil || slices.ContainsFunc(f.known, func(line string) bool {
+		rest, found := strings.CutPrefix(line, indent+described)
+		return found && (rest == "" || strings.ContainsAny(rest[:1], ".[( "))
+	})
+}
+
+// fill sets one part; path leads to it, and described is its path in a description.
+func (f *filler) fill(path, described string, v reflect.Value) {
+	if !f.names(described) {
+		return
+	}
+	switch v.Kind() {
+	case reflect.Struct:
+		for i := range v.NumField() {
+			if field := v.Type().Field(i); field.IsExported() {
+				f.fill(path+"."+field.Name, described+"."+field.Name, v.Field(i))
+			}
+		}
+	case reflect.Pointer:
+		v.Set(reflect.New(v.Type().Elem()))
+		f.fill(path, described, v.Elem())
+	case reflect.Slice:
+		v.Set(reflect.MakeSlice(v.Type(), sliceLength, sliceLength))
+		for i := range v.Len() {
+			f.fill(fmt.Sprintf("%s[%d]", path, i), described+"[]", v.Index(i))
+		}
+	case reflect.Map:
+		v.Set(reflect.MakeMap(v.Type()))
+		key, value := reflect.New(v.Type().Key()).Elem(), reflect.New(v.Type().Elem()).Elem()
+		f.fill(path+"(key)", described+"(key)", key)
+		f.fill(path+"(value)", described+"(value)", value)
+		v.SetMapIndex(key, value)
+	default:
+		fillScalar(path, v)
+	}
+}
+
+func fillScalar(path string, v reflect.Value) {
+	switch v.Kind() {
+	case reflect.Bool:
+		v.SetBool(true)
+	case reflect.String:
+		v.SetString(path)
+	case reflect.Float32, reflect.Float64:
+		v.SetFloat(float64(number(path)) / 2)
+	case reflect.Int, reflect.Int8, reflect.Int16, reflect.Int32, reflect.Int64:
+		v.SetInt(int64(number(path)))
+	case reflect.Uint, reflect.Uint8, reflect.Uint16, reflect.Uint32, reflect.Uint64:
+		v.SetUint(uint64(number(path)))
+	default:
+		panic(fmt.Sprintf("gobtest: %s is a %s, which gob does not encode here", path, v.Type()))
+	}
+}
+
+// number gives one from 1 to 127, which fits every kind of number.
+func number(path string) uint32 {
+	hash := fnv.New32a()
+	hash.Write([]byte(path))
+	return hash.Sum32()%127 + 1
+}
+
+// Describe lists what gob encodes of a type: a line for each field, with its path and
+// its kind. The Go names of types are not part of it.
+func Describe(value any) string {
+	var lines []string
+	describe("", reflect.TypeOf(value), &lines)
+	return strings.Join(lines, "\n")
+}
+
+func describe(path string, t reflect.Type, lines *[]string) {
+	switch t.Kind() {
+	case reflect.Pointer: // gob encodes what it points to
+		describe(path, t.Elem(), lines)
+	case reflect.Slice:
+		describe(path+"[]", t.Elem(), lines)
+	case reflect.Map:
+		describe(path+"(key)", t.Key(), lines)
+		describe(path+"(value)", t.Elem(), lines)
+	case reflect.Struct:
+		for i := range t.NumField() {
+			if field := t.Field(i); field.IsExported() {
+				describe(path+"."+field.Name, field.Type, lines)
+			}
+		}
+	default:
+		*lines = append(*lines, fmt.Sprintf(indent+"%s %s", path, t.Kind()))
+	}
+}
--- a/internal/headworks/daemon.go
+++ b/internal/headworks/daemon.go
@@ -75,9 +75,9 @@
 )
 
 func init() {
-	conduit.Register(Roster{})
-	conduit.Register(ListNews{})
-	conduit.Register(ListAsk{})
+	conduit.Register(conduit.NameRoster, Roster{})
+	conduit.Register(conduit.NameUpstreamListNews, ListNews{})
+	conduit.Register(conduit.NameUpstreamListRequest, ListAsk{})
 }
 
 // coming are the limits of a version that is not in force yet, as far as is known
@@ -588,6 +588,8 @@
 // onMessage takes what other processes send.
 func (d *Daemon) onMessage(p *conduit.Pipe, body any) any {
 	switch m := body.(type) {
+	case conduit.Incompatible:
+		d.book.Note("protocol_incompatible", m.String())
 	case penstock.Tap:
 		if d.relay {
 			// Where to turn is all it can tell.
