Usage: what kills can lose has a bound

A holder killed together with proxies lost what they had told it since it last wrote to its disk, up to a second; a proxy lost what it had sent since its last word, up to half a second; and a proxy with little to do told nothing of a request that was running until something else had been counted.

A holder writes the words of each 200 ms to its disk, and once a second, as before, all that it knows; read back they are merged by maximum. Proxies tell four times a second instead of twice, and also when only what is running has changed.

Tests of internal/usage, duty, sluice and headworks pass.

--- a/internal/datum/datum.go
+++ b/internal/datum/datum.go
@@ -87,8 +87,10 @@
 
 // Usage.
 const (
-	UsageTell    = 500 * time.Millisecond  // a proxy's words to the holder: what one that dies loses is a tenth of the usual window
-	UsageEvery   = time.Second             // the holder keeps on its disk what it has gathered, and hands on what another should know
+	UsageTell    = 250 * time.Millisecond  // a proxy's words to the holder: what one that dies loses is a twentieth of the usual window
+	UsageEvery   = time.Second             // the holder keeps on its disk all that it has gathered
+	UsageSave    = UsageEvery / UsageSaves // the holder keeps on its disk the words that have come since: what is lost with it and with their proxies is no more
+	UsageSaves   = 5                       // to each that writes all anew: words are few bytes, the whole is not
 	UsageWait    = 800 * time.Millisecond  // for the holder's answer
 	UsageKept    = 24                      // windows a proxy keeps that nobody has settled: two minutes
 	UsageAtOnce  = 200                     // lives in one message when a holder hands on what it knows
--- a/internal/headworks/daemon.go
+++ b/internal/headworks/daemon.go
@@ -313,7 +313,7 @@
 	if len(d.posts) > 0 {
 		w.Turn(datum.DutyTick, d.officiate)
 		if d.set.Does(sill.DutyUsage) {
-			w.Turn(datum.UsageEvery, d.keepUsage)
+			w.Turn(datum.UsageSave, d.keepUsage)
 		}
 	}
 	d.bootTurn = time.Duration(max(0, slices.Index(d.controls(), d.set.IPAddress))) * datum.BootTurn
--- a/internal/usage/keeper.go
+++ b/internal/usage/keeper.go
@@ -1,6 +1,10 @@
 package usage
 
-import "slateridge/internal/datum"
+import (
+	"strconv"
+
+	"slateridge/internal/datum"
+)
 
 type (
 	// Save replaces a value on the machine's disk.
@@ -15,9 +19,13 @@
 	}
 )
 
-// storeKey is where a holder keeps all that it has gathered.
+// storeKey is where a holder keeps all that it has gathered. Between two such saves the
+// words that have come since the latest save stand under a key for each turn. Merged by
+// maximum with the whole, a word that is older than it changes nothing.
 const storeKey = "usage"
 
+func recentKey(turn int) string { return storeKey + "-" + strconv.Itoa(turn) }
+
 // Keeper has what a tally gathered outlast its process, while this machine holds the
 // duty, and hands it on to the next holder. Of proxies whose lives are over that is all
 // that is left. It has no clock, disk or network of its own.
@@ -26,6 +34,7 @@
 	kept   []Told // what another holder should know
 	held   bool   // the duty was held at the last step
 	handOn bool   // there is something to hand on, be it only that there was nothing
+	turn   int    // saves since the latest whole one
 }
 
 // NewKeeper makes the keeper of a tally; get reads a value from the machine's disk, on
@@ -33,10 +42,16 @@
 func NewKeeper(tally *Tally, get func(key string, v any) bool) *Keeper {
 	k := &Keeper{tally: tally}
 	get(storeKey, &k.kept)
+	for turn := 1; turn < datum.UsageSaves; turn++ {
+		var recent []Told
+		if get(recentKey(turn), &recent) {
+			k.kept = append(k.kept, recent...)
+		}
+	}
 	return k
 }
 
-// Step is driven every datum.UsageEvery; held says that this machine holds the duty, and
+// Step is driven every datum.UsageSave; held says that this machine holds the duty, and
 // holder who does, as far as is known here. What it gives is Save and HandOn.
 func (k *Keeper) Step(held bool, holder string) []any {
 	if k.held && !held {
@@ -55,8 +70,19 @@
 	if !held || len(out) > 0 {
 		return out // what is handed to this machine itself is saved with the next step
 	}
-	if words, changed := k.tally.Keep(); changed {
-		out = append(out, Save{storeKey, words})
+	if save, some := k.save(); some {
+		out = append(out, save)
 	}
 	return out
 }
+
+// save is the next value for the disk: one step in datum.UsageSaves all that is known,
+// else the words that have come since the step before.
+func (k *Keeper) save() (Save, bool) {
+	if k.turn = (k.turn + 1) % datum.UsageSaves; k.turn == 0 {
+		words, changed := k.tally.Keep()
+		return Save{storeKey, words}, changed
+	}
+	words := k.tally.Recent()
+	return Save{recentKey(k.turn), words}, len(words) > 0
+}
--- a/internal/usage/usage.go
+++ b/internal/usage/usage.go
@@ -69,8 +69,10 @@
 	settled uint64
 	term    uint64
 	said    uint64 // closed, as last answered
-	seq     uint64
+	seq     uint64 // of the latest word
 	running map[uint64]Counts
+	changed uint64 // the first word that says what is running now
+	heard   uint64 // the latest word that was answered
 	Dropped uint64 // counts of windows that were decided before they came
 }
 
@@ -101,6 +103,7 @@
 		m.running[w] = Counts{}
 	}
 	m.running[w][tenant]++
+	m.changed = m.seq + 1
 }
 
 // Over ends what Sent began: the request counts from now on, or it never will.
@@ -112,6 +115,7 @@
 		return
 	}
 	r.on = false
+	m.changed = m.seq + 1
 	c := m.running[r.window]
 	if c[r.tenant]--; c[r.tenant] == 0 {
 		delete(c, r.tenant)
@@ -180,7 +184,7 @@
 			}
 		}
 	}
-	return t, len(t.Windows) > 0 || t.Closed > m.said
+	return t, len(t.Windows) > 0 || t.Closed > m.said || m.changed > m.heard
 }
 
 // Heard takes the holder's answer to a word. Another term means another holder, or
@@ -188,6 +192,7 @@
 func (m *Meter) Heard(t Told, h Heard) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.heard = max(m.heard, t.Seq)
 	if h.Settled > m.settled {
 		m.settled = h.Settled
 		for w := range m.windows {
@@ -244,6 +249,7 @@
 	handed  time.Duration // when a holder before last handed on what it knew
 	first   uint64        // window in which this tally was first asked, nothing being decided yet
 	lives   map[uint64]*teller
+	recent  []Told // taken since the latest Keep or Recent
 	Garbage uint64
 }
 
@@ -276,6 +282,7 @@
 	}
 	l.at = at
 	t.dirty = true
+	t.recent = append(t.recent, m)
 	if m.Term == t.term {
 		l.closed = max(l.closed, m.Closed) // else more is to come
 	}
@@ -309,10 +316,23 @@
 	if !t.dirty {
 		return nil, false
 	}
-	t.dirty = false
+	t.dirty, t.recent = false, nil
 	return t.allLocked(), true
 }
 
+// Recent is the words taken since the latest Keep or Recent, as they can be told to
+// another tally: as not all that their lives know.
+func (t *Tally) Recent() []Told {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	words := t.recent
+	t.recent = nil
+	for i := range words {
+		words[i].Term = 0
+	}
+	return words
+}
+
 // All is the same, changed or not.
 func (t *Tally) All() []Told {
 	t.mu.Lock()
