--- /dev/null
+++ b/internal/usage/keeper.go
@@ -0,0 +1,88 @@
+package usage
+
+import (
+	"strconv"
+
+	"slateridge/internal/datum"
+)
+
+type (
+	// Save replaces a value on the machine's disk.
+	Save struct {
+		Key   string
+		Words []Told
+	}
+	// HandOn goes to the duty's holder, which may be this machine.
+	HandOn struct {
+		To string
+		Handover
+	}
+)
+
+// storeKey is where a holder keeps all that it has gathered. Between two such saves the
+// words that have come since the latest save stand under a key for each turn. Merged by
+// maximum with the whole, a word that is older than it changes nothing.
+const storeKey = "usage"
+
+func recentKey(turn int) string { return storeKey + "-" + strconv.Itoa(turn) }
+
+// Keeper has what a tally gathered outlast its process, while this machine holds the
+// duty, and hands it on to the next holder. Of proxies whose lives are over that is all
+// that is left. It has no clock, disk or network of its own.
+type Keeper struct {
+	tally  *Tally
+	kept   []Told // what another holder should know
+	held   bool   // the duty was held at the last step
+	handOn bool   // there is something to hand on, be it only that there was nothing
+	turn   int    // saves since the latest whole one
+}
+
+// NewKeeper makes the keeper of a tally; get reads a value from the machine's disk, on
+// which the life before may have left something.
+func NewKeeper(tally *Tally, get func(key string, v any) bool) *Keeper {
+	k := &Keeper{tally: tally}
+	get(storeKey, &k.kept)
+	for turn := 1; turn < datum.UsageSaves; turn++ {
+		var recent []Told
+		if get(recentKey(turn), &recent) {
+			k.kept = append(k.kept, recent...)
+		}
+	}
+	return k
+}
+
+// Step is driven every datum.UsageSave; held says that this machine holds the duty, and
+// holder who does, as far as is known here. What it gives is Save and HandOn.
+func (k *Keeper) Step(held bool, holder string) []any {
+	if k.held && !held {
+		k.kept = append(k.kept, k.tally.All()...)
+		k.handOn = true
+	}
+	k.held = held
+	var out []any
+	if (k.handOn || len(k.kept) > 0) && holder != "" {
+		for i := 0; i == 0 || i < len(k.kept); i += datum.UsageAtOnce {
+			end := min(i+datum.UsageAtOnce, len(k.kept))
+			out = append(out, HandOn{holder, Handover{Words: k.kept[i:end], Last: end == len(k.kept)}})
+		}
+		k.kept, k.handOn = nil, false
+	}
+	if !held || len(out) > 0 {
+		return out // what is handed to this machine itself is saved with the next step
+	}
+	if save, some := k.save(); some {
+		out = append(out, save)
+	}
+	return out
+}
+
+// save is the next value for the disk: one step in datum.UsageSaves all that is known,
+// else the words that have come since the step before.
+func (k *Keeper) save() (Save, bool) {
+	if k.turn = (k.turn + 1) % datum.UsageSaves; k.turn == 0 {
+		words, changed := k.tally.Keep()
+		return Save{storeKey, words}, changed
+	}
+	words := k.tally.Recent()
+	return Save{recentKey(k.turn), words}, len(words) > 0
+}
