Explorer: admission, driven by its exported steps

The explorer had no adapter for the way a quota is shared. internal/explore/admissionmodel drives weir.Weir at two to four proxies and weir.Gatehouse at two trackers with one key, a roster and a moving duty around them, and checks every window against rate * w + burst and what docs/design.md allows beyond it.

Fractional numbers are told apart by a grain when states are compared (Abstraction.Grain).

--- a/cmd/slateridge/explore.go
+++ b/cmd/slateridge/explore.go
@@ -9,12 +9,13 @@
 	"time"
 
 	"slateridge/internal/explore"
+	"slateridge/internal/explore/admissionmodel"
 	"slateridge/internal/explore/chainmodel"
 	"slateridge/internal/explore/leasemodel"
 )
 
 type exploreCmd struct {
-	Model      string        `enum:"chain,leases,duties" default:"chain" help:"What to drive: chain (orders, reads, views), leases (by themselves) or duties (a chain, its leases, and acts under their fences)."`
+	Model      string        `enum:"chain,leases,duties,admission" default:"chain" help:"What to drive: chain (orders, reads, views), leases (by themselves), duties (a chain, its leases, and acts under their fences) or admission (proxies that share a quota, and its trackers)."`
 	Strategy   string        `enum:"systematic,random" default:"systematic" help:"All schedules, those with fewer deviations first, or random walks within the same bounds."`
 	Deviations int           `default:"3" help:"Most deviations from the default schedule."`
 	Faults     int           `default:"4" help:"Most of them that are faults."`
@@ -31,6 +32,12 @@
 	Schedules  int           `help:"Number of schedules after which it ends; 0: no bound."`
 	Jobs       int           `default:"3" help:"Schedules run at once; with 1 the counts are the same each time."`
 	KeepGoing  bool          `help:"Look for a failure of every rule instead of ending with the first."`
+	Proxies    int           `default:"2" help:"Proxies at the start, of admission."`
+	Pressed    bool          `help:"Clients press all proxies from the end of the warm time on, of admission."`
+	Burst      float64       `default:"20" help:"Burst of the quota, whose rate is 20 a second, of admission."`
+	Slack      float64       `default:"2.5" help:"Absolute slack of the quota, of admission: at 2.5 a key goes to its tracker from three proxies on, at 20 never."`
+	Tolerance  float64       `help:"Tokens beyond the design's bound that are let pass, of admission, to search on past what is known."`
+	Plant      string        `enum:"none,loan,tracker,newcomer,standby" default:"none" help:"A defect to plant around admission's machines, to see that it is found."`
 	Replay     string        `placeholder:"LIST" help:"Run one schedule, as it was printed: words separated by semicolons."`
 }
 
@@ -45,6 +52,9 @@
 		}
 		return func() explore.Model { return leasemodel.New(cfg) }, leasemodel.ChoiceKinds
 	}
+	if c.Model == "admission" {
+		return c.admission()
+	}
 	cfg := chainmodel.Small()
 	cfg.Faults, cfg.Messages, cfg.Kinds, cfg.Without, cfg.Newcomers, cfg.Operators, cfg.Warm = c.Faults, c.Messages, c.Kinds, c.Without, c.Newcomers, c.Operators, c.Warm
 	cfg.Duties = c.Model == "duties"
@@ -54,7 +64,23 @@
 	return func() explore.Model { return chainmodel.New(cfg) }, chainmodel.ChoiceKinds
 }
 
+func (c exploreCmd) admission() (func() explore.Model, []string) {
+	cfg := admissionmodel.Small()
+	cfg.Faults, cfg.Messages, cfg.Kinds, cfg.Without, cfg.Newcomers, cfg.Warm = c.Faults, c.Messages, c.Kinds, c.Without, c.Newcomers, c.Warm
+	cfg.Proxies, cfg.Pressed, cfg.Quota.Burst, cfg.Slack, cfg.Tolerance = c.Proxies, c.Pressed, c.Burst, c.Slack, c.Tolerance
+	if c.Plant != "none" {
+		cfg.Planted = admissionmodel.Fault(c.Plant)
+	}
+	if c.Step > 0 {
+		cfg.Step = c.Step
+	}
+	return func() explore.Model { return admissionmodel.New(cfg) }, admissionmodel.ChoiceKinds
+}
+
 func (c exploreCmd) Run() error {
+	if c.Model == "admission" && (c.Proxies < 1 || c.Proxies+c.Newcomers > admissionmodel.MostProxies) {
+		return usageError{fmt.Errorf("admission has one to %d proxies, newcomers among them", admissionmodel.MostProxies)}
+	}
 	mk, kinds := c.model()
 	for _, k := range slices.Concat(c.Kinds, c.Without) {
 		if !slices.Contains(kinds, k) {
--- a/internal/explore/digest.go
+++ b/internal/explore/digest.go
@@ -12,10 +12,12 @@
 
 // Abstraction is what states are not told apart by: moments longer ago than
 // LongAgo, which must be longer than any time after which a machine still acts on
-// one, and the fields that Skip names as "Type.Field".
+// one, the fields that Skip names as "Type.Field", and differences of fractional
+// numbers below Grain, if it is given.
 type Abstraction struct {
 	LongAgo time.Duration
 	Skip    []string
+	Grain   float64
 }
 
 var (
@@ -78,6 +80,9 @@
 	case reflect.Uint, reflect.Uint8, reflect.Uint16, reflect.Uint32, reflect.Uint64, reflect.Uintptr:
 		return mix(7, v.Uint())
 	case reflect.Float32, reflect.Float64:
+		if d.Grain > 0 {
+			return mix(8, uint64(int64(math.Round(v.Float()/d.Grain))))
+		}
 		return mix(8, math.Float64bits(v.Float()))
 	case reflect.String:
 		return text(v.String())
