--- a/internal/headworks/store_before_test.go
+++ b/internal/headworks/store_before_test.go
@@ -28,7 +28,7 @@
 		peers        []string // of stores from before views named their voters
 	)
 	records := map[string]any{"incarnation": &incarnation, "agreement": &agreed, "held": &held,
-		rawKeys[0]: &bulks[0], rawKeys[1]: &bulks[1], "roster": &roster, usageKey: &usageWindows, "peers": &peers}
+		rawKeys[0]: &bulks[0], rawKeys[1]: &bulks[1], "roster": &roster, usage.StoreKey: &usageWindows, "peers": &peers}
 	for key, pointer := range records {
 		_, fields, _ := strings.Cut("\n"+listed, "\n"+key+"\n")
 		fields, _, _ = strings.Cut(fields, "\n\n")
--- a/internal/usage/keeper.go
+++ b/internal/usage/keeper.go
@@ -19,12 +19,12 @@
 	}
 )
 
-// storeKey is where a holder keeps all that it has gathered. Between two such saves the
+// StoreKey is where a holder keeps all that it has gathered. Between two such saves the
 // words that have come since the latest save stand under a key for each turn. Merged by
 // maximum with the whole, a word that is older than it changes nothing.
-const storeKey = "usage"
+const StoreKey = "usage"
 
-func recentKey(turn int) string { return storeKey + "-" + strconv.Itoa(turn) }
+func recentKey(turn int) string { return StoreKey + "-" + strconv.Itoa(turn) }
 
 // Keeper has what a tally gathered outlast its process, while this machine holds the
 // duty, and hands it on to the next holder. Of proxies whose lives are over that is all
@@ -41,7 +41,7 @@
 // which the life before may have left something.
 func NewKeeper(tally *Tally, get func(key string, v any) bool) *Keeper {
 	k := &Keeper{tally: tally}
-	get(storeKey, &k.kept)
+	get(StoreKey, &k.kept)
 	for turn := 1; turn < datum.UsageSaves; turn++ {
 		var recent []Told
 		if get(recentKey(turn), &recent) {
@@ -81,7 +81,7 @@
 func (k *Keeper) save() (Save, bool) {
 	if k.turn = (k.turn + 1) % datum.UsageSaves; k.turn == 0 {
 		words, changed := k.tally.Keep()
-		return Save{storeKey, words}, changed
+		return Save{StoreKey, words}, changed
 	}
 	words := k.tally.Recent()
 	return Save{recentKey(k.turn), words}, len(words) > 0
