Control: the status is built when asked for, not with each step

Cause: each step of the chain and each message to it built the whole status for operators, with the list of those out of contact, the time of day and the voters' addresses.

Change: a step publishes only what the rest of the process asks of the view (standing), anew when that has changed; operators' calls build the status.

--- a/internal/headworks/admin.go
+++ b/internal/headworks/admin.go
@@ -78,10 +78,10 @@
 		return
 	}
 	for end := d.now() + datum.RetireWish/2; d.now() < end; time.Sleep(datum.ChainTick) {
-		if !slices.Contains(d.status.Load().View.VoterAddrs(), addr) {
+		if !slices.Contains(d.standing.Load().voters, addr) {
 			d.book.Note("retired", addr)
 			w.Header().Set("Content-Type", "application/json")
-			json.NewEncoder(w).Encode(map[string]any{"retired": addr, "voters": d.status.Load().View.VoterAddrs()})
+			json.NewEncoder(w).Encode(map[string]any{"retired": addr, "voters": d.standing.Load().voters})
 			return
 		}
 	}
@@ -94,10 +94,17 @@
 	Asked, Empty, Spilled uint64
 }
 
+// chainStatus is the chain's state at this moment. It waits for the disk.
+func (d *Daemon) chainStatus() Gauge {
+	d.chainMu.Lock()
+	defer d.chainMu.Unlock()
+	return d.chain.Status()
+}
+
 // Report describes this machine for operators.
 func (d *Daemon) Report() Report {
 	f := d.face()
-	r := Report{Role: "headworks", Node: d.set.NodeName, Chain: *d.status.Load(), Current: f.Current, Duties: map[string]string{},
+	r := Report{Role: "headworks", Node: d.set.NodeName, Chain: d.chainStatus(), Current: f.Current, Duties: map[string]string{},
 		ListNum: f.ListNum, ListAge: f.ListAge, Live: f.Proxies, Proxies: d.pen.Proxies(), Leased: d.gates.Held(d.now()),
 		Members: d.staff.Members(), Evacuated: f.Evacuated, Events: d.book.Latest(20), Tallies: d.book.Tallies()}
 	r.Contact = -1
--- a/internal/headworks/catchup.go
+++ b/internal/headworks/catchup.go
@@ -23,6 +23,9 @@
 
 var rawKeys = [2]string{"raw0", "raw1"}
 
+// Joined says whether the newest view known here names this machine's disk a voter.
+func (c *Chain) Joined() bool { return c.agr.Joined }
+
 // Status describes this machine for operators.
 func (c *Chain) Status() Gauge { return c.gauge() }
 
--- a/internal/headworks/daemon.go
+++ b/internal/headworks/daemon.go
@@ -93,6 +93,15 @@
 	version uint64
 }
 
+// standing is what the rest of the process asks of the chain's view. It is made anew when
+// that changes, not with each step, and never written after.
+type standing struct {
+	view, epoch uint64
+	voters      []string // addresses, sorted
+	joined      bool     // the view names this machine's disk a voter
+	leaves      bool     // no lease is granted: see Chain.LeavesElectorate
+}
+
 const dutyPoll = "poll"
 
 func dutyTrack(shard int) string { return fmt.Sprintf("track/%d", shard) }
@@ -111,7 +120,7 @@
 	chainMu   sync.Mutex // held while the disk works; nothing else waits for it
 	chain     *Chain
 	store     *cistern.Cistern
-	status    atomic.Pointer[Gauge]
+	standing  atomic.Pointer[standing]
 	inForce   atomic.Pointer[scheme.Doc]
 	freshAsOf atomic.Pointer[freshness]
 	waitSaid  time.Duration          // when it was last said that this machine waits to be taken in; the chain's loop only
@@ -386,7 +395,7 @@
 
 // peers are the other control machines that agree on the view, as known here.
 func (d *Daemon) peers() []string {
-	ps := d.status.Load().View.VoterAddrs()
+	ps := slices.Clone(d.standing.Load().voters)
 	if len(ps) == 0 {
 		ps = slices.Clone(d.seeds)
 	}
@@ -396,7 +405,7 @@
 // controls are all of them, this one too unless it only relays.
 func (d *Daemon) controls() []string {
 	ps := d.peers()
-	if g := d.status.Load(); !g.Relay {
+	if !d.relay {
 		ps = append(ps, d.set.IPAddress)
 	}
 	slices.Sort(ps)
@@ -437,17 +446,24 @@
 	return out
 }
 
+// snapshot publishes what changed with a step, before any word of it leaves.
 func (d *Daemon) snapshot() {
-	g := d.chain.Status()
-	d.status.Store(&g)
-	// The leases follow the view before any word of this step leaves: an acceptance of a
-	// view with another electorate is told to them before it is told to anyone else, so
-	// that no lease is granted after it, however long the process stands still in between.
-	d.leaseMu.Lock()
-	d.leases.SetElectorate(d.now(), g.View.Epoch, g.View.VoterAddrs(), d.chain.LeavesElectorate())
-	d.leaseMu.Unlock()
+	v, joined, leaves := d.chain.View(), d.chain.Joined(), d.chain.LeavesElectorate()
+	if was := d.standing.Load(); was == nil || was.view != v.Num || was.joined != joined || was.leaves != leaves {
+		now := &standing{view: v.Num, epoch: v.Epoch, voters: v.VoterAddrs(), joined: joined, leaves: leaves}
+		d.standing.Store(now)
+		// An acceptance of a view with another electorate is told to the leases before it
+		// is told to anyone else, so that no lease is granted after it, however long the
+		// process stands still in between.
+		d.leaseMu.Lock()
+		d.leases.SetElectorate(d.now(), now.epoch, now.voters, leaves)
+		d.leaseMu.Unlock()
+	}
 	if at, ok := d.chain.FreshAsOf(); ok {
-		d.freshAsOf.Store(&freshness{at, g.Version})
+		fresh := freshness{at, ver(d.chain.Committed())}
+		if was := d.freshAsOf.Load(); was == nil || *was != fresh {
+			d.freshAsOf.Store(&fresh)
+		}
 	}
 	if at, ok := d.chain.Contact(); ok {
 		d.contact.Store(max(int64(at), 1))
@@ -521,10 +537,10 @@
 		d.book.Count("stood_still", 1)
 	}
 	d.step(func() []any { return d.chain.Tick(d.now()) })
-	if g := d.status.Load(); !g.Joined && now-d.waitSaid > datum.JoinSay {
+	if g := d.standing.Load(); !g.joined && now-d.waitSaid > datum.JoinSay {
 		d.waitSaid = now
 		d.book.Note("waiting", fmt.Sprintf("no view has taken this machine in; known: view %d of %d voters, asked: %v. If no control machine has a view, a first start was cut short before a majority of the seeds had written: start those with empty disks and bootstrap true",
-			g.View.Num, len(g.View.Voters), d.peers()))
+			g.view, len(g.voters), d.peers()))
 	}
 }
 
