Explorer: an orderly leave, and five machines of which two may be lost

The chain's model knew only machines that die, and one loss at a time. quit and depart stop a machine as its daemon's planned stop does (leases handed over, the others told, a wait for a view without it); while all is well that view must come in time. Five() is five machines with tolerance 2: losses may follow each other, or come at once, up to the tolerance, and the others have to serve without those stopped.

--- a/internal/explore/chainmodel/chainmodel.go
+++ b/internal/explore/chainmodel/chainmodel.go
@@ -31,6 +31,7 @@
 	RuleServes     = "orders are confirmed after quiet"
 	RuleAnswers    = "reads are answered after quiet"
 	RuleStarts     = "a kept disk is enough to start"
+	RuleLeaves     = "an orderly leave ends in time while all is well"
 )
 
 // Config bounds a model.
@@ -60,6 +61,13 @@
 		Warm: 4 * time.Second, CatchUp: 4 * time.Second, Settle: 6 * time.Second, Serve: 3 * time.Second, LongAgo: 5 * time.Second}
 }
 
+// Five is five machines, of which two may be lost at once, with up to four faults.
+func Five() Config {
+	c := Small()
+	c.Founders, c.Newcomers, c.Tolerate, c.Operators = 5, 0, 2, 1
+	return c
+}
+
 // Order is an operator's configuration sent at a machine and waited for.
 type Order struct {
 	Operator string
@@ -115,7 +123,10 @@
 
 	faults, orders, came int
 	ids                  uint64
-	spare                string           // the machine that was last stopped while all was whole
+	spares               []string         // machines stopped within what is tolerated, the first while all was whole
+	losses               int              // machines stopped or lost since all was whole, as long as no other trouble came
+	lossAt               time.Duration    // the latest of them
+	leaving              map[string]leave // machines that stop in order
 	last                 map[string]Order // by operator
 	wanted               uint64           // highest version sent
 	waits                map[string][]waiting
@@ -134,6 +145,7 @@
 	platform  platform
 	answers   int // reads answered
 	confirms  int
+	left      int // orderly leaves that ended with a view without the leaver
 }
 
 // New makes one.
@@ -150,13 +162,13 @@
 	m.chain, m.disks = map[string]*headworks.Chain{}, map[string]*basin.Disk{}
 	m.grid, m.err = m.Warm, nil
 	m.faults, m.orders, m.came, m.ids, m.wanted = 0, 0, 0, 0, 0
-	m.spare = ""
+	m.spares, m.losses, m.lossAt, m.leaving = nil, 0, 0, map[string]leave{}
 	m.last, m.waits = map[string]Order{}, map[string][]waiting{}
 	m.reads, m.evacs = map[string]map[uint64]reading{}, map[string]map[uint64]evacuation{}
 	m.confirmed, m.acked, m.evacAcked = map[uint64]string{}, 0, map[string]uint64{}
 	m.evacSent = map[uint64]time.Duration{}
 	m.views, m.viewOf, m.states, m.inForce = map[uint64]string{}, map[string]uint64{}, map[scheme.Stamp]state{}, map[string]*scheme.Doc{}
-	m.answers, m.confirms = 0, 0
+	m.answers, m.confirms, m.left = 0, 0, 0
 	m.officers, m.platform = map[string]*officers{}, platform{by: map[uint64]string{}, bodies: map[uint64]string{}}
 	for _, n := range names[:m.Founders] {
 		m.start(n, true)
@@ -213,6 +225,7 @@
 
 func (m *Model) stop(n string) {
 	m.w.Stop(n)
+	delete(m.leaving, n)
 	m.chain[n], m.officers[n] = nil, nil
 	m.waits[n], m.reads[n], m.evacs[n] = nil, nil, nil
 }
@@ -228,6 +241,50 @@
 	})
 }
 
+// quit stops a machine in order, as its daemon does: its leases are handed over, the
+// others are told, and it waits for a view without it, if they can make one.
+func (m *Model) quit(n string, forGood bool) {
+	well := m.whole() && m.chain[n].CanLeave() && len(m.leaving) == 0
+	m.lose(n, true)
+	if o := m.officers[n]; o != nil {
+		m.sendLease(n, o.lease.Leave(m.w.Now))
+	}
+	m.leaving[n] = leave{m.w.Now, m.w.Life(n), m.faults, forGood, well}
+	m.run(n, func(c *headworks.Chain) []any { return c.Leave(m.w.Now) })
+	m.awaitLeft(n, m.leaving[n])
+}
+
+// leave is a machine's orderly stop under way.
+type leave struct {
+	began   time.Duration
+	life    int
+	faults  int // so far; with one more it may take longer
+	forGood bool
+	well    bool // all was whole as it began: it has to end in time
+}
+
+func (m *Model) awaitLeft(n string, l leave) {
+	c := m.chain[n]
+	if m.w.Life(n) != l.life || c == nil {
+		return // stopped before
+	}
+	late := m.w.Now-l.began >= datum.LeaveWait
+	if !c.Left() && c.CanLeave() && !late || m.w.Frozen(n) {
+		m.w.After(datum.ChainTick/2, func() { m.awaitLeft(n, l) })
+		return
+	}
+	if !c.Left() && l.well && m.faults == l.faults {
+		m.broken(RuleLeaves, "%s stops after %v and is still a member: %s", n, m.w.Now-l.began, m.describe())
+	}
+	if c.Left() {
+		m.left++
+	}
+	m.stop(n)
+	if l.forGood {
+		m.w.Leave(n)
+	}
+}
+
 func (m *Model) tick(n string) {
 	m.run(n, func(c *headworks.Chain) []any { return c.Tick(m.w.Now) })
 	m.officiate(n)
@@ -454,8 +511,29 @@
 	return true
 }
 
+// mayLose says whether one more machine, or disk, may be lost by what is promised:
+// all is whole, or nothing but tolerated losses has happened since it was.
+func (m *Model) mayLose() bool {
+	return m.whole() || m.losses > 0 && m.losses < m.Tolerate && m.w.Trouble == m.lossAt
+}
+
+// lose notes that a machine is stopped or lost; spare says that the others have to
+// do without it.
+func (m *Model) lose(n string, spare bool) {
+	if m.whole() {
+		m.losses, m.spares = 0, nil
+	} else if !m.mayLose() {
+		return
+	}
+	m.losses++
+	m.lossAt = m.w.Now
+	if spare {
+		m.spares = append(m.spares, n)
+	}
+}
+
 // faultKinds count as faults; the others repair, or are work.
-var faultKinds = []string{"isolate", "mute", "deafen", "cut", "part", "freeze", "lose", "double", "late", "restart", "stop", "power", "fill", "wipe", "leave", "outage"}
+var faultKinds = []string{"isolate", "mute", "deafen", "cut", "part", "freeze", "lose", "double", "late", "restart", "stop", "power", "fill", "wipe", "leave", "quit", "depart", "outage"}
 
 // ChoiceKinds names all kinds of choices.
 var ChoiceKinds = append(slices.Clone(faultKinds), "join", "thaw", "start", "clear", "recover", "come", "order", "again", "read", "evacuate")
@@ -475,6 +553,9 @@
 	for _, n := range m.w.Names {
 		if m.w.Up(n) {
 			add("restart "+n, "stop "+n)
+			if _, ok := m.leaving[n]; !ok && !m.w.Frozen(n) {
+				add("quit " + n)
+			}
 		} else {
 			add("start " + n)
 		}
@@ -487,9 +568,11 @@
 			add("fill " + n)
 		}
 	}
-	if m.whole() {
+	if m.mayLose() {
 		for _, n := range m.w.Names {
-			add("wipe "+n, "leave "+n)
+			if _, ok := m.leaving[n]; !ok && m.w.Up(n) {
+				add("wipe "+n, "leave "+n, "depart "+n)
+			}
 		}
 	}
 	if m.Duties && m.platform.down {
@@ -544,12 +627,12 @@
 		m.stop(f[1])
 		m.back(f[1])
 	case "stop":
-		if m.whole() {
-			m.spare = f[1]
-		}
+		m.lose(f[1], true)
 		m.stop(f[1])
+	case "quit", "depart":
+		m.quit(f[1], f[0] == "depart")
 	case "start":
-		m.spare = ""
+		m.spares = nil
 		m.start(f[1], false)
 	case "power":
 		for _, n := range m.w.Names {
@@ -561,10 +644,12 @@
 	case "outage", "recover":
 		m.platform.down = f[0] == "outage"
 	case "wipe":
+		m.lose(f[1], false)
 		m.stop(f[1])
 		m.disks[f[1]] = basin.NewDisk()
 		m.back(f[1])
 	case "leave":
+		m.lose(f[1], false)
 		m.stop(f[1])
 		m.w.Leave(f[1])
 	case "come":
@@ -590,7 +675,7 @@
 
 func (m *Model) Hash() uint64 {
 	a := explore.Abstraction{LongAgo: m.LongAgo, Skip: skip}
-	parts := []any{m.spare, m.faults, m.orders, m.came, m.wanted, m.last, m.confirmed, m.evacAcked, m.evacSent, m.states, m.views, m.grid, int(min(m.w.Now-m.w.Trouble, m.CatchUp))}
+	parts := []any{m.spares, m.losses, m.lossAt == m.w.Trouble, m.leaving, m.faults, m.orders, m.came, m.wanted, m.last, m.confirmed, m.evacAcked, m.evacSent, m.states, m.views, m.grid, int(min(m.w.Now-m.w.Trouble, m.CatchUp))}
 	for _, n := range m.w.Names {
 		parts = append(parts, n, m.disks[n], m.inForce[n] != nil, m.waits[n], m.reads[n], m.evacs[n])
 		if c := m.chain[n]; c != nil {
@@ -610,14 +695,21 @@
 func (m *Model) Quiet() error {
 	m.w.Heal()
 	m.platform.down = false
-	down := 0
 	for _, n := range m.w.Names {
 		m.disks[n].Refuse = false
+	}
+	if len(m.leaving) > 0 {
+		m.w.Run(m.w.Now+datum.LeaveWait+datum.ChainTick, nil, m.well)
+	}
+	spared := true
+	down := 0
+	for _, n := range m.w.Names {
 		if m.chain[n] == nil {
 			down++
+			spared = spared && slices.Contains(m.spares, n)
 		}
 	}
-	if down == 1 && m.spare != "" && m.chain[m.spare] == nil && slices.Contains(m.w.Names, m.spare) {
+	if down > 0 && spared {
 		m.serve()
 	}
 	for _, n := range slices.Clone(m.w.Names) {
--- a/internal/explore/chainmodel/chainmodel_test.go
+++ b/internal/explore/chainmodel/chainmodel_test.go
@@ -49,6 +49,9 @@
 		{"orders", func(c *Config) { c.Kinds = []string{"order", "again", "read", "evacuate"} }, false, explore.Options{Deviations: 2, Depth: 1, Schedules: 120}},
 		{"faults", func(c *Config) { c.Newcomers, c.Operators = 0, 1 }, false, explore.Options{Deviations: 1, Depth: 1}},
 		{"messages", func(c *Config) { c.Newcomers, c.Operators, c.Messages = 0, 1, true }, true, explore.Options{Deviations: 4, Depth: 60, Schedules: 60, Seed: 1}},
+		{"orderly leaves", func(c *Config) { c.Kinds = []string{"quit", "depart", "come", "start"} }, false, explore.Options{Deviations: 2, Depth: 2}},
+		{"two of five lost", func(c *Config) { *c = Five(); c.Kinds = []string{"stop", "wipe", "leave", "quit"} }, false, explore.Options{Deviations: 2, Depth: 0}},
+		{"five machines", func(c *Config) { *c = Five() }, true, explore.Options{Deviations: 4, Depth: 3, Schedules: 40, Seed: 3}},
 	} {
 		t.Run(s.name, func(t *testing.T) {
 			c := Small()
@@ -105,6 +108,36 @@
 	t.Error("not found")
 }
 
+// Three of five lost is beyond the tolerance of two, and found.
+func TestThreeOfFiveLostAreFound(t *testing.T) {
+	c := Five()
+	c.Reckless, c.Kinds = true, []string{"leave"}
+	r := explore.Systematic(func() explore.Model { return New(c) }, explore.Options{Deviations: 3, Depth: 0, Jobs: 2})
+	t.Log(r)
+	if len(r.Failures) != 1 || r.Failures[0].Rule != RuleServes || r.Failures[0].Shrunk.Deviations() != 3 {
+		t.Errorf("found %+v", r.Failures)
+	}
+}
+
+// Leavers, one after the other, stop with a view without them while all is well.
+func TestOrderlyLeaves(t *testing.T) {
+	m := New(Five())
+	for _, s := range []struct {
+		schedule explore.Schedule
+		left     int
+	}{
+		{explore.Schedule{"quit a", "+1"}, 1},
+		{explore.Schedule{"quit a", "+1", "quit b", "+1"}, 2},
+		{explore.Schedule{"depart a", "+1", "quit b", "+1"}, 2},
+		{explore.Schedule{"quit a", "+2", "start a", "+4", "quit b", "+2"}, 2},
+		{explore.Schedule{"isolate a", "quit a", "+2"}, 0},
+	} {
+		if err := explore.Replay(m, s.schedule); err != nil || m.left != s.left {
+			t.Errorf("%v: %d left with a view without them, want %d; %v", s.schedule, m.left, s.left, err)
+		}
+	}
+}
+
 // The same schedule comes to the same state, by way of the same steps.
 func TestReplaysAlike(t *testing.T) {
 	s := explore.Schedule{"order p at a: r1", "+2", "restart b", "+1", "mute c", "evacuate a on", "+2", "join", "+3"}
