Contact: words that cannot prove a path both ways are answered at once

Cause: since proxies that start take nothing from a control machine out of contact, they wait after a loss of all power until it knows of its contact with a majority. It knew only when the others' next regular words echoed its own, up to 0.25 s later, for two such steps.

Change: a gauge from a machine that has heard nothing from here in this life, or was not heard here lately, is answered at once. The answer echoes it, so answers end.

TestStartProvesContactInARoundTrip failed before (machines without contact 50 ms after the last start) and passes. Tests of headworks, explorer, penstock and sluice pass.

--- a/internal/headworks/catchup.go
+++ b/internal/headworks/catchup.go
@@ -114,7 +114,11 @@
 // committed; false while none is known.
 func (c *Chain) FreshAsOf() (time.Duration, bool) { return c.freshAsOf, c.freshAsOf >= 0 }
 
-func (c *Chain) onGauge(from string, g Gauge) {
+// onGauge takes a machine's word about itself. It says whether one of the two cannot know
+// yet that the path works both ways: the sender has just started, or was not heard here
+// lately. An answer at once then proves it in a round trip, where regular words take up to
+// two of their periods; it echoes the sender, so that answers end.
+func (c *Chain) onGauge(from string, g Gauge) (unproven bool) {
 	p := c.seen[from]
 	if p == nil {
 		p = &peerState{contact: -1}
@@ -124,7 +128,7 @@
 		p.contact = -1
 	}
 	if !p.everSeen || c.now-p.heard > datum.MemberSilence || p.gauge.Me != g.Me {
-		p.since = c.now
+		p.since, unproven = c.now, true
 		if c.agr.View.index(from) >= 0 {
 			c.passAt = 0 // what was passed while it was not there has been lost
 		}
@@ -134,6 +138,8 @@
 	if since := g.Echo - c.stampBase; since <= uint64(c.now) {
 		p.echoed = time.Duration(since)
 		p.contact = max(p.contact, p.echoed)
+	} else {
+		unproven = true
 	}
 	c.heardGoodbye(from, g)
 	c.learn(g.View)
@@ -147,6 +153,7 @@
 			c.send(from, Fetch{at(c.committed)})
 		}
 	}
+	return unproven
 }
 
 // keep makes a state durable here if it is newer than what is held. Its
--- a/internal/headworks/chain.go
+++ b/internal/headworks/chain.go
@@ -375,6 +375,7 @@
 func (c *Chain) Recv(now time.Duration, from string, msg any) []any {
 	c.now = now
 	if g, ok := msg.(Gauge); ok {
+		answer := g.Asks
 		if g.Relay {
 			// It is told what it asks for and else left alone, however many there
 			// are of its kind.
@@ -383,9 +384,10 @@
 			}
 		} else {
 			c.meet(from)
-			c.onGauge(from, g)
+			unproven := c.onGauge(from, g)
+			answer = answer || unproven && !c.Relay
 		}
-		if g.Asks {
+		if answer {
 			c.tell(from)
 		}
 		return c.flush()
--- a/internal/headworks/chain_test.go
+++ b/internal/headworks/chain_test.go
@@ -803,3 +803,31 @@
 		})
 	}
 }
+
+// All members start again, one after the other: each knows of its contact with a
+// majority a few round trips after the last of a majority has started, since proxies
+// that start with them take nothing from a control machine that does not.
+func TestStartProvesContactInARoundTrip(t *testing.T) {
+	for seed := uint64(1); seed <= 20; seed++ {
+		c := newCore(t, seed, []string{"a", "b", "c", "d", "e", "f"}, 2)
+		c.b.Delay = 5 * time.Millisecond
+		c.b.Run(7*time.Second, nil)
+		for _, n := range c.names {
+			c.chain[n] = nil
+			c.life[n]++
+		}
+		c.b.Run(c.b.Now+time.Second, nil)
+		var last time.Duration
+		for _, n := range c.names {
+			after := time.Duration(c.b.Rng.Int64N(int64(500 * time.Millisecond)))
+			last = max(last, c.b.Now+after)
+			c.b.After(after, func() { c.start(n, false) })
+		}
+		c.b.Run(last+10*c.b.Delay, nil)
+		for _, n := range c.names {
+			if _, ok := c.chain[n].Contact(); !ok {
+				t.Errorf("seed %d: %s knows of no contact %v after the last start", seed, n, c.b.Now-last)
+			}
+		}
+	}
+}
