Test: homes are judged by the request that a hedge belongs to

The test judged what arrives by the request that was out at that moment, also a hedge of the one before, which had been answered. It now waits until nothing of a request is under way before it sends the next or evacuates a zone; what it checks is as it was.

--- a/internal/sluice/places_test.go
+++ b/internal/sluice/places_test.go
@@ -103,6 +103,9 @@
 			mu.Unlock()
 			method := map[string]string{"/home/": "GET", "/any/": "POST"}[path]
 			w := get(s, method, path, "", hdrKey, key)
+			for s.yard.Busy("svc") > 0 { // a hedge may still be on its way, and is judged by this request's homes
+				time.Sleep(100 * time.Microsecond)
+			}
 			switch {
 			case w.Code == 200:
 				served++
