Proxy: where proxies are few, each uses its share of an upstream's places

Cause: a proxy had two requests at an upstream at most (one while it was slow), whatever the upstream's slots and however few proxies there were. One proxy before an upstream with four slots refused with 503 while half of them were free (priced). Change: twice its share of the slots, rounded up, and its share while the upstream is slow; never less than before. Where there are as many proxies as slots nothing changes.

--- a/internal/sluice/outfall.go
+++ b/internal/sluice/outfall.go
@@ -301,6 +301,14 @@
 	o.yard.mu.Unlock()
 }
 
+// share is this proxy's part of the upstream's places.
+func (o *Outfall) share() int {
+	if o.yard.proxies == 0 {
+		return 0 // not known yet
+	}
+	return (o.inst.Slots + o.yard.proxies - 1) / o.yard.proxies
+}
+
 // expect is the delay to expect of an upstream: what was learned, fading
 // toward the service's mean as it ages.
 func (o *Outfall) expect(now time.Time, mean float64) float64 {
@@ -351,9 +359,10 @@
 			for _, at := range o.out {
 				oldest = max(oldest, now.Sub(at).Seconds())
 			}
-			limit := datum.OutfallCap
+			share := o.share()
+			limit := max(datum.OutfallCap, 2*share) // as many again may wait there
 			if d > mean*datum.SlowFactor || oldest > mean*datum.SlowFactor {
-				limit = datum.OutfallCapSlow
+				limit = max(datum.OutfallCapSlow, share)
 			}
 			if len(o.out) >= limit {
 				continue
