Program: signals that come while a process starts do not end it

Cause: SIGHUP, SIGTERM and SIGINT were caught by an actor of the process's group, which runs once settings are read and the store is open; over a slow disk that takes long. A SIGHUP before that ended the process by its default action: an end of its own accord. Change: signals are caught first of all and wait until the group runs.

--- a/cmd/slateridge/main.go
+++ b/cmd/slateridge/main.go
@@ -81,12 +81,20 @@
 	}
 }
 
+const signalsHeld = 16 // signals that may wait while a process starts
+
+// catchSignals is called before all else: a signal that comes while the process starts
+// waits until it has, and does not end it.
+func catchSignals() <-chan os.Signal {
+	ch := make(chan os.Signal, signalsHeld)
+	signal.Notify(ch, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	return ch
+}
+
 // signals is the actor that ends the group after leaving in order.
-func signals(g *run.Group, reload, leave func()) {
+func signals(g *run.Group, ch <-chan os.Signal, reload, leave func()) {
 	ctx, cancel := context.WithCancel(context.Background())
 	g.Add(func() error {
-		ch := make(chan os.Signal, 4)
-		signal.Notify(ch, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 		for {
 			select {
 			case <-ctx.Done():
@@ -104,6 +112,7 @@
 }
 
 func (sluiceCmd) Run() error {
+	caught := catchSignals()
 	path := os.Getenv(sill.EnvFile)
 	set, err := sill.Load(path, "frontend", "readiness")
 	if err != nil {
@@ -115,11 +124,12 @@
 	if err := d.Add(&g); err != nil {
 		return err
 	}
-	signals(&g, d.Reload, d.Leave)
+	signals(&g, caught, d.Reload, d.Leave)
 	return g.Run()
 }
 
 func (headworksCmd) Run() error {
+	caught := catchSignals()
 	path := os.Getenv(sill.EnvFile)
 	set, err := sill.Load(path, "controlPlane")
 	if err != nil {
@@ -134,7 +144,7 @@
 	if err := d.Add(&g); err != nil {
 		return err
 	}
-	signals(&g, d.Reload(path), d.Leave)
+	signals(&g, caught, d.Reload(path), d.Leave)
 	return g.Run()
 }
 
