Test: places in use are counted while all requests are there

TestPlacesOfUpstreamsAreUsed failed once on a busy machine: a request that came 60 ms after the others was served in the place of one that had ended (three served, two at work at once). The stand-in now works for longer than the test's requests take to come, so the numbers it checks, which stay as they were, mean what they say.

--- a/internal/sluice/room_test.go
+++ b/internal/sluice/room_test.go
@@ -21,7 +21,7 @@
 			n := atWork.Add(1)
 			for m := most.Load(); n > m && !most.CompareAndSwap(m, n); m = most.Load() {
 			}
-			time.Sleep(150 * time.Millisecond) // longer than a request waits here for room
+			time.Sleep(500 * time.Millisecond) // all ten have come, and longer than a request waits here for room
 			atWork.Add(-1)
 			return ok(r, "x"), false
 		})
