Proxy: a dial inside the region is given up within a quarter of the aim

Cause: a dial to an upstream that is gone took 250 ms before another was asked: over a quarter of an aim under a second, in which a request should have been offered (priced where it is not served). Test: TestGoneUpstreamIsGivenUpSoon, offered after 252 ms before, within 100 ms now.

--- /dev/null
+++ b/internal/sluice/dial_test.go
@@ -0,0 +1,63 @@
+package sluice
+
+import (
+	"net"
+	"net/http"
+	"syscall"
+	"testing"
+	"time"
+
+	"slateridge/internal/intake"
+)
+
+// darkUpstream is an address at which connections neither come about nor are refused, as
+// at a machine that is gone: its queue of connections is full.
+func darkUpstream(t *testing.T) string {
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { syscall.Close(fd) })
+	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+		t.Fatal(err)
+	}
+	if err := syscall.Listen(fd, 0); err != nil {
+		t.Fatal(err)
+	}
+	name, err := syscall.Getsockname(fd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := (&net.TCPAddr{IP: net.IPv4(127, 0, 0, 1), Port: name.(*syscall.SockaddrInet4).Port}).String()
+	for {
+		c, err := net.DialTimeout("tcp4", addr, 100*time.Millisecond)
+		if err != nil {
+			return addr
+		}
+		t.Cleanup(func() { c.Close() })
+	}
+}
+
+// A request that is first placed at an upstream that is gone is offered to another
+// within a quarter of its aim.
+func TestGoneUpstreamIsGivenUpSoon(t *testing.T) {
+	var arrived time.Time
+	u := newRaw(t, func(_ int, r *http.Request) (string, bool) {
+		arrived = time.Now()
+		return ok(r, "x"), false
+	})
+	s := newSluice(t, intake.Instance{ID: "dark", Service: "svc", Address: darkUpstream(t), Zone: "z", Slots: 2}, u.instance("i-1"))
+	s.yard.mu.Lock()
+	slower := s.yard.by["i-1"]
+	slower.delay, slower.delayAt = 0.3, time.Now() // so that the other is asked first
+	s.yard.by["dark"].delay, s.yard.by["dark"].delayAt = 0.01, time.Now()
+	s.yard.mu.Unlock()
+	began := time.Now()
+	w := get(s, "POST", "/once/", "")
+	if w.Code != http.StatusOK || s.yard.Ejected == 0 {
+		t.Fatalf("got %d, %d upstreams found gone; want 200 and one", w.Code, s.yard.Ejected)
+	}
+	if offered := arrived.Sub(began); offered > 100*time.Millisecond { // the aim is 400 ms
+		t.Errorf("offered after %v", offered)
+	}
+}
--- a/internal/sluice/outfall.go
+++ b/internal/sluice/outfall.go
@@ -18,11 +18,14 @@
 	"slateridge/internal/intake"
 )
 
+// farRegion is how far upstreams of other regions are.
+const farRegion = 2
+
 // Outfall is one life of an upstream, as this proxy knows it.
 type Outfall struct {
 	inst   intake.Instance // but for its slots it never changes; what does is kept below
 	yard   *Yard
-	far    int // 0 in this zone, 1 in this region, 2 beyond
+	far    int // 0 in this zone, 1 in this region, farRegion beyond
 	region string
 	lot    uint32    // this proxy's lot for it, by which its own few are drawn
 	warmAt time.Time // slow before this
@@ -223,7 +226,7 @@
 			case o.region == y.regions[y.zone]:
 				o.far = 1
 			default:
-				o.far = 2
+				o.far = farRegion
 			}
 			y.by[i.ID] = o
 		}
@@ -377,7 +380,7 @@
 			switch o.far {
 			case 1:
 				score += datum.ZonePenalty.Seconds()
-			case 2:
+			case farRegion:
 				score += datum.RegionPenalty.Seconds()
 			}
 			if len(o.idle) == 0 {
@@ -584,8 +587,8 @@
 }
 
 // connect gives an idle connection, or a new one; where nothing but its connection
-// ties the answer to the request, always a new one.
-func (o *Outfall) connect(ctx context.Context, fresh bool) (f *Flume, reused bool, err error) {
+// ties the answer to the request, always a new one, which is to come up within a time.
+func (o *Outfall) connect(ctx context.Context, fresh bool, within time.Duration) (f *Flume, reused bool, err error) {
 	y := o.yard
 	now := time.Now()
 	for {
@@ -608,7 +611,7 @@
 	o.conns++
 	y.News++
 	y.mu.Unlock()
-	ctx, cancel := context.WithTimeout(ctx, datum.ConnectTimeout)
+	ctx, cancel := context.WithTimeout(ctx, within)
 	defer cancel()
 	c, err := y.dialer.DialContext(ctx, "tcp4", o.inst.Address)
 	if err != nil {
