Proxy: a lowered idle bound does not reach connections that are open

Not proven, but one way is clear: since idle bounds follow the configuration, a connection opened under a long bound was closed by a shorter one 3 s after that came, while its client may go by the bound it was opened under, or have heard of no acknowledgement yet. Change: a connection's bound is the longest in force since it was opened, or shortly before. Raising reaches it, lowering does not. Test: TestIdleConnectionsAreClosed says so now: stricter on open connections, which may not be closed by a lowered bound at all, and as strict on bounds that hold.

--- a/internal/datum/datum.go
+++ b/internal/datum/datum.go
@@ -201,7 +201,7 @@
 	RevokeSpare     = 400 * time.Millisecond  // of the bound on revoked keys kept for clocks that count unevenly and a slow step
 	RetryUnsure     = 400 * time.Millisecond  // told while a proxy does not know whether a key still holds: one word to control
 	IdleTimeout     = 15 * time.Second        // likewise
-	IdleOverlap     = 3 * time.Second         // a lowered idle bound is known to clients so much later: over the bound on a configuration's way
+	IdleOverlap     = 3 * time.Second         // after an idle bound is lowered, clients that open connections may still go by the one before: over the bound on how long a configuration takes
 	HeaderBytes     = 64 << 10                // hard bound before a configuration's own
 	BudgetDefault   = 30 * time.Second        // a client that names no budget
 )
--- a/internal/sluice/gate.go
+++ b/internal/sluice/gate.go
@@ -6,7 +6,6 @@
 	"log"
 	"net"
 	"net/http"
-	"slices"
 	"sync"
 	"time"
 
@@ -25,15 +24,21 @@
 	now     scheme.Limits
 	feed    *feed
 	servers []*http.Server
-	idle    map[net.Conn]time.Time // connections between two requests, since when
-	bound   time.Duration          // idle bound seen last
-	former  []idleBound            // bounds that still hold for connections idle since before
+	conns   map[net.Conn]*clientConn
+	bound   time.Duration // idle bound seen last
+	lowered idleBound     // the one before, when that was longer
 	closed  bool
 	ended   chan struct{} // closed when all is over
 	once    sync.Once
 }
 
-// idleBound is an idle bound that another has replaced.
+// clientConn is an open connection of a client.
+type clientConn struct {
+	bound     time.Duration // the longest idle bound that its client may go by
+	idleSince time.Time     // zero while a request is under way
+}
+
+// idleBound is an idle bound that a shorter one has replaced.
 type idleBound struct {
 	bound    time.Duration
 	replaced time.Time
@@ -60,7 +65,7 @@
 func (f *feed) Addr() net.Addr { return f.addr }
 
 func newGate(l net.Listener, h http.Handler, limits func() scheme.Limits) *gate {
-	return &gate{l: l, h: h, limits: limits, idle: map[net.Conn]time.Time{}, ended: make(chan struct{})}
+	return &gate{l: l, h: h, limits: limits, conns: map[net.Conn]*clientConn{}, ended: make(chan struct{})}
 }
 
 func or[T int | time.Duration](v, def T) T {
@@ -114,49 +119,56 @@
 	return f
 }
 
-// track notes which connections are idle.
-func (g *gate) track(c net.Conn, state http.ConnState) {
+// track follows a connection's state.
+func (g *gate) track(c net.Conn, state http.ConnState) { g.trackAt(c, state, time.Now()) }
+
+func (g *gate) trackAt(c net.Conn, state http.ConnState, now time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if state == http.StateIdle {
-		g.idle[c] = time.Now()
-		return
+	switch state {
+	case http.StateNew:
+		g.seeBoundLocked(now)
+		cc := &clientConn{bound: g.bound}
+		if now.Sub(g.lowered.replaced) < datum.IdleOverlap {
+			cc.bound = max(cc.bound, g.lowered.bound)
+		}
+		g.conns[c] = cc
+	case http.StateActive:
+		if cc := g.conns[c]; cc != nil {
+			cc.idleSince = time.Time{}
+		}
+	case http.StateIdle:
+		if cc := g.conns[c]; cc != nil {
+			cc.idleSince = now
+		}
+	default:
+		delete(g.conns, c)
 	}
-	delete(g.idle, c)
 }
 
-// closeIdle closes connections that have been idle for longer than every bound that
-// was in force meanwhile, or shortly before, allows.
-func (g *gate) closeIdle(now time.Time) {
+// seeBoundLocked looks at the idle bound in force.
+func (g *gate) seeBoundLocked(now time.Time) {
 	current := or(g.limits().IdleTime, datum.IdleTimeout)
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if g.bound != current {
-		if g.bound > current {
-			g.former = append(g.former, idleBound{bound: g.bound, replaced: now})
-		}
-		g.bound = current
-	}
-	g.former = slices.DeleteFunc(g.former, func(f idleBound) bool {
-		return now.Sub(f.replaced) > f.bound+datum.IdleOverlap
-	})
-	for c, since := range g.idle {
-		if now.Sub(since) > g.boundSince(since) {
-			delete(g.idle, c)
-			c.Close()
-		}
+	if current < g.bound {
+		g.lowered = idleBound{bound: g.bound, replaced: now}
 	}
+	g.bound = current
 }
 
-// boundSince is how long a connection may be idle that has been so since a moment.
-func (g *gate) boundSince(since time.Time) time.Duration {
-	bound := g.bound
-	for _, f := range g.former {
-		if since.Before(f.replaced.Add(datum.IdleOverlap)) {
-			bound = max(bound, f.bound)
+// closeIdle closes connections that have been idle for longer than every bound allows
+// that was in force since they were opened, or shortly before. A bound that is lowered
+// does not reach them: their clients may go by the one that they were opened under.
+func (g *gate) closeIdle(now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.seeBoundLocked(now)
+	for c, cc := range g.conns {
+		cc.bound = max(cc.bound, g.bound)
+		if !cc.idleSince.IsZero() && now.Sub(cc.idleSince) > cc.bound {
+			delete(g.conns, c)
+			c.Close()
 		}
 	}
-	return bound
 }
 
 // drain stops accepting, and returns when all requests in flight have ended or
