--- a/internal/datum/datum.go
+++ b/internal/datum/datum.go
@@ -160,12 +160,13 @@
 	BodyBuffer      = 64 << 10                // bytes held so a request can be offered again; longer bodies stream
 	AnswerBuffer    = 256 << 10               // bytes held so a cut answer can be replaced before the client sees any
 	ConnectTimeout  = 250 * time.Millisecond  // many round trips; the machine is gone or cut off when it takes longer
+	ConnectLeast    = 60 * time.Millisecond   // given to any dial, however short the aim: many round trips inside a region, and a busy machine
 	IdleDefault     = 4 * time.Second         // idle upstream connections when no Keep-Alive told more
 	IdleSafety      = 1500 * time.Millisecond // retire this long before the upstream would close
 	ConnShare       = 0.8                     // part of maxConnections used by all proxies together
 	FewUpstreams    = 16                      // of a service, near ones first, that a proxy turns to before any other: with few requests over many upstreams every one would cost a new connection, and nothing learned would last
-	OutfallCap      = 2                       // requests one proxy has at one upstream, while it answers at its usual speed
-	OutfallCapSlow  = 1                       // and while it does not
+	OutfallCap      = 2                       // requests one proxy has at one upstream at least, while it answers at its usual speed; twice its share of the places where proxies are few
+	OutfallCapSlow  = 1                       // and while it does not; its share where proxies are few
 	SlowFactor      = 2.5                     // times the usual delay that count as slow
 	FirstDelay      = 80 * time.Millisecond   // assumed delay of an upstream nobody has asked
 	DelayWeight     = 0.2                     // weight of a new answer in the running mean
@@ -203,7 +204,7 @@
 	RevokeSpare     = 400 * time.Millisecond  // of the bound on revoked keys kept for clocks that count unevenly and a slow step
 	RetryUnsure     = 400 * time.Millisecond  // told while a proxy does not know whether a key still holds: one word to control
 	IdleTimeout     = 15 * time.Second        // likewise
-	IdleOverlap     = 3 * time.Second         // a lowered idle bound is known to clients so much later: over the bound on a configuration's way
+	IdleOverlap     = 3 * time.Second         // after an idle bound is lowered, clients that open connections may still go by the one before: over the bound on how long a configuration takes
 	HeaderBytes     = 64 << 10                // hard bound before a configuration's own
 	BudgetDefault   = 30 * time.Second        // a client that names no budget
 )
