Admission: a share given up is not lent, standby fills only once the tracker leaves it out

Causes, found by the explorer: a proxy that had given its share up after 30 s without control went on lending it (5 tokens beyond the bound); what had filled a standby bucket counted from the last word, though the tracker gave it too until it left the proxy out a second later. Change: nothing is lent of a share that is given up; standby fills from that second on. The explorer's adapter says the settled count, sends a question's time and tells again where asked to, as the daemon does.

--- a/internal/explore/admissionmodel/admissionmodel.go
+++ b/internal/explore/admissionmodel/admissionmodel.go
@@ -417,7 +417,7 @@
 
 func (m *Model) proxyTick(n string) {
 	p := m.proxies[n]
-	m.world.Send(n, control, heartbeat{m.clock(n), p.weir.Proxies()})
+	m.world.Send(n, control, heartbeat{m.clock(n), p.weir.Settled(m.clock(n))})
 	m.renew(n)
 	if p.pressed {
 		m.press(n, pressedArrivals)
@@ -460,7 +460,7 @@
 		wait = datum.GrantWait
 	}
 	p.open[id] = openQuestion{m.clock(n), p.tracker, request}
-	m.world.Send(n, p.tracker, question{id, weir.AskGrants{Proxy: n, Wants: wants, Echo: echo, Proxies: p.weir.Proxies()}})
+	m.world.Send(n, p.tracker, question{id, weir.AskGrants{Proxy: n, Wants: wants, Echo: echo, Proxies: p.weir.Proxies(), Life: p.weir.Life(), Sent: m.clock(n)}})
 	m.world.After(wait, func() {
 		m.world.Act(n, func() {
 			if m.world.Life(n) == life {
@@ -506,6 +506,9 @@
 	for _, g := range a.Given.Given {
 		p.weir.Take(now, q.asked, g)
 	}
+	if a.Given.Retell {
+		p.weir.Untold(0)
+	}
 	if q.request {
 		m.press(n, 1)
 	}
--- a/internal/weir/standby.go
+++ b/internal/weir/standby.go
@@ -105,7 +105,7 @@
 	}
 	p.change(g, a.Proxy, s, to)
 	p.shape(now, g)
-	return g.oneOff(p, w, Given{Key: w.Key, Rate: s.rate, Depth: max(datum.StandbyDepth, s.rate), Long: true, Lent: w.Lend, Loan: w.Lent})
+	return g.oneOff(p, w, Given{Key: w.Key, Rate: s.rate, Long: true, Lent: w.Lend, Loan: w.Lent})
 }
 
 // release gives a share that was lent whole back to its proxy, where the standby
@@ -156,11 +156,7 @@
 		rate = datum.SplitPart * datum.StandbyBasic * b.quota.Rate / float64(w.proxies)
 	}
 	rate = max(rate, b.held(now))
-	depth := max(datum.StandbyDepth, rate)
-	if rate == 0 {
-		depth = b.grant.depth // keeps its part of a request
-	}
-	b.grant.set(now, rate, depth)
+	b.grant.set(now, rate, max(datum.StandbyDepth, rate))
 	w.alone(b, now)
 }
 
@@ -182,8 +178,9 @@
 		b.standing = false
 		b.grant.at = now
 	} else if !b.standing {
+		// Until the tracker leaves it out, or ends, what would have filled here is its to give.
 		b.standing = true
-		b.grant.at = heard
+		b.grant.at = min(now, heard+datum.StandbyRoom)
 	}
 }
 
--- a/internal/weir/weir.go
+++ b/internal/weir/weir.go
@@ -478,6 +478,7 @@
 		return nil
 	}
 	w.period = now
+	givenUp := now-w.touch > datum.SplitHold // others may have the share by now
 	told := map[int]bool{}
 	var out []Want
 	for k, b := range w.bays {
@@ -490,7 +491,7 @@
 		long := b.carried
 		returning := long && b.releaseBy > 0
 		at, life, ok := heard(k)
-		if ok && now < at+lendLength(long) {
+		if ok && now < at+lendLength(long) && !givenUp {
 			if lend = min(datum.LendMost, max(0, 1-b.demand*datum.LendKeep/rate)); long {
 				lend = 1
 			}
