--- a/internal/datum/datum.go
+++ b/internal/datum/datum.go
@@ -225,7 +225,7 @@
 	GrantLength     = time.Second             // a grant ends so long after it was asked for
 	GrantLong       = 10 * time.Second        // a standby rate ends so long after it was told: longer than all control machines need to come back
 	StandbyReserve  = 0.1                     // part of a tracker-carried key's quota that is lent whole and never told as standby: with the tracked part it serves while a new tracker does not know what stands
-	StandbyBasic    = 0.5                     // part of a share lent whole that its proxy uses, untold, while it hears no tracker: after a loss of everything demand is not known, and evenly spread it is well over half of the quotas seen
+	StandbyBasic    = 0.25                    // part of a share lent whole that its proxy uses, untold, while it hears no tracker: after a loss of everything demand is not known; at a half, what is left to tell by demand served too little
 	StandbyAfter    = 1200 * time.Millisecond // a proxy that hears nothing from a tracker so long uses its standby
 	StandbyRoom     = 1000 * time.Millisecond // and the tracker has left it out of its pool since this long after the stamp that reached it
 	TouchEvery      = 50 * time.Millisecond   // a tracker looks over whom it may have lost; it counts them as lost so much sooner
@@ -242,7 +242,7 @@
 	LendMost        = 0.8                     // part of the split share lent at most: what stays serves at once when the tracker is lost
 	LendLong        = 9 * time.Second         // likewise for a share that could not serve where it is: it is missed nowhere, and telling of it costs a word a key and proxy
 	TinyShare       = 8.0                     // requests: a split share that holds fewer is lent whole, where floors do not fit the slack; at 2 large tenants of a large fleet were refused 7% of first tries
-	LendLength      = 1500 * time.Millisecond // a loan ends so long after it was last told of; a proxy that is cut off has its share back by then
+	LendLength      = 1750 * time.Millisecond // a loan ends so long after it was last told of; a proxy that is cut off has its share back by then, and what was leased of it has ended, since a loan that ends within GrantLength is leased no more
 	HotRate         = 8.0                     // requests a second at one proxy from which a key is hot and its rate leased
 	GrantEvery      = 250 * time.Millisecond  // proxies report demand and renew
 	GrantWait       = 80 * time.Millisecond   // a request may wait so long for tokens from its tracker: a busy one answers late, and a refusal costs the client more
--- a/internal/weir/standby.go
+++ b/internal/weir/standby.go
@@ -151,13 +151,13 @@
 // tracker told, and without it the basic part of this proxy's own share, which the
 // tracker leaves out of its pool for every proxy that it does not hear.
 func (w *Weir) shapeStandby(b *bay, now time.Duration) {
+	w.alone(b, now) // before the bucket fills
 	rate := 0.0
 	if w.proxies > 0 && now-w.touch <= datum.SplitHold {
 		rate = datum.SplitPart * datum.StandbyBasic * b.quota.Rate / float64(w.proxies)
 	}
 	rate = max(rate, b.held(now))
 	b.grant.set(now, rate, max(datum.StandbyDepth, rate))
-	w.alone(b, now)
 }
 
 // alone lets the standby bucket fill only while the proxy has heard nothing from
@@ -178,9 +178,8 @@
 		b.standing = false
 		b.grant.at = now
 	} else if !b.standing {
-		// Until the tracker leaves it out, or ends, what would have filled here is its to give.
 		b.standing = true
-		b.grant.at = min(now, heard+datum.StandbyRoom)
+		b.grant.at = heard
 	}
 }
 
--- a/internal/weir/tracker.go
+++ b/internal/weir/tracker.go
@@ -229,7 +229,7 @@
 	if p.loaned.rate > 0 {
 		burst += p.loaned.depth * lent / p.loaned.rate
 	}
-	return min(rate+lent+resting, p.quota.Rate), min(burst, p.quota.Burst)
+	return min(rate+min(lent+resting, p.loaned.rate), p.quota.Rate), min(burst, p.quota.Burst)
 }
 
 // inUse is the rate of standby that proxies out of touch may be using.
@@ -472,13 +472,16 @@
 	if !w.Lend {
 		return g.oneOff(p, w, Given{Key: w.Key, Keep: true})
 	}
-	rate := max(0, p.uncommitted(now, g)+p.leased("")) // all that may be leased, loans included
 	l := p.leases[a.Proxy]
 	if l == nil {
 		l = &lease{}
 		p.leases[a.Proxy] = l
 	}
 	l.demand = max(0, w.Demand)
+	rate := 0.0 // all that may be leased, loans included
+	if l.demand > 0 {
+		rate = max(0, p.uncommitted(now, g)+p.leased("")-p.endingSoon(now))
+	}
 	// Demand decides the shares; a part stays in the pool for sudden asks.
 	total := 0.0
 	for _, o := range p.leases {
@@ -497,6 +500,17 @@
 	return g.oneOff(p, w, out)
 }
 
+// endingSoon is the rate of the loans that may end before a lease that is given now.
+func (p *pool) endingSoon(now time.Duration) float64 {
+	sum := 0.0
+	for _, l := range p.loans {
+		if l.until < now+datum.GrantLength {
+			sum += l.rate
+		}
+	}
+	return sum
+}
+
 // mayUse is the most that a proxy may be using when it is offered a rate. What was
 // offered before counts until the proxy reports what it holds by the newest offer,
 // since answers may be lost or overtake each other.
--- a/internal/weir/weir.go
+++ b/internal/weir/weir.go
@@ -75,6 +75,7 @@
 	standing   bool          // the tracker is not heard: the grant bucket holds the standby
 	carried    bool          // carried by its tracker: the split share is lent whole, each request asks
 	releaseBy  time.Duration // carried, though the share could serve again: it does not before this unless the tracker agrees; 0 is no
+	since      time.Duration // carried, or not, since then: answers to earlier questions lease nothing
 	standby    float64       // standby rate the tracker told, until grantEnds
 	stood      float64       // tokens of standby used since lastOK
 	count      Count
@@ -141,7 +142,7 @@
 	tiny := Tiny(w.proxies, w.slack, b.quota)
 	switch {
 	case tiny && !b.carried:
-		b.carried, b.releaseBy = true, 0
+		b.carried, b.releaseBy, b.since = true, 0, now
 		b.standby, b.grantEnds = 0, 0
 		b.grant = bucket{at: now, tokens: w.rng.Float64(), depth: 1}
 	case tiny:
@@ -153,7 +154,7 @@
 
 // takeShareBack ends a key's time with its tracker: the split share serves again.
 func (w *Weir) takeShareBack(b *bay, now time.Duration) {
-	b.carried, b.releaseBy, b.lent = false, 0, 0
+	b.carried, b.releaseBy, b.lent, b.since = false, 0, 0, now
 	b.standby, b.grantEnds = 0, 0
 	b.grant.set(now, 0, 0)
 	w.shape(b, now)
@@ -592,7 +593,7 @@
 		return
 	}
 	w.refresh(b, now)
-	if ends := asked + grantLength(g.Long); !g.Keep && g.Long == b.carried && ends > now && ends > b.grantEnds {
+	if ends := asked + grantLength(g.Long); !g.Keep && g.Long == b.carried && asked >= b.since && ends > now && ends > b.grantEnds {
 		b.grantEnds, b.grantAsked = ends, asked
 		if g.Long {
 			b.standby = min(g.Rate, b.quota.Rate)
@@ -635,6 +636,9 @@
 		}
 		return
 	}
+	if g.Keep {
+		return // a tracker that has just begun; what an earlier one leased of the loan may be in use
+	}
 	part := min(1, g.Loan*float64(w.proxies)/(datum.SplitPart*b.quota.Rate))
 	if part == b.lent {
 		return
