Proxy: idle connections are kept a little beyond their bound

Change: a connection is closed 5 s after its bound; clients end theirs before that. Test: TestIdleConnectionsAreClosed checks the new moment, to the nanosecond as before.

--- a/internal/datum/datum.go
+++ b/internal/datum/datum.go
@@ -202,6 +202,7 @@
 	RetryUnsure     = 400 * time.Millisecond  // told while a proxy does not know whether a key still holds: one word to control
 	IdleTimeout     = 15 * time.Second        // likewise
 	IdleOverlap     = 3 * time.Second         // after an idle bound is lowered, clients that open connections may still go by the one before: over the bound on how long a configuration takes
+	IdleSpare       = 5 * time.Second         // an idle connection is kept so much longer than its bound: a request that is on its way when it is closed is lost
 	HeaderBytes     = 64 << 10                // hard bound before a configuration's own
 	BudgetDefault   = 30 * time.Second        // a client that names no budget
 )
--- a/internal/sluice/gate.go
+++ b/internal/sluice/gate.go
@@ -157,14 +157,15 @@
 
 // closeIdle closes connections that have been idle for longer than every bound allows
 // that was in force since they were opened, or shortly before. A bound that is lowered
-// does not reach them: their clients may go by the one that they were opened under.
+// does not reach them: their clients may go by the one that they were opened under. They
+// are kept a little longer still, so that it is the client that ends them.
 func (g *gate) closeIdle(now time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.seeBoundLocked(now)
 	for c, cc := range g.conns {
 		cc.bound = max(cc.bound, g.bound)
-		if !cc.idleSince.IsZero() && now.Sub(cc.idleSince) > cc.bound {
+		if !cc.idleSince.IsZero() && now.Sub(cc.idleSince) > cc.bound+datum.IdleSpare {
 			delete(g.conns, c)
 			c.Close()
 		}
