Chain: a view commits only what bears its own stamp

Cause: a view's members took the state it began with for committed as they learnt of it. That state may be one that an earlier view's head was left alone with, under a stamp of that view, while the head of a view between was left alone with a higher one that it does not descend from.

Change: the head stamps what it was left by an earlier view anew before it passes it on (Chain.lead), and learning of a view commits nothing.

Conclusion: a confirmed order was lost here; a change of view costs one small state more.

--- a/internal/headworks/orders.go
+++ b/internal/headworks/orders.go
@@ -216,7 +216,7 @@
 	if c.serves() && at(c.committed).Less(at(c.held)) {
 		head := c.agr.View.Members[0]
 		if head == c.Me {
-			c.pass(*c.held)
+			c.lead()
 		} else if s := c.seen[head.Addr]; s != nil && s.gauge.Held.Less(at(c.held)) {
 			c.send(head.Addr, Higher{c.agr.View.Num, *c.held})
 		}
@@ -249,6 +249,16 @@
 	c.answerReads()
 }
 
+// lead has the chain take up what the head holds. What it was left by an earlier view
+// gets a stamp of this one first: another state of a view between the two may have been
+// left elsewhere, by a head that was alone, and must not outrank what is committed now.
+func (c *Chain) lead() {
+	if at(c.held).View < c.agr.View.Num && !c.keep(c.nextState()) {
+		return
+	}
+	c.pass(*c.held)
+}
+
 // pass hands a version to the next member; the last one commits it.
 func (c *Chain) pass(d scheme.Doc) {
 	v := c.agr.View
--- a/internal/headworks/view.go
+++ b/internal/headworks/view.go
@@ -42,9 +42,6 @@
 	c.troubleAt = 0
 	c.passAt = 0
 	c.reads = nil
-	if v.has(c.Me) {
-		c.commitAt(v.From)
-	}
 	c.out = append(c.out, Moved{v})
 }
 
