--- a/internal/headworks/chain.go
+++ b/internal/headworks/chain.go
@@ -176,6 +176,7 @@
 	wantAt    map[scheme.Taken]time.Duration
 	orders    map[uint64]Order // likewise, evacuations
 	orderAt   map[uint64]time.Duration
+	contest   contest // a head's: the evacuations it has received
 	reads     []*reading
 	nonce     uint64
 	stampBase uint64                   // moments of this life are told apart from those of others by it
@@ -446,12 +447,16 @@
 		}
 		c.onForward(m.Doc)
 	case Order:
+		if m.Answer {
+			c.onTurn(m)
+			return
+		}
 		if m.PassOn && !c.leads() {
 			m.PassOn = false
 			c.sendHead(m)
 			return
 		}
-		c.onOrder(m)
+		c.onOrder(from, m)
 	case Retire:
 		c.wishRetired(m.Voter)
 	case duty.Order:
