--- a/internal/headworks/chain.go
+++ b/internal/headworks/chain.go
@@ -176,7 +176,6 @@
 	wantAt    map[scheme.Taken]time.Duration
 	orders    map[uint64]Order // likewise, evacuations
 	orderAt   map[uint64]time.Duration
-	contest   contest // a head's: the evacuations it has received
 	reads     []*reading
 	nonce     uint64
 	stampBase uint64                   // moments of this life are told apart from those of others by it
@@ -447,16 +446,12 @@
 		}
 		c.onForward(m.Doc)
 	case Order:
-		if m.Answer {
-			c.onTurn(m)
-			return
-		}
 		if m.PassOn && !c.leads() {
 			m.PassOn = false
 			c.sendHead(m)
 			return
 		}
-		c.onOrder(from, m)
+		c.onOrder(m)
 	case Retire:
 		c.wishRetired(m.Voter)
 	case duty.Order:
--- a/internal/headworks/messages.go
+++ b/internal/headworks/messages.go
@@ -101,22 +101,14 @@
 	Retire struct{ Voter string }
 	// Order starts or stops the evacuation of a zone. It is taken only while
 	// the zone's count of orders is still Base: one that was held up on its way
-	// must not undo what was ordered since. With a Turn it is taken also after orders
-	// that the head had received when it gave the turn. PassOn is as in Forward. The
-	// head answers an order that is not taken with its turn; its sender, if the caller
-	// still waits, sends it again with that.
+	// must not undo what was ordered since. PassOn is as in Forward.
 	Order struct {
 		ID     uint64
 		Zone   string
 		On     bool
 		Base   uint64
 		PassOn bool
-		Answer bool
-		Turn   Turn
 	}
-	// Turn is a moment of a head: the view, the life of its process, and how many
-	// evacuations it had received.
-	Turn struct{ View, Life, Received uint64 }
 	// Confirm asks whether a view still stands unsealed.
 	Confirm struct{ View, Nonce uint64 }
 	// Confirmed answers it.
--- a/internal/headworks/orders.go
+++ b/internal/headworks/orders.go
@@ -167,78 +167,15 @@
 	return c.held.Evac
 }
 
-// contest is what a head remembers of the evacuations it has received in one view.
-type contest struct {
-	view     uint64
-	received uint64
-	first    map[uint64]uint64 // by order: its place among those received
-}
-
-// receive notes an order at its first coming.
-func (c *Chain) receive(id uint64) {
-	k := &c.contest
-	if k.view != c.agr.View.Num || len(k.first) > datum.OrdersNoted {
-		k.view, k.first = c.agr.View.Num, map[uint64]uint64{}
-	}
-	if _, known := k.first[id]; !known {
-		k.received++
-		k.first[id] = k.received
-	}
-}
-
-// presentTurn is the moment up to which this head has received orders.
-func (c *Chain) presentTurn() Turn {
-	return Turn{View: c.agr.View.Num, Life: c.stampBase, Received: c.contest.received}
-}
-
-// mayFollow says whether an order may be taken after all that its zone has taken. One
-// made knowing them all may. One with a turn of this head's may also follow orders that
-// the head had received when it gave the turn: its caller waited after that, so those
-// were not ordered after the caller had given up.
-func (c *Chain) mayFollow(o Order, zone scheme.Evac) bool {
-	if o.Base == zone.Num {
-		return true
-	}
-	since := zone.Num - o.Base
-	if o.Base > zone.Num || since > uint64(len(zone.IDs)) || o.Turn.View != c.agr.View.Num || o.Turn.Life != c.stampBase {
-		return false
-	}
-	for _, id := range zone.IDs[uint64(len(zone.IDs))-since:] {
-		if place, known := c.contest.first[id]; !known || place > o.Turn.Received {
-			return false
-		}
-	}
-	return true
-}
-
-// onTurn sends an evacuation again with the turn that the head gave it, at once.
-func (c *Chain) onTurn(m Order) {
-	if o, waiting := c.orders[m.ID]; waiting {
-		o.Turn = m.Turn
-		c.forwardOrder(o, 0)
-	}
-}
-
 // onOrder is an evacuation order at the head. Orders on a zone take effect in
 // the order in which the head takes them; one it has taken before, or that was
 // made knowing less than the head holds, changes nothing.
-func (c *Chain) onOrder(from string, o Order) {
-	if !c.heads() {
-		return
-	}
+func (c *Chain) onOrder(o Order) {
 	cur := c.evacs()[o.Zone]
-	c.receive(o.ID)
-	if slices.Contains(cur.IDs, o.ID) {
+	if slices.Contains(cur.IDs, o.ID) || cur.Num != o.Base {
 		c.admit(nil)
 		return
 	}
-	if !c.mayFollow(o, cur) {
-		c.admit(nil)
-		if o.Turn = c.presentTurn(); c.mayFollow(o, cur) { // else the turn would not help
-			c.send(from, Order{ID: o.ID, Zone: o.Zone, On: o.On, Answer: true, Turn: o.Turn})
-		}
-		return
-	}
 	evac := map[string]scheme.Evac{}
 	for z, e := range c.evacs() {
 		evac[z] = e
