--- a/cmd/scalerun/catchup.go
+++ b/cmd/scalerun/catchup.go
@@ -12,7 +12,7 @@
 	"time"
 )
 
-// gauges reads some of a process's figures.
+// heartbeats reads some of a process's figures.
 func (p *proc) gauges() map[string]float64 {
 	out := map[string]float64{}
 	resp, err := http.Get(fmt.Sprintf("http://%s:%d/metrics", p.ip, portInternal+p.admin))
--- a/cmd/scalerun/main.go
+++ b/cmd/scalerun/main.go
@@ -30,7 +30,7 @@
 	"github.com/rs/zerolog"
 
 	"slateridge/internal/conduit"
-	"slateridge/internal/datum"
+	"slateridge/internal/constants"
 	"slateridge/internal/logbook"
 	"slateridge/internal/sill"
 	"slateridge/internal/sluice"
@@ -112,14 +112,14 @@
 		out["z0"] = append(out["z0"], inst{"instanceId": fmt.Sprintf("echo-%d", i), "targetService": "echo", "zone": "z0",
 			"address": echoAddr(i), "capacitySlots": 16, "state": "ready", "warmupLeft": "0ms"})
 	}
-	for i := from; i < min(from+datum.PollPage, cli.Upstreams); i++ {
+	for i := from; i < min(from+constants.PollPage, cli.Upstreams); i++ {
 		z := fmt.Sprintf("z%d", i%4)
 		out[z] = append(out[z], inst{"instanceId": fmt.Sprintf("i-%08d", i), "targetService": fmt.Sprintf("svc%04d", i%cli.Services), "zone": z,
 			"address": fmt.Sprintf("127.30.%d.%d:8080", i/250%250, i%250), "capacitySlots": 2, "state": "ready", "warmupLeft": "0ms"})
 	}
 	var next any
-	if from+datum.PollPage < cli.Upstreams {
-		next = strconv.Itoa(from + datum.PollPage)
+	if from+constants.PollPage < cli.Upstreams {
+		next = strconv.Itoa(from + constants.PollPage)
 	}
 	json.NewEncoder(w).Encode(map[string]any{"instances": out, "nextPageToken": next})
 }
@@ -360,7 +360,7 @@
 	if err := os.MkdirAll(data, 0o700); err != nil {
 		return nil, err
 	}
-	return start(dir, "headworks", fmt.Sprintf("control-%d", i), controlIP(i), data, datum.PortHeadworksAdmin)
+	return start(dir, "headworks", fmt.Sprintf("control-%d", i), controlIP(i), data, constants.PortControlAdmin)
 }
 
 func (p *proc) end() {
@@ -391,7 +391,7 @@
 		}
 		controls = append(controls, p)
 	}
-	real, err := start(dir, "sluice", "proxy-0", "127.10.1.1", "", datum.PortSluiceAdmin)
+	real, err := start(dir, "sluice", "proxy-0", "127.10.1.1", "", constants.PortProxyAdmin)
 	if err != nil {
 		return err
 	}
--- a/cmd/slateridge/main.go
+++ b/cmd/slateridge/main.go
@@ -16,7 +16,7 @@
 	"github.com/oklog/run"
 	"github.com/rs/zerolog"
 
-	"slateridge/internal/datum"
+	"slateridge/internal/constants"
 	"slateridge/internal/headworks"
 	"slateridge/internal/logbook"
 	"slateridge/internal/scheme"
@@ -77,7 +77,7 @@
 // machine's limit, over which it would be ended.
 func boundMemory(set *sill.Settings) {
 	if mb := set.Limits.MemoryMb; mb > 0 {
-		debug.SetMemoryLimit(int64(float64(mb) * datum.MemoryPart * (1 << 20)))
+		debug.SetMemoryLimit(int64(float64(mb) * constants.MemoryPart * (1 << 20)))
 	}
 }
 
--- a/cmd/slateridge/retire.go
+++ b/cmd/slateridge/retire.go
@@ -12,7 +12,7 @@
 	"strings"
 	"time"
 
-	"slateridge/internal/datum"
+	"slateridge/internal/constants"
 	"slateridge/internal/sill"
 )
 
@@ -32,7 +32,7 @@
 		if err != nil {
 			return usageError{fmt.Errorf("no --at given, and %w", err)}
 		}
-		at = set.Internal(datum.PortHeadworksAdmin)
+		at = set.Internal(constants.PortControlAdmin)
 	}
 	if _, _, err := net.SplitHostPort(at); err != nil {
 		return usageError{fmt.Errorf("%q is not HOST:PORT", at)}
--- a/cmd/slateridge/status.go
+++ b/cmd/slateridge/status.go
@@ -15,7 +15,7 @@
 	"text/tabwriter"
 	"time"
 
-	"slateridge/internal/datum"
+	"slateridge/internal/constants"
 	"slateridge/internal/headworks"
 	"slateridge/internal/logbook"
 	"slateridge/internal/penstock"
@@ -42,7 +42,7 @@
 		if err != nil {
 			return usageError{fmt.Errorf("no address given, and %w", err)}
 		}
-		addrs = []string{set.Internal(datum.PortHeadworksAdmin), set.Internal(datum.PortSluiceAdmin)}
+		addrs = []string{set.Internal(constants.PortControlAdmin), set.Internal(constants.PortProxyAdmin)}
 	}
 	for _, a := range c.Address {
 		if _, _, err := net.SplitHostPort(a); err != nil {
@@ -232,7 +232,7 @@
 		fmt.Fprintf(t, "    %s\t%s\t%s\tpresent %d\t%s\n", s.Service, s.Zone, ordered, s.Present, s.Why)
 	}
 	rows(t, all, r.Proxies, func(p penstock.ProxyState) bool {
-		return p.Version < r.Chain.Version || p.ListNum < r.ListNum || !p.Ready || p.Silent > datum.TapSilence
+		return p.Version < r.Chain.Version || p.ListNum < r.ListNum || !p.Ready || p.Silent > constants.SubscriptionSilence
 	}, func(p penstock.ProxyState) {
 		fmt.Fprintf(t, "    %s\tr%d\tlist %d\tready %v\theard %s ago\n", p.Name, p.Version, p.ListNum, p.Ready, ago(p.Silent))
 	})
--- a/internal/cistern/cistern.go
+++ b/internal/cistern/cistern.go
@@ -22,7 +22,7 @@
 //     machine what a loss of power would take back.
 //   - Open refuses a file that no kill or loss of power could have left, instead
 //     of making an empty store of it: a machine would forget its promises.
-//   - The file is at most datum.StoreCompactAt or StoreCompactTimes the live
+//   - The file is at most constants.StoreCompactAt or StoreCompactTimes the live
 //     state, whichever is more, and one record; beside it stands, while it is
 //     compacted, one of the size of the live state. Values are in memory once.
 //
@@ -42,7 +42,7 @@
 
 	"github.com/tidwall/buntdb"
 
-	"slateridge/internal/datum"
+	"slateridge/internal/constants"
 )
 
 // ErrSick is returned once the disk has failed a write; the store takes no
@@ -118,7 +118,7 @@
 	if err != nil {
 		panic(fmt.Sprintf("cistern: no store in memory: %v", err)) // opens no file
 	}
-	return &Cistern{db: db, floor: datum.StoreCompactAt}
+	return &Cistern{db: db, floor: constants.StoreCompactAt}
 }
 
 // reseal brings values of a file without a header into the present form.
@@ -214,7 +214,7 @@
 	}
 	// The value is safe, so a compaction that fails is not this Put's failure. One
 	// that has not touched the names is put off; otherwise the store is sick.
-	if c.size > max(c.floor, datum.StoreCompactTimes*c.live) && c.size >= c.retryAt {
+	if c.size > max(c.floor, constants.StoreCompactTimes*c.live) && c.size >= c.retryAt {
 		if c.compact() != nil {
 			c.retryAt = c.size + max(c.live, c.floor/4)
 		}
--- a/internal/cistern/cistern_test.go
+++ b/internal/cistern/cistern_test.go
@@ -9,7 +9,7 @@
 	"strings"
 	"testing"
 
-	"slateridge/internal/datum"
+	"slateridge/internal/constants"
 )
 
 func mustOpen(t *testing.T, dir string) *Cistern {
@@ -93,7 +93,7 @@
 		if err := c.Put("held", big+string(rune('a'+i%26))); err != nil {
 			t.Fatal(err)
 		}
-		if fi, _ := os.Stat(filepath.Join(dir, fileName)); fi.Size() > datum.StoreCompactAt+1<<20 {
+		if fi, _ := os.Stat(filepath.Join(dir, fileName)); fi.Size() > constants.StoreCompactAt+1<<20 {
 			t.Fatalf("the file has grown to %d bytes", fi.Size())
 		}
 	}
--- a/internal/cistern/growth_test.go
+++ b/internal/cistern/growth_test.go
@@ -10,7 +10,7 @@
 	"testing"
 	"time"
 
-	"slateridge/internal/datum"
+	"slateridge/internal/constants"
 )
 
 // document is a configuration of some routes, as operators write them; about
@@ -107,7 +107,7 @@
 		}
 	}
 	rec := int64(len(docs[0])) + 100
-	if bound := max(datum.StoreCompactAt, datum.StoreCompactTimes*c.live) + rec; most > bound {
+	if bound := max(constants.StoreCompactAt, constants.StoreCompactTimes*c.live) + rec; most > bound {
 		t.Errorf("the file grew to %d bytes, the bound is %d", most, bound)
 	}
 	if bound := c.live + c.live/4 + 256<<10; mostHeap > bound {
@@ -177,7 +177,7 @@
 			for j := range 10 {
 				c.Put("held", i*10+j)
 			}
-			if bound := max(datum.StoreCompactAt, datum.StoreCompactTimes*c.live) + c.live/2 + 1<<10; d.names[fileName].n > bound {
+			if bound := max(constants.StoreCompactAt, constants.StoreCompactTimes*c.live) + c.live/2 + 1<<10; d.names[fileName].n > bound {
 				t.Fatalf("live state of %d: the file has %d bytes, the bound is %d", c.live, d.names[fileName].n, bound)
 			}
 		}
@@ -201,7 +201,7 @@
 	for i := range 100 {
 		c.Put("held", i)
 	}
-	if c.size > datum.StoreCompactAt || c.live > 1<<10 {
+	if c.size > constants.StoreCompactAt || c.live > 1<<10 {
 		t.Fatalf("a live state of %d bytes in a file of %d", c.live, c.size)
 	}
 }
--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -9,7 +9,7 @@
 	"sync"
 	"time"
 
-	"slateridge/internal/datum"
+	"slateridge/internal/constants"
 )
 
 type said struct {
@@ -32,7 +32,7 @@
 
 // Hear takes what one clock says at a steady time here.
 func (c *Clock) Hear(from string, wall int64, steady time.Duration) {
-	if wall < datum.WallSane {
+	if wall < constants.MinWallClock {
 		return
 	}
 	c.mu.Lock()
@@ -40,7 +40,7 @@
 	c.by[from] = said{time.Duration(wall) - steady, steady}
 	var offs []time.Duration
 	for n, s := range c.by {
-		if steady-s.at > datum.ClockFresh {
+		if steady-s.at > constants.ClockFresh {
 			delete(c.by, n)
 			continue
 		}
@@ -48,10 +48,10 @@
 	}
 	slices.Sort(offs)
 	median := offs[(len(offs)-1)/2]
-	if !c.set || steady < datum.ClockSettle {
+	if !c.set || steady < constants.ClockSettle {
 		c.off, c.set, c.last = median, true, 0
 	} else {
-		most := time.Duration(float64(steady-c.at) * datum.ClockSlew)
+		most := time.Duration(float64(steady-c.at) * constants.ClockSlew)
 		c.off += min(max(median-c.off, -most), most)
 	}
 	c.at = steady
--- a/internal/clock/clock_test.go
+++ b/internal/clock/clock_test.go
@@ -6,7 +6,7 @@
 	"testing"
 	"time"
 
-	"slateridge/internal/datum"
+	"slateridge/internal/constants"
 )
 
 // Once settled, clocks that jump by seconds, most of them at once, forward and back and
@@ -43,7 +43,7 @@
 		}
 	}
 	c := New()
-	c.Hear("gone", epoch.Add(time.Hour).UnixNano(), -datum.ClockFresh)
+	c.Hear("gone", epoch.Add(time.Hour).UnixNano(), -constants.ClockFresh)
 	c.Hear("here", epoch.Add(time.Second).UnixNano(), time.Second)
 	if at, _ := c.Now(time.Second); at.Sub(epoch) != time.Second {
 		t.Errorf("a clock heard of long ago counts: %v", at.Sub(epoch))
--- a/internal/conduit/conduit.go
+++ b/internal/conduit/conduit.go
@@ -17,7 +17,7 @@
 	"syscall"
 	"time"
 
-	"slateridge/internal/datum"
+	"slateridge/internal/constants"
 )
 
 // envelope carries one message. Seq 0 is a message that wants no answer. The first on a
@@ -88,7 +88,7 @@
 	default:
 	}
 	p.outMu.Lock()
-	full := len(p.out) >= datum.SendQueue
+	full := len(p.out) >= constants.SendQueue
 	if !full {
 		p.out = append(p.out, e)
 	}
@@ -152,7 +152,7 @@
 	defer p.Close()
 	var buf bytes.Buffer
 	enc := gob.NewEncoder(&buf)
-	w := bufio.NewWriterSize(p.c, datum.PipeBuffer)
+	w := bufio.NewWriterSize(p.c, constants.ConnBuffer)
 	for {
 		select {
 		case <-p.done:
@@ -162,7 +162,7 @@
 		for es := p.waiting(); len(es) > 0; es = p.waiting() {
 			for _, e := range es {
 				buf.Reset()
-				if err := enc.Encode(e); err != nil || buf.Len() > datum.FrameMax {
+				if err := enc.Encode(e); err != nil || buf.Len() > constants.FrameMax {
 					return
 				}
 				var n [4]byte
@@ -176,7 +176,7 @@
 		if w.Flush() != nil || p.last.Load() {
 			return
 		}
-		if buf.Cap() > datum.PipeKeep {
+		if buf.Cap() > constants.EncodeBufferKept {
 			buf = bytes.Buffer{} // one long message must not be paid for for ever
 		}
 	}
@@ -206,7 +206,7 @@
 		f.left = binary.BigEndian.Uint32(n[:])
 		Traffic.In.Add(1)
 		Traffic.InBytes.Add(uint64(f.left) + 4)
-		if f.left > datum.FrameMax {
+		if f.left > constants.FrameMax {
 			Garbled.Add(1)
 			return 0, errors.New("frame too long")
 		}
@@ -236,7 +236,7 @@
 }
 
 func newInflow(r io.Reader) *inflow {
-	f := &frames{r: bufio.NewReaderSize(r, datum.PipeBuffer)}
+	f := &frames{r: bufio.NewReaderSize(r, constants.ConnBuffer)}
 	return &inflow{f, gob.NewDecoder(f)}
 }
 
@@ -302,17 +302,17 @@
 func control(_, _ string, rc syscall.RawConn) error {
 	const tcpUserTimeout = 18
 	rc.Control(func(fd uintptr) {
-		syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(datum.LinkSilence/time.Millisecond))
+		syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(constants.LinkSilence/time.Millisecond))
 	})
 	return nil
 }
 
-var keepAlive = net.KeepAliveConfig{Enable: true, Idle: datum.LinkSilence, Interval: time.Second, Count: 2}
+var keepAlive = net.KeepAliveConfig{Enable: true, Idle: constants.LinkSilence, Interval: time.Second, Count: 2}
 
 // Dial opens a connection from this machine's own address, by which the peer
 // knows it; h takes what the peer sends unasked.
 func Dial(addr, from string, h Handler) (*Pipe, error) {
-	d := net.Dialer{Timeout: datum.DialTimeout, Control: control, KeepAliveConfig: keepAlive, LocalAddr: &net.TCPAddr{IP: net.ParseIP(from)}}
+	d := net.Dialer{Timeout: constants.DialTimeout, Control: control, KeepAliveConfig: keepAlive, LocalAddr: &net.TCPAddr{IP: net.ParseIP(from)}}
 	c, err := d.Dial("tcp4", addr)
 	if err != nil {
 		return nil, err
@@ -338,7 +338,7 @@
 			if errors.Is(err, net.ErrClosed) {
 				return nil
 			}
-			time.Sleep(datum.RedialPause)
+			time.Sleep(constants.RedialPause)
 			continue
 		}
 		p := newPipe(c, h)
@@ -395,7 +395,7 @@
 			p, err := Dial(m.addr, m.from, m.h)
 			m.mu.Lock()
 			defer m.mu.Unlock()
-			m.busy, m.next = false, time.Now().Add(datum.RedialPause)
+			m.busy, m.next = false, time.Now().Add(constants.RedialPause)
 			m.gone = errors.Is(err, syscall.ECONNREFUSED)
 			if err == nil {
 				m.p = p
--- a/internal/conduit/conduit_test.go
+++ b/internal/conduit/conduit_test.go
@@ -7,7 +7,7 @@
 	"testing"
 	"time"
 
-	"slateridge/internal/datum"
+	"slateridge/internal/constants"
 )
 
 type word struct{ S string }
@@ -38,7 +38,7 @@
 	}
 	defer good.Close()
 	long := make([]byte, 4)
-	binary.BigEndian.PutUint32(long, datum.FrameMax+1)
+	binary.BigEndian.PutUint32(long, constants.FrameMax+1)
 	short := append([]byte{0, 0, 0, 9}, "not a gob"...)
 	for _, junk := range [][]byte{long, short} {
 		before := Garbled.Load()
@@ -76,7 +76,7 @@
 		t.Fatal(err)
 	}
 	big := word{strings.Repeat("x", 64<<10)}
-	for range 100 * datum.SendQueue {
+	for range 100 * constants.SendQueue {
 		if p.Send(big) != nil {
 			<-p.Done()
 			return
--- a/internal/duty/duty_test.go
+++ b/internal/duty/duty_test.go
@@ -5,7 +5,7 @@
 	"testing"
 	"time"
 
-	"slateridge/internal/datum"
+	"slateridge/internal/constants"
 )
 
 // An order made knowing less than the record holds changes nothing, however late or
@@ -22,12 +22,12 @@
 		t.Fatalf("second holder: %+v", want)
 	}
 	for _, o := range []Order{
-		{Duty: "d", Holder: "a"},                                              // a's first, again
-		{Duty: "d", Base: 1, Holder: "c"},                                     // lost the race against b
-		{Duty: "d", Base: 1, Key: 6, Body: []byte("a's")},                     // decided under a fence that has passed
-		{Duty: "d", Base: 2, Key: 5, Body: []byte("other")},                   // decides again what is decided
-		{Duty: "d", Base: 2, Key: 4, Body: []byte("four")},                    // or what lies before it
-		{Duty: "d", Base: 2, Key: 6, Body: make([]byte, datum.DutyBodyMax+1)}, // oversized
+		{Duty: "d", Holder: "a"},                                                  // a's first, again
+		{Duty: "d", Base: 1, Holder: "c"},                                         // lost the race against b
+		{Duty: "d", Base: 1, Key: 6, Body: []byte("a's")},                         // decided under a fence that has passed
+		{Duty: "d", Base: 2, Key: 5, Body: []byte("other")},                       // decides again what is decided
+		{Duty: "d", Base: 2, Key: 4, Body: []byte("four")},                        // or what lies before it
+		{Duty: "d", Base: 2, Key: 6, Body: make([]byte, constants.DutyBodyMax+1)}, // oversized
 		{Base: 2, Holder: "c"},
 	} {
 		if _, ok := rs.Apply(o); ok {
@@ -63,7 +63,7 @@
 	if out := o.Step(0, 0, mine, none); len(out) > 0 {
 		t.Fatalf("without the lease: %v", out)
 	}
-	if out := o.Step(0, datum.DutyMargin, mine, none); len(out) > 0 {
+	if out := o.Step(0, constants.DutyMargin, mine, none); len(out) > 0 {
 		t.Fatalf("with the lease about to end: %v", out)
 	}
 	theirs := mine
@@ -86,7 +86,7 @@
 	}
 	back := mine
 	back.Fence, back.Back = 6, true
-	for now := 2 * time.Second; now <= 2*time.Second+lease; now += datum.DutyTick {
+	for now := 2 * time.Second; now <= 2*time.Second+lease; now += constants.DutyTick {
 		if ps := posts(o.Step(now, time.Hour, back, none)); len(ps) > 0 {
 			t.Fatalf("back for %v it acts", now-2*time.Second)
 		}
@@ -110,11 +110,11 @@
 	o := NewOfficer("d", "a", time.Second, 2, rand.New(rand.NewPCG(1, 1)))
 	rec := Record{Fence: 1, Holder: "a", Key: 1, Body: []byte("1")}
 	n, last, order := 0, time.Duration(0), false
-	for now := time.Duration(0); now < 3*time.Minute && !order; now += datum.DutyTick {
+	for now := time.Duration(0); now < 3*time.Minute && !order; now += constants.DutyTick {
 		for _, x := range o.Step(now, time.Hour, rec, func(uint64) (uint64, []byte, bool) { return 2, nil, true }) {
 			switch x := x.(type) {
 			case Post:
-				if n > 0 && now-last < time.Duration(float64(time.Second)/(2*datum.DutyRatePart)) {
+				if n > 0 && now-last < time.Duration(float64(time.Second)/(2*constants.DutyRatePart)) {
 					t.Fatalf("calls %v apart", now-last)
 				}
 				n, last = n+1, now
@@ -124,7 +124,7 @@
 			}
 		}
 	}
-	if !order || n < datum.DutyGiveUp || n > 100 {
+	if !order || n < constants.DutyGiveUp || n > 100 {
 		t.Errorf("%d calls, next decided: %v", n, order)
 	}
 }
--- a/internal/duty/officer.go
+++ b/internal/duty/officer.go
@@ -4,7 +4,7 @@
 	"math/rand/v2"
 	"time"
 
-	"slateridge/internal/datum"
+	"slateridge/internal/constants"
 )
 
 // Post is an act to send: the bytes that were decided, under the holder's fence.
@@ -55,9 +55,9 @@
 // NewOfficer makes the machine; me is the node's name, lease the bound within
 // which no two holders may take turns, perS the calls a second it may make.
 func NewOfficer(name, me string, lease time.Duration, perS float64, rng *rand.Rand) *Officer {
-	o := &Officer{name: name, me: me, lease: lease, rng: rng, spacing: datum.DutySpacing}
+	o := &Officer{name: name, me: me, lease: lease, rng: rng, spacing: constants.DutySpacing}
 	if perS > 0 {
-		o.spacing = max(o.spacing, time.Duration(float64(time.Second)/(perS*datum.DutyRatePart)))
+		o.spacing = max(o.spacing, time.Duration(float64(time.Second)/(perS*constants.DutyRatePart)))
 	}
 	return o
 }
@@ -66,7 +66,7 @@
 // not held), rec the newest committed record; plan names what is to be decided next,
 // once all before has been accepted.
 func (o *Officer) Step(now, until time.Duration, rec Record, plan func(after uint64) (key uint64, body []byte, ok bool)) []any {
-	if until <= now+datum.DutyMargin {
+	if until <= now+constants.DutyMargin {
 		o.known = 0
 		return o.cut()
 	}
@@ -76,7 +76,7 @@
 		if now < o.orderAt {
 			return out
 		}
-		o.orderAt = now + datum.DutyOrderAgain
+		o.orderAt = now + constants.DutyOrderRetry
 		return append(out, Order{Duty: o.name, Base: rec.Fence, Holder: o.me})
 	}
 	var out []any
@@ -84,11 +84,11 @@
 		out = o.cut()
 		o.known, o.since, o.accepted, o.orderAt, o.fails, o.nextAt = rec.Fence, now, 0, 0, 0, 0
 	}
-	if rec.Back && now < o.since+o.lease+datum.DutyMargin {
+	if rec.Back && now < o.since+o.lease+constants.DutyMargin {
 		return out // it acted before the one before it did
 	}
 	if o.out != 0 {
-		if now-o.outAt > datum.DutyTimeout {
+		if now-o.outAt > constants.DutyTimeout {
 			out = append(out, o.cut()...)
 			o.failed(now)
 		}
@@ -101,7 +101,7 @@
 			o.nextAt = now + o.spacing
 			out = append(out, Post{o.calls, rec.Fence, rec.Key, rec.Body})
 		}
-		if !o.Latest && o.fails < datum.DutyGiveUp {
+		if !o.Latest && o.fails < constants.DutyGiveUp {
 			return out
 		}
 	}
@@ -109,7 +109,7 @@
 		return out
 	}
 	if key, body, ok := plan(rec.Key); ok {
-		o.orderAt = now + datum.DutyOrderAgain
+		o.orderAt = now + constants.DutyOrderRetry
 		return append(out, Order{Duty: o.name, Base: rec.Fence, Key: key, Body: body})
 	}
 	return out
@@ -127,7 +127,7 @@
 func (o *Officer) failed(now time.Duration) {
 	o.fails++
 	o.Failed++
-	pause := min(datum.DutyPause<<min(o.fails-1, 5), datum.DutyPauseMax)
+	pause := min(constants.DutyPause<<min(o.fails-1, 5), constants.DutyPauseMax)
 	o.nextAt = max(o.nextAt, now+pause/2+time.Duration(o.rng.Int64N(int64(pause))))
 }
 
--- a/internal/duty/record.go
+++ b/internal/duty/record.go
@@ -8,7 +8,7 @@
 	"slices"
 
 	"slateridge/internal/conduit"
-	"slateridge/internal/datum"
+	"slateridge/internal/constants"
 )
 
 // Record is one duty as the chain holds it.
@@ -42,14 +42,14 @@
 // Apply gives the records after an order, and whether it changed any.
 func (rs Records) Apply(o Order) (Records, bool) {
 	r := rs[o.Duty]
-	if o.Base != r.Fence || o.Duty == "" || len(o.Body) > datum.DutyBodyMax {
+	if o.Base != r.Fence || o.Duty == "" || len(o.Body) > constants.DutyBodyMax {
 		return rs, false
 	}
 	switch {
 	case o.Holder != "":
 		if r.Holder != "" && r.Holder != o.Holder {
 			r.Recent = append(slices.Clone(r.Recent), r.Holder)
-			r.Recent = r.Recent[max(0, len(r.Recent)-datum.DutyRecent):]
+			r.Recent = r.Recent[max(0, len(r.Recent)-constants.DutyRecent):]
 		}
 		r.Back = slices.Contains(r.Recent, o.Holder)
 		if r.Back {
--- a/internal/explore/admissionmodel/admissionmodel.go
+++ b/internal/explore/admissionmodel/admissionmodel.go
@@ -10,7 +10,7 @@
 	"strings"
 	"time"
 
-	"slateridge/internal/datum"
+	"slateridge/internal/constants"
 	"slateridge/internal/explore"
 	"slateridge/internal/weir"
 )
@@ -63,7 +63,7 @@
 // key that its tracker alone carries at three.
 func Small() Config {
 	return Config{Proxies: 2, Newcomers: 1, Trackers: 2, Quota: weir.Quota{Rate: 20, Burst: 20}, Slack: 2.5, Faults: 3,
-		Step: 500 * time.Millisecond, Warm: 4 * time.Second, Window: 5 * time.Second, Long: datum.SplitHold + time.Second, Settle: 12 * time.Second}
+		Step: 500 * time.Millisecond, Warm: 4 * time.Second, Window: 5 * time.Second, Long: constants.SplitHold + time.Second, Settle: 12 * time.Second}
 }
 
 const (
@@ -86,7 +86,7 @@
 	// powerVacancy is how much longer it is vacant after all processes were stopped.
 	powerVacancy = 2 * time.Second
 	// longAgo is beyond the longest time that anybody here waits for anything.
-	longAgo = datum.ProxyForget + 2*time.Second
+	longAgo = constants.ProxyForget + 2*time.Second
 	// grain is the part of a token, or of a rate, that states are not told apart by.
 	grain = 0.01
 )
@@ -187,7 +187,7 @@
 func New(c Config) *Model { return &Model{Config: c} }
 
 func (m *Model) Reset() {
-	m.world = explore.NewWorld(datum.GrantEvery, m.tick, m.recv)
+	m.world = explore.NewWorld(constants.GrantEvery, m.tick, m.recv)
 	m.grid, m.err, m.faults, m.came, m.lives, m.ids, m.served = m.Warm, nil, 0, 0, 0, 0, 0
 	m.stopped = map[string]time.Duration{}
 	m.proxies, m.trackers, m.roster = map[string]*proxy{}, map[string]*tracker{}, map[string]*rosterEntry{}
@@ -212,10 +212,10 @@
 func (m *Model) extra() float64 {
 	floors := 0.0
 	for n := 1; n <= m.Proxies+m.Newcomers; n++ {
-		kept := datum.SplitPart * m.Quota.Burst / float64(n) * (1 - datum.LendMost)
+		kept := constants.SplitPart * m.Quota.Burst / float64(n) * (1 - constants.LendMost)
 		floors = max(floors, float64(n)*(weir.SplitFloor(n, m.Slack)-kept))
 	}
-	return floors + m.Quota.Rate*datum.OneOffLife.Seconds() + m.Tolerance
+	return floors + m.Quota.Rate*constants.OneOffLife.Seconds() + m.Tolerance
 }
 
 // promised is the most that may run in a window of the promise.
@@ -388,7 +388,7 @@
 // controlTick forgets silent proxies, tells trackers the live count and fills the duty.
 func (m *Model) controlTick() {
 	for n, e := range m.roster {
-		if m.world.Now-e.at > datum.ProxyForget {
+		if m.world.Now-e.at > constants.ProxyForget {
 			delete(m.roster, n)
 		}
 	}
@@ -444,7 +444,7 @@
 
 func (m *Model) takeNews(n string, x news) {
 	p := m.proxies[n]
-	if m.clock(n)-x.Heard > datum.TapSilence {
+	if m.clock(n)-x.Heard > constants.SubscriptionSilence {
 		return // long under way: no longer believed
 	}
 	p.tracker = x.Tracker
@@ -459,7 +459,7 @@
 	now := m.clock(n)
 	echo, heard := p.echo[p.tracker]
 	wants := p.weir.Wants(now, func(string) (time.Duration, uint64, bool) { return echo.at, echo.stamp.Life, heard })
-	if p.tracker == "" || len(wants) == 0 && now-echo.at <= datum.ContactEvery {
+	if p.tracker == "" || len(wants) == 0 && now-echo.at <= constants.ContactEvery {
 		return
 	}
 	m.askTracker(n, wants, false)
@@ -470,12 +470,12 @@
 	p := m.proxies[n]
 	echo := p.echo[p.tracker].stamp
 	if m.Planted == LoanOutlives && echo.Life > 0 {
-		echo.At += 2 * datum.LendLength
+		echo.At += 2 * constants.LendLength
 	}
 	m.ids++
-	id, life, wait := m.ids, m.world.Life(n), datum.CallTimeout
+	id, life, wait := m.ids, m.world.Life(n), constants.CallTimeout
 	if request {
-		wait = datum.GrantWait
+		wait = constants.GrantWait
 	}
 	p.open[id] = openQuestion{m.clock(n), p.tracker, request}
 	m.world.Send(n, p.tracker, question{id, weir.AskGrants{Proxy: n, Wants: wants, Echo: echo, Proxies: p.weir.Proxies(), Life: p.weir.Life(), Sent: m.clock(n)}})
@@ -577,7 +577,7 @@
 	return m.trackers[n].gatehouse.Ask(m.world.Now, a, func(int) (time.Duration, bool) {
 		since := m.since
 		if m.Planted == TrackerAtOnce {
-			since -= 2 * datum.GrantLong
+			since -= 2 * constants.GrantLong
 		}
 		return since, m.holder == n
 	})
--- a/internal/explore/admissionmodel/choices.go
+++ b/internal/explore/admissionmodel/choices.go
@@ -5,7 +5,7 @@
 	"slices"
 	"strings"
 
-	"slateridge/internal/datum"
+	"slateridge/internal/constants"
 	"slateridge/internal/explore"
 )
 
@@ -173,7 +173,7 @@
 	}
 	m.world.Run(m.world.Now+m.Settle, nil, m.well)
 	if m.waitsForTheGone() {
-		m.world.Run(m.world.Now+datum.ProxyForget, nil, m.well)
+		m.world.Run(m.world.Now+constants.ProxyForget, nil, m.well)
 	}
 	before := m.served
 	m.pressAll(true)
--- a/internal/explore/chainmodel/chainmodel.go
+++ b/internal/explore/chainmodel/chainmodel.go
@@ -12,7 +12,7 @@
 	"time"
 
 	"slateridge/internal/basin"
-	"slateridge/internal/datum"
+	"slateridge/internal/constants"
 	"slateridge/internal/explore"
 	"slateridge/internal/headworks"
 	"slateridge/internal/scheme"
@@ -158,7 +158,7 @@
 var skip = []string{"Gauge.At", "Gauge.Echo", "Gauge.Wall", "Chain.freshAsOf"}
 
 func (m *Model) Reset() {
-	m.w = explore.NewWorld(datum.ChainTick, m.tick, m.recv)
+	m.w = explore.NewWorld(constants.ChainTick, m.tick, m.recv)
 	m.chain, m.disks = map[string]*headworks.Chain{}, map[string]*basin.Disk{}
 	m.grid, m.err = m.Warm, nil
 	m.faults, m.orders, m.came, m.ids, m.wanted = 0, 0, 0, 0, 0
@@ -268,9 +268,9 @@
 	if m.w.Life(n) != l.life || c == nil {
 		return // stopped before
 	}
-	late := m.w.Now-l.began >= datum.LeaveWait
+	late := m.w.Now-l.began >= constants.LeaveWait
 	if !c.Left() && c.CanLeave() && !late || m.w.Frozen(n) {
-		m.w.After(datum.ChainTick/2, func() { m.awaitLeft(n, l) })
+		m.w.After(constants.ChainTick/2, func() { m.awaitLeft(n, l) })
 		return
 	}
 	if !c.Left() && l.well && m.faults == l.faults {
@@ -365,7 +365,7 @@
 	if was, ok := m.confirmed[d.Version]; ok && was != is.content {
 		m.broken(RuleOneContent, "%s has r%d %q in force, %q was confirmed", n, d.Version, is.content, was)
 	}
-	m.waits[n] = slices.DeleteFunc(m.waits[n], func(w waiting) bool { return m.w.Now-w.at > datum.SubmitWait })
+	m.waits[n] = slices.DeleteFunc(m.waits[n], func(w waiting) bool { return m.w.Now-w.at > constants.SubmitWait })
 	var left []waiting
 	for _, w := range m.waits[n] {
 		if !Confirms(&d, w.Order) {
@@ -378,7 +378,7 @@
 	for z, e := range d.Evac {
 		for i, id := range e.IDs {
 			for _, before := range e.IDs[:i] {
-				if end := m.evacSent[id] + datum.SubmitWait; end < m.evacSent[before] {
+				if end := m.evacSent[id] + constants.SubmitWait; end < m.evacSent[before] {
 					m.broken(RuleLateOrder, "%s: zone %s: the order of %v, answered for by %v, takes effect after that of %v", n, z, m.evacSent[id], end, m.evacSent[before])
 				}
 			}
@@ -413,7 +413,7 @@
 func (m *Model) readDone(n string, o headworks.ReadDone) {
 	r, ok := m.reads[n][o.ID]
 	delete(m.reads[n], o.ID)
-	if !ok || m.w.Now-r.began > datum.SubmitWait {
+	if !ok || m.w.Now-r.began > constants.SubmitWait {
 		return // its caller has gone
 	}
 	m.answers++
@@ -699,7 +699,7 @@
 		m.disks[n].Refuse = false
 	}
 	if len(m.leaving) > 0 {
-		m.w.Run(m.w.Now+datum.LeaveWait+datum.ChainTick, nil, m.well)
+		m.w.Run(m.w.Now+constants.LeaveWait+constants.ChainTick, nil, m.well)
 	}
 	spared := true
 	down := 0
@@ -739,7 +739,7 @@
 		until := m.w.Now + m.Serve
 		for m.err == nil && !confirmed() && m.w.Now < until {
 			m.order(n, o)
-			m.w.Run(m.w.Now+datum.SubmitWait, nil, func() bool { return m.well() && !confirmed() })
+			m.w.Run(m.w.Now+constants.SubmitWait, nil, func() bool { return m.well() && !confirmed() })
 		}
 		if m.err == nil && !confirmed() {
 			m.broken(RuleServes, "%s: nothing confirmed in %v of quiet and %v: %s", n, m.Settle, m.Serve, m.describe())
@@ -749,7 +749,7 @@
 		was, until := m.answers, m.w.Now+m.Serve
 		for m.err == nil && m.answers == was && m.w.Now < until {
 			m.read(n)
-			m.w.Run(m.w.Now+datum.SubmitWait, nil, func() bool { return m.well() && m.answers == was })
+			m.w.Run(m.w.Now+constants.SubmitWait, nil, func() bool { return m.well() && m.answers == was })
 		}
 		if m.err == nil && m.answers == was {
 			m.broken(RuleAnswers, "%s: no read answered in %v of quiet and %v: %s", n, m.Settle, m.Serve, m.describe())
--- a/internal/explore/leasemodel/leasemodel.go
+++ b/internal/explore/leasemodel/leasemodel.go
@@ -8,7 +8,7 @@
 	"strings"
 	"time"
 
-	"slateridge/internal/datum"
+	"slateridge/internal/constants"
 	"slateridge/internal/explore"
 	"slateridge/internal/watermaster"
 )
@@ -71,7 +71,7 @@
 var names = []string{"a", "b", "c", "d", "e", "f", "g", "h"}
 
 func (m *Model) Reset() {
-	m.w = explore.NewWorld(datum.LeaseTick, m.tick, m.recv)
+	m.w = explore.NewWorld(constants.LeaseTick, m.tick, m.recv)
 	m.ms, m.born = map[string]*watermaster.Watermaster{}, map[string]time.Duration{}
 	m.grid, m.err, m.faults = m.Warm, nil, 0
 	m.agreed = []electorate{{names[:m.Machines]}}
--- a/internal/gaugeboard/gaugeboard.go
+++ b/internal/gaugeboard/gaugeboard.go
@@ -36,7 +36,7 @@
 	return m
 }
 
-// Flag is a yes or no as a gauge.
+// Flag is a yes or no as a heartbeat.
 func Flag(b bool) uint64 {
 	if b {
 		return 1
--- a/internal/gazetteer/gazetteer.go
+++ b/internal/gazetteer/gazetteer.go
@@ -12,7 +12,7 @@
 	"sync"
 	"time"
 
-	"slateridge/internal/datum"
+	"slateridge/internal/constants"
 )
 
 // Place is what a proxy says of itself.
@@ -56,9 +56,9 @@
 	defer g.mu.Unlock()
 	changed = g.put(now, node, p)
 	e := g.places[node]
-	e.direct, e.fresh = now, datum.PlaceFresh
+	e.direct, e.fresh = now, constants.PlaceFresh
 	if often {
-		e.fresh = datum.PlaceOften
+		e.fresh = constants.PlaceOften
 	}
 	return changed
 }
@@ -70,8 +70,8 @@
 	defer g.mu.Unlock()
 	if e := g.places[node]; e == nil || now-age > e.at {
 		g.put(now-age, node, p)
-		if e := g.places[node]; now-e.direct > datum.PlaceFresh {
-			e.fresh = datum.PlaceFresh
+		if e := g.places[node]; now-e.direct > constants.PlaceFresh {
+			e.fresh = constants.PlaceFresh
 		}
 	}
 }
@@ -79,7 +79,7 @@
 func (g *Gazetteer) put(at time.Duration, node string, p Place) bool {
 	e := g.places[node]
 	if e == nil {
-		e = &entry{direct: -datum.ProxyForget, fresh: datum.PlaceFresh}
+		e = &entry{direct: -constants.ProxyForget, fresh: constants.PlaceFresh}
 		g.places[node] = e
 	}
 	changed := e.Place != p || e.gone || at-e.at > e.fresh
@@ -96,7 +96,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	e := g.places[node]
-	if e == nil || e.gone || !here && now-e.direct < datum.TapSilence {
+	if e == nil || e.gone || !here && now-e.direct < constants.SubscriptionSilence {
 		return false
 	}
 	e.gone = true
@@ -111,7 +111,7 @@
 	g.Asked++
 	if now >= g.freshAt {
 		clear(g.answers)
-		g.freshAt = now + datum.AnswerFresh
+		g.freshAt = now + constants.AnswerFresh
 	}
 	if r, ok := g.zones[zone]; ok {
 		region = r
@@ -120,11 +120,11 @@
 	a, ok := g.answers[key]
 	if !ok {
 		a = g.answer(now, zone, region)
-		if len(g.answers) < datum.AnswersKept {
+		if len(g.answers) < constants.AnswersKept {
 			g.answers[key] = a
 		}
 	}
-	if len(a) == 0 || now-g.began < datum.GazetteerQuiet {
+	if len(a) == 0 || now-g.began < constants.DirectoryQuiet {
 		g.Empty++
 		return nil, false
 	}
@@ -148,7 +148,7 @@
 		old = old && (e.gone || !e.Ready || now-e.at > e.fresh)
 	}
 	for n, e := range g.places {
-		if now-e.at > datum.ProxyForget {
+		if now-e.at > constants.ProxyForget {
 			delete(g.places, n)
 			continue
 		}
@@ -176,9 +176,9 @@
 	})
 	var out []string
 	beyond := false
-	want := int(math.Ceil(float64(known) * datum.ZoneEnough))
+	want := int(math.Ceil(float64(known) * constants.ZoneEnough))
 	for _, c := range all {
-		if len(out) >= datum.AnswerMost || c.far > 0 && len(out) >= max(want, datum.AnswerLeast) {
+		if len(out) >= constants.AnswerMost || c.far > 0 && len(out) >= max(want, constants.AnswerLeast) {
 			break
 		}
 		beyond = beyond || c.far > 0
--- a/internal/gazetteer/gazetteer_test.go
+++ b/internal/gazetteer/gazetteer_test.go
@@ -7,7 +7,7 @@
 	"testing"
 	"time"
 
-	"slateridge/internal/datum"
+	"slateridge/internal/constants"
 )
 
 var zones = map[string]string{"a1": "a", "a2": "a", "b1": "b", "b2": "b"}
@@ -69,17 +69,17 @@
 			got, ok := g.Lookup(now, zone, zones[zone])
 			known, fresh, near := 0, 0, 0
 			for _, p := range ps {
-				if now-p.heardAt < datum.ProxyForget {
+				if now-p.heardAt < constants.ProxyForget {
 					known++
 				}
-				if p.up && !p.gone && now-p.heardAt < datum.PlaceFresh-time.Second {
+				if p.up && !p.gone && now-p.heardAt < constants.PlaceFresh-time.Second {
 					fresh++
 					if p.Zone == zone {
 						near++
 					}
 				}
 			}
-			if now < datum.GazetteerQuiet {
+			if now < constants.DirectoryQuiet {
 				if ok {
 					t.Fatalf("seed %d: answered after %v of life", seed, now)
 				}
@@ -91,13 +91,13 @@
 			answered++
 			for _, a := range got {
 				p := ps[a]
-				if late := datum.PlaceFresh + datum.AnswerFresh + 300*time.Millisecond; !p.up && now-p.downAt > late && fresh > 0 {
+				if late := constants.PlaceFresh + constants.AnswerFresh + 300*time.Millisecond; !p.up && now-p.downAt > late && fresh > 0 {
 					t.Fatalf("seed %d at %v: %s, gone for %v, is named beside %d that live", seed, now, a, now-p.downAt, fresh)
 				}
 			}
 			total, far := 0, 0
 			for _, p := range ps {
-				if p.Zone == zone && now-p.heardAt < datum.ProxyForget {
+				if p.Zone == zone && now-p.heardAt < constants.ProxyForget {
 					total++
 				}
 			}
@@ -106,7 +106,7 @@
 					far++
 				}
 			}
-			if near == total && near >= datum.AnswerLeast && far > 0 {
+			if near == total && near >= constants.AnswerLeast && far > 0 {
 				t.Fatalf("seed %d at %v: %d of %d proxies of %s live, and %d beyond are named", seed, now, near, total, zone, far)
 			}
 		}
--- a/internal/headworks/admin.go
+++ b/internal/headworks/admin.go
@@ -10,7 +10,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
-	"slateridge/internal/datum"
+	"slateridge/internal/constants"
 	"slateridge/internal/gaugeboard"
 	"slateridge/internal/gazetteer"
 	"slateridge/internal/logbook"
@@ -77,7 +77,7 @@
 		fail(w, http.StatusConflict, why(refused))
 		return
 	}
-	for end := d.now() + datum.RetireWish/2; d.now() < end; time.Sleep(datum.ChainTick) {
+	for end := d.now() + constants.RetireRequestLife/2; d.now() < end; time.Sleep(constants.ChainTick) {
 		if !slices.Contains(d.standing.Load().voters, addr) {
 			d.book.Note("retired", addr)
 			w.Header().Set("Content-Type", "application/json")
@@ -207,7 +207,7 @@
 func (r Report) Late() []string {
 	var out []string
 	for _, p := range r.Proxies {
-		if p.Version < r.Chain.Version && p.Silent < datum.ProxyForget {
+		if p.Version < r.Chain.Version && p.Silent < constants.ProxyForget {
 			out = append(out, p.Name)
 		}
 	}
--- a/internal/headworks/api.go
+++ b/internal/headworks/api.go
@@ -11,7 +11,7 @@
 	"net/http"
 	"time"
 
-	"slateridge/internal/datum"
+	"slateridge/internal/constants"
 	"slateridge/internal/scheme"
 	"slateridge/internal/weir"
 )
@@ -84,11 +84,11 @@
 }
 
 func (d *Daemon) replace(w http.ResponseWriter, r *http.Request) {
-	raw, err := io.ReadAll(http.MaxBytesReader(w, r.Body, datum.ConfigMax))
+	raw, err := io.ReadAll(http.MaxBytesReader(w, r.Body, constants.ConfigMax))
 	if err != nil {
 		var big *http.MaxBytesError
 		if errors.As(err, &big) {
-			fail(w, http.StatusRequestEntityTooLarge, why(fmt.Sprintf("a configuration has at most %d bytes", datum.ConfigMax)))
+			fail(w, http.StatusRequestEntityTooLarge, why(fmt.Sprintf("a configuration has at most %d bytes", constants.ConfigMax)))
 			return
 		}
 		fail(w, http.StatusBadRequest, why("the body did not come whole: "+err.Error()))
@@ -146,9 +146,9 @@
 // time that callers wait, or when this machine is out of contact with a majority and so
 // cannot bring it about: others may. A caller that has gone is not waited for.
 func (d *Daemon) await(ctx context.Context, ch <-chan struct{}) bool {
-	t := time.NewTimer(datum.SubmitWait)
+	t := time.NewTimer(constants.SubmitWait)
 	defer t.Stop()
-	look := time.NewTicker(datum.ContactLook)
+	look := time.NewTicker(constants.ContactWait)
 	defer look.Stop()
 	for {
 		select {
@@ -211,7 +211,7 @@
 	}
 	// Orders have no numbers: one read late, by a process that stood still or over a path
 	// that was cut, must not undo what was ordered since. Its caller has gone by then.
-	time.Sleep(datum.CallerLook)
+	time.Sleep(constants.CallerCheck)
 	if d.stoodStill() || r.Context().Err() != nil {
 		d.book.Count("order_too_late", 1)
 		unavailable(w, "this machine stood still: the order may be an old one")
--- a/internal/headworks/api_test.go
+++ b/internal/headworks/api_test.go
@@ -11,7 +11,7 @@
 
 	"github.com/rs/zerolog"
 
-	"slateridge/internal/datum"
+	"slateridge/internal/constants"
 	"slateridge/internal/logbook"
 	"slateridge/internal/scheme"
 	"slateridge/internal/sill"
@@ -104,7 +104,7 @@
 		t.Fatalf("%d %s", w.Code, w.Body)
 	}
 	d.advance()
-	time.Sleep(datum.ThawGap + 100*time.Millisecond) // it stands still
+	time.Sleep(constants.StallGap + 100*time.Millisecond) // it stands still
 	if w, _ := call(d, "evacuations.stop&of=there", ""); w.Code != 503 {
 		t.Errorf("before its first step after that: %d", w.Code)
 	}
@@ -112,7 +112,7 @@
 	if w, _ := call(d, "evacuations.stop&of=there", ""); w.Code != 503 {
 		t.Errorf("right after: %d", w.Code)
 	}
-	for end := time.Now().Add(datum.ThawQuiet); time.Now().Before(end); time.Sleep(datum.ChainTick) {
+	for end := time.Now().Add(constants.StallQuiet); time.Now().Before(end); time.Sleep(constants.ChainTick) {
 		d.advance()
 	}
 	gone, cancel := context.WithCancel(context.Background())
--- a/internal/headworks/catchup.go
+++ b/internal/headworks/catchup.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"slateridge/internal/datum"
+	"slateridge/internal/constants"
 	"slateridge/internal/scheme"
 )
 
@@ -38,7 +38,7 @@
 	return g
 }
 
-// tell sends a machine this one's gauge.
+// tell sends a machine this one's heartbeat.
 func (c *Chain) tell(p string) {
 	g := c.gauge()
 	if s := c.seen[p]; s != nil && s.gauge.View.Num >= g.View.Num {
@@ -57,7 +57,7 @@
 	if c.now < c.gaugeAt {
 		return
 	}
-	c.gaugeAt = c.now + datum.RelayEvery
+	c.gaugeAt = c.now + constants.RelayEvery
 	for range c.peers {
 		c.turn++
 		if p := c.peers[c.turn%len(c.peers)]; p != c.Me.Addr {
@@ -70,7 +70,7 @@
 // Ahead is the machine with a say that was heard last, for a relay to send its
 // callers to; none when nobody was heard lately.
 func (c *Chain) Ahead() (addr string, ok bool) {
-	last := c.now - datum.RelayFresh
+	last := c.now - constants.RelayFresh
 	for p, s := range c.seen {
 		if s.gauge.Joined && !s.gauge.Relay && s.heard > last {
 			addr, last, ok = p, s.heard, true
@@ -127,7 +127,7 @@
 		p = &peerState{reached: -1}
 		c.seen[from] = p
 	}
-	if !p.everSeen || c.now-p.heard > datum.MemberSilence || p.gauge.Me != g.Me {
+	if !p.everSeen || c.now-p.heard > constants.MemberSilence || p.gauge.Me != g.Me {
 		p.since, unproven = c.now, true
 		if p.gauge.Me != g.Me {
 			p.reached = -1
@@ -153,7 +153,7 @@
 			c.commit(*c.held)
 		} else if c.now >= c.fetchAt {
 			if c.inContact(from) { // the asking of one that may not hear it holds up no other
-				c.fetchAt = c.now + datum.GaugeEvery
+				c.fetchAt = c.now + constants.HeartbeatEvery
 			}
 			c.send(from, Fetch{at(c.committed)})
 		}
--- a/internal/headworks/chain.go
+++ b/internal/headworks/chain.go
@@ -12,7 +12,7 @@
 	"sort"
 	"time"
 
-	"slateridge/internal/datum"
+	"slateridge/internal/constants"
 	"slateridge/internal/duty"
 	"slateridge/internal/scheme"
 )
@@ -107,10 +107,10 @@
 
 type peerState struct {
 	gauge    Gauge
-	echoed   time.Duration // moment here that its last gauge follows; negative: none known
-	reached  time.Duration // latest moment here that any gauge of its disk's life followed; negative: none known
-	heard    time.Duration // last gauge
-	since    time.Duration // first gauge of the present run of them
+	echoed   time.Duration // moment here that its last heartbeat follows; negative: none known
+	reached  time.Duration // latest moment here that any heartbeat of its disk's life followed; negative: none known
+	heard    time.Duration // last heartbeat
+	since    time.Duration // first heartbeat of the present run of them
 	everSeen bool
 }
 
@@ -354,8 +354,8 @@
 // Tick advances time.
 func (c *Chain) Tick(now time.Duration) []any {
 	c.now = now
-	if now-c.lastTick > datum.ThawGap {
-		c.quietTill = now + datum.ThawQuiet
+	if now-c.lastTick > constants.StallGap {
+		c.quietTill = now + constants.StallQuiet
 	}
 	c.lastTick = now
 	if c.Relay {
@@ -363,12 +363,12 @@
 		return c.flush()
 	}
 	if now >= c.gaugeAt {
-		c.gaugeAt = now + datum.GaugeEvery
+		c.gaugeAt = now + constants.HeartbeatEvery
 		c.forget()
 		c.others(c.tell)
 	}
 	if c.store.Sick() && now >= c.mendAt {
-		c.mendAt = now + datum.MemberSilence
+		c.mendAt = now + constants.MemberSilence
 		c.store.Mend()
 	}
 	c.drive()
--- a/internal/headworks/chain_test.go
+++ b/internal/headworks/chain_test.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"slateridge/internal/basin"
-	"slateridge/internal/datum"
+	"slateridge/internal/constants"
 	"slateridge/internal/scheme"
 )
 
@@ -132,7 +132,7 @@
 
 func (c *core) tick(n string, life int) {
 	c.run(n, life, func(ch *Chain) []any { return ch.Tick(c.b.Now) })
-	c.b.After(datum.ChainTick, func() {
+	c.b.After(constants.ChainTick, func() {
 		if c.life[n] == life && c.chain[n] != nil {
 			c.tick(n, life)
 		}
@@ -245,7 +245,7 @@
 	}
 	d := scheme.Doc{Version: o.version, Raw: []byte(o.content)}
 	c.run(n, life, func(ch *Chain) []any { return ch.Submit(c.b.Now, d) })
-	c.b.After(datum.SubmitWait, func() {
+	c.b.After(constants.SubmitWait, func() {
 		if c.life[n] == life {
 			delete(c.waits[n], k)
 		}
@@ -319,7 +319,7 @@
 	}
 	c.orders[n][id] = o
 	c.run(n, life, func(ch *Chain) []any { return ch.Evacuate(c.b.Now, id, o.zone, o.on) })
-	c.b.After(datum.SubmitWait, func() {
+	c.b.After(constants.SubmitWait, func() {
 		if c.life[n] == life {
 			delete(c.orders[n], id)
 		}
@@ -447,7 +447,7 @@
 	}
 	if inOrder {
 		c.run(n, c.life[n], func(ch *Chain) []any { return ch.Leave(c.b.Now) })
-		c.b.Run(c.b.Now+datum.ChainTick, nil)
+		c.b.Run(c.b.Now+constants.ChainTick, nil)
 	}
 	gone()
 	c.joined++
@@ -523,7 +523,7 @@
 		c.fail("%d orders acknowledged and %d reads answered in 6 s of calm: %+v", c.acks-before, c.reads-read, c.chain[c.names[0]].Status())
 	}
 	for _, n := range c.names {
-		if at, ok := c.chain[n].FreshAsOf(); !ok || c.b.Now-at > datum.MemberSilence {
+		if at, ok := c.chain[n].FreshAsOf(); !ok || c.b.Now-at > constants.MemberSilence {
 			c.fail("%s is sure of what it knows only as of %v", n, at)
 		}
 		v := c.chain[n].View()
@@ -647,7 +647,7 @@
 		}
 	}
 	words := 0
-	for _, o := range c.chain["b"].Tick(c.b.Now + datum.GaugeEvery) {
+	for _, o := range c.chain["b"].Tick(c.b.Now + constants.HeartbeatEvery) {
 		if _, ok := o.(Send).Msg.(Gauge); ok {
 			words++
 		}
@@ -679,7 +679,7 @@
 	for i, n := range []string{"a", "c", "b"} {
 		c.b.After(time.Duration(1+i)*300*time.Millisecond, func() { c.start(n, false) })
 	}
-	c.b.Run(7*time.Second+900*time.Millisecond+2*datum.GaugeEvery, nil)
+	c.b.Run(7*time.Second+900*time.Millisecond+2*constants.HeartbeatEvery, nil)
 	for _, n := range three {
 		if ver(c.inForce[n]) != 9 {
 			t.Errorf("%s has r%d in force", n, ver(c.inForce[n]))
--- a/internal/headworks/daemon.go
+++ b/internal/headworks/daemon.go
@@ -17,7 +17,7 @@
 	"slateridge/internal/cistern"
 	"slateridge/internal/clock"
 	"slateridge/internal/conduit"
-	"slateridge/internal/datum"
+	"slateridge/internal/constants"
 	"slateridge/internal/gazetteer"
 	"slateridge/internal/intake"
 	"slateridge/internal/logbook"
@@ -261,7 +261,7 @@
 
 // Add puts the daemon's actors into the process's group.
 func (d *Daemon) Add(g *run.Group) error {
-	l, err := conduit.Listen(d.set.Internal(datum.PortHeadworks))
+	l, err := conduit.Listen(d.set.Internal(constants.PortControl))
 	if err != nil {
 		return err
 	}
@@ -269,16 +269,16 @@
 	if err != nil {
 		return err
 	}
-	adm, err := net.Listen("tcp4", d.set.Internal(datum.PortHeadworksAdmin))
+	adm, err := net.Listen("tcp4", d.set.Internal(constants.PortControlAdmin))
 	if err != nil {
 		return err
 	}
 	g.Add(func() error { return conduit.Serve(l, d.onMessage) }, func(error) { l.Close() })
 	var seeds []string
 	for _, p := range d.seeds {
-		seeds = append(seeds, d.set.PeerInternal(p, datum.PortStaff))
+		seeds = append(seeds, d.set.PeerInternal(p, constants.PortControlMembership))
 	}
-	d.staff, err = staff.Listen(d.set.Internal(datum.PortStaff), d.set.NodeName+"/headworks", seeds, func(f staff.Fact) {
+	d.staff, err = staff.Listen(d.set.Internal(constants.PortControlMembership), d.set.NodeName+"/headworks", seeds, func(f staff.Fact) {
 		d.book.Note("member", f.Name+" "+f.State.String())
 	})
 	if err != nil {
@@ -297,12 +297,12 @@
 	}
 	w.Turn(staff.TickEvery, d.staff.Tick)
 	if d.relay {
-		w.Turn(datum.RelayEvery, func() { d.step(func() []any { return d.chain.Tick(d.now()) }) })
+		w.Turn(constants.RelayEvery, func() { d.step(func() []any { return d.chain.Tick(d.now()) }) })
 		return nil
 	}
-	w.Turn(datum.ChainTick, d.advance)
+	w.Turn(constants.ChainTick, d.advance)
 	held := map[string]bool{}
-	w.Turn(datum.LeaseTick, func() {
+	w.Turn(constants.LeaseTick, func() {
 		d.leaseMu.Lock()
 		out := d.leases.Tick(d.now())
 		var moved []string
@@ -320,22 +320,22 @@
 		d.pen.Publish()
 	})
 	if len(d.posts) > 0 {
-		w.Turn(datum.DutyTick, d.officiate)
+		w.Turn(constants.DutyTick, d.officiate)
 		if d.set.Does(sill.DutyUsage) {
-			w.Turn(datum.UsageSave, d.keepUsage)
+			w.Turn(constants.UsageSave, d.keepUsage)
 		}
 	}
-	d.bootTurn = time.Duration(max(0, slices.Index(d.controls(), d.set.IPAddress))) * datum.BootTurn
+	d.bootTurn = time.Duration(max(0, slices.Index(d.controls(), d.set.IPAddress))) * constants.BootStagger
 	go func() {
 		for _, p := range d.peers() {
 			d.send(p, ListAsk{}) // whoever has started before may have one
 		}
 		for d.polled(w.Context()) {
-			time.Sleep(datum.BootLook)
+			time.Sleep(constants.BootCheckEvery)
 		}
 	}()
-	w.Turn(time.Duration(datum.PollShare*float64(d.set.Bounds.Drain.D())), func() { d.poll(w.Context()) })
-	w.Turn(datum.RosterEvery, d.shareRoster)
+	w.Turn(time.Duration(constants.PollShare*float64(d.set.Bounds.Drain.D())), func() { d.poll(w.Context()) })
+	w.Turn(constants.RosterEvery, d.shareRoster)
 	return nil
 }
 
@@ -359,8 +359,8 @@
 	}
 	look()
 	d.step(func() []any { return d.chain.Leave(d.now()) })
-	for end := began + datum.LeaveWait; !left && can && d.now() < end; look() {
-		time.Sleep(datum.ChainTick / 2)
+	for end := began + constants.LeaveWait; !left && can && d.now() < end; look() {
+		time.Sleep(constants.ChainTick / 2)
 	}
 	switch {
 	case left:
@@ -368,7 +368,7 @@
 	case !can:
 		d.book.Note("left_members", "too few others are there to go on without this machine: they wait for it or for a successor")
 	default:
-		d.book.Note("left_unanswered", fmt.Sprintf("no view without this machine within %v: the others will find it silent", datum.LeaveWait))
+		d.book.Note("left_unanswered", fmt.Sprintf("no view without this machine within %v: the others will find it silent", constants.LeaveWait))
 	}
 }
 
@@ -385,7 +385,7 @@
 	d.mainMu.Lock()
 	p := d.mains[to]
 	if p == nil {
-		p = conduit.NewMain(d.set.PeerInternal(to, datum.PortHeadworks), d.set.IPAddress, d.onMessage)
+		p = conduit.NewMain(d.set.PeerInternal(to, constants.PortControl), d.set.IPAddress, d.onMessage)
 		d.mains[to] = p
 	}
 	d.mainMu.Unlock()
@@ -517,7 +517,7 @@
 // ways: what is hearsay only may be old.
 func (d *Daemon) current() bool {
 	at := time.Duration(d.contact.Load())
-	return at > 0 && d.now()-at <= datum.ContactFresh
+	return at > 0 && d.now()-at <= constants.ContactFresh
 }
 
 // stoodStill says whether this process has just been frozen, or starved of its
@@ -525,18 +525,18 @@
 func (d *Daemon) stoodStill() bool {
 	now := d.now()
 	at := time.Duration(d.stepped.Load())
-	return at > 0 && now-at > datum.ThawGap || d.thawed.Load() > 0 && now-time.Duration(d.thawed.Load()) < datum.ThawQuiet
+	return at > 0 && now-at > constants.StallGap || d.thawed.Load() > 0 && now-time.Duration(d.thawed.Load()) < constants.StallQuiet
 }
 
 // advance is the chain's regular step.
 func (d *Daemon) advance() {
 	now := d.now()
-	if at := time.Duration(d.stepped.Swap(int64(now))); at > 0 && now-at > datum.ThawGap {
+	if at := time.Duration(d.stepped.Swap(int64(now))); at > 0 && now-at > constants.StallGap {
 		d.thawed.Store(int64(now))
 		d.book.Count("stood_still", 1)
 	}
 	d.step(func() []any { return d.chain.Tick(d.now()) })
-	if g := d.standing.Load(); !g.joined && now-d.waitSaid > datum.JoinSay {
+	if g := d.standing.Load(); !g.joined && now-d.waitSaid > constants.JoinReport {
 		d.waitSaid = now
 		d.book.Note("waiting", fmt.Sprintf("no view has taken this machine in; known: view %d of %d voters, asked: %v. If no control machine has a view, a first start was cut short before a majority of the seeds had written: start those with empty disks and bootstrap true",
 			g.view, len(g.voters), d.peers()))
@@ -703,7 +703,7 @@
 func (d *Daemon) admitLocked() bool {
 	if !d.rosterIn {
 		// The very first start: nobody has been told a count yet.
-		if !d.set.Bootstrap || time.Since(d.began) < datum.RosterQuiet || len(d.roster) == 0 {
+		if !d.set.Bootstrap || time.Since(d.began) < constants.RosterQuiet || len(d.roster) == 0 {
 			return false
 		}
 		d.rosterIn = true
@@ -752,21 +752,21 @@
 	// on the roster.
 	for _, f := range facts {
 		host, _, _ := net.SplitHostPort(f.Addr)
-		if e := d.roster[host]; e != nil && f.State == staff.Alive && f.Addr == d.set.PeerInternal(host, datum.PortStaffSluice) {
+		if e := d.roster[host]; e != nil && f.State == staff.Alive && f.Addr == d.set.PeerInternal(host, constants.PortProxyMembership) {
 			e.at = time.Now()
 		}
 	}
 	var shares []string
 	for a, e := range d.roster {
-		if time.Since(e.at) > datum.ProxyForget {
+		if time.Since(e.at) > constants.ProxyForget {
 			delete(d.roster, a)
 			changed = true
 			continue
 		}
-		if age := time.Since(e.direct); age < datum.TapSilence { // the others' own proxies are theirs to tell of
+		if age := time.Since(e.direct); age < constants.SubscriptionSilence { // the others' own proxies are theirs to tell of
 			w := Word{age, e.count, e.place}
 			far.Words[a] = w
-			if e.told.Count != w.Count || e.told.Place != w.Place || time.Since(e.toldAt) >= datum.RosterWord {
+			if e.told.Count != w.Count || e.told.Place != w.Place || time.Since(e.toldAt) >= constants.RosterRefresh {
 				near.Words[a], e.told, e.toldAt = w, w, time.Now()
 			}
 		}
@@ -775,10 +775,10 @@
 		}
 	}
 	slices.Sort(shares)
-	if d.turns%datum.RosterWhole == 0 || !slices.Equal(shares, d.sharesTold) {
+	if d.turns%constants.RosterWhole == 0 || !slices.Equal(shares, d.sharesTold) {
 		near.Shares, far.Shares, d.sharesTold = shares, shares, shares
 	}
-	farToo := d.turns%datum.RosterFar == 0 || far.Shares != nil
+	farToo := d.turns%constants.RosterFar == 0 || far.Shares != nil
 	where := maps.Clone(d.where)
 	changed = d.admitLocked() || changed
 	d.mu.Unlock()
@@ -867,7 +867,7 @@
 		d.book.Count("poll_failed", 1)
 		if first {
 			d.mu.Lock()
-			d.bootRead, d.bootTurn = false, d.now()+datum.BootAgain
+			d.bootRead, d.bootTurn = false, d.now()+constants.BootRetry
 			d.mu.Unlock()
 		}
 		return
@@ -919,11 +919,11 @@
 // firstNumber is where a new holder of the poll duty begins to number its lists:
 // above all it has heard of, and apart from another that has heard the same.
 func firstNumber(heard, lot uint64) uint64 {
-	return (heard/datum.ListStride+1)*datum.ListStride + lot%(datum.ListStride/2)
+	return (heard/constants.ListStride+1)*constants.ListStride + lot%(constants.ListStride/2)
 }
 
 // bootNumber is the number of a list read without the duty.
-func bootNumber(lot uint64) uint64 { return 1 + lot%(datum.ListStride-1) }
+func bootNumber(lot uint64) uint64 { return 1 + lot%(constants.ListStride-1) }
 
 // takeList is false when the news does not fit what is held here.
 func (d *Daemon) takeList(m ListNews) bool {
--- a/internal/headworks/directory.go
+++ b/internal/headworks/directory.go
@@ -7,7 +7,7 @@
 	"strconv"
 	"time"
 
-	"slateridge/internal/datum"
+	"slateridge/internal/constants"
 )
 
 // directoryAPI answers clients that ask where to connect.
@@ -45,7 +45,7 @@
 
 // ttl is how long an answer may be used, as the wire writes it.
 func (d *Daemon) ttl() string {
-	t := datum.LookupTTL
+	t := constants.LookupTTL
 	if m := d.set.Bounds.TTLMax.D(); m > 0 && m < t {
 		t = m
 	}
--- a/internal/headworks/duties.go
+++ b/internal/headworks/duties.go
@@ -14,7 +14,7 @@
 	"sync"
 	"time"
 
-	"slateridge/internal/datum"
+	"slateridge/internal/constants"
 	"slateridge/internal/duty"
 	"slateridge/internal/scaling"
 	"slateridge/internal/sill"
@@ -59,8 +59,8 @@
 
 func (d *Daemon) newPost(name, path string, plan func(time.Duration, uint64) (uint64, []byte, bool)) *post {
 	p := &post{name: name, path: path, plan: plan, officer: duty.NewOfficer(name, d.set.NodeName, d.set.Bounds.Lease.D(), d.set.CloudAPI.DutiesPerS, rand.New(rand.NewPCG(rand.Uint64(), 1)))}
-	dial := net.Dialer{Timeout: datum.DutyTimeout}
-	p.client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, DisableCompression: true, IdleConnTimeout: datum.DutyTimeout,
+	dial := net.Dialer{Timeout: constants.DutyTimeout}
+	p.client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, DisableCompression: true, IdleConnTimeout: constants.DutyTimeout,
 		DialContext: func(ctx context.Context, _, addr string) (net.Conn, error) {
 			c, err := dial.DialContext(ctx, "tcp4", addr)
 			if err != nil {
@@ -124,7 +124,7 @@
 			d.leaseMu.Unlock()
 			d.sendLeases(ss)
 		case duty.Post:
-			ctx, cancel := context.WithTimeout(context.Background(), datum.DutyTimeout)
+			ctx, cancel := context.WithTimeout(context.Background(), constants.DutyTimeout)
 			p.mu.Lock()
 			p.cancel, p.calling = cancel, o.ID
 			p.mu.Unlock()
@@ -165,7 +165,7 @@
 			return status
 		}
 		p.taken[s] = string(parts[s])
-		time.Sleep(datum.DutySpacing)
+		time.Sleep(constants.DutySpacing)
 	}
 	return http.StatusOK
 }
@@ -184,7 +184,7 @@
 		return 0 // counted by the caller, and tried again
 	}
 	defer resp.Body.Close()
-	io.Copy(io.Discard, io.LimitReader(resp.Body, datum.HeaderBytes))
+	io.Copy(io.Discard, io.LimitReader(resp.Body, constants.HeaderBytes))
 	return resp.StatusCode
 }
 
@@ -251,7 +251,7 @@
 	defer d.mu.Unlock()
 	var out []string
 	for a, e := range d.roster {
-		if time.Since(e.at) < datum.UsageSilent {
+		if time.Since(e.at) < constants.UsageSilent {
 			out = append(out, a)
 		}
 	}
--- a/internal/headworks/duties_test.go
+++ b/internal/headworks/duties_test.go
@@ -6,7 +6,7 @@
 	"testing"
 	"time"
 
-	"slateridge/internal/datum"
+	"slateridge/internal/constants"
 	"slateridge/internal/duty"
 	"slateridge/internal/usage"
 	"slateridge/internal/watermaster"
@@ -66,7 +66,7 @@
 
 // drive is a machine's loop: a new life of the process begins anew.
 func (w *works) drive(n string) {
-	defer w.b.After(datum.DutyTick, func() { w.drive(n) })
+	defer w.b.After(constants.DutyTick, func() { w.drive(n) })
 	if w.chain[n] == nil || w.frozen[n] {
 		return
 	}
--- a/internal/headworks/electorate.go
+++ b/internal/headworks/electorate.go
@@ -6,7 +6,7 @@
 	"slices"
 	"time"
 
-	"slateridge/internal/datum"
+	"slateridge/internal/constants"
 )
 
 // The electorate: who agrees on the next view. It changes with a decided view only,
@@ -94,12 +94,12 @@
 
 func (c *Chain) wished(m Member) bool {
 	at, ok := c.retire[m.Addr]
-	return ok && c.now-at < datum.RetireWish
+	return ok && c.now-at < constants.RetireRequestLife
 }
 
 // long says whether a voter has been gone so long that it is not waited for.
 func (c *Chain) long(m Member) bool {
-	return !c.inContact(m.Addr) && c.now-c.lastHeard(m) >= datum.RetireAfter
+	return !c.inContact(m.Addr) && c.now-c.lastHeard(m) >= constants.RetireAfter
 }
 
 // overdue are voters outside the present view that a change of view is wanted for.
@@ -189,14 +189,14 @@
 // forget drops control machines that are no voters and have long been silent.
 func (c *Chain) forget() {
 	for p, s := range c.seen {
-		if c.now-s.heard > datum.PeerForget && !slices.Contains(c.seeds, p) && c.agr.View.voter(p) < 0 {
+		if c.now-s.heard > constants.PeerForget && !slices.Contains(c.seeds, p) && c.agr.View.voter(p) < 0 {
 			delete(c.seen, p)
 			delete(c.goodbyes, p)
 			c.peers = slices.DeleteFunc(c.peers, func(o string) bool { return o == p })
 		}
 	}
 	for p, at := range c.retire {
-		if c.now-at >= datum.RetireWish {
+		if c.now-at >= constants.RetireRequestLife {
 			delete(c.retire, p)
 		}
 	}
@@ -208,7 +208,7 @@
 	c.now = now
 	if !c.Relay {
 		c.leaving, c.round = true, nil
-		c.gaugeAt = now + datum.GaugeEvery
+		c.gaugeAt = now + constants.HeartbeatEvery
 		c.others(c.tell)
 	}
 	return c.flush()
@@ -286,7 +286,7 @@
 		case c.wished(m) && can:
 			x.WayOut = "an operator wants it out"
 		case can:
-			x.WayOut = fmt.Sprintf("leaves with a successor's coming, or after %v", max(0, datum.RetireAfter-x.Gone).Round(time.Second))
+			x.WayOut = fmt.Sprintf("leaves with a successor's coming, or after %v", max(0, constants.RetireAfter-x.Gone).Round(time.Second))
 		default:
 			x.WayOut = "leaves with a successor's coming: too few voters to go without"
 		}
--- a/internal/headworks/electorate_test.go
+++ b/internal/headworks/electorate_test.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"slateridge/internal/basin"
-	"slateridge/internal/datum"
+	"slateridge/internal/constants"
 	"slateridge/internal/scheme"
 )
 
@@ -222,7 +222,7 @@
 						// The next in line proposes without it, and loses its disk while
 						// its round is under way, where two may be lost.
 						c.wipe(pick)
-						c.b.Run(c.b.Now+datum.MemberSilence, nil)
+						c.b.Run(c.b.Now+constants.MemberSilence, nil)
 						for end := c.b.Now + 2*time.Second; f.tolerate > 1 && c.b.Now < end; {
 							c.b.Run(c.b.Now+5*time.Millisecond, nil)
 							p := slices.IndexFunc(c.up(), func(n string) bool { return c.chain[n].round != nil })
@@ -270,7 +270,7 @@
 						began := c.b.Now
 						views := len(c.views)
 						rest := slices.DeleteFunc(slices.Clone(c.names), func(n string) bool { return n == x })
-						c.b.Run(began+datum.ContactFresh+datum.MemberSilence+2*time.Second, nil)
+						c.b.Run(began+constants.ContactFresh+constants.MemberSilence+2*time.Second, nil)
 						told := len(c.said)
 						for i := 0; c.b.Now < began+20*time.Second; i++ {
 							if i == 3 && restart > 0 && (restart == 1 || f.tolerate > 1) {
@@ -295,7 +295,7 @@
 								t.Fatalf("seed %d: %s, cut off, confirmed r%d, refused it, or gave a read", seed, x, o.version)
 							}
 							if c.chain[x] != nil {
-								if at, ok := c.chain[x].Contact(); ok && c.b.Now-at < datum.ContactFresh && c.b.Now-began > datum.ContactFresh {
+								if at, ok := c.chain[x].Contact(); ok && c.b.Now-at < constants.ContactFresh && c.b.Now-began > constants.ContactFresh {
 									t.Fatalf("seed %d: %s is cut off and says that it is in contact", seed, x)
 								}
 							}
@@ -400,13 +400,13 @@
 	if v := c.chain["a"].View(); len(v.Voters) != 6 {
 		t.Fatalf("%d voters after ten seconds: a change of electorate costs leases", len(v.Voters))
 	}
-	c.b.Run(c.b.Now+datum.RetireAfter, nil)
+	c.b.Run(c.b.Now+constants.RetireAfter, nil)
 	if v := c.chain["a"].View(); len(v.Voters) != 5 {
 		t.Fatalf("%d voters after a minute", len(v.Voters))
 	}
 	// With five left and two that may be lost there is nothing to give up.
 	c.leave("e", false)
-	c.b.Run(c.b.Now+2*datum.RetireAfter, nil)
+	c.b.Run(c.b.Now+2*constants.RetireAfter, nil)
 	if v := c.chain["a"].View(); len(v.Voters) != 5 {
 		t.Fatalf("%d voters, fewer than can bear the loss of two", len(v.Voters))
 	}
@@ -457,7 +457,7 @@
 		began := c.b.Now
 		c.run(n, c.life[n], func(ch *Chain) []any { return ch.Leave(c.b.Now) })
 		for !c.chain[n].Left() {
-			if c.b.Now-began > datum.LeaveWait/2 {
+			if c.b.Now-began > constants.LeaveWait/2 {
 				t.Fatalf("seed %d: %s still counts after %v", seed, n, c.b.Now-began)
 			}
 			c.b.Run(c.b.Now+10*time.Millisecond, nil)
@@ -513,7 +513,7 @@
 		c.settled()
 		c.holds("after it caught up")
 	}
-	if took[1] > took[0]+2*datum.GaugeEvery {
+	if took[1] > took[0]+2*constants.HeartbeatEvery {
 		t.Errorf("%v after one change, %v after 300", took[0], took[1])
 	}
 }
@@ -582,7 +582,7 @@
 			sent = append(sent, config{c.next + 1 + uint64(k), fmt.Sprintf("one of eight %d", k)})
 			c.send(c.names[i%3], sent[i])
 		}
-		c.b.Run(c.b.Now+datum.SubmitWait, nil)
+		c.b.Run(c.b.Now+constants.SubmitWait, nil)
 		for _, o := range sent {
 			if !slices.Contains(c.said, o.key()) {
 				t.Errorf("seed %d: r%d is not acknowledged", seed, o.version)
@@ -594,13 +594,13 @@
 func TestLedgerIsBounded(t *testing.T) {
 	var l scheme.Ledger
 	r := rand.New(rand.NewPCG(1, 1))
-	for v := uint64(1); v <= 3*datum.LedgerKept; v++ {
+	for v := uint64(1); v <= 3*constants.LedgerKept; v++ {
 		l = l.With(v, r.Uint64())
 	}
-	if len(l.Taken) != datum.LedgerKept || l.Floor != 2*datum.LedgerKept {
+	if len(l.Taken) != constants.LedgerKept || l.Floor != 2*constants.LedgerKept {
 		t.Fatalf("%d kept, nothing known up to r%d", len(l.Taken), l.Floor)
 	}
-	if !l.Settled(5) || l.Settled(3*datum.LedgerKept+1) {
+	if !l.Settled(5) || l.Settled(3*constants.LedgerKept+1) {
 		t.Fatal("what is settled is wrong")
 	}
 	if _, ok := l.Find(5); ok {
--- a/internal/headworks/messages.go
+++ b/internal/headworks/messages.go
@@ -18,7 +18,7 @@
 		Original        bool     // was there at the founding, and no view has taken it in yet
 		Leaving         bool     // is about to stop in order: the others go on without it
 		Unheard         []string // control machines it has no contact with both ways
-		Asks            bool     // wants a gauge back: a relay, or a machine that no view has taken in yet
+		Asks            bool     // wants a heartbeat back: a relay, or a machine that no view has taken in yet
 		Committed, Held scheme.Stamp
 		Version         uint64 // of the configuration in force
 		Wall            int64  // its time of day, in nanoseconds
--- a/internal/headworks/orders.go
+++ b/internal/headworks/orders.go
@@ -6,7 +6,7 @@
 	"slices"
 	"time"
 
-	"slateridge/internal/datum"
+	"slateridge/internal/constants"
 	"slateridge/internal/duty"
 	"slateridge/internal/scheme"
 )
@@ -80,13 +80,13 @@
 // Give up on forwarding changes whose caller has been answered.
 func (c *Chain) expire() {
 	for k, at := range c.wantAt {
-		if settled(c.committed, k.Version) || c.now-at > datum.SubmitWait {
+		if settled(c.committed, k.Version) || c.now-at > constants.SubmitWait {
 			delete(c.wanted, k)
 			delete(c.wantAt, k)
 		}
 	}
 	for id, since := range c.orderAt {
-		if c.now-since > datum.SubmitWait || c.committed != nil && slices.Contains(c.committed.Evac[c.orders[id].Zone].IDs, id) {
+		if c.now-since > constants.SubmitWait || c.committed != nil && slices.Contains(c.committed.Evac[c.orders[id].Zone].IDs, id) {
 			delete(c.orders, id)
 			delete(c.orderAt, id)
 		}
@@ -181,7 +181,7 @@
 		evac[z] = e
 	}
 	ids := append(slices.Clone(cur.IDs), o.ID)
-	evac[o.Zone] = scheme.Evac{On: o.On, Num: cur.Num + 1, IDs: ids[max(0, len(ids)-datum.OrderIDs):]}
+	evac[o.Zone] = scheme.Evac{On: o.On, Num: cur.Num + 1, IDs: ids[max(0, len(ids)-constants.OrderIDs):]}
 	d := c.nextState()
 	d.Evac, d.Ordered = evac, d.Stamp
 	c.admit(&d)
@@ -206,11 +206,11 @@
 	if c.now < c.passAt {
 		return
 	}
-	c.passAt = c.now + datum.PassAgain
+	c.passAt = c.now + constants.PassRetry
 	if c.held != nil {
 		// A large state is under way longer.
 		if !c.held.SameBulk(c.committed) {
-			c.passAt += time.Duration(len(c.held.Raw)*len(c.agr.View.Members)) * time.Second / datum.PassBytes
+			c.passAt += time.Duration(len(c.held.Raw)*len(c.agr.View.Members)) * time.Second / constants.PassBytes
 		}
 	}
 	if c.serves() && at(c.committed).Less(at(c.held)) {
@@ -240,12 +240,12 @@
 		}
 	}
 	for _, r := range c.reads {
-		if len(r.yes) < c.majority() && c.now-r.sent >= datum.PassAgain {
+		if len(r.yes) < c.majority() && c.now-r.sent >= constants.PassRetry {
 			r.sent = c.now
 			c.others(func(p string) { c.send(p, Confirm{c.agr.View.Num, r.nonce}) })
 		}
 	}
-	c.reads = slices.DeleteFunc(c.reads, func(r *reading) bool { return c.now-r.began > datum.SubmitWait })
+	c.reads = slices.DeleteFunc(c.reads, func(r *reading) bool { return c.now-r.began > constants.SubmitWait })
 	c.answerReads()
 }
 
--- a/internal/headworks/pass_on_test.go
+++ b/internal/headworks/pass_on_test.go
@@ -6,7 +6,7 @@
 	"testing"
 	"time"
 
-	"slateridge/internal/datum"
+	"slateridge/internal/constants"
 )
 
 // A machine that cannot reach the head, one way or both, and reaches the others, has its
@@ -33,20 +33,20 @@
 						for _, sent := range []string{"once", "again"} {
 							acks := c.acks
 							c.send(x, o)
-							c.b.Run(c.b.Now+datum.SubmitWait, nil)
+							c.b.Run(c.b.Now+constants.SubmitWait, nil)
 							if c.acks == acks {
 								c.fail("r%d, sent %s to %s, is not acknowledged", o.version, sent, x)
 							}
 						}
 						lost := c.lost
 						c.send(x, config{o.version, "another content"})
-						c.b.Run(c.b.Now+datum.SubmitWait, nil)
+						c.b.Run(c.b.Now+constants.SubmitWait, nil)
 						if c.lost != lost+1 {
 							c.fail("another content under r%d is not refused at %s", o.version, x)
 						}
 						id := c.b.Rng.Uint64()
 						c.run(x, c.life[x], func(ch *Chain) []any { return ch.Evacuate(c.b.Now, id, "y", true) })
-						c.b.Run(c.b.Now+datum.SubmitWait, nil)
+						c.b.Run(c.b.Now+constants.SubmitWait, nil)
 						if d := c.inForce[x]; !slices.Contains(d.Evac["y"].IDs, id) {
 							c.fail("an evacuation is not acknowledged at %s", x)
 						}
--- a/internal/headworks/return_test.go
+++ b/internal/headworks/return_test.go
@@ -5,7 +5,7 @@
 	"testing"
 	"time"
 
-	"slateridge/internal/datum"
+	"slateridge/internal/constants"
 	"slateridge/internal/watermaster"
 )
 
@@ -74,7 +74,7 @@
 
 // drive is a machine's loop of leases; a new life of the process begins anew.
 func (l *leasedCore) drive(n string) {
-	defer l.b.After(datum.LeaseTick, func() { l.drive(n) })
+	defer l.b.After(constants.LeaseTick, func() { l.drive(n) })
 	if l.chain[n] == nil || l.frozen[n] {
 		return
 	}
@@ -124,8 +124,8 @@
 	l.carry(n, l.leases[n].Leave(l.b.Now))
 	began := l.b.Now
 	l.core.run(n, l.life[n], func(ch *Chain) []any { return ch.Leave(l.b.Now) })
-	for end := began + datum.LeaveWait; !l.chain[n].Left() && l.chain[n].CanLeave() && l.b.Now < end; {
-		l.run(l.b.Now + datum.ChainTick/2)
+	for end := began + constants.LeaveWait; !l.chain[n].Left() && l.chain[n].CanLeave() && l.b.Now < end; {
+		l.run(l.b.Now + constants.ChainTick/2)
 	}
 	l.kill(n)
 }
@@ -174,11 +174,11 @@
 	l.start(x, false)
 	l.run(l.b.Now + 5*time.Second)
 	// A turn of the loop, and a Release or the state of this moment, an Ask and its answer.
-	words := datum.LeaseTick + 3*delay
+	words := constants.LeaseTick + 3*delay
 	most := words
 	if !inOrder {
 		// The look before the kill is up to a renewal old; others wait for the grant's end.
-		most = datum.LeaseRenew/2 + words + min(away, datum.LeaseLength+datum.LeaseMargin)
+		most = constants.LeaseRenew/2 + words + min(away, constants.LeaseLength+constants.LeaseMargin)
 	}
 	for _, d := range l.duties {
 		if before[d] != x {
@@ -192,7 +192,7 @@
 			l.fail("%s had no holder for %v, over %v, when %s was away", d, l.longest[d], most, x)
 		}
 	}
-	if n := len(l.views) - views; !inOrder && away < datum.MemberSilence-datum.GaugeEvery-2*delay && n > 0 {
+	if n := len(l.views) - views; !inOrder && away < constants.MemberSilence-constants.HeartbeatEvery-2*delay && n > 0 {
 		l.fail("a restart of %v made %d views", away, n)
 	}
 	return worst
--- a/internal/headworks/step_bench_test.go
+++ b/internal/headworks/step_bench_test.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"slateridge/internal/basin"
-	"slateridge/internal/datum"
+	"slateridge/internal/constants"
 	"slateridge/internal/watermaster"
 )
 
@@ -35,8 +35,8 @@
 	b.ReportAllocs()
 	now := time.Duration(0)
 	for i := 0; b.Loop(); i++ {
-		now += datum.ChainTick
-		if i%int(datum.GaugeEvery/datum.ChainTick) == 0 {
+		now += constants.ChainTick
+		if i%int(constants.HeartbeatEvery/constants.ChainTick) == 0 {
 			b.StopTimer()
 			heard(now)
 			b.StartTimer()
--- a/internal/headworks/view.go
+++ b/internal/headworks/view.go
@@ -4,7 +4,7 @@
 	"slices"
 	"time"
 
-	"slateridge/internal/datum"
+	"slateridge/internal/constants"
 )
 
 // participant says whether this machine may promise and accept: one whose disk
@@ -54,7 +54,7 @@
 		return true
 	}
 	p := c.seen[addr]
-	return p != nil && c.now-p.heard <= datum.MemberSilence && p.reached >= 0 && c.now-p.reached <= datum.ContactFresh
+	return p != nil && c.now-p.heard <= constants.MemberSilence && p.reached >= 0 && c.now-p.reached <= constants.ContactFresh
 }
 
 // alive says whether a machine can be a member: in contact, its disk works, and it
@@ -120,7 +120,7 @@
 // or another incarnation, or a machine outside it has come back; and whether
 // the change has waited long enough.
 func (c *Chain) wantsChange() bool {
-	if c.now-c.started < datum.StartQuiet || c.now < c.quietTill {
+	if c.now-c.started < constants.StartQuiet || c.now < c.quietTill {
 		return false // nobody could have been heard yet, or not since this process stood still
 	}
 	for _, m := range c.agr.View.Members {
@@ -143,7 +143,7 @@
 	c.others(func(p string) {
 		s := c.seen[p]
 		if s == nil || !c.alive(p) || s.gauge.Relay || c.agr.View.has(s.gauge.Me) || s.echoed < s.since ||
-			c.now-s.since < datum.JoinPause || s.heard-s.since < datum.JoinPause-datum.GaugeEvery {
+			c.now-s.since < constants.JoinPause || s.heard-s.since < constants.JoinPause-constants.HeartbeatEvery {
 			return
 		}
 		for _, m := range c.agr.View.Members {
@@ -208,7 +208,7 @@
 				rank++
 			}
 		}
-		c.troubleAt = c.now + time.Duration(rank)*datum.ProposeStagger + 1
+		c.troubleAt = c.now + time.Duration(rank)*constants.ProposeStagger + 1
 	}
 	if c.now < c.troubleAt {
 		return
@@ -240,13 +240,13 @@
 // proposers do not outbid each other for ever.
 func (c *Chain) yield() {
 	c.round = nil
-	c.troubleAt = c.now + datum.RoundLimit + time.Duration(c.rng.Int64N(int64(datum.ProposeStagger)))
+	c.troubleAt = c.now + constants.RoundLimit + time.Duration(c.rng.Int64N(int64(constants.ProposeStagger)))
 }
 
 func (c *Chain) driveRound(r *round) {
-	if c.now-r.began > datum.RoundLimit {
+	if c.now-r.began > constants.RoundLimit {
 		c.round = nil
-		c.troubleAt = c.now + time.Duration(c.rng.Int64N(int64(datum.ProposeStagger))) + 1
+		c.troubleAt = c.now + time.Duration(c.rng.Int64N(int64(constants.ProposeStagger))) + 1
 		return
 	}
 	if r.chosen == nil && r.value == nil {
@@ -296,7 +296,7 @@
 // earlier round may have decided, or else with the live members of the sealed
 // view in their order and the newcomers after them.
 func (c *Chain) chooseMembers(r *round) {
-	if len(r.promises) < c.majority() || len(r.promises) < len(c.agr.View.Voters) && c.now-r.began < datum.PromiseWait {
+	if len(r.promises) < c.majority() || len(r.promises) < len(c.agr.View.Voters) && c.now-r.began < constants.PromiseWait {
 		return
 	}
 	var best Promise
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -14,7 +14,7 @@
 	"sort"
 	"time"
 
-	"slateridge/internal/datum"
+	"slateridge/internal/constants"
 	"slateridge/internal/sill"
 )
 
@@ -137,7 +137,7 @@
 
 // Read fetches all pages, sorted.
 func (s *Source) Read(ctx context.Context) ([]Instance, error) {
-	ctx, cancel := context.WithTimeout(ctx, datum.PollTimeout)
+	ctx, cancel := context.WithTimeout(ctx, constants.PollTimeout)
 	defer cancel()
 	var out []Instance
 	token := ""
--- a/internal/logbook/logbook.go
+++ b/internal/logbook/logbook.go
@@ -9,7 +9,7 @@
 
 	"github.com/rs/zerolog"
 
-	"slateridge/internal/datum"
+	"slateridge/internal/constants"
 )
 
 // Event is one thing that happened, of a kind, with what it was about.
@@ -40,7 +40,7 @@
 	defer l.mu.Unlock()
 	l.counts[kind]++
 	e := Event{time.Now(), kind, about}
-	if len(l.ring) < datum.JournalEvents {
+	if len(l.ring) < constants.JournalEvents {
 		l.ring = append(l.ring, e)
 	} else {
 		l.ring[l.next] = e
--- a/internal/penstock/contact_test.go
+++ b/internal/penstock/contact_test.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"slateridge/internal/conduit"
-	"slateridge/internal/datum"
+	"slateridge/internal/constants"
 	"slateridge/internal/intake"
 	"slateridge/internal/scheme"
 	"slateridge/internal/weir"
@@ -54,7 +54,7 @@
 // until steps the line as its process does, and fails after a time.
 func until(t *testing.T, l *Line, what string, most time.Duration, f func() bool) {
 	t.Helper()
-	for end := time.Now().Add(most); time.Now().Before(end); time.Sleep(datum.StepEvery / 4) {
+	for end := time.Now().Add(most); time.Now().Before(end); time.Sleep(constants.StepEvery / 4) {
 		l.Step(time.Now(), true)
 		if f() {
 			return
@@ -108,7 +108,7 @@
 		v, li, _ := s.all()
 		return len(v) > 0 && len(li) > 0
 	})
-	if took := time.Since(began); took < datum.StartLook {
+	if took := time.Since(began); took < constants.StartSearch {
 		t.Errorf("taken after %v, with no look for better", took)
 	}
 	if _, _, f := s.all(); f.Proxies != 3 {
@@ -213,7 +213,7 @@
 		t.Errorf("taken of a machine out of contact: versions %v, lists %v, %+v", v, li, f)
 	}
 	// Nor is a word that says "in contact" believed long after it was made.
-	l.take("127.0.0.41", old(true), time.Now().Add(-2*datum.TapSilence))
+	l.take("127.0.0.41", old(true), time.Now().Add(-2*constants.SubscriptionSilence))
 	if v, li, _ := s.all(); len(v)+len(li) > 0 {
 		t.Errorf("taken of a word long under way: versions %v, lists %v", v, li)
 	}
@@ -307,7 +307,7 @@
 	word(cut, false, 30, "old", "also")
 	is("the other once more", 20, "new")
 	// While nobody in contact speaks, the count may rise but not fall.
-	l.ends[good].at, l.current = now.Add(-2*datum.TapSilence), now.Add(-2*datum.TapSilence)
+	l.ends[good].at, l.current = now.Add(-2*constants.SubscriptionSilence), now.Add(-2*constants.SubscriptionSilence)
 	word(cut, false, 10, "old", "also")
 	is("nobody in contact, a smaller count", 20, "old")
 	word(cut, false, 25, "old", "also")
@@ -401,7 +401,7 @@
 		t.Errorf("after one out of contact named others: %v", got)
 	}
 	l.mu.Lock()
-	l.ends[a].at = time.Now().Add(-2 * datum.TapSilence)
+	l.ends[a].at = time.Now().Add(-2 * constants.SubscriptionSilence)
 	l.mu.Unlock()
 	if got := tapped(); !slices.Contains(got, gone) || got[len(got)-1] != gone && got[len(got)-1] != "127.0.0.44" {
 		t.Errorf("nobody in contact: %v", got)
--- a/internal/penstock/line.go
+++ b/internal/penstock/line.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"slateridge/internal/conduit"
-	"slateridge/internal/datum"
+	"slateridge/internal/constants"
 	"slateridge/internal/intake"
 	"slateridge/internal/scheme"
 	"slateridge/internal/weir"
@@ -189,8 +189,8 @@
 	good := 0
 	for _, a := range l.order {
 		e := l.ends[a]
-		e.tapped = good < datum.TapCount && (good == 0 || !l.leftLocked(a))
-		if e.everWord && now.Sub(e.at) <= datum.TapSilence && e.news.Current {
+		e.tapped = good < constants.SubscriptionCount && (good == 0 || !l.leftLocked(a))
+		if e.everWord && now.Sub(e.at) <= constants.SubscriptionSilence && e.news.Current {
 			good++
 		}
 	}
@@ -211,7 +211,7 @@
 		return
 	}
 	l.me.Ready = ready
-	l.stale = !l.first.IsZero() && now.Sub(l.first) > datum.StartLook && now.Sub(l.current) > datum.TapSilence
+	l.stale = !l.first.IsZero() && now.Sub(l.first) > constants.StartSearch && now.Sub(l.current) > constants.SubscriptionSilence
 	l.pickLocked(now)
 	l.chooseLocked(now)
 	for _, a := range l.order {
@@ -219,13 +219,13 @@
 		if !e.tapped {
 			continue
 		}
-		every := datum.TapEveryFar
+		every := constants.SubscribeEveryFar
 		if a == l.full || !e.everWord {
-			every = datum.TapEvery
+			every = constants.SubscribeEvery
 		}
 		behind := l.behindLocked(e)
 		if a != l.full && behind && e.pullAt.IsZero() {
-			e.pullAt = now.Add(datum.PullAfter) // the contents may be on their way
+			e.pullAt = now.Add(constants.PullAfter) // the contents may be on their way
 		}
 		if !behind {
 			e.pullAt = time.Time{}
@@ -247,7 +247,9 @@
 // one in the own zone does; a silent one, or one that hears no majority, is
 // passed over.
 func (l *Line) chooseLocked(now time.Time) {
-	speaks := func(e *end) bool { return e != nil && e.tapped && e.everWord && now.Sub(e.at) <= datum.TapSilence }
+	speaks := func(e *end) bool {
+		return e != nil && e.tapped && e.everWord && now.Sub(e.at) <= constants.SubscriptionSilence
+	}
 	rank := func(a string) int {
 		e := l.ends[a]
 		switch {
@@ -282,12 +284,12 @@
 
 func (l *Line) ask(a string, e *end, t Tap) {
 	asked := time.Now()
-	v, err := e.m.Call(t, datum.CallTimeout)
+	v, err := e.m.Call(t, constants.CallTimeout)
 	l.mu.Lock()
 	e.asking = false
 	e.missed = errors.Is(err, conduit.ErrTimeout)
 	if err != nil {
-		silent := time.Since(e.at) > datum.TapSilence && e.everWord
+		silent := time.Since(e.at) > constants.SubscriptionSilence && e.everWord
 		if errors.Is(err, conduit.ErrClosed) || errors.Is(err, conduit.ErrRefused) {
 			e.tapAt = time.Time{} // not connected yet: again with the next step
 		}
@@ -335,7 +337,7 @@
 	misfit := false
 	// Of a word that was long under way, as a machine that was frozen sends them, only
 	// what is numbered counts: the rest may have changed since.
-	late := time.Since(made) > datum.TapSilence
+	late := time.Since(made) > constants.SubscriptionSilence
 	if late {
 		n.Current, n.Metered, n.Scaler, n.Coming = false, "", "", nil
 	}
@@ -349,7 +351,7 @@
 	}
 	l.mu.Unlock()
 	if c := n.Config; c != nil && c.Version > l.version {
-		if d, err := c.Unpack(l.doc, datum.ConfigMax); err == nil {
+		if d, err := c.Unpack(l.doc, constants.ConfigMax); err == nil {
 			doc = d
 		} else {
 			misfit = true
@@ -405,7 +407,7 @@
 	}
 	f.State, f.Evacuated = l.state, l.evacs
 	// A machine out of contact is believed only while none in contact speaks.
-	if n.Current || now.Sub(l.current) > datum.TapSilence {
+	if n.Current || now.Sub(l.current) > constants.SubscriptionSilence {
 		if n.Metered != "" {
 			l.metered = n.Metered
 		}
@@ -435,7 +437,7 @@
 	for _, current := range []bool{true, false} {
 		for _, x := range l.order {
 			o := l.ends[x]
-			if !o.everWord || now.Sub(o.at) >= datum.TapSilence || o.news.Current != current {
+			if !o.everWord || now.Sub(o.at) >= constants.SubscriptionSilence || o.news.Current != current {
 				continue
 			}
 			told[current] = max(told[current], o.news.Proxies)
--- a/internal/penstock/penstock.go
+++ b/internal/penstock/penstock.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"slateridge/internal/conduit"
-	"slateridge/internal/datum"
+	"slateridge/internal/constants"
 	"slateridge/internal/intake"
 	"slateridge/internal/scheme"
 	"slateridge/internal/weir"
@@ -129,7 +129,7 @@
 func (k *kept[S, D]) from(newest *S, have uint64) *D {
 	if n := len(k.states); n == 0 || k.num(k.states[n-1]) != k.num(newest) {
 		k.states = append(k.states, newest)
-		k.states = k.states[max(0, len(k.states)-datum.KeptStates):]
+		k.states = k.states[max(0, len(k.states)-constants.KeptStates):]
 		k.diffs = map[uint64]*D{}
 	}
 	var base *S
@@ -254,7 +254,7 @@
 	ps.mu.Lock()
 	defer ps.mu.Unlock()
 	for p, c := range ps.pipes {
-		if time.Since(c.at) > datum.TapSilence {
+		if time.Since(c.at) > constants.SubscriptionSilence {
 			continue // it takes its news elsewhere, or is gone; its next word is answered
 		}
 		config, list := c.lacks(f)
--- a/internal/penstock/penstock_test.go
+++ b/internal/penstock/penstock_test.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"slateridge/internal/conduit"
-	"slateridge/internal/datum"
+	"slateridge/internal/constants"
 	"slateridge/internal/intake"
 	"slateridge/internal/scheme"
 )
@@ -74,7 +74,7 @@
 			if f(l.State(time.Now())) {
 				return
 			}
-			time.Sleep(datum.StepEvery / 4)
+			time.Sleep(constants.StepEvery / 4)
 		}
 		t.Fatalf("%s: %+v", what, l.State(time.Now()))
 	}
@@ -132,7 +132,7 @@
 		}
 		return 0
 	}
-	time.Sleep(2 * datum.TapEvery) // in which it would speak again
+	time.Sleep(2 * constants.SubscribeEvery) // in which it would speak again
 	if v := told(); v != 0 {
 		t.Errorf("r%d acknowledged before it is in force", v)
 	}
--- a/internal/scaling/scaling.go
+++ b/internal/scaling/scaling.go
@@ -23,7 +23,7 @@
 	"time"
 
 	"slateridge/internal/conduit"
-	"slateridge/internal/datum"
+	"slateridge/internal/constants"
 )
 
 // Subject is a service in a zone.
@@ -67,9 +67,9 @@
 func (g *Gauge) Take(now time.Duration, t Told) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	bad := t.Proxy == "" || len(t.Proxy) > datum.NameMax || len(t.Zone) > datum.NameMax || len(t.Running) > datum.ScaleServices
+	bad := t.Proxy == "" || len(t.Proxy) > constants.NameMax || len(t.Zone) > constants.NameMax || len(t.Running) > constants.ScaleServices
 	for _, n := range t.Running {
-		bad = bad || n < 0 || n > datum.ScaleMost
+		bad = bad || n < 0 || n > constants.ScaleMost
 	}
 	if bad {
 		g.Garbage++
@@ -85,8 +85,8 @@
 	defer g.mu.Unlock()
 	sum, whole = map[Subject]float64{}, len(live) > 0
 	for p, w := range g.by {
-		if now-w.at > datum.ScaleFresh {
-			if now-w.at > datum.ScaleHold {
+		if now-w.at > constants.ScaleFresh {
+			if now-w.at > constants.ScaleHold {
 				delete(g.by, p)
 			}
 			continue
@@ -96,7 +96,7 @@
 		}
 	}
 	for _, p := range live {
-		if w, ok := g.by[p]; !ok || now-w.at > datum.ScaleFresh {
+		if w, ok := g.by[p]; !ok || now-w.at > constants.ScaleFresh {
 			whole = false
 		}
 	}
@@ -192,7 +192,7 @@
 		if whole || n > 0 {
 			t.past = append(t.past, point{now, n})
 		}
-		for len(t.past) > 0 && now-t.past[0].at > datum.ScaleHold {
+		for len(t.past) > 0 && now-t.past[0].at > constants.ScaleHold {
 			t.past = t.past[1:]
 		}
 		is, ordered := present.Of(s)
@@ -222,7 +222,7 @@
 	mean := func(until time.Duration) (sum float64, ok bool) { // over the smoothing time before
 		n := 0.0
 		for _, p := range t.past {
-			if p.at <= until && until-p.at < datum.ScaleSmooth {
+			if p.at <= until && until-p.at < constants.ScaleSmooth {
 				sum, n = sum+p.n, n+1
 			}
 		}
@@ -230,7 +230,7 @@
 	}
 	last, ok := mean(now)
 	t.smooth = append(t.smooth, point{now, last})
-	for now-t.smooth[0].at > datum.ScaleHold {
+	for now-t.smooth[0].at > constants.ScaleHold {
 		t.smooth = t.smooth[1:]
 	}
 	most := 0.0
@@ -240,20 +240,20 @@
 	if most == 0 || !ok {
 		return is, false // nobody asks: no measurement of what they would
 	}
-	if before, ok := mean(now - datum.ScaleRise); ok && before > 0 && last > before {
-		most = max(most, last+(last-before)*b.Boot.Seconds()/datum.ScaleRise.Seconds()*datum.ScaleAhead)
+	if before, ok := mean(now - constants.ScaleRise); ok && before > 0 && last > before {
+		most = max(most, last+(last-before)*b.Boot.Seconds()/constants.ScaleRise.Seconds()*constants.ScaleAhead)
 	}
-	want := int(math.Ceil(most / (datum.ScaleTaken * float64(b.Slots))))
+	want := int(math.Ceil(most / (constants.ScaleTaken * float64(b.Slots))))
 	taken := most / float64(max(1, is)*b.Slots)
-	if taken > datum.ScaleHigh {
+	if taken > constants.ScaleHigh {
 		t.why, t.downAt = "load", now
 		return want, true
 	}
-	if !whole || now-t.smooth[0].at < datum.ScaleHold*3/4 || now-t.downAt < datum.ScalePause || taken >= datum.ScaleLow {
+	if !whole || now-t.smooth[0].at < constants.ScaleHold*3/4 || now-t.downAt < constants.ScalePause || taken >= constants.ScaleLow {
 		return is, true
 	}
 	t.why, t.downAt = "idle", now
-	return max(want, int(math.Ceil(float64(is)*(1-datum.ScaleDown)))), true
+	return max(want, int(math.Ceil(float64(is)*(1-constants.ScaleDown)))), true
 }
 
 // Why is the reason of a subject's last change.
--- a/internal/scaling/scaling_test.go
+++ b/internal/scaling/scaling_test.go
@@ -6,7 +6,7 @@
 	"testing"
 	"time"
 
-	"slateridge/internal/datum"
+	"slateridge/internal/constants"
 )
 
 var subject = Subject{"svc", "z"}
@@ -70,7 +70,7 @@
 		return 40
 	}
 	play(NewLaw(), p, 0, 39*time.Second, load, always, nil)
-	want := int(math.Ceil(40 / (4 * datum.ScaleTaken)))
+	want := int(math.Ceil(40 / (4 * constants.ScaleTaken)))
 	if p.ready < want || p.ready > want+3 {
 		t.Fatalf("%d upstreams for 40 requests at once, want %d: %v", p.ready, want, p.counts)
 	}
@@ -138,7 +138,7 @@
 	p := &plant{ready: 20}
 	play(NewLaw(), p, 0, 10*time.Second, flat(100), always, nil)
 	n, _ := p.orders.Of(subject)
-	play(NewLaw(), p, 10*time.Second, 10*time.Second+datum.ScaleHold/2, flat(30), always, nil)
+	play(NewLaw(), p, 10*time.Second, 10*time.Second+constants.ScaleHold/2, flat(30), always, nil)
 	if m, _ := p.orders.Of(subject); m != n {
 		t.Fatalf("a successor's first order is %d, %d were ordered", m, n)
 	}
@@ -158,7 +158,7 @@
 	if _, whole := g.Sum(time.Second, []string{"p", "q"}); whole {
 		t.Error("whole without q")
 	}
-	if sum, whole := g.Sum(datum.ScaleFresh+1, []string{"p"}); sum[subject] != 0 || whole {
+	if sum, whole := g.Sum(constants.ScaleFresh+1, []string{"p"}); sum[subject] != 0 || whole {
 		t.Errorf("%v %v of an old word", sum, whole)
 	}
 }
--- a/internal/scheme/ledger.go
+++ b/internal/scheme/ledger.go
@@ -5,7 +5,7 @@
 	"hash/fnv"
 	"slices"
 
-	"slateridge/internal/datum"
+	"slateridge/internal/constants"
 )
 
 // Taken is a configuration that was taken: its number and the sum of its content.
@@ -58,7 +58,7 @@
 		return l
 	}
 	out := Ledger{Floor: l.Floor, Taken: slices.Insert(slices.Clone(l.Taken), i, Taken{version, sum})}
-	if n := len(out.Taken) - datum.LedgerKept; n > 0 {
+	if n := len(out.Taken) - constants.LedgerKept; n > 0 {
 		out.Floor = out.Taken[n-1].Version
 		out.Taken = out.Taken[n:]
 	}
--- a/internal/scheme/scheme.go
+++ b/internal/scheme/scheme.go
@@ -21,7 +21,7 @@
 
 	"github.com/go-playground/validator/v10"
 
-	"slateridge/internal/datum"
+	"slateridge/internal/constants"
 	"slateridge/internal/duty"
 	"slateridge/internal/sill"
 )
@@ -416,7 +416,7 @@
 // configuration: on a small part of a core, reading hundreds of them at one go
 // is a stall that every request at this process would feel.
 func breathe(n int) {
-	if n%datum.ReadAtOnce == 0 {
+	if n%constants.ReadBatch == 0 {
 		runtime.Gosched()
 	}
 }
--- a/internal/sill/sill.go
+++ b/internal/sill/sill.go
@@ -16,7 +16,7 @@
 
 	"github.com/go-playground/validator/v10"
 
-	"slateridge/internal/datum"
+	"slateridge/internal/constants"
 )
 
 // EnvFile names the variable that holds the settings file's path.
@@ -176,8 +176,8 @@
 	if s.Has("quota") && s.Bounds.QuotaWindow <= 0 {
 		return nil, fmt.Errorf("settings file %s: bounds.quotaWindow: missing, contract quota needs it", path)
 	}
-	if s.Bounds.RevocationStrict && s.Bounds.Revoke.D() <= 2*datum.RevokeSpare {
-		return nil, fmt.Errorf("settings file %s: bounds.revoke: must be gt %v where revocationStrict is true, is %s", path, 2*datum.RevokeSpare, s.Bounds.Revoke)
+	if s.Bounds.RevocationStrict && s.Bounds.Revoke.D() <= 2*constants.RevokeReserve {
+		return nil, fmt.Errorf("settings file %s: bounds.revoke: must be gt %v where revocationStrict is true, is %s", path, 2*constants.RevokeReserve, s.Bounds.Revoke)
 	}
 	if err := s.checkDuties(); err != nil {
 		return nil, fmt.Errorf("settings file %s: %w", path, err)
@@ -235,7 +235,7 @@
 	if !s.Has("quota") {
 		return 0
 	}
-	return datum.TrackerDuty * max(1, s.FaultTolerance.MachineFailures)
+	return constants.TrackerDuty * max(1, s.FaultTolerance.MachineFailures)
 }
 
 // Internal is this machine's address for one of the internal ports.
--- a/internal/sluice/affinity.go
+++ b/internal/sluice/affinity.go
@@ -7,7 +7,7 @@
 	"slices"
 	"time"
 
-	"slateridge/internal/datum"
+	"slateridge/internal/constants"
 )
 
 // began notes a stream's first piece.
@@ -49,7 +49,7 @@
 	if o.loadAt.IsZero() {
 		return max(own, mean+own)
 	}
-	fresh := math.Exp(-now.Sub(o.loadAt).Seconds() / datum.ToldFades.Seconds())
+	fresh := math.Exp(-now.Sub(o.loadAt).Seconds() / constants.ReportedLoadFade.Seconds())
 	told := o.load + float64(len(o.out)-o.ownThen)/slots
 	return max(own, mean+(told-mean)*fresh)
 }
@@ -59,7 +59,7 @@
 	sum, n := 0.0, 0.0
 	for _, o := range os {
 		if !o.loadAt.IsZero() {
-			w := math.Exp(-now.Sub(o.loadAt).Seconds() / (4 * datum.ToldFades.Seconds()))
+			w := math.Exp(-now.Sub(o.loadAt).Seconds() / (4 * constants.ReportedLoadFade.Seconds()))
 			sum, n = sum+w*o.load, n+w
 		}
 	}
@@ -89,11 +89,11 @@
 			continue
 		}
 		c := cand{o: o, busy: o.busy(now, mean)}
-		if c.busy >= datum.StreamFull {
+		if c.busy >= constants.StreamFull {
 			continue // what it cannot queue it resets, and a stream is sent once
 		}
 		if now.Before(o.warmAt) {
-			c.busy += datum.WarmupFactor - 1
+			c.busy += constants.WarmupFactor - 1
 		}
 		if o.far == 0 {
 			if w.prefix != "" {
@@ -107,10 +107,10 @@
 	if w.prefix != "" && len(near) > 0 {
 		slices.SortFunc(near, func(a, b cand) int { return cmp.Compare(a.rank, b.rank) })
 		for i, c := range near {
-			if i == datum.AffinityTop {
+			if i == constants.AffinityTop {
 				break
 			}
-			if c.busy < datum.AffinityFull {
+			if c.busy < constants.AffinityFull {
 				y.Kept[min(i, 1)]++
 				return c.o
 			}
--- a/internal/sluice/allowance.go
+++ b/internal/sluice/allowance.go
@@ -4,7 +4,7 @@
 	"sync"
 	"time"
 
-	"slateridge/internal/datum"
+	"slateridge/internal/constants"
 )
 
 // Allowance is this proxy's part of the budget for further tries. It earns
@@ -80,9 +80,9 @@
 			}
 		}
 	}
-	room := requests * a.ratio * datum.BudgetShare
+	room := requests * a.ratio * constants.BudgetShare
 	if a.proxies > 0 && now-a.born >= a.window {
-		room += a.slack * datum.BudgetSlack / float64(a.proxies)
+		room += a.slack * constants.BudgetSlack / float64(a.proxies)
 	}
 	if extras+1 > room {
 		a.Denied++
--- a/internal/sluice/allowance_test.go
+++ b/internal/sluice/allowance_test.go
@@ -6,7 +6,7 @@
 	"testing"
 	"time"
 
-	"slateridge/internal/datum"
+	"slateridge/internal/constants"
 )
 
 // TestBudgetHoldsInEveryWindow lets a fleet of proxies spend all the further
@@ -78,8 +78,8 @@
 func TestReadingsOfProxiesOutOfTouch(t *testing.T) {
 	for _, c := range []struct{ upstreams, proxies int }{{25, 11}, {809, 300}, {5000, 2000}} {
 		every := selfPollEvery(c.upstreams, c.proxies, 50)
-		calls := float64(c.proxies*(c.upstreams/datum.PollPage+1)) / every.Seconds()
-		if calls > 50*datum.SelfPollPart*1.01 || every < datum.SelfPollEvery {
+		calls := float64(c.proxies*(c.upstreams/constants.PollPage+1)) / every.Seconds()
+		if calls > 50*constants.SelfPollPart*1.01 || every < constants.SelfPollEvery {
 			t.Errorf("%v: each reads every %v, %.0f calls a second together", c, every, calls)
 		}
 	}
--- a/internal/sluice/audit.go
+++ b/internal/sluice/audit.go
@@ -4,7 +4,7 @@
 	"sync"
 	"time"
 
-	"slateridge/internal/datum"
+	"slateridge/internal/constants"
 	"slateridge/internal/scheme"
 	"slateridge/internal/weir"
 )
@@ -44,7 +44,7 @@
 			put(k)
 		}
 	}
-	if n := len(a.all) - datum.JournalEvents; n > 0 {
+	if n := len(a.all) - constants.JournalEvents; n > 0 {
 		a.all = append([]AuditEntry(nil), a.all[n:]...)
 	}
 }
--- a/internal/sluice/daemon.go
+++ b/internal/sluice/daemon.go
@@ -19,7 +19,7 @@
 
 	"slateridge/internal/clock"
 	"slateridge/internal/conduit"
-	"slateridge/internal/datum"
+	"slateridge/internal/constants"
 	"slateridge/internal/gaugeboard"
 	"slateridge/internal/intake"
 	"slateridge/internal/logbook"
@@ -80,7 +80,7 @@
 	me := penstock.Tap{Node: set.IPAddress, Name: set.NodeName, Zone: set.Zone, Region: set.Region,
 		Front: set.ListenAddresses.Frontend}
 	d.line = penstock.NewLine(me, ips, func(ip string, h conduit.Handler) *conduit.Main {
-		return conduit.NewMain(set.PeerInternal(ip, datum.PortHeadworks), set.IPAddress, func(p *conduit.Pipe, body any) any {
+		return conduit.NewMain(set.PeerInternal(ip, constants.PortControl), set.IPAddress, func(p *conduit.Pipe, body any) any {
 			if other, ok := body.(conduit.Incompatible); ok {
 				d.book.Note("protocol_incompatible", other.String())
 				return nil
@@ -90,7 +90,7 @@
 	}, d.apply)
 	d.line.ReckonBy(func() int { return d.weir.Settled(d.now()) })
 	if b.RevocationStrict {
-		s.strict, s.sure = b.Revoke.D()-datum.RevokeSpare, d.line.Sure
+		s.strict, s.sure = b.Revoke.D()-constants.RevokeReserve, d.line.Sure
 	}
 	return d
 }
@@ -99,10 +99,10 @@
 func (d *Daemon) connCap(service string) int {
 	sch := d.scheme.Load()
 	if sch == nil || sch.Services[service] == nil || sch.Services[service].MaxConnections == 0 {
-		return datum.OutfallCap * 2
+		return constants.UpstreamCap * 2
 	}
 	n := max(1, d.weir.Proxies())
-	return max(1, int(datum.ConnShare*float64(sch.Services[service].MaxConnections))/n)
+	return max(1, int(constants.ConnShare*float64(sch.Services[service].MaxConnections))/n)
 }
 
 // warmup is how long a service's upstreams stay cold, where they may only be
@@ -170,7 +170,7 @@
 	if err != nil {
 		return err
 	}
-	adm, err := net.Listen("tcp4", set.Internal(datum.PortSluiceAdmin))
+	adm, err := net.Listen("tcp4", set.Internal(constants.PortProxyAdmin))
 	if err != nil {
 		return err
 	}
@@ -184,8 +184,8 @@
 	w := wheel.New(g)
 	w.Serve(rl, http.HandlerFunc(d.readiness))
 	w.Serve(adm, gaugeboard.Handler(d.Report))
-	w.Turn(datum.SettingsEvery, d.lookAtSettings)
-	w.Turn(datum.RetireEvery, func() { d.gate.closeIdle(time.Now()) })
+	w.Turn(constants.SettingsEvery, d.lookAtSettings)
+	w.Turn(constants.RetireEvery, func() { d.gate.closeIdle(time.Now()) })
 	return d.AddHollow(g, w)
 }
 
@@ -196,9 +196,9 @@
 	var err error
 	var seeds []string
 	for _, ip := range set.SeedIPs() {
-		seeds = append(seeds, set.PeerInternal(ip, datum.PortStaff))
+		seeds = append(seeds, set.PeerInternal(ip, constants.PortControlMembership))
 	}
-	d.staff, err = staff.Listen(set.Internal(datum.PortStaffSluice), set.NodeName+"/sluice", seeds, func(f staff.Fact) {
+	d.staff, err = staff.Listen(set.Internal(constants.PortProxyMembership), set.NodeName+"/sluice", seeds, func(f staff.Fact) {
 		d.book.Count("member_"+f.State.String(), 1)
 	})
 	if err != nil {
@@ -206,15 +206,15 @@
 	}
 	g.Add(d.staff.Serve, func(error) { d.staff.Close() })
 	go d.step()
-	w.Turn(datum.StepEvery, d.step)
-	w.Turn(datum.GrantEvery, d.renewGrants)
+	w.Turn(constants.StepEvery, d.step)
+	w.Turn(constants.GrantEvery, d.renewGrants)
 	if set.Does(sill.DutyScaling) {
-		w.Turn(datum.ScaleEvery, d.tellLoad)
+		w.Turn(constants.ScaleEvery, d.tellLoad)
 	}
 	if d.meter != nil {
-		w.TurnFrom(usage.Phase(rand.Uint64()), datum.UsageTell, d.tellUsage)
+		w.TurnFrom(usage.Phase(rand.Uint64()), constants.UsageReportEvery, d.tellUsage)
 	}
-	w.Turn(datum.RetireEvery, func() { d.yard.Retire(time.Now()) })
+	w.Turn(constants.RetireEvery, func() { d.yard.Retire(time.Now()) })
 	w.Turn(staff.TickEvery, d.staff.Tick)
 	return nil
 }
@@ -237,14 +237,14 @@
 	now := time.Now()
 	d.line.Step(now, d.ready.Load() && !d.leaving.Load())
 	st := d.line.State(now)
-	if !d.ready.Load() && d.scheme.Load() != nil && d.haveList.Load() && st.ListAge < datum.NewsCurrent && st.Current < datum.NewsCurrent {
+	if !d.ready.Load() && d.scheme.Load() != nil && d.haveList.Load() && st.ListAge < constants.UpdateCurrent && st.Current < constants.UpdateCurrent {
 		d.ready.Store(true)
 		d.book.Note("ready", "configuration and upstreams known")
 	}
 	if d.outOfContact(st, now) && now.After(d.selfAt) && d.scheme.Load() != nil {
 		every := selfPollEvery(d.yard.Len(), d.weir.Proxies(), d.set.Load().CloudAPI.RatePerS)
 		first := d.selfAt.IsZero()
-		if d.selfAt = now.Add(every/2 + rand.N(every)); first && rand.Float64() > float64(datum.SelfPollEvery)/float64(every) {
+		if d.selfAt = now.Add(every/2 + rand.N(every)); first && rand.Float64() > float64(constants.SelfPollEvery)/float64(every) {
 			return // most of a large fleet have to wait for their turn from the beginning
 		}
 		go func() {
@@ -265,17 +265,17 @@
 // outOfContact says that the list has to be read here: what control machines without
 // contact say of it is what they knew before they lost it.
 func (d *Daemon) outOfContact(st penstock.State, now time.Time) bool {
-	return min(st.Current, now.Sub(d.began)) > datum.SelfPollAfter
+	return min(st.Current, now.Sub(d.began)) > constants.SelfPollAfter
 }
 
 // selfPollEvery is how often a proxy out of touch reads the list, so that all of
 // them together leave the platform's rate to whoever reads for everybody.
 func selfPollEvery(upstreams, proxies int, rate float64) time.Duration {
-	calls := float64(upstreams/datum.PollPage+1) * float64(max(1, proxies))
+	calls := float64(upstreams/constants.PollPage+1) * float64(max(1, proxies))
 	if rate <= 0 {
-		return datum.SelfPollEvery
+		return constants.SelfPollEvery
 	}
-	return max(datum.SelfPollEvery, time.Duration(calls/(rate*datum.SelfPollPart)*float64(time.Second)))
+	return max(constants.SelfPollEvery, time.Duration(calls/(rate*constants.SelfPollPart)*float64(time.Second)))
 }
 
 // tracker is where a key's questions go.
@@ -306,7 +306,7 @@
 		d.echoMu.Lock()
 		echo := d.echo[to].stamp
 		d.echoMu.Unlock()
-		v, err := d.line.Ask(to, weir.AskGrants{Proxy: d.set.Load().IPAddress, Wants: []weir.Want{d.weir.Need(asked, key)}, Echo: echo, Proxies: d.weir.Proxies(), Life: d.weir.Life(), Sent: asked}, datum.GrantWait)
+		v, err := d.line.Ask(to, weir.AskGrants{Proxy: d.set.Load().IPAddress, Wants: []weir.Want{d.weir.Need(asked, key)}, Echo: echo, Proxies: d.weir.Proxies(), Life: d.weir.Life(), Sent: asked}, constants.GrantWait)
 		if g, ok := v.(weir.GrantsGiven); err == nil && ok && !g.Refused {
 			d.heardTracker(to, g.Stamp, d.shard(key))
 			for _, x := range g.Given {
@@ -367,7 +367,7 @@
 	for i, to := range *d.trackers.Load() {
 		if to != "" {
 			shards[to] = append(shards[to], i)
-			if _, ok := by[to]; !ok && asked-echo[to].at > datum.ContactEvery {
+			if _, ok := by[to]; !ok && asked-echo[to].at > constants.ContactEvery {
 				by[to] = nil // nothing to say but that it is heard
 			}
 		}
@@ -375,7 +375,7 @@
 	for to, ws := range by {
 		go func() {
 			q := weir.AskGrants{Proxy: d.set.Load().IPAddress, Wants: ws, Echo: echo[to].stamp, Proxies: d.weir.Proxies(), Life: d.weir.Life(), Sent: asked}
-			v, err := d.line.Ask(to, q, datum.CallTimeout)
+			v, err := d.line.Ask(to, q, constants.CallTimeout)
 			if g, ok := v.(weir.GrantsGiven); err == nil && ok {
 				if !g.Refused { // what does not track borrows nothing
 					d.heardTracker(to, g.Stamp, shards[to]...)
@@ -451,7 +451,7 @@
 			t.Running[name] = d.yard.Busy(name)
 		}
 	}
-	v, err := d.line.Ask(*to, t, datum.UsageWait)
+	v, err := d.line.Ask(*to, t, constants.UsageWait)
 	if h, ok := v.(scaling.Heard); err != nil || !ok || !h.OK {
 		d.book.Count("load_untold", 1)
 	}
@@ -473,7 +473,7 @@
 		if !some {
 			return
 		}
-		v, err := d.line.Ask(*to, t, datum.UsageWait)
+		v, err := d.line.Ask(*to, t, constants.UsageWait)
 		h, ok := v.(usage.Heard)
 		if err != nil || !ok || h.Term == 0 {
 			d.book.Count("usage_untold", 1)
@@ -523,11 +523,11 @@
 	d.book.Note("leaving", "readiness fails from now on")
 	d.line.Announce()
 	set := d.set.Load()
-	grace := set.Bounds.Grace.D() - datum.TermSpare
+	grace := set.Bounds.Grace.D() - constants.TermReserve
 	// Where clients ask a directory, old answers name this proxy for some time.
-	accept := min(datum.TermAccept, grace/2)
+	accept := min(constants.TermAccept, grace/2)
 	if set.EntryMode == "directory" {
-		accept = min(2*datum.LookupTTL, grace/2)
+		accept = min(2*constants.LookupTTL, grace/2)
 	}
 	time.Sleep(accept)
 	ctx, cancel := context.WithDeadline(context.Background(), began.Add(grace))
--- a/internal/sluice/flume.go
+++ b/internal/sluice/flume.go
@@ -12,7 +12,7 @@
 	"syscall"
 	"time"
 
-	"slateridge/internal/datum"
+	"slateridge/internal/constants"
 )
 
 // Flume is one connection to one life of an upstream. It carries one request
@@ -58,7 +58,7 @@
 
 func newFlume(of *Outfall, c net.Conn) *Flume {
 	m := &meter{c: c}
-	return &Flume{of: of, c: c, in: m, br: bufio.NewReaderSize(m, 4<<10), idleAt: time.Now(), idleFor: datum.IdleDefault}
+	return &Flume{of: of, c: c, in: m, br: bufio.NewReaderSize(m, 4<<10), idleAt: time.Now(), idleFor: constants.IdleDefault}
 }
 
 // clean says whether the connection is open with nothing waiting on it: bytes
@@ -123,7 +123,7 @@
 // answer reads the answer's headers.
 func (f *Flume) answer(method, attempt string) (*http.Response, error) {
 	for {
-		f.in.left = datum.HeaderBytes
+		f.in.left = constants.HeaderBytes
 		resp, err := http.ReadResponse(f.br, &http.Request{Method: method})
 		if err != nil {
 			return nil, err
@@ -165,7 +165,7 @@
 		return
 	}
 	if s, ok := keepAlive(resp.Header); ok {
-		f.idleFor = max(s-datum.IdleSafety, s/4)
+		f.idleFor = max(s-constants.IdleSafety, s/4)
 	}
 	f.of.keep(f, true)
 }
--- a/internal/sluice/forward.go
+++ b/internal/sluice/forward.go
@@ -11,7 +11,7 @@
 	"strings"
 	"time"
 
-	"slateridge/internal/datum"
+	"slateridge/internal/constants"
 	"slateridge/internal/scheme"
 	"slateridge/internal/usage"
 )
@@ -144,7 +144,7 @@
 			p.watch(f)
 		}
 		head := requestHead(p.r, o.inst.ID, name, left, length)
-		sent, err := f.send(head, p.head, p.rest, length < 0, p.deadline.Add(datum.AnswerGrace))
+		sent, err := f.send(head, p.head, p.rest, length < 0, p.deadline.Add(constants.AnswerGrace))
 		if err != nil && !sent && reused {
 			o.drop(f)
 			continue // the connection had ended; not a byte went out
@@ -195,7 +195,7 @@
 		y.done(of, broken)
 		return &result{how: broken, at: at, sent: true, err: errUnframed}
 	}
-	body, err := readSome(resp.Body, datum.AnswerBuffer)
+	body, err := readSome(resp.Body, constants.AnswerBuffer)
 	res := &result{how: served, at: at, sent: true, resp: resp, body: body, doubt: doubt}
 	switch {
 	case err == nil:
@@ -251,7 +251,7 @@
 	p.homes = homesOf(scheme.Homes(p.route, p.tenant))
 	p.s.allow.Request(now, p.service)
 	skip := map[*Outfall]bool{}
-	hold := time.Duration(float64(p.aim()) * datum.HoldShare)
+	hold := time.Duration(float64(p.aim()) * constants.HoldShare)
 	held := p.arrived.Add(hold)
 	var last *result
 	dials := 0
@@ -295,7 +295,7 @@
 			if !time.Now().Before(p.deadline) || p.r.Context().Err() != nil {
 				return nil, http.StatusServiceUnavailable
 			}
-			if dials++; dials > datum.MaxDials {
+			if dials++; dials > constants.MaxDials {
 				return nil, http.StatusServiceUnavailable
 			}
 			continue
@@ -314,7 +314,7 @@
 			return last, 0
 		}
 		if !res.sent {
-			if dials++; dials > datum.MaxDials {
+			if dials++; dials > constants.MaxDials {
 				return last, 0
 			}
 			continue
@@ -329,10 +329,10 @@
 // and that having been sent it could not be refused with a promise any more.
 func (p *passage) tooLate() bool {
 	left := time.Until(p.deadline)
-	if left <= datum.LeastLeft {
+	if left <= constants.MinTimeLeft {
 		return true
 	}
-	if left >= time.Duration(float64(p.aim())*datum.LeastShare) {
+	if left >= time.Duration(float64(p.aim())*constants.LeastShare) {
 		return false
 	}
 	return left < p.usualDelay()
@@ -447,7 +447,7 @@
 
 func (p *passage) hedgeAfter() time.Duration {
 	usual := float64(p.usualDelay())
-	return time.Duration(max(usual*datum.HedgeFactor, float64(p.aim())*datum.HedgeFloor))
+	return time.Duration(max(usual*constants.HedgeFactor, float64(p.aim())*constants.HedgeFloor))
 }
 
 // usualDelay is the time in which upstreams of the service usually answer.
@@ -482,8 +482,8 @@
 // budget reads how long the client will wait.
 func budget(r *http.Request) time.Duration {
 	n, err := strconv.ParseInt(r.Header.Get(hdrBudget), 10, 64)
-	if err != nil || n < 0 || n > datum.BudgetDefault.Milliseconds()*100 {
-		return datum.BudgetDefault
+	if err != nil || n < 0 || n > constants.BudgetDefault.Milliseconds()*100 {
+		return constants.BudgetDefault
 	}
 	return time.Duration(n) * time.Millisecond
 }
--- a/internal/sluice/gate.go
+++ b/internal/sluice/gate.go
@@ -9,7 +9,7 @@
 	"sync"
 	"time"
 
-	"slateridge/internal/datum"
+	"slateridge/internal/constants"
 	"slateridge/internal/scheme"
 )
 
@@ -89,7 +89,7 @@
 				<-g.ended
 				return nil
 			}
-			time.Sleep(datum.AcceptPause) // out of descriptors, or a connection that ended early
+			time.Sleep(constants.AcceptPause) // out of descriptors, or a connection that ended early
 			continue
 		}
 		f := g.feedFor(g.limits())
@@ -111,8 +111,8 @@
 	// Connections that are open stay with these bounds, which clients keep within. The
 	// idle bound is not among them: clients rest for as long as the newest one allows.
 	f := &feed{ch: make(chan net.Conn), done: make(chan struct{}), addr: g.l.Addr()}
-	srv := &http.Server{Handler: g.h, ReadHeaderTimeout: or(l.HeaderTimeout, datum.HeaderTimeout), ConnState: g.track,
-		MaxHeaderBytes: or(l.HeaderBytes, datum.HeaderBytes), ErrorLog: log.New(io.Discard, "", 0), DisableGeneralOptionsHandler: true}
+	srv := &http.Server{Handler: g.h, ReadHeaderTimeout: or(l.HeaderTimeout, constants.HeaderTimeout), ConnState: g.track,
+		MaxHeaderBytes: or(l.HeaderBytes, constants.HeaderBytes), ErrorLog: log.New(io.Discard, "", 0), DisableGeneralOptionsHandler: true}
 	g.feed, g.now = f, l
 	g.servers = append(g.servers, srv)
 	go srv.Serve(f)
@@ -129,7 +129,7 @@
 	case http.StateNew:
 		g.seeBoundLocked(now)
 		cc := &clientConn{bound: g.bound}
-		if now.Sub(g.lowered.replaced) < datum.IdleOverlap {
+		if now.Sub(g.lowered.replaced) < constants.IdleOverlap {
 			cc.bound = max(cc.bound, g.lowered.bound)
 		}
 		g.conns[c] = cc
@@ -148,7 +148,7 @@
 
 // seeBoundLocked looks at the idle bound in force.
 func (g *gate) seeBoundLocked(now time.Time) {
-	current := or(g.limits().IdleTime, datum.IdleTimeout)
+	current := or(g.limits().IdleTime, constants.IdleTimeout)
 	if current < g.bound {
 		g.lowered = idleBound{bound: g.bound, replaced: now}
 	}
@@ -165,7 +165,7 @@
 	g.seeBoundLocked(now)
 	for c, cc := range g.conns {
 		cc.bound = max(cc.bound, g.bound)
-		if !cc.idleSince.IsZero() && now.Sub(cc.idleSince) > cc.bound+datum.IdleSpare {
+		if !cc.idleSince.IsZero() && now.Sub(cc.idleSince) > cc.bound+constants.IdleSpare {
 			delete(g.conns, c)
 			c.Close()
 		}
--- a/internal/sluice/gate_test.go
+++ b/internal/sluice/gate_test.go
@@ -10,7 +10,7 @@
 	"testing"
 	"time"
 
-	"slateridge/internal/datum"
+	"slateridge/internal/constants"
 	"slateridge/internal/scheme"
 )
 
@@ -87,7 +87,7 @@
 		_, is := g.conns[c]
 		return is
 	}
-	const s, spare = time.Second, datum.IdleSpare
+	const s, spare = time.Second, constants.IdleSpare
 	bound.Store(int64(10 * s))
 	first, busy := open(0), open(0)
 	g.trackAt(busy, http.StateActive, began)
--- a/internal/sluice/outfall.go
+++ b/internal/sluice/outfall.go
@@ -14,7 +14,7 @@
 	"sync"
 	"time"
 
-	"slateridge/internal/datum"
+	"slateridge/internal/constants"
 	"slateridge/internal/intake"
 )
 
@@ -107,7 +107,7 @@
 // differ.
 func (o *Outfall) bears(now time.Time) bool {
 	n := o.yard.proxies
-	return n > 0 && float64(o.lot)*float64(n) < datum.ColdOwners*(1<<32) && now.Sub(o.coldAt) >= datum.ColdEvery
+	return n > 0 && float64(o.lot)*float64(n) < constants.ColdOwners*(1<<32) && now.Sub(o.coldAt) >= constants.ColdEvery
 }
 
 // homesOf writes regions as a want has them.
@@ -147,8 +147,8 @@
 			return x.far < z.far || x.far == z.far && (x.lot < z.lot || x.lot == z.lot && x.inst.ID < z.inst.ID)
 		})
 		p.few = p.all
-		if len(p.all) > datum.FewUpstreams*3/2 {
-			p.few = p.all[:datum.FewUpstreams]
+		if len(p.all) > constants.FewUpstreams*3/2 {
+			p.few = p.all[:constants.FewUpstreams]
 		}
 		y.picks[w] = p
 	}
@@ -199,7 +199,7 @@
 // NewYard makes an empty yard for a proxy in a zone.
 func NewYard(me, zone string, regions map[string]string, connCap func(string) int, warmup func(string) time.Duration) *Yard {
 	return &Yard{me: me, zone: zone, regions: regions, warmup: warmup, picks: map[want]*pick{}, evac: map[string]bool{}, by: map[string]*Outfall{}, svc: map[string][]*Outfall{}, waits: map[string][]*waiter{}, connCap: connCap,
-		dialer: net.Dialer{Timeout: datum.ConnectTimeout, KeepAlive: -1}}
+		dialer: net.Dialer{Timeout: constants.ConnectTimeout, KeepAlive: -1}}
 }
 
 // Apply takes a list: states change, lives that are gone end, new ones begin.
@@ -315,7 +315,7 @@
 	if o.delay == 0 {
 		return mean
 	}
-	fade := math.Exp(-now.Sub(o.delayAt).Seconds() / datum.DelayFade.Seconds())
+	fade := math.Exp(-now.Sub(o.delayAt).Seconds() / constants.DelayFade.Seconds())
 	return mean + (o.delay-mean)*fade
 }
 
@@ -328,7 +328,7 @@
 		}
 	}
 	if n == 0 {
-		return datum.FirstDelay.Seconds()
+		return constants.FirstDelay.Seconds()
 	}
 	return sum / float64(n)
 }
@@ -360,30 +360,30 @@
 				oldest = max(oldest, now.Sub(at).Seconds())
 			}
 			share := o.share()
-			limit := max(datum.OutfallCap, 2*share) // as many again may wait there
-			if d > mean*datum.SlowFactor || oldest > mean*datum.SlowFactor {
-				limit = max(datum.OutfallCapSlow, share)
+			limit := max(constants.UpstreamCap, 2*share) // as many again may wait there
+			if d > mean*constants.SlowFactor || oldest > mean*constants.SlowFactor {
+				limit = max(constants.UpstreamCapSlow, share)
 			}
 			if len(o.out) >= limit {
 				continue
 			}
 			score := max(d, oldest) * (1 + float64(len(o.out))/float64(o.inst.Slots))
 			if now.Before(o.warmAt) {
-				score *= datum.WarmupFactor
+				score *= constants.WarmupFactor
 			}
-			if age := now.Sub(o.loadAt); o.load > 1 && age < datum.LoadFresh {
-				score *= 1 + (o.load-1)*(1-age.Seconds()/datum.LoadFresh.Seconds())
+			if age := now.Sub(o.loadAt); o.load > 1 && age < constants.LoadFresh {
+				score *= 1 + (o.load-1)*(1-age.Seconds()/constants.LoadFresh.Seconds())
 			}
 			switch o.far {
 			case 1:
-				score += datum.ZonePenalty.Seconds()
+				score += constants.ZonePenalty.Seconds()
 			case 2:
-				score += datum.RegionPenalty.Seconds()
+				score += constants.RegionPenalty.Seconds()
 			}
 			if len(o.idle) == 0 {
-				score += datum.NewConnPenalty.Seconds()
+				score += constants.NewConnPenalty.Seconds()
 			}
-			score *= 1 + datum.ChoiceNoise*rand.Float64()
+			score *= 1 + constants.ChoiceNoise*rand.Float64()
 			if score < least {
 				best, least = o, score
 			}
@@ -532,7 +532,7 @@
 func (o *Outfall) eject(now time.Time) {
 	o.fails++
 	o.yard.Ejected++
-	o.ejected = now.Add(min(datum.EjectFirst<<min(o.fails-1, 5), datum.EjectMax))
+	o.ejected = now.Add(min(constants.EjectFirst<<min(o.fails-1, 5), constants.EjectMax))
 }
 
 // done ends an offer and learns from it.
@@ -555,7 +555,7 @@
 			o.delay = s
 		} else {
 			o.delay = o.expect(now, meanDelay(y.pick(want{service: o.inst.Service, homes: anywhere}).few))
-			o.delay += datum.DelayWeight * (s - o.delay)
+			o.delay += constants.DelayWeight * (s - o.delay)
 		}
 		o.delayAt = now
 	}
@@ -568,11 +568,11 @@
 		// Few answers of a healthy upstream are failures, so one is evidence
 		// enough to leave it alone for a moment, whatever its health answer says;
 		// its connections are as good as before.
-		learn(max(took, datum.FirstDelay.Seconds()))
+		learn(max(took, constants.FirstDelay.Seconds()))
 		o.eject(now)
 	case full:
 		learn(max(2*meanDelay(y.pick(want{service: o.inst.Service, homes: anywhere}).few), took))
-		o.ejected = now.Add(datum.FullPause)
+		o.ejected = now.Add(constants.FullPause)
 	case broken, silent:
 		if how == silent {
 			learn(took)
@@ -608,7 +608,7 @@
 	o.conns++
 	y.News++
 	y.mu.Unlock()
-	ctx, cancel := context.WithTimeout(ctx, datum.ConnectTimeout)
+	ctx, cancel := context.WithTimeout(ctx, constants.ConnectTimeout)
 	defer cancel()
 	c, err := y.dialer.DialContext(ctx, "tcp4", o.inst.Address)
 	if err != nil {
@@ -633,7 +633,7 @@
 func (o *Outfall) keep(f *Flume, exchanged bool) {
 	o.yard.mu.Lock()
 	defer o.yard.mu.Unlock()
-	if o.gone || o.draining || len(o.idle) >= datum.IdlePerUpstream {
+	if o.gone || o.draining || len(o.idle) >= constants.IdlePerUpstream {
 		f.c.Close()
 		o.conns--
 		return
--- a/internal/sluice/sluice.go
+++ b/internal/sluice/sluice.go
@@ -15,7 +15,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
-	"slateridge/internal/datum"
+	"slateridge/internal/constants"
 	"slateridge/internal/logbook"
 	"slateridge/internal/scheme"
 	"slateridge/internal/usage"
@@ -100,7 +100,7 @@
 	sch := s.scheme.Load()
 	if sch == nil {
 		s.counts[cNoRoom].Add(1)
-		s.refuse(w, r, http.StatusServiceUnavailable, datum.RetryStart)
+		s.refuse(w, r, http.StatusServiceUnavailable, constants.RetryStart)
 		return
 	}
 	route, tenant, code := match(sch, r)
@@ -123,7 +123,7 @@
 		if s.strict > 0 && arrived.Sub(s.sure()) > s.strict {
 			// The key may have been taken away, and nobody here would know.
 			s.counts[cUnsure].Add(1)
-			s.refuse(w, r, http.StatusServiceUnavailable, datum.RetryUnsure)
+			s.refuse(w, r, http.StatusServiceUnavailable, constants.RetryUnsure)
 			return
 		}
 		if tenant.HasPriority {
@@ -211,7 +211,7 @@
 		body = http.MaxBytesReader(w, r.Body, m)
 	}
 	body = newTimedBody(w, body, p.deadline)
-	b, err := io.ReadAll(io.LimitReader(body, datum.BodyBuffer))
+	b, err := io.ReadAll(io.LimitReader(body, constants.BodyBuffer))
 	if err != nil {
 		if errors.Is(err, os.ErrDeadlineExceeded) {
 			w.Header().Set("Connection", "close") // what is left of the body may still come
@@ -222,7 +222,7 @@
 		}
 		return http.StatusBadRequest
 	}
-	if len(b) < datum.BodyBuffer {
+	if len(b) < constants.BodyBuffer {
 		p.head, p.length = b, int64(len(b))
 		return 0
 	}
@@ -240,7 +240,7 @@
 	if res == nil {
 		if code == http.StatusServiceUnavailable {
 			s.counts[cNoRoom].Add(1)
-			s.refuse(w, r, code, datum.RetryAfterFull)
+			s.refuse(w, r, code, constants.RetryAfterFull)
 			return
 		}
 		s.counts[map[int]int{http.StatusNotFound: cNoRoute, http.StatusUnauthorized: cUnknown}[code]].Add(1)
@@ -256,7 +256,7 @@
 	case p.runs == 0 && p.sends == 0 || p.runs == 0 && res.notRun:
 		// Nothing ran, and nothing will: the promise can be given.
 		s.counts[cNoRoom].Add(1)
-		s.refuse(w, r, http.StatusServiceUnavailable, datum.RetryAfterFull)
+		s.refuse(w, r, http.StatusServiceUnavailable, constants.RetryAfterFull)
 	case res.how == silent || !time.Now().Before(p.deadline):
 		s.counts[cFailed].Add(1)
 		s.refuse(w, r, http.StatusGatewayTimeout, 0)
--- a/internal/sluice/stream.go
+++ b/internal/sluice/stream.go
@@ -6,7 +6,7 @@
 	"net/http"
 	"time"
 
-	"slateridge/internal/datum"
+	"slateridge/internal/constants"
 )
 
 // watch closes the connection when the client goes away, so that the upstream
@@ -26,7 +26,7 @@
 // firstPiece waits for a stream's first bytes: until they come nothing has begun to
 // run, and the client has been told nothing.
 func (p *passage) firstPiece(of *offer, f *Flume, resp *http.Response, at time.Time) *result {
-	buf := make([]byte, datum.PieceBuffer)
+	buf := make([]byte, constants.StreamBuffer)
 	n, err := resp.Body.Read(buf)
 	for n == 0 && err == nil {
 		n, err = resp.Body.Read(buf)
@@ -54,12 +54,12 @@
 	s.streams.Add(1)
 	defer s.streams.Add(-1)
 	rc := http.NewResponseController(w)
-	buf, piece := make([]byte, datum.PieceBuffer), res.body
+	buf, piece := make([]byte, constants.StreamBuffer), res.body
 	var rerr, werr error
 	last := time.Now()
 	for werr == nil {
 		if len(piece) > 0 {
-			rc.SetWriteDeadline(time.Now().Add(datum.PieceWrite))
+			rc.SetWriteDeadline(time.Now().Add(constants.StreamWriteTimeout))
 			if _, werr = w.Write(piece); werr == nil {
 				werr = rc.Flush()
 			}
--- a/internal/staff/agent.go
+++ b/internal/staff/agent.go
@@ -9,7 +9,7 @@
 	"sync/atomic"
 	"time"
 
-	"slateridge/internal/datum"
+	"slateridge/internal/constants"
 )
 
 // Agent carries a process's part over datagrams.
@@ -93,7 +93,7 @@
 }
 
 // TickEvery is how often Tick is to be called.
-const TickEvery = datum.ProbeTimeout / 3
+const TickEvery = constants.ProbeTimeout / 3
 
 // Close ends the socket.
 func (a *Agent) Close() { a.c.Close() }
--- a/internal/staff/staff.go
+++ b/internal/staff/staff.go
@@ -13,7 +13,7 @@
 	"sort"
 	"time"
 
-	"slateridge/internal/datum"
+	"slateridge/internal/constants"
 )
 
 // State of a member, in the order in which a later one overrides an earlier
@@ -107,7 +107,7 @@
 func New(now time.Duration, addr, name string, seeds []string, rng *rand.Rand) *Staff {
 	return &Staff{me: Fact{Addr: addr, Name: name}, seeds: slices.DeleteFunc(slices.Clone(seeds), func(s string) bool { return s == addr }),
 		rng: rng, members: map[string]*member{}, errands: map[uint64]errand{}, seq: rng.Uint64() >> 1,
-		nextAt: now + time.Duration(rng.Int64N(int64(datum.ProbeEvery)))}
+		nextAt: now + time.Duration(rng.Int64N(int64(constants.ProbeEvery)))}
 }
 
 // Members lists everybody known, this process too, by address.
@@ -137,11 +137,11 @@
 	sort.Slice(tell, func(i, j int) bool {
 		return tell[i].tells > tell[j].tells || tell[i].tells == tell[j].tells && tell[i].fact.Addr < tell[j].fact.Addr
 	})
-	for _, x := range tell[:min(len(tell), datum.GossipFacts)] {
+	for _, x := range tell[:min(len(tell), constants.GossipFacts)] {
 		x.tells--
 		m.Facts = append(m.Facts, x.fact)
 	}
-	if room := datum.GossipFacts - len(tell); room > 0 {
+	if room := constants.GossipFacts - len(tell); room > 0 {
 		// A few old facts go along, for those whom the news passed by.
 		var all []string
 		for a, x := range s.members {
@@ -151,7 +151,7 @@
 		}
 		sort.Strings(all)
 		s.rng.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
-		for _, a := range all[:min(len(all), room, datum.OldFacts)] {
+		for _, a := range all[:min(len(all), room, constants.OldFacts)] {
 			m.Facts = append(m.Facts, s.members[a].fact)
 		}
 	}
@@ -164,7 +164,7 @@
 
 // Tick advances time; it is to be called a few times in a probe's timeout.
 func (s *Staff) Tick(now time.Duration) []any {
-	stopped := s.tickAt > 0 && now-s.tickAt > datum.ProbeTimeout
+	stopped := s.tickAt > 0 && now-s.tickAt > constants.ProbeTimeout
 	s.tickAt = now
 	if stopped {
 		// This process stood still; nobody else need have.
@@ -177,12 +177,12 @@
 	}
 	if p := s.probe; p != nil {
 		switch {
-		case !p.helped && now-p.began > datum.ProbeTimeout:
+		case !p.helped && now-p.began > constants.ProbeTimeout:
 			p.helped = true
 			for _, h := range s.helpers(p.target) {
 				s.send(h, Msg{Kind: Help, Seq: p.seq, Target: p.target})
 			}
-		case now-p.began > 3*datum.ProbeTimeout:
+		case now-p.began > 3*constants.ProbeTimeout:
 			if m := s.members[p.target]; m != nil && m.fact.State == Alive {
 				f := m.fact
 				f.State = Suspect
@@ -192,24 +192,24 @@
 		}
 	}
 	for _, m := range s.members {
-		if m.fact.State == Suspect && now-m.since > datum.SuspectFor {
+		if m.fact.State == Suspect && now-m.since > constants.SuspectFor {
 			f := m.fact
 			f.State = Dead
 			s.learn(now, f)
 		}
 	}
 	for a, m := range s.members {
-		if m.fact.State == Dead && now-m.since > datum.ProxyForget {
+		if m.fact.State == Dead && now-m.since > constants.ProxyForget {
 			delete(s.members, a)
 		}
 	}
 	for q, e := range s.errands {
-		if now-e.began > 3*datum.ProbeTimeout {
+		if now-e.began > 3*constants.ProbeTimeout {
 			delete(s.errands, q)
 		}
 	}
 	if now >= s.nextAt && s.probe == nil {
-		s.nextAt = now + datum.ProbeEvery
+		s.nextAt = now + constants.ProbeEvery
 		if t := s.next(); t != "" {
 			s.seq++
 			s.probe = &probe{target: t, seq: s.seq, began: now}
@@ -254,7 +254,7 @@
 	}
 	sort.Strings(out)
 	s.rng.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
-	return out[:min(len(out), datum.ProbeHelpers)]
+	return out[:min(len(out), constants.ProbeHelpers)]
 }
 
 // learn takes up a fact that is newer than what is known.
@@ -289,7 +289,7 @@
 
 // Recv takes a message.
 func (s *Staff) Recv(now time.Duration, from string, m Msg) []any {
-	for _, f := range m.Facts[:min(len(m.Facts), 4*datum.GossipFacts)] {
+	for _, f := range m.Facts[:min(len(m.Facts), 4*constants.GossipFacts)] {
 		s.learn(now, f)
 	}
 	switch m.Kind {
--- a/internal/staff/staff_test.go
+++ b/internal/staff/staff_test.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"slateridge/internal/basin"
-	"slateridge/internal/datum"
+	"slateridge/internal/constants"
 )
 
 type crew struct {
@@ -101,7 +101,7 @@
 		// One that is gone is found out by all.
 		c.all["m6"] = nil
 		c.life["m6"]++
-		c.run(20*time.Second + datum.SuspectFor)
+		c.run(20*time.Second + constants.SuspectFor)
 		if got := c.seen("m6"); got[Alive] != 0 || got[Suspect] != 0 {
 			t.Fatalf("seed %d: m6 is gone, but seen as %v", seed, got)
 		}
--- a/internal/usage/keeper.go
+++ b/internal/usage/keeper.go
@@ -3,7 +3,7 @@
 import (
 	"strconv"
 
-	"slateridge/internal/datum"
+	"slateridge/internal/constants"
 )
 
 type (
@@ -42,7 +42,7 @@
 func NewKeeper(tally *Tally, get func(key string, v any) bool) *Keeper {
 	k := &Keeper{tally: tally}
 	get(StoreKey, &k.kept)
-	for turn := 1; turn < datum.UsageSaves; turn++ {
+	for turn := 1; turn < constants.UsageSaves; turn++ {
 		var recent []Told
 		if get(recentKey(turn), &recent) {
 			k.kept = append(k.kept, recent...)
@@ -51,7 +51,7 @@
 	return k
 }
 
-// Step is driven every datum.UsageSave; held says that this machine holds the duty, and
+// Step is driven every constants.UsageSave; held says that this machine holds the duty, and
 // holder who does, as far as is known here. What it gives is Save and HandOn.
 func (k *Keeper) Step(held bool, holder string) []any {
 	if k.held && !held {
@@ -61,8 +61,8 @@
 	k.held = held
 	var out []any
 	if (k.handOn || len(k.kept) > 0) && holder != "" {
-		for i := 0; i == 0 || i < len(k.kept); i += datum.UsageAtOnce {
-			end := min(i+datum.UsageAtOnce, len(k.kept))
+		for i := 0; i == 0 || i < len(k.kept); i += constants.UsageBatch {
+			end := min(i+constants.UsageBatch, len(k.kept))
 			out = append(out, HandOn{holder, Handover{Words: k.kept[i:end], Last: end == len(k.kept)}})
 		}
 		k.kept, k.handOn = nil, false
@@ -76,10 +76,10 @@
 	return out
 }
 
-// save is the next value for the disk: one step in datum.UsageSaves all that is known,
+// save is the next value for the disk: one step in constants.UsageSaves all that is known,
 // else the words that have come since the step before.
 func (k *Keeper) save() (Save, bool) {
-	if k.turn = (k.turn + 1) % datum.UsageSaves; k.turn == 0 {
+	if k.turn = (k.turn + 1) % constants.UsageSaves; k.turn == 0 {
 		words, changed := k.tally.Keep()
 		return Save{StoreKey, words}, changed
 	}
--- a/internal/usage/loss_test.go
+++ b/internal/usage/loss_test.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"slateridge/internal/basin"
-	"slateridge/internal/datum"
+	"slateridge/internal/constants"
 )
 
 // mostLost is how long before a proxy was killed a request must have been sent to be
@@ -21,7 +21,7 @@
 // mostUnheard is the same for a proxy that is killed while nobody holds the duty: besides,
 // the time until another does, that in which proxies learn of it, and a word's that waits
 // for an answer meanwhile.
-const mostUnheard = mostLost + lossTakeover + 100*time.Millisecond + datum.UsageWait
+const mostUnheard = mostLost + lossTakeover + 100*time.Millisecond + constants.UsageWait
 
 const (
 	lossSpan     = 5 * time.Second // a window
@@ -181,7 +181,7 @@
 	if p.killed > 0 {
 		return
 	}
-	f.After(datum.UsageTell, func() { f.tell(p) })
+	f.After(constants.UsageReportEvery, func() { f.tell(p) })
 	if !p.telling {
 		p.telling = true
 		f.ask(p, 2)
@@ -197,12 +197,12 @@
 		return
 	}
 	answered := false
-	f.After(datum.UsageWait, func() {
+	f.After(constants.UsageWait, func() {
 		if !answered {
 			p.telling = false
 		}
 	})
-	late := f.Now + datum.UsageWait
+	late := f.Now + constants.UsageWait
 	f.Send(p.name, m.name, func() {
 		if !m.up || f.holder != m.name {
 			return
@@ -379,4 +379,4 @@
 }
 
 // saveEvery is how often a keeper is driven.
-const saveEvery = datum.UsageSave
+const saveEvery = constants.UsageSave
--- a/internal/usage/usage.go
+++ b/internal/usage/usage.go
@@ -11,7 +11,7 @@
 	"time"
 
 	"slateridge/internal/conduit"
-	"slateridge/internal/datum"
+	"slateridge/internal/constants"
 )
 
 type (
@@ -57,7 +57,7 @@
 // Phase is when, within the time between two words, a proxy begins to tell; lot is drawn.
 // Proxies that started together would all tell at the same moments, and many that are
 // killed together shortly before one would all lose the most that any can.
-func Phase(lot uint64) time.Duration { return time.Duration(lot % uint64(datum.UsageTell)) }
+func Phase(lot uint64) time.Duration { return time.Duration(lot % uint64(constants.UsageReportEvery)) }
 
 // Meter is a proxy's counts.
 type Meter struct {
@@ -172,7 +172,7 @@
 		t.Closed = min(t.Closed, w-1)
 	}
 	for w, ts := range m.unsaid {
-		if w+datum.UsageKept < now {
+		if w+constants.UsageKept < now {
 			delete(m.windows, w) // nobody has wanted it for so long
 			delete(m.unsaid, w)
 			continue
@@ -261,13 +261,13 @@
 func (t *Tally) Take(at time.Duration, now uint64, m Told) (Heard, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	bad := m.Proxy == "" || len(m.Proxy) > datum.NameMax || m.Closed > now+1
+	bad := m.Proxy == "" || len(m.Proxy) > constants.NameMax || m.Closed > now+1
 	for _, ws := range []map[uint64]Counts{m.Windows, m.Running} {
-		bad = bad || len(ws) > datum.UsageKept+2
+		bad = bad || len(ws) > constants.UsageKept+2
 		for w, c := range ws {
-			bad = bad || w > now+1 || len(c) > datum.UsageTenants
+			bad = bad || w > now+1 || len(c) > constants.UsageTenants
 			for tenant, n := range c {
-				bad = bad || tenant == "" || len(tenant) > datum.NameMax || n > datum.UsageMost
+				bad = bad || tenant == "" || len(tenant) > constants.NameMax || n > constants.UsageMost
 			}
 		}
 	}
@@ -380,7 +380,7 @@
 				delete(l.running, w)
 			}
 		}
-		if len(l.windows) == 0 && len(l.running) == 0 && l.closed+datum.UsageKept < t.settled {
+		if len(l.windows) == 0 && len(l.running) == 0 && l.closed+constants.UsageKept < t.settled {
 			delete(t.lives, id)
 		}
 	}
@@ -449,12 +449,12 @@
 		t.mu.Unlock()
 	}
 	t.Settle(after)
-	w := max(after+1, cur-min(cur, datum.UsageKept))
+	w := max(after+1, cur-min(cur, constants.UsageKept))
 	if w >= cur {
 		return 0, nil, false
 	}
 	age := float64(m.Agreed.Sub(time.Unix(0, int64(w+1)*int64(length))))
-	if age < float64(delay)*datum.UsageAll {
+	if age < float64(delay)*constants.UsageAll {
 		return 0, nil, false
 	}
 	// Of a window that another holder gathered in, that one may know of lives that are
@@ -462,7 +462,7 @@
 	t.mu.Lock()
 	alone := m.Agreed.Add(-m.Held).Before(time.Unix(0, int64(w)*int64(length))) || t.handed > m.Steady-m.Held
 	t.mu.Unlock()
-	if !(alone && t.Complete(w, m.Steady-delay, live)) && (age < float64(delay)*datum.UsageLate || m.Held < 2*datum.UsageEvery) {
+	if !(alone && t.Complete(w, m.Steady-delay, live)) && (age < float64(delay)*constants.UsageLate || m.Held < 2*constants.UsageEvery) {
 		return 0, nil, false
 	}
 	return w, Body(w, t.Sum(w)), true
--- a/internal/usage/usage_test.go
+++ b/internal/usage/usage_test.go
@@ -5,7 +5,7 @@
 	"testing"
 	"time"
 
-	"slateridge/internal/datum"
+	"slateridge/internal/constants"
 )
 
 // A successor is told all that is open, by proxies that had told it to another, and
@@ -88,12 +88,12 @@
 // Words that cannot be are dropped, and memory stays bounded when nobody listens.
 func TestGarbageAndBounds(t *testing.T) {
 	y := NewTally(1)
-	long := make([]byte, datum.NameMax+1)
+	long := make([]byte, constants.NameMax+1)
 	for _, w := range []Told{
 		{Life: 1},
 		{Proxy: string(long)},
 		{Proxy: "p", Closed: 1000},
-		{Proxy: "p", Windows: map[uint64]Counts{9: {"x": datum.UsageMost + 1}}},
+		{Proxy: "p", Windows: map[uint64]Counts{9: {"x": constants.UsageMost + 1}}},
 		{Proxy: "p", Windows: map[uint64]Counts{1 << 60: {"x": 1}}},
 		{Proxy: "p", Windows: map[uint64]Counts{9: {"": 1}}},
 	} {
@@ -109,7 +109,7 @@
 		m.Count(w, "x")
 		m.Tell("p", w)
 	}
-	if w, _ := m.Tell("p", 1000); len(w.Windows) > datum.UsageKept+1 {
+	if w, _ := m.Tell("p", 1000); len(w.Windows) > constants.UsageKept+1 {
 		t.Errorf("%d windows kept", len(w.Windows))
 	}
 }
@@ -131,7 +131,7 @@
 	if w, _, ok := y.Next(at(13), 1010, span, delay, nil); !ok || w != 1011 {
 		t.Fatal("a window of its own waits")
 	}
-	if w, _, ok := y.Next(at(11+delay.Seconds()*datum.UsageLate), 1009, span, delay, nil); !ok || w != 1010 {
+	if w, _, ok := y.Next(at(11+delay.Seconds()*constants.UsageLate), 1009, span, delay, nil); !ok || w != 1010 {
 		t.Fatal("held up for ever")
 	}
 	y.Handed(11 * time.Second)
@@ -147,7 +147,7 @@
 	at := func(s float64) Moment {
 		return Moment{Steady: time.Duration(s * 1e9), Agreed: time.Unix(1000, 0).Add(time.Duration(s * 1e9)), Held: time.Hour}
 	}
-	if w, _, ok := y.Next(at(30), 900, span, delay, nil); !ok || w != 1030-datum.UsageKept {
+	if w, _, ok := y.Next(at(30), 900, span, delay, nil); !ok || w != 1030-constants.UsageKept {
 		t.Fatalf("after 900 comes %d %v", w, ok)
 	}
 	if w, _, ok := y.Next(at(30), 1020, span, delay, nil); !ok || w != 1021 {
@@ -156,7 +156,7 @@
 	if _, _, ok := y.Next(at(30.9), 1028, span, delay, []string{"p"}); ok {
 		t.Error("decided before its proxies have told")
 	}
-	if w, _, ok := y.Next(at(30+delay.Seconds()*datum.UsageLate), 1028, span, delay, []string{"p"}); !ok || w != 1029 {
+	if w, _, ok := y.Next(at(30+delay.Seconds()*constants.UsageLate), 1028, span, delay, []string{"p"}); !ok || w != 1029 {
 		t.Error("held up for ever by a silent proxy")
 	}
 }
@@ -175,7 +175,7 @@
 			m, name := NewMeter(rng.Uint64()), string(rune('A'+p))
 			phase := Phase(rng.Uint64())
 			began := time.Duration(rng.Int64N(int64(runEvery)))
-			for now := time.Duration(0); now <= span+2*datum.UsageTell; now += step {
+			for now := time.Duration(0); now <= span+2*constants.UsageReportEvery; now += step {
 				if now < span && (now-began)%runEvery < step && now >= began {
 					truth++
 					m.Count(7, "x")
@@ -183,7 +183,7 @@
 				if p < killed && now >= at {
 					break
 				}
-				if now >= phase && (now-phase)%datum.UsageTell < step {
+				if now >= phase && (now-phase)%constants.UsageReportEvery < step {
 					w, _ := m.Tell(name, 7)
 					if h, ok := y.Take(now, 7, w); ok {
 						m.Heard(w, h)
@@ -249,7 +249,7 @@
 	if got := y.Sum(7); len(got) > 0 || len(m.running) > 0 {
 		t.Errorf("kept: %v, %v", got, m.running)
 	}
-	bad := Told{Proxy: "p", Life: 5, Seq: 99, Running: map[uint64]Counts{7: {"x": datum.UsageMost + 1}}}
+	bad := Told{Proxy: "p", Life: 5, Seq: 99, Running: map[uint64]Counts{7: {"x": constants.UsageMost + 1}}}
 	if _, ok := y.Take(0, 8, bad); ok || y.Garbage != 1 {
 		t.Error("garbage was taken")
 	}
--- a/internal/watermaster/electorate_test.go
+++ b/internal/watermaster/electorate_test.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"slateridge/internal/basin"
-	"slateridge/internal/datum"
+	"slateridge/internal/constants"
 )
 
 // ballot is a decided view, as far as leases go: its electorate, the number of the
@@ -98,7 +98,7 @@
 		e.tell(n)
 		e.put(n, m.w.Tick(e.clock(n)))
 	}
-	e.b.After(datum.LeaseTick, func() { e.tick(n, life) })
+	e.b.After(constants.LeaseTick, func() { e.tick(n, life) })
 }
 
 func (e *election) thaw(n string, life int) {
--- a/internal/watermaster/lives_test.go
+++ b/internal/watermaster/lives_test.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"slateridge/internal/basin"
-	"slateridge/internal/datum"
+	"slateridge/internal/constants"
 )
 
 // allowed says whether a grantor says yes to an Ask.
@@ -33,7 +33,7 @@
 			if !allowed(w, now, "b", Ask{"x", 1, late + 1, true}) {
 				t.Fatal("not granted to the life that came straight back")
 			}
-			held := now + datum.LeaseLength
+			held := now + constants.LeaseLength
 			w.Recv(now, "b", Ask{"x", 1, early + 2, again})
 			w.Recv(now, "b", Release{"x", early + 2, ""})
 			for ; now < held; now += 10 * time.Millisecond {
@@ -41,7 +41,7 @@
 					t.Fatalf("granted to another %v before the present life's lease ends (again: %v)", held-now, again)
 				}
 			}
-			now = held + 2*datum.LeaseMargin
+			now = held + 2*constants.LeaseMargin
 			if !allowed(w, now, "c", Ask{"x", 1, 2, false}) {
 				t.Errorf("still kept from another %v after it ended", now-held)
 			}
@@ -74,15 +74,15 @@
 func TestOutsideTheElectorate(t *testing.T) {
 	w := withPeers(New(0, 1, "a", []string{"x"}), []string{"a"})
 	now := time.Duration(0)
-	for ; now < 5*time.Second; now += datum.LeaseTick {
+	for ; now < 5*time.Second; now += constants.LeaseTick {
 		w.Tick(now)
 	}
 	if _, ok := w.Holds(now, "x"); !ok {
 		t.Fatal("alone, it does not hold")
 	}
 	w.SetElectorate(now, 2, []string{"b", "c"}, false)
-	end := now + datum.LeaseLength + datum.LeaseMargin
-	for ; now < 3*end; now += datum.LeaseTick {
+	end := now + constants.LeaseLength + constants.LeaseMargin
+	for ; now < 3*end; now += constants.LeaseTick {
 		if out := w.Tick(now); len(out) > 0 {
 			t.Fatalf("voted out it says %v", out)
 		}
@@ -100,10 +100,10 @@
 		}
 	}
 	w.SetElectorate(now, 5, []string{"a", "b", "c"}, false) // back, two views later
-	if allowed(w, now+datum.LeaseLength, "b", Ask{"x", 5, 1, false}) {
+	if allowed(w, now+constants.LeaseLength, "b", Ask{"x", 5, 1, false}) {
 		t.Error("back in the electorate it grants at once")
 	}
-	if !allowed(w, now+datum.LeaseLength+datum.LeaseMargin, "b", Ask{"x", 5, 2, false}) {
+	if !allowed(w, now+constants.LeaseLength+constants.LeaseMargin, "b", Ask{"x", 5, 2, false}) {
 		t.Error("back in the electorate it does not grant")
 	}
 }
@@ -129,7 +129,7 @@
 func TestGivenUpStaysGivenUp(t *testing.T) {
 	w := withPeers(New(0, 1, "a", []string{"x"}), []string{"a"})
 	now := time.Duration(0)
-	for ; now < 3*time.Second; now += datum.LeaseTick {
+	for ; now < 3*time.Second; now += constants.LeaseTick {
 		w.Tick(now)
 	}
 	if _, ok := w.Holds(now, "x"); !ok {
@@ -138,7 +138,7 @@
 	left := now
 	w.Leave(now)
 	w.SetElectorate(now, 2, []string{"a", "b"}, false)
-	for ; now < left+datum.LeaseLength*4; now += datum.LeaseTick {
+	for ; now < left+constants.LeaseLength*4; now += constants.LeaseTick {
 		if out := w.Tick(now); len(out) > 0 {
 			t.Fatalf("%v after it was given up it is claimed: %v", now-left, out)
 		}
@@ -168,7 +168,7 @@
 		if out := w.Recv(now, word.from, word.msg); len(out) > 0 || w.Dropped != 1 {
 			t.Errorf("%d, %#v: answered %v, %d dropped", i, word.msg, out, w.Dropped)
 		}
-		if out := w.Tick(now + datum.LeaseRenew); len(out) == 0 {
+		if out := w.Tick(now + constants.LeaseRenew); len(out) == 0 {
 			t.Errorf("%d, %#v: it keeps the machine from claiming", i, word.msg)
 		}
 	}
--- a/internal/watermaster/watermaster.go
+++ b/internal/watermaster/watermaster.go
@@ -34,7 +34,7 @@
 	"time"
 
 	"slateridge/internal/conduit"
-	"slateridge/internal/datum"
+	"slateridge/internal/constants"
 )
 
 type (
@@ -226,12 +226,12 @@
 				c.other = now // here it is known to be held
 				continue
 			}
-			wait := time.Duration(w.rank(i)) * datum.LeaseStagger
+			wait := time.Duration(w.rank(i)) * constants.LeaseStagger
 			if now < c.heir {
 				wait = 0
 			}
-			again = now-w.start < 2*datum.LeaseRenew // longer, and its asking would keep the duty from others
-			if !again && (now-w.start < datum.LeaseLength+datum.LeaseMargin+wait || c.other > 0 && now-c.other < wait) {
+			again = now-w.start < 2*constants.LeaseRenew // longer, and its asking would keep the duty from others
+			if !again && (now-w.start < constants.LeaseLength+constants.LeaseMargin+wait || c.other > 0 && now-c.other < wait) {
 				continue
 			}
 		}
@@ -248,8 +248,8 @@
 	w.nonce++
 	c.nonce = w.nonce
 	c.open = append(c.open, question{w.nonce, again, now, map[string]bool{}})
-	c.open = c.open[max(0, len(c.open)-int(datum.LeaseLength/datum.LeaseRenew)):]
-	c.nextAt = now + datum.LeaseRenew
+	c.open = c.open[max(0, len(c.open)-int(constants.LeaseLength/constants.LeaseRenew)):]
+	c.nextAt = now + constants.LeaseRenew
 	for _, p := range w.peers {
 		w.send(p, Ask{duty, w.epoch, c.nonce, again}, now)
 	}
@@ -258,10 +258,10 @@
 // inherit takes up a duty whose holder has stopped and named this machine.
 func (w *Watermaster) inherit(now time.Duration, duty string) {
 	c := w.claims[duty]
-	if c.until > now || now < c.away || now-w.start < datum.LeaseLength+datum.LeaseMargin {
+	if c.until > now || now < c.away || now-w.start < constants.LeaseLength+constants.LeaseMargin {
 		return
 	}
-	c.heir = now + datum.LeaseReserve
+	c.heir = now + constants.LeaseReserve
 	w.ask(now, duty, false)
 	c.nextAt = now // what a refusal by one that the Release has not reached yet costs is one step
 }
@@ -293,7 +293,7 @@
 		if known && sameLife(m.Nonce, g.nonce) && m.Nonce < g.nonce {
 			return // overtaken by a later one
 		}
-		ok := (g.until <= now || g.holder == from) && now-w.start >= datum.LeaseLength+datum.LeaseMargin
+		ok := (g.until <= now || g.holder == from) && now-w.start >= constants.LeaseLength+constants.LeaseMargin
 		if m.Again && (g.until <= now || g.holder != from) {
 			return
 		}
@@ -307,7 +307,7 @@
 					other = max(other, g.until)
 				}
 			}
-			g = grant{from, m.Nonce, now + datum.LeaseLength + datum.LeaseMargin, other}
+			g = grant{from, m.Nonce, now + constants.LeaseLength + constants.LeaseMargin, other}
 			w.grants[m.Duty] = g
 		}
 		w.send(from, Grant{m.Duty, w.epoch, m.Nonce, ok, g.holder}, now)
@@ -324,7 +324,7 @@
 		if m.Successor == "" || g.until <= now || g.other > now {
 			return
 		}
-		w.grants[m.Duty] = grant{holder: m.Successor, until: now + datum.LeaseReserve}
+		w.grants[m.Duty] = grant{holder: m.Successor, until: now + constants.LeaseReserve}
 		if m.Successor == w.me {
 			w.inherit(now, m.Duty)
 		}
@@ -349,7 +349,7 @@
 					// Give back what was granted here and there, and wait a time
 					// of this machine's own: claims that split the votes would
 					// keep them split for ever.
-					c.nextAt = now + datum.LeaseRenew + datum.LeaseStagger*time.Duration(1+slices.Index(w.peers, w.me))
+					c.nextAt = now + constants.LeaseRenew + constants.LeaseStagger*time.Duration(1+slices.Index(w.peers, w.me))
 					for _, p := range w.peers {
 						w.send(p, Release{Duty: m.Duty, Nonce: c.nonce}, now)
 					}
@@ -365,7 +365,7 @@
 		if q.again {
 			enough = (len(w.peers) + 1) / 2
 		}
-		if until := q.asked + datum.LeaseLength; len(q.yes) >= enough && until > now && until > c.until {
+		if until := q.asked + constants.LeaseLength; len(q.yes) >= enough && until > now && until > c.until {
 			if c.until <= now {
 				c.since = now
 			}
@@ -388,7 +388,7 @@
 		successor := ""
 		if stops {
 			successor = w.successor(i)
-			w.claims[d].away = now + datum.LeaseLength*4
+			w.claims[d].away = now + constants.LeaseLength*4
 		}
 		if w.claims[d].until > now {
 			w.giveUp(now, d, successor)
@@ -401,7 +401,7 @@
 
 func (w *Watermaster) giveUp(now time.Duration, duty, successor string) {
 	c := w.claims[duty]
-	c.until, c.since, c.away = 0, 0, now+datum.LeaseLength*4
+	c.until, c.since, c.away = 0, 0, now+constants.LeaseLength*4
 	for _, p := range w.peers {
 		w.send(p, Release{duty, c.nonce, successor}, now)
 	}
--- a/internal/watermaster/watermaster_test.go
+++ b/internal/watermaster/watermaster_test.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"slateridge/internal/basin"
-	"slateridge/internal/datum"
+	"slateridge/internal/constants"
 )
 
 // TestOneHolder runs seeded days with lost messages, cuts, restarts and clocks
@@ -40,7 +40,7 @@
 				return
 			}
 			put(n, ms[n].Tick(clock(n)))
-			b.After(datum.LeaseTick, func() { tick(n, l) })
+			b.After(constants.LeaseTick, func() { tick(n, l) })
 		}
 		start := func(n string) {
 			life[n]++
@@ -119,14 +119,14 @@
 // A grantor that was started again may have granted before: it waits.
 func TestRestartedGrantorWaits(t *testing.T) {
 	w := withPeers(New(0, 1, "a", []string{"x"}), []string{"a", "b", "c"})
-	for _, at := range []time.Duration{0, datum.LeaseLength} {
+	for _, at := range []time.Duration{0, constants.LeaseLength} {
 		for _, s := range w.Recv(at, "b", Ask{"x", 1, 1, false}) {
 			if g := s.Msg.(Grant); g.OK {
 				t.Fatalf("granted %v after its start", at)
 			}
 		}
 	}
-	out := w.Recv(datum.LeaseLength+datum.LeaseMargin, "b", Ask{"x", 1, 2, false})
+	out := w.Recv(constants.LeaseLength+constants.LeaseMargin, "b", Ask{"x", 1, 2, false})
 	if len(out) != 1 || !out[0].Msg.(Grant).OK {
 		t.Fatalf("not granted after the wait: %v", out)
 	}
@@ -136,7 +136,7 @@
 // tell anyone that it holds it.
 func TestCutOffMachineNamesNobody(t *testing.T) {
 	w := withPeers(New(0, 1, "a", []string{"x"}), []string{"a", "b", "c"})
-	for now := time.Duration(0); now < 10*time.Second; now += datum.LeaseTick {
+	for now := time.Duration(0); now < 10*time.Second; now += constants.LeaseTick {
 		w.Tick(now)
 		if h := w.Holder(now, "x"); h != "" {
 			t.Fatalf("at %v it names %s", now, h)
@@ -173,7 +173,7 @@
 			p.put(n, p.ms[n].Tick(p.b.Now))
 		}
 	}
-	p.b.After(datum.LeaseTick, func() { p.run(names, before) })
+	p.b.After(constants.LeaseTick, func() { p.run(names, before) })
 }
 
 func (p *pond) holders(names []string, duty string) (who string) {
--- a/internal/weir/handover_test.go
+++ b/internal/weir/handover_test.go
@@ -5,7 +5,7 @@
 	"testing"
 	"time"
 
-	"slateridge/internal/datum"
+	"slateridge/internal/constants"
 )
 
 // growing is a fleet whose live count rises and falls as control would tell it: one
@@ -86,14 +86,14 @@
 			return g.echoAt[n], g.echo[n].Life, g.echo[n] != Stamp{}
 		})
 		g.ask(n, wants, nil)
-		g.b.After(datum.GrantEvery, renew)
+		g.b.After(constants.GrantEvery, renew)
 	}
 	g.b.After(time.Millisecond, renew)
 }
 
 // forgetAfter is when control takes a proxy that has ended off the roster: after its
-// loans have ended, as with datum.ProxyForget, and sooner, so that runs stay short.
-const forgetAfter = datum.LendLong + time.Second
+// loans have ended, as with constants.ProxyForget, and sooner, so that runs stay short.
+const forgetAfter = constants.LendLong + time.Second
 
 // leave ends a proxy; the roster forgets it a while later.
 func (g *growing) leave(n string) {
--- a/internal/weir/standby.go
+++ b/internal/weir/standby.go
@@ -4,7 +4,7 @@
 	"math"
 	"time"
 
-	"slateridge/internal/datum"
+	"slateridge/internal/constants"
 )
 
 // A key whose split shares are too small to serve anybody is carried by its
@@ -29,7 +29,7 @@
 // the others.
 func (p *pool) standing(now time.Duration, g *Gatehouse) (alone, inTouch float64) {
 	if now >= p.standsEnd {
-		p.standCount, p.standDemand, p.standsEnd, p.turn = 0, 0, now+datum.GrantLong, 0
+		p.standCount, p.standDemand, p.standsEnd, p.turn = 0, 0, now+constants.GrantLong, 0
 		for k, s := range p.stands {
 			if now >= s.until {
 				delete(p.stands, k)
@@ -65,8 +65,8 @@
 // proxies have lent: a tracker that begins without knowing any of it may still give
 // its own part and a tenth. Every proxy's basic standby fits into it.
 func (p *pool) standbyMost() float64 {
-	lent := min(p.loaned.long, datum.SplitPart*p.quota.Rate)
-	return max(lent*datum.StandbyBasic, lent-datum.StandbyReserve*p.quota.Rate)
+	lent := min(p.loaned.long, constants.SplitPart*p.quota.Rate)
+	return max(lent*constants.StandbyBasic, lent-constants.StandbyReserve*p.quota.Rate)
 }
 
 // giveStandby answers a proxy that the key's tracker carries.
@@ -79,9 +79,9 @@
 		p.stands[a.Proxy] = s
 	}
 	to := *s
-	to.until = now + datum.GrantLong
+	to.until = now + constants.GrantLong
 	p.standsEnd = min(p.standsEnd, to.until)
-	basic := p.loans[a.Proxy].rate * datum.StandbyBasic
+	basic := p.loans[a.Proxy].rate * constants.StandbyBasic
 	switch {
 	case !w.Lend: // a question of a request; what stands, stands
 	case now < p.open:
@@ -92,7 +92,7 @@
 		total := p.standDemand - s.demand + to.demand
 		others := max(0, p.standCount-s.count)
 		most := p.standbyMost()
-		share := to.demand * datum.StandbyHeadroom
+		share := to.demand * constants.StandbyHeadroom
 		if total > 0 {
 			share = min(share, to.demand*most/total)
 		}
@@ -153,11 +153,11 @@
 func (w *Weir) shapeStandby(b *bay, now time.Duration) {
 	w.alone(b, now) // before the bucket fills
 	rate := 0.0
-	if w.proxies > 0 && now-w.touch <= datum.SplitHold {
-		rate = datum.SplitPart * datum.StandbyBasic * b.quota.Rate / float64(w.proxies)
+	if w.proxies > 0 && now-w.touch <= constants.SplitHold {
+		rate = constants.SplitPart * constants.StandbyBasic * b.quota.Rate / float64(w.proxies)
 	}
 	rate = max(rate, b.held(now))
-	b.grant.set(now, rate, max(datum.StandbyDepth, rate))
+	b.grant.set(now, rate, max(constants.StandbyDepth, rate))
 }
 
 // alone lets the standby bucket fill only while the proxy has heard nothing from
@@ -169,9 +169,9 @@
 	heard, ok := w.heard[b.shard]
 	if !ok {
 		// The life before may have been heard until it ended, and no later.
-		heard = -datum.RestartTime
+		heard = -constants.RestartTime
 	}
-	if now-heard < datum.StandbyAfter && !w.gone[b.shard] {
+	if now-heard < constants.StandbyAfter && !w.gone[b.shard] {
 		if b.standing {
 			b.grant.tokens -= math.Floor(b.grant.tokens)
 		}
--- a/internal/weir/tracker.go
+++ b/internal/weir/tracker.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"slateridge/internal/conduit"
-	"slateridge/internal/datum"
+	"slateridge/internal/constants"
 )
 
 // AskGrants brings a proxy's wants to a tracker; GrantsGiven answers. Refused
@@ -159,7 +159,7 @@
 
 // tracked is the part of a quota that trackers give out.
 func (p *pool) tracked() (rate, burst float64) {
-	return (1 - datum.SplitPart) * p.quota.Rate, (1 - datum.SplitPart) * p.quota.Burst
+	return (1 - constants.SplitPart) * p.quota.Rate, (1 - constants.SplitPart) * p.quota.Burst
 }
 
 // lend notes what a proxy leaves to the tracker from now on; an empty loan is none.
@@ -200,7 +200,7 @@
 	if now < p.loaned.until {
 		return
 	}
-	p.loaned = loan{until: now + datum.GrantLong}
+	p.loaned = loan{until: now + constants.GrantLong}
 	for k, l := range p.loans {
 		if now >= l.until {
 			delete(p.loans, k)
@@ -224,7 +224,7 @@
 		return min(rate+p.loaned.rate, p.quota.Rate), min(burst+p.loaned.depth, p.quota.Burst)
 	}
 	_, resting := p.standing(now, g)
-	sure := min(datum.StandbyReserve*p.quota.Rate, p.loaned.long*(1-datum.StandbyBasic))
+	sure := min(constants.StandbyReserve*p.quota.Rate, p.loaned.long*(1-constants.StandbyBasic))
 	lent := p.loaned.rate - p.loaned.long + sure
 	if p.loaned.rate > 0 {
 		burst += p.loaned.depth * lent / p.loaned.rate
@@ -265,7 +265,7 @@
 	if q.Rate <= 0 {
 		return 0
 	}
-	return rate * min(datum.LeaseDepthTime.Seconds(), q.Burst/q.Rate)
+	return rate * min(constants.LeaseDepthTime.Seconds(), q.Burst/q.Rate)
 }
 
 // shape drops leases that have ended and sets the pool to what nobody holds.
@@ -340,10 +340,10 @@
 	}
 	g.carried[w.Key] = carried
 	changed, ok := g.changed[w.Key]
-	if carried && w.Long && (!ok || now-changed >= datum.GrantLength) {
-		return datum.OneOffLife
+	if carried && w.Long && (!ok || now-changed >= constants.GrantLength) {
+		return constants.OneOffLife
 	}
-	return datum.GrantLength
+	return constants.GrantLength
 }
 
 // poolOf finds a key's pool, or makes one that has been filling from a moment on:
@@ -355,7 +355,7 @@
 	p := &pool{quota: q, leases: map[string]*lease{}, loans: map[string]loan{}, stands: map[string]*stand{}, told: map[string]float64{}}
 	p.b.at = min(now, filling)
 	p.b.rate, p.b.depth = p.tracked()
-	p.open = begun + datum.GrantLong
+	p.open = begun + constants.GrantLong
 	g.pools[key] = p
 	return p
 }
@@ -424,7 +424,7 @@
 func (g *Gatehouse) touched(now time.Duration, a AskGrants) (late bool) {
 	c, ok := g.contact[a.Proxy]
 	if !ok {
-		c.stamp = now - 2*datum.GrantLong
+		c.stamp = now - 2*constants.GrantLong
 		g.out[a.Proxy] = true
 		g.turn++
 	}
@@ -445,19 +445,19 @@
 	if now < g.turnAt {
 		return late
 	}
-	g.turnAt = now + datum.TouchEvery
+	g.turnAt = now + constants.ContactScanEvery
 	g.turn++
 	clear(g.out)
 	g.count = 0
 	for n, c := range g.contact {
-		if now-c.spoke > 2*datum.GrantLong {
+		if now-c.spoke > 2*constants.GrantLong {
 			delete(g.contact, n) // what it was told has ended
 			continue
 		}
-		if now-c.spoke <= datum.TapSilence {
+		if now-c.spoke <= constants.SubscriptionSilence {
 			g.count = max(g.count, c.proxies)
 		}
-		if now+datum.TouchEvery-c.stamp > datum.StandbyRoom {
+		if now+constants.ContactScanEvery-c.stamp > constants.StandbyRoom {
 			g.out[n] = true // it may begin before the next look
 		}
 	}
@@ -488,13 +488,13 @@
 		total += o.demand
 	}
 	share := l.demand
-	if leasable := rate * (1 - datum.PoolPart); total > leasable {
+	if leasable := rate * (1 - constants.PoolPart); total > leasable {
 		share = l.demand * leasable / total
 	}
 	share = min(share, max(0, rate-p.leased(a.Proxy)))
 	l.count = mayUse(l.count, l.sent, share, w)
 	l.rate, l.sent = share, a.Sent
-	l.until = now + datum.GrantLength
+	l.until = now + constants.GrantLength
 	p.shape(now, g)
 	out := Given{Key: w.Key, Rate: share, Depth: leaseDepth(share, p.quota), Lent: true}
 	return g.oneOff(p, w, out)
@@ -504,7 +504,7 @@
 func (p *pool) endingSoon(now time.Duration) float64 {
 	sum := 0.0
 	for _, l := range p.loans {
-		if l.until < now+datum.GrantLength {
+		if l.until < now+constants.GrantLength {
 			sum += l.rate
 		}
 	}
@@ -531,7 +531,7 @@
 			g.Offered++
 		} else {
 			g.Dry++
-			out.Dry = datum.GrantEvery
+			out.Dry = constants.GrantEvery
 			if due := (w.Need - p.b.tokens) / p.b.rate; p.b.rate > 0 && due < out.Dry.Seconds() {
 				out.Dry = time.Duration(due * float64(time.Second))
 			}
--- a/internal/weir/weir.go
+++ b/internal/weir/weir.go
@@ -11,7 +11,7 @@
 	"sync"
 	"time"
 
-	"slateridge/internal/datum"
+	"slateridge/internal/constants"
 )
 
 // bucket is a token bucket; its balance may be below zero.
@@ -121,8 +121,8 @@
 // SplitFloor is the least a split share may hold: one request, as long as such
 // floors of all proxies stay inside the quota's slack.
 func SplitFloor(proxies int, slack float64) float64 {
-	if float64(proxies)*datum.SplitFloor <= slack*datum.SlackUsed {
-		return datum.SplitFloor
+	if float64(proxies)*constants.SplitFloor <= slack*constants.SlackUsed {
+		return constants.SplitFloor
 	}
 	return 0
 }
@@ -131,7 +131,7 @@
 // is lent whole and not used where it is, and the key is carried by its tracker:
 // each request asks, and standby is there for when nobody answers.
 func Tiny(proxies int, slack float64, q Quota) bool {
-	return proxies > 0 && SplitFloor(proxies, slack) == 0 && datum.SplitPart*q.Burst/float64(proxies) < datum.TinyShare
+	return proxies > 0 && SplitFloor(proxies, slack) == 0 && constants.SplitPart*q.Burst/float64(proxies) < constants.TinyShare
 }
 
 // updateMode decides whether the tracker carries a key. A share that becomes too
@@ -148,7 +148,7 @@
 	case tiny:
 		b.releaseBy = 0
 	case b.carried && b.releaseBy == 0:
-		b.releaseBy = now + datum.LendLong + datum.GrantLong
+		b.releaseBy = now + constants.LendLong + constants.GrantLong
 	}
 }
 
@@ -167,7 +167,7 @@
 		b.split.set(now, 0, 0)
 	} else {
 		n := float64(w.proxies)
-		rate, depth := datum.SplitPart*q.Rate/n, datum.SplitPart*q.Burst/n
+		rate, depth := constants.SplitPart*q.Rate/n, constants.SplitPart*q.Burst/n
 		if b.born != 0 {
 			b.split.at, b.born = b.born, 0
 			b.split.rate, b.split.depth = rate, depth
@@ -178,7 +178,7 @@
 			b.split.set(now, rate*(1-b.lent), max(depth*(1-b.lent), SplitFloor(w.proxies, w.slack)))
 		}
 	}
-	b.fast.set(now, datum.FastBucketRate*q.Rate, max(1, q.Rate*datum.FastBucketTime.Seconds()))
+	b.fast.set(now, constants.FastBucketRate*q.Rate, max(1, q.Rate*constants.FastBucketTime.Seconds()))
 	b.whole.set(now, q.Rate, max(1, q.Burst))
 	if !b.carried {
 		// A lowered limit cuts what was leased under the old one at once.
@@ -191,7 +191,7 @@
 func (w *Weir) SetProxies(now time.Duration, n int) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	back := now-w.touch > datum.SplitHold
+	back := now-w.touch > constants.SplitHold
 	w.touch = now
 	if n == w.proxies && !back {
 		return
@@ -201,7 +201,7 @@
 		if now >= w.settles.until {
 			w.settles.from = w.proxies
 		}
-		w.settles.until = now + datum.LendLong
+		w.settles.until = now + constants.LendLong
 	}
 	w.proxies = n
 	clear(w.tell)
@@ -232,7 +232,7 @@
 			b.split.at, b.grant.at, b.fast.at, b.whole.at = now, now, now, now
 			b.lastOK = now
 			if w.fresh {
-				b.born = -datum.RestartTime
+				b.born = -constants.RestartTime
 				b.fast.at, b.lastOK = b.born, b.born
 			}
 			w.bays[k] = b
@@ -274,10 +274,10 @@
 }
 
 func (w *Weir) refresh(b *bay, now time.Duration) {
-	if b.carried && b.releaseBy > 0 && now >= max(b.releaseBy, b.lentEnds+datum.GrantLong) {
+	if b.carried && b.releaseBy > 0 && now >= max(b.releaseBy, b.lentEnds+constants.GrantLong) {
 		w.takeShareBack(b, now)
 	}
-	if now-w.touch > datum.SplitHold {
+	if now-w.touch > constants.SplitHold {
 		b.split.set(now, 0, 0) // others may share it by now
 	} else if b.lent > 0 && now >= b.lentEnds {
 		b.lent = 0 // the tracker has not been told again: the loan is over
@@ -379,10 +379,10 @@
 	// The tracker's word on when it has tokens again, or, out of touch, the hope
 	// that another proxy is better off.
 	if due := b.dryUntil - now; due < v.Retry {
-		v.Retry = max(due, datum.RetrySoon)
+		v.Retry = max(due, constants.RetrySoon)
 	}
-	if b.lostAt > 0 && now-b.lostAt < datum.RetryLost {
-		v.Retry = datum.RetryLost // another proxy finds no tracker either; it takes its time to come back
+	if b.lostAt > 0 && now-b.lostAt < constants.RetryLost {
+		v.Retry = constants.RetryLost // another proxy finds no tracker either; it takes its time to come back
 	}
 	// One question to the tracker costs less than a wrong refusal, unless it
 	// has just said that there is nothing.
@@ -438,17 +438,17 @@
 // grantLength is how long a lease lasts.
 func grantLength(long bool) time.Duration {
 	if long {
-		return datum.GrantLong
+		return constants.GrantLong
 	}
-	return datum.GrantLength
+	return constants.GrantLength
 }
 
 // lendLength is how long a loan lasts.
 func lendLength(long bool) time.Duration {
 	if long {
-		return datum.LendLong
+		return constants.LendLong
 	}
-	return datum.LendLength
+	return constants.LendLength
 }
 
 // beyond is the rate to lease: of a hot key what the split share leaves open,
@@ -458,10 +458,10 @@
 	if b.carried {
 		return b.demand // for its standby
 	}
-	if b.demand < datum.HotRate {
+	if b.demand < constants.HotRate {
 		return 0
 	}
-	return max(0, b.demand*datum.GrantHeadroom-b.split.rate)
+	return max(0, b.demand*constants.GrantHeadroom-b.split.rate)
 }
 
 // Wants closes a demand period and lists what to tell the trackers: the rates to
@@ -479,21 +479,21 @@
 		return nil
 	}
 	w.period = now
-	givenUp := now-w.touch > datum.SplitHold // others may have the share by now
+	givenUp := now-w.touch > constants.SplitHold // others may have the share by now
 	told := map[int]bool{}
 	var out []Want
 	for k, b := range w.bays {
 		w.refresh(b, now)
-		b.demand += datum.DemandWeight * (b.arrived/span - b.demand)
+		b.demand += constants.DemandWeight * (b.arrived/span - b.demand)
 		b.arrived = 0
 		n := float64(w.proxies)
-		rate, depth := datum.SplitPart*b.quota.Rate/n, datum.SplitPart*b.quota.Burst/n
+		rate, depth := constants.SplitPart*b.quota.Rate/n, constants.SplitPart*b.quota.Burst/n
 		lend := 0.0
 		long := b.carried
 		returning := long && b.releaseBy > 0
 		at, life, ok := heard(k)
 		if ok && now < at+lendLength(long) && !givenUp {
-			if lend = min(datum.LendMost, max(0, 1-b.demand*datum.LendKeep/rate)); long {
+			if lend = min(constants.LendMost, max(0, 1-b.demand*constants.LendKeep/rate)); long {
 				lend = 1
 			}
 		}
@@ -516,7 +516,7 @@
 		out = append(out, Want{Key: k, Demand: beyond, Rate: b.held(now), RateOf: b.grantAsked, Lend: true, Lent: lend * rate, Depth: lend * depth, Long: long, Idle: now - b.spentAt(life), Stood: b.stood, Release: returning})
 	}
 	for shard := range told {
-		w.tell[shard] = now + datum.LendLong/4 + time.Duration(w.rng.Int64N(int64(datum.LendLong/8)))
+		w.tell[shard] = now + constants.LendLong/4 + time.Duration(w.rng.Int64N(int64(constants.LendLong/8)))
 	}
 	sort.Slice(out, func(i, j int) bool { return out[i].Key < out[j].Key })
 	return out
@@ -607,7 +607,7 @@
 	if g.Lent && asked == b.lentAsked && w.proxies > 0 {
 		w.takeLoan(b, now, asked, g)
 	}
-	if ends := asked + datum.OneOffLife; g.Tokens > 0 && ends > now {
+	if ends := asked + constants.OneOffLife; g.Tokens > 0 && ends > now {
 		if owed := max(0, -b.split.tokens); b.carried && owed > 0 {
 			paid := min(owed, max(0, g.Tokens-1))
 			b.split.tokens += paid
@@ -639,12 +639,12 @@
 	if g.Keep {
 		return // a tracker that has just begun; what an earlier one leased of the loan may be in use
 	}
-	part := min(1, g.Loan*float64(w.proxies)/(datum.SplitPart*b.quota.Rate))
+	part := min(1, g.Loan*float64(w.proxies)/(constants.SplitPart*b.quota.Rate))
 	if part == b.lent {
 		return
 	}
 	if part > b.lent {
-		b.lentEnds = max(b.lentEnds, asked+datum.LendLength)
+		b.lentEnds = max(b.lentEnds, asked+constants.LendLength)
 	}
 	b.lent = max(0, part)
 	w.shape(b, now)
@@ -656,9 +656,9 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if b := w.bays[key]; b != nil {
-		b.dryUntil = now + datum.GrantEvery
+		b.dryUntil = now + constants.GrantEvery
 		if b.carried {
-			b.dryUntil = now + datum.AskAgain // there is nobody else to ask
+			b.dryUntil = now + constants.AskRetryPause // there is nobody else to ask
 			b.lostAt = now
 		}
 	}
--- a/internal/weir/weir_test.go
+++ b/internal/weir/weir_test.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"slateridge/internal/basin"
-	"slateridge/internal/datum"
+	"slateridge/internal/constants"
 )
 
 // fleet is proxies and trackers on a simulated network. Trackers move between
@@ -125,7 +125,7 @@
 			if ws := f.proxies[n].Wants(f.clock(n), func(string) (time.Duration, uint64, bool) { return f.echoAt[n], f.echo[n].Life, f.echo[n] != Stamp{} }); !f.frozen[n] {
 				f.ask(n, ws, nil)
 			}
-			f.b.After(datum.GrantEvery, renew)
+			f.b.After(constants.GrantEvery, renew)
 		}
 		f.b.After(time.Duration(i)*time.Millisecond, renew)
 	}
@@ -269,17 +269,17 @@
 	f.b.Delay = 2 * time.Millisecond
 	f.b.Run(5*time.Second, nil)
 	share := func() float64 { return f.proxies["p3"].Reports(f.clock("p3"))[0].SplitRate }
-	whole := datum.SplitPart * 110 / 11
-	if share() > whole*(1.01-datum.LendMost) {
+	whole := constants.SplitPart * 110 / 11
+	if share() > whole*(1.01-constants.LendMost) {
 		t.Fatalf("an idle proxy in touch keeps %.1f of %.1f a second", share(), whole)
 	}
 	for g := range f.gates {
 		f.b.Cut("p3", g, true)
 		f.b.Cut(g, "p3", true)
 	}
-	f.b.Run(f.b.Now+datum.LendLength+10*time.Millisecond, nil)
+	f.b.Run(f.b.Now+constants.LendLength+10*time.Millisecond, nil)
 	if share() < whole*0.999 {
-		t.Fatalf("cut off for %v it has %.1f of %.1f a second", datum.LendLength, share(), whole)
+		t.Fatalf("cut off for %v it has %.1f of %.1f a second", constants.LendLength, share(), whole)
 	}
 }
 
@@ -321,9 +321,9 @@
 	if most := 10.0; r.SplitRate+r.GrantRate > most || r.Balance > most {
 		t.Fatalf("after lowering: %+v", r)
 	}
-	late := 2*time.Second + datum.SplitHold
+	late := 2*time.Second + constants.SplitHold
 	if r := w.Reports(late)[0]; r.SplitRate != 0 || r.Balance > 0 {
-		t.Fatalf("after %v of silence: %+v", datum.SplitHold, r)
+		t.Fatalf("after %v of silence: %+v", constants.SplitHold, r)
 	}
 	w.SetProxies(late, 2)
 	if r := w.Reports(late + time.Second)[0]; r.SplitRate == 0 {
@@ -498,7 +498,7 @@
 		for i := range 80 {
 			f.start(fmt.Sprint("p", i))
 		}
-		f.b.Run(f.b.Now+datum.StandbyAfter-datum.RestartTime, nil)
+		f.b.Run(f.b.Now+constants.StandbyAfter-constants.RestartTime, nil)
 		if got := f.share(2 * time.Second); got < 0.2 {
 			t.Errorf("seed %d: %.2f served without a tracker", seed, got)
 		}
@@ -527,7 +527,7 @@
 		ws[i].SetQuotas(0, qs)
 		ws[i].SetProxies(0, proxies)
 	}
-	for now := 3 * time.Second; now < 33*time.Second; now += datum.GrantEvery {
+	for now := 3 * time.Second; now < 33*time.Second; now += constants.GrantEvery {
 		for i, w := range ws {
 			if b.Rng.IntN(40) == 0 {
 				continue // its word is lost
@@ -563,7 +563,7 @@
 			}
 			for n, x := range p.stands {
 				count, demand = count+x.count, demand+x.demand
-				if now-g.contact[n].stamp > datum.StandbyRoom {
+				if now-g.contact[n].stamp > constants.StandbyRoom {
 					alone += x.count
 				}
 			}
@@ -576,7 +576,7 @@
 	heard := func(string) (time.Duration, uint64, bool) { return 33 * time.Second, 1, true }
 	ws[0].Wants(33*time.Second, heard)
 	ws[0].Untold(2)
-	if len(ws[0].Wants(33*time.Second+datum.GrantEvery, heard)) < 20 {
+	if len(ws[0].Wants(33*time.Second+constants.GrantEvery, heard)) < 20 {
 		t.Error("a word that was lost is not told again with the next")
 	}
 	if per := float64(words) / proxies / shards; per > 5 {
--- a/internal/wheel/wheel.go
+++ b/internal/wheel/wheel.go
@@ -11,7 +11,7 @@
 
 	"github.com/oklog/run"
 
-	"slateridge/internal/datum"
+	"slateridge/internal/constants"
 )
 
 // Wheel adds actors to a group; its context ends when the group does.
@@ -57,7 +57,7 @@
 
 // Serve adds an HTTP server with the bounds of our own interfaces.
 func (w *Wheel) Serve(l net.Listener, h http.Handler) {
-	srv := &http.Server{Handler: h, ReadHeaderTimeout: datum.HeaderTimeout, IdleTimeout: datum.IdleTimeout, MaxHeaderBytes: datum.HeaderBytes}
+	srv := &http.Server{Handler: h, ReadHeaderTimeout: constants.HeaderTimeout, IdleTimeout: constants.IdleTimeout, MaxHeaderBytes: constants.HeaderBytes}
 	w.g.Add(func() error {
 		if err := srv.Serve(l); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 			return err
