Rename: settings

Package sill becomes settings; its Span, a duration in JSON, is Duration. Done by a type-checked rewrite: every identifier resolves to the same object as before. Behaviour, names on the wire and on disk unchanged; build, vet and the compatibility tests pass.

--- a/cmd/scalerun/main.go
+++ b/cmd/scalerun/main.go
@@ -32,7 +32,7 @@
 	"slateridge/internal/conduit"
 	"slateridge/internal/constants"
 	"slateridge/internal/logbook"
-	"slateridge/internal/sill"
+	"slateridge/internal/settings"
 	"slateridge/internal/sluice"
 	"slateridge/internal/wheel"
 )
@@ -69,7 +69,7 @@
 func controlIP(i int) string { return fmt.Sprintf("127.10.0.%d", i+1) }
 func hollowIP(i int) string  { return fmt.Sprintf("127.20.%d.%d", i/250, i%250+1) }
 
-func settings(name, ip, zone, data string) map[string]any {
+func bootSettings(name, ip, zone, data string) map[string]any {
 	var seeds []string
 	for i := range min(3, cli.Control) {
 		seeds = append(seeds, net.JoinHostPort(controlIP(i), strconv.Itoa(portControl)))
@@ -238,12 +238,12 @@
 
 func start(dir, role, name, ip, data string, admin int) (*proc, error) {
 	path := filepath.Join(dir, name+".json")
-	b, _ := json.Marshal(settings(name, ip, "z0", data))
+	b, _ := json.Marshal(bootSettings(name, ip, "z0", data))
 	if err := os.WriteFile(path, b, 0o600); err != nil {
 		return nil, err
 	}
 	c := exec.Command(cli.Program, role)
-	c.Env = append(os.Environ(), sill.EnvFile+"="+path)
+	c.Env = append(os.Environ(), settings.EnvFile+"="+path)
 	if cli.Verbose {
 		c.Stderr = os.Stderr
 	}
@@ -326,8 +326,8 @@
 }
 
 func hollow(i int, g *run.Group, w *wheel.Wheel) (*sluice.Daemon, error) {
-	b, _ := json.Marshal(settings(fmt.Sprintf("hollow-%d", i), hollowIP(i), fmt.Sprintf("z%d", i%4), ""))
-	set := &sill.Settings{}
+	b, _ := json.Marshal(bootSettings(fmt.Sprintf("hollow-%d", i), hollowIP(i), fmt.Sprintf("z%d", i%4), ""))
+	set := &settings.Settings{}
 	if err := json.Unmarshal(b, set); err != nil {
 		return nil, err
 	}
--- a/cmd/slateridge/main.go
+++ b/cmd/slateridge/main.go
@@ -20,7 +20,7 @@
 	"slateridge/internal/headworks"
 	"slateridge/internal/logbook"
 	"slateridge/internal/scheme"
-	"slateridge/internal/sill"
+	"slateridge/internal/settings"
 	"slateridge/internal/sluice"
 )
 
@@ -68,14 +68,14 @@
 	}
 }
 
-func newBook(set *sill.Settings, role string) *logbook.Logbook {
+func newBook(set *settings.Settings, role string) *logbook.Logbook {
 	zerolog.TimeFieldFormat = zerolog.TimeFormatUnixMs
 	return logbook.New(zerolog.New(os.Stderr).With().Timestamp().Str("node", set.NodeName).Str("role", role).Logger())
 }
 
 // boundMemory has the collector work harder as the process comes near the
 // machine's limit, over which it would be ended.
-func boundMemory(set *sill.Settings) {
+func boundMemory(set *settings.Settings) {
 	if mb := set.Limits.MemoryMb; mb > 0 {
 		debug.SetMemoryLimit(int64(float64(mb) * constants.MemoryPart * (1 << 20)))
 	}
@@ -113,8 +113,8 @@
 
 func (sluiceCmd) Run() error {
 	caught := catchSignals()
-	path := os.Getenv(sill.EnvFile)
-	set, err := sill.Load(path, "frontend", "readiness")
+	path := os.Getenv(settings.EnvFile)
+	set, err := settings.Load(path, "frontend", "readiness")
 	if err != nil {
 		return usageError{err}
 	}
@@ -130,8 +130,8 @@
 
 func (headworksCmd) Run() error {
 	caught := catchSignals()
-	path := os.Getenv(sill.EnvFile)
-	set, err := sill.Load(path, "controlPlane")
+	path := os.Getenv(settings.EnvFile)
+	set, err := settings.Load(path, "controlPlane")
 	if err != nil {
 		return usageError{err}
 	}
--- a/cmd/slateridge/retire.go
+++ b/cmd/slateridge/retire.go
@@ -13,7 +13,7 @@
 	"time"
 
 	"slateridge/internal/constants"
-	"slateridge/internal/sill"
+	"slateridge/internal/settings"
 )
 
 type retireCmd struct {
@@ -28,7 +28,7 @@
 	}
 	at := c.At
 	if at == "" {
-		set, err := sill.Load(os.Getenv(sill.EnvFile))
+		set, err := settings.Load(os.Getenv(settings.EnvFile))
 		if err != nil {
 			return usageError{fmt.Errorf("no --at given, and %w", err)}
 		}
--- a/cmd/slateridge/status.go
+++ b/cmd/slateridge/status.go
@@ -19,7 +19,7 @@
 	"slateridge/internal/headworks"
 	"slateridge/internal/logbook"
 	"slateridge/internal/penstock"
-	"slateridge/internal/sill"
+	"slateridge/internal/settings"
 	"slateridge/internal/sluice"
 	"slateridge/internal/staff"
 	"slateridge/internal/weir"
@@ -38,7 +38,7 @@
 	var addrs []string
 	local := len(c.Address) == 0
 	if local {
-		set, err := sill.Load(os.Getenv(sill.EnvFile))
+		set, err := settings.Load(os.Getenv(settings.EnvFile))
 		if err != nil {
 			return usageError{fmt.Errorf("no address given, and %w", err)}
 		}
--- a/cmd/slateridge/whole_test.go
+++ b/cmd/slateridge/whole_test.go
@@ -19,7 +19,7 @@
 
 	"slateridge/internal/headworks"
 	"slateridge/internal/logbook"
-	"slateridge/internal/sill"
+	"slateridge/internal/settings"
 	"slateridge/internal/sluice"
 )
 
@@ -80,7 +80,7 @@
 
 func (s *site) ip(i int) string { return fmt.Sprintf("127.0.0.%d", 11+i) }
 
-func (s *site) settings(i int, bootstrap bool) *sill.Settings {
+func (s *site) settings(i int, bootstrap bool) *settings.Settings {
 	dir := filepath.Join(s.dir, fmt.Sprint(i))
 	os.MkdirAll(dir, 0o755)
 	at := func(off int) string { return fmt.Sprintf("%s:%d", s.ip(i), s.port+off) }
@@ -97,7 +97,7 @@
 	})
 	path := filepath.Join(dir, "boot.json")
 	os.WriteFile(path, raw, 0o644)
-	set, err := sill.Load(path, "frontend", "readiness", "controlPlane")
+	set, err := settings.Load(path, "frontend", "readiness", "controlPlane")
 	if err != nil {
 		s.t.Fatal(err)
 	}
--- a/internal/headworks/api_test.go
+++ b/internal/headworks/api_test.go
@@ -14,13 +14,13 @@
 	"slateridge/internal/constants"
 	"slateridge/internal/logbook"
 	"slateridge/internal/scheme"
-	"slateridge/internal/sill"
+	"slateridge/internal/settings"
 )
 
 // desk is a control machine's operator API, without a network: a machine of one, or one
 // of three whose others are not there.
 func desk(t *testing.T, dir string, bootstrap bool, seeds ...string) *Daemon {
-	set := &sill.Settings{NodeName: "one", IPAddress: "127.0.0.1", Zone: "here", Zones: map[string]string{"here": "r", "there": "r"}, InternalPorts: []int{7560, 7575},
+	set := &settings.Settings{NodeName: "one", IPAddress: "127.0.0.1", Zone: "here", Zones: map[string]string{"here": "r", "there": "r"}, InternalPorts: []int{7560, 7575},
 		Bootstrap: bootstrap, QuorumMember: true, DataDirectory: dir}
 	for _, s := range append(seeds, "127.0.0.1") {
 		set.SeedNodes = append(set.SeedNodes, s+":8381")
--- a/internal/headworks/daemon.go
+++ b/internal/headworks/daemon.go
@@ -24,7 +24,7 @@
 	"slateridge/internal/penstock"
 	"slateridge/internal/scaling"
 	"slateridge/internal/scheme"
-	"slateridge/internal/sill"
+	"slateridge/internal/settings"
 	"slateridge/internal/staff"
 	"slateridge/internal/usage"
 	"slateridge/internal/watermaster"
@@ -108,7 +108,7 @@
 
 // Daemon is the headworks process: the machines of its slices, and their I/O.
 type Daemon struct {
-	set   *sill.Settings
+	set   *settings.Settings
 	book  *logbook.Logbook
 	began time.Time
 	seeds []string // control machines named in the settings
@@ -170,7 +170,7 @@
 }
 
 // NewDaemon opens the store and builds the machines.
-func NewDaemon(set *sill.Settings, book *logbook.Logbook) (*Daemon, error) {
+func NewDaemon(set *settings.Settings, book *logbook.Logbook) (*Daemon, error) {
 	d := &Daemon{set: set, book: book, began: time.Now(), seeds: set.SeedIPs(), mains: map[string]*conduit.Main{}, orders: map[uint64]chan struct{}{},
 		waits: map[chan struct{}]uint64{}, reads: map[uint64]*reader{}, roster: map[string]*proxyEntry{},
 		where: map[string]penstock.Peer{}, polls: intake.NewSource(set.CloudAPI.Address)}
@@ -228,14 +228,14 @@
 	for i := range set.Trackers() {
 		duties = append(duties, dutyTrack(i))
 	}
-	if set.Does(sill.DutyUsage) {
-		duties = append(duties, sill.DutyUsage)
-		d.posts = append(d.posts, d.newPost(sill.DutyUsage, "/usage-reports", d.planUsage))
+	if set.HasDuty(settings.DutyUsage) {
+		duties = append(duties, settings.DutyUsage)
+		d.posts = append(d.posts, d.newPost(settings.DutyUsage, "/usage-reports", d.planUsage))
 	}
 	d.load, d.law, d.zonesOf = scaling.NewGauge(), scaling.NewLaw(), map[scaling.Subject]int{}
-	if set.Does(sill.DutyScaling) {
-		duties = append(duties, sill.DutyScaling)
-		p := d.newPost(sill.DutyScaling, "/scaling", d.planScaling)
+	if set.HasDuty(settings.DutyScaling) {
+		duties = append(duties, settings.DutyScaling)
+		p := d.newPost(settings.DutyScaling, "/scaling", d.planScaling)
 		p.split, p.officer.Latest = scaling.Split, true
 		d.posts = append(d.posts, p)
 	}
@@ -321,7 +321,7 @@
 	})
 	if len(d.posts) > 0 {
 		w.Turn(constants.DutyTick, d.officiate)
-		if d.set.Does(sill.DutyUsage) {
+		if d.set.HasDuty(settings.DutyUsage) {
 			w.Turn(constants.UsageSave, d.keepUsage)
 		}
 	}
@@ -562,11 +562,11 @@
 	for i := range d.set.Trackers() {
 		f.Trackers = append(f.Trackers, d.leases.Holder(d.now(), dutyTrack(i)))
 	}
-	if d.set.Does(sill.DutyUsage) {
-		f.Metered = d.leases.Holder(d.now(), sill.DutyUsage)
+	if d.set.HasDuty(settings.DutyUsage) {
+		f.Metered = d.leases.Holder(d.now(), settings.DutyUsage)
 	}
-	if d.set.Does(sill.DutyScaling) {
-		f.Scaler = d.leases.Holder(d.now(), sill.DutyScaling)
+	if d.set.HasDuty(settings.DutyScaling) {
+		f.Scaler = d.leases.Holder(d.now(), settings.DutyScaling)
 	}
 	d.leaseMu.Unlock()
 	if at, ok := d.clock.Now(d.now()); ok {
@@ -951,7 +951,7 @@
 // it while it runs; the file is checked and the finding noted.
 func (d *Daemon) Reload(path string) func() {
 	return func() {
-		if _, err := sill.Load(path, "controlPlane"); err != nil {
+		if _, err := settings.Load(path, "controlPlane"); err != nil {
 			d.book.Note("settings_refused", err.Error())
 			return
 		}
--- a/internal/headworks/duties.go
+++ b/internal/headworks/duties.go
@@ -17,7 +17,7 @@
 	"slateridge/internal/constants"
 	"slateridge/internal/duty"
 	"slateridge/internal/scaling"
-	"slateridge/internal/sill"
+	"slateridge/internal/settings"
 	"slateridge/internal/usage"
 )
 
@@ -192,7 +192,7 @@
 
 // takeUsage merges what a proxy tells, while this machine holds the duty.
 func (d *Daemon) takeUsage(m usage.Told) any {
-	until, _ := d.lease(sill.DutyUsage)
+	until, _ := d.lease(settings.DutyUsage)
 	at, ok := d.clock.Now(d.now())
 	if until == 0 || !ok {
 		return usage.Heard{}
@@ -204,9 +204,9 @@
 // keepUsage has what is gathered here outlast this process, and hands on what another
 // holder should know.
 func (d *Daemon) keepUsage() {
-	until, _ := d.lease(sill.DutyUsage)
+	until, _ := d.lease(settings.DutyUsage)
 	d.leaseMu.Lock()
-	holder := d.leases.Holder(d.now(), sill.DutyUsage)
+	holder := d.leases.Holder(d.now(), settings.DutyUsage)
 	d.leaseMu.Unlock()
 	for _, o := range d.keeper.Step(until > 0, holder) {
 		switch o := o.(type) {
@@ -240,7 +240,7 @@
 	if !ok {
 		return 0, nil, false
 	}
-	_, since := d.lease(sill.DutyUsage)
+	_, since := d.lease(settings.DutyUsage)
 	b := d.set.Bounds
 	return d.tally.Next(usage.Moment{Steady: now, Agreed: at, Held: now - since}, after, b.UsageWindow.D(), b.UsageDelay.D(), d.freshProxies())
 }
@@ -262,7 +262,7 @@
 
 // takeLoad keeps what a proxy tells, while this machine holds the duty.
 func (d *Daemon) takeLoad(t scaling.Told) any {
-	if until, _ := d.lease(sill.DutyScaling); until == 0 {
+	if until, _ := d.lease(settings.DutyScaling); until == 0 {
 		return scaling.Heard{}
 	}
 	return scaling.Heard{OK: d.load.Take(d.now(), t)}
@@ -306,7 +306,7 @@
 // planScaling names the next orders, once they differ from those decided before.
 func (d *Daemon) planScaling(now time.Duration, after uint64) (uint64, []byte, bool) {
 	sum, whole := d.load.Sum(now, d.freshProxies())
-	had := scaling.Read(d.record(sill.DutyScaling).Body)
+	had := scaling.Read(d.record(settings.DutyScaling).Body)
 	wanted, changed := d.law.Step(now, sum, whole, d.scalable(), had)
 	if !changed {
 		return 0, nil, false
@@ -343,10 +343,10 @@
 }
 
 func (d *Daemon) scalingReports() (out []ScalingReport) {
-	if !d.set.Does(sill.DutyScaling) {
+	if !d.set.HasDuty(settings.DutyScaling) {
 		return nil
 	}
-	orders := scaling.Read(d.record(sill.DutyScaling).Body)
+	orders := scaling.Read(d.record(settings.DutyScaling).Body)
 	for s, b := range d.scalable() {
 		n, ok := orders.Of(s)
 		if !ok {
@@ -376,7 +376,7 @@
 			r.SinceOK = d.now() - o.AcceptedAt
 		}
 		p.mu.Unlock()
-		if p.name == sill.DutyUsage {
+		if p.name == settings.DutyUsage {
 			r.Tellers = d.tally.Tellers()
 		}
 		out[p.name] = r
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -15,7 +15,7 @@
 	"time"
 
 	"slateridge/internal/constants"
-	"slateridge/internal/sill"
+	"slateridge/internal/settings"
 )
 
 // Instance is one upstream on the platform's list.
@@ -106,13 +106,13 @@
 
 type page struct {
 	Instances map[string][]struct {
-		InstanceID    string    `json:"instanceId"`
-		TargetService string    `json:"targetService"`
-		Address       string    `json:"address"`
-		Zone          string    `json:"zone"`
-		CapacitySlots int       `json:"capacitySlots"`
-		State         string    `json:"state"`
-		WarmupLeft    sill.Span `json:"warmupLeft"`
+		InstanceID    string            `json:"instanceId"`
+		TargetService string            `json:"targetService"`
+		Address       string            `json:"address"`
+		Zone          string            `json:"zone"`
+		CapacitySlots int               `json:"capacitySlots"`
+		State         string            `json:"state"`
+		WarmupLeft    settings.Duration `json:"warmupLeft"`
 	} `json:"instances"`
 	NextPageToken *string `json:"nextPageToken"`
 }
--- a/internal/scheme/scheme.go
+++ b/internal/scheme/scheme.go
@@ -23,7 +23,7 @@
 
 	"slateridge/internal/constants"
 	"slateridge/internal/duty"
-	"slateridge/internal/sill"
+	"slateridge/internal/settings"
 )
 
 // Kinds of route.
@@ -120,35 +120,35 @@
 }
 
 type routeSpec struct {
-	Host            string    `json:"host" validate:"required"`
-	PathPrefix      string    `json:"pathPrefix" validate:"required,startswith=/,endswith=/"`
-	RouteType       string    `json:"routeType" validate:"oneof=idempotent non_idempotent streaming"`
-	Timeout         sill.Span `json:"timeout" validate:"gt=0"`
-	TargetLatency   sill.Span `json:"targetLatency" validate:"gte=0"`
-	Priority        int       `json:"priority" validate:"gte=0"`
-	TargetService   string    `json:"targetService"`
-	WeightedTargets []target  `json:"weightedTargets" validate:"dive"`
-	MaxAttempts     int       `json:"maxAttempts" validate:"gte=1"`
-	Public          bool      `json:"public"`
-	AllowedRegions  []string  `json:"allowedRegions" validate:"dive,required"`
-	SessionAffinity bool      `json:"sessionAffinity"`
-	Resumable       bool      `json:"resumable"`
+	Host            string            `json:"host" validate:"required"`
+	PathPrefix      string            `json:"pathPrefix" validate:"required,startswith=/,endswith=/"`
+	RouteType       string            `json:"routeType" validate:"oneof=idempotent non_idempotent streaming"`
+	Timeout         settings.Duration `json:"timeout" validate:"gt=0"`
+	TargetLatency   settings.Duration `json:"targetLatency" validate:"gte=0"`
+	Priority        int               `json:"priority" validate:"gte=0"`
+	TargetService   string            `json:"targetService"`
+	WeightedTargets []target          `json:"weightedTargets" validate:"dive"`
+	MaxAttempts     int               `json:"maxAttempts" validate:"gte=1"`
+	Public          bool              `json:"public"`
+	AllowedRegions  []string          `json:"allowedRegions" validate:"dive,required"`
+	SessionAffinity bool              `json:"sessionAffinity"`
+	Resumable       bool              `json:"resumable"`
 }
 
 type scalingSpec struct {
-	MinCount int       `json:"minCount" validate:"gte=0"`
-	MaxCount int       `json:"maxCount" validate:"gtefield=MinCount"`
-	BootTime sill.Span `json:"bootTime" validate:"gte=0"`
+	MinCount int               `json:"minCount" validate:"gte=0"`
+	MaxCount int               `json:"maxCount" validate:"gtefield=MinCount"`
+	BootTime settings.Duration `json:"bootTime" validate:"gte=0"`
 }
 
 type serviceSpec struct {
-	HealthCheckPath string       `json:"healthCheckPath" validate:"omitempty,startswith=/"`
-	MaxConnections  int          `json:"maxConnections" validate:"gte=0"`
-	Protocol        string       `json:"protocol" validate:"omitempty,oneof=h1"`
-	TLSEnabled      bool         `json:"tlsEnabled" validate:"eq=false"`
-	Warmup          sill.Span    `json:"warmup" validate:"gte=0"`
-	WarmupPerS      float64      `json:"warmupPerS" validate:"gte=0"`
-	Scaling         *scalingSpec `json:"scaling"`
+	HealthCheckPath string            `json:"healthCheckPath" validate:"omitempty,startswith=/"`
+	MaxConnections  int               `json:"maxConnections" validate:"gte=0"`
+	Protocol        string            `json:"protocol" validate:"omitempty,oneof=h1"`
+	TLSEnabled      bool              `json:"tlsEnabled" validate:"eq=false"`
+	Warmup          settings.Duration `json:"warmup" validate:"gte=0"`
+	WarmupPerS      float64           `json:"warmupPerS" validate:"gte=0"`
+	Scaling         *scalingSpec      `json:"scaling"`
 }
 
 type tenantSpec struct {
@@ -160,10 +160,10 @@
 }
 
 type limitsSpec struct {
-	MaxHeaderBytes int       `json:"maxHeaderBytes" validate:"gte=0"`
-	MaxBodyBytes   int64     `json:"maxBodyBytes" validate:"gte=0"`
-	HeaderTimeout  sill.Span `json:"headerTimeout"`
-	IdleTimeout    sill.Span `json:"idleTimeout"`
+	MaxHeaderBytes int               `json:"maxHeaderBytes" validate:"gte=0"`
+	MaxBodyBytes   int64             `json:"maxBodyBytes" validate:"gte=0"`
+	HeaderTimeout  settings.Duration `json:"headerTimeout"`
+	IdleTimeout    settings.Duration `json:"idleTimeout"`
 }
 
 type resource struct {
@@ -323,7 +323,7 @@
 
 var checker = func() *validator.Validate {
 	v := validator.New(validator.WithRequiredStructEnabled())
-	v.RegisterTagNameFunc(sill.JSONName)
+	v.RegisterTagNameFunc(settings.JSONName)
 	return v
 }()
 
@@ -339,7 +339,7 @@
 		return &Fault{Field: "spec", Why: err.Error()}
 	}
 	if err := checker.Struct(into); err != nil {
-		f, why, _ := strings.Cut(sill.FirstFault(err), ": ")
+		f, why, _ := strings.Cut(settings.FirstFault(err), ": ")
 		return &Fault{Field: f, Why: why}
 	}
 	return nil
--- a/internal/sill/fault.go
+++ b/internal/settings/fault.go
@@ -1,4 +1,4 @@
-package sill
+package settings
 
 import (
 	"errors"
--- a/internal/sill/sill.go
+++ b/internal/settings/settings.go
@@ -1,6 +1,5 @@
-// Package sill is the threshold a process stands on; in the field's terms: the
-// settings file it is started with, read and checked.
-package sill
+// Package settings reads and checks the settings file that a process is started with.
+package settings
 
 import (
 	"encoding/json"
@@ -22,11 +21,11 @@
 // EnvFile names the variable that holds the settings file's path.
 const EnvFile = "SLATERIDGE_NODE_FILE"
 
-// Span is a time written as a number followed by its unit, ms or s.
-type Span time.Duration
+// Duration is a time written as a number followed by its unit, ms or s.
+type Duration time.Duration
 
-// ParseSpan reads "1500ms" or "2.5s".
-func ParseSpan(s string) (time.Duration, error) {
+// ParseDuration reads "1500ms" or "2.5s".
+func ParseDuration(s string) (time.Duration, error) {
 	num, unit := s, time.Duration(0)
 	switch {
 	case strings.HasSuffix(s, "ms"):
@@ -41,29 +40,29 @@
 	return time.Duration(f * float64(unit)), nil
 }
 
-func (s *Span) UnmarshalJSON(b []byte) error {
+func (s *Duration) UnmarshalJSON(b []byte) error {
 	var t string
 	if err := json.Unmarshal(b, &t); err != nil {
 		return fmt.Errorf("%s is not a time such as \"1500ms\"", b)
 	}
-	d, err := ParseSpan(t)
-	*s = Span(d)
+	d, err := ParseDuration(t)
+	*s = Duration(d)
 	return err
 }
 
-func (s Span) MarshalJSON() ([]byte, error) {
+func (s Duration) MarshalJSON() ([]byte, error) {
 	return json.Marshal(s.String())
 }
 
-func (s Span) String() string {
+func (s Duration) String() string {
 	return strconv.FormatFloat(float64(time.Duration(s))/float64(time.Millisecond), 'f', -1, 64) + "ms"
 }
 
 // D is the span as a duration.
-func (s Span) D() time.Duration { return time.Duration(s) }
+func (s Duration) D() time.Duration { return time.Duration(s) }
 
-// Listen holds the addresses for what the role serves.
-type Listen struct {
+// ListenAddresses holds the addresses for what the role serves.
+type ListenAddresses struct {
 	Frontend     string `json:"frontend" validate:"omitempty,hostname_port"`
 	Readiness    string `json:"readiness" validate:"omitempty,hostname_port"`
 	ControlPlane string `json:"controlPlane" validate:"omitempty,hostname_port"`
@@ -86,33 +85,33 @@
 
 // Bounds are the figures of the rules in force.
 type Bounds struct {
-	Drain            Span    `json:"drain" validate:"gt=0"`
-	Grace            Span    `json:"grace" validate:"gt=0"`
-	ConfigApply      Span    `json:"configApply" validate:"gt=0"`
-	RetryBudgetRatio float64 `json:"retryBudgetRatio" validate:"gte=0,lte=1"`
-	RetryWindow      Span    `json:"retryWindow" validate:"gt=0"`
-	RetryBudgetSlack float64 `json:"retryBudgetSlack" validate:"gte=0"`
-	QuotaWindow      Span    `json:"quotaWindow"`
-	QuotaSlack       float64 `json:"quotaSlack" validate:"gte=0"`
-	WarmupOverage    float64 `json:"warmupOverage" validate:"gte=0"`
-	WarmupSlack      float64 `json:"warmupSlack" validate:"gte=0"`
-	Evacuation       Span    `json:"evacuation"`
-	RevocationStrict bool    `json:"revocationStrict"`
-	Revoke           Span    `json:"revoke" validate:"gte=0"`
-	FencingEnforced  bool    `json:"fencingEnforced"`
-	Lease            Span    `json:"lease" validate:"gte=0"`
-	ThawSlack        Span    `json:"thawSlack" validate:"gte=0"`
-	UsageWindow      Span    `json:"usageWindow" validate:"gte=0"`
-	UsageTolerance   float64 `json:"usageTolerance" validate:"gte=0,lte=1"`
-	UsageDelay       Span    `json:"usageDelay" validate:"gte=0"`
-	TTLMax           Span    `json:"ttl_max"`
+	Drain            Duration `json:"drain" validate:"gt=0"`
+	Grace            Duration `json:"grace" validate:"gt=0"`
+	ConfigApply      Duration `json:"configApply" validate:"gt=0"`
+	RetryBudgetRatio float64  `json:"retryBudgetRatio" validate:"gte=0,lte=1"`
+	RetryWindow      Duration `json:"retryWindow" validate:"gt=0"`
+	RetryBudgetSlack float64  `json:"retryBudgetSlack" validate:"gte=0"`
+	QuotaWindow      Duration `json:"quotaWindow"`
+	QuotaSlack       float64  `json:"quotaSlack" validate:"gte=0"`
+	WarmupOverage    float64  `json:"warmupOverage" validate:"gte=0"`
+	WarmupSlack      float64  `json:"warmupSlack" validate:"gte=0"`
+	Evacuation       Duration `json:"evacuation"`
+	RevocationStrict bool     `json:"revocationStrict"`
+	Revoke           Duration `json:"revoke" validate:"gte=0"`
+	FencingEnforced  bool     `json:"fencingEnforced"`
+	Lease            Duration `json:"lease" validate:"gte=0"`
+	ThawSlack        Duration `json:"thawSlack" validate:"gte=0"`
+	UsageWindow      Duration `json:"usageWindow" validate:"gte=0"`
+	UsageTolerance   float64  `json:"usageTolerance" validate:"gte=0,lte=1"`
+	UsageDelay       Duration `json:"usageDelay" validate:"gte=0"`
+	TTLMax           Duration `json:"ttl_max"`
 }
 
 // CloudAPI is where the platform keeps its list.
 type CloudAPI struct {
-	Address  string  `json:"address" validate:"omitempty,hostname_port"`
-	RatePerS float64 `json:"ratePerS" validate:"gte=0"`
-	MaxLag   Span    `json:"maxLag"`
+	Address  string   `json:"address" validate:"omitempty,hostname_port"`
+	RatePerS float64  `json:"ratePerS" validate:"gte=0"`
+	MaxLag   Duration `json:"maxLag"`
 	// Duties are calls that one daemon at a time makes.
 	Duties     []string `json:"duties" validate:"dive,required"`
 	DutiesPerS float64  `json:"dutiesPerS" validate:"gte=0"`
@@ -131,7 +130,7 @@
 	Zone            string            `json:"zone" validate:"required"`
 	Region          string            `json:"region"`
 	Zones           map[string]string `json:"zones"`
-	ListenAddresses Listen            `json:"listenAddresses"`
+	ListenAddresses ListenAddresses   `json:"listenAddresses"`
 	InternalPorts   []int             `json:"internalPorts" validate:"len=2,dive,gt=0,lt=65536"`
 	SeedNodes       []string          `json:"seedNodes" validate:"required,min=1,dive,hostname_port"`
 	Bootstrap       bool              `json:"bootstrap"`
@@ -194,12 +193,12 @@
 	return s, nil
 }
 
-// Does says whether a duty at the platform is the system's.
-func (s *Settings) Does(duty string) bool { return slices.Contains(s.CloudAPI.Duties, duty) }
+// HasDuty says whether a duty at the platform is the system's.
+func (s *Settings) HasDuty(duty string) bool { return slices.Contains(s.CloudAPI.Duties, duty) }
 
 func (s *Settings) checkDuties() error {
 	b := s.Bounds
-	if s.Does(DutyUsage) || s.Does(DutyScaling) {
+	if s.HasDuty(DutyUsage) || s.HasDuty(DutyScaling) {
 		switch {
 		case b.Lease <= 0:
 			return errors.New("bounds.lease: missing, cloudApi.duties needs it")
@@ -209,7 +208,7 @@
 			return errors.New("cloudApi.address: missing, cloudApi.duties needs it")
 		}
 	}
-	if s.Does(DutyUsage) {
+	if s.HasDuty(DutyUsage) {
 		switch {
 		case b.UsageWindow <= 0:
 			return errors.New("bounds.usageWindow: must be gt 0, duty usage_report needs it")
--- a/internal/sill/sill_test.go
+++ b/internal/settings/settings_test.go
@@ -1,4 +1,4 @@
-package sill
+package settings
 
 import (
 	"os"
@@ -50,7 +50,7 @@
 	}
 	duties := strings.Replace(strings.Replace(good, `"quotaSlack":20`, `"quotaSlack":20,"lease":"3s","thawSlack":"300ms","usageWindow":"5s","usageDelay":"10s"`, 1),
 		`"bounds":`, `"cloudApi":{"address":"10.9.0.1:80","duties":["usage_report","scaling"],"dutiesPerS":50},"bounds":`, 1)
-	if s, err := load(t, duties); err != nil || !s.Does(DutyUsage) || !s.Does(DutyScaling) {
+	if s, err := load(t, duties); err != nil || !s.HasDuty(DutyUsage) || !s.HasDuty(DutyScaling) {
 		t.Fatal(err)
 	}
 	for says, c := range map[string][2]string{
--- a/internal/sluice/daemon.go
+++ b/internal/sluice/daemon.go
@@ -26,7 +26,7 @@
 	"slateridge/internal/penstock"
 	"slateridge/internal/scaling"
 	"slateridge/internal/scheme"
-	"slateridge/internal/sill"
+	"slateridge/internal/settings"
 	"slateridge/internal/staff"
 	"slateridge/internal/usage"
 	"slateridge/internal/weir"
@@ -36,7 +36,7 @@
 // Daemon is the sluice process: the request path, and what keeps it informed.
 type Daemon struct {
 	*Sluice
-	set      atomic.Pointer[sill.Settings]
+	set      atomic.Pointer[settings.Settings]
 	path     string
 	line     *penstock.Line
 	reader   scheme.Reader // used by apply only, one call at a time
@@ -58,7 +58,7 @@
 }
 
 // NewDaemon builds the process's parts.
-func NewDaemon(set *sill.Settings, path string, book *logbook.Logbook) *Daemon {
+func NewDaemon(set *settings.Settings, path string, book *logbook.Logbook) *Daemon {
 	d := &Daemon{path: path, echo: map[string]heardStamp{}, source: intake.NewSource(set.CloudAPI.Address)}
 	d.set.Store(set)
 	d.setStamp.Store(d.settingsStamp()) // what changes from now on is read
@@ -69,7 +69,7 @@
 	s.yard = NewYard(set.IPAddress, set.Zone, set.Zones, d.connCap, d.warmup)
 	s.askFor = d.askTracker
 	d.clock = clock.New()
-	if set.Does(sill.DutyUsage) {
+	if set.HasDuty(settings.DutyUsage) {
 		s.meter, s.window = usage.NewMeter(rand.Uint64()), d.windowAt
 	}
 	d.trackers.Store(&[]string{})
@@ -208,7 +208,7 @@
 	go d.step()
 	w.Turn(constants.StepEvery, d.step)
 	w.Turn(constants.GrantEvery, d.renewGrants)
-	if set.Does(sill.DutyScaling) {
+	if set.HasDuty(settings.DutyScaling) {
 		w.Turn(constants.ScaleEvery, d.tellLoad)
 	}
 	if d.meter != nil {
@@ -504,7 +504,7 @@
 
 // Reload reads the settings again; a file that cannot be used changes nothing.
 func (d *Daemon) Reload() {
-	set, err := sill.Load(d.path, "frontend", "readiness")
+	set, err := settings.Load(d.path, "frontend", "readiness")
 	if err != nil {
 		d.book.Note("settings_refused", err.Error())
 		return
--- a/internal/sluice/settings_test.go
+++ b/internal/sluice/settings_test.go
@@ -11,7 +11,7 @@
 
 	"slateridge/internal/logbook"
 	"slateridge/internal/penstock"
-	"slateridge/internal/sill"
+	"slateridge/internal/settings"
 )
 
 // A settings file that changes while a proxy runs names further control machines, from
@@ -40,7 +40,7 @@
 	}
 	at := time.Now()
 	write(at, "127.0.0.62:39191")
-	set, err := sill.Load(path, "frontend", "readiness")
+	set, err := settings.Load(path, "frontend", "readiness")
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/sluice/unbroken_test.go
+++ b/internal/sluice/unbroken_test.go
@@ -18,7 +18,7 @@
 	"slateridge/internal/logbook"
 	"slateridge/internal/penstock"
 	"slateridge/internal/scheme"
-	"slateridge/internal/sill"
+	"slateridge/internal/settings"
 )
 
 // daemonAt is a proxy whose settings lie in a file, with a gate of its own in front.
@@ -34,7 +34,7 @@
 	if err := os.WriteFile(path, raw, 0o644); err != nil {
 		t.Fatal(err)
 	}
-	set, err := sill.Load(path, "frontend", "readiness")
+	set, err := settings.Load(path, "frontend", "readiness")
 	if err != nil {
 		t.Fatal(err)
 	}
