--- a/cmd/scalerun/main.go
+++ b/cmd/scalerun/main.go
@@ -31,7 +31,7 @@
 
 	"slateridge/internal/conduit"
 	"slateridge/internal/constants"
-	"slateridge/internal/logbook"
+	"slateridge/internal/eventlog"
 	"slateridge/internal/settings"
 	"slateridge/internal/sluice"
 	"slateridge/internal/wheel"
@@ -331,7 +331,7 @@
 	if err := json.Unmarshal(b, set); err != nil {
 		return nil, err
 	}
-	d := sluice.NewDaemon(set, "", logbook.New(zerolog.Nop()))
+	d := sluice.NewDaemon(set, "", eventlog.New(zerolog.Nop()))
 	return d, d.AddHollow(g, w)
 }
 
--- a/cmd/slateridge/main.go
+++ b/cmd/slateridge/main.go
@@ -17,8 +17,8 @@
 	"github.com/rs/zerolog"
 
 	"slateridge/internal/constants"
+	"slateridge/internal/eventlog"
 	"slateridge/internal/headworks"
-	"slateridge/internal/logbook"
 	"slateridge/internal/scheme"
 	"slateridge/internal/settings"
 	"slateridge/internal/sluice"
@@ -68,9 +68,9 @@
 	}
 }
 
-func newBook(set *settings.Settings, role string) *logbook.Logbook {
+func newEventLog(set *settings.Settings, role string) *eventlog.Log {
 	zerolog.TimeFieldFormat = zerolog.TimeFormatUnixMs
-	return logbook.New(zerolog.New(os.Stderr).With().Timestamp().Str("node", set.NodeName).Str("role", role).Logger())
+	return eventlog.New(zerolog.New(os.Stderr).With().Timestamp().Str("node", set.NodeName).Str("role", role).Logger())
 }
 
 // boundMemory has the collector work harder as the process comes near the
@@ -119,7 +119,7 @@
 		return usageError{err}
 	}
 	boundMemory(set)
-	d := sluice.NewDaemon(set, path, newBook(set, "sluice"))
+	d := sluice.NewDaemon(set, path, newEventLog(set, "sluice"))
 	var g run.Group
 	if err := d.Add(&g); err != nil {
 		return err
@@ -136,7 +136,7 @@
 		return usageError{err}
 	}
 	boundMemory(set)
-	d, err := headworks.NewDaemon(set, newBook(set, "headworks"))
+	d, err := headworks.NewDaemon(set, newEventLog(set, "headworks"))
 	if err != nil {
 		return err
 	}
--- a/cmd/slateridge/status.go
+++ b/cmd/slateridge/status.go
@@ -16,8 +16,8 @@
 	"time"
 
 	"slateridge/internal/constants"
+	"slateridge/internal/eventlog"
 	"slateridge/internal/headworks"
-	"slateridge/internal/logbook"
 	"slateridge/internal/penstock"
 	"slateridge/internal/settings"
 	"slateridge/internal/sluice"
@@ -328,7 +328,7 @@
 	showCommon(t, r.Members, r.Events)
 }
 
-func showCommon(t io.Writer, ms []staff.Fact, es []logbook.Event) {
+func showCommon(t io.Writer, ms []staff.Fact, es []eventlog.Event) {
 	n := map[staff.State]int{}
 	var odd []string
 	for _, m := range ms {
--- a/cmd/slateridge/whole_test.go
+++ b/cmd/slateridge/whole_test.go
@@ -17,8 +17,8 @@
 	"github.com/oklog/run"
 	"github.com/rs/zerolog"
 
+	"slateridge/internal/eventlog"
 	"slateridge/internal/headworks"
-	"slateridge/internal/logbook"
 	"slateridge/internal/settings"
 	"slateridge/internal/sluice"
 )
@@ -121,12 +121,12 @@
 
 func (s *site) start(i int, bootstrap bool) {
 	set := s.settings(i, bootstrap)
-	h, err := headworks.NewDaemon(set, logbook.New(zerolog.Nop()))
+	h, err := headworks.NewDaemon(set, eventlog.New(zerolog.Nop()))
 	if err != nil {
 		s.t.Fatal(err)
 	}
 	s.launch(fmt.Sprint("headworks", i), h)
-	s.launch(fmt.Sprint("sluice", i), sluice.NewDaemon(set, filepath.Join(s.dir, fmt.Sprint(i), "boot.json"), logbook.New(zerolog.Nop())))
+	s.launch(fmt.Sprint("sluice", i), sluice.NewDaemon(set, filepath.Join(s.dir, fmt.Sprint(i), "boot.json"), eventlog.New(zerolog.Nop())))
 }
 
 // until repeats something that takes its time; it fails only when all hope is
--- a/internal/logbook/logbook.go
+++ b/internal/eventlog/eventlog.go
@@ -1,6 +1,6 @@
-// Package logbook is the keeper's book; in the field's terms: a process's
-// bounded journal of events in memory, and the views folded from it.
-package logbook
+// Package eventlog keeps a process's latest events in memory, bounded, counts all of them
+// by kind, and writes those that change a state to the log.
+package eventlog
 
 import (
 	"sort"
@@ -19,23 +19,23 @@
 	About string
 }
 
-// Logbook keeps the latest events and counts all by kind. Events that change a
+// Log keeps the latest events and counts all by kind. Events that change a
 // state are also written to the log; counts alone are not.
-type Logbook struct {
+type Log struct {
 	mu     sync.Mutex
-	log    zerolog.Logger
+	output zerolog.Logger
 	ring   []Event
 	next   int
 	counts map[string]uint64
 }
 
-// New makes an empty book that writes changes of state to log.
-func New(log zerolog.Logger) *Logbook {
-	return &Logbook{log: log, counts: map[string]uint64{}}
+// New makes an empty event log that writes changes of state to log.
+func New(log zerolog.Logger) *Log {
+	return &Log{output: log, counts: map[string]uint64{}}
 }
 
-// Note appends a change of state.
-func (l *Logbook) Note(kind, about string) {
+// Record appends a change of state.
+func (l *Log) Record(kind, about string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.counts[kind]++
@@ -46,18 +46,18 @@
 		l.ring[l.next] = e
 		l.next = (l.next + 1) % len(l.ring)
 	}
-	l.log.Info().Str("event", kind).Str("about", about).Send()
+	l.output.Info().Str("event", kind).Str("about", about).Send()
 }
 
 // Count adds to a counter without an entry.
-func (l *Logbook) Count(kind string, n uint64) {
+func (l *Log) Count(kind string, n uint64) {
 	l.mu.Lock()
 	l.counts[kind] += n
 	l.mu.Unlock()
 }
 
 // Latest folds the last n events, oldest first.
-func (l *Logbook) Latest(n int) []Event {
+func (l *Log) Latest(n int) []Event {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	all := append(append([]Event(nil), l.ring[l.next:]...), l.ring[:l.next]...)
@@ -71,7 +71,7 @@
 }
 
 // Tallies folds the counts, by kind.
-func (l *Logbook) Tallies() []Tally {
+func (l *Log) Tallies() []Tally {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var out []Tally
--- a/internal/gaugeboard/gaugeboard.go
+++ b/internal/gaugeboard/gaugeboard.go
@@ -12,7 +12,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"slateridge/internal/conduit"
-	"slateridge/internal/logbook"
+	"slateridge/internal/eventlog"
 	"slateridge/internal/staff"
 )
 
@@ -45,7 +45,7 @@
 }
 
 // WriteCommon gives the metrics that every role has.
-func WriteCommon(w io.Writer, members []staff.Fact, tallies []logbook.Tally) {
+func WriteCommon(w io.Writer, members []staff.Fact, tallies []eventlog.Tally) {
 	states := map[staff.State]uint64{}
 	for _, m := range members {
 		states[m.State]++
--- a/internal/headworks/admin.go
+++ b/internal/headworks/admin.go
@@ -11,9 +11,9 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"slateridge/internal/constants"
+	"slateridge/internal/eventlog"
 	"slateridge/internal/gaugeboard"
 	"slateridge/internal/gazetteer"
-	"slateridge/internal/logbook"
 	"slateridge/internal/penstock"
 	"slateridge/internal/staff"
 )
@@ -44,8 +44,8 @@
 	Dropped   uint64 // words on leases and duties from who has no vote, or of an older view
 	Leased    map[string]float64
 	Members   []staff.Fact
-	Events    []logbook.Event
-	Tallies   []logbook.Tally
+	Events    []eventlog.Event
+	Tallies   []eventlog.Tally
 }
 
 func (d *Daemon) electorate() ([]Voter, int) {
@@ -73,13 +73,13 @@
 		return out
 	})
 	if refused != "" {
-		d.book.Note("retire_refused", addr+": "+refused)
+		d.events.Record("retire_refused", addr+": "+refused)
 		fail(w, http.StatusConflict, why(refused))
 		return
 	}
 	for end := d.now() + constants.RetireRequestLife/2; d.now() < end; time.Sleep(constants.ChainTick) {
 		if !slices.Contains(d.standing.Load().voters, addr) {
-			d.book.Note("retired", addr)
+			d.events.Record("retired", addr)
 			w.Header().Set("Content-Type", "application/json")
 			json.NewEncoder(w).Encode(map[string]any{"retired": addr, "voters": d.standing.Load().voters})
 			return
@@ -106,7 +106,7 @@
 	f := d.face()
 	r := Report{Role: "headworks", Node: d.set.NodeName, Chain: d.chainStatus(), Current: f.Current, Duties: map[string]string{},
 		ListNum: f.ListNum, ListAge: f.ListAge, Live: f.Proxies, Proxies: d.pen.Proxies(), Leased: d.gates.Held(d.now()),
-		Members: d.staff.Members(), Evacuated: f.Evacuated, Events: d.book.Latest(20), Tallies: d.book.Tallies()}
+		Members: d.staff.Members(), Evacuated: f.Evacuated, Events: d.events.Latest(20), Tallies: d.events.Tallies()}
 	r.Contact = -1
 	if at := d.contact.Load(); at > 0 {
 		r.Contact = d.now() - time.Duration(at)
--- a/internal/headworks/api.go
+++ b/internal/headworks/api.go
@@ -80,7 +80,7 @@
 	w.Header().Set("Location", "http://"+net.JoinHostPort(to, port)+r.URL.RequestURI())
 	w.Header().Set("Content-Length", "0")
 	w.WriteHeader(http.StatusTemporaryRedirect)
-	d.book.Count("sent_on", 1)
+	d.events.Count("sent_on", 1)
 }
 
 func (d *Daemon) replace(w http.ResponseWriter, r *http.Request) {
@@ -96,7 +96,7 @@
 	}
 	s, err := scheme.Read(raw)
 	if err != nil {
-		d.book.Note("config_refused", err.Error())
+		d.events.Record("config_refused", err.Error())
 		fail(w, http.StatusBadRequest, err)
 		return
 	}
@@ -126,10 +126,10 @@
 	in := d.inForce.Load()
 	switch sum, known := in.Ledger.Find(s.Version); {
 	case !known:
-		d.book.Count("order_forgotten", 1)
+		d.events.Count("order_forgotten", 1)
 		unavailable(w, fmt.Sprintf("r%d lies below r%d, and what was taken up to there is not remembered", s.Version, in.Ledger.Floor+1))
 	case sum != scheme.SumOf(raw):
-		d.book.Note("number_taken", fmt.Sprintf("r%d has been taken with another content", s.Version))
+		d.events.Record("number_taken", fmt.Sprintf("r%d has been taken with another content", s.Version))
 		d.numberTaken(w, s.Version)
 	default:
 		w.Header().Set("Content-Type", "application/json")
@@ -213,7 +213,7 @@
 	// that was cut, must not undo what was ordered since. Its caller has gone by then.
 	time.Sleep(constants.CallerCheck)
 	if d.stoodStill() || r.Context().Err() != nil {
-		d.book.Count("order_too_late", 1)
+		d.events.Count("order_too_late", 1)
 		unavailable(w, "this machine stood still: the order may be an old one")
 		return
 	}
--- a/internal/headworks/api_test.go
+++ b/internal/headworks/api_test.go
@@ -12,7 +12,7 @@
 	"github.com/rs/zerolog"
 
 	"slateridge/internal/constants"
-	"slateridge/internal/logbook"
+	"slateridge/internal/eventlog"
 	"slateridge/internal/scheme"
 	"slateridge/internal/settings"
 )
@@ -25,7 +25,7 @@
 	for _, s := range append(seeds, "127.0.0.1") {
 		set.SeedNodes = append(set.SeedNodes, s+":8381")
 	}
-	d, err := NewDaemon(set, logbook.New(zerolog.Nop()))
+	d, err := NewDaemon(set, eventlog.New(zerolog.Nop()))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/headworks/daemon.go
+++ b/internal/headworks/daemon.go
@@ -18,9 +18,9 @@
 	"slateridge/internal/clock"
 	"slateridge/internal/conduit"
 	"slateridge/internal/constants"
+	"slateridge/internal/eventlog"
 	"slateridge/internal/gazetteer"
 	"slateridge/internal/intake"
-	"slateridge/internal/logbook"
 	"slateridge/internal/penstock"
 	"slateridge/internal/scaling"
 	"slateridge/internal/scheme"
@@ -108,11 +108,11 @@
 
 // Daemon is the headworks process: the machines of its slices, and their I/O.
 type Daemon struct {
-	set   *settings.Settings
-	book  *logbook.Logbook
-	began time.Time
-	seeds []string // control machines named in the settings
-	relay bool     // has no say, and only knows who has
+	set    *settings.Settings
+	events *eventlog.Log
+	began  time.Time
+	seeds  []string // control machines named in the settings
+	relay  bool     // has no say, and only knows who has
 
 	mainMu sync.Mutex
 	mains  map[string]*conduit.Main
@@ -170,8 +170,8 @@
 }
 
 // NewDaemon opens the store and builds the machines.
-func NewDaemon(set *settings.Settings, book *logbook.Logbook) (*Daemon, error) {
-	d := &Daemon{set: set, book: book, began: time.Now(), seeds: set.SeedIPs(), mains: map[string]*conduit.Main{}, orders: map[uint64]chan struct{}{},
+func NewDaemon(set *settings.Settings, events *eventlog.Log) (*Daemon, error) {
+	d := &Daemon{set: set, events: events, began: time.Now(), seeds: set.SeedIPs(), mains: map[string]*conduit.Main{}, orders: map[uint64]chan struct{}{},
 		waits: map[chan struct{}]uint64{}, reads: map[uint64]*reader{}, roster: map[string]*proxyEntry{},
 		where: map[string]penstock.Peer{}, polls: intake.NewSource(set.CloudAPI.Address)}
 	d.gates = weir.NewGatehouse(rand.Uint64(), set.Trackers(), func(told int, q weir.Quota) bool {
@@ -185,7 +185,7 @@
 	fresh := false
 	if d.relay {
 		d.store = cistern.Volatile()
-		book.Note("relay", "no disk of its own that counts: callers are sent on, nothing is decided here")
+		events.Record("relay", "no disk of its own that counts: callers are sent on, nothing is decided here")
 	} else {
 		var err error
 		if d.store, fresh, err = cistern.Open(set.DataDirectory); err != nil {
@@ -279,7 +279,7 @@
 		seeds = append(seeds, d.set.PeerInternal(p, constants.PortControlMembership))
 	}
 	d.staff, err = staff.Listen(d.set.Internal(constants.PortControlMembership), d.set.NodeName+"/headworks", seeds, func(f staff.Fact) {
-		d.book.Note("member", f.Name+" "+f.State.String())
+		d.events.Record("member", f.Name+" "+f.State.String())
 	})
 	if err != nil {
 		return err
@@ -315,7 +315,7 @@
 		d.leaseMu.Unlock()
 		d.sendLeases(out)
 		for _, duty := range moved {
-			d.book.Note(map[bool]string{true: "duty_taken", false: "duty_ended"}[held[duty]], duty)
+			d.events.Record(map[bool]string{true: "duty_taken", false: "duty_ended"}[held[duty]], duty)
 		}
 		d.pen.Publish()
 	})
@@ -364,11 +364,11 @@
 	}
 	switch {
 	case left:
-		d.book.Note("left", fmt.Sprintf("the others go on without this machine, after %v", (d.now()-began).Round(time.Millisecond)))
+		d.events.Record("left", fmt.Sprintf("the others go on without this machine, after %v", (d.now()-began).Round(time.Millisecond)))
 	case !can:
-		d.book.Note("left_members", "too few others are there to go on without this machine: they wait for it or for a successor")
+		d.events.Record("left_members", "too few others are there to go on without this machine: they wait for it or for a successor")
 	default:
-		d.book.Note("left_unanswered", fmt.Sprintf("no view without this machine within %v: the others will find it silent", constants.LeaveWait))
+		d.events.Record("left_unanswered", fmt.Sprintf("no view without this machine within %v: the others will find it silent", constants.LeaveWait))
 	}
 }
 
@@ -432,7 +432,7 @@
 			}
 			d.waitMu.Unlock()
 		case Moved:
-			d.book.Note("view", fmt.Sprintf("%d %v of %d voters from %d/%d", o.View.Num, addrs(o.View), len(o.View.Voters), o.View.From.View, o.View.From.Seq))
+			d.events.Record("view", fmt.Sprintf("%d %v of %d voters from %d/%d", o.View.Num, addrs(o.View), len(o.View.Voters), o.View.From.View, o.View.From.Seq))
 		}
 	}
 }
@@ -489,10 +489,10 @@
 		}
 		d.scheme.Store(s)
 		d.gates.SetQuotas(d.now(), weir.Quotas(s))
-		d.book.Note("config", fmt.Sprintf("r%d in force", doc.Version))
+		d.events.Record("config", fmt.Sprintf("r%d in force", doc.Version))
 	}
 	if was, is := fmt.Sprint(old.Evacuated()), fmt.Sprint(doc.Evacuated()); was != is {
-		d.book.Note("evacuations", is)
+		d.events.Record("evacuations", is)
 	}
 	d.pen.Publish()
 	d.waitMu.Lock()
@@ -533,12 +533,12 @@
 	now := d.now()
 	if at := time.Duration(d.stepped.Swap(int64(now))); at > 0 && now-at > constants.StallGap {
 		d.thawed.Store(int64(now))
-		d.book.Count("stood_still", 1)
+		d.events.Count("stood_still", 1)
 	}
 	d.step(func() []any { return d.chain.Tick(d.now()) })
 	if g := d.standing.Load(); !g.joined && now-d.waitSaid > constants.JoinReport {
 		d.waitSaid = now
-		d.book.Note("waiting", fmt.Sprintf("no view has taken this machine in; known: view %d of %d voters, asked: %v. If no control machine has a view, a first start was cut short before a majority of the seeds had written: start those with empty disks and bootstrap true",
+		d.events.Record("waiting", fmt.Sprintf("no view has taken this machine in; known: view %d of %d voters, asked: %v. If no control machine has a view, a first start was cut short before a majority of the seeds had written: start those with empty disks and bootstrap true",
 			g.view, len(g.voters), d.peers()))
 	}
 }
@@ -604,7 +604,7 @@
 func (d *Daemon) onMessage(p *conduit.Pipe, body any) any {
 	switch m := body.(type) {
 	case conduit.Incompatible:
-		d.book.Note("protocol_incompatible", m.String())
+		d.events.Record("protocol_incompatible", m.String())
 	case penstock.Tap:
 		if d.relay {
 			// Where to turn is all it can tell.
@@ -689,7 +689,7 @@
 	grew := d.admitLocked()
 	d.mu.Unlock()
 	if !known {
-		d.book.Note("proxy", node+" joined")
+		d.events.Record("proxy", node+" joined")
 	}
 	if grew {
 		d.keepRoster()
@@ -864,7 +864,7 @@
 	}
 	is, err := d.polls.Read(ctx)
 	if err != nil {
-		d.book.Count("poll_failed", 1)
+		d.events.Count("poll_failed", 1)
 		if first {
 			d.mu.Lock()
 			d.bootRead, d.bootTurn = false, d.now()+constants.BootRetry
@@ -911,7 +911,7 @@
 		d.send(p, n)
 	}
 	if changed {
-		d.book.Count("list_changed", 1)
+		d.events.Count("list_changed", 1)
 		d.pen.Publish()
 	}
 }
@@ -952,9 +952,9 @@
 func (d *Daemon) Reload(path string) func() {
 	return func() {
 		if _, err := settings.Load(path, "controlPlane"); err != nil {
-			d.book.Note("settings_refused", err.Error())
+			d.events.Record("settings_refused", err.Error())
 			return
 		}
-		d.book.Note("settings", "read again")
+		d.events.Record("settings", "read again")
 	}
 }
--- a/internal/headworks/duties.go
+++ b/internal/headworks/duties.go
@@ -100,7 +100,7 @@
 		is := p.officer.Holding()
 		p.mu.Unlock()
 		if was != is {
-			d.book.Note(map[bool]string{true: "duty_fence_taken", false: "duty_fence_left"}[is > 0], p.name+" "+strconv.FormatUint(max(was, is), 10))
+			d.events.Record(map[bool]string{true: "duty_fence_taken", false: "duty_fence_left"}[is > 0], p.name+" "+strconv.FormatUint(max(was, is), 10))
 		}
 		d.carryOut(p, out)
 	}
@@ -118,7 +118,7 @@
 			}
 			p.mu.Unlock()
 		case duty.Yield:
-			d.book.Note("duty_refused", p.name+": the platform has seen a higher fence")
+			d.events.Record("duty_refused", p.name+": the platform has seen a higher fence")
 			d.leaseMu.Lock()
 			ss := d.leases.Leave(d.now(), p.name)
 			d.leaseMu.Unlock()
@@ -135,9 +135,9 @@
 				more := p.officer.Answered(d.now(), o.ID, status)
 				p.mu.Unlock()
 				if status != http.StatusOK {
-					d.book.Count("duty_call_failed", 1)
+					d.events.Count("duty_call_failed", 1)
 					if status != 0 && status != http.StatusConflict && status != http.StatusTooManyRequests {
-						d.book.Note("duty_answer", p.name+": the platform answered "+strconv.Itoa(status))
+						d.events.Record("duty_answer", p.name+": the platform answered "+strconv.Itoa(status))
 					}
 				}
 				d.carryOut(p, more)
@@ -216,7 +216,7 @@
 			} else {
 				d.send(o.To, o.Handover)
 			}
-			d.book.Note("usage_handed_on", strconv.Itoa(len(o.Words))+" words to "+o.To)
+			d.events.Record("usage_handed_on", strconv.Itoa(len(o.Words))+" words to "+o.To)
 		case usage.Save:
 			d.chainMu.Lock()
 			d.store.Put(o.Key, o.Words) // one that cannot be kept is told by its proxies while they live
@@ -313,7 +313,7 @@
 	}
 	for _, o := range wanted {
 		if was, ok := had.Of(scaling.Subject{Service: o.TargetService, Zone: o.Zone}); !ok || was != o.DesiredCount {
-			d.book.Note("scale", o.TargetService+" in "+o.Zone+": "+strconv.Itoa(was)+" -> "+strconv.Itoa(o.DesiredCount)+" ("+d.law.Why(scaling.Subject{Service: o.TargetService, Zone: o.Zone})+")")
+			d.events.Record("scale", o.TargetService+" in "+o.Zone+": "+strconv.Itoa(was)+" -> "+strconv.Itoa(o.DesiredCount)+" ("+d.law.Why(scaling.Subject{Service: o.TargetService, Zone: o.Zone})+")")
 		}
 	}
 	return after + 1, wanted.Bytes(), true
--- a/internal/sluice/admin.go
+++ b/internal/sluice/admin.go
@@ -7,8 +7,8 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"slateridge/internal/eventlog"
 	"slateridge/internal/gaugeboard"
-	"slateridge/internal/logbook"
 	"slateridge/internal/penstock"
 	"slateridge/internal/staff"
 	"slateridge/internal/weir"
@@ -41,8 +41,8 @@
 	Quotas    []weir.Report
 	Audit     []AuditEntry
 	Members   []staff.Fact
-	Events    []logbook.Event
-	Tallies   []logbook.Tally
+	Events    []eventlog.Event
+	Tallies   []eventlog.Tally
 	marks     *marks
 }
 
@@ -66,7 +66,7 @@
 	r := Report{Role: "sluice", Node: d.set.Load().NodeName, Ready: d.ready.Load(), Leaving: d.leaving.Load(), InFlight: d.open.Load(),
 		Line: d.line.State(now), Proxies: d.weir.Proxies(), Requests: map[string]uint64{}, Upstreams: d.yard.States(now),
 		Hedges: d.hedges.Load(), Quotas: d.weir.Reports(d.now()), Audit: d.audit.list(), Members: d.staff.Members(),
-		Events: d.book.Latest(20), Tallies: d.book.Tallies()}
+		Events: d.events.Latest(20), Tallies: d.events.Tallies()}
 	if s := d.scheme.Load(); s != nil {
 		r.Version = s.Version
 	}
--- a/internal/sluice/daemon.go
+++ b/internal/sluice/daemon.go
@@ -20,9 +20,9 @@
 	"slateridge/internal/clock"
 	"slateridge/internal/conduit"
 	"slateridge/internal/constants"
+	"slateridge/internal/eventlog"
 	"slateridge/internal/gaugeboard"
 	"slateridge/internal/intake"
-	"slateridge/internal/logbook"
 	"slateridge/internal/penstock"
 	"slateridge/internal/scaling"
 	"slateridge/internal/scheme"
@@ -58,12 +58,12 @@
 }
 
 // NewDaemon builds the process's parts.
-func NewDaemon(set *settings.Settings, path string, book *logbook.Logbook) *Daemon {
+func NewDaemon(set *settings.Settings, path string, events *eventlog.Log) *Daemon {
 	d := &Daemon{path: path, echo: map[string]heardStamp{}, source: intake.NewSource(set.CloudAPI.Address)}
 	d.set.Store(set)
 	d.setStamp.Store(d.settingsStamp()) // what changes from now on is read
 	b := set.Bounds
-	s := &Sluice{book: book, marks: newMarks(), began: time.Now(), weir: weir.New(b.QuotaSlack, set.Trackers(), rand.Uint64())}
+	s := &Sluice{events: events, marks: newMarks(), began: time.Now(), weir: weir.New(b.QuotaSlack, set.Trackers(), rand.Uint64())}
 	d.Sluice = s
 	s.allow = NewAllowance(0, b.RetryWindow.D(), b.RetryBudgetRatio, b.RetryBudgetSlack)
 	s.yard = NewYard(set.IPAddress, set.Zone, set.Zones, d.connCap, d.warmup)
@@ -82,7 +82,7 @@
 	d.line = penstock.NewLine(me, ips, func(ip string, h conduit.Handler) *conduit.Main {
 		return conduit.NewMain(set.PeerInternal(ip, constants.PortControl), set.IPAddress, func(p *conduit.Pipe, body any) any {
 			if other, ok := body.(conduit.Incompatible); ok {
-				d.book.Note("protocol_incompatible", other.String())
+				d.events.Record("protocol_incompatible", other.String())
 				return nil
 			}
 			return h(p, body)
@@ -120,25 +120,25 @@
 	if f.Config != nil {
 		sch, err := d.reader.Read(f.Config.Raw)
 		if err != nil {
-			d.book.Note("config_unreadable", err.Error()) // control checks before; never expected
+			d.events.Record("config_unreadable", err.Error()) // control checks before; never expected
 		} else {
 			old := d.scheme.Load()
 			if old == nil || sch.Version > old.Version {
 				d.audit.add(old, sch)
 				d.weir.SetQuotas(now, weir.Quotas(sch))
 				d.scheme.Store(sch)
-				d.book.Note("config", "r"+strconv.FormatUint(sch.Version, 10)+" in force")
+				d.events.Record("config", "r"+strconv.FormatUint(sch.Version, 10)+" in force")
 			}
 		}
 	}
 	if f.List != nil {
 		d.yard.Apply(time.Now(), f.List.Instances)
 		d.haveList.Store(true)
-		d.book.Count("list_applied", 1)
+		d.events.Count("list_applied", 1)
 	}
 	if f.State > 0 {
 		if d.yard.Evacuate(time.Now(), f.Evacuated) {
-			d.book.Note("evacuations", strings.Join(f.Evacuated, " "))
+			d.events.Record("evacuations", strings.Join(f.Evacuated, " "))
 		}
 	}
 	if f.Proxies > 0 {
@@ -199,7 +199,7 @@
 		seeds = append(seeds, set.PeerInternal(ip, constants.PortControlMembership))
 	}
 	d.staff, err = staff.Listen(set.Internal(constants.PortProxyMembership), set.NodeName+"/sluice", seeds, func(f staff.Fact) {
-		d.book.Count("member_"+f.State.String(), 1)
+		d.events.Count("member_"+f.State.String(), 1)
 	})
 	if err != nil {
 		return err
@@ -239,7 +239,7 @@
 	st := d.line.State(now)
 	if !d.ready.Load() && d.scheme.Load() != nil && d.haveList.Load() && st.ListAge < constants.UpdateCurrent && st.Current < constants.UpdateCurrent {
 		d.ready.Store(true)
-		d.book.Note("ready", "configuration and upstreams known")
+		d.events.Record("ready", "configuration and upstreams known")
 	}
 	if d.outOfContact(st, now) && now.After(d.selfAt) && d.scheme.Load() != nil {
 		every := selfPollEvery(d.yard.Len(), d.weir.Proxies(), d.set.Load().CloudAPI.RatePerS)
@@ -250,13 +250,13 @@
 		go func() {
 			is, err := d.source.Read(context.Background())
 			if err != nil {
-				d.book.Count("self_poll_failed", 1)
+				d.events.Count("self_poll_failed", 1)
 				return
 			}
 			if now := time.Now(); d.outOfContact(d.line.State(now), now) {
 				d.yard.Apply(time.Now(), is)
 				d.haveList.Store(true)
-				d.book.Count("self_poll", 1)
+				d.events.Count("self_poll", 1)
 			}
 		}()
 	}
@@ -453,7 +453,7 @@
 	}
 	v, err := d.line.Ask(*to, t, constants.UsageWait)
 	if h, ok := v.(scaling.Heard); err != nil || !ok || !h.OK {
-		d.book.Count("load_untold", 1)
+		d.events.Count("load_untold", 1)
 	}
 }
 
@@ -476,7 +476,7 @@
 		v, err := d.line.Ask(*to, t, constants.UsageWait)
 		h, ok := v.(usage.Heard)
 		if err != nil || !ok || h.Term == 0 {
-			d.book.Count("usage_untold", 1)
+			d.events.Count("usage_untold", 1)
 			return
 		}
 		d.meter.Heard(t, h)
@@ -506,12 +506,12 @@
 func (d *Daemon) Reload() {
 	set, err := settings.Load(d.path, "frontend", "readiness")
 	if err != nil {
-		d.book.Note("settings_refused", err.Error())
+		d.events.Record("settings_refused", err.Error())
 		return
 	}
 	d.set.Store(set)
 	d.line.Add(set.SeedIPs())
-	d.book.Note("settings", "read again")
+	d.events.Record("settings", "read again")
 }
 
 // Leave answers the last requests: readiness fails at once, connections are
@@ -520,7 +520,7 @@
 func (d *Daemon) Leave() {
 	began := time.Now()
 	d.leaving.Store(true)
-	d.book.Note("leaving", "readiness fails from now on")
+	d.events.Record("leaving", "readiness fails from now on")
 	d.line.Announce()
 	set := d.set.Load()
 	grace := set.Bounds.Grace.D() - constants.TermReserve
@@ -533,5 +533,5 @@
 	ctx, cancel := context.WithDeadline(context.Background(), began.Add(grace))
 	defer cancel()
 	d.gate.drain(ctx)
-	d.book.Note("left", "nothing in flight")
+	d.events.Record("left", "nothing in flight")
 }
--- a/internal/sluice/path_test.go
+++ b/internal/sluice/path_test.go
@@ -17,8 +17,8 @@
 
 	"github.com/rs/zerolog"
 
+	"slateridge/internal/eventlog"
 	"slateridge/internal/intake"
-	"slateridge/internal/logbook"
 	"slateridge/internal/scheme"
 	"slateridge/internal/weir"
 )
@@ -111,7 +111,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := &Sluice{marks: newMarks(), book: logbook.New(zerolog.Nop()), began: time.Now().Add(-time.Minute), weir: weir.New(20, 3, 1)}
+	s := &Sluice{marks: newMarks(), events: eventlog.New(zerolog.Nop()), began: time.Now().Add(-time.Minute), weir: weir.New(20, 3, 1)}
 	s.allow = NewAllowance(0, 10*time.Second, 0.2, 60)
 	s.allow.SetProxies(1)
 	s.yard = NewYard("p", "z", map[string]string{"z": "r", "z2": "r", "far": "r2"}, func(string) int { return 10 }, func(string) time.Duration { return 0 })
--- a/internal/sluice/settings_test.go
+++ b/internal/sluice/settings_test.go
@@ -9,7 +9,7 @@
 
 	"github.com/rs/zerolog"
 
-	"slateridge/internal/logbook"
+	"slateridge/internal/eventlog"
 	"slateridge/internal/penstock"
 	"slateridge/internal/settings"
 )
@@ -44,7 +44,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	d := NewDaemon(set, path, logbook.New(zerolog.Nop()))
+	d := NewDaemon(set, path, eventlog.New(zerolog.Nop()))
 	knows := func(ip string) bool { _, ok := d.line.State(time.Now()).Ends[ip]; return ok }
 	write(at.Add(time.Millisecond), "127.0.0.63:39191") // before it is looked for the first time
 	d.lookAtSettings()
--- a/internal/sluice/sluice.go
+++ b/internal/sluice/sluice.go
@@ -16,7 +16,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"slateridge/internal/constants"
-	"slateridge/internal/logbook"
+	"slateridge/internal/eventlog"
 	"slateridge/internal/scheme"
 	"slateridge/internal/usage"
 	"slateridge/internal/weir"
@@ -24,7 +24,7 @@
 
 // Sluice is the request path of one proxy.
 type Sluice struct {
-	book    *logbook.Logbook
+	events  *eventlog.Log
 	began   time.Time
 	scheme  atomic.Pointer[scheme.Scheme]
 	yard    *Yard
--- a/internal/sluice/unbroken_test.go
+++ b/internal/sluice/unbroken_test.go
@@ -14,8 +14,8 @@
 
 	"github.com/rs/zerolog"
 
+	"slateridge/internal/eventlog"
 	"slateridge/internal/intake"
-	"slateridge/internal/logbook"
 	"slateridge/internal/penstock"
 	"slateridge/internal/scheme"
 	"slateridge/internal/settings"
@@ -38,7 +38,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	d = NewDaemon(set, path, logbook.New(zerolog.Nop()))
+	d = NewDaemon(set, path, eventlog.New(zerolog.Nop()))
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
