--- a/internal/explore/chainmodel/chainmodel.go
+++ b/internal/explore/chainmodel/chainmodel.go
@@ -11,11 +11,11 @@
 	"strings"
 	"time"
 
-	"slateridge/internal/basin"
 	"slateridge/internal/constants"
 	"slateridge/internal/explore"
 	"slateridge/internal/headworks"
 	"slateridge/internal/scheme"
+	"slateridge/internal/simnet"
 	"slateridge/internal/watermaster"
 )
 
@@ -117,7 +117,7 @@
 	Config
 	w     *explore.World
 	chain map[string]*headworks.Chain
-	disks map[string]*basin.Disk
+	disks map[string]*simnet.Disk
 	grid  time.Duration
 	err   error
 
@@ -159,7 +159,7 @@
 
 func (m *Model) Reset() {
 	m.w = explore.NewWorld(constants.ChainTick, m.tick, m.recv)
-	m.chain, m.disks = map[string]*headworks.Chain{}, map[string]*basin.Disk{}
+	m.chain, m.disks = map[string]*headworks.Chain{}, map[string]*simnet.Disk{}
 	m.grid, m.err = m.Warm, nil
 	m.faults, m.orders, m.came, m.ids, m.wanted = 0, 0, 0, 0, 0
 	m.spares, m.losses, m.lossAt, m.leaving = nil, 0, 0, map[string]leave{}
@@ -199,7 +199,7 @@
 // others, or one that comes back.
 func (m *Model) start(n string, founding bool) {
 	if m.disks[n] == nil {
-		m.disks[n] = basin.NewDisk()
+		m.disks[n] = simnet.NewDisk()
 	}
 	m.disks[n].Mend() // a new process opens it anew
 	peers := names[:m.Founders]
@@ -646,7 +646,7 @@
 	case "wipe":
 		m.lose(f[1], false)
 		m.stop(f[1])
-		m.disks[f[1]] = basin.NewDisk()
+		m.disks[f[1]] = simnet.NewDisk()
 		m.back(f[1])
 	case "leave":
 		m.lose(f[1], false)
--- a/internal/headworks/chain_test.go
+++ b/internal/headworks/chain_test.go
@@ -9,9 +9,9 @@
 	"testing"
 	"time"
 
-	"slateridge/internal/basin"
 	"slateridge/internal/constants"
 	"slateridge/internal/scheme"
+	"slateridge/internal/simnet"
 )
 
 // core is three machines on a simulated network, with an operator that submits
@@ -19,7 +19,7 @@
 type core struct {
 	t        *testing.T
 	seed     uint64
-	b        *basin.Basin
+	network  *simnet.Network
 	names    []string
 	seeds    []string // the first three found the view; the others join
 	tolerate int
@@ -27,7 +27,7 @@
 	evac     map[string]map[string]scheme.Evac
 	ackedNum map[string]uint64            // by zone: the orders acknowledged
 	readNum  map[uint64]map[string]uint64 // by read: those when it began
-	disks    map[string]*basin.Disk
+	disks    map[string]*simnet.Disk
 	chain    map[string]*Chain // nil while down
 	life     map[string]int
 	frozen   map[string]bool
@@ -94,12 +94,12 @@
 }
 
 func newCore(t *testing.T, seed uint64, names []string, tolerate int) *core {
-	c := &core{t: t, seed: seed, b: basin.New(seed), names: names, seeds: names[:3], disks: map[string]*basin.Disk{}, chain: map[string]*Chain{},
+	c := &core{t: t, seed: seed, network: simnet.New(seed), names: names, seeds: names[:3], disks: map[string]*simnet.Disk{}, chain: map[string]*Chain{},
 		life: map[string]int{}, frozen: map[string]bool{}, pending: map[string][]func(){}, calm: map[string]time.Duration{},
 		known: map[scheme.Taken]bool{}, taken: map[uint64]uint64{}, inForce: map[string]*scheme.Doc{}, views: map[uint64]string{}, tolerate: tolerate, orders: map[string]map[uint64]order{}, readNum: map[uint64]map[string]uint64{}, ackedNum: map[string]uint64{}, evac: map[string]map[string]scheme.Evac{},
 		waits: map[string]map[scheme.Taken]bool{}, reading: map[string]map[uint64]begun{}}
 	for _, n := range c.names {
-		c.disks[n] = basin.NewDisk()
+		c.disks[n] = simnet.NewDisk()
 		c.start(n, true)
 	}
 	return c
@@ -107,7 +107,7 @@
 
 func (c *core) fail(f string, a ...any) {
 	c.t.Helper()
-	c.t.Fatalf("seed %d at %v: %s", c.seed, c.b.Now, fmt.Sprintf(f, a...))
+	c.t.Fatalf("seed %d at %v: %s", c.seed, c.network.Now, fmt.Sprintf(f, a...))
 }
 
 func (c *core) start(n string, founding bool) {
@@ -115,7 +115,7 @@
 		return
 	}
 	c.life[n]++
-	ch, err := NewChain(c.b.Now, n, c.seeds, founding && slices.Contains(c.seeds, n), c.disks[n], rand.New(rand.NewPCG(c.seed, uint64(c.life[n])*31+uint64(n[0]))))
+	ch, err := NewChain(c.network.Now, n, c.seeds, founding && slices.Contains(c.seeds, n), c.disks[n], rand.New(rand.NewPCG(c.seed, uint64(c.life[n])*31+uint64(n[0]))))
 	if err != nil {
 		return // its disk refuses; it stays down
 	}
@@ -131,8 +131,8 @@
 }
 
 func (c *core) tick(n string, life int) {
-	c.run(n, life, func(ch *Chain) []any { return ch.Tick(c.b.Now) })
-	c.b.After(constants.ChainTick, func() {
+	c.run(n, life, func(ch *Chain) []any { return ch.Tick(c.network.Now) })
+	c.network.After(constants.ChainTick, func() {
 		if c.life[n] == life && c.chain[n] != nil {
 			c.tick(n, life)
 		}
@@ -158,8 +158,8 @@
 		switch o := o.(type) {
 		case Send:
 			to := o.To
-			c.b.Send(n, to, func() {
-				c.run(to, c.life[to], func(ch *Chain) []any { return ch.Recv(c.b.Now, n, o.Msg) })
+			c.network.Send(n, to, func() {
+				c.run(to, c.life[to], func(ch *Chain) []any { return ch.Recv(c.network.Now, n, o.Msg) })
 			})
 		case Commit:
 			c.evacsIn(n, o.Doc)
@@ -197,7 +197,7 @@
 }
 
 func (c *core) operator() {
-	r := c.b.Rng
+	r := c.network.Rng
 	n := c.names[r.IntN(len(c.names))]
 	life := c.life[n]
 	if r.IntN(5) == 0 {
@@ -207,7 +207,7 @@
 		if c.chain[n] != nil {
 			c.reading[n][id] = begun{c.acked, len(c.said)}
 			c.readNum[id] = maps.Clone(c.ackedNum)
-			c.run(n, life, func(ch *Chain) []any { return ch.Read(c.b.Now, id) })
+			c.run(n, life, func(ch *Chain) []any { return ch.Read(c.network.Now, id) })
 		}
 	} else {
 		c.next += 1 + r.Uint64N(3)
@@ -225,7 +225,7 @@
 			c.send(c.names[r.IntN(len(c.names))], config{v, fmt.Sprintf("other %d %d", v, r.Uint64())})
 		}
 	}
-	c.b.After(time.Duration(r.Int64N(int64(300*time.Millisecond))), c.operator)
+	c.network.After(time.Duration(r.Int64N(int64(300*time.Millisecond))), c.operator)
 }
 
 // send brings an operator's configuration to a machine.
@@ -244,8 +244,8 @@
 		return
 	}
 	d := scheme.Doc{Version: o.version, Raw: []byte(o.content)}
-	c.run(n, life, func(ch *Chain) []any { return ch.Submit(c.b.Now, d) })
-	c.b.After(constants.SubmitWait, func() {
+	c.run(n, life, func(ch *Chain) []any { return ch.Submit(c.network.Now, d) })
+	c.network.After(constants.SubmitWait, func() {
 		if c.life[n] == life {
 			delete(c.waits[n], k)
 		}
@@ -295,7 +295,7 @@
 		}
 		if k.Version > c.acked {
 			c.acked = k.Version
-			c.ackedAt = append(c.ackedAt, ackedAt{c.b.Now, k.Version})
+			c.ackedAt = append(c.ackedAt, ackedAt{c.network.Now, k.Version})
 		}
 		c.acks++
 	}
@@ -311,15 +311,15 @@
 // evacuate sends an order, and checks when it is acknowledged that it is the
 // zone's latest or that another came after it.
 func (c *core) evacuate(n string) {
-	r := c.b.Rng
+	r := c.network.Rng
 	o := order{[]string{"y", "z"}[r.IntN(2)], r.IntN(2) == 0}
 	id, life := r.Uint64(), c.life[n]
 	if c.chain[n] == nil {
 		return
 	}
 	c.orders[n][id] = o
-	c.run(n, life, func(ch *Chain) []any { return ch.Evacuate(c.b.Now, id, o.zone, o.on) })
-	c.b.After(constants.SubmitWait, func() {
+	c.run(n, life, func(ch *Chain) []any { return ch.Evacuate(c.network.Now, id, o.zone, o.on) })
+	c.network.After(constants.SubmitWait, func() {
 		if c.life[n] == life {
 			delete(c.orders[n], id)
 		}
@@ -355,7 +355,7 @@
 // machine needs to catch up: only then may n be lost, as one machine at a time.
 func (c *core) othersCalm(n string) bool {
 	for _, o := range c.names {
-		if o != n && (c.chain[o] == nil || c.frozen[o] || c.b.Now-c.calm[o] < 4*time.Second) {
+		if o != n && (c.chain[o] == nil || c.frozen[o] || c.network.Now-c.calm[o] < 4*time.Second) {
 			return false
 		}
 	}
@@ -363,7 +363,7 @@
 }
 
 func (c *core) trouble(kinds int) {
-	r := c.b.Rng
+	r := c.network.Rng
 	n := c.names[r.IntN(len(c.names))]
 	span := time.Duration(200+r.IntN(4000)) * time.Millisecond
 	if c.over {
@@ -372,9 +372,9 @@
 	kind := r.IntN(kinds)
 	// Disks are lost one at a time, with the others well; everything else may
 	// strike any number of machines at once: then work stops, but no rule breaks.
-	if c.chain[n] != nil && !c.frozen[n] && (kind != 4 && kind < 6 || c.othersCalm(n) && c.b.Now-c.calm[n] > 4*time.Second && len(c.chain[n].View().Members) == len(c.names)) {
+	if c.chain[n] != nil && !c.frozen[n] && (kind != 4 && kind < 6 || c.othersCalm(n) && c.network.Now-c.calm[n] > 4*time.Second && len(c.chain[n].View().Members) == len(c.names)) {
 		c.calm[n] = 1 << 62
-		end := func(f func()) { c.b.After(span, func() { f(); c.calm[n] = c.b.Now }) }
+		end := func(f func()) { c.network.After(span, func() { f(); c.calm[n] = c.network.Now }) }
 		kill := func() { c.chain[n] = nil; c.life[n]++ }
 		switch kind {
 		case 0: // killed, or out of power: what was synced is kept
@@ -388,14 +388,14 @@
 			others := slices.Clone(c.names)
 			for _, o := range others {
 				if o != n {
-					c.b.Cut(n, o, way != 0)
-					c.b.Cut(o, n, way != 1)
+					c.network.Cut(n, o, way != 0)
+					c.network.Cut(o, n, way != 1)
 				}
 			}
 			end(func() {
 				for _, o := range others {
-					c.b.Cut(n, o, false)
-					c.b.Cut(o, n, false)
+					c.network.Cut(n, o, false)
+					c.network.Cut(o, n, false)
 				}
 			})
 		case 2: // frozen: it wakes with what it was doing
@@ -416,7 +416,7 @@
 			end(func() { c.disks[n].Refuse = false })
 		case 4: // back with an empty disk
 			kill()
-			c.disks[n] = basin.NewDisk()
+			c.disks[n] = simnet.NewDisk()
 			end(func() { c.start(n, false) })
 		case 6, 7: // gone for good, sometimes in order, and another machine comes at a new address
 			c.replace(n, r.IntN(2) == 0, span)
@@ -426,15 +426,15 @@
 				c.life[o]++
 				c.calm[o] = 1 << 62
 			}
-			c.b.After(span, func() {
+			c.network.After(span, func() {
 				for _, o := range c.names {
 					c.start(o, false)
-					c.calm[o] = c.b.Now
+					c.calm[o] = c.network.Now
 				}
 			})
 		}
 	}
-	c.b.After(time.Duration(r.Int64N(int64(c.gap))), func() { c.trouble(kinds) })
+	c.network.After(time.Duration(r.Int64N(int64(c.gap))), func() { c.trouble(kinds) })
 }
 
 // replace takes a machine out for good and starts another, which knows some of those
@@ -446,16 +446,16 @@
 		c.names = slices.DeleteFunc(slices.Clone(c.names), func(o string) bool { return o == n })
 	}
 	if inOrder {
-		c.run(n, c.life[n], func(ch *Chain) []any { return ch.Leave(c.b.Now) })
-		c.b.Run(c.b.Now+constants.ChainTick, nil)
+		c.run(n, c.life[n], func(ch *Chain) []any { return ch.Leave(c.network.Now) })
+		c.network.Run(c.network.Now+constants.ChainTick, nil)
 	}
 	gone()
 	c.joined++
 	m := fmt.Sprintf("m%d", c.joined)
-	c.disks[m], c.calm[m] = basin.NewDisk(), 1<<62
+	c.disks[m], c.calm[m] = simnet.NewDisk(), 1<<62
 	c.seeds = c.names[:min(3, len(c.names))]
 	c.names = append(c.names, m)
-	c.b.After(after, func() { c.start(m, false); c.calm[m] = c.b.Now })
+	c.network.After(after, func() { c.start(m, false); c.calm[m] = c.network.Now })
 }
 
 // TestChainUnderTrouble runs many seeded days and checks after each step that
@@ -474,12 +474,12 @@
 					t.Parallel()
 					days.Add(1)
 					c := newCore(t, seed, f.names, f.tolerate)
-					c.b.Loss = []float64{0, 0.02, 0.1}[seed%3]
-					c.b.Delay = []time.Duration{5, 40, 250}[seed/3%3] * time.Millisecond
+					c.network.Loss = []float64{0, 0.02, 0.1}[seed%3]
+					c.network.Delay = []time.Duration{5, 40, 250}[seed/3%3] * time.Millisecond
 					c.gap = []time.Duration{2, 6}[seed/9%2] * time.Second
-					c.b.After(100*time.Millisecond, c.operator)
-					c.b.After(5*time.Second, func() { c.trouble(8) })
-					c.b.Run(60*time.Second, nil)
+					c.network.After(100*time.Millisecond, c.operator)
+					c.network.After(5*time.Second, func() { c.trouble(8) })
+					c.network.Run(60*time.Second, nil)
 					acks.Add(int64(c.acks))
 					reads.Add(int64(c.reads))
 					// Calm again: everything acknowledged is there, and new work is served.
@@ -497,11 +497,11 @@
 }
 
 func (c *core) settle() {
-	c.b.Loss = 0
-	c.b.Delay = 5 * time.Millisecond
+	c.network.Loss = 0
+	c.network.Delay = 5 * time.Millisecond
 	for _, n := range c.names {
 		for _, o := range c.names {
-			c.b.Cut(n, o, false)
+			c.network.Cut(n, o, false)
 		}
 		c.disks[n].Refuse = false
 		if c.frozen[n] {
@@ -516,14 +516,14 @@
 		}
 	}
 	c.over = true
-	c.b.Run(c.b.Now+5*time.Second, nil) // what was under way ends
+	c.network.Run(c.network.Now+5*time.Second, nil) // what was under way ends
 	before, read := c.acks, c.reads
-	c.b.Run(c.b.Now+6*time.Second, nil)
+	c.network.Run(c.network.Now+6*time.Second, nil)
 	if c.acks == before || c.reads == read {
 		c.fail("%d orders acknowledged and %d reads answered in 6 s of calm: %+v", c.acks-before, c.reads-read, c.chain[c.names[0]].Status())
 	}
 	for _, n := range c.names {
-		if at, ok := c.chain[n].FreshAsOf(); !ok || c.b.Now-at > constants.MemberSilence {
+		if at, ok := c.chain[n].FreshAsOf(); !ok || c.network.Now-at > constants.MemberSilence {
 			c.fail("%s is sure of what it knows only as of %v", n, at)
 		}
 		v := c.chain[n].View()
@@ -541,13 +541,13 @@
 // until a view has taken it in.
 func TestWipedMachineDoesNotVote(t *testing.T) {
 	c := newCore(t, 5, three, 1)
-	c.b.Run(4*time.Second, nil)
-	c.chain["c"], c.disks["c"] = nil, basin.NewDisk()
+	c.network.Run(4*time.Second, nil)
+	c.chain["c"], c.disks["c"] = nil, simnet.NewDisk()
 	c.life["c"]++
 	c.start("c", false)
-	c.chain["c"].Recv(c.b.Now, "a", c.chain["a"].Status()) // it learns the view, which has its earlier self
-	out := c.chain["c"].Recv(c.b.Now, "a", Prepare{Slot: 2, Ballot: Ballot{1, "a"}})
-	out = append(out, c.chain["c"].Recv(c.b.Now, "a", Accept{Slot: 2, Ballot: Ballot{1, "a"}})...)
+	c.chain["c"].Recv(c.network.Now, "a", c.chain["a"].Status()) // it learns the view, which has its earlier self
+	out := c.chain["c"].Recv(c.network.Now, "a", Prepare{Slot: 2, Ballot: Ballot{1, "a"}})
+	out = append(out, c.chain["c"].Recv(c.network.Now, "a", Accept{Slot: 2, Ballot: Ballot{1, "a"}})...)
 	for _, o := range out {
 		if m, ok := o.(Send); ok {
 			switch m.Msg.(type) {
@@ -556,7 +556,7 @@
 			}
 		}
 	}
-	c.b.Run(8*time.Second, nil)
+	c.network.Run(8*time.Second, nil)
 	if v := c.chain["c"].View(); !v.has(c.chain["c"].Me) {
 		t.Fatalf("it was not taken in: %+v", v)
 	}
@@ -565,7 +565,7 @@
 // A tail that was started again holds what it committed, but no longer knows
 // that it did; what the others say is committed may be older, and is no answer.
 func TestRestartedTailDoesNotAnswerOld(t *testing.T) {
-	disk := basin.NewDisk()
+	disk := simnet.NewDisk()
 	names := []string{"a", "b", "c"}
 	mk := func() *Chain {
 		c, err := NewChain(0, "c", names, true, disk, rand.New(rand.NewPCG(1, 1)))
@@ -613,7 +613,7 @@
 
 // A single control machine is its own majority.
 func TestSingleMachineAnswers(t *testing.T) {
-	c, err := NewChain(0, "a", []string{"a"}, true, basin.NewDisk(), rand.New(rand.NewPCG(1, 1)))
+	c, err := NewChain(0, "a", []string{"a"}, true, simnet.NewDisk(), rand.New(rand.NewPCG(1, 1)))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -632,22 +632,22 @@
 	for i := range 20 {
 		n := fmt.Sprintf("r%d", i)
 		c.names = append(c.names, n)
-		c.disks[n] = basin.NewDisk()
+		c.disks[n] = simnet.NewDisk()
 		c.start(n, false)
 	}
-	c.b.Run(5*time.Second, nil)
+	c.network.Run(5*time.Second, nil)
 	if from := at(c.chain["r3"].held); from != (scheme.Stamp{}) {
 		t.Fatal("a relay holds a configuration")
 	}
 	c.chain["a"] = nil
-	c.b.Run(10*time.Second, nil)
+	c.network.Run(10*time.Second, nil)
 	for _, n := range c.names[3:] {
 		if to, ok := c.chain[n].Ahead(); !ok || to == "a" {
 			t.Errorf("%s sends callers to %q", n, to)
 		}
 	}
 	words := 0
-	for _, o := range c.chain["b"].Tick(c.b.Now + constants.HeartbeatEvery) {
+	for _, o := range c.chain["b"].Tick(c.network.Now + constants.HeartbeatEvery) {
 		if _, ok := o.(Send).Msg.(Gauge); ok {
 			words++
 		}
@@ -655,9 +655,9 @@
 	if words > 2 {
 		t.Errorf("%d gauges at one go, with two other machines that have a say", words)
 	}
-	c.disks["a"], c.seeds = basin.NewDisk(), []string{"r1", "r2", "r3"}
+	c.disks["a"], c.seeds = simnet.NewDisk(), []string{"r1", "r2", "r3"}
 	c.start("a", false)
-	c.b.Run(16*time.Second, nil)
+	c.network.Run(16*time.Second, nil)
 	for _, n := range c.names {
 		if v := c.chain[n].View(); len(v.Members) != 3 || len(v.Voters) != 3 || !v.has(c.chain["a"].Me) {
 			t.Fatalf("%s sees %+v", n, v)
@@ -669,17 +669,17 @@
 // force soon after the last of them is there, not with the next regular pass.
 func TestAllStartAgain(t *testing.T) {
 	c := newCore(t, 3, three, 1)
-	c.b.Run(4*time.Second, nil)
+	c.network.Run(4*time.Second, nil)
 	long := string(make([]byte, 2<<20))
 	c.send("a", config{9, long})
-	c.b.Run(7*time.Second, nil)
+	c.network.Run(7*time.Second, nil)
 	for _, n := range three {
 		c.chain[n] = nil
 	}
 	for i, n := range []string{"a", "c", "b"} {
-		c.b.After(time.Duration(1+i)*300*time.Millisecond, func() { c.start(n, false) })
+		c.network.After(time.Duration(1+i)*300*time.Millisecond, func() { c.start(n, false) })
 	}
-	c.b.Run(7*time.Second+900*time.Millisecond+2*constants.HeartbeatEvery, nil)
+	c.network.Run(7*time.Second+900*time.Millisecond+2*constants.HeartbeatEvery, nil)
 	for _, n := range three {
 		if ver(c.inForce[n]) != 9 {
 			t.Errorf("%s has r%d in force", n, ver(c.inForce[n]))
@@ -689,7 +689,7 @@
 
 // A store written when a view did not name its voters opens with those it had.
 func TestOldStoreOpens(t *testing.T) {
-	disk := basin.NewDisk()
+	disk := simnet.NewDisk()
 	type oldView struct {
 		Start   uint64
 		Num     uint64
@@ -717,7 +717,7 @@
 // An order held up on its way, behind a cut say, must not undo what was ordered
 // since; a repeat of one that was taken changes nothing either.
 func TestHeldUpOrderChangesNothing(t *testing.T) {
-	c, err := NewChain(0, "a", []string{"a"}, true, basin.NewDisk(), rand.New(rand.NewPCG(1, 1)))
+	c, err := NewChain(0, "a", []string{"a"}, true, simnet.NewDisk(), rand.New(rand.NewPCG(1, 1)))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -742,11 +742,11 @@
 func TestJustLeftIsNoNewcomer(t *testing.T) {
 	for seed := uint64(1); seed <= 20; seed++ {
 		c := newCore(t, seed, []string{"a", "b", "c", "d", "e", "f"}, 2)
-		c.b.Delay = 5 * time.Millisecond
-		c.b.Run(7*time.Second, nil)
+		c.network.Delay = 5 * time.Millisecond
+		c.network.Run(7*time.Second, nil)
 		kill := func(n string) { c.chain[n] = nil; c.life[n]++ }
 		kill("e")
-		c.b.Run(c.b.Now+700*time.Millisecond, nil)
+		c.network.Run(c.network.Now+700*time.Millisecond, nil)
 		kill("f") // its last word is young when the view without it is agreed
 		without := func() bool {
 			for _, n := range []string{"a", "b", "c", "d"} {
@@ -756,23 +756,23 @@
 			}
 			return true
 		}
-		end := c.b.Now + 3*time.Second
-		for !without() && c.b.Now < end {
-			c.b.Run(c.b.Now+10*time.Millisecond, nil)
+		end := c.network.Now + 3*time.Second
+		for !without() && c.network.Now < end {
+			c.network.Run(c.network.Now+10*time.Millisecond, nil)
 		}
 		if !without() {
 			t.Fatalf("seed %d: f is still in the view", seed)
 		}
 		num := c.chain["a"].View().Num
-		c.b.Run(c.b.Now+1500*time.Millisecond, func() {
+		c.network.Run(c.network.Now+1500*time.Millisecond, func() {
 			for _, n := range []string{"a", "b", "c", "d"} {
 				if c.chain[n].sealed() {
-					t.Fatalf("seed %d at %v: %s is sealed for a view after %d, with nobody to take in", seed, c.b.Now, n, num)
+					t.Fatalf("seed %d at %v: %s is sealed for a view after %d, with nobody to take in", seed, c.network.Now, n, num)
 				}
 			}
 		})
 		c.start("f", false)
-		c.b.Run(c.b.Now+2*time.Second, nil)
+		c.network.Run(c.network.Now+2*time.Second, nil)
 		if c.chain["a"].View().index("f") < 0 {
 			t.Fatalf("seed %d: f is back and not taken in", seed)
 		}
@@ -786,18 +786,18 @@
 func TestShortRestartChangesNoView(t *testing.T) {
 	for seed := uint64(1); seed <= 20; seed++ {
 		c := newCore(t, seed, []string{"a", "b", "c", "d", "e", "f"}, 2)
-		c.b.Run(7*time.Second, nil)
+		c.network.Run(7*time.Second, nil)
 		before := c.chain["a"].View()
 		restarted := c.names[seed%6]
 		c.chain[restarted] = nil
 		c.life[restarted]++
-		c.b.Run(c.b.Now+500*time.Millisecond, nil)
+		c.network.Run(c.network.Now+500*time.Millisecond, nil)
 		c.start(restarted, false)
-		c.b.Run(c.b.Now+3*time.Second, func() {
+		c.network.Run(c.network.Now+3*time.Second, func() {
 			for _, n := range c.names {
 				if num := c.chain[n].View().Num; num != before.Num || c.chain[n].sealed() {
 					t.Fatalf("seed %d at %v: %s is at view %d, sealed %v; %s was away for half a second of view %d",
-						seed, c.b.Now, n, num, c.chain[n].sealed(), restarted, before.Num)
+						seed, c.network.Now, n, num, c.chain[n].sealed(), restarted, before.Num)
 				}
 			}
 		})
@@ -810,23 +810,23 @@
 func TestStartProvesContactInARoundTrip(t *testing.T) {
 	for seed := uint64(1); seed <= 20; seed++ {
 		c := newCore(t, seed, []string{"a", "b", "c", "d", "e", "f"}, 2)
-		c.b.Delay = 5 * time.Millisecond
-		c.b.Run(7*time.Second, nil)
+		c.network.Delay = 5 * time.Millisecond
+		c.network.Run(7*time.Second, nil)
 		for _, n := range c.names {
 			c.chain[n] = nil
 			c.life[n]++
 		}
-		c.b.Run(c.b.Now+time.Second, nil)
+		c.network.Run(c.network.Now+time.Second, nil)
 		var last time.Duration
 		for _, n := range c.names {
-			after := time.Duration(c.b.Rng.Int64N(int64(500 * time.Millisecond)))
-			last = max(last, c.b.Now+after)
-			c.b.After(after, func() { c.start(n, false) })
+			after := time.Duration(c.network.Rng.Int64N(int64(500 * time.Millisecond)))
+			last = max(last, c.network.Now+after)
+			c.network.After(after, func() { c.start(n, false) })
 		}
-		c.b.Run(last+10*c.b.Delay, nil)
+		c.network.Run(last+10*c.network.Delay, nil)
 		for _, n := range c.names {
 			if _, ok := c.chain[n].Contact(); !ok {
-				t.Errorf("seed %d: %s knows of no contact %v after the last start", seed, n, c.b.Now-last)
+				t.Errorf("seed %d: %s knows of no contact %v after the last start", seed, n, c.network.Now-last)
 			}
 		}
 	}
--- a/internal/headworks/duties_test.go
+++ b/internal/headworks/duties_test.go
@@ -46,7 +46,7 @@
 // epoch makes the simulated true time a time of day.
 var epoch = time.Unix(1_800_000_000, 0)
 
-func (w *works) agreed() time.Time { return epoch.Add(w.b.Now) }
+func (w *works) agreed() time.Time { return epoch.Add(w.network.Now) }
 func (w *works) window() uint64    { return usage.Window(w.agreed(), w.span) }
 
 func newWorks(t *testing.T, seed uint64, names []string, tolerate int, span, delay, turn time.Duration) *works {
@@ -58,7 +58,7 @@
 		w.drive(n)
 	}
 	for _, p := range []string{"p", "q"} {
-		w.meters[p] = usage.NewMeter(w.b.Rng.Uint64())
+		w.meters[p] = usage.NewMeter(w.network.Rng.Uint64())
 		w.proxy(p)
 	}
 	return w
@@ -66,23 +66,23 @@
 
 // drive is a machine's loop: a new life of the process begins anew.
 func (w *works) drive(n string) {
-	defer w.b.After(constants.DutyTick, func() { w.drive(n) })
+	defer w.network.After(constants.DutyTick, func() { w.drive(n) })
 	if w.chain[n] == nil || w.frozen[n] {
 		return
 	}
 	if w.leases[n] == nil || w.bornAs[n] != w.life[n] {
-		w.bornAs[n], w.born[n] = w.life[n], w.b.Now
-		w.leases[n] = watermaster.New(w.b.Now, w.b.Rng.Uint64(), n, []string{testDuty})
-		w.men[n] = duty.NewOfficer(testDuty, n, w.turn, 50, rand.New(rand.NewPCG(w.seed, w.b.Rng.Uint64())))
-		w.tallies[n] = usage.NewTally(w.b.Rng.Uint64())
+		w.bornAs[n], w.born[n] = w.life[n], w.network.Now
+		w.leases[n] = watermaster.New(w.network.Now, w.network.Rng.Uint64(), n, []string{testDuty})
+		w.men[n] = duty.NewOfficer(testDuty, n, w.turn, 50, rand.New(rand.NewPCG(w.seed, w.network.Rng.Uint64())))
+		w.tallies[n] = usage.NewTally(w.network.Rng.Uint64())
 	}
 	l, o := w.leases[n], w.men[n]
 	w.elect(n)
-	w.lease(n, l.Tick(w.b.Now))
-	since, _ := l.Holds(w.b.Now, testDuty)
+	w.lease(n, l.Tick(w.network.Now))
+	since, _ := l.Holds(w.network.Now, testDuty)
 	rec := w.record(n)
-	w.carry(n, o.Step(w.b.Now, l.Until(w.b.Now, testDuty), rec, func(after uint64) (uint64, []byte, bool) {
-		return w.tallies[n].Next(usage.Moment{Steady: w.b.Now, Agreed: w.agreed(), Held: w.b.Now - since}, after, w.span, w.delay, []string{"p", "q"})
+	w.carry(n, o.Step(w.network.Now, l.Until(w.network.Now, testDuty), rec, func(after uint64) (uint64, []byte, bool) {
+		return w.tallies[n].Next(usage.Moment{Steady: w.network.Now, Agreed: w.agreed(), Held: w.network.Now - since}, after, w.span, w.delay, []string{"p", "q"})
 	}))
 }
 
@@ -90,7 +90,7 @@
 func (w *works) elect(n string) {
 	if w.leases[n] != nil && w.bornAs[n] == w.life[n] {
 		g := w.chain[n].Status()
-		w.leases[n].SetElectorate(w.b.Now, g.View.Epoch, g.View.VoterAddrs(), w.chain[n].LeavesElectorate())
+		w.leases[n].SetElectorate(w.network.Now, g.View.Epoch, g.View.VoterAddrs(), w.chain[n].LeavesElectorate())
 	}
 }
 
@@ -115,8 +115,8 @@
 
 func (w *works) lease(n string, out []watermaster.Send) {
 	for _, s := range out {
-		w.b.Send(n, s.To, func() {
-			w.later(s.To, w.life[s.To], func() { w.lease(s.To, w.leases[s.To].Recv(w.b.Now, n, s.Msg)) })
+		w.network.Send(n, s.To, func() {
+			w.later(s.To, w.life[s.To], func() { w.lease(s.To, w.leases[s.To].Recv(w.network.Now, n, s.Msg)) })
 		})
 	}
 }
@@ -126,14 +126,14 @@
 	for _, x := range out {
 		switch x := x.(type) {
 		case duty.Order:
-			w.run(n, life, func(ch *Chain) []any { return ch.Act(w.b.Now, x) })
+			w.run(n, life, func(ch *Chain) []any { return ch.Act(w.network.Now, x) })
 		case duty.Yield:
-			w.lease(n, w.leases[n].Leave(w.b.Now, testDuty))
+			w.lease(n, w.leases[n].Leave(w.network.Now, testDuty))
 		case duty.Post:
-			if _, ok := w.leases[n].Holds(w.b.Now, testDuty); !ok {
+			if _, ok := w.leases[n].Holds(w.network.Now, testDuty); !ok {
 				w.fail("%s sends %d under fence %d without the lease", n, x.Key, x.Fence)
 			}
-			w.b.Send(n, "platform", func() { w.platform(n, life, x) })
+			w.network.Send(n, "platform", func() { w.platform(n, life, x) })
 		}
 	}
 }
@@ -158,7 +158,7 @@
 			w.fail("window %d is reported as %s and as %s", p.Key, was, p.Body)
 		}
 		w.content[p.Key] = string(p.Body)
-		w.acts = append(w.acts, act{w.b.Now, n, p.Fence, p.Key, string(p.Body)})
+		w.acts = append(w.acts, act{w.network.Now, n, p.Fence, p.Key, string(p.Body)})
 		if len(w.acts) > 2000 {
 			w.acts = w.acts[1000:]
 		}
@@ -167,11 +167,11 @@
 	}
 	wait := time.Duration(0)
 	if w.platformSlow {
-		wait = time.Duration(w.b.Rng.IntN(4000)) * time.Millisecond
+		wait = time.Duration(w.network.Rng.IntN(4000)) * time.Millisecond
 	}
-	w.b.After(wait, func() {
-		w.b.Send("platform", n, func() {
-			w.later(n, life, func() { w.carry(n, w.men[n].Answered(w.b.Now, p.ID, status)) })
+	w.network.After(wait, func() {
+		w.network.Send("platform", n, func() {
+			w.later(n, life, func() { w.carry(n, w.men[n].Answered(w.network.Now, p.ID, status)) })
 		})
 	})
 }
@@ -205,10 +205,10 @@
 
 // proxy counts requests and tells whoever it believes to hold the duty.
 func (w *works) proxy(p string) {
-	for range w.b.Rng.IntN(8) {
-		tenant, k := []string{"x", "y", "z"}[w.b.Rng.IntN(3)], w.window()
+	for range w.network.Rng.IntN(8) {
+		tenant, k := []string{"x", "y", "z"}[w.network.Rng.IntN(3)], w.window()
 		w.meters[p].Begin(k)
-		w.b.After(time.Duration(w.b.Rng.IntN(700))*time.Millisecond, func() {
+		w.network.After(time.Duration(w.network.Rng.IntN(700))*time.Millisecond, func() {
 			w.meters[p].Count(k, tenant)
 			w.meters[p].End(k)
 			if w.truth[k] == nil {
@@ -219,13 +219,13 @@
 	}
 	if t, some := w.meters[p].Tell(p, w.window()); some {
 		for _, n := range w.names {
-			if l := w.leases[n]; l != nil && w.chain[n] != nil && l.Until(w.b.Now, testDuty) > 0 {
-				for range 1 + w.b.Rng.IntN(2) { // some words come twice
-					w.b.Send(p, n, func() {
+			if l := w.leases[n]; l != nil && w.chain[n] != nil && l.Until(w.network.Now, testDuty) > 0 {
+				for range 1 + w.network.Rng.IntN(2) { // some words come twice
+					w.network.Send(p, n, func() {
 						w.later(n, w.life[n], func() {
-							h, ok := w.tallies[n].Take(w.b.Now, w.window(), t)
-							if ok && w.leases[n].Until(w.b.Now, testDuty) > 0 {
-								w.b.Send(n, p, func() { w.meters[p].Heard(t, h) })
+							h, ok := w.tallies[n].Take(w.network.Now, w.window(), t)
+							if ok && w.leases[n].Until(w.network.Now, testDuty) > 0 {
+								w.network.Send(n, p, func() { w.meters[p].Heard(t, h) })
 							}
 						})
 					})
@@ -233,7 +233,7 @@
 			}
 		}
 	}
-	w.b.After(200*time.Millisecond, func() { w.proxy(p) })
+	w.network.After(200*time.Millisecond, func() { w.proxy(p) })
 }
 
 // TestDutyUnderTrouble plays seeded days in which holders are killed, frozen, cut
@@ -252,17 +252,17 @@
 			span, delay, turn = 400*time.Millisecond, 3*time.Second, 7*time.Second
 		}
 		w := newWorks(t, seed, names, 1+int(seed%2), span, delay, turn)
-		w.b.Loss = []float64{0, 0.02, 0.1}[seed%3]
-		w.b.Delay = []time.Duration{5, 40, 200}[seed/3%3] * time.Millisecond
+		w.network.Loss = []float64{0, 0.02, 0.1}[seed%3]
+		w.network.Delay = []time.Duration{5, 40, 200}[seed/3%3] * time.Millisecond
 		w.gap = []time.Duration{2, 6}[seed/9%2] * time.Second
-		w.b.After(100*time.Millisecond, w.operator)
-		w.b.After(5*time.Second, func() { w.trouble(6) })
+		w.network.After(100*time.Millisecond, w.operator)
+		w.network.After(5*time.Second, func() { w.trouble(6) })
 		var platform func()
 		platform = func() {
-			w.platformDown, w.platformSlow = !w.over && w.b.Rng.IntN(4) == 0, !w.over && w.b.Rng.IntN(3) == 0
-			w.b.After(time.Duration(w.b.Rng.IntN(5000))*time.Millisecond, platform)
+			w.platformDown, w.platformSlow = !w.over && w.network.Rng.IntN(4) == 0, !w.over && w.network.Rng.IntN(3) == 0
+			w.network.After(time.Duration(w.network.Rng.IntN(5000))*time.Millisecond, platform)
 		}
-		w.b.After(6*time.Second, platform)
+		w.network.After(6*time.Second, platform)
 		// Whoever acted last is struck, now and then, just after it acted.
 		var strike func()
 		strike = func() {
@@ -271,17 +271,17 @@
 				if w.chain[h] != nil && !w.frozen[h] {
 					w.chain[h], w.calm[h] = nil, 1<<62
 					w.life[h]++
-					w.b.After(time.Duration(w.b.Rng.IntN(3000))*time.Millisecond, func() { w.start(h, false); w.calm[h] = w.b.Now })
+					w.network.After(time.Duration(w.network.Rng.IntN(3000))*time.Millisecond, func() { w.start(h, false); w.calm[h] = w.network.Now })
 				}
 			}
-			w.b.After(time.Duration(4+w.b.Rng.IntN(9))*time.Second, strike)
+			w.network.After(time.Duration(4+w.network.Rng.IntN(9))*time.Second, strike)
 		}
-		w.b.After(9*time.Second, strike)
-		w.b.Run(60*time.Second, nil)
+		w.network.After(9*time.Second, strike)
+		w.network.Run(60*time.Second, nil)
 		w.platformDown, w.platformSlow = false, false
 		w.settle()
 		from := w.window()
-		w.b.Run(w.b.Now+8*w.span+w.delay+w.turn, nil)
+		w.network.Run(w.network.Now+8*w.span+w.delay+w.turn, nil)
 		for k := from + 1; k < from+7; k++ {
 			body, ok := w.content[k]
 			if !ok {
--- a/internal/headworks/electorate_test.go
+++ b/internal/headworks/electorate_test.go
@@ -8,9 +8,9 @@
 	"testing"
 	"time"
 
-	"slateridge/internal/basin"
 	"slateridge/internal/constants"
 	"slateridge/internal/scheme"
+	"slateridge/internal/simnet"
 )
 
 const catchUp = 4 * time.Second // as the smallest deployments state it
@@ -28,8 +28,8 @@
 func calmCore(t *testing.T, seed uint64, n, tolerate int) *core {
 	c := newCore(t, seed, machines(n), tolerate)
 	c.over = true
-	c.b.Delay = 10 * time.Millisecond
-	c.b.Run(6*time.Second, nil)
+	c.network.Delay = 10 * time.Millisecond
+	c.network.Run(6*time.Second, nil)
 	c.acknowledged("at the start")
 	return c
 }
@@ -38,13 +38,13 @@
 func (c *core) kill(n string) { c.chain[n] = nil; c.life[n]++ }
 
 // wipe ends a process and empties its disk.
-func (c *core) wipe(n string) { c.kill(n); c.disks[n] = basin.NewDisk() }
+func (c *core) wipe(n string) { c.kill(n); c.disks[n] = simnet.NewDisk() }
 
 // leave ends a machine for good, in order or not.
 func (c *core) leave(n string, inOrder bool) {
 	if inOrder {
-		c.run(n, c.life[n], func(ch *Chain) []any { return ch.Leave(c.b.Now) })
-		c.b.Run(c.b.Now+500*time.Millisecond, nil)
+		c.run(n, c.life[n], func(ch *Chain) []any { return ch.Leave(c.network.Now) })
+		c.network.Run(c.network.Now+500*time.Millisecond, nil)
 	}
 	c.kill(n)
 	c.names = slices.DeleteFunc(slices.Clone(c.names), func(o string) bool { return o == n })
@@ -52,7 +52,7 @@
 
 // come starts a machine at a new address.
 func (c *core) come(n string) {
-	c.disks[n] = basin.NewDisk()
+	c.disks[n] = simnet.NewDisk()
 	c.seeds = c.names[:min(3, len(c.names))]
 	c.names = append(c.names, n)
 	c.start(n, false)
@@ -70,12 +70,12 @@
 	for _, n := range c.up() {
 		c.next++
 		o := config{c.next, fmt.Sprintf("doc %d", c.next)}
-		for end := c.b.Now + 5*time.Second; !slices.Contains(c.said, o.key()); {
-			if c.b.Now >= end {
+		for end := c.network.Now + 5*time.Second; !slices.Contains(c.said, o.key()); {
+			if c.network.Now >= end {
 				c.fail("%s: r%d, sent to %s, is not acknowledged; %+v", when, o.version, n, c.chain[n].Status())
 			}
 			c.send(n, o)
-			c.b.Run(c.b.Now+time.Second, nil)
+			c.network.Run(c.network.Now+time.Second, nil)
 		}
 	}
 }
@@ -85,14 +85,14 @@
 	c.t.Helper()
 	for _, n := range c.up() {
 		before := c.reads
-		for end := c.b.Now + 4*time.Second; c.reads == before; {
-			if c.b.Now >= end {
+		for end := c.network.Now + 4*time.Second; c.reads == before; {
+			if c.network.Now >= end {
 				c.fail("%s: a read at %s is not answered", when, n)
 			}
-			id := c.b.Rng.Uint64()
+			id := c.network.Rng.Uint64()
 			c.reading[n][id] = begun{c.acked, len(c.said)}
-			c.run(n, c.life[n], func(ch *Chain) []any { return ch.Read(c.b.Now, id) })
-			c.b.Run(c.b.Now+500*time.Millisecond, nil)
+			c.run(n, c.life[n], func(ch *Chain) []any { return ch.Read(c.network.Now, id) })
+			c.network.Run(c.network.Now+500*time.Millisecond, nil)
 		}
 	}
 }
@@ -111,15 +111,15 @@
 					old, young := c.names[0], fmt.Sprintf("n%d", i)
 					if comesFirst {
 						c.come(young)
-						c.b.Run(c.b.Now+catchUp, nil)
+						c.network.Run(c.network.Now+catchUp, nil)
 						c.leave(old, inOrder)
 						// What is removed stops counting at once: its successor had its time.
-						c.b.Run(c.b.Now+2*time.Second, nil)
+						c.network.Run(c.network.Now+2*time.Second, nil)
 					} else {
 						c.leave(old, inOrder)
-						c.b.Run(c.b.Now+2*time.Second, nil)
+						c.network.Run(c.network.Now+2*time.Second, nil)
 						c.come(young)
-						c.b.Run(c.b.Now+catchUp, nil)
+						c.network.Run(c.network.Now+catchUp, nil)
 					}
 					lost := slices.Clone(c.names[len(c.names)-f.tolerate:]) // the successor among them
 					for _, n := range lost {
@@ -130,7 +130,7 @@
 					for _, n := range lost {
 						c.start(n, false)
 					}
-					c.b.Run(c.b.Now+catchUp, nil)
+					c.network.Run(c.network.Now+catchUp, nil)
 				}
 				c.settled()
 			})
@@ -150,30 +150,30 @@
 				c.wipe(n)
 			}
 			c.names, c.over, c.regions, c.region = machines(8), true, 1, map[string]string{}
-			c.b.Delay = 30 * time.Millisecond
+			c.network.Delay = 30 * time.Millisecond
 			c.seeds = c.names[:3]
 			for i, n := range c.names {
 				c.region[n] = []string{"east", "west", "south"}[i%3]
-				c.disks[n] = basin.NewDisk()
+				c.disks[n] = simnet.NewDisk()
 			}
 			for _, n := range c.names {
 				c.start(n, true)
 			}
-			c.b.Run(6*time.Second, nil)
+			c.network.Run(6*time.Second, nil)
 			c.acknowledged("at the start")
 			for i := range 8 {
 				old, young := c.names[0], fmt.Sprintf("n%d", i)
 				c.region[young] = c.region[old]
 				if comesFirst {
 					c.come(young)
-					c.b.Run(c.b.Now+catchUp, nil)
+					c.network.Run(c.network.Now+catchUp, nil)
 					c.leave(old, i%2 == 0)
-					c.b.Run(c.b.Now+2*time.Second, nil)
+					c.network.Run(c.network.Now+2*time.Second, nil)
 				} else {
 					c.leave(old, i%2 == 0)
-					c.b.Run(c.b.Now+2*time.Second, nil)
+					c.network.Run(c.network.Now+2*time.Second, nil)
 					c.come(young)
-					c.b.Run(c.b.Now+catchUp, nil)
+					c.network.Run(c.network.Now+catchUp, nil)
 				}
 				var lost []string
 				for _, n := range c.names {
@@ -189,7 +189,7 @@
 				for _, n := range lost {
 					c.start(n, false)
 				}
-				c.b.Run(c.b.Now+catchUp, nil)
+				c.network.Run(c.network.Now+catchUp, nil)
 			}
 			c.settled()
 		})
@@ -217,28 +217,28 @@
 				c := calmCore(t, seed, f.n, f.tolerate)
 				for i := range 6 {
 					ms := c.chain[c.names[0]].View().Members
-					pick := []string{ms[0].Addr, ms[len(ms)-1].Addr, c.names[c.b.Rng.IntN(len(c.names))]}[i%3]
+					pick := []string{ms[0].Addr, ms[len(ms)-1].Addr, c.names[c.network.Rng.IntN(len(c.names))]}[i%3]
 					if i == 4 {
 						// The next in line proposes without it, and loses its disk while
 						// its round is under way, where two may be lost.
 						c.wipe(pick)
-						c.b.Run(c.b.Now+constants.MemberSilence, nil)
-						for end := c.b.Now + 2*time.Second; f.tolerate > 1 && c.b.Now < end; {
-							c.b.Run(c.b.Now+5*time.Millisecond, nil)
+						c.network.Run(c.network.Now+constants.MemberSilence, nil)
+						for end := c.network.Now + 2*time.Second; f.tolerate > 1 && c.network.Now < end; {
+							c.network.Run(c.network.Now+5*time.Millisecond, nil)
 							p := slices.IndexFunc(c.up(), func(n string) bool { return c.chain[n].round != nil })
 							if p >= 0 {
 								n := c.up()[p]
 								c.wipe(n)
-								c.b.After(300*time.Millisecond, func() { c.start(n, false) })
+								c.network.After(300*time.Millisecond, func() { c.start(n, false) })
 								break
 							}
 						}
 					} else {
 						c.wipe(pick)
 					}
-					c.b.Run(c.b.Now+time.Duration(c.b.Rng.Int64N(int64(2*time.Second))), nil)
+					c.network.Run(c.network.Now+time.Duration(c.network.Rng.Int64N(int64(2*time.Second))), nil)
 					c.start(pick, false)
-					c.b.Run(c.b.Now+catchUp, nil)
+					c.network.Run(c.network.Now+catchUp, nil)
 					c.settled()
 					c.holds(fmt.Sprintf("after disk %d was lost", i+1))
 				}
@@ -263,44 +263,44 @@
 						x := c.names[int(seed)%len(c.names)]
 						for _, o := range c.names {
 							if o != x {
-								c.b.Cut(x, o, way != 2)
-								c.b.Cut(o, x, way != 1)
+								c.network.Cut(x, o, way != 2)
+								c.network.Cut(o, x, way != 1)
 							}
 						}
-						began := c.b.Now
+						began := c.network.Now
 						views := len(c.views)
 						rest := slices.DeleteFunc(slices.Clone(c.names), func(n string) bool { return n == x })
-						c.b.Run(began+constants.ContactFresh+constants.MemberSilence+2*time.Second, nil)
+						c.network.Run(began+constants.ContactFresh+constants.MemberSilence+2*time.Second, nil)
 						told := len(c.said)
-						for i := 0; c.b.Now < began+20*time.Second; i++ {
+						for i := 0; c.network.Now < began+20*time.Second; i++ {
 							if i == 3 && restart > 0 && (restart == 1 || f.tolerate > 1) {
 								n := x
 								if restart == 2 {
 									n = rest[0]
 								}
 								c.kill(n)
-								c.b.After(time.Second, func() { c.start(n, false) })
+								c.network.After(time.Second, func() { c.start(n, false) })
 							}
 							c.next++
 							o := config{c.next, fmt.Sprintf("doc %d", c.next)}
 							lost := c.lost
 							c.send(x, o) // an operator that sees the cut-off side only
-							if id := c.b.Rng.Uint64(); c.chain[x] != nil {
+							if id := c.network.Rng.Uint64(); c.chain[x] != nil {
 								c.reading[x][id] = begun{}
-								c.run(x, c.life[x], func(ch *Chain) []any { return ch.Read(c.b.Now, id) })
+								c.run(x, c.life[x], func(ch *Chain) []any { return ch.Read(c.network.Now, id) })
 							}
 							reads := c.reads
-							c.b.Run(c.b.Now+500*time.Millisecond, nil)
+							c.network.Run(c.network.Now+500*time.Millisecond, nil)
 							if way == 0 && (slices.Contains(c.said, o.key()) || c.lost > lost || c.reads > reads) {
 								t.Fatalf("seed %d: %s, cut off, confirmed r%d, refused it, or gave a read", seed, x, o.version)
 							}
 							if c.chain[x] != nil {
-								if at, ok := c.chain[x].Contact(); ok && c.b.Now-at < constants.ContactFresh && c.b.Now-began > constants.ContactFresh {
+								if at, ok := c.chain[x].Contact(); ok && c.network.Now-at < constants.ContactFresh && c.network.Now-began > constants.ContactFresh {
 									t.Fatalf("seed %d: %s is cut off and says that it is in contact", seed, x)
 								}
 							}
 							c.send(rest[len(rest)-1], config{o.version, o.content}) // elsewhere the same order is taken
-							c.b.Run(c.b.Now+500*time.Millisecond, nil)
+							c.network.Run(c.network.Now+500*time.Millisecond, nil)
 						}
 						if n := len(c.said) - told; n < 8 {
 							t.Fatalf("seed %d: %d orders acknowledged beside the cut", seed, n)
@@ -313,10 +313,10 @@
 							t.Fatalf("seed %d: %d views within the cut", seed, n)
 						}
 						for _, o := range c.names {
-							c.b.Cut(x, o, false)
-							c.b.Cut(o, x, false)
+							c.network.Cut(x, o, false)
+							c.network.Cut(o, x, false)
 						}
-						c.b.Run(c.b.Now+catchUp, nil)
+						c.network.Run(c.network.Now+catchUp, nil)
 						c.settled()
 						c.acknowledged("after the cut")
 						c.holds("after the cut")
@@ -333,10 +333,10 @@
 	for seed := uint64(1); seed <= 10; seed++ {
 		c := calmCore(t, seed, []int{3, 6}[seed%2], 1)
 		a, b := c.names[0], c.names[1+int(seed)%(len(c.names)-1)]
-		c.b.Cut(a, b, true)
-		c.b.Cut(b, a, seed%3 > 0)
+		c.network.Cut(a, b, true)
+		c.network.Cut(b, a, seed%3 > 0)
 		views := len(c.views)
-		c.b.Run(c.b.Now+20*time.Second, nil)
+		c.network.Run(c.network.Now+20*time.Second, nil)
 		if n := len(c.views) - views; n > 2 {
 			t.Fatalf("seed %d: %d views in 20 s", seed, n)
 		}
@@ -345,13 +345,13 @@
 		for _, m := range c.chain[c.names[len(c.names)-1]].View().Members {
 			c.send(m.Addr, o)
 		}
-		c.b.Run(c.b.Now+time.Second, nil)
+		c.network.Run(c.network.Now+time.Second, nil)
 		if !slices.Contains(c.said, o.key()) {
 			t.Fatalf("seed %d: nothing is acknowledged with a pair apart", seed)
 		}
-		c.b.Cut(a, b, false)
-		c.b.Cut(b, a, false)
-		c.b.Run(c.b.Now+catchUp, nil)
+		c.network.Cut(a, b, false)
+		c.network.Cut(b, a, false)
+		c.network.Run(c.network.Now+catchUp, nil)
 		c.settled()
 	}
 }
@@ -362,22 +362,22 @@
 	c := calmCore(t, 3, 3, 1)
 	old := c.names[0]
 	c.kill(old)
-	c.b.Run(c.b.Now+2*time.Second, nil)
+	c.network.Run(c.network.Now+2*time.Second, nil)
 	c.come("d")
-	c.b.Run(c.b.Now+catchUp, nil)
+	c.network.Run(c.network.Now+catchUp, nil)
 	if v := c.chain["d"].View(); len(v.Voters) != 3 || v.index(old) >= 0 {
 		t.Fatalf("the successor did not take the place: %+v", v)
 	}
 	for _, n := range c.names {
-		c.b.Cut(old, n, true) // it hears, and is not heard
+		c.network.Cut(old, n, true) // it hears, and is not heard
 	}
 	c.start(old, false)
-	c.b.Run(c.b.Now+time.Second, nil)
+	c.network.Run(c.network.Now+time.Second, nil)
 	if g := c.chain[old].Status(); g.Joined || c.chain[old].participant() {
 		t.Fatalf("it still takes itself for a voter: %+v", g)
 	}
 	slot := c.chain[old].View().Num + 1
-	for _, o := range c.chain[old].Recv(c.b.Now, "d", Prepare{Slot: slot, Ballot: Ballot{9, "d"}}) {
+	for _, o := range c.chain[old].Recv(c.network.Now, "d", Prepare{Slot: slot, Ballot: Ballot{9, "d"}}) {
 		if m, ok := o.(Send); ok {
 			if _, promised := m.Msg.(Promise); promised {
 				t.Fatal("it promised")
@@ -385,9 +385,9 @@
 		}
 	}
 	for _, n := range c.names {
-		c.b.Cut(old, n, false)
+		c.network.Cut(old, n, false)
 	}
-	c.b.Run(c.b.Now+catchUp, nil)
+	c.network.Run(c.network.Now+catchUp, nil)
 	c.settled()
 	c.acknowledged("with it back")
 }
@@ -396,17 +396,17 @@
 func TestLongGoneVoterIsRetired(t *testing.T) {
 	c := calmCore(t, 4, 6, 2)
 	c.leave("f", false)
-	c.b.Run(c.b.Now+10*time.Second, nil)
+	c.network.Run(c.network.Now+10*time.Second, nil)
 	if v := c.chain["a"].View(); len(v.Voters) != 6 {
 		t.Fatalf("%d voters after ten seconds: a change of electorate costs leases", len(v.Voters))
 	}
-	c.b.Run(c.b.Now+constants.RetireAfter, nil)
+	c.network.Run(c.network.Now+constants.RetireAfter, nil)
 	if v := c.chain["a"].View(); len(v.Voters) != 5 {
 		t.Fatalf("%d voters after a minute", len(v.Voters))
 	}
 	// With five left and two that may be lost there is nothing to give up.
 	c.leave("e", false)
-	c.b.Run(c.b.Now+2*constants.RetireAfter, nil)
+	c.network.Run(c.network.Now+2*constants.RetireAfter, nil)
 	if v := c.chain["a"].View(); len(v.Voters) != 5 {
 		t.Fatalf("%d voters, fewer than can bear the loss of two", len(v.Voters))
 	}
@@ -419,7 +419,7 @@
 	c := calmCore(t, 4, 6, 2)
 	refused := func(n, addr, why string) {
 		t.Helper()
-		if _, no := c.chain[n].Retire(c.b.Now, addr); !strings.Contains(no, why) || no == "" {
+		if _, no := c.chain[n].Retire(c.network.Now, addr); !strings.Contains(no, why) || no == "" {
 			t.Fatalf("retiring %s at %s: %q", addr, n, no)
 		}
 	}
@@ -427,20 +427,20 @@
 	refused("a", "b", "in contact")
 	refused("a", "a", "in contact")
 	c.leave("f", false)
-	c.b.Run(c.b.Now+4*time.Second, nil)
+	c.network.Run(c.network.Now+4*time.Second, nil)
 	c.run("b", c.life["b"], func(ch *Chain) []any {
-		out, no := ch.Retire(c.b.Now, "f")
+		out, no := ch.Retire(c.network.Now, "f")
 		if no != "" {
 			t.Fatal(no)
 		}
 		return out
 	})
-	c.b.Run(c.b.Now+2*time.Second, nil)
+	c.network.Run(c.network.Now+2*time.Second, nil)
 	if v := c.chain["d"].View(); len(v.Voters) != 5 {
 		t.Fatalf("%+v", v)
 	}
 	c.leave("e", false)
-	c.b.Run(c.b.Now+4*time.Second, nil)
+	c.network.Run(c.network.Now+4*time.Second, nil)
 	refused("a", "e", "fewest")
 	c.acknowledged("after it")
 }
@@ -454,29 +454,29 @@
 		if !c.chain[n].CanLeave() {
 			t.Fatalf("seed %d: %s cannot leave", seed, n)
 		}
-		began := c.b.Now
-		c.run(n, c.life[n], func(ch *Chain) []any { return ch.Leave(c.b.Now) })
+		began := c.network.Now
+		c.run(n, c.life[n], func(ch *Chain) []any { return ch.Leave(c.network.Now) })
 		for !c.chain[n].Left() {
-			if c.b.Now-began > constants.LeaveWait/2 {
-				t.Fatalf("seed %d: %s still counts after %v", seed, n, c.b.Now-began)
+			if c.network.Now-began > constants.LeaveWait/2 {
+				t.Fatalf("seed %d: %s still counts after %v", seed, n, c.network.Now-began)
 			}
-			c.b.Run(c.b.Now+10*time.Millisecond, nil)
+			c.network.Run(c.network.Now+10*time.Millisecond, nil)
 		}
 		c.kill(n)
 		c.acknowledged("right after it left")
 		c.start(n, false)
-		c.b.Run(c.b.Now+catchUp, nil)
+		c.network.Run(c.network.Now+catchUp, nil)
 		c.settled()
 	}
 	c := calmCore(t, 1, 3, 1)
 	c.kill("a")
-	c.b.Run(c.b.Now+2*time.Second, nil)
+	c.network.Run(c.network.Now+2*time.Second, nil)
 	if c.chain["b"].CanLeave() {
 		t.Fatal("b would leave c alone with the only copy")
 	}
 	views := len(c.views)
-	c.run("b", c.life["b"], func(ch *Chain) []any { return ch.Leave(c.b.Now) })
-	c.b.Run(c.b.Now+2*time.Second, nil)
+	c.run("b", c.life["b"], func(ch *Chain) []any { return ch.Leave(c.network.Now) })
+	c.network.Run(c.network.Now+2*time.Second, nil)
 	if len(c.views) != views {
 		t.Fatal("a view of one machine was made")
 	}
@@ -489,27 +489,27 @@
 	for i, missed := range []int{1, 300} {
 		c := calmCore(t, 5, 3, 1)
 		c.kill("b")
-		c.b.Run(c.b.Now+2*time.Second, nil)
+		c.network.Run(c.network.Now+2*time.Second, nil)
 		for range missed {
 			c.next++
 			o := config{c.next, fmt.Sprintf("doc %d", c.next)}
 			c.send("a", o)
-			c.b.Run(c.b.Now+100*time.Millisecond, nil)
+			c.network.Run(c.network.Now+100*time.Millisecond, nil)
 		}
-		c.b.Run(c.b.Now+time.Second, nil)
+		c.network.Run(c.network.Now+time.Second, nil)
 		if i == 1 {
-			c.disks["b"] = basin.NewDisk()
+			c.disks["b"] = simnet.NewDisk()
 		}
 		c.start("b", false)
-		began := c.b.Now
+		began := c.network.Now
 		for want := at(c.chain["a"].Committed()); at(c.chain["b"].Committed()) != want; {
-			if c.b.Now-began > catchUp {
+			if c.network.Now-began > catchUp {
 				t.Fatalf("after %d changes it holds %v, committed is %v", missed, at(c.chain["b"].Committed()), want)
 			}
-			c.b.Run(c.b.Now+10*time.Millisecond, nil)
+			c.network.Run(c.network.Now+10*time.Millisecond, nil)
 		}
-		took[i] = c.b.Now - began
-		c.b.Run(began+catchUp, nil)
+		took[i] = c.network.Now - began
+		c.network.Run(began+catchUp, nil)
 		c.settled()
 		c.holds("after it caught up")
 	}
@@ -529,9 +529,9 @@
 		low := config{c.next - 1, "below the number in force"} // a race's loser
 		c.send(c.names[seed%3], a)
 		c.send(c.names[(seed+1)%3], b)
-		c.b.Run(c.b.Now+time.Second, nil)
+		c.network.Run(c.network.Now+time.Second, nil)
 		c.send(c.names[0], low)
-		c.b.Run(c.b.Now+time.Second, nil)
+		c.network.Run(c.network.Now+time.Second, nil)
 		won, lost := slices.Contains(c.said, a.key()), slices.Contains(c.said, b.key())
 		if won == lost {
 			t.Fatalf("seed %d: acknowledged: %v and %v", seed, won, lost)
@@ -541,14 +541,14 @@
 		}
 		again := func(when string) {
 			t.Helper()
-			c.b.Run(c.b.Now+catchUp, nil)
+			c.network.Run(c.network.Now+catchUp, nil)
 			for _, n := range c.names {
 				acks, refused := c.acks, c.lost
 				c.send(n, a)
 				c.send(n, b)
 				c.send(n, low)
 				c.send(n, config{low.version, "other below"})
-				c.b.Run(c.b.Now+time.Second, nil)
+				c.network.Run(c.network.Now+time.Second, nil)
 				if c.acks != acks+2 || c.lost != refused+2 || won != slices.Contains(c.said, a.key()) {
 					t.Fatalf("seed %d: %s, at %s: %d acknowledged, %d refused", seed, when, n, c.acks-acks, c.lost-refused)
 				}
@@ -563,7 +563,7 @@
 		}
 		again("after all were started again")
 		c.leave("a", seed%2 == 0)
-		c.b.Run(c.b.Now+2*time.Second, nil)
+		c.network.Run(c.network.Now+2*time.Second, nil)
 		c.come("d")
 		again("after a machine was replaced")
 		c.wipe("b")
@@ -578,11 +578,11 @@
 	for seed := uint64(1); seed <= 10; seed++ {
 		c := calmCore(t, seed, 3, 1)
 		var sent []config
-		for i, k := range c.b.Rng.Perm(8) {
+		for i, k := range c.network.Rng.Perm(8) {
 			sent = append(sent, config{c.next + 1 + uint64(k), fmt.Sprintf("one of eight %d", k)})
 			c.send(c.names[i%3], sent[i])
 		}
-		c.b.Run(c.b.Now+constants.SubmitWait, nil)
+		c.network.Run(c.network.Now+constants.SubmitWait, nil)
 		for _, o := range sent {
 			if !slices.Contains(c.said, o.key()) {
 				t.Errorf("seed %d: r%d is not acknowledged", seed, o.version)
@@ -622,7 +622,7 @@
 	for _, n := range three {
 		c.start(n, false) // bootstrap is false now
 	}
-	c.b.Run(c.b.Now+6*time.Second, nil)
+	c.network.Run(c.network.Now+6*time.Second, nil)
 	c.settled()
 	c.acknowledged("after a start that was cut short")
 }
@@ -634,7 +634,7 @@
 	c.over = true
 	for _, n := range three {
 		c.wipe(n)
-		half := basin.NewDisk()
+		half := simnet.NewDisk()
 		half.Full = 1 // the second write is refused: the process ends there
 		c.disks[n] = half
 		if _, err := NewChain(0, n, three, true, half, rand.New(rand.NewPCG(1, 1))); err == nil {
@@ -646,7 +646,7 @@
 	for _, n := range three {
 		c.start(n, false)
 	}
-	c.b.Run(c.b.Now+4*time.Second, nil)
+	c.network.Run(c.network.Now+4*time.Second, nil)
 	c.settled()
 	c.acknowledged("after founding ended between two writes")
 }
@@ -657,9 +657,9 @@
 	before := fmt.Sprintf("%+v", c.chain["a"].View())
 	for _, m := range []any{Prepare{Slot: 99, Ballot: Ballot{7, "x"}}, Accept{Slot: 2, View: View{Num: 2}}, Accepted{Slot: 2}, Promise{Slot: 2}, Sync{Slot: 1 << 60},
 		Decide{View{Num: 9}}, Retire{"b"}, Retire{"nobody"}, Higher{View: 1}, Pass{View: 1}, Ack{View: 1, Stamp: scheme.Stamp{View: 9}}, Lack{}, Forward{}, Read{1}, Answer{ID: 5}, Fetch{}, Confirm{}, Confirmed{}} {
-		c.run("a", c.life["a"], func(ch *Chain) []any { return ch.Recv(c.b.Now, "x", m) })
+		c.run("a", c.life["a"], func(ch *Chain) []any { return ch.Recv(c.network.Now, "x", m) })
 	}
-	c.b.Run(c.b.Now+catchUp, nil)
+	c.network.Run(c.network.Now+catchUp, nil)
 	if now := fmt.Sprintf("%+v", c.chain["a"].View()); now != before {
 		t.Fatalf("%s became %s", before, now)
 	}
--- a/internal/headworks/left_behind_test.go
+++ b/internal/headworks/left_behind_test.go
@@ -17,7 +17,7 @@
 		c.next++
 		first := config{c.next, "left at a, of the first view"}
 		c.send("a", first)
-		c.b.Run(c.b.Now+catchUp, nil)
+		c.network.Run(c.network.Now+catchUp, nil)
 		if v := c.chain["b"].View(); v.index("a") >= 0 || v.Members[0].Addr != "b" {
 			c.fail("the view after it is %+v", v)
 		}
@@ -25,18 +25,18 @@
 		c.next++
 		c.send("b", config{c.next, "left at b, of the second view"})
 		c.cutPair("a", "c", false)
-		c.b.Run(c.b.Now+catchUp, nil)
+		c.network.Run(c.network.Now+catchUp, nil)
 		if v := c.chain["c"].View(); v.index("a") < 0 || v.index("b") >= 0 {
 			c.fail("the third view is %+v", v)
 		}
 		c.send("c", first)
-		c.b.Run(c.b.Now+time.Second, nil)
+		c.network.Run(c.network.Now+time.Second, nil)
 		if !slices.Contains(c.said, first.key()) {
 			c.fail("r%d is not acknowledged in the third view", first.version)
 		}
 		c.cutPair("a", "b", false)
 		c.cutPair("b", "c", false)
-		c.b.Run(c.b.Now+2*catchUp, nil)
+		c.network.Run(c.network.Now+2*catchUp, nil)
 		c.settled()
 		c.holds("with b back")
 		c.acknowledged("with b back")
--- a/internal/headworks/pass_on_test.go
+++ b/internal/headworks/pass_on_test.go
@@ -21,9 +21,9 @@
 				for seed := uint64(1); seed <= 6; seed++ {
 					c := calmCore(t, seed, f.n, f.tolerate)
 					head, x := c.names[0], c.names[1+int(seed)%(f.n-1)]
-					c.b.Cut(x, head, way != 2)
-					c.b.Cut(head, x, way != 1)
-					c.b.Run(c.b.Now+catchUp, nil)
+					c.network.Cut(x, head, way != 2)
+					c.network.Cut(head, x, way != 1)
+					c.network.Run(c.network.Now+catchUp, nil)
 					if c.chain[x].View().Members[0].Addr == head && slices.Contains(c.chain[x].unheard(), head) {
 						apart++
 					}
@@ -33,20 +33,20 @@
 						for _, sent := range []string{"once", "again"} {
 							acks := c.acks
 							c.send(x, o)
-							c.b.Run(c.b.Now+constants.SubmitWait, nil)
+							c.network.Run(c.network.Now+constants.SubmitWait, nil)
 							if c.acks == acks {
 								c.fail("r%d, sent %s to %s, is not acknowledged", o.version, sent, x)
 							}
 						}
 						lost := c.lost
 						c.send(x, config{o.version, "another content"})
-						c.b.Run(c.b.Now+constants.SubmitWait, nil)
+						c.network.Run(c.network.Now+constants.SubmitWait, nil)
 						if c.lost != lost+1 {
 							c.fail("another content under r%d is not refused at %s", o.version, x)
 						}
-						id := c.b.Rng.Uint64()
-						c.run(x, c.life[x], func(ch *Chain) []any { return ch.Evacuate(c.b.Now, id, "y", true) })
-						c.b.Run(c.b.Now+constants.SubmitWait, nil)
+						id := c.network.Rng.Uint64()
+						c.run(x, c.life[x], func(ch *Chain) []any { return ch.Evacuate(c.network.Now, id, "y", true) })
+						c.network.Run(c.network.Now+constants.SubmitWait, nil)
 						if d := c.inForce[x]; !slices.Contains(d.Evac["y"].IDs, id) {
 							c.fail("an evacuation is not acknowledged at %s", x)
 						}
@@ -67,7 +67,7 @@
 		c.cutPair("a", n, true)
 	}
 	for _, m := range []any{Forward{PassOn: true}, Order{ID: 1, Zone: "y", PassOn: true}} {
-		for _, o := range c.chain["b"].Recv(c.b.Now+time.Millisecond, "c", m) {
+		for _, o := range c.chain["b"].Recv(c.network.Now+time.Millisecond, "c", m) {
 			if s, ok := o.(Send); ok {
 				switch sent := s.Msg.(type) {
 				case Forward:
--- a/internal/headworks/return_test.go
+++ b/internal/headworks/return_test.go
@@ -25,7 +25,7 @@
 	l := &leasedCore{core: newCore(t, seed, machines(machineCount), tolerate), duties: []string{"poll", "track/0", "track/1", "track/2", "track/3", "track/4", "track/5"},
 		leases: map[string]*watermaster.Watermaster{}, bornAs: map[string]int{}, driven: map[string]bool{},
 		heldAt: map[string]time.Duration{}, longest: map[string]time.Duration{}}
-	l.b.Delay = delay
+	l.network.Delay = delay
 	l.stepped = l.elect
 	return l
 }
@@ -34,7 +34,7 @@
 func calmLeasedCore(t *testing.T, seed uint64, machineCount, tolerate int, delay time.Duration) *leasedCore {
 	l := newLeasedCore(t, seed, machineCount, tolerate, delay)
 	l.over = true
-	l.run(8*time.Second + time.Duration(l.b.Rng.Int64N(int64(time.Second))))
+	l.run(8*time.Second + time.Duration(l.network.Rng.Int64N(int64(time.Second))))
 	for _, d := range l.duties {
 		if l.holder(d) == "" {
 			l.fail("nobody holds %s at the start", d)
@@ -46,12 +46,12 @@
 
 // run goes on to a moment and notes who holds what after every event.
 func (l *leasedCore) run(until time.Duration) {
-	l.b.Run(until, func() {
+	l.network.Run(until, func() {
 		for _, d := range l.duties {
 			if l.holder(d) != "" {
-				l.heldAt[d] = l.b.Now
+				l.heldAt[d] = l.network.Now
 			}
-			l.longest[d] = max(l.longest[d], l.b.Now-l.heldAt[d])
+			l.longest[d] = max(l.longest[d], l.network.Now-l.heldAt[d])
 		}
 	})
 }
@@ -62,7 +62,7 @@
 		if l.chain[n] == nil || l.leases[n] == nil || l.bornAs[n] != l.life[n] {
 			continue
 		}
-		if _, ok := l.leases[n].Holds(l.b.Now, duty); ok {
+		if _, ok := l.leases[n].Holds(l.network.Now, duty); ok {
 			if holder != "" {
 				l.fail("%s and %s hold %s", holder, n, duty)
 			}
@@ -74,16 +74,16 @@
 
 // drive is a machine's loop of leases; a new life of the process begins anew.
 func (l *leasedCore) drive(n string) {
-	defer l.b.After(constants.LeaseTick, func() { l.drive(n) })
+	defer l.network.After(constants.LeaseTick, func() { l.drive(n) })
 	if l.chain[n] == nil || l.frozen[n] {
 		return
 	}
 	if l.leases[n] == nil || l.bornAs[n] != l.life[n] {
 		l.bornAs[n] = l.life[n]
-		l.leases[n] = watermaster.New(l.b.Now, l.b.Rng.Uint64()>>32, n, l.duties)
+		l.leases[n] = watermaster.New(l.network.Now, l.network.Rng.Uint64()>>32, n, l.duties)
 	}
 	l.elect(n)
-	l.carry(n, l.leases[n].Tick(l.b.Now))
+	l.carry(n, l.leases[n].Tick(l.network.Now))
 }
 
 // elect has a machine's leases follow its view, as the daemon does after each step.
@@ -94,15 +94,15 @@
 	}
 	if l.leases[n] != nil && l.bornAs[n] == l.life[n] {
 		g := l.chain[n].Status()
-		l.leases[n].SetElectorate(l.b.Now, g.View.Epoch, g.View.VoterAddrs(), l.chain[n].LeavesElectorate())
+		l.leases[n].SetElectorate(l.network.Now, g.View.Epoch, g.View.VoterAddrs(), l.chain[n].LeavesElectorate())
 	}
 }
 
 func (l *leasedCore) carry(n string, out []watermaster.Send) {
 	for _, s := range out {
 		life := l.life[s.To]
-		l.b.Send(n, s.To, func() {
-			l.later(s.To, life, func() { l.carry(s.To, l.leases[s.To].Recv(l.b.Now, n, s.Msg)) })
+		l.network.Send(n, s.To, func() {
+			l.later(s.To, life, func() { l.carry(s.To, l.leases[s.To].Recv(l.network.Now, n, s.Msg)) })
 		})
 	}
 }
@@ -121,11 +121,11 @@
 // leaveInOrder stops a machine as the daemon does: duties given back, then a wait for
 // the view without it.
 func (l *leasedCore) leaveInOrder(n string) {
-	l.carry(n, l.leases[n].Leave(l.b.Now))
-	began := l.b.Now
-	l.core.run(n, l.life[n], func(ch *Chain) []any { return ch.Leave(l.b.Now) })
-	for end := began + constants.LeaveWait; !l.chain[n].Left() && l.chain[n].CanLeave() && l.b.Now < end; {
-		l.run(l.b.Now + constants.ChainTick/2)
+	l.carry(n, l.leases[n].Leave(l.network.Now))
+	began := l.network.Now
+	l.core.run(n, l.life[n], func(ch *Chain) []any { return ch.Leave(l.network.Now) })
+	for end := began + constants.LeaveWait; !l.chain[n].Left() && l.chain[n].CanLeave() && l.network.Now < end; {
+		l.run(l.network.Now + constants.ChainTick/2)
 	}
 	l.kill(n)
 }
@@ -170,9 +170,9 @@
 	} else {
 		l.kill(x)
 	}
-	l.run(l.b.Now + away)
+	l.run(l.network.Now + away)
 	l.start(x, false)
-	l.run(l.b.Now + 5*time.Second)
+	l.run(l.network.Now + 5*time.Second)
 	// A turn of the loop, and a Release or the state of this moment, an Ask and its answer.
 	words := constants.LeaseTick + 3*delay
 	most := words
@@ -205,9 +205,9 @@
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
 			l := newLeasedCore(t, seed, []int{3, 6}[seed%2], []int{1, 2}[seed%2], []time.Duration{5, 60, 250}[seed/2%3]*time.Millisecond)
-			l.b.Loss = []float64{0, 0.05}[seed/6%2]
+			l.network.Loss = []float64{0, 0.05}[seed/6%2]
 			l.gap = 2 * time.Second
-			l.b.After(5*time.Second, func() { l.trouble(8) })
+			l.network.After(5*time.Second, func() { l.trouble(8) })
 			l.run(40 * time.Second)
 		})
 	}
@@ -215,8 +215,8 @@
 
 // cutPair cuts or joins the path between two machines both ways.
 func (c *core) cutPair(a, b string, cut bool) {
-	c.b.Cut(a, b, cut)
-	c.b.Cut(b, a, cut)
+	c.network.Cut(a, b, cut)
+	c.network.Cut(b, a, cut)
 }
 
 // A voter that has accepted a view with another electorate and does not hear that it was
@@ -227,15 +227,15 @@
 		l := calmLeasedCore(t, seed, 3, 1, 10*time.Millisecond)
 		l.cutPair("a", "b", true)
 		l.cutPair("a", "c", true)
-		l.run(l.b.Now + 2*time.Second)
+		l.run(l.network.Now + 2*time.Second)
 		old := l.chain["b"].View().Epoch
 		l.come("d")
 		l.cutPair("a", "d", true)
-		for end := l.b.Now + catchUp; l.chain["b"].View().Epoch == old; {
-			if l.b.Now > end {
+		for end := l.network.Now + catchUp; l.chain["b"].View().Epoch == old; {
+			if l.network.Now > end {
 				l.fail("d did not take the place of a")
 			}
-			l.run(l.b.Now + time.Millisecond/4)
+			l.run(l.network.Now + time.Millisecond/4)
 		}
 		l.cutPair("b", "c", true)
 		l.cutPair("d", "c", true)
@@ -243,7 +243,7 @@
 		if l.chain["c"].View().Epoch != old {
 			l.fail("c knows of the new electorate")
 		}
-		l.run(l.b.Now + 10*time.Second) // two holders at once fail
+		l.run(l.network.Now + 10*time.Second) // two holders at once fail
 		for _, d := range l.duties {
 			if h := l.holder(d); h != "b" && h != "d" {
 				l.fail("%s is held by %q", d, h)
--- a/internal/headworks/stale_head_test.go
+++ b/internal/headworks/stale_head_test.go
@@ -4,8 +4,8 @@
 	"math/rand/v2"
 	"testing"
 
-	"slateridge/internal/basin"
 	"slateridge/internal/scheme"
+	"slateridge/internal/simnet"
 )
 
 // A head that was cut off catches up with what a later view committed before it learns
@@ -13,7 +13,7 @@
 // a stamp that the later view's head gives to another state, and whoever heard that
 // stamp called committed would take the wrong one for it.
 func TestHeadOfAnEarlierViewStampsNothing(t *testing.T) {
-	c, err := NewChain(0, "a", []string{"a", "b", "c"}, true, basin.NewDisk(), rand.New(rand.NewPCG(1, 1)))
+	c, err := NewChain(0, "a", []string{"a", "b", "c"}, true, simnet.NewDisk(), rand.New(rand.NewPCG(1, 1)))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/headworks/step_bench_test.go
+++ b/internal/headworks/step_bench_test.go
@@ -6,8 +6,8 @@
 	"testing"
 	"time"
 
-	"slateridge/internal/basin"
 	"slateridge/internal/constants"
+	"slateridge/internal/simnet"
 	"slateridge/internal/watermaster"
 )
 
@@ -19,7 +19,7 @@
 	for range 8 {
 		names, addr = append(names, addr.String()), addr.Next()
 	}
-	c, err := NewChain(0, names[0], names, true, basin.NewDisk(), rand.New(rand.NewPCG(1, 1)))
+	c, err := NewChain(0, names[0], names, true, simnet.NewDisk(), rand.New(rand.NewPCG(1, 1)))
 	if err != nil {
 		b.Fatal(err)
 	}
--- a/internal/basin/basin.go
+++ b/internal/simnet/simnet.go
@@ -1,6 +1,6 @@
-// Package basin is a model basin; in the field's terms: a seeded, simulated
-// network, clock and disk, on which the deterministic machines are tested.
-package basin
+// Package simnet is a seeded, simulated network, clock and disk, on which the deterministic
+// state machines are tested.
+package simnet
 
 import (
 	"bytes"
@@ -32,8 +32,8 @@
 	return x
 }
 
-// Basin runs events in the order of simulated time.
-type Basin struct {
+// Network runs events in the order of simulated time.
+type Network struct {
 	Rng   *rand.Rand
 	Now   time.Duration
 	Loss  float64       // share of messages lost
@@ -43,20 +43,20 @@
 	cut   map[[2]string]bool
 }
 
-// New makes a basin whose run is decided by its seed.
-func New(seed uint64) *Basin {
-	return &Basin{Rng: rand.New(rand.NewPCG(seed, 7)), Delay: 20 * time.Millisecond, cut: map[[2]string]bool{}}
+// New makes a network whose run is decided by its seed.
+func New(seed uint64) *Network {
+	return &Network{Rng: rand.New(rand.NewPCG(seed, 7)), Delay: 20 * time.Millisecond, cut: map[[2]string]bool{}}
 }
 
 // After does something later.
-func (b *Basin) After(d time.Duration, do func()) {
+func (b *Network) After(d time.Duration, do func()) {
 	b.seq++
 	heap.Push(&b.queue, event{b.Now + d, b.seq, do})
 }
 
 // Send delivers a message after a random delay, unless it is lost or the path
 // is cut when it is sent or when it arrives.
-func (b *Basin) Send(from, to string, deliver func()) {
+func (b *Network) Send(from, to string, deliver func()) {
 	if b.cut[[2]string{from, to}] || b.Rng.Float64() < b.Loss {
 		return
 	}
@@ -69,10 +69,10 @@
 }
 
 // Cut cuts or joins one direction between two machines.
-func (b *Basin) Cut(from, to string, cut bool) { b.cut[[2]string{from, to}] = cut }
+func (b *Network) Cut(from, to string, cut bool) { b.cut[[2]string{from, to}] = cut }
 
 // Run advances to a time, one event after the other, calling check after each.
-func (b *Basin) Run(until time.Duration, check func()) {
+func (b *Network) Run(until time.Duration, check func()) {
 	for len(b.queue) > 0 && b.queue[0].at <= until {
 		e := heap.Pop(&b.queue).(event)
 		b.Now = e.at
--- a/internal/staff/staff_test.go
+++ b/internal/staff/staff_test.go
@@ -6,21 +6,21 @@
 	"testing"
 	"time"
 
-	"slateridge/internal/basin"
 	"slateridge/internal/constants"
+	"slateridge/internal/simnet"
 )
 
 type crew struct {
-	b      *basin.Basin
-	all    map[string]*Staff // nil while down
-	frozen map[string]bool
-	life   map[string]int
-	deaths map[string]int // how often a member was declared dead by anyone
+	network *simnet.Network
+	all     map[string]*Staff // nil while down
+	frozen  map[string]bool
+	life    map[string]int
+	deaths  map[string]int // how often a member was declared dead by anyone
 }
 
 func newCrew(seed uint64, n int) *crew {
-	c := &crew{b: basin.New(seed), all: map[string]*Staff{}, frozen: map[string]bool{}, life: map[string]int{}, deaths: map[string]int{}}
-	c.b.Loss = 0.02
+	c := &crew{network: simnet.New(seed), all: map[string]*Staff{}, frozen: map[string]bool{}, life: map[string]int{}, deaths: map[string]int{}}
+	c.network.Loss = 0.02
 	for i := range n {
 		c.start(fmt.Sprint("m", i))
 	}
@@ -29,7 +29,7 @@
 
 func (c *crew) start(n string) {
 	c.life[n]++
-	c.all[n] = New(c.b.Now, n, n, []string{"m0", "m1", "m2"}, rand.New(rand.NewPCG(uint64(c.life[n]), uint64(len(n))+uint64(n[1])*7+uint64(n[len(n)-1]))))
+	c.all[n] = New(c.network.Now, n, n, []string{"m0", "m1", "m2"}, rand.New(rand.NewPCG(uint64(c.life[n]), uint64(len(n))+uint64(n[1])*7+uint64(n[len(n)-1]))))
 	c.tick(n, c.life[n])
 }
 
@@ -38,9 +38,9 @@
 		return
 	}
 	if !c.frozen[n] {
-		c.put(n, c.all[n].Tick(c.b.Now))
+		c.put(n, c.all[n].Tick(c.network.Now))
 	}
-	c.b.After(TickEvery, func() { c.tick(n, l) })
+	c.network.After(TickEvery, func() { c.tick(n, l) })
 }
 
 func (c *crew) put(n string, out []any) {
@@ -51,9 +51,9 @@
 				c.deaths[o.Fact.Addr]++
 			}
 		case Send:
-			c.b.Send(n, o.To, func() {
+			c.network.Send(n, o.To, func() {
 				if s := c.all[o.To]; s != nil && !c.frozen[o.To] {
-					c.put(o.To, s.Recv(c.b.Now, n, o.Msg))
+					c.put(o.To, s.Recv(c.network.Now, n, o.Msg))
 				}
 			})
 		}
@@ -76,7 +76,7 @@
 	return out
 }
 
-func (c *crew) run(d time.Duration) { c.b.Run(c.b.Now+d, nil) }
+func (c *crew) run(d time.Duration) { c.network.Run(c.network.Now+d, nil) }
 
 func TestMembership(t *testing.T) {
 	for seed := uint64(1); seed <= 20; seed++ {
@@ -89,11 +89,11 @@
 			}
 		}
 		// One that is cut off from a single other is vouched for by the rest.
-		c.b.Cut("m3", "m4", true)
-		c.b.Cut("m4", "m3", true)
+		c.network.Cut("m3", "m4", true)
+		c.network.Cut("m4", "m3", true)
 		// One that stands still a moment is not removed, and accuses nobody.
 		c.frozen["m5"] = true
-		c.b.After(1500*time.Millisecond, func() { c.frozen["m5"] = false })
+		c.network.After(1500*time.Millisecond, func() { c.frozen["m5"] = false })
 		c.run(60 * time.Second)
 		if len(c.deaths) != 0 {
 			t.Fatalf("seed %d: declared dead though they ran: %v", seed, c.deaths)
--- a/internal/usage/loss_test.go
+++ b/internal/usage/loss_test.go
@@ -9,8 +9,8 @@
 	"testing"
 	"time"
 
-	"slateridge/internal/basin"
 	"slateridge/internal/constants"
+	"slateridge/internal/simnet"
 )
 
 // mostLost is how long before a proxy was killed a request must have been sent to be
@@ -54,7 +54,7 @@
 // lossMachine is one control machine; what its disk holds outlasts its process.
 type lossMachine struct {
 	name   string
-	disk   *basin.Disk
+	disk   *simnet.Disk
 	life   int // rises with each end of the process
 	up     bool
 	tally  *Tally
@@ -64,7 +64,7 @@
 
 // lossFleet is a fleet with a holder of the usage duty, the leases being an oracle's.
 type lossFleet struct {
-	*basin.Basin
+	*simnet.Network
 	t        *testing.T
 	seed     uint64
 	machines map[string]*lossMachine
@@ -304,10 +304,10 @@
 func TestLossIsBounded(t *testing.T) {
 	sent, lost := 0, 0
 	for seed := uint64(1); seed <= 60; seed++ {
-		f := &lossFleet{Basin: basin.New(seed), t: t, seed: seed, machines: map[string]*lossMachine{}, proxies: map[string]*lossProxy{}, reports: map[uint64]Counts{}}
+		f := &lossFleet{Network: simnet.New(seed), t: t, seed: seed, machines: map[string]*lossMachine{}, proxies: map[string]*lossProxy{}, reports: map[uint64]Counts{}}
 		f.Delay = []time.Duration{2, 10, 40}[seed%3] * time.Millisecond
 		for _, name := range []string{"a", "b", "c"} {
-			f.machines[name] = &lossMachine{name: name, disk: basin.NewDisk()}
+			f.machines[name] = &lossMachine{name: name, disk: simnet.NewDisk()}
 			f.start(f.machines[name])
 		}
 		f.after = f.window(0) - 1
@@ -341,7 +341,7 @@
 func TestSavedWordsAreComplete(t *testing.T) {
 	for seed := uint64(1); seed <= 60; seed++ {
 		rng := rand.New(rand.NewPCG(seed, 11))
-		disk, tally := basin.NewDisk(), NewTally(1)
+		disk, tally := simnet.NewDisk(), NewTally(1)
 		keeper, truth := NewKeeper(tally, disk.Get), 0
 		meter := NewMeter(seed)
 		for range 5 + rng.IntN(20) {
--- a/internal/watermaster/electorate_test.go
+++ b/internal/watermaster/electorate_test.go
@@ -5,8 +5,8 @@
 	"testing"
 	"time"
 
-	"slateridge/internal/basin"
 	"slateridge/internal/constants"
+	"slateridge/internal/simnet"
 )
 
 // ballot is a decided view, as far as leases go: its electorate, the number of the
@@ -34,17 +34,17 @@
 // election is the model: voters leave, are replaced and come back, by views that a
 // majority of the voters before has promised.
 type election struct {
-	b     *basin.Basin
-	names []string
-	at    map[string]*booth
-	views []ballot
-	late  bool // the fault to show: a promise reaches the leases only with the next step
-	blind bool // the fault to show: a voter whose disk is new takes part by its address alone
+	network *simnet.Network
+	names   []string
+	at      map[string]*booth
+	views   []ballot
+	late    bool // the fault to show: a promise reaches the leases only with the next step
+	blind   bool // the fault to show: a voter whose disk is new takes part by its address alone
 }
 
 func (e *election) clock(n string) time.Duration {
 	m := e.at[n]
-	return time.Duration(float64(e.b.Now-m.born) * m.rate)
+	return time.Duration(float64(e.network.Now-m.born) * m.rate)
 }
 
 // tell is what the machine's chain says to its leases.
@@ -60,7 +60,7 @@
 
 func (e *election) put(n string, out []Send) {
 	for _, s := range out {
-		e.b.Send(n, s.To, func() { e.deliver(s.To, n, s.Msg) })
+		e.network.Send(n, s.To, func() { e.deliver(s.To, n, s.Msg) })
 	}
 }
 
@@ -78,8 +78,8 @@
 func (e *election) start(n string) {
 	m := e.at[n]
 	m.life++
-	m.born, m.rate, m.frozen, m.waiting = e.b.Now, 0.95+0.1*e.b.Rng.Float64(), false, nil
-	m.w = New(0, e.b.Rng.Uint64(), n, []string{"x"})
+	m.born, m.rate, m.frozen, m.waiting = e.network.Now, 0.95+0.1*e.network.Rng.Float64(), false, nil
+	m.w = New(0, e.network.Rng.Uint64(), n, []string{"x"})
 	e.tick(n, m.life)
 }
 
@@ -98,7 +98,7 @@
 		e.tell(n)
 		e.put(n, m.w.Tick(e.clock(n)))
 	}
-	e.b.After(constants.LeaseTick, func() { e.tick(n, life) })
+	e.network.After(constants.LeaseTick, func() { e.tick(n, life) })
 }
 
 func (e *election) thaw(n string, life int) {
@@ -131,7 +131,7 @@
 	cur := len(e.views) - 1
 	v := e.views[cur]
 	order := slices.Clone(v.voters)
-	e.b.Rng.Shuffle(len(order), func(i, j int) { order[i], order[j] = order[j], order[i] })
+	e.network.Rng.Shuffle(len(order), func(i, j int) { order[i], order[j] = order[j], order[i] })
 	have := 0
 	for _, n := range order {
 		m := e.at[n]
@@ -143,10 +143,10 @@
 			e.tell(n)
 		}
 		have++
-		if e.late && e.b.Rng.IntN(4) == 0 {
+		if e.late && e.network.Rng.IntN(4) == 0 {
 			m.frozen = true // between the promise and the next step
 			life := m.life
-			e.b.After(time.Duration(e.b.Rng.IntN(20000))*time.Millisecond, func() { e.thaw(n, life) })
+			e.network.After(time.Duration(e.network.Rng.IntN(20000))*time.Millisecond, func() { e.thaw(n, life) })
 		}
 	}
 	if have <= len(v.voters)/2 {
@@ -155,15 +155,15 @@
 	to := next(v)
 	e.views = append(e.views, to)
 	for _, n := range e.names {
-		spread := []int{30, 600, 8000, 25000}[e.b.Rng.IntN(4)]
-		e.b.After(time.Duration(e.b.Rng.IntN(spread))*time.Millisecond, func() { e.learn(n, cur+1) })
+		spread := []int{30, 600, 8000, 25000}[e.network.Rng.IntN(4)]
+		e.network.After(time.Duration(e.network.Rng.IntN(spread))*time.Millisecond, func() { e.learn(n, cur+1) })
 	}
 }
 
 // change is the next electorate: one is replaced, dropped, or some are added, and a
 // wiped disk is taken in where its machine is a voter.
 func (e *election) change(v ballot) ballot {
-	rng := e.b.Rng
+	rng := e.network.Rng
 	to := ballot{v.epoch, slices.Clone(v.voters), map[string]int{}}
 	var outside []string
 	for _, n := range e.names {
@@ -200,7 +200,7 @@
 }
 
 func (e *election) trouble(until time.Duration) {
-	b := e.b
+	b := e.network
 	if b.Now > until {
 		return
 	}
@@ -273,10 +273,10 @@
 // hold the duty, or how long after the calm began one held it for good.
 func play(seed uint64, late, blind bool) (two time.Duration, settled time.Duration, moves, views int) {
 	const quiet, end = 50 * time.Second, 66 * time.Second
-	b := basin.New(seed)
+	b := simnet.New(seed)
 	b.Loss = []float64{0, 0.1}[seed%2]
 	b.Delay = []time.Duration{5, 100, 400}[seed%3] * time.Millisecond
-	e := &election{b: b, names: []string{"a", "b", "c", "d", "e", "f", "g"}, at: map[string]*booth{}, late: late, blind: blind}
+	e := &election{network: b, names: []string{"a", "b", "c", "d", "e", "f", "g"}, at: map[string]*booth{}, late: late, blind: blind}
 	first := ballot{1, slices.Clone(e.names[:2+seed%4]), map[string]int{}}
 	for _, n := range first.voters {
 		first.disks[n] = 0
--- a/internal/watermaster/lives_test.go
+++ b/internal/watermaster/lives_test.go
@@ -4,8 +4,8 @@
 	"testing"
 	"time"
 
-	"slateridge/internal/basin"
 	"slateridge/internal/constants"
+	"slateridge/internal/simnet"
 )
 
 // allowed says whether a grantor says yes to an Ask.
@@ -181,7 +181,7 @@
 func TestWhatTheElectorateMustTell(t *testing.T) {
 	for _, wiped := range []bool{false, true} {
 		for _, owed := range []bool{true, false} {
-			b := basin.New(1)
+			b := simnet.New(1)
 			b.Delay = 5 * time.Millisecond
 			all, before, after := []string{"a", "b", "c", "d"}, []string{"a", "b", "c"}, []string{"a", "b", "d"}
 			ms := map[string]*Watermaster{}
--- a/internal/watermaster/watermaster_test.go
+++ b/internal/watermaster/watermaster_test.go
@@ -4,8 +4,8 @@
 	"testing"
 	"time"
 
-	"slateridge/internal/basin"
 	"slateridge/internal/constants"
+	"slateridge/internal/simnet"
 )
 
 // TestOneHolder runs seeded days with lost messages, cuts, restarts and clocks
@@ -14,7 +14,7 @@
 func TestOneHolder(t *testing.T) {
 	moves := 0
 	for seed := uint64(1); seed <= 300; seed++ {
-		b := basin.New(seed)
+		b := simnet.New(seed)
 		b.Loss = []float64{0, 0.1, 0.3}[seed%3]
 		b.Delay = []time.Duration{5, 100, 700}[seed/3%3] * time.Millisecond
 		names := []string{"a", "b", "c", "d", "e", "f"}[:3+seed%4]
@@ -151,15 +151,15 @@
 
 // pond is machines on a simulated network; nil ones are down.
 type pond struct {
-	b  *basin.Basin
-	ms map[string]*Watermaster
+	network *simnet.Network
+	ms      map[string]*Watermaster
 }
 
 func (p *pond) put(n string, out []Send) {
 	for _, s := range out {
-		p.b.Send(n, s.To, func() {
+		p.network.Send(n, s.To, func() {
 			if w := p.ms[s.To]; w != nil {
-				p.put(s.To, w.Recv(p.b.Now, n, s.Msg))
+				p.put(s.To, w.Recv(p.network.Now, n, s.Msg))
 			}
 		})
 	}
@@ -170,16 +170,16 @@
 	for _, n := range names {
 		if p.ms[n] != nil {
 			before(n)
-			p.put(n, p.ms[n].Tick(p.b.Now))
+			p.put(n, p.ms[n].Tick(p.network.Now))
 		}
 	}
-	p.b.After(constants.LeaseTick, func() { p.run(names, before) })
+	p.network.After(constants.LeaseTick, func() { p.run(names, before) })
 }
 
 func (p *pond) holders(names []string, duty string) (who string) {
 	for _, n := range names {
 		if p.ms[n] != nil {
-			if _, ok := p.ms[n].Holds(p.b.Now, duty); ok {
+			if _, ok := p.ms[n].Holds(p.network.Now, duty); ok {
 				who += n
 			}
 		}
@@ -193,7 +193,7 @@
 // holders, and at the end it has one.
 func TestElectorateGrows(t *testing.T) {
 	for seed := uint64(1); seed <= 150; seed++ {
-		b := basin.New(seed)
+		b := simnet.New(seed)
 		b.Loss = []float64{0, 0.1}[seed%2]
 		b.Delay = []time.Duration{5, 100, 400}[seed%3] * time.Millisecond
 		all := []string{"a", "b", "c", "d", "e", "f", "g"}
@@ -256,7 +256,7 @@
 // grants have ended, and takes no other's.
 func TestStraightBack(t *testing.T) {
 	for seed := uint64(1); seed <= 40; seed++ {
-		b := basin.New(seed)
+		b := simnet.New(seed)
 		b.Delay = 5 * time.Millisecond
 		names := []string{"a", "b", "c", "d", "e"}
 		ms := map[string]*Watermaster{}
@@ -288,7 +288,7 @@
 // Answers that take longer than the time between two questions renew all the same.
 func TestSlowAnswersRenew(t *testing.T) {
 	for seed := uint64(1); seed <= 20; seed++ {
-		b := basin.New(seed)
+		b := simnet.New(seed)
 		b.Delay = 170 * time.Millisecond
 		names := []string{"a", "b", "c", "d", "e"}
 		ms := map[string]*Watermaster{}
--- a/internal/weir/handover_test.go
+++ b/internal/weir/handover_test.go
@@ -32,9 +32,9 @@
 	var control func()
 	control = func() {
 		g.tell()
-		f.b.After(100*time.Millisecond, control)
+		f.network.After(100*time.Millisecond, control)
 	}
-	f.b.After(100*time.Millisecond, control)
+	f.network.After(100*time.Millisecond, control)
 	return g
 }
 
@@ -50,7 +50,7 @@
 			all = false
 		}
 		if !g.cut[n] {
-			g.b.After(time.Duration(g.b.Rng.IntN(700))*time.Millisecond, func() { g.learn(n, count) })
+			g.network.After(time.Duration(g.network.Rng.IntN(700))*time.Millisecond, func() { g.learn(n, count) })
 		}
 	}
 	for n, last := range g.ended {
@@ -86,9 +86,9 @@
 			return g.echoAt[n], g.echo[n].Life, g.echo[n] != Stamp{}
 		})
 		g.ask(n, wants, nil)
-		g.b.After(constants.GrantEvery, renew)
+		g.network.After(constants.GrantEvery, renew)
 	}
-	g.b.After(time.Millisecond, renew)
+	g.network.After(time.Millisecond, renew)
 }
 
 // forgetAfter is when control takes a proxy that has ended off the roster: after its
@@ -105,7 +105,7 @@
 	g.life[n]++
 	g.frozen[n] = true
 	g.ended[n] = g.proxies[n].Settled(g.clock(n))
-	g.b.After(forgetAfter, func() { delete(g.ended, n) })
+	g.network.After(forgetAfter, func() { delete(g.ended, n) })
 }
 
 // roster is the live count by what control knows.
@@ -116,12 +116,12 @@
 	set := func(apart bool) {
 		g.cut[n] = apart
 		for t := range g.gates {
-			g.b.Cut(n, t, apart)
-			g.b.Cut(t, n, apart)
+			g.network.Cut(n, t, apart)
+			g.network.Cut(t, n, apart)
 		}
 	}
 	set(true)
-	g.b.After(span, func() { set(false) })
+	g.network.After(span, func() { set(false) })
 }
 
 // flowing is the rate that may flow at this moment: what every proxy fills its
@@ -141,7 +141,7 @@
 		return split, held, 0 // a pool of an earlier turn is thrown away with the first word
 	}
 	if p := tracker.pools[g.key]; p != nil {
-		p.shape(g.b.Now, tracker)
+		p.shape(g.network.Now, tracker)
 		pool = p.b.rate
 	}
 	return split, held, pool
@@ -151,10 +151,10 @@
 func (g *growing) press(perS float64) {
 	var come func()
 	come = func() {
-		g.request(g.members[g.b.Rng.IntN(len(g.members))])
-		g.b.After(time.Duration(g.b.Rng.Int64N(int64(2*float64(time.Second)/perS))), come)
+		g.request(g.members[g.network.Rng.IntN(len(g.members))])
+		g.network.After(time.Duration(g.network.Rng.Int64N(int64(2*float64(time.Second)/perS))), come)
 	}
-	g.b.After(time.Second, come)
+	g.network.After(time.Second, come)
 }
 
 // TestCountRisesAndFalls takes the live count up and down over the step from which
@@ -165,8 +165,8 @@
 	for seed := uint64(1); seed <= 60; seed++ {
 		q := []Quota{{100, 100}, {40, 40}, {200, 60}}[seed%3]
 		g := newGrowing(seed, []int{15, 18, 22}[seed/3%3], q)
-		g.b.Loss = []float64{0, 0.02}[seed%2]
-		r := g.b.Rng
+		g.network.Loss = []float64{0, 0.02}[seed%2]
+		r := g.network.Rng
 		g.press(q.Rate * 3)
 		var change func()
 		change = func() {
@@ -185,17 +185,17 @@
 				}
 			case 5:
 				g.holder = ""
-				g.b.After(300*time.Millisecond, func() {
-					g.holder, g.since = fmt.Sprint("t", r.IntN(3)), g.b.Now
+				g.network.After(300*time.Millisecond, func() {
+					g.holder, g.since = fmt.Sprint("t", r.IntN(3)), g.network.Now
 				})
 			}
-			g.b.After(time.Duration(r.IntN(3000))*time.Millisecond, change)
+			g.network.After(time.Duration(r.IntN(3000))*time.Millisecond, change)
 		}
-		g.b.After(3*time.Second, change)
-		for g.b.Now < 45*time.Second && !t.Failed() {
-			g.b.Run(g.b.Now+20*time.Millisecond, nil)
+		g.network.After(3*time.Second, change)
+		for g.network.Now < 45*time.Second && !t.Failed() {
+			g.network.Run(g.network.Now+20*time.Millisecond, nil)
 			if split, held, pool := g.flowing(); split+held+pool > q.Rate*1.001 {
-				t.Errorf("seed %d, quota %v, %v: %.3f of split shares, %.3f held and %.3f at the tracker may flow a second", seed, q, g.b.Now, split, held, pool)
+				t.Errorf("seed %d, quota %v, %v: %.3f of split shares, %.3f held and %.3f at the tracker may flow a second", seed, q, g.network.Now, split, held, pool)
 			}
 		}
 		if most, allowed := g.worst(5 * time.Second); float64(most) > allowed {
@@ -210,23 +210,23 @@
 	for seed := uint64(1); seed <= 20; seed++ {
 		q := []Quota{{60, 60}, {40, 40}, {160, 160}}[seed%3]
 		g := newGrowing(seed, 15, q)
-		g.b.Delay = 2 * time.Millisecond
+		g.network.Delay = 2 * time.Millisecond
 		perS := q.Rate * 0.6
 		g.press(perS)
-		g.b.Run(5*time.Second, nil)
+		g.network.Run(5*time.Second, nil)
 		step := []int{6, 2, 1}[seed/3%3]
 		for i := 0; i < 6; i += step { // 15 to 21 proxies
 			for range step {
 				g.join()
 			}
-			g.b.Run(g.b.Now+1500*time.Millisecond, nil)
+			g.network.Run(g.network.Now+1500*time.Millisecond, nil)
 		}
-		g.b.Run(g.b.Now+6*time.Second, nil)
+		g.network.Run(g.network.Now+6*time.Second, nil)
 		for range 6 { // and back
-			g.leave(g.members[g.b.Rng.IntN(len(g.members))])
-			g.b.Run(g.b.Now+300*time.Millisecond, nil)
+			g.leave(g.members[g.network.Rng.IntN(len(g.members))])
+			g.network.Run(g.network.Now+300*time.Millisecond, nil)
 		}
-		g.b.Run(g.b.Now+forgetAfter+15*time.Second, nil)
+		g.network.Run(g.network.Now+forgetAfter+15*time.Second, nil)
 		if refused := g.asked - len(g.spent); float64(refused) > perS {
 			t.Errorf("seed %d, quota %v, steps of %d: %d of %d requests within the quota were refused, over a second's %.0f", seed, q, step, refused, g.asked, perS)
 		}
--- a/internal/weir/weir_test.go
+++ b/internal/weir/weir_test.go
@@ -6,14 +6,14 @@
 	"testing"
 	"time"
 
-	"slateridge/internal/basin"
 	"slateridge/internal/constants"
+	"slateridge/internal/simnet"
 )
 
 // fleet is proxies and trackers on a simulated network. Trackers move between
 // machines as leases would move them; proxies restart, freeze, and are cut off.
 type fleet struct {
-	b       *basin.Basin
+	network *simnet.Network
 	key     string
 	quota   Quota
 	proxies map[string]*Weir
@@ -39,13 +39,13 @@
 	return len(f.proxies)
 }
 
-func (f *fleet) clock(n string) time.Duration { return f.b.Now - f.born[n] }
+func (f *fleet) clock(n string) time.Duration { return f.network.Now - f.born[n] }
 
 func (f *fleet) start(n string) {
 	f.life[n]++
-	f.born[n] = f.b.Now
+	f.born[n] = f.network.Now
 	delete(f.echo, n)
-	w := New(20, 3, f.b.Rng.Uint64())
+	w := New(20, 3, f.network.Rng.Uint64())
 	w.SetQuotas(0, map[string]Quota{f.key: f.quota})
 	if n := f.count(n); n > 0 {
 		w.SetProxies(0, n)
@@ -59,9 +59,9 @@
 	if to == "" {
 		return
 	}
-	f.b.Send(n, to, func() {
-		got := f.gates[to].Ask(f.b.Now, AskGrants{Proxy: n, Wants: wants, Echo: echo, Proxies: w.Proxies(), Life: w.Life(), Sent: asked}, func(int) (time.Duration, bool) { return f.since, f.holder == to })
-		f.b.Send(to, n, func() {
+	f.network.Send(n, to, func() {
+		got := f.gates[to].Ask(f.network.Now, AskGrants{Proxy: n, Wants: wants, Echo: echo, Proxies: w.Proxies(), Life: w.Life(), Sent: asked}, func(int) (time.Duration, bool) { return f.since, f.holder == to })
+		f.network.Send(to, n, func() {
 			if f.life[n] != life || got.Refused {
 				return
 			}
@@ -91,13 +91,13 @@
 	f.asked++
 	v := w.Admit(f.clock(n), f.key, false)
 	if v.OK {
-		f.spent = append(f.spent, f.b.Now)
+		f.spent = append(f.spent, f.network.Now)
 		return
 	}
 	if v.Ask {
 		f.ask(n, []Want{w.Need(f.clock(n), f.key)}, func() {
 			if w.Admit(f.clock(n), f.key, true).OK {
-				f.spent = append(f.spent, f.b.Now)
+				f.spent = append(f.spent, f.network.Now)
 			}
 		})
 		return
@@ -106,7 +106,7 @@
 }
 
 func newFleet(seed uint64, proxies int, q Quota) *fleet {
-	f := &fleet{b: basin.New(seed), key: "k", quota: q, proxies: map[string]*Weir{}, born: map[string]time.Duration{}, life: map[string]int{}, echo: map[string]Stamp{}, echoAt: map[string]time.Duration{},
+	f := &fleet{network: simnet.New(seed), key: "k", quota: q, proxies: map[string]*Weir{}, born: map[string]time.Duration{}, life: map[string]int{}, echo: map[string]Stamp{}, echoAt: map[string]time.Duration{},
 		frozen: map[string]bool{}, gates: map[string]*Gatehouse{}}
 	for i := range proxies {
 		f.proxies[fmt.Sprint("p", i)] = nil
@@ -125,18 +125,18 @@
 			if ws := f.proxies[n].Wants(f.clock(n), func(string) (time.Duration, uint64, bool) { return f.echoAt[n], f.echo[n].Life, f.echo[n] != Stamp{} }); !f.frozen[n] {
 				f.ask(n, ws, nil)
 			}
-			f.b.After(constants.GrantEvery, renew)
+			f.network.After(constants.GrantEvery, renew)
 		}
-		f.b.After(time.Duration(i)*time.Millisecond, renew)
+		f.network.After(time.Duration(i)*time.Millisecond, renew)
 	}
 	return f
 }
 
 // tracker is one that has just been started, knowing the limits or not yet.
 func (f *fleet) tracker(knows bool) *Gatehouse {
-	g := NewGatehouse(f.b.Rng.Uint64(), 3, func(n int, q Quota) bool { return Tiny(n, 20, q) })
+	g := NewGatehouse(f.network.Rng.Uint64(), 3, func(n int, q Quota) bool { return Tiny(n, 20, q) })
 	if knows {
-		g.SetQuotas(f.b.Now, map[string]Quota{f.key: f.quota})
+		g.SetQuotas(f.network.Now, map[string]Quota{f.key: f.quota})
 	}
 	return g
 }
@@ -144,9 +144,9 @@
 // atWork is a fleet on a quick network that has served clients for a while.
 func atWork(seed uint64, proxies int, q Quota, on int, perS float64, span time.Duration) *fleet {
 	f := newFleet(seed, proxies, q)
-	f.b.Delay = 2 * time.Millisecond
+	f.network.Delay = 2 * time.Millisecond
 	f.clients(on, perS)
-	f.b.Run(span, nil)
+	f.network.Run(span, nil)
 	return f
 }
 
@@ -167,16 +167,16 @@
 func (f *fleet) clients(proxies int, perS float64) {
 	var come func()
 	come = func() {
-		f.request(fmt.Sprint("p", f.b.Rng.IntN(proxies)))
-		f.b.After(time.Duration(f.b.Rng.Int64N(int64(2*float64(time.Second)/perS))), come)
+		f.request(fmt.Sprint("p", f.network.Rng.IntN(proxies)))
+		f.network.After(time.Duration(f.network.Rng.Int64N(int64(2*float64(time.Second)/perS))), come)
 	}
-	f.b.After(2*time.Second, come)
+	f.network.After(2*time.Second, come)
 }
 
 // share is the part served of what comes in a span.
 func (f *fleet) share(span time.Duration) float64 {
 	a, s := f.asked, len(f.spent)
-	f.b.Run(f.b.Now+span, nil)
+	f.network.Run(f.network.Now+span, nil)
 	return float64(len(f.spent)-s) / float64(f.asked-a)
 }
 
@@ -189,12 +189,12 @@
 		if seed%20 == 7 {
 			f = newFleet(seed, 300, q)
 		}
-		f.b.Loss = 0.02
-		r := f.b.Rng
+		f.network.Loss = 0.02
+		r := f.network.Rng
 		var press func()
 		press = func() {
 			f.request(fmt.Sprint("p", r.IntN(len(f.proxies))))
-			f.b.After(time.Duration(r.Int64N(int64(float64(time.Second)/(q.Rate*4)))), press)
+			f.network.After(time.Duration(r.Int64N(int64(float64(time.Second)/(q.Rate*4)))), press)
 		}
 		var trouble func()
 		trouble = func() {
@@ -202,30 +202,30 @@
 			switch r.IntN(4) {
 			case 0: // the tracker's duty moves: the lease ends before another begins
 				f.holder = ""
-				f.b.After(300*time.Millisecond, func() {
-					f.holder, f.since = fmt.Sprint("t", r.IntN(3)), f.b.Now
+				f.network.After(300*time.Millisecond, func() {
+					f.holder, f.since = fmt.Sprint("t", r.IntN(3)), f.network.Now
 				})
 			case 1: // killed; a start takes its time
 				f.frozen[n] = true
-				f.b.After(300*time.Millisecond, func() { f.start(n); f.frozen[n] = false })
+				f.network.After(300*time.Millisecond, func() { f.start(n); f.frozen[n] = false })
 			case 2:
 				f.frozen[n] = true
-				f.b.After(time.Duration(r.IntN(4000))*time.Millisecond, func() { f.frozen[n] = false })
+				f.network.After(time.Duration(r.IntN(4000))*time.Millisecond, func() { f.frozen[n] = false })
 			case 3:
 				for g := range f.gates {
-					f.b.Cut(n, g, true)
+					f.network.Cut(n, g, true)
 				}
-				f.b.After(time.Duration(r.IntN(6000))*time.Millisecond, func() {
+				f.network.After(time.Duration(r.IntN(6000))*time.Millisecond, func() {
 					for g := range f.gates {
-						f.b.Cut(n, g, false)
+						f.network.Cut(n, g, false)
 					}
 				})
 			}
-			f.b.After(time.Duration(r.IntN(1500))*time.Millisecond, trouble)
+			f.network.After(time.Duration(r.IntN(1500))*time.Millisecond, trouble)
 		}
-		f.b.After(2*time.Second, press)
-		f.b.After(3*time.Second, trouble)
-		f.b.Run(40*time.Second, nil)
+		f.network.After(2*time.Second, press)
+		f.network.After(3*time.Second, trouble)
+		f.network.Run(40*time.Second, nil)
 		most, allowed := f.worst(5 * time.Second)
 		if float64(most) > allowed {
 			t.Errorf("seed %d, quota %v: %d ran in a window, %.0f are allowed", seed, q, most, allowed)
@@ -246,17 +246,17 @@
 	for name, c := range map[string][2]int{"spread over all": {11, 11}, "on three of eleven": {11, 3}, "over eighty": {80, 80}, "on five of eighty": {80, 5}} {
 		proxies := c[1]
 		f := newFleet(4, c[0], Quota{26, 26})
-		f.b.Delay = 2 * time.Millisecond
+		f.network.Delay = 2 * time.Millisecond
 		var come func()
 		come = func() {
-			n := fmt.Sprint("p", f.b.Rng.IntN(proxies))
-			for range 1 + f.b.Rng.IntN(3) { // clients send a few at a time
+			n := fmt.Sprint("p", f.network.Rng.IntN(proxies))
+			for range 1 + f.network.Rng.IntN(3) { // clients send a few at a time
 				f.request(n)
 			}
-			f.b.After(time.Duration(f.b.Rng.Int64N(int64(time.Second*2*2/16))), come)
+			f.network.After(time.Duration(f.network.Rng.Int64N(int64(time.Second*2*2/16))), come)
 		}
-		f.b.After(3*time.Second, come)
-		f.b.Run(60*time.Second, nil)
+		f.network.After(3*time.Second, come)
+		f.network.Run(60*time.Second, nil)
 		if share := 1 - float64(len(f.spent))/float64(f.asked); share > 0.04 {
 			t.Errorf("%s: %.1f%% of %d requests within the quota were refused", name, share*100, f.asked)
 		}
@@ -266,18 +266,18 @@
 // A proxy cut off from its trackers has its whole split share back soon after.
 func TestCutOffProxyTakesItsShareBack(t *testing.T) {
 	f := newFleet(9, 11, Quota{110, 110})
-	f.b.Delay = 2 * time.Millisecond
-	f.b.Run(5*time.Second, nil)
+	f.network.Delay = 2 * time.Millisecond
+	f.network.Run(5*time.Second, nil)
 	share := func() float64 { return f.proxies["p3"].Reports(f.clock("p3"))[0].SplitRate }
 	whole := constants.SplitPart * 110 / 11
 	if share() > whole*(1.01-constants.LendMost) {
 		t.Fatalf("an idle proxy in touch keeps %.1f of %.1f a second", share(), whole)
 	}
 	for g := range f.gates {
-		f.b.Cut("p3", g, true)
-		f.b.Cut(g, "p3", true)
+		f.network.Cut("p3", g, true)
+		f.network.Cut(g, "p3", true)
 	}
-	f.b.Run(f.b.Now+constants.LendLength+10*time.Millisecond, nil)
+	f.network.Run(f.network.Now+constants.LendLength+10*time.Millisecond, nil)
 	if share() < whole*0.999 {
 		t.Fatalf("cut off for %v it has %.1f of %.1f a second", constants.LendLength, share(), whole)
 	}
@@ -335,11 +335,11 @@
 // share here, lent whole, never fills.
 func TestDebtIsAskedFor(t *testing.T) {
 	f := newFleet(3, 80, Quota{100, 100})
-	f.b.Delay = 2 * time.Millisecond
-	f.b.Run(6*time.Second, nil)
+	f.network.Delay = 2 * time.Millisecond
+	f.network.Run(6*time.Second, nil)
 	for range 5 {
 		f.request("p1")
-		f.b.Run(f.b.Now+time.Second, nil)
+		f.network.Run(f.network.Now+time.Second, nil)
 		f.proxies["p1"].Settle(f.clock("p1"), "k", 2) // it ran twice
 	}
 	if len(f.spent) != 5 {
@@ -394,7 +394,7 @@
 	for n := range f.gates { // all started anew
 		f.gates[n] = f.tracker(true)
 	}
-	f.holder, f.since = "t1", f.b.Now
+	f.holder, f.since = "t1", f.network.Now
 	if got := f.share(3 * time.Second); got < 0.85 {
 		t.Errorf("%.2f served after a new one began", got)
 	}
@@ -412,11 +412,11 @@
 func TestUnknowingTrackerIsNone(t *testing.T) {
 	f := atWork(6, 80, Quota{40, 40}, 12, 25, 30*time.Second)
 	fresh := f.tracker(false)
-	f.gates["t2"], f.holder, f.since = fresh, "t2", f.b.Now
+	f.gates["t2"], f.holder, f.since = fresh, "t2", f.network.Now
 	if got := f.share(4 * time.Second); got < 0.5 {
 		t.Errorf("%.2f served beside a tracker without limits", got)
 	}
-	fresh.SetQuotas(f.b.Now, map[string]Quota{"k": f.quota})
+	fresh.SetQuotas(f.network.Now, map[string]Quota{"k": f.quota})
 	f.share(1500 * time.Millisecond)
 	if got := f.share(3 * time.Second); got < 0.85 {
 		t.Errorf("%.2f served once it has them", got)
@@ -431,11 +431,11 @@
 	for i := range 300 {
 		f.start(fmt.Sprint("p", i))
 	}
-	f.b.Run(f.b.Now+700*time.Millisecond, nil)
+	f.network.Run(f.network.Now+700*time.Millisecond, nil)
 	f.holder = ""
-	f.b.Run(f.b.Now+300*time.Millisecond, nil)
-	f.holder, f.since = "t0", f.b.Now
-	f.b.Run(f.b.Now+700*time.Millisecond, nil)
+	f.network.Run(f.network.Now+300*time.Millisecond, nil)
+	f.holder, f.since = "t0", f.network.Now
+	f.network.Run(f.network.Now+700*time.Millisecond, nil)
 	if got := f.share(time.Second); got < 0.95 {
 		t.Errorf("%.2f served in the second after it had begun again", got)
 	}
@@ -449,11 +449,11 @@
 		f.spent = nil
 		for i := range 40 {
 			for g := range f.gates {
-				f.b.Cut(fmt.Sprint("p", i), g, true)
-				f.b.Cut(g, fmt.Sprint("p", i), seed%2 == 0) // in one direction or both
+				f.network.Cut(fmt.Sprint("p", i), g, true)
+				f.network.Cut(g, fmt.Sprint("p", i), seed%2 == 0) // in one direction or both
 			}
 		}
-		f.b.Run(30*time.Second, nil)
+		f.network.Run(30*time.Second, nil)
 		if most, allowed := f.worst(5 * time.Second); float64(most) > allowed {
 			t.Errorf("seed %d: %d ran in a window, %.0f are allowed", seed, most, allowed)
 		}
@@ -473,15 +473,15 @@
 		for i := range 80 {
 			f.start(fmt.Sprint("p", i))
 		}
-		f.b.Run(f.b.Now+1500*time.Millisecond, nil)
+		f.network.Run(f.network.Now+1500*time.Millisecond, nil)
 		f.gates["t1"] = f.tracker(true)
-		f.holder, f.since = "t1", f.b.Now
+		f.holder, f.since = "t1", f.network.Now
 		before := len(f.spent)
-		f.b.Run(f.b.Now+1500*time.Millisecond, nil)
+		f.network.Run(f.network.Now+1500*time.Millisecond, nil)
 		if got := len(f.spent) - before; got < 180 {
 			t.Errorf("seed %d: %d served in the first second and a half, 250 had filled", seed, got)
 		}
-		f.b.Run(f.b.Now+10*time.Second, nil)
+		f.network.Run(f.network.Now+10*time.Second, nil)
 		if most, allowed := f.worst(5 * time.Second); float64(most) > allowed {
 			t.Errorf("seed %d: %d ran in a window, %.0f are allowed", seed, most, allowed)
 		}
@@ -498,7 +498,7 @@
 		for i := range 80 {
 			f.start(fmt.Sprint("p", i))
 		}
-		f.b.Run(f.b.Now+constants.StandbyAfter-constants.RestartTime, nil)
+		f.network.Run(f.network.Now+constants.StandbyAfter-constants.RestartTime, nil)
 		if got := f.share(2 * time.Second); got < 0.2 {
 			t.Errorf("seed %d: %.2f served without a tracker", seed, got)
 		}
@@ -517,7 +517,7 @@
 	for i := range keys {
 		qs[fmt.Sprint("k", i)] = Quota{float64(5 + i), float64(5 + i)}
 	}
-	b := basin.New(5)
+	b := simnet.New(5)
 	g := NewGatehouse(1, shards, func(n int, q Quota) bool { return Tiny(n, 20, q) })
 	g.SetQuotas(0, qs)
 	since := func(int) (time.Duration, bool) { return 0, true }
