Rename: storage

Package cistern becomes storage. A store that a write failed on has failed, and recovers. Done by a type-checked rewrite: every identifier resolves to the same object as before.

--- a/internal/explore/chainmodel/chainmodel.go
+++ b/internal/explore/chainmodel/chainmodel.go
@@ -201,7 +201,7 @@
 	if m.disks[n] == nil {
 		m.disks[n] = simnet.NewDisk()
 	}
-	m.disks[n].Mend() // a new process opens it anew
+	m.disks[n].Recover() // a new process opens it anew
 	peers := names[:m.Founders]
 	if !founding {
 		peers = append(slices.Clone(m.w.Names), n)
@@ -504,7 +504,7 @@
 		return false
 	}
 	for _, n := range m.w.Names {
-		if m.chain[n] == nil || m.w.Frozen(n) || m.disks[n].Refuse || m.disks[n].Sick() || !slices.ContainsFunc(m.chain[m.w.Names[0]].View().Members, func(x headworks.Member) bool { return x == m.chain[n].Me }) {
+		if m.chain[n] == nil || m.w.Frozen(n) || m.disks[n].Refuse || m.disks[n].Failed() || !slices.ContainsFunc(m.chain[m.w.Names[0]].View().Members, func(x headworks.Member) bool { return x == m.chain[n].Me }) {
 			return false
 		}
 	}
--- a/internal/headworks/admin.go
+++ b/internal/headworks/admin.go
@@ -143,7 +143,7 @@
 	g("view_members", uint64(len(r.Chain.View.Members)))
 	g("view_member", gaugeboard.Flag(r.Chain.View.has(r.Chain.Me)))
 	g("view_sealed", gaugeboard.Flag(r.Chain.Sealed))
-	g("disk_sick", gaugeboard.Flag(r.Chain.Sick))
+	g("disk_failed", gaugeboard.Flag(r.Chain.Sick))
 	g("majority_heard", gaugeboard.Flag(r.Current))
 	metrics.WriteGaugeFloat64(w, "slateridge_majority_contact_age_seconds", r.Contact.Seconds())
 	metrics.WriteGaugeFloat64(w, "slateridge_electorate_margin", float64(r.Margin))
--- a/internal/headworks/catchup.go
+++ b/internal/headworks/catchup.go
@@ -30,7 +30,7 @@
 func (c *Chain) Status() Gauge { return c.gauge() }
 
 func (c *Chain) gauge() Gauge {
-	g := Gauge{Me: c.Me, View: c.agr.View, Joined: c.agr.Joined, Asks: c.Relay || !c.agr.Joined, Original: c.Original, Leaving: c.leaving, Unheard: c.unheard(), Sealed: c.sealed(), Sick: c.store.Sick(), Relay: c.Relay, Zone: c.Zone, Region: c.Region,
+	g := Gauge{Me: c.Me, View: c.agr.View, Joined: c.agr.Joined, Asks: c.Relay || !c.agr.Joined, Original: c.Original, Leaving: c.leaving, Unheard: c.unheard(), Sealed: c.sealed(), Sick: c.store.Failed(), Relay: c.Relay, Zone: c.Zone, Region: c.Region,
 		Committed: at(c.committed), Held: at(c.held), Version: ver(c.committed), Dropped: c.Dropped}
 	if c.Wall != nil {
 		g.Wall = c.Wall()
--- a/internal/headworks/chain.go
+++ b/internal/headworks/chain.go
@@ -92,8 +92,8 @@
 type Store interface {
 	Get(key string, v any) bool
 	Put(key string, v any) error
-	Sick() bool
-	Mend() error
+	Failed() bool
+	Recover() error
 }
 
 // agreement is the acceptor's durable state for the slot after the view.
@@ -168,7 +168,7 @@
 	turn      int // a relay's: whom it asked last
 	passAt    time.Duration
 	fetchAt   time.Duration
-	mendAt    time.Duration
+	recoverAt time.Duration
 	troubleAt time.Duration // since when a change of view is wanted
 	rounds    uint64
 	round     *round
@@ -367,9 +367,9 @@
 		c.forget()
 		c.others(c.tell)
 	}
-	if c.store.Sick() && now >= c.mendAt {
-		c.mendAt = now + constants.MemberSilence
-		c.store.Mend()
+	if c.store.Failed() && now >= c.recoverAt {
+		c.recoverAt = now + constants.MemberSilence
+		c.store.Recover()
 	}
 	c.drive()
 	c.mendView()
--- a/internal/headworks/daemon.go
+++ b/internal/headworks/daemon.go
@@ -14,7 +14,6 @@
 
 	"github.com/oklog/run"
 
-	"slateridge/internal/cistern"
 	"slateridge/internal/clock"
 	"slateridge/internal/conduit"
 	"slateridge/internal/constants"
@@ -26,6 +25,7 @@
 	"slateridge/internal/scheme"
 	"slateridge/internal/settings"
 	"slateridge/internal/staff"
+	"slateridge/internal/storage"
 	"slateridge/internal/usage"
 	"slateridge/internal/watermaster"
 	"slateridge/internal/weir"
@@ -119,7 +119,7 @@
 
 	chainMu   sync.Mutex // held while the disk works; nothing else waits for it
 	chain     *Chain
-	store     *cistern.Cistern
+	store     *storage.Store
 	standing  atomic.Pointer[standing]
 	inForce   atomic.Pointer[scheme.Doc]
 	freshAsOf atomic.Pointer[freshness]
@@ -184,11 +184,11 @@
 	d.relay = set.DataDirectory == "" || !set.QuorumMember
 	fresh := false
 	if d.relay {
-		d.store = cistern.Volatile()
+		d.store = storage.Volatile()
 		events.Record("relay", "no disk of its own that counts: callers are sent on, nothing is decided here")
 	} else {
 		var err error
-		if d.store, fresh, err = cistern.Open(set.DataDirectory); err != nil {
+		if d.store, fresh, err = storage.Open(set.DataDirectory); err != nil {
 			return nil, fmt.Errorf("store in %s: %w", set.DataDirectory, err)
 		}
 	}
--- a/internal/headworks/electorate.go
+++ b/internal/headworks/electorate.go
@@ -274,7 +274,7 @@
 		switch {
 		case m.Addr == c.Me.Addr && m != c.Me:
 			x.State = "its disk came back empty: waits to be taken in"
-		case m == c.Me && c.store.Sick() || m != c.Me && c.inContact(m.Addr) && c.seen[m.Addr].gauge.Sick:
+		case m == c.Me && c.store.Failed() || m != c.Me && c.inContact(m.Addr) && c.seen[m.Addr].gauge.Sick:
 			x.State = "disk refuses writes"
 		case c.goodbyes[m.Addr] > 0 || m == c.Me && c.leaving:
 			x.State = "leaving"
--- a/internal/headworks/electorate_test.go
+++ b/internal/headworks/electorate_test.go
@@ -641,7 +641,7 @@
 			t.Fatal("started without its second write")
 		}
 		half.Full = 0
-		half.Mend()
+		half.Recover()
 	}
 	for _, n := range three {
 		c.start(n, false)
--- a/internal/headworks/store_before_test.go
+++ b/internal/headworks/store_before_test.go
@@ -8,9 +8,9 @@
 	"strings"
 	"testing"
 
-	"slateridge/internal/cistern"
 	"slateridge/internal/gobtest"
 	"slateridge/internal/scheme"
+	"slateridge/internal/storage"
 	"slateridge/internal/usage"
 )
 
@@ -54,7 +54,7 @@
 	if err := os.CopyFS(folder, os.DirFS(fixture)); err != nil {
 		t.Fatal(err)
 	}
-	store, isNew, err := cistern.Open(folder)
+	store, isNew, err := storage.Open(folder)
 	if err != nil || isNew {
 		t.Fatalf("the store does not open: new %v, error %v", isNew, err)
 	}
--- a/internal/headworks/view.go
+++ b/internal/headworks/view.go
@@ -61,7 +61,7 @@
 // stays.
 func (c *Chain) alive(addr string) bool {
 	if addr == c.Me.Addr {
-		return !c.store.Sick() && !c.leaving
+		return !c.store.Failed() && !c.leaving
 	}
 	return c.inContact(addr) && !c.seen[addr].gauge.Sick && !c.seen[addr].gauge.Leaving
 }
@@ -184,7 +184,7 @@
 
 // mendView starts and drives this machine's rounds.
 func (c *Chain) mendView() {
-	if !c.member() || c.Relay || c.store.Sick() || c.leaving {
+	if !c.member() || c.Relay || c.store.Failed() || c.leaving {
 		c.round = nil
 		return
 	}
--- a/internal/simnet/simnet.go
+++ b/internal/simnet/simnet.go
@@ -89,7 +89,7 @@
 	vals   map[string][]byte
 	Refuse bool
 	Full   int // not 0: writes are refused once so many were taken
-	sick   bool
+	failed bool
 }
 
 // NewDisk makes an empty disk.
@@ -103,8 +103,8 @@
 }
 
 func (d *Disk) Put(key string, v any) error {
-	if d.Refuse || d.sick || d.Full > 0 && len(d.vals) >= d.Full {
-		d.sick = true
+	if d.Refuse || d.failed || d.Full > 0 && len(d.vals) >= d.Full {
+		d.failed = true
 		return errRefused
 	}
 	var b bytes.Buffer
@@ -115,12 +115,12 @@
 	return nil
 }
 
-func (d *Disk) Sick() bool { return d.sick }
+func (d *Disk) Failed() bool { return d.failed }
 
-func (d *Disk) Mend() error {
+func (d *Disk) Recover() error {
 	if d.Refuse {
 		return errRefused
 	}
-	d.sick = false
+	d.failed = false
 	return nil
 }
--- a/internal/cistern/crash_test.go
+++ b/internal/storage/crash_test.go
@@ -1,4 +1,4 @@
-package cistern
+package storage
 
 import (
 	"errors"
@@ -20,14 +20,14 @@
 
 var keys = []string{"a", "b"}
 
-func get(c *Cistern, key string) string {
+func get(c *Store, key string) string {
 	var s string
 	c.Get(key, &s)
 	return s
 }
 
 // holds says what is wrong with a store that was opened after an end.
-func (w *truth) holds(c *Cistern) error {
+func (w *truth) holds(c *Store) error {
 	for _, k := range keys {
 		if got := get(c, k); got != w.acked[k] && !slices.Contains(w.underWay[k], got) {
 			return fmt.Errorf("%s is %q; acknowledged %q, under way %q", k, got, w.acked[k], w.underWay[k])
@@ -37,7 +37,7 @@
 }
 
 // shown takes what an opened store shows for acknowledged: its user acts on it.
-func (w *truth) shown(c *Cistern) {
+func (w *truth) shown(c *Store) {
 	for _, k := range keys {
 		if s := get(c, k); s != "" {
 			w.acked[k] = s
@@ -51,7 +51,7 @@
 	t    *testing.T
 	d    *disk
 	w    *truth
-	c    *Cistern
+	c    *Store
 	what string
 }
 
@@ -68,7 +68,7 @@
 	if err != nil {
 		u.fail("does not open: %v", err)
 	}
-	c.floor = 300 // small enough that puts compact
+	c.compactFloor = 300 // small enough that puts compact
 	u.c = c
 	u.w.shown(c)
 	return true
@@ -86,7 +86,7 @@
 	if err == nil {
 		u.w.acked[key] = val
 		delete(u.w.underWay, key)
-	} else if !errors.Is(err, ErrSick) {
+	} else if !errors.Is(err, ErrWriteFailed) {
 		u.fail("the error is not ErrSick: %v", err)
 	}
 	if got := get(u.c, key); got != u.w.acked[key] {
@@ -99,10 +99,10 @@
 	if u.d.stopped {
 		return errStopped
 	}
-	err := u.c.Mend()
+	err := u.c.Recover()
 	if err == nil && !u.d.stopped {
 		clear(u.w.underWay)
-		if u.c.Sick() {
+		if u.c.Failed() {
 			u.fail("sick after mending")
 		}
 	}
@@ -266,7 +266,7 @@
 
 // From each operation on the disk refuses, for one operation or until space is
 // back: what Put acknowledged stays through any end at any moment, nothing else
-// shows once Mend has succeeded, and Mend succeeds when space is back.
+// shows once Recover has succeeded, and Recover succeeds when space is back.
 func TestDiskRefusesFromEveryOperationOn(t *testing.T) {
 	t.Parallel()
 	runs, all, seen := 0, 0, ends{}
@@ -291,7 +291,7 @@
 						u.fail("does not open after space is back: %v", err)
 					}
 				}
-				c.floor = 300
+				c.compactFloor = 300
 				u.c = c
 				for i := range 12 {
 					key := keys[i%2]
@@ -300,11 +300,11 @@
 					if err == nil {
 						continue
 					}
-					if !c.Sick() {
+					if !c.Failed() {
 						u.fail("a failed put and no sickness")
 					}
 					for range 2 {
-						if u.mend() != nil && !c.Sick() {
+						if u.mend() != nil && !c.Failed() {
 							u.fail("mending failed and the store says it is well")
 						}
 						check()
@@ -331,7 +331,7 @@
 
 // A store that exists opens on a disk that refuses all writes, with all that was
 // acknowledged, takes nothing, and mends when there is space.
-func TestOpensSickOnAFullDisk(t *testing.T) {
+func TestOpensFailedOnAFullDisk(t *testing.T) {
 	d := newDisk()
 	c, _, _ := open(d)
 	c.Put("a", "kept")
@@ -344,11 +344,11 @@
 		if err != nil || fresh || get(c, "a") != "kept" {
 			t.Fatalf("full disk: %v, new %v", err, fresh)
 		}
-		if !c.Sick() || !errors.Is(c.Put("a", "more"), ErrSick) || c.Mend() == nil {
+		if !c.Failed() || !errors.Is(c.Put("a", "more"), ErrWriteFailed) || c.Recover() == nil {
 			t.Fatal("a full disk went unnoticed")
 		}
 		d.refuse = nil
-		if err := c.Mend(); err != nil {
+		if err := c.Recover(); err != nil {
 			t.Fatal(err)
 		}
 		if err := c.Put("a", "more"); err != nil {
@@ -380,7 +380,7 @@
 			return
 		}
 		defer c.Close()
-		c.floor = 500
+		c.compactFloor = 500
 		held, known := 0, [2]int{}
 		for v := 1; v <= 5; v++ {
 			if v == failAt {
@@ -403,7 +403,7 @@
 				return
 			}
 			u.d.refuse = nil
-			c.Mend()
+			c.Recover()
 			if !u.d.stopped {
 				u.w.acked["held"] = fmt.Sprint(held)
 			}
--- a/internal/cistern/filesystem.go
+++ b/internal/storage/filesystem.go
@@ -1,4 +1,4 @@
-package cistern
+package storage
 
 import (
 	"os"
--- a/internal/cistern/format_test.go
+++ b/internal/storage/format_test.go
@@ -1,4 +1,4 @@
-package cistern
+package storage
 
 import (
 	"bytes"
@@ -191,6 +191,6 @@
 	t.Logf("%d ends", ends)
 }
 
-func openBytes(b []byte) (*Cistern, bool, error) {
+func openBytes(b []byte) (*Store, bool, error) {
 	return open(diskWith(map[string][]byte{fileName: b}))
 }
--- a/internal/cistern/fuzz_test.go
+++ b/internal/storage/fuzz_test.go
@@ -1,4 +1,4 @@
-package cistern
+package storage
 
 import (
 	"bytes"
@@ -49,8 +49,8 @@
 			return
 		}
 		defer c.Close()
-		if c.Sick() || fresh != c.empty() {
-			t.Fatalf("sick %v, new %v", c.Sick(), fresh)
+		if c.Failed() || fresh != c.empty() {
+			t.Fatalf("sick %v, new %v", c.Failed(), fresh)
 		}
 		vals := map[string]string{}
 		c.db.View(func(tx *buntdb.Tx) error {
--- a/internal/cistern/growth_test.go
+++ b/internal/storage/growth_test.go
@@ -1,4 +1,4 @@
-package cistern
+package storage
 
 import (
 	"fmt"
@@ -95,7 +95,7 @@
 			took += time.Since(at)
 		}
 		if c.size < was {
-			written += c.live
+			written += c.liveSize
 		}
 		fi, err := os.Stat(filepath.Join(dir, fileName))
 		if err != nil || fi.Size() != c.size {
@@ -107,14 +107,14 @@
 		}
 	}
 	rec := int64(len(docs[0])) + 100
-	if bound := max(constants.StoreCompactAt, constants.StoreCompactTimes*c.live) + rec; most > bound {
+	if bound := max(constants.StoreCompactAt, constants.StoreCompactTimes*c.liveSize) + rec; most > bound {
 		t.Errorf("the file grew to %d bytes, the bound is %d", most, bound)
 	}
-	if bound := c.live + c.live/4 + 256<<10; mostHeap > bound {
-		t.Errorf("the store holds %d bytes of heap for %d of live state", mostHeap, c.live)
+	if bound := c.liveSize + c.liveSize/4 + 256<<10; mostHeap > bound {
+		t.Errorf("the store holds %d bytes of heap for %d of live state", mostHeap, c.liveSize)
 	}
 	t.Logf("document %d bytes, live state %d, file at most %d, heap at most %d, %d bytes written for compaction, %v for each synced change, the longest %v",
-		len(docs[0]), c.live, most, mostHeap, written, took/synced, longest)
+		len(docs[0]), c.liveSize, most, mostHeap, written, took/synced, longest)
 }
 
 // sizes is a disk that keeps only how large files are and how much was written.
@@ -177,8 +177,8 @@
 			for j := range 10 {
 				c.Put("held", i*10+j)
 			}
-			if bound := max(constants.StoreCompactAt, constants.StoreCompactTimes*c.live) + c.live/2 + 1<<10; d.names[fileName].n > bound {
-				t.Fatalf("live state of %d: the file has %d bytes, the bound is %d", c.live, d.names[fileName].n, bound)
+			if bound := max(constants.StoreCompactAt, constants.StoreCompactTimes*c.liveSize) + c.liveSize/2 + 1<<10; d.names[fileName].n > bound {
+				t.Fatalf("live state of %d: the file has %d bytes, the bound is %d", c.liveSize, d.names[fileName].n, bound)
 			}
 		}
 		put := 30 * int64(live/2)
@@ -188,7 +188,7 @@
 		if d.peak > 64<<20 {
 			t.Errorf("live state of %d: files of %d bytes together", live, d.peak)
 		}
-		t.Logf("live state %d: %d compactions in 330 puts, %.2f bytes written for each put, files together at most %d", c.live, d.creates-1, float64(d.written)/float64(put), d.peak)
+		t.Logf("live state %d: %d compactions in 330 puts, %.2f bytes written for each put, files together at most %d", c.liveSize, d.creates-1, float64(d.written)/float64(put), d.peak)
 		c.Close()
 	}
 }
@@ -201,8 +201,8 @@
 	for i := range 100 {
 		c.Put("held", i)
 	}
-	if c.size > constants.StoreCompactAt || c.live > 1<<10 {
-		t.Fatalf("a live state of %d bytes in a file of %d", c.live, c.size)
+	if c.size > constants.StoreCompactAt || c.liveSize > 1<<10 {
+		t.Fatalf("a live state of %d bytes in a file of %d", c.liveSize, c.size)
 	}
 }
 
@@ -215,7 +215,7 @@
 		t.Fatal(err)
 	}
 	defer c.Close()
-	c.floor = 1000
+	c.compactFloor = 1000
 	tries := 0
 	d.refuse = func(op string, _ int) bool {
 		if op == "create" {
@@ -228,8 +228,8 @@
 			t.Fatal(err)
 		}
 	}
-	if tries == 0 || tries > 40 || c.Sick() {
-		t.Fatalf("%d tries, sick %v", tries, c.Sick())
+	if tries == 0 || tries > 40 || c.Failed() {
+		t.Fatalf("%d tries, sick %v", tries, c.Failed())
 	}
 	d.refuse = nil
 	for i := range 10 {
--- a/internal/cistern/cistern.go
+++ b/internal/storage/store.go
@@ -1,5 +1,5 @@
-// Package cistern keeps what must outlast the process; in the field's terms: a
-// small durable key-value store, a log that is compacted, over buntdb.
+// Package storage is a small durable key-value store over buntdb: a log that is compacted.
+// It keeps what must outlast the process.
 //
 // buntdb holds the values, reads the file and writes its compaction. What it
 // would do with the file by itself it does not do here: it drops the error of its
@@ -14,10 +14,10 @@
 //     From then on every opening shows it or a later one, whatever kills and
 //     losses of power came between.
 //   - After a Put that failed the old value stands in this life, and the store is
-//     sick: it takes nothing until Mend has written the acknowledged values, and
+//     sick: it takes nothing until Recover has written the acknowledged values, and
 //     only those, into a new file. Until then a restart may show the value whose
 //     Put failed; it is then as good as one whose Put was under way at a kill.
-//     Once Mend has returned nil it never shows.
+//     Once Recover has returned nil it never shows.
 //   - What Open shows is durable before it returns: nobody learns from this
 //     machine what a loss of power would take back.
 //   - Open refuses a file that no kill or loss of power could have left, instead
@@ -29,7 +29,7 @@
 // Not promised: anything after a disk lost or changed what it had synced, but
 // that a record that fails its checksum is never shown. Damage to the very last
 // record looks like a torn write, and the value before it is shown.
-package cistern
+package storage
 
 import (
 	"bytes"
@@ -45,20 +45,20 @@
 	"slateridge/internal/constants"
 )
 
-// ErrSick is returned once the disk has failed a write; the store takes no
-// more until Mend has succeeded.
-var ErrSick = errors.New("disk refused a write")
+// ErrWriteFailed is returned once the disk has failed a write; the store takes no
+// more until Recover has succeeded.
+var ErrWriteFailed = errors.New("disk refused a write")
 
-// Cistern is the store: one value per key, replaced whole.
-type Cistern struct {
-	fs      fileSystem // nil: nothing outlasts the process
-	db      *buntdb.DB // the acknowledged values, sealed; in memory
-	f       file       // the log; nil if there never was a good one in this life
-	size    int64      // of the log
-	live    int64      // of it what is not replaced
-	floor   int64      // size up to which it is not compacted; tests make it small
-	retryAt int64      // size at which a compaction that failed is tried again
-	sick    bool
+// Store is the store: one value per key, replaced whole.
+type Store struct {
+	fs             fileSystem // nil: nothing outlasts the process
+	db             *buntdb.DB // the acknowledged values, sealed; in memory
+	file           file       // the log; nil if there never was a good one in this life
+	size           int64      // of the log
+	liveSize       int64      // of it what is not replaced
+	compactFloor   int64      // size up to which it is not compacted; tests make it small
+	compactRetryAt int64      // size at which a compaction that failed is tried again
+	failed         bool
 }
 
 const (
@@ -67,8 +67,8 @@
 )
 
 // Open reads the store in a folder, or makes it. New says it held nothing. On a
-// disk that takes no new file an existing store opens sick.
-func Open(dir string) (c *Cistern, isNew bool, err error) {
+// disk that takes no new file an existing store opens as failed.
+func Open(dir string) (c *Store, isNew bool, err error) {
 	c, isNew, err = open(folder(dir))
 	if err != nil {
 		return nil, false, fmt.Errorf("%s: %w", folder(dir).path(fileName), err)
@@ -76,7 +76,7 @@
 	return c, isNew, nil
 }
 
-func open(fs fileSystem) (c *Cistern, isNew bool, err error) {
+func open(fs fileSystem) (c *Store, isNew bool, err error) {
 	b, err := fs.ReadFile(fileName)
 	exists := err == nil
 	if err != nil && !errors.Is(err, os.ErrNotExist) {
@@ -99,7 +99,7 @@
 	// life before was killed ahead of its sync, or its sync failed and the next
 	// would pass without having written anything; and a torn end is gone.
 	if err := c.compact(); err != nil {
-		c.sick = true
+		c.failed = true
 		if !exists {
 			c.Close()
 			return nil, false, err
@@ -113,16 +113,16 @@
 }
 
 // Volatile is a store for a machine without a disk.
-func Volatile() *Cistern {
+func Volatile() *Store {
 	db, err := buntdb.Open(":memory:")
 	if err != nil {
-		panic(fmt.Sprintf("cistern: no store in memory: %v", err)) // opens no file
+		panic(fmt.Sprintf("storage: no store in memory: %v", err)) // opens no file
 	}
-	return &Cistern{db: db, floor: constants.StoreCompactAt}
+	return &Store{db: db, compactFloor: constants.StoreCompactAt}
 }
 
 // reseal brings values of a file without a header into the present form.
-func (c *Cistern) reseal() {
+func (c *Store) reseal() {
 	vals := map[string]string{}
 	c.db.View(func(tx *buntdb.Tx) error {
 		return tx.Ascend("", func(key, val string) bool {
@@ -138,18 +138,18 @@
 }
 
 // set takes a sealed value into memory, and says what it replaced.
-func (c *Cistern) set(key, val string) (old string, replaced bool) {
+func (c *Store) set(key, val string) (old string, replaced bool) {
 	err := c.db.Update(func(tx *buntdb.Tx) (err error) {
 		old, replaced, err = tx.Set(key, val, nil)
 		return err
 	})
 	if err != nil {
-		panic(fmt.Sprintf("cistern: the store in memory refused a value: %v", err)) // no file, no index
+		panic(fmt.Sprintf("storage: the store in memory refused a value: %v", err)) // no file, no index
 	}
 	return old, replaced
 }
 
-func (c *Cistern) empty() bool {
+func (c *Store) empty() bool {
 	n := 0
 	c.db.View(func(tx *buntdb.Tx) (err error) {
 		n, err = tx.Len()
@@ -159,7 +159,7 @@
 }
 
 // syncInPlace makes what stands under the file's name durable without writing.
-func (c *Cistern) syncInPlace() error {
+func (c *Store) syncInPlace() error {
 	f, err := c.fs.Open(fileName)
 	if err != nil {
 		return err
@@ -168,7 +168,7 @@
 }
 
 // Get reads a value into v; false where there is none.
-func (c *Cistern) Get(key string, v any) bool {
+func (c *Store) Get(key string, v any) bool {
 	body, ok := "", false
 	c.db.View(func(tx *buntdb.Tx) error {
 		val, err := tx.Get(key)
@@ -182,14 +182,14 @@
 
 // Put replaces a value and returns nil once it is synced. After an error the
 // value may or may not be on disk, Get gives the old one, and the store is sick
-// until Mend.
-func (c *Cistern) Put(key string, v any) error {
-	if c.sick {
-		return ErrSick
+// until Recover.
+func (c *Store) Put(key string, v any) error {
+	if c.failed {
+		return ErrWriteFailed
 	}
 	var b bytes.Buffer
 	if err := gob.NewEncoder(&b).Encode(v); err != nil {
-		panic(fmt.Sprintf("cistern: %s cannot be encoded: %v", key, err)) // a broken invariant: our own type
+		panic(fmt.Sprintf("storage: %s cannot be encoded: %v", key, err)) // a broken invariant: our own type
 	}
 	b.WriteString(key)
 	val := withSum(b.Bytes()) // sealed, without copying a long body more than once
@@ -198,36 +198,36 @@
 		return nil
 	}
 	rec := appendRecord(nil, key, val)
-	_, err := c.f.Write(rec)
+	_, err := c.file.Write(rec)
 	if err == nil {
-		err = c.f.Sync()
+		err = c.file.Sync()
 	}
 	if err != nil {
-		c.sick = true
-		return fmt.Errorf("%w: %v", ErrSick, err)
+		c.failed = true
+		return fmt.Errorf("%w: %v", ErrWriteFailed, err)
 	}
 	old, replaced := c.set(key, val)
 	c.size += int64(len(rec))
-	c.live += int64(len(rec))
+	c.liveSize += int64(len(rec))
 	if replaced {
-		c.live -= recordSize(key, old)
+		c.liveSize -= recordSize(key, old)
 	}
 	// The value is safe, so a compaction that fails is not this Put's failure. One
 	// that has not touched the names is put off; otherwise the store is sick.
-	if c.size > max(c.floor, constants.StoreCompactTimes*c.live) && c.size >= c.retryAt {
+	if c.size > max(c.compactFloor, constants.StoreCompactTimes*c.liveSize) && c.size >= c.compactRetryAt {
 		if c.compact() != nil {
-			c.retryAt = c.size + max(c.live, c.floor/4)
+			c.compactRetryAt = c.size + max(c.liveSize, c.compactFloor/4)
 		}
 	}
 	return nil
 }
 
-// Sick says whether the disk has failed.
-func (c *Cistern) Sick() bool { return c.sick }
+// Failed says whether the disk has failed.
+func (c *Store) Failed() bool { return c.failed }
 
-// Mend tries the disk again, by writing what was acknowledged into a new file.
-func (c *Cistern) Mend() error {
-	if !c.sick {
+// Recover tries the disk again, by writing what was acknowledged into a new file.
+func (c *Store) Recover() error {
+	if !c.failed {
 		return nil
 	}
 	return c.compact()
@@ -235,10 +235,10 @@
 
 // compact puts the current values, and only those, into a new file, which takes
 // the old one's place. Until it is given the name the old one stands untouched.
-func (c *Cistern) compact() error {
+func (c *Store) compact() error {
 	f, err := c.fs.Create(newName)
 	if err != nil {
-		return fmt.Errorf("%w: %v", ErrSick, err)
+		return fmt.Errorf("%w: %v", ErrWriteFailed, err)
 	}
 	w := &counter{to: f}
 	if _, err = w.Write(header()); err == nil {
@@ -250,20 +250,20 @@
 	if err != nil {
 		f.Close()
 		c.fs.Remove(newName) // gives its space back, if it can; the next one is written over it
-		return fmt.Errorf("%w: %v", ErrSick, err)
+		return fmt.Errorf("%w: %v", ErrWriteFailed, err)
 	}
-	c.sick = true // from here on either file may be the one that the next life finds
+	c.failed = true // from here on either file may be the one that the next life finds
 	if err = c.fs.Rename(newName, fileName); err == nil {
 		err = c.fs.SyncFolder()
 	}
 	if err != nil {
 		f.Close()
-		return fmt.Errorf("%w: %v", ErrSick, err)
+		return fmt.Errorf("%w: %v", ErrWriteFailed, err)
 	}
-	if c.f != nil {
-		c.f.Close()
+	if c.file != nil {
+		c.file.Close()
 	}
-	c.f, c.size, c.live, c.retryAt, c.sick = f, w.n, w.n, 0, false
+	c.file, c.size, c.liveSize, c.compactRetryAt, c.failed = f, w.n, w.n, 0, false
 	return nil
 }
 
@@ -280,9 +280,9 @@
 }
 
 // Close releases the files.
-func (c *Cistern) Close() {
-	if c.f != nil {
-		c.f.Close()
+func (c *Store) Close() {
+	if c.file != nil {
+		c.file.Close()
 	}
 	c.db.Close()
 }
--- a/internal/cistern/cistern_test.go
+++ b/internal/storage/store_test.go
@@ -1,4 +1,4 @@
-package cistern
+package storage
 
 import (
 	"bytes"
@@ -12,7 +12,7 @@
 	"slateridge/internal/constants"
 )
 
-func mustOpen(t *testing.T, dir string) *Cistern {
+func mustOpen(t *testing.T, dir string) *Store {
 	t.Helper()
 	c, _, err := Open(dir)
 	if err != nil {
@@ -108,14 +108,14 @@
 func TestFailedSyncIsSeen(t *testing.T) {
 	c := mustOpen(t, t.TempDir())
 	c.Put("held", "good")
-	c.f.Close() // the next sync fails
-	if err := c.Put("held", "lost"); !errors.Is(err, ErrSick) {
+	c.file.Close() // the next sync fails
+	if err := c.Put("held", "lost"); !errors.Is(err, ErrWriteFailed) {
 		t.Fatalf("a failed sync was taken for a good one: %v", err)
 	}
-	if err := c.Put("other", "x"); !errors.Is(err, ErrSick) {
+	if err := c.Put("other", "x"); !errors.Is(err, ErrWriteFailed) {
 		t.Fatalf("a sick store took a write: %v", err)
 	}
-	if err := c.Mend(); err != nil {
+	if err := c.Recover(); err != nil {
 		t.Fatal(err)
 	}
 	var got string
