Rename: transport

Package conduit becomes transport: its Pipe is a Conn, its Main the connection held to a Peer. Done by a type-checked rewrite: every identifier resolves to the same object as before.

--- a/cmd/scalerun/main.go
+++ b/cmd/scalerun/main.go
@@ -29,11 +29,11 @@
 	"github.com/oklog/run"
 	"github.com/rs/zerolog"
 
-	"slateridge/internal/conduit"
 	"slateridge/internal/constants"
 	"slateridge/internal/eventlog"
 	"slateridge/internal/settings"
 	"slateridge/internal/sluice"
+	"slateridge/internal/transport"
 	"slateridge/internal/wheel"
 )
 
@@ -310,7 +310,7 @@
 }
 
 func here() reading {
-	t := &conduit.Traffic
+	t := &transport.Traffic
 	return reading{time.Now(), cpu(os.Getpid()), float64(t.InBytes.Load()), float64(t.OutBytes.Load()), float64(t.In.Load()), float64(t.Out.Load())}
 }
 
--- a/internal/duty/record.go
+++ b/internal/duty/record.go
@@ -7,8 +7,8 @@
 import (
 	"slices"
 
-	"slateridge/internal/conduit"
 	"slateridge/internal/constants"
+	"slateridge/internal/transport"
 )
 
 // Record is one duty as the chain holds it.
@@ -37,7 +37,7 @@
 	Body   []byte
 }
 
-func init() { conduit.Register(conduit.NameDutyOrder, Order{}) }
+func init() { transport.Register(transport.NameDutyOrder, Order{}) }
 
 // Apply gives the records after an order, and whether it changed any.
 func (rs Records) Apply(o Order) (Records, bool) {
--- a/internal/gaugeboard/gaugeboard.go
+++ b/internal/gaugeboard/gaugeboard.go
@@ -11,9 +11,9 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
-	"slateridge/internal/conduit"
 	"slateridge/internal/eventlog"
 	"slateridge/internal/staff"
+	"slateridge/internal/transport"
 )
 
 // Report is what a role tells of itself.
@@ -53,9 +53,9 @@
 	for _, s := range []staff.State{staff.Alive, staff.Suspect, staff.Dead} {
 		metrics.WriteGaugeUint64(w, fmt.Sprintf("slateridge_members{state=%q}", s), states[s])
 	}
-	metrics.WriteCounterUint64(w, "slateridge_internal_garbage_total", conduit.Garbled.Load())
-	metrics.WriteCounterUint64(w, "slateridge_internal_incompatible_total", conduit.IncompatibleEnds.Load())
-	t := &conduit.Traffic
+	metrics.WriteCounterUint64(w, "slateridge_internal_malformed_total", transport.Malformed.Load())
+	metrics.WriteCounterUint64(w, "slateridge_internal_incompatible_total", transport.IncompatibleEnds.Load())
+	t := &transport.Traffic
 	metrics.WriteCounterUint64(w, `slateridge_internal_messages_total{dir="in"}`, t.In.Load())
 	metrics.WriteCounterUint64(w, `slateridge_internal_messages_total{dir="out"}`, t.Out.Load())
 	metrics.WriteCounterUint64(w, `slateridge_internal_bytes_total{dir="in"}`, t.InBytes.Load())
--- a/internal/headworks/daemon.go
+++ b/internal/headworks/daemon.go
@@ -15,7 +15,6 @@
 	"github.com/oklog/run"
 
 	"slateridge/internal/clock"
-	"slateridge/internal/conduit"
 	"slateridge/internal/constants"
 	"slateridge/internal/eventlog"
 	"slateridge/internal/gazetteer"
@@ -26,6 +25,7 @@
 	"slateridge/internal/settings"
 	"slateridge/internal/staff"
 	"slateridge/internal/storage"
+	"slateridge/internal/transport"
 	"slateridge/internal/usage"
 	"slateridge/internal/watermaster"
 	"slateridge/internal/weir"
@@ -75,9 +75,9 @@
 )
 
 func init() {
-	conduit.Register(conduit.NameRoster, Roster{})
-	conduit.Register(conduit.NameUpstreamListNews, ListNews{})
-	conduit.Register(conduit.NameUpstreamListRequest, ListAsk{})
+	transport.Register(transport.NameRoster, Roster{})
+	transport.Register(transport.NameUpstreamListNews, ListNews{})
+	transport.Register(transport.NameUpstreamListRequest, ListAsk{})
 }
 
 // coming are the limits of a version that is not in force yet, as far as is known
@@ -114,8 +114,8 @@
 	seeds  []string // control machines named in the settings
 	relay  bool     // has no say, and only knows who has
 
-	mainMu sync.Mutex
-	mains  map[string]*conduit.Main
+	connectionsMu sync.Mutex
+	connections   map[string]*transport.Peer
 
 	chainMu   sync.Mutex // held while the disk works; nothing else waits for it
 	chain     *Chain
@@ -171,7 +171,7 @@
 
 // NewDaemon opens the store and builds the machines.
 func NewDaemon(set *settings.Settings, events *eventlog.Log) (*Daemon, error) {
-	d := &Daemon{set: set, events: events, began: time.Now(), seeds: set.SeedIPs(), mains: map[string]*conduit.Main{}, orders: map[uint64]chan struct{}{},
+	d := &Daemon{set: set, events: events, began: time.Now(), seeds: set.SeedIPs(), connections: map[string]*transport.Peer{}, orders: map[uint64]chan struct{}{},
 		waits: map[chan struct{}]uint64{}, reads: map[uint64]*reader{}, roster: map[string]*proxyEntry{},
 		where: map[string]penstock.Peer{}, polls: intake.NewSource(set.CloudAPI.Address)}
 	d.gates = weir.NewGatehouse(rand.Uint64(), set.Trackers(), func(told int, q weir.Quota) bool {
@@ -261,7 +261,7 @@
 
 // Add puts the daemon's actors into the process's group.
 func (d *Daemon) Add(g *run.Group) error {
-	l, err := conduit.Listen(d.set.Internal(constants.PortControl))
+	l, err := transport.Listen(d.set.Internal(constants.PortControl))
 	if err != nil {
 		return err
 	}
@@ -273,7 +273,7 @@
 	if err != nil {
 		return err
 	}
-	g.Add(func() error { return conduit.Serve(l, d.onMessage) }, func(error) { l.Close() })
+	g.Add(func() error { return transport.Serve(l, d.onMessage) }, func(error) { l.Close() })
 	var seeds []string
 	for _, p := range d.seeds {
 		seeds = append(seeds, d.set.PeerInternal(p, constants.PortControlMembership))
@@ -382,13 +382,13 @@
 	if to == d.set.IPAddress {
 		return
 	}
-	d.mainMu.Lock()
-	p := d.mains[to]
+	d.connectionsMu.Lock()
+	p := d.connections[to]
 	if p == nil {
-		p = conduit.NewMain(d.set.PeerInternal(to, constants.PortControl), d.set.IPAddress, d.onMessage)
-		d.mains[to] = p
+		p = transport.NewPeer(d.set.PeerInternal(to, constants.PortControl), d.set.IPAddress, d.onMessage)
+		d.connections[to] = p
 	}
-	d.mainMu.Unlock()
+	d.connectionsMu.Unlock()
 	p.Send(m)
 }
 
@@ -601,9 +601,9 @@
 }
 
 // onMessage takes what other processes send.
-func (d *Daemon) onMessage(p *conduit.Pipe, body any) any {
+func (d *Daemon) onMessage(conn *transport.Conn, body any) any {
 	switch m := body.(type) {
-	case conduit.Incompatible:
+	case transport.Incompatible:
 		d.events.Record("protocol_incompatible", m.String())
 	case penstock.Tap:
 		if d.relay {
@@ -614,7 +614,7 @@
 		d.mu.Lock()
 		d.listTop = max(d.listTop, m.ListNum)
 		d.mu.Unlock()
-		return d.pen.Tapped(p, m)
+		return d.pen.Tapped(conn, m)
 	case weir.AskGrants:
 		now := d.now()
 		return d.gates.Ask(now, m, func(shard int) (time.Duration, bool) {
@@ -624,7 +624,7 @@
 		})
 	case watermaster.Ask, watermaster.Grant, watermaster.Release:
 		d.leaseMu.Lock()
-		out := d.leases.Recv(d.now(), p.Remote, m)
+		out := d.leases.Recv(d.now(), conn.Remote, m)
 		d.leaseMu.Unlock()
 		d.sendLeases(out)
 	case usage.Handover:
@@ -637,25 +637,25 @@
 		d.takeRoster(m)
 	case ListNews:
 		if !d.takeList(m) {
-			d.send(p.Remote, ListAsk{})
+			d.send(conn.Remote, ListAsk{})
 		}
 	case ListAsk:
 		d.mu.Lock()
 		l, age := d.list, time.Since(d.listOK)
 		d.mu.Unlock()
 		if l != nil {
-			d.send(p.Remote, ListNews{l.Num, intake.Diff(nil, l), age})
+			d.send(conn.Remote, ListNews{l.Num, intake.Diff(nil, l), age})
 		}
 	default:
 		if g, ok := body.(Gauge); ok {
 			d.mu.Lock()
-			d.where[p.Remote] = penstock.Peer{Addr: p.Remote, Zone: g.Zone, Region: g.Region}
+			d.where[conn.Remote] = penstock.Peer{Addr: conn.Remote, Zone: g.Zone, Region: g.Region}
 			if !g.Relay {
-				d.clock.Hear(p.Remote, g.Wall, d.now())
+				d.clock.Hear(conn.Remote, g.Wall, d.now())
 			}
 			d.mu.Unlock()
 		}
-		d.step(func() []any { return d.chain.Recv(d.now(), p.Remote, body) })
+		d.step(func() []any { return d.chain.Recv(d.now(), conn.Remote, body) })
 	}
 	return nil
 }
--- a/internal/headworks/messages.go
+++ b/internal/headworks/messages.go
@@ -1,8 +1,8 @@
 package headworks
 
 import (
-	"slateridge/internal/conduit"
 	"slateridge/internal/scheme"
+	"slateridge/internal/transport"
 )
 
 // Messages between headworks.
@@ -128,26 +128,26 @@
 )
 
 func init() {
-	conduit.Register(conduit.NameHeartbeat, Gauge{})
-	conduit.Register(conduit.NamePrepare, Prepare{})
-	conduit.Register(conduit.NamePromise, Promise{})
-	conduit.Register(conduit.NameNack, Nack{})
-	conduit.Register(conduit.NameSync, Sync{})
-	conduit.Register(conduit.NameSynced, Synced{})
-	conduit.Register(conduit.NameAccept, Accept{})
-	conduit.Register(conduit.NameAccepted, Accepted{})
-	conduit.Register(conduit.NameDecide, Decide{})
-	conduit.Register(conduit.NameChainPass, Pass{})
-	conduit.Register(conduit.NameChainLack, Lack{})
-	conduit.Register(conduit.NameChainAck, Ack{})
-	conduit.Register(conduit.NameChainHigher, Higher{})
-	conduit.Register(conduit.NameRetire, Retire{})
-	conduit.Register(conduit.NameForward, Forward{})
-	conduit.Register(conduit.NameEvacuationOrder, Order{})
-	conduit.Register(conduit.NameConfirm, Confirm{})
-	conduit.Register(conduit.NameConfirmed, Confirmed{})
-	conduit.Register(conduit.NameRead, Read{})
-	conduit.Register(conduit.NameReadAnswer, Answer{})
-	conduit.Register(conduit.NameFetch, Fetch{})
-	conduit.Register(conduit.NameFetched, Fetched{})
+	transport.Register(transport.NameHeartbeat, Gauge{})
+	transport.Register(transport.NamePrepare, Prepare{})
+	transport.Register(transport.NamePromise, Promise{})
+	transport.Register(transport.NameNack, Nack{})
+	transport.Register(transport.NameSync, Sync{})
+	transport.Register(transport.NameSynced, Synced{})
+	transport.Register(transport.NameAccept, Accept{})
+	transport.Register(transport.NameAccepted, Accepted{})
+	transport.Register(transport.NameDecide, Decide{})
+	transport.Register(transport.NameChainPass, Pass{})
+	transport.Register(transport.NameChainLack, Lack{})
+	transport.Register(transport.NameChainAck, Ack{})
+	transport.Register(transport.NameChainHigher, Higher{})
+	transport.Register(transport.NameRetire, Retire{})
+	transport.Register(transport.NameForward, Forward{})
+	transport.Register(transport.NameEvacuationOrder, Order{})
+	transport.Register(transport.NameConfirm, Confirm{})
+	transport.Register(transport.NameConfirmed, Confirmed{})
+	transport.Register(transport.NameRead, Read{})
+	transport.Register(transport.NameReadAnswer, Answer{})
+	transport.Register(transport.NameFetch, Fetch{})
+	transport.Register(transport.NameFetched, Fetched{})
 }
--- a/internal/penstock/contact_test.go
+++ b/internal/penstock/contact_test.go
@@ -7,10 +7,10 @@
 	"testing"
 	"time"
 
-	"slateridge/internal/conduit"
 	"slateridge/internal/constants"
 	"slateridge/internal/intake"
 	"slateridge/internal/scheme"
+	"slateridge/internal/transport"
 	"slateridge/internal/weir"
 )
 
@@ -43,8 +43,8 @@
 // newProxy is the real proxy side, told of some control machines.
 func newProxy(port int, from string, seeds ...string) (*Line, *shown) {
 	s := &shown{}
-	return NewLine(Tap{Node: "p" + from, Zone: "z"}, seeds, func(ip string, h conduit.Handler) *conduit.Main {
-		return conduit.NewMain(fmt.Sprintf("%s:%d", ip, port), from, h)
+	return NewLine(Tap{Node: "p" + from, Zone: "z"}, seeds, func(ip string, h transport.Handler) *transport.Peer {
+		return transport.NewPeer(fmt.Sprintf("%s:%d", ip, port), from, h)
 	}, s.apply), s
 }
 
@@ -145,7 +145,7 @@
 	})
 	var pushed []News
 	var mu sync.Mutex
-	m, err := conduit.Dial("127.0.0.38:39164", "127.0.0.39", func(_ *conduit.Pipe, v any) any {
+	m, err := transport.Dial("127.0.0.38:39164", "127.0.0.39", func(_ *transport.Conn, v any) any {
 		mu.Lock()
 		defer mu.Unlock()
 		pushed = append(pushed, v.(News))
@@ -347,8 +347,8 @@
 	h := newHead(t, "127.0.0.48", port)
 	h.set(3, 5, true)
 	reading, read := make(chan struct{}), make(chan struct{})
-	l := NewLine(Tap{Node: "p", Zone: "z"}, []string{"127.0.0.48"}, func(ip string, hd conduit.Handler) *conduit.Main {
-		return conduit.NewMain(fmt.Sprintf("%s:%d", ip, port), "127.0.0.49", hd)
+	l := NewLine(Tap{Node: "p", Zone: "z"}, []string{"127.0.0.48"}, func(ip string, hd transport.Handler) *transport.Peer {
+		return transport.NewPeer(fmt.Sprintf("%s:%d", ip, port), "127.0.0.49", hd)
 	}, func(f Fresh) {
 		if f.Config != nil && f.Config.Version == 4 {
 			close(reading)
@@ -414,7 +414,7 @@
 	const port = 39169
 	l, _ := newProxy(port, "127.0.0.50", "127.0.0.51")
 	dialled := func(ip string, most time.Duration) bool {
-		lis, err := conduit.Listen(fmt.Sprintf("%s:%d", ip, port))
+		lis, err := transport.Listen(fmt.Sprintf("%s:%d", ip, port))
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/penstock/line.go
+++ b/internal/penstock/line.go
@@ -8,10 +8,10 @@
 	"sync"
 	"time"
 
-	"slateridge/internal/conduit"
 	"slateridge/internal/constants"
 	"slateridge/internal/intake"
 	"slateridge/internal/scheme"
+	"slateridge/internal/transport"
 	"slateridge/internal/weir"
 )
 
@@ -31,7 +31,7 @@
 	list    *intake.List
 	whole   bool
 	full    string // whose contents we take
-	dial    func(addr string, h conduit.Handler) *conduit.Main
+	dial    func(addr string, h transport.Handler) *transport.Peer
 	apply   func(Fresh)
 	version uint64
 	inForce uint64 // the version, once it is in force here
@@ -51,7 +51,7 @@
 }
 
 type end struct {
-	m        *conduit.Main
+	peer     *transport.Peer
 	tapped   bool
 	news     News
 	at       time.Time // last answer or push
@@ -81,7 +81,7 @@
 
 // NewLine makes a proxy's end, with the control machines it knows to begin
 // with; apply is called, one call at a time, with what is newer.
-func NewLine(me Tap, peers []string, dial func(addr string, h conduit.Handler) *conduit.Main, apply func(Fresh)) *Line {
+func NewLine(me Tap, peers []string, dial func(addr string, h transport.Handler) *transport.Peer, apply func(Fresh)) *Line {
 	l := &Line{me: me, where: map[string]Peer{}, ends: map[string]*end{}, dial: dial, apply: apply, began: time.Now(), heard: time.Now()}
 	l.addLocked(peers)
 	return l
@@ -108,7 +108,7 @@
 			continue
 		}
 		e := &end{}
-		e.m = l.dial(a, func(_ *conduit.Pipe, body any) any {
+		e.peer = l.dial(a, func(_ *transport.Conn, body any) any {
 			if n, ok := body.(News); ok {
 				// It was made after the Tap that it names, and maybe only just after.
 				l.take(a, n, l.began.Add(n.Heard))
@@ -146,7 +146,7 @@
 		l.pickLocked(time.Now())
 		for _, a := range l.order {
 			if e := l.ends[a]; e.tapped && !e.everWord {
-				e.m.Pipe()
+				e.peer.Conn()
 			}
 		}
 	}
@@ -284,18 +284,18 @@
 
 func (l *Line) ask(a string, e *end, t Tap) {
 	asked := time.Now()
-	v, err := e.m.Call(t, constants.CallTimeout)
+	v, err := e.peer.Call(t, constants.CallTimeout)
 	l.mu.Lock()
 	e.asking = false
-	e.missed = errors.Is(err, conduit.ErrTimeout)
+	e.missed = errors.Is(err, transport.ErrTimeout)
 	if err != nil {
 		silent := time.Since(e.at) > constants.SubscriptionSilence && e.everWord
-		if errors.Is(err, conduit.ErrClosed) || errors.Is(err, conduit.ErrRefused) {
+		if errors.Is(err, transport.ErrClosed) || errors.Is(err, transport.ErrRefused) {
 			e.tapAt = time.Time{} // not connected yet: again with the next step
 		}
 		l.mu.Unlock()
 		if silent {
-			e.m.Drop()
+			e.peer.Disconnect()
 		}
 		return
 	}
@@ -496,5 +496,5 @@
 	}
 	e := l.ends[addr]
 	l.mu.Unlock()
-	return e.m.Call(body, timeout)
+	return e.peer.Call(body, timeout)
 }
--- a/internal/penstock/penstock.go
+++ b/internal/penstock/penstock.go
@@ -8,10 +8,10 @@
 	"sync"
 	"time"
 
-	"slateridge/internal/conduit"
 	"slateridge/internal/constants"
 	"slateridge/internal/intake"
 	"slateridge/internal/scheme"
+	"slateridge/internal/transport"
 	"slateridge/internal/weir"
 )
 
@@ -68,8 +68,8 @@
 )
 
 func init() {
-	conduit.Register(conduit.NameSubscription, Tap{})
-	conduit.Register(conduit.NameUpdate, News{})
+	transport.Register(transport.NameSubscription, Tap{})
+	transport.Register(transport.NameUpdate, News{})
 }
 
 // Face is what there is to tell at this moment.
@@ -104,7 +104,7 @@
 // Penstock is the control side.
 type Penstock struct {
 	mu    sync.Mutex
-	pipes map[*conduit.Pipe]*tapped
+	conns map[*transport.Conn]*tapped
 	face  func() Face
 	// sharing says whether a proxy may be told the live count: from then on it
 	// uses a share of the split quotas.
@@ -149,27 +149,27 @@
 
 // New makes the control side; face tells what is in force.
 func New(face func() Face, sharing func(node string) bool) *Penstock {
-	return &Penstock{pipes: map[*conduit.Pipe]*tapped{}, face: face, sharing: sharing,
+	return &Penstock{conns: map[*transport.Conn]*tapped{}, face: face, sharing: sharing,
 		docs: kept[scheme.Doc, scheme.Packed]{num: func(d *scheme.Doc) uint64 { return d.Version },
 			diff: func(base, d *scheme.Doc) *scheme.Packed { p := scheme.Pack(base, d); return &p }},
 		lists: kept[intake.List, intake.Change]{num: func(l *intake.List) uint64 { return l.Num }, diff: intake.Diff}}
 }
 
 // Tapped takes a proxy's word and answers it.
-func (ps *Penstock) Tapped(p *conduit.Pipe, t Tap) News {
+func (ps *Penstock) Tapped(conn *transport.Conn, t Tap) News {
 	f := ps.face()
 	ps.mu.Lock()
 	defer ps.mu.Unlock()
-	c := ps.pipes[p]
+	c := ps.conns[conn]
 	if c == nil {
 		c = &tapped{}
-		ps.pipes[p] = c
+		ps.conns[conn] = c
 		go func() {
-			<-p.Done()
+			<-conn.Done()
 			ps.mu.Lock()
-			delete(ps.pipes, p)
+			delete(ps.conns, conn)
 			last := true
-			for _, o := range ps.pipes {
+			for _, o := range ps.conns {
 				last = last && o.tap.Node != t.Node
 			}
 			ps.mu.Unlock()
@@ -253,7 +253,7 @@
 	f := ps.face()
 	ps.mu.Lock()
 	defer ps.mu.Unlock()
-	for p, c := range ps.pipes {
+	for conn, c := range ps.conns {
 		if time.Since(c.at) > constants.SubscriptionSilence {
 			continue // it takes its news elsewhere, or is gone; its next word is answered
 		}
@@ -262,7 +262,7 @@
 			continue
 		}
 		ps.pushes++
-		p.Send(ps.news(c, f))
+		conn.Send(ps.news(c, f))
 	}
 }
 
@@ -277,7 +277,7 @@
 	ps.mu.Lock()
 	defer ps.mu.Unlock()
 	by := map[string]ProxyState{}
-	for _, c := range ps.pipes {
+	for _, c := range ps.conns {
 		s := ProxyState{c.tap, time.Since(c.at)}
 		if o, ok := by[s.Node]; !ok || s.Silent < o.Silent {
 			by[s.Node] = s
--- a/internal/penstock/penstock_test.go
+++ b/internal/penstock/penstock_test.go
@@ -7,10 +7,10 @@
 	"testing"
 	"time"
 
-	"slateridge/internal/conduit"
 	"slateridge/internal/constants"
 	"slateridge/internal/intake"
 	"slateridge/internal/scheme"
+	"slateridge/internal/transport"
 )
 
 // head is a control machine stand-in: the real control side over a face that
@@ -32,14 +32,14 @@
 func newHead(t *testing.T, ip string, port int) *head {
 	h := &head{}
 	h.pen = New(func() Face { h.mu.Lock(); defer h.mu.Unlock(); return h.face }, func(string) bool { return true })
-	l, err := conduit.Listen(fmt.Sprintf("%s:%d", ip, port))
+	l, err := transport.Listen(fmt.Sprintf("%s:%d", ip, port))
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { l.Close() })
-	go conduit.Serve(l, func(p *conduit.Pipe, body any) any {
+	go transport.Serve(l, func(conn *transport.Conn, body any) any {
 		if m, ok := body.(Tap); ok {
-			return h.pen.Tapped(p, m)
+			return h.pen.Tapped(conn, m)
 		}
 		return nil
 	})
@@ -55,8 +55,8 @@
 	b.set(2, 4, true)
 	var mu sync.Mutex
 	var versions, lists []uint64
-	l := NewLine(Tap{Node: "p", Zone: "z"}, []string{"127.0.0.21", "127.0.0.22"}, func(ip string, h conduit.Handler) *conduit.Main {
-		return conduit.NewMain(fmt.Sprintf("%s:%d", ip, port), "127.0.0.23", h)
+	l := NewLine(Tap{Node: "p", Zone: "z"}, []string{"127.0.0.21", "127.0.0.22"}, func(ip string, h transport.Handler) *transport.Peer {
+		return transport.NewPeer(fmt.Sprintf("%s:%d", ip, port), "127.0.0.23", h)
 	}, func(f Fresh) {
 		mu.Lock()
 		defer mu.Unlock()
@@ -107,8 +107,8 @@
 	a.set(3, 5, true)
 	reading, done := make(chan struct{}), make(chan struct{})
 	var once sync.Once
-	l := NewLine(Tap{Node: "p", Zone: "z"}, []string{"127.0.0.24"}, func(ip string, h conduit.Handler) *conduit.Main {
-		return conduit.NewMain(fmt.Sprintf("%s:%d", ip, port), "127.0.0.25", h)
+	l := NewLine(Tap{Node: "p", Zone: "z"}, []string{"127.0.0.24"}, func(ip string, h transport.Handler) *transport.Peer {
+		return transport.NewPeer(fmt.Sprintf("%s:%d", ip, port), "127.0.0.25", h)
 	}, func(f Fresh) {
 		if f.Config != nil {
 			once.Do(func() { close(reading); <-done })
@@ -145,13 +145,13 @@
 // A control machine that refuses connections is being started: it is tried again
 // with the next step, like one whose connection is still being opened.
 func TestRefusedIsTriedAtOnce(t *testing.T) {
-	l := NewLine(Tap{Node: "p", Zone: "z"}, []string{"127.0.0.26"}, func(ip string, h conduit.Handler) *conduit.Main {
-		return conduit.NewMain(ip+":39159", "127.0.0.27", h) // nobody listens there
+	l := NewLine(Tap{Node: "p", Zone: "z"}, []string{"127.0.0.26"}, func(ip string, h transport.Handler) *transport.Peer {
+		return transport.NewPeer(ip+":39159", "127.0.0.27", h) // nobody listens there
 	}, func(Fresh) {})
 	e := l.ends["127.0.0.26"]
 	for refused := false; !refused; {
-		_, err := e.m.Call(Tap{}, time.Second)
-		refused = errors.Is(err, conduit.ErrRefused)
+		_, err := e.peer.Call(Tap{}, time.Second)
+		refused = errors.Is(err, transport.ErrRefused)
 	}
 	now := time.Now()
 	e.tapAt = now
--- a/internal/scaling/scaling.go
+++ b/internal/scaling/scaling.go
@@ -22,8 +22,8 @@
 	"sync"
 	"time"
 
-	"slateridge/internal/conduit"
 	"slateridge/internal/constants"
+	"slateridge/internal/transport"
 )
 
 // Subject is a service in a zone.
@@ -44,8 +44,8 @@
 type Heard struct{ OK bool }
 
 func init() {
-	conduit.Register(conduit.NameLoadReport, Told{})
-	conduit.Register(conduit.NameLoadAck, Heard{})
+	transport.Register(transport.NameLoadReport, Told{})
+	transport.Register(transport.NameLoadAck, Heard{})
 }
 
 type word struct {
--- a/internal/sluice/daemon.go
+++ b/internal/sluice/daemon.go
@@ -18,7 +18,6 @@
 	"github.com/oklog/run"
 
 	"slateridge/internal/clock"
-	"slateridge/internal/conduit"
 	"slateridge/internal/constants"
 	"slateridge/internal/eventlog"
 	"slateridge/internal/gaugeboard"
@@ -28,6 +27,7 @@
 	"slateridge/internal/scheme"
 	"slateridge/internal/settings"
 	"slateridge/internal/staff"
+	"slateridge/internal/transport"
 	"slateridge/internal/usage"
 	"slateridge/internal/weir"
 	"slateridge/internal/wheel"
@@ -79,13 +79,13 @@
 	rand.Shuffle(len(ips), func(i, j int) { ips[i], ips[j] = ips[j], ips[i] })
 	me := penstock.Tap{Node: set.IPAddress, Name: set.NodeName, Zone: set.Zone, Region: set.Region,
 		Front: set.ListenAddresses.Frontend}
-	d.line = penstock.NewLine(me, ips, func(ip string, h conduit.Handler) *conduit.Main {
-		return conduit.NewMain(set.PeerInternal(ip, constants.PortControl), set.IPAddress, func(p *conduit.Pipe, body any) any {
-			if other, ok := body.(conduit.Incompatible); ok {
+	d.line = penstock.NewLine(me, ips, func(ip string, h transport.Handler) *transport.Peer {
+		return transport.NewPeer(set.PeerInternal(ip, constants.PortControl), set.IPAddress, func(conn *transport.Conn, body any) any {
+			if other, ok := body.(transport.Incompatible); ok {
 				d.events.Record("protocol_incompatible", other.String())
 				return nil
 			}
-			return h(p, body)
+			return h(conn, body)
 		})
 	}, d.apply)
 	d.line.ReckonBy(func() int { return d.weir.Settled(d.now()) })
@@ -314,7 +314,7 @@
 			}
 			return
 		}
-		if errors.Is(err, conduit.ErrRefused) {
+		if errors.Is(err, transport.ErrRefused) {
 			for _, i := range d.shardsOf(to) {
 				d.weir.Gone(i)
 			}
--- a/internal/staff/agent.go
+++ b/internal/staff/agent.go
@@ -14,12 +14,12 @@
 
 // Agent carries a process's part over datagrams.
 type Agent struct {
-	mu      sync.Mutex
-	s       *Staff
-	c       *net.UDPConn
-	began   time.Time
-	changed func(Fact)
-	Garbled atomic.Uint64
+	mu        sync.Mutex
+	s         *Staff
+	c         *net.UDPConn
+	began     time.Time
+	changed   func(Fact)
+	Malformed atomic.Uint64
 }
 
 // Listen opens the datagram socket and makes this process a member; changed is
@@ -53,7 +53,7 @@
 		}
 		var m Msg
 		if gob.NewDecoder(bytes.NewReader(buf[:n])).Decode(&m) != nil {
-			a.Garbled.Add(1)
+			a.Malformed.Add(1)
 			continue
 		}
 		a.step(func() []any { return a.s.Recv(time.Since(a.began), from.String(), m) })
--- a/internal/conduit/compatibility_test.go
+++ b/internal/transport/compatibility_test.go
@@ -1,4 +1,4 @@
-package conduit_test
+package transport_test
 
 import (
 	"bytes"
@@ -13,12 +13,12 @@
 	"testing"
 	"time"
 
-	"slateridge/internal/conduit"
 	"slateridge/internal/duty"
 	"slateridge/internal/gobtest"
 	"slateridge/internal/headworks"
 	"slateridge/internal/penstock"
 	"slateridge/internal/scaling"
+	"slateridge/internal/transport"
 	"slateridge/internal/usage"
 	"slateridge/internal/watermaster"
 	"slateridge/internal/weir"
@@ -61,13 +61,13 @@
 
 // received is what a process takes from a connection that carries these bytes.
 func received(t *testing.T, carried []byte, count int) []any {
-	l, err := conduit.Listen("127.0.0.1:0")
+	l, err := transport.Listen("127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer l.Close()
 	bodies := make(chan any, count)
-	go conduit.Serve(l, func(_ *conduit.Pipe, body any) any {
+	go transport.Serve(l, func(_ *transport.Conn, body any) any {
 		bodies <- body
 		return nil
 	})
--- a/internal/conduit/fuzz_test.go
+++ b/internal/transport/fuzz_test.go
@@ -1,4 +1,4 @@
-package conduit
+package transport
 
 import (
 	"bytes"
@@ -41,7 +41,7 @@
 	f.Add(append([]byte{0, 0, 0, 6}, 0xfc, 0x3f, 0xff, 0xff, 0xff, 0)) // a gob that claims a gigabyte
 	f.Add(make([]byte, 64))
 	f.Fuzz(func(t *testing.T, data []byte) {
-		in := newInflow(bytes.NewReader(data))
+		in := newDecoder(bytes.NewReader(data))
 		again := newRawEnd(nil)
 		var said []byte
 		var got []envelope
@@ -55,7 +55,7 @@
 			}
 			said = append(said, again.frame(m)...)
 		}
-		in = newInflow(bytes.NewReader(said))
+		in = newDecoder(bytes.NewReader(said))
 		for i, m := range got {
 			back, err := in.next()
 			if err != nil || !same(back, m) {
--- a/internal/conduit/model_test.go
+++ b/internal/transport/model_test.go
@@ -1,4 +1,4 @@
-package conduit
+package transport
 
 import (
 	"bufio"
@@ -18,14 +18,14 @@
 // rawEnd speaks frames by itself, so that it can do with them what no pipe does.
 type rawEnd struct {
 	c   net.Conn
-	in  *inflow
+	in  *decoder
 	mu  sync.Mutex
 	buf bytes.Buffer
 	enc *gob.Encoder
 }
 
 func newRawEnd(c net.Conn) *rawEnd {
-	e := &rawEnd{c: c, in: newInflow(bufio.NewReader(c))}
+	e := &rawEnd{c: c, in: newDecoder(bufio.NewReader(c))}
 	e.enc = gob.NewEncoder(&e.buf)
 	return e
 }
@@ -177,18 +177,18 @@
 						go serve(l, fmt.Sprint("life ", n), rand.New(rand.NewPCG(seed, n)))
 					}
 				})
-				m := NewMain(addr, "127.0.0.1", nil)
+				peer := NewPeer(addr, "127.0.0.1", nil)
 				var wg sync.WaitGroup
 				for c := range callers {
 					wg.Go(func() {
 						for n := range calls {
 							q := fmt.Sprintf("%d-%d", c, n)
-							p := m.Pipe()
-							for ; p == nil; p = m.Pipe() {
+							conn := peer.Conn()
+							for ; conn == nil; conn = peer.Conn() {
 								time.Sleep(2 * time.Millisecond)
 							}
 							began := time.Now()
-							v, err := p.Call(word{q}, wait)
+							v, err := conn.Call(word{q}, wait)
 							took := time.Since(began)
 							if err != nil {
 								continue
@@ -209,7 +209,7 @@
 				wg.Wait()
 				close(over)
 				lives.Wait()
-				m.Drop()
+				peer.Disconnect()
 			})
 		}
 	})
@@ -222,23 +222,23 @@
 }
 
 // pair is a pipe and the raw end it speaks with.
-func pair(t *testing.T, h Handler) (*Pipe, *rawEnd) {
+func pair(t *testing.T, h Handler) (*Conn, *rawEnd) {
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer l.Close()
-	p, err := Dial(l.Addr().String(), "127.0.0.1", h)
+	conn, err := Dial(l.Addr().String(), "127.0.0.1", h)
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(p.Close)
+	t.Cleanup(conn.Close)
 	c, err := l.Accept()
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { c.Close() })
-	return p, newRawEnd(c)
+	return conn, newRawEnd(c)
 }
 
 // A connection that has been given up hands on no more words, though some have come
@@ -246,7 +246,7 @@
 func TestNothingIsHandedOnAfterTheEnd(t *testing.T) {
 	var got []string
 	first, goOn, last := make(chan bool), make(chan bool), make(chan bool)
-	p, e := pair(t, func(_ *Pipe, body any) any {
+	conn, e := pair(t, func(_ *Conn, body any) any {
 		got = append(got, body.(word).S)
 		if len(got) == 1 {
 			close(first)
@@ -261,7 +261,7 @@
 	e.c.Write(append(append(e.frame(envelope{Body: word{"first"}}), e.frame(envelope{Body: word{"next"}})...), e.frame(envelope{Body: word{"last"}})...))
 	e.mu.Unlock()
 	<-first
-	p.Close()
+	conn.Close()
 	close(goOn)
 	select {
 	case <-last:
@@ -273,13 +273,13 @@
 // A frame holds one message and nothing else.
 func TestFrameIsOneMessage(t *testing.T) {
 	handled := make(chan string, 9)
-	p, e := pair(t, func(_ *Pipe, body any) any { handled <- body.(word).S; return nil })
+	conn, e := pair(t, func(_ *Conn, body any) any { handled <- body.(word).S; return nil })
 	one := e.frame(envelope{Body: word{"one"}})
 	two := e.frame(envelope{Body: word{"two"}})
 	both := append(binary.BigEndian.AppendUint32(nil, uint32(len(one)+len(two)-8)), one[4:]...)
 	e.c.Write(append(both, two[4:]...))
 	select {
-	case <-p.Done():
+	case <-conn.Done():
 	case <-time.After(5 * time.Second):
 		t.Error("the connection goes on")
 	}
@@ -297,20 +297,20 @@
 }
 
 func lateAnswer(t *testing.T) {
-	p, e := pair(t, nil)
-	p.outMu.Lock() // the caller stands still between asking and looking
-	p.mu.Lock()
-	next := p.seq + 1
-	p.mu.Unlock()
+	conn, e := pair(t, nil)
+	conn.queueMu.Lock() // the caller stands still between asking and looking
+	conn.mu.Lock()
+	next := conn.seq + 1
+	conn.mu.Unlock()
 	done := make(chan error, 1)
 	go func() {
-		_, err := p.Call(word{"q"}, 20*time.Millisecond)
+		_, err := conn.Call(word{"q"}, 20*time.Millisecond)
 		done <- err
 	}()
 	asked := func() bool {
-		p.mu.Lock()
-		defer p.mu.Unlock()
-		return p.wait[next] != nil
+		conn.mu.Lock()
+		defer conn.mu.Unlock()
+		return conn.pending[next] != nil
 	}
 	for !asked() {
 		time.Sleep(time.Millisecond)
@@ -320,7 +320,7 @@
 		time.Sleep(time.Millisecond)
 	}
 	time.Sleep(30 * time.Millisecond)
-	p.outMu.Unlock()
+	conn.queueMu.Unlock()
 	if err := <-done; err != ErrTimeout {
 		t.Errorf("an answer after its time: %v", err)
 	}
--- a/internal/conduit/names.go
+++ b/internal/transport/names.go
@@ -1,4 +1,4 @@
-package conduit
+package transport
 
 import "encoding/gob"
 
--- a/internal/conduit/protocol.go
+++ b/internal/transport/protocol.go
@@ -1,4 +1,4 @@
-package conduit
+package transport
 
 import (
 	"fmt"
@@ -51,15 +51,15 @@
 
 // refuse reports a peer that speaks no version of ours, and sees to it that it learns
 // what is spoken here before the connection ends.
-func (p *Pipe) refuse(theirs Protocol) {
+func (conn *Conn) refuse(theirs Protocol) {
 	IncompatibleEnds.Add(1)
-	if before, known := reported.Swap(p.Remote, theirs); p.handle != nil && (!known || before != theirs) {
-		p.handle(p, Incompatible{Peer: p.Remote, Theirs: theirs, Ours: ours})
+	if before, known := reported.Swap(conn.Remote, theirs); conn.handle != nil && (!known || before != theirs) {
+		conn.handle(conn, Incompatible{Peer: conn.Remote, Theirs: theirs, Ours: ours})
 	}
-	p.last.Store(true)
+	conn.closing.Store(true)
 	select {
-	case p.some <- struct{}{}:
+	case conn.queued <- struct{}{}:
 	default:
 	}
-	<-p.done
+	<-conn.done
 }
--- a/internal/conduit/protocol_test.go
+++ b/internal/transport/protocol_test.go
@@ -1,4 +1,4 @@
-package conduit
+package transport
 
 import (
 	"bytes"
@@ -62,7 +62,7 @@
 	}
 	defer l.Close()
 	taken := make(chan any, 10)
-	go Serve(l, func(_ *Pipe, body any) any {
+	go Serve(l, func(_ *Conn, body any) any {
 		taken <- body
 		return body
 	})
--- a/internal/conduit/conduit_test.go
+++ b/internal/transport/transport_test.go
@@ -1,4 +1,4 @@
-package conduit
+package transport
 
 import (
 	"encoding/binary"
@@ -20,7 +20,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { l.Close() })
-	go Serve(l, func(p *Pipe, body any) any {
+	go Serve(l, func(conn *Conn, body any) any {
 		if w, ok := body.(word); ok {
 			return word{strings.ToUpper(w.S)}
 		}
@@ -41,7 +41,7 @@
 	binary.BigEndian.PutUint32(long, constants.FrameMax+1)
 	short := append([]byte{0, 0, 0, 9}, "not a gob"...)
 	for _, junk := range [][]byte{long, short} {
-		before := Garbled.Load()
+		before := Malformed.Load()
 		c, err := net.Dial("tcp4", l.Addr().String())
 		if err != nil {
 			t.Fatal(err)
@@ -54,7 +54,7 @@
 			t.Fatal("the connection stayed open")
 		}
 		c.Close()
-		if Garbled.Load() == before {
+		if Malformed.Load() == before {
 			t.Error("garbage was not counted")
 		}
 	}
@@ -71,14 +71,14 @@
 		t.Fatal(err)
 	}
 	defer l.Close()
-	p, err := Dial(l.Addr().String(), "127.0.0.1", nil)
+	conn, err := Dial(l.Addr().String(), "127.0.0.1", nil)
 	if err != nil {
 		t.Fatal(err)
 	}
 	big := word{strings.Repeat("x", 64<<10)}
 	for range 100 * constants.SendQueue {
-		if p.Send(big) != nil {
-			<-p.Done()
+		if conn.Send(big) != nil {
+			<-conn.Done()
 			return
 		}
 	}
--- a/internal/usage/usage.go
+++ b/internal/usage/usage.go
@@ -10,8 +10,8 @@
 	"sync"
 	"time"
 
-	"slateridge/internal/conduit"
 	"slateridge/internal/constants"
+	"slateridge/internal/transport"
 )
 
 type (
@@ -44,9 +44,9 @@
 }
 
 func init() {
-	conduit.Register(conduit.NameUsageHandover, Handover{})
-	conduit.Register(conduit.NameUsageReport, Told{})
-	conduit.Register(conduit.NameUsageAck, Heard{})
+	transport.Register(transport.NameUsageHandover, Handover{})
+	transport.Register(transport.NameUsageReport, Told{})
+	transport.Register(transport.NameUsageAck, Heard{})
 }
 
 // Window is the number of the window a time lies in.
--- a/internal/watermaster/watermaster.go
+++ b/internal/watermaster/watermaster.go
@@ -33,8 +33,8 @@
 	"sort"
 	"time"
 
-	"slateridge/internal/conduit"
 	"slateridge/internal/constants"
+	"slateridge/internal/transport"
 )
 
 type (
@@ -63,9 +63,9 @@
 )
 
 func init() {
-	conduit.Register(conduit.NameLeaseRequest, Ask{})
-	conduit.Register(conduit.NameLeaseGrant, Grant{})
-	conduit.Register(conduit.NameLeaseRelease, Release{})
+	transport.Register(transport.NameLeaseRequest, Ask{})
+	transport.Register(transport.NameLeaseGrant, Grant{})
+	transport.Register(transport.NameLeaseRelease, Release{})
 }
 
 // Send is a message to another machine.
--- a/internal/weir/tracker.go
+++ b/internal/weir/tracker.go
@@ -6,8 +6,8 @@
 	"sync"
 	"time"
 
-	"slateridge/internal/conduit"
 	"slateridge/internal/constants"
+	"slateridge/internal/transport"
 )
 
 // AskGrants brings a proxy's wants to a tracker; GrantsGiven answers. Refused
@@ -39,8 +39,8 @@
 )
 
 func init() {
-	conduit.Register(conduit.NameQuotaRequest, AskGrants{})
-	conduit.Register(conduit.NameQuotaGrants, GrantsGiven{})
+	transport.Register(transport.NameQuotaRequest, AskGrants{})
+	transport.Register(transport.NameQuotaGrants, GrantsGiven{})
 }
 
 // Shard is the tracker duty a throttle key hashes to, of so many.
