Rename: membership

Package staff becomes membership; its machine is a failure Detector. Done by a type-checked rewrite: every identifier resolves to the same object as before. Behaviour, names on the wire and on disk unchanged; build, vet and the compatibility tests pass.

--- a/cmd/scalerun/slopes.go
+++ b/cmd/scalerun/slopes.go
@@ -10,9 +10,9 @@
 	"time"
 
 	"slateridge/internal/intake"
+	"slateridge/internal/membership"
 	"slateridge/internal/scheme"
 	"slateridge/internal/sluice"
-	"slateridge/internal/staff"
 	"slateridge/internal/usage"
 	"slateridge/internal/weir"
 )
@@ -147,15 +147,15 @@
 	fmt.Fprintln(w, "membership: members, heap MB, microseconds a datagram")
 	for _, n := range []int{52, 520, 5_200} {
 		base := heap()
-		s := staff.New(0, "10.0.0.1:1", "me", nil, rand.New(rand.NewPCG(1, 1)))
+		d := membership.New(0, "10.0.0.1:1", "me", nil, rand.New(rand.NewPCG(1, 1)))
 		i := 0
 		took := timed(n, func() {
 			a := net.JoinHostPort(fmt.Sprintf("10.1.%d.%d", i/250, i%250), "7563")
-			s.Recv(time.Duration(i)*time.Millisecond, a, staff.Msg{Seq: uint64(i), Facts: []staff.Fact{{Addr: a, Name: fmt.Sprintf("edge-some-hall-%d/sluice", i)}}})
+			d.Recv(time.Duration(i)*time.Millisecond, a, membership.Msg{Seq: uint64(i), Facts: []membership.Fact{{Addr: a, Name: fmt.Sprintf("edge-some-hall-%d/sluice", i)}}})
 			i++
 		})
 		fmt.Fprintf(w, "  %d, %.2f, %.1f\n", n, (heap()-base)/1e6, float64(took.Nanoseconds())/1e3)
-		runtime.KeepAlive(s)
+		runtime.KeepAlive(d)
 	}
 }
 
--- a/cmd/slateridge/status.go
+++ b/cmd/slateridge/status.go
@@ -18,10 +18,10 @@
 	"slateridge/internal/constants"
 	"slateridge/internal/eventlog"
 	"slateridge/internal/headworks"
+	"slateridge/internal/membership"
 	"slateridge/internal/penstock"
 	"slateridge/internal/settings"
 	"slateridge/internal/sluice"
-	"slateridge/internal/staff"
 	"slateridge/internal/weir"
 )
 
@@ -328,16 +328,16 @@
 	showCommon(t, r.Members, r.Events)
 }
 
-func showCommon(t io.Writer, ms []staff.Fact, es []eventlog.Event) {
-	n := map[staff.State]int{}
+func showCommon(t io.Writer, ms []membership.Fact, es []eventlog.Event) {
+	n := map[membership.State]int{}
 	var odd []string
 	for _, m := range ms {
 		n[m.State]++
-		if m.State != staff.Alive {
+		if m.State != membership.Alive {
 			odd = append(odd, m.Name+" "+m.State.String())
 		}
 	}
-	fmt.Fprintf(t, "  members\t%d alive, %d suspected, %d dead %s\n", n[staff.Alive], n[staff.Suspect], n[staff.Dead], names(false, odd))
+	fmt.Fprintf(t, "  members\t%d alive, %d suspected, %d dead %s\n", n[membership.Alive], n[membership.Suspect], n[membership.Dead], names(false, odd))
 	for _, e := range es {
 		fmt.Fprintf(t, "    %s\t%s\t%s\n", e.At.Format(time.RFC3339), e.Kind, e.About)
 	}
--- a/internal/gaugeboard/gaugeboard.go
+++ b/internal/gaugeboard/gaugeboard.go
@@ -12,7 +12,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"slateridge/internal/eventlog"
-	"slateridge/internal/staff"
+	"slateridge/internal/membership"
 	"slateridge/internal/transport"
 )
 
@@ -45,12 +45,12 @@
 }
 
 // WriteCommon gives the metrics that every role has.
-func WriteCommon(w io.Writer, members []staff.Fact, tallies []eventlog.Tally) {
-	states := map[staff.State]uint64{}
+func WriteCommon(w io.Writer, members []membership.Fact, tallies []eventlog.Tally) {
+	states := map[membership.State]uint64{}
 	for _, m := range members {
 		states[m.State]++
 	}
-	for _, s := range []staff.State{staff.Alive, staff.Suspect, staff.Dead} {
+	for _, s := range []membership.State{membership.Alive, membership.Suspect, membership.Dead} {
 		metrics.WriteGaugeUint64(w, fmt.Sprintf("slateridge_members{state=%q}", s), states[s])
 	}
 	metrics.WriteCounterUint64(w, "slateridge_internal_malformed_total", transport.Malformed.Load())
--- a/internal/headworks/admin.go
+++ b/internal/headworks/admin.go
@@ -14,8 +14,8 @@
 	"slateridge/internal/eventlog"
 	"slateridge/internal/gaugeboard"
 	"slateridge/internal/gazetteer"
+	"slateridge/internal/membership"
 	"slateridge/internal/penstock"
-	"slateridge/internal/staff"
 )
 
 // Report is what `slateridge status` shows of a control machine.
@@ -43,7 +43,7 @@
 	Pushes    uint64
 	Dropped   uint64 // words on leases and duties from who has no vote, or of an older view
 	Leased    map[string]float64
-	Members   []staff.Fact
+	Members   []membership.Fact
 	Events    []eventlog.Event
 	Tallies   []eventlog.Tally
 }
@@ -106,7 +106,7 @@
 	f := d.face()
 	r := Report{Role: "headworks", Node: d.set.NodeName, Chain: d.chainStatus(), Current: f.Current, Duties: map[string]string{},
 		ListNum: f.ListNum, ListAge: f.ListAge, Live: f.Proxies, Proxies: d.pen.Proxies(), Leased: d.gates.Held(d.now()),
-		Members: d.staff.Members(), Evacuated: f.Evacuated, Events: d.events.Latest(20), Tallies: d.events.Tallies()}
+		Members: d.members.Members(), Evacuated: f.Evacuated, Events: d.events.Latest(20), Tallies: d.events.Tallies()}
 	r.Contact = -1
 	if at := d.contact.Load(); at > 0 {
 		r.Contact = d.now() - time.Duration(at)
--- a/internal/headworks/daemon.go
+++ b/internal/headworks/daemon.go
@@ -19,11 +19,11 @@
 	"slateridge/internal/eventlog"
 	"slateridge/internal/gazetteer"
 	"slateridge/internal/intake"
+	"slateridge/internal/membership"
 	"slateridge/internal/penstock"
 	"slateridge/internal/scaling"
 	"slateridge/internal/scheme"
 	"slateridge/internal/settings"
-	"slateridge/internal/staff"
 	"slateridge/internal/storage"
 	"slateridge/internal/transport"
 	"slateridge/internal/usage"
@@ -155,7 +155,7 @@
 	polling   sync.Mutex    // one reading at a time
 	bootRead  bool          // the list has been read without the duty, once
 	bootTurn  time.Duration // not before: machines that start together read one after the other
-	staff     *staff.Agent
+	members   *membership.Agent
 	pollSince time.Duration
 
 	clock  *clock.Clock // agreed among the control machines
@@ -278,13 +278,13 @@
 	for _, p := range d.seeds {
 		seeds = append(seeds, d.set.PeerInternal(p, constants.PortControlMembership))
 	}
-	d.staff, err = staff.Listen(d.set.Internal(constants.PortControlMembership), d.set.NodeName+"/headworks", seeds, func(f staff.Fact) {
+	d.members, err = membership.Listen(d.set.Internal(constants.PortControlMembership), d.set.NodeName+"/headworks", seeds, func(f membership.Fact) {
 		d.events.Record("member", f.Name+" "+f.State.String())
 	})
 	if err != nil {
 		return err
 	}
-	g.Add(d.staff.Serve, func(error) { d.staff.Close() })
+	g.Add(d.members.Serve, func(error) { d.members.Close() })
 	w := wheel.New(g)
 	w.Serve(ctl, d.operatorAPI())
 	w.Serve(adm, d.adminAPI())
@@ -295,7 +295,7 @@
 		}
 		w.Serve(dir, d.directoryAPI())
 	}
-	w.Turn(staff.TickEvery, d.staff.Tick)
+	w.Turn(membership.TickEvery, d.members.Tick)
 	if d.relay {
 		w.Turn(constants.RelayEvery, func() { d.step(func() []any { return d.chain.Tick(d.now()) }) })
 		return nil
@@ -745,14 +745,14 @@
 func (d *Daemon) shareRoster() {
 	near, far := Roster{Words: map[string]Word{}}, Roster{Words: map[string]Word{}}
 	changed := false
-	facts := d.staff.Members()
+	facts := d.members.Members()
 	d.mu.Lock()
 	d.turns++
 	// A proxy that cannot reach this machine but lives, as others vouch, stays
 	// on the roster.
 	for _, f := range facts {
 		host, _, _ := net.SplitHostPort(f.Addr)
-		if e := d.roster[host]; e != nil && f.State == staff.Alive && f.Addr == d.set.PeerInternal(host, constants.PortProxyMembership) {
+		if e := d.roster[host]; e != nil && f.State == membership.Alive && f.Addr == d.set.PeerInternal(host, constants.PortProxyMembership) {
 			e.at = time.Now()
 		}
 	}
--- a/internal/staff/agent.go
+++ b/internal/membership/agent.go
@@ -1,4 +1,4 @@
-package staff
+package membership
 
 import (
 	"bytes"
@@ -15,8 +15,8 @@
 // Agent carries a process's part over datagrams.
 type Agent struct {
 	mu        sync.Mutex
-	s         *Staff
-	c         *net.UDPConn
+	detector  *Detector
+	conn      *net.UDPConn
 	began     time.Time
 	changed   func(Fact)
 	Malformed atomic.Uint64
@@ -33,8 +33,8 @@
 	if err != nil {
 		return nil, err
 	}
-	a := &Agent{c: c, began: time.Now(), changed: changed}
-	a.s = New(0, addr, name, seeds, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+	a := &Agent{conn: c, began: time.Now(), changed: changed}
+	a.detector = New(0, addr, name, seeds, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
 	return a, nil
 }
 
@@ -44,7 +44,7 @@
 func (a *Agent) Serve() error {
 	buf := make([]byte, datagramMax)
 	for {
-		n, from, err := a.c.ReadFromUDPAddrPort(buf)
+		n, from, err := a.conn.ReadFromUDPAddrPort(buf)
 		if err != nil {
 			if _, closed := err.(*net.OpError); closed && !err.(*net.OpError).Timeout() {
 				return nil
@@ -56,13 +56,13 @@
 			a.Malformed.Add(1)
 			continue
 		}
-		a.step(func() []any { return a.s.Recv(time.Since(a.began), from.String(), m) })
+		a.step(func() []any { return a.detector.Recv(time.Since(a.began), from.String(), m) })
 	}
 }
 
 // Tick drives the machine.
 func (a *Agent) Tick() {
-	a.step(func() []any { return a.s.Tick(time.Since(a.began)) })
+	a.step(func() []any { return a.detector.Tick(time.Since(a.began)) })
 }
 
 func (a *Agent) step(f func() []any) {
@@ -77,7 +77,7 @@
 				continue
 			}
 			if to, err := net.ResolveUDPAddr("udp4", o.To); err == nil {
-				a.c.WriteToUDP(b.Bytes(), to) // lost datagrams are part of the bargain
+				a.conn.WriteToUDP(b.Bytes(), to) // lost datagrams are part of the bargain
 			}
 		case Change:
 			a.changed(o.Fact)
@@ -89,11 +89,11 @@
 func (a *Agent) Members() []Fact {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.s.Members()
+	return a.detector.Members()
 }
 
 // TickEvery is how often Tick is to be called.
 const TickEvery = constants.ProbeTimeout / 3
 
 // Close ends the socket.
-func (a *Agent) Close() { a.c.Close() }
+func (a *Agent) Close() { a.conn.Close() }
--- a/internal/staff/compatibility_test.go
+++ b/internal/membership/compatibility_test.go
@@ -1,4 +1,4 @@
-package staff
+package membership
 
 import (
 	"bytes"
--- a/internal/staff/staff_test.go
+++ b/internal/membership/detector_test.go
@@ -1,4 +1,4 @@
-package staff
+package membership
 
 import (
 	"fmt"
@@ -10,16 +10,16 @@
 	"slateridge/internal/simnet"
 )
 
-type crew struct {
+type cluster struct {
 	network *simnet.Network
-	all     map[string]*Staff // nil while down
+	all     map[string]*Detector // nil while down
 	frozen  map[string]bool
 	life    map[string]int
 	deaths  map[string]int // how often a member was declared dead by anyone
 }
 
-func newCrew(seed uint64, n int) *crew {
-	c := &crew{network: simnet.New(seed), all: map[string]*Staff{}, frozen: map[string]bool{}, life: map[string]int{}, deaths: map[string]int{}}
+func newCluster(seed uint64, n int) *cluster {
+	c := &cluster{network: simnet.New(seed), all: map[string]*Detector{}, frozen: map[string]bool{}, life: map[string]int{}, deaths: map[string]int{}}
 	c.network.Loss = 0.02
 	for i := range n {
 		c.start(fmt.Sprint("m", i))
@@ -27,13 +27,13 @@
 	return c
 }
 
-func (c *crew) start(n string) {
+func (c *cluster) start(n string) {
 	c.life[n]++
 	c.all[n] = New(c.network.Now, n, n, []string{"m0", "m1", "m2"}, rand.New(rand.NewPCG(uint64(c.life[n]), uint64(len(n))+uint64(n[1])*7+uint64(n[len(n)-1]))))
 	c.tick(n, c.life[n])
 }
 
-func (c *crew) tick(n string, l int) {
+func (c *cluster) tick(n string, l int) {
 	if c.life[n] != l || c.all[n] == nil {
 		return
 	}
@@ -43,7 +43,7 @@
 	c.network.After(TickEvery, func() { c.tick(n, l) })
 }
 
-func (c *crew) put(n string, out []any) {
+func (c *cluster) put(n string, out []any) {
 	for _, o := range out {
 		switch o := o.(type) {
 		case Change:
@@ -52,8 +52,8 @@
 			}
 		case Send:
 			c.network.Send(n, o.To, func() {
-				if s := c.all[o.To]; s != nil && !c.frozen[o.To] {
-					c.put(o.To, s.Recv(c.network.Now, n, o.Msg))
+				if d := c.all[o.To]; d != nil && !c.frozen[o.To] {
+					c.put(o.To, d.Recv(c.network.Now, n, o.Msg))
 				}
 			})
 		}
@@ -61,13 +61,13 @@
 }
 
 // seen counts, over all running members, how a member is seen.
-func (c *crew) seen(n string) map[State]int {
+func (c *cluster) seen(n string) map[State]int {
 	out := map[State]int{}
-	for o, s := range c.all {
-		if s == nil || o == n {
+	for o, d := range c.all {
+		if d == nil || o == n {
 			continue
 		}
-		for _, f := range s.Members() {
+		for _, f := range d.Members() {
 			if f.Addr == n {
 				out[f.State]++
 			}
@@ -76,11 +76,11 @@
 	return out
 }
 
-func (c *crew) run(d time.Duration) { c.network.Run(c.network.Now+d, nil) }
+func (c *cluster) run(d time.Duration) { c.network.Run(c.network.Now+d, nil) }
 
 func TestMembership(t *testing.T) {
 	for seed := uint64(1); seed <= 20; seed++ {
-		c := newCrew(seed, 14)
+		c := newCluster(seed, 14)
 		c.run(25 * time.Second)
 		for n := range c.all {
 			// With lost datagrams one may be suspected at the moment.
--- a/internal/sluice/admin.go
+++ b/internal/sluice/admin.go
@@ -9,8 +9,8 @@
 
 	"slateridge/internal/eventlog"
 	"slateridge/internal/gaugeboard"
+	"slateridge/internal/membership"
 	"slateridge/internal/penstock"
-	"slateridge/internal/staff"
 	"slateridge/internal/weir"
 )
 
@@ -40,7 +40,7 @@
 	Usage     Usage
 	Quotas    []weir.Report
 	Audit     []AuditEntry
-	Members   []staff.Fact
+	Members   []membership.Fact
 	Events    []eventlog.Event
 	Tallies   []eventlog.Tally
 	marks     *marks
@@ -65,7 +65,7 @@
 	now := time.Now()
 	r := Report{Role: "sluice", Node: d.set.Load().NodeName, Ready: d.ready.Load(), Leaving: d.leaving.Load(), InFlight: d.open.Load(),
 		Line: d.line.State(now), Proxies: d.weir.Proxies(), Requests: map[string]uint64{}, Upstreams: d.yard.States(now),
-		Hedges: d.hedges.Load(), Quotas: d.weir.Reports(d.now()), Audit: d.audit.list(), Members: d.staff.Members(),
+		Hedges: d.hedges.Load(), Quotas: d.weir.Reports(d.now()), Audit: d.audit.list(), Members: d.members.Members(),
 		Events: d.events.Latest(20), Tallies: d.events.Tallies()}
 	if s := d.scheme.Load(); s != nil {
 		r.Version = s.Version
--- a/internal/sluice/daemon.go
+++ b/internal/sluice/daemon.go
@@ -22,11 +22,11 @@
 	"slateridge/internal/eventlog"
 	"slateridge/internal/gaugeboard"
 	"slateridge/internal/intake"
+	"slateridge/internal/membership"
 	"slateridge/internal/penstock"
 	"slateridge/internal/scaling"
 	"slateridge/internal/scheme"
 	"slateridge/internal/settings"
-	"slateridge/internal/staff"
 	"slateridge/internal/transport"
 	"slateridge/internal/usage"
 	"slateridge/internal/weir"
@@ -48,7 +48,7 @@
 	haveList atomic.Bool
 	setStamp atomic.Int64
 	audit    audit
-	staff    *staff.Agent
+	members  *membership.Agent
 	echoMu   sync.Mutex
 	echo     map[string]heardStamp // by tracker
 	clock    *clock.Clock          // agreed, as control tells
@@ -198,13 +198,13 @@
 	for _, ip := range set.SeedIPs() {
 		seeds = append(seeds, set.PeerInternal(ip, constants.PortControlMembership))
 	}
-	d.staff, err = staff.Listen(set.Internal(constants.PortProxyMembership), set.NodeName+"/sluice", seeds, func(f staff.Fact) {
+	d.members, err = membership.Listen(set.Internal(constants.PortProxyMembership), set.NodeName+"/sluice", seeds, func(f membership.Fact) {
 		d.events.Count("member_"+f.State.String(), 1)
 	})
 	if err != nil {
 		return err
 	}
-	g.Add(d.staff.Serve, func(error) { d.staff.Close() })
+	g.Add(d.members.Serve, func(error) { d.members.Close() })
 	go d.step()
 	w.Turn(constants.StepEvery, d.step)
 	w.Turn(constants.GrantEvery, d.renewGrants)
@@ -215,7 +215,7 @@
 		w.TurnFrom(usage.Phase(rand.Uint64()), constants.UsageReportEvery, d.tellUsage)
 	}
 	w.Turn(constants.RetireEvery, func() { d.yard.Retire(time.Now()) })
-	w.Turn(staff.TickEvery, d.staff.Tick)
+	w.Turn(membership.TickEvery, d.members.Tick)
 	return nil
 }
 
