--- a/internal/explore/chainmodel/chainmodel.go
+++ b/internal/explore/chainmodel/chainmodel.go
@@ -14,9 +14,9 @@
 	"slateridge/internal/constants"
 	"slateridge/internal/explore"
 	"slateridge/internal/headworks"
+	"slateridge/internal/lease"
 	"slateridge/internal/scheme"
 	"slateridge/internal/simnet"
-	"slateridge/internal/watermaster"
 )
 
 // The rules, by the names under which a broken one is reported.
@@ -481,7 +481,7 @@
 // regular are words that machines say all the time and that come again.
 func regular(msg any) bool {
 	switch msg.(type) {
-	case headworks.Gauge, watermaster.Ask, watermaster.Grant:
+	case headworks.Gauge, lease.Request, lease.Grant:
 		return true
 	}
 	return false
--- a/internal/explore/chainmodel/duties.go
+++ b/internal/explore/chainmodel/duties.go
@@ -9,7 +9,7 @@
 	"slateridge/internal/duty"
 	"slateridge/internal/explore"
 	"slateridge/internal/headworks"
-	"slateridge/internal/watermaster"
+	"slateridge/internal/lease"
 )
 
 // The rules on duties, checked when Config.Duties is set.
@@ -31,7 +31,7 @@
 
 // officers are one machine's leases and its part in the duty.
 type officers struct {
-	lease   *watermaster.Watermaster
+	lease   *lease.Manager
 	officer *duty.Officer
 }
 
@@ -57,7 +57,7 @@
 	}
 	life := uint64(m.w.Life(n)+1)<<32 | uint64(n[0])
 	m.officers[n] = &officers{
-		lease:   watermaster.New(m.w.Now, life, n, []string{dutyName}),
+		lease:   lease.New(m.w.Now, life, n, []string{dutyName}),
 		officer: duty.NewOfficer(dutyName, n, turn, 50, rand.New(rand.NewPCG(life, 2))),
 	}
 }
@@ -81,7 +81,7 @@
 	}))
 }
 
-func (m *Model) sendLease(n string, out []watermaster.Send) {
+func (m *Model) sendLease(n string, out []lease.Send) {
 	for _, s := range out {
 		m.w.Send(n, s.To, s.Msg)
 	}
@@ -90,7 +90,7 @@
 // recvLease takes a message if it is one on leases.
 func (m *Model) recvLease(e *explore.Event) bool {
 	switch e.Msg.(type) {
-	case watermaster.Ask, watermaster.Grant, watermaster.Release:
+	case lease.Request, lease.Grant, lease.Release:
 		if o := m.officers[e.To]; o != nil {
 			m.sendLease(e.To, o.lease.Recv(m.w.Now, e.From, e.Msg))
 		}
--- a/internal/explore/leasemodel/leasemodel.go
+++ b/internal/explore/leasemodel/leasemodel.go
@@ -10,7 +10,7 @@
 
 	"slateridge/internal/constants"
 	"slateridge/internal/explore"
-	"slateridge/internal/watermaster"
+	"slateridge/internal/lease"
 )
 
 // The rules.
@@ -51,7 +51,7 @@
 type Model struct {
 	Config
 	w      *explore.World
-	ms     map[string]*watermaster.Watermaster
+	ms     map[string]*lease.Manager
 	born   map[string]time.Duration
 	grid   time.Duration
 	err    error
@@ -72,7 +72,7 @@
 
 func (m *Model) Reset() {
 	m.w = explore.NewWorld(constants.LeaseTick, m.tick, m.recv)
-	m.ms, m.born = map[string]*watermaster.Watermaster{}, map[string]time.Duration{}
+	m.ms, m.born = map[string]*lease.Manager{}, map[string]time.Duration{}
 	m.grid, m.err, m.faults = m.Warm, nil, 0
 	m.agreed = []electorate{{names[:m.Machines]}}
 	m.knows, m.sealed = map[string]int{}, map[string]bool{}
@@ -97,11 +97,11 @@
 func (m *Model) start(n string) {
 	m.born[n] = m.w.Now
 	life := uint64(m.w.Life(n)+1) << 32
-	m.ms[n] = watermaster.New(0, life, n, m.Duties)
+	m.ms[n] = lease.New(0, life, n, m.Duties)
 	m.w.Start(n)
 }
 
-func (m *Model) put(n string, out []watermaster.Send) {
+func (m *Model) put(n string, out []lease.Send) {
 	for _, s := range out {
 		m.w.Send(n, s.To, s.Msg)
 	}
--- a/internal/headworks/admin.go
+++ b/internal/headworks/admin.go
@@ -199,7 +199,7 @@
 		}
 	}
 	metrics.WriteCounterUint64(w, "slateridge_pushes_total", r.Pushes)
-	metrics.WriteCounterUint64(w, "slateridge_lease_words_dropped_total", r.Dropped+r.Chain.Dropped)
+	metrics.WriteCounterUint64(w, "slateridge_lease_messages_dropped_total", r.Dropped+r.Chain.Dropped)
 	gaugeboard.WriteCommon(w, r.Members, r.Tallies)
 }
 
--- a/internal/headworks/daemon.go
+++ b/internal/headworks/daemon.go
@@ -19,6 +19,7 @@
 	"slateridge/internal/eventlog"
 	"slateridge/internal/gazetteer"
 	"slateridge/internal/intake"
+	"slateridge/internal/lease"
 	"slateridge/internal/membership"
 	"slateridge/internal/penstock"
 	"slateridge/internal/scaling"
@@ -27,7 +28,6 @@
 	"slateridge/internal/storage"
 	"slateridge/internal/transport"
 	"slateridge/internal/usage"
-	"slateridge/internal/watermaster"
 	"slateridge/internal/weir"
 	"slateridge/internal/wheel"
 )
@@ -136,7 +136,7 @@
 	readID uint64
 
 	leaseMu sync.Mutex
-	leases  *watermaster.Watermaster
+	leases  *lease.Manager
 
 	gates      *weir.Gatehouse
 	places     *gazetteer.Gazetteer
@@ -240,7 +240,7 @@
 		d.posts = append(d.posts, p)
 	}
 	d.places = gazetteer.New(0, set.Zones)
-	d.leases = watermaster.New(0, rng.Uint64(), set.IPAddress, duties)
+	d.leases = lease.New(0, rng.Uint64(), set.IPAddress, duties)
 	d.pen = penstock.New(d.face, d.sharing)
 	d.pen.Closed = func(node string) {
 		if d.directory() && d.places.Gone(d.now(), node, true) {
@@ -372,7 +372,7 @@
 	}
 }
 
-func (d *Daemon) sendLeases(out []watermaster.Send) {
+func (d *Daemon) sendLeases(out []lease.Send) {
 	for _, s := range out {
 		d.send(s.To, s.Msg)
 	}
@@ -622,7 +622,7 @@
 			defer d.leaseMu.Unlock()
 			return d.leases.Holds(now, dutyTrack(shard))
 		})
-	case watermaster.Ask, watermaster.Grant, watermaster.Release:
+	case lease.Request, lease.Grant, lease.Release:
 		d.leaseMu.Lock()
 		out := d.leases.Recv(d.now(), conn.Remote, m)
 		d.leaseMu.Unlock()
--- a/internal/headworks/duties_test.go
+++ b/internal/headworks/duties_test.go
@@ -8,8 +8,8 @@
 
 	"slateridge/internal/constants"
 	"slateridge/internal/duty"
+	"slateridge/internal/lease"
 	"slateridge/internal/usage"
-	"slateridge/internal/watermaster"
 )
 
 const testDuty = "usage"
@@ -26,7 +26,7 @@
 // works is a core with a platform, proxies that count, and a duty.
 type works struct {
 	*core
-	leases  map[string]*watermaster.Watermaster
+	leases  map[string]*lease.Manager
 	men     map[string]*duty.Officer
 	tallies map[string]*usage.Tally
 	bornAs  map[string]int
@@ -50,7 +50,7 @@
 func (w *works) window() uint64    { return usage.Window(w.agreed(), w.span) }
 
 func newWorks(t *testing.T, seed uint64, names []string, tolerate int, span, delay, turn time.Duration) *works {
-	w := &works{core: newCore(t, seed, names, tolerate), leases: map[string]*watermaster.Watermaster{}, men: map[string]*duty.Officer{},
+	w := &works{core: newCore(t, seed, names, tolerate), leases: map[string]*lease.Manager{}, men: map[string]*duty.Officer{},
 		tallies: map[string]*usage.Tally{}, bornAs: map[string]int{}, born: map[string]time.Duration{}, meters: map[string]*usage.Meter{},
 		span: span, delay: delay, turn: turn, truth: map[uint64]usage.Counts{}, by: map[uint64]string{}, content: map[uint64]string{}}
 	w.stepped = w.elect
@@ -72,7 +72,7 @@
 	}
 	if w.leases[n] == nil || w.bornAs[n] != w.life[n] {
 		w.bornAs[n], w.born[n] = w.life[n], w.network.Now
-		w.leases[n] = watermaster.New(w.network.Now, w.network.Rng.Uint64(), n, []string{testDuty})
+		w.leases[n] = lease.New(w.network.Now, w.network.Rng.Uint64(), n, []string{testDuty})
 		w.men[n] = duty.NewOfficer(testDuty, n, w.turn, 50, rand.New(rand.NewPCG(w.seed, w.network.Rng.Uint64())))
 		w.tallies[n] = usage.NewTally(w.network.Rng.Uint64())
 	}
@@ -113,7 +113,7 @@
 	f()
 }
 
-func (w *works) lease(n string, out []watermaster.Send) {
+func (w *works) lease(n string, out []lease.Send) {
 	for _, s := range out {
 		w.network.Send(n, s.To, func() {
 			w.later(s.To, w.life[s.To], func() { w.lease(s.To, w.leases[s.To].Recv(w.network.Now, n, s.Msg)) })
--- a/internal/headworks/return_test.go
+++ b/internal/headworks/return_test.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"slateridge/internal/constants"
-	"slateridge/internal/watermaster"
+	"slateridge/internal/lease"
 )
 
 // leasedCore is a core whose machines hold several duties under leases, and how long
@@ -14,7 +14,7 @@
 type leasedCore struct {
 	*core
 	duties  []string
-	leases  map[string]*watermaster.Watermaster
+	leases  map[string]*lease.Manager
 	bornAs  map[string]int
 	driven  map[string]bool
 	heldAt  map[string]time.Duration // by duty: when it last had a holder
@@ -23,7 +23,7 @@
 
 func newLeasedCore(t *testing.T, seed uint64, machineCount, tolerate int, delay time.Duration) *leasedCore {
 	l := &leasedCore{core: newCore(t, seed, machines(machineCount), tolerate), duties: []string{"poll", "track/0", "track/1", "track/2", "track/3", "track/4", "track/5"},
-		leases: map[string]*watermaster.Watermaster{}, bornAs: map[string]int{}, driven: map[string]bool{},
+		leases: map[string]*lease.Manager{}, bornAs: map[string]int{}, driven: map[string]bool{},
 		heldAt: map[string]time.Duration{}, longest: map[string]time.Duration{}}
 	l.network.Delay = delay
 	l.stepped = l.elect
@@ -80,7 +80,7 @@
 	}
 	if l.leases[n] == nil || l.bornAs[n] != l.life[n] {
 		l.bornAs[n] = l.life[n]
-		l.leases[n] = watermaster.New(l.network.Now, l.network.Rng.Uint64()>>32, n, l.duties)
+		l.leases[n] = lease.New(l.network.Now, l.network.Rng.Uint64()>>32, n, l.duties)
 	}
 	l.elect(n)
 	l.carry(n, l.leases[n].Tick(l.network.Now))
@@ -98,7 +98,7 @@
 	}
 }
 
-func (l *leasedCore) carry(n string, out []watermaster.Send) {
+func (l *leasedCore) carry(n string, out []lease.Send) {
 	for _, s := range out {
 		life := l.life[s.To]
 		l.network.Send(n, s.To, func() {
@@ -173,7 +173,7 @@
 	l.run(l.network.Now + away)
 	l.start(x, false)
 	l.run(l.network.Now + 5*time.Second)
-	// A turn of the loop, and a Release or the state of this moment, an Ask and its answer.
+	// A turn of the loop, and a Release or the state of this moment, a Request and its answer.
 	words := constants.LeaseTick + 3*delay
 	most := words
 	if !inOrder {
--- a/internal/headworks/step_bench_test.go
+++ b/internal/headworks/step_bench_test.go
@@ -7,8 +7,8 @@
 	"time"
 
 	"slateridge/internal/constants"
+	"slateridge/internal/lease"
 	"slateridge/internal/simnet"
-	"slateridge/internal/watermaster"
 )
 
 // BenchmarkStep is the regular step of a control machine among eight, all in contact,
@@ -23,7 +23,7 @@
 	if err != nil {
 		b.Fatal(err)
 	}
-	d := &Daemon{chain: c, leases: watermaster.New(0, 1, names[0], []string{dutyPoll})}
+	d := &Daemon{chain: c, leases: lease.New(0, 1, names[0], []string{dutyPoll})}
 	heard := func(now time.Duration) {
 		for _, n := range names[1:] {
 			g := c.Status()
--- a/internal/watermaster/electorate_test.go
+++ b/internal/lease/electorate_test.go
@@ -1,4 +1,4 @@
-package watermaster
+package lease
 
 import (
 	"slices"
@@ -17,14 +17,14 @@
 	disks  map[string]int
 }
 
-// booth is a machine of the model: its disk, and the life of its process. What is on
+// voter is a machine of the model: its disk, and the life of its process. What is on
 // the disk is the view it has learned and whether it has promised to leave it.
-type booth struct {
+type voter struct {
 	disk     int // a wipe makes another one
 	view     int // the newest it knows; -1 none
 	promised bool
 	life     int
-	w        *Watermaster // nil: down
+	w        *Manager // nil: down
 	frozen   bool
 	waiting  []func() // what arrives while it is frozen
 	born     time.Duration
@@ -36,7 +36,7 @@
 type election struct {
 	network *simnet.Network
 	names   []string
-	at      map[string]*booth
+	at      map[string]*voter
 	views   []ballot
 	late    bool // the fault to show: a promise reaches the leases only with the next step
 	blind   bool // the fault to show: a voter whose disk is new takes part by its address alone
@@ -276,14 +276,14 @@
 	b := simnet.New(seed)
 	b.Loss = []float64{0, 0.1}[seed%2]
 	b.Delay = []time.Duration{5, 100, 400}[seed%3] * time.Millisecond
-	e := &election{network: b, names: []string{"a", "b", "c", "d", "e", "f", "g"}, at: map[string]*booth{}, late: late, blind: blind}
+	e := &election{network: b, names: []string{"a", "b", "c", "d", "e", "f", "g"}, at: map[string]*voter{}, late: late, blind: blind}
 	first := ballot{1, slices.Clone(e.names[:2+seed%4]), map[string]int{}}
 	for _, n := range first.voters {
 		first.disks[n] = 0
 	}
 	e.views = []ballot{first}
 	for _, n := range e.names {
-		e.at[n] = &booth{}
+		e.at[n] = &voter{}
 		e.start(n)
 	}
 	b.After(3*time.Second, func() { e.trouble(quiet) })
--- /dev/null
+++ b/internal/lease/lease.go
@@ -0,0 +1,421 @@
+// Package lease assigns the single duties by leases that a majority of the control machines
+// grants. The holder reckons its lease from before it asked, a grantor from after it granted
+// and longer, both by the steady clock, so a holder has stopped before anyone else can
+// start. A grantor that has just started grants nothing until every lease it may have
+// granted before has ended. A holder that comes straight back may take up at once what the
+// others still have granted to it: the life that held it is over.
+//
+// Why there are never two holders, whatever the electorate does:
+//
+//   - Within one electorate two majorities share a grantor, and it grants to one
+//     holder at a time: until its grant has run out, or that holder has given back
+//     what its latest Request got. What another life of the holder got is kept.
+//   - Half of the others stand for a majority where a holder comes straight back: with
+//     its own vote, which grants nothing yet, too few are left for a majority that
+//     none of them is in.
+//   - A new electorate is decided by a view that a majority of the voters before has
+//     accepted. Who has accepted a view with another electorate is sealed and grants
+//     nothing until it knows a newer view, or has accepted another in its place, which
+//     shows that the first was not decided. So any lease of the old electorate has a
+//     grantor that granted it before the decision, and ends at most LeaseLength after
+//     the decision. Whoever grants in the new electorate has learned of it after the
+//     decision and waits LeaseLength + LeaseMargin from then. The same holds view by
+//     view for one that skips some. A view with the same electorate stops no grant.
+//   - Numbers of electorates name them: words of another are dropped. A machine that
+//     slept through a change is a minority of the old electorate with all that did.
+//
+// What that asks of who calls SetElectorate stands there.
+package lease
+
+import (
+	"slices"
+	"sort"
+	"time"
+
+	"slateridge/internal/constants"
+	"slateridge/internal/transport"
+)
+
+type (
+	// Request wants a lease or its renewal.
+	Request struct {
+		Duty  string
+		Epoch uint64
+		Nonce uint64
+		Again bool // from a machine that has just started: only what is granted to it already
+	}
+	// Grant answers; OK false names who holds it instead.
+	Grant struct {
+		Duty   string
+		Epoch  uint64
+		Nonce  uint64
+		OK     bool
+		Holder string
+	}
+	// Release gives back the grant that answered a Request. A machine that stops in order
+	// names who goes on: what it gives back is kept for that one for a moment.
+	Release struct {
+		Duty      string
+		Nonce     uint64
+		Successor string
+	}
+)
+
+func init() {
+	transport.Register(transport.NameLeaseRequest, Request{})
+	transport.Register(transport.NameLeaseGrant, Grant{})
+	transport.Register(transport.NameLeaseRelease, Release{})
+}
+
+// Send is a message to another machine.
+type Send struct {
+	To  string
+	Msg any
+}
+
+type grant struct {
+	holder     string
+	nonce      uint64 // of the holder's latest Request
+	until      time.Duration
+	otherUntil time.Duration // until when another life of the holder may rely on it
+}
+
+// sameLife says whether one life of a machine asked both: the upper half of a nonce
+// is the life's number, the lower half counts.
+func sameLife(a, b uint64) bool { return a>>32 == b>>32 }
+
+// round is one round of asking; several may be under way, since answers can take
+// longer than the time between two.
+type round struct {
+	nonce   uint64
+	again   bool
+	asked   time.Duration
+	granted map[string]bool
+}
+
+type claim struct {
+	nonce       uint64        // of the latest question; 0: none counts
+	rounds      []round       // the latest last
+	until       time.Duration // holder's own reckoning; 0 when not held
+	since       time.Duration // start of the unbroken holding
+	nextAt      time.Duration
+	notBefore   time.Duration // given up on purpose: not claimed before
+	otherHeldAt time.Duration // last heard that another holds it
+	heir        time.Duration // until when it is kept here for this machine, its holder having stopped
+}
+
+// Manager is one machine's part: it grants, and it claims.
+type Manager struct {
+	self      string
+	epoch     uint64
+	peers     []string // the electorate; empty while it is not known
+	sealed    bool
+	duties    []string
+	startedAt time.Duration
+	grants    map[string]grant
+	claims    map[string]*claim
+	nonce     uint64
+	outbox    []Send
+
+	Dropped uint64 // words from or to who has no vote, of another electorate, or on no duty
+}
+
+// New makes the machine, without an electorate; all machines name the same
+// duties in the same order. life is a number no earlier life of this machine is
+// likely to have had.
+func New(now time.Duration, life uint64, me string, duties []string) *Manager {
+	manager := &Manager{self: me, duties: duties, startedAt: now, nonce: life << 32, grants: map[string]grant{}, claims: map[string]*claim{}}
+	for _, d := range duties {
+		manager.claims[d] = &claim{}
+	}
+	return manager
+}
+
+// SetElectorate takes the machines whose majority grants, under the number of
+// the view that made them so, and whether this machine has accepted a view with
+// another electorate. A sealed machine grants nothing, and a majority is sealed before
+// a new electorate is decided; whoever learns of one grants nothing until all that
+// the old one granted has ended. So majorities of two electorates never meet.
+//
+// The caller owes that the number changes whenever the addresses do; that an acceptance
+// is told here before the word of it leaves the machine, and no older word after it; and
+// that a machine whose disk has forgotten what it accepted is told as sealed until a view
+// names its new disk. TestWhatTheElectorateMustTell shows what comes of less.
+func (manager *Manager) SetElectorate(now time.Duration, epoch uint64, peers []string, sealed bool) {
+	if epoch < manager.epoch {
+		return // told late
+	}
+	manager.sealed = sealed
+	if epoch == manager.epoch {
+		return
+	}
+	manager.epoch, manager.peers = epoch, slices.Clone(peers)
+	sort.Strings(manager.peers)
+	if manager.startedAt < now {
+		manager.startedAt = now
+	}
+	manager.grants = map[string]grant{}
+	for _, c := range manager.claims {
+		c.nonce, c.rounds, c.otherHeldAt, c.nextAt = 0, nil, 0, 0 // what is held runs out
+	}
+}
+
+// Duties lists the duties by name.
+func (manager *Manager) Duties() []string { return manager.duties }
+
+// Holds says whether this machine may do a duty at this moment, and since when
+// it has held it without a break.
+func (manager *Manager) Holds(now time.Duration, duty string) (since time.Duration, ok bool) {
+	c := manager.claims[duty]
+	return c.since, c.until > now
+}
+
+// Until is when this machine's lease of a duty ends by its own reckoning; 0 while
+// it has none.
+func (manager *Manager) Until(now time.Duration, duty string) time.Duration {
+	if c := manager.claims[duty]; c != nil && c.until > now {
+		return c.until
+	}
+	return 0
+}
+
+// Holder is who this machine has granted a duty to, if anyone. Its own grant to
+// itself does not count without a majority's.
+func (manager *Manager) Holder(now time.Duration, duty string) string {
+	if _, ok := manager.Holds(now, duty); ok {
+		return manager.self
+	}
+	if g := manager.grants[duty]; g.until > now && g.holder != manager.self {
+		return g.holder
+	}
+	return ""
+}
+
+func (manager *Manager) send(to string, m any, now time.Duration) {
+	if to == manager.self {
+		manager.take(now, to, m)
+		return
+	}
+	manager.outbox = append(manager.outbox, Send{to, m})
+}
+
+// rank orders the machines for a duty: it falls to the first that is there.
+func (manager *Manager) rank(duty int) int {
+	n := len(manager.peers)
+	return ((slices.Index(manager.peers, manager.self)-duty)%n + n) % n
+}
+
+// Tick claims and renews.
+func (manager *Manager) Tick(now time.Duration) []Send {
+	if !slices.Contains(manager.peers, manager.self) {
+		return nil
+	}
+	for i, d := range manager.duties {
+		c := manager.claims[d]
+		held := c.until > now
+		if !held {
+			c.since = 0
+		}
+		if now < max(c.nextAt, c.notBefore) {
+			continue
+		}
+		again := false
+		if !held {
+			if g := manager.grants[d]; g.until > now && g.holder != manager.self {
+				c.otherHeldAt = now // here it is known to be held
+				continue
+			}
+			wait := time.Duration(manager.rank(i)) * constants.LeaseStagger
+			if now < c.heir {
+				wait = 0
+			}
+			again = now-manager.startedAt < 2*constants.LeaseRenew // longer, and its asking would keep the duty from others
+			if !again && (now-manager.startedAt < constants.LeaseLength+constants.LeaseMargin+wait || c.otherHeldAt > 0 && now-c.otherHeldAt < wait) {
+				continue
+			}
+		}
+		manager.ask(now, d, again)
+	}
+	out := manager.outbox
+	manager.outbox = nil
+	return out
+}
+
+// ask begins a round of asking for a duty.
+func (manager *Manager) ask(now time.Duration, duty string, again bool) {
+	c := manager.claims[duty]
+	manager.nonce++
+	c.nonce = manager.nonce
+	c.rounds = append(c.rounds, round{manager.nonce, again, now, map[string]bool{}})
+	c.rounds = c.rounds[max(0, len(c.rounds)-int(constants.LeaseLength/constants.LeaseRenew)):]
+	c.nextAt = now + constants.LeaseRenew
+	for _, p := range manager.peers {
+		manager.send(p, Request{duty, manager.epoch, c.nonce, again}, now)
+	}
+}
+
+// inherit takes up a duty whose holder has stopped and named this machine.
+func (manager *Manager) inherit(now time.Duration, duty string) {
+	c := manager.claims[duty]
+	if c.until > now || now < c.notBefore || now-manager.startedAt < constants.LeaseLength+constants.LeaseMargin {
+		return
+	}
+	c.heir = now + constants.LeaseReserve
+	manager.ask(now, duty, false)
+	c.nextAt = now // what a refusal by one that the Release has not reached yet costs is one step
+}
+
+// Recv takes a message.
+func (manager *Manager) Recv(now time.Duration, from string, msg any) []Send {
+	if from != manager.self && slices.Contains(manager.peers, from) && slices.Contains(manager.peers, manager.self) {
+		manager.take(now, from, msg)
+	} else {
+		manager.Dropped++
+	}
+	out := manager.outbox
+	manager.outbox = nil
+	return out
+}
+
+func (manager *Manager) take(now time.Duration, from string, msg any) {
+	switch m := msg.(type) {
+	case Request:
+		if manager.claims[m.Duty] == nil || m.Epoch != manager.epoch {
+			manager.Dropped++
+			return
+		}
+		if manager.sealed {
+			return
+		}
+		g := manager.grants[m.Duty]
+		known := g.holder == from && g.until > now
+		if known && sameLife(m.Nonce, g.nonce) && m.Nonce < g.nonce {
+			return // overtaken by a later one
+		}
+		ok := (g.until <= now || g.holder == from) && now-manager.startedAt >= constants.LeaseLength+constants.LeaseMargin
+		if m.Again && (g.until <= now || g.holder != from) {
+			return
+		}
+		if ok {
+			// Of two lives of the holder nothing tells here which is the later one, as
+			// words of the one that is over may come last: each keeps what it got.
+			other := time.Duration(0)
+			if known {
+				other = g.otherUntil
+				if !sameLife(m.Nonce, g.nonce) {
+					other = max(other, g.until)
+				}
+			}
+			g = grant{from, m.Nonce, now + constants.LeaseLength + constants.LeaseMargin, other}
+			manager.grants[m.Duty] = g
+		}
+		manager.send(from, Grant{m.Duty, manager.epoch, m.Nonce, ok, g.holder}, now)
+	case Release:
+		if manager.claims[m.Duty] == nil {
+			manager.Dropped++
+			return
+		}
+		g := manager.grants[m.Duty]
+		if g.holder != from || g.nonce != m.Nonce && !(sameLife(g.nonce, m.Nonce) && g.nonce < m.Nonce) {
+			return // of a later Request, or of another life
+		}
+		manager.grants[m.Duty] = grant{holder: from, until: g.otherUntil, otherUntil: g.otherUntil}
+		if m.Successor == "" || g.until <= now || g.otherUntil > now {
+			return
+		}
+		manager.grants[m.Duty] = grant{holder: m.Successor, until: now + constants.LeaseReserve}
+		if m.Successor == manager.self {
+			manager.inherit(now, m.Duty)
+		}
+	case Grant:
+		c := manager.claims[m.Duty]
+		if c == nil || m.Epoch != manager.epoch || !m.OK && m.Holder != "" && !slices.Contains(manager.peers, m.Holder) {
+			manager.Dropped++
+			return
+		}
+		i := slices.IndexFunc(c.rounds, func(q round) bool { return q.nonce == m.Nonce })
+		if i < 0 {
+			return // overtaken
+		}
+		q := c.rounds[i]
+		if !m.OK {
+			if m.Nonce != c.nonce {
+				return
+			}
+			if m.Holder != "" && m.Holder != manager.self {
+				c.otherHeldAt = now
+				if c.until <= now && now >= c.heir {
+					// Give back what was granted here and there, and wait a time
+					// of this machine's own: claims that split the votes would
+					// keep them split for ever.
+					c.nextAt = now + constants.LeaseRenew + constants.LeaseStagger*time.Duration(1+slices.Index(manager.peers, manager.self))
+					for _, p := range manager.peers {
+						manager.send(p, Release{Duty: m.Duty, Nonce: c.nonce}, now)
+					}
+					c.nonce, c.rounds = 0, nil
+				}
+			}
+			return
+		}
+		q.granted[from] = true
+		// A holder that came straight back has forgotten its own grant. Half of all
+		// machines, itself not counted, leave too few for anyone else.
+		enough := len(manager.peers)/2 + 1
+		if q.again {
+			enough = (len(manager.peers) + 1) / 2
+		}
+		if until := q.asked + constants.LeaseLength; len(q.granted) >= enough && until > now && until > c.until {
+			if c.until <= now {
+				c.since = now
+			}
+			c.until = until
+		}
+	default:
+		manager.Dropped++
+	}
+}
+
+// Leave gives up what is held, before a planned stop, or the one duty named. Before a
+// stop each duty goes to a machine that has just granted its renewal, which takes it up
+// at once, and nothing is claimed any more.
+func (manager *Manager) Leave(now time.Duration, only ...string) []Send {
+	for i, d := range manager.duties {
+		stops := len(only) == 0
+		if !stops && !slices.Contains(only, d) {
+			continue
+		}
+		successor := ""
+		if stops {
+			successor = manager.successor(i)
+			manager.claims[d].notBefore = now + constants.LeaseLength*4
+		}
+		if manager.claims[d].until > now {
+			manager.giveUp(now, d, successor)
+		}
+	}
+	out := manager.outbox
+	manager.outbox = nil
+	return out
+}
+
+func (manager *Manager) giveUp(now time.Duration, duty, successor string) {
+	c := manager.claims[duty]
+	c.until, c.since, c.notBefore = 0, 0, now+constants.LeaseLength*4
+	for _, p := range manager.peers {
+		manager.send(p, Release{duty, c.nonce, successor}, now)
+	}
+	c.nonce, c.rounds = 0, nil // an answer still under way must not bring it back
+}
+
+// successor is the first in rank for a duty of those that granted its latest renewals;
+// empty when none did.
+func (manager *Manager) successor(duty int) string {
+	c := manager.claims[manager.duties[duty]]
+	for i := range manager.peers {
+		p := manager.peers[(duty+i)%len(manager.peers)]
+		if p != manager.self && slices.ContainsFunc(c.rounds, func(q round) bool { return q.granted[p] }) {
+			return p
+		}
+	}
+	return ""
+}
--- a/internal/watermaster/watermaster_test.go
+++ b/internal/lease/lease_test.go
@@ -1,4 +1,4 @@
-package watermaster
+package lease
 
 import (
 	"testing"
@@ -19,7 +19,7 @@
 		b.Delay = []time.Duration{5, 100, 700}[seed/3%3] * time.Millisecond
 		names := []string{"a", "b", "c", "d", "e", "f"}[:3+seed%4]
 		duties := []string{"x", "y"}
-		ms := map[string]*Watermaster{}
+		ms := map[string]*Manager{}
 		life := map[string]int{}
 		rate := map[string]float64{} // a machine's steady clock against true time
 		born := map[string]time.Duration{}
@@ -28,8 +28,8 @@
 		put = func(n string, out []Send) {
 			for _, s := range out {
 				b.Send(n, s.To, func() {
-					if w := ms[s.To]; w != nil {
-						put(s.To, w.Recv(clock(s.To), n, s.Msg))
+					if manager := ms[s.To]; manager != nil {
+						put(s.To, manager.Recv(clock(s.To), n, s.Msg))
 					}
 				})
 			}
@@ -118,15 +118,15 @@
 
 // A grantor that was started again may have granted before: it waits.
 func TestRestartedGrantorWaits(t *testing.T) {
-	w := withPeers(New(0, 1, "a", []string{"x"}), []string{"a", "b", "c"})
+	manager := withPeers(New(0, 1, "a", []string{"x"}), []string{"a", "b", "c"})
 	for _, at := range []time.Duration{0, constants.LeaseLength} {
-		for _, s := range w.Recv(at, "b", Ask{"x", 1, 1, false}) {
+		for _, s := range manager.Recv(at, "b", Request{"x", 1, 1, false}) {
 			if g := s.Msg.(Grant); g.OK {
 				t.Fatalf("granted %v after its start", at)
 			}
 		}
 	}
-	out := w.Recv(constants.LeaseLength+constants.LeaseMargin, "b", Ask{"x", 1, 2, false})
+	out := manager.Recv(constants.LeaseLength+constants.LeaseMargin, "b", Request{"x", 1, 2, false})
 	if len(out) != 1 || !out[0].Msg.(Grant).OK {
 		t.Fatalf("not granted after the wait: %v", out)
 	}
@@ -135,38 +135,38 @@
 // A machine cut off from the others grants itself what it claims, but must not
 // tell anyone that it holds it.
 func TestCutOffMachineNamesNobody(t *testing.T) {
-	w := withPeers(New(0, 1, "a", []string{"x"}), []string{"a", "b", "c"})
+	manager := withPeers(New(0, 1, "a", []string{"x"}), []string{"a", "b", "c"})
 	for now := time.Duration(0); now < 10*time.Second; now += constants.LeaseTick {
-		w.Tick(now)
-		if h := w.Holder(now, "x"); h != "" {
+		manager.Tick(now)
+		if h := manager.Holder(now, "x"); h != "" {
 			t.Fatalf("at %v it names %s", now, h)
 		}
 	}
 }
 
-func withPeers(w *Watermaster, peers []string) *Watermaster {
-	w.SetElectorate(0, 1, peers, false)
-	return w
+func withPeers(manager *Manager, peers []string) *Manager {
+	manager.SetElectorate(0, 1, peers, false)
+	return manager
 }
 
-// pond is machines on a simulated network; nil ones are down.
-type pond struct {
+// cluster is machines on a simulated network; nil ones are down.
+type cluster struct {
 	network *simnet.Network
-	ms      map[string]*Watermaster
+	ms      map[string]*Manager
 }
 
-func (p *pond) put(n string, out []Send) {
+func (p *cluster) put(n string, out []Send) {
 	for _, s := range out {
 		p.network.Send(n, s.To, func() {
-			if w := p.ms[s.To]; w != nil {
-				p.put(s.To, w.Recv(p.network.Now, n, s.Msg))
+			if manager := p.ms[s.To]; manager != nil {
+				p.put(s.To, manager.Recv(p.network.Now, n, s.Msg))
 			}
 		})
 	}
 }
 
 // run ticks the machines, calling before for each.
-func (p *pond) run(names []string, before func(n string)) {
+func (p *cluster) run(names []string, before func(n string)) {
 	for _, n := range names {
 		if p.ms[n] != nil {
 			before(n)
@@ -176,7 +176,7 @@
 	p.network.After(constants.LeaseTick, func() { p.run(names, before) })
 }
 
-func (p *pond) holders(names []string, duty string) (who string) {
+func (p *cluster) holders(names []string, duty string) (who string) {
 	for _, n := range names {
 		if p.ms[n] != nil {
 			if _, ok := p.ms[n].Holds(p.network.Now, duty); ok {
@@ -197,7 +197,7 @@
 		b.Loss = []float64{0, 0.1}[seed%2]
 		b.Delay = []time.Duration{5, 100, 400}[seed%3] * time.Millisecond
 		all := []string{"a", "b", "c", "d", "e", "f", "g"}
-		ms := map[string]*Watermaster{}
+		ms := map[string]*Manager{}
 		epoch := uint64(1)
 		peers := all[:3]
 		known := map[string]uint64{}
@@ -207,7 +207,7 @@
 			ms[n] = New(0, b.Rng.Uint64(), n, []string{"x"})
 			known[n] = 1
 		}
-		p := &pond{b, ms}
+		p := &cluster{b, ms}
 		p.run(all, func(n string) { ms[n].SetElectorate(b.Now, known[n], lists[known[n]], sealed[n]) })
 		var grow func()
 		grow = func() {
@@ -259,7 +259,7 @@
 		b := simnet.New(seed)
 		b.Delay = 5 * time.Millisecond
 		names := []string{"a", "b", "c", "d", "e"}
-		ms := map[string]*Watermaster{}
+		ms := map[string]*Manager{}
 		start := func(n string) {
 			ms[n] = New(b.Now, b.Rng.Uint64(), n, []string{"x", "y"})
 			ms[n].SetElectorate(b.Now, 1, names, false)
@@ -267,7 +267,7 @@
 		for _, n := range names {
 			start(n)
 		}
-		p := &pond{b, ms}
+		p := &cluster{b, ms}
 		p.run(names, func(string) {})
 		b.Run(6*time.Second, nil)
 		held := func(d string) string { return p.holders(names, d) }
@@ -291,11 +291,11 @@
 		b := simnet.New(seed)
 		b.Delay = 170 * time.Millisecond
 		names := []string{"a", "b", "c", "d", "e"}
-		ms := map[string]*Watermaster{}
+		ms := map[string]*Manager{}
 		for _, n := range names {
 			ms[n] = withPeers(New(0, b.Rng.Uint64(), n, []string{"x"}), names)
 		}
-		p := &pond{b, ms}
+		p := &cluster{b, ms}
 		p.run(names, func(string) {})
 		b.Run(10*time.Second, nil)
 		if len(p.holders(names, "x")) != 1 {
@@ -315,14 +315,14 @@
 
 // Words from who has no vote, or of another electorate, are dropped and counted.
 func TestForeignWordsAreDropped(t *testing.T) {
-	w := withPeers(New(0, 1, "a", []string{"x"}), []string{"a", "b", "c"})
+	manager := withPeers(New(0, 1, "a", []string{"x"}), []string{"a", "b", "c"})
 	late := 10 * time.Second
 	for i, word := range []struct {
 		from string
 		msg  any
-	}{{"z", Ask{"x", 1, 9, false}}, {"b", Ask{"x", 7, 9, false}}, {"b", Ask{"y", 1, 9, false}}, {"z", Grant{"x", 1, 9, true, "a"}}, {"b", Grant{"x", 7, 9, true, "a"}}} {
-		if out := w.Recv(late, word.from, word.msg); len(out) > 0 || w.Dropped != uint64(i+1) || w.Holder(late, "x") != "" {
-			t.Errorf("%+v: answered %v, %d dropped", word, out, w.Dropped)
+	}{{"z", Request{"x", 1, 9, false}}, {"b", Request{"x", 7, 9, false}}, {"b", Request{"y", 1, 9, false}}, {"z", Grant{"x", 1, 9, true, "a"}}, {"b", Grant{"x", 7, 9, true, "a"}}} {
+		if out := manager.Recv(late, word.from, word.msg); len(out) > 0 || manager.Dropped != uint64(i+1) || manager.Holder(late, "x") != "" {
+			t.Errorf("%+v: answered %v, %d dropped", word, out, manager.Dropped)
 		}
 	}
 }
--- a/internal/transport/compatibility_test.go
+++ b/internal/transport/compatibility_test.go
@@ -16,11 +16,11 @@
 	"slateridge/internal/duty"
 	"slateridge/internal/gobtest"
 	"slateridge/internal/headworks"
+	"slateridge/internal/lease"
 	"slateridge/internal/penstock"
 	"slateridge/internal/scaling"
 	"slateridge/internal/transport"
 	"slateridge/internal/usage"
-	"slateridge/internal/watermaster"
 	"slateridge/internal/weir"
 )
 
@@ -35,7 +35,7 @@
 		headworks.Read{}, headworks.Answer{}, headworks.Fetch{}, headworks.Fetched{},
 		headworks.Roster{}, headworks.ListNews{}, headworks.ListAsk{},
 		penstock.Tap{}, penstock.News{},
-		duty.Order{}, watermaster.Ask{}, watermaster.Grant{}, watermaster.Release{},
+		duty.Order{}, lease.Request{}, lease.Grant{}, lease.Release{},
 		usage.Handover{}, usage.Told{}, usage.Heard{}, scaling.Told{}, scaling.Heard{},
 		weir.AskGrants{}, weir.GrantsGiven{},
 	}
