--- a/internal/duty/duty_test.go
+++ b/internal/duty/duty_test.go
@@ -45,60 +45,60 @@
 
 func none(uint64) (uint64, []byte, bool) { return 0, nil, false }
 
-func posts(out []any) (ps []Post) {
+func posts(out []any) (ps []Act) {
 	for _, o := range out {
-		if p, ok := o.(Post); ok {
+		if p, ok := o.(Act); ok {
 			ps = append(ps, p)
 		}
 	}
 	return ps
 }
 
-// The officer sends nothing without the lease or under another's fence, cuts its call
+// The duty holder sends nothing without the lease or under another's fence, cuts its call
 // when the lease is lost, waits when it is back, and steps down when refused.
-func TestOfficerHoldsBack(t *testing.T) {
+func TestHolderHoldsBack(t *testing.T) {
 	const lease = 3 * time.Second
-	o := NewOfficer("d", "a", lease, 50, rand.New(rand.NewPCG(1, 1)))
+	h := NewHolder("d", "a", lease, 50, rand.New(rand.NewPCG(1, 1)))
 	mine := Record{Fence: 4, Holder: "a", Key: 9, Body: []byte("nine")}
-	if out := o.Step(0, 0, mine, none); len(out) > 0 {
+	if out := h.Step(0, 0, mine, none); len(out) > 0 {
 		t.Fatalf("without the lease: %v", out)
 	}
-	if out := o.Step(0, constants.DutyMargin, mine, none); len(out) > 0 {
+	if out := h.Step(0, constants.DutyMargin, mine, none); len(out) > 0 {
 		t.Fatalf("with the lease about to end: %v", out)
 	}
 	theirs := mine
 	theirs.Holder = "b"
-	if out := o.Step(0, time.Hour, theirs, none); len(out) != 1 || out[0] != any(nil) && out[0].(Order).Base != 4 {
+	if out := h.Step(0, time.Hour, theirs, none); len(out) != 1 || out[0] != any(nil) && out[0].(Order).Base != 4 {
 		t.Fatalf("another's record is to be taken over: %v", out)
 	}
-	if out := o.Step(time.Millisecond, time.Hour, theirs, none); len(out) != 0 {
+	if out := h.Step(time.Millisecond, time.Hour, theirs, none); len(out) != 0 {
 		t.Fatalf("at once again: %v", out)
 	}
-	ps := posts(o.Step(time.Second, time.Hour, mine, none))
+	ps := posts(h.Step(time.Second, time.Hour, mine, none))
 	if len(ps) != 1 || ps[0].Fence != 4 || string(ps[0].Body) != "nine" {
 		t.Fatalf("what was decided is sent: %v", ps)
 	}
-	if out := o.Step(1100*time.Millisecond, 0, mine, none); len(out) != 1 || out[0] != any(Cut{ps[0].ID}) {
+	if out := h.Step(1100*time.Millisecond, 0, mine, none); len(out) != 1 || out[0] != any(Cancel{ps[0].ID}) {
 		t.Fatalf("the call is cut with the lease: %v", out)
 	}
-	if out := o.Answered(1200*time.Millisecond, ps[0].ID, 200); out != nil || o.Accepted != 0 {
+	if out := h.Answered(1200*time.Millisecond, ps[0].ID, 200); out != nil || h.Accepted != 0 {
 		t.Error("the answer to a call that was cut counts")
 	}
 	back := mine
 	back.Fence, back.Back = 6, true
 	for now := 2 * time.Second; now <= 2*time.Second+lease; now += constants.DutyTick {
-		if ps := posts(o.Step(now, time.Hour, back, none)); len(ps) > 0 {
+		if ps := posts(h.Step(now, time.Hour, back, none)); len(ps) > 0 {
 			t.Fatalf("back for %v it acts", now-2*time.Second)
 		}
 	}
-	ps = posts(o.Step(6*time.Second, time.Hour, back, none))
+	ps = posts(h.Step(6*time.Second, time.Hour, back, none))
 	if len(ps) != 1 {
 		t.Fatal("it never acts again")
 	}
-	if out := o.Answered(6*time.Second, ps[0].ID, 409); len(out) != 1 || out[0] != any(Yield{}) {
+	if out := h.Answered(6*time.Second, ps[0].ID, 409); len(out) != 1 || out[0] != any(Yield{}) {
 		t.Fatalf("refused, it steps down: %v", out)
 	}
-	out := o.Step(7*time.Second, time.Hour, back, none)
+	out := h.Step(7*time.Second, time.Hour, back, none)
 	if len(out) != 1 || out[0].(Order).Holder != "a" || out[0].(Order).Base != 6 {
 		t.Fatalf("with the lease again it wants a higher fence: %v", out)
 	}
@@ -106,19 +106,19 @@
 
 // A platform that fails is asked ever more seldom, within the calls it allows, and an
 // act it will not take does not block the next for ever.
-func TestOfficerPaces(t *testing.T) {
-	o := NewOfficer("d", "a", time.Second, 2, rand.New(rand.NewPCG(1, 1)))
+func TestHolderPaces(t *testing.T) {
+	h := NewHolder("d", "a", time.Second, 2, rand.New(rand.NewPCG(1, 1)))
 	rec := Record{Fence: 1, Holder: "a", Key: 1, Body: []byte("1")}
 	n, last, order := 0, time.Duration(0), false
 	for now := time.Duration(0); now < 3*time.Minute && !order; now += constants.DutyTick {
-		for _, x := range o.Step(now, time.Hour, rec, func(uint64) (uint64, []byte, bool) { return 2, nil, true }) {
+		for _, x := range h.Step(now, time.Hour, rec, func(uint64) (uint64, []byte, bool) { return 2, nil, true }) {
 			switch x := x.(type) {
-			case Post:
+			case Act:
 				if n > 0 && now-last < time.Duration(float64(time.Second)/(2*constants.DutyRatePart)) {
 					t.Fatalf("calls %v apart", now-last)
 				}
 				n, last = n+1, now
-				o.Answered(now, x.ID, []int{0, 500, 429}[n%3])
+				h.Answered(now, x.ID, []int{0, 500, 429}[n%3])
 			case Order:
 				order = x.Key == 2
 			}
--- /dev/null
+++ b/internal/duty/holder.go
@@ -0,0 +1,165 @@
+package duty
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"slateridge/internal/constants"
+)
+
+// Act is an act to send: the bytes that were decided, under the holder's fence.
+// A call still under way when the lease is lost is cut.
+type Act struct {
+	ID    uint64
+	Fence uint64
+	Key   uint64
+	Body  []byte
+}
+
+// Cancel ends the call under way: the duty is not this machine's any more.
+type Cancel struct{ ID uint64 }
+
+// Yield gives the lease back: the platform has seen a higher fence.
+type Yield struct{}
+
+// Holder is one machine's part in one duty: it takes the duty over when it has
+// the lease, has its acts decided, sends them, and steps down. It has no clock and
+// no network of its own.
+type Holder struct {
+	name, self string
+	lease      time.Duration // no A-B-A of acts within this time
+	spacing    time.Duration // between two calls to the platform
+	rng        *rand.Rand
+
+	// Latest says that a newer decision may overtake one the platform has not
+	// taken: a level that is set, not an event that is told.
+	Latest bool
+
+	refused     uint64        // fence the platform has turned away
+	fence       uint64        // fence under which this life acts; 0 none
+	heldSince   time.Duration // when this life first saw that it has it
+	nextOrderAt time.Duration // the last order, repeated after a while
+	accepted    uint64        // key the platform has accepted, as far as known here
+	failures    int
+	nextCallAt  time.Duration
+	calls       uint64
+	calling     uint64 // call under way; 0 none
+	callingKey  uint64
+	calledAt    time.Duration
+
+	Accepted, Refused, Failed uint64
+	LastStatus                int
+	AcceptedAt                time.Duration
+}
+
+// NewHolder makes the machine; me is the node's name, lease the bound within
+// which no two holders may take turns, perS the calls a second it may make.
+func NewHolder(name, me string, lease time.Duration, perS float64, rng *rand.Rand) *Holder {
+	h := &Holder{name: name, self: me, lease: lease, rng: rng, spacing: constants.DutySpacing}
+	if perS > 0 {
+		h.spacing = max(h.spacing, time.Duration(float64(time.Second)/(perS*constants.DutyRatePart)))
+	}
+	return h
+}
+
+// Step is driven often. until is the lease's end by this machine's steady clock (0:
+// not held), rec the newest committed record; plan names what is to be decided next,
+// once all before has been accepted.
+func (h *Holder) Step(now, until time.Duration, rec Record, plan func(after uint64) (key uint64, body []byte, ok bool)) []any {
+	if until <= now+constants.DutyMargin {
+		h.fence = 0
+		return h.cancel()
+	}
+	if rec.Holder != h.self || rec.Fence == h.refused {
+		out := h.cancel()
+		h.fence = 0
+		if now < h.nextOrderAt {
+			return out
+		}
+		h.nextOrderAt = now + constants.DutyOrderRetry
+		return append(out, Order{Duty: h.name, Base: rec.Fence, Holder: h.self})
+	}
+	var out []any
+	if rec.Fence != h.fence {
+		out = h.cancel()
+		h.fence, h.heldSince, h.accepted, h.nextOrderAt, h.failures, h.nextCallAt = rec.Fence, now, 0, 0, 0, 0
+	}
+	if rec.Back && now < h.heldSince+h.lease+constants.DutyMargin {
+		return out // it acted before the one before it did
+	}
+	if h.calling != 0 {
+		if now-h.calledAt > constants.DutyTimeout {
+			out = append(out, h.cancel()...)
+			h.failed(now)
+		}
+		return out
+	}
+	if rec.Key > 0 && h.accepted != rec.Key {
+		if now >= h.nextCallAt {
+			h.calls++
+			h.calling, h.callingKey, h.calledAt = h.calls, rec.Key, now
+			h.nextCallAt = now + h.spacing
+			out = append(out, Act{h.calls, rec.Fence, rec.Key, rec.Body})
+		}
+		if !h.Latest && h.failures < constants.DutyGiveUp {
+			return out
+		}
+	}
+	if now < h.nextOrderAt {
+		return out
+	}
+	if key, body, ok := plan(rec.Key); ok {
+		h.nextOrderAt = now + constants.DutyOrderRetry
+		return append(out, Order{Duty: h.name, Base: rec.Fence, Key: key, Body: body})
+	}
+	return out
+}
+
+func (h *Holder) cancel() []any {
+	if h.calling == 0 {
+		return nil
+	}
+	id := h.calling
+	h.calling = 0
+	return []any{Cancel{id}}
+}
+
+func (h *Holder) failed(now time.Duration) {
+	h.failures++
+	h.Failed++
+	pause := min(constants.DutyPause<<min(h.failures-1, 5), constants.DutyPauseMax)
+	h.nextCallAt = max(h.nextCallAt, now+pause/2+time.Duration(h.rng.Int64N(int64(pause))))
+}
+
+// Answered takes the platform's answer to a call; status 0 is none.
+func (h *Holder) Answered(now time.Duration, id uint64, status int) []any {
+	if id != h.calling || id == 0 {
+		return nil
+	}
+	h.calling = 0
+	h.LastStatus = status
+	switch status {
+	case 200:
+		h.accepted, h.AcceptedAt, h.failures = h.callingKey, now, 0
+		h.Accepted++
+	case 409:
+		h.Refused++
+		h.refused, h.fence = h.fence, 0
+		h.failed(now)
+		return []any{Yield{}}
+	default:
+		h.failed(now)
+	}
+	return nil
+}
+
+// Backlog tells what is decided and not known to be accepted: 0 or its key.
+func (h *Holder) Backlog(rec Record) uint64 {
+	if rec.Key != 0 && rec.Key != h.accepted {
+		return rec.Key
+	}
+	return 0
+}
+
+// Fence is the fence under which this machine acts; 0 none.
+func (h *Holder) Fence() uint64 { return h.fence }
--- a/internal/duty/record.go
+++ b/internal/duty/record.go
@@ -1,7 +1,7 @@
-// Package duty carries the single duties at the platform; in the field's terms:
-// fencing tokens, and acts that are decided durably before they are sent. Who may
-// act is a lease's business (package lease); what stands here is kept in the
-// chain's state, so it outlasts every process and as many disks as may be lost.
+// Package duty carries out the single duties at the platform, with fencing tokens, and acts
+// that are decided durably before they are sent. Who may act is a lease's business (package
+// lease); what stands here is kept in the chain's state, so it outlasts every process and
+// as many disks as may be lost.
 package duty
 
 import (
--- a/internal/explore/chainmodel/chainmodel.go
+++ b/internal/explore/chainmodel/chainmodel.go
@@ -133,19 +133,19 @@
 	reads                map[string]map[uint64]reading
 	evacs                map[string]map[uint64]evacuation
 
-	confirmed map[uint64]string // by version: its content
-	acked     uint64            // the highest version confirmed
-	evacAcked map[string]uint64
-	evacSent  map[uint64]time.Duration
-	views     map[uint64]string
-	viewOf    map[string]uint64
-	states    map[scheme.Stamp]state
-	inForce   map[string]*scheme.Doc // of a process
-	officers  map[string]*officers
-	platform  platform
-	answers   int // reads answered
-	confirms  int
-	left      int // orderly leaves that ended with a view without the leaver
+	confirmed   map[uint64]string // by version: its content
+	acked       uint64            // the highest version confirmed
+	evacAcked   map[string]uint64
+	evacSent    map[uint64]time.Duration
+	views       map[uint64]string
+	viewOf      map[string]uint64
+	states      map[scheme.Stamp]state
+	inForce     map[string]*scheme.Doc // of a process
+	dutyHolders map[string]*dutyHolder
+	platform    platform
+	answers     int // reads answered
+	confirms    int
+	left        int // orderly leaves that ended with a view without the leaver
 }
 
 // New makes one.
@@ -169,7 +169,7 @@
 	m.evacSent = map[uint64]time.Duration{}
 	m.views, m.viewOf, m.states, m.inForce = map[uint64]string{}, map[string]uint64{}, map[scheme.Stamp]state{}, map[string]*scheme.Doc{}
 	m.answers, m.confirms, m.left = 0, 0, 0
-	m.officers, m.platform = map[string]*officers{}, platform{by: map[uint64]string{}, bodies: map[uint64]string{}}
+	m.dutyHolders, m.platform = map[string]*dutyHolder{}, platform{holderOf: map[uint64]string{}, bodies: map[uint64]string{}}
 	for _, n := range names[:m.Founders] {
 		m.start(n, true)
 	}
@@ -226,7 +226,7 @@
 func (m *Model) stop(n string) {
 	m.w.Stop(n)
 	delete(m.leaving, n)
-	m.chain[n], m.officers[n] = nil, nil
+	m.chain[n], m.dutyHolders[n] = nil, nil
 	m.waits[n], m.reads[n], m.evacs[n] = nil, nil, nil
 }
 
@@ -246,7 +246,7 @@
 func (m *Model) quit(n string, forGood bool) {
 	well := m.whole() && m.chain[n].CanLeave() && len(m.leaving) == 0
 	m.lose(n, true)
-	if o := m.officers[n]; o != nil {
+	if o := m.dutyHolders[n]; o != nil {
 		m.sendLease(n, o.lease.Leave(m.w.Now))
 	}
 	m.leaving[n] = leave{m.w.Now, m.w.Life(n), m.faults, forGood, well}
@@ -287,7 +287,7 @@
 
 func (m *Model) tick(n string) {
 	m.run(n, func(c *headworks.Chain) []any { return c.Tick(m.w.Now) })
-	m.officiate(n)
+	m.stepDuties(n)
 }
 
 func (m *Model) recv(e *explore.Event) {
--- a/internal/explore/chainmodel/chainmodel_test.go
+++ b/internal/explore/chainmodel/chainmodel_test.go
@@ -88,8 +88,8 @@
 	if err := explore.Replay(m, explore.Schedule{"+2", "isolate a", "+10", "join", "+3", "outage", "+2", "recover", "freeze b", "+6", "thaw b"}); err != nil {
 		t.Error(err)
 	}
-	if m.platform.taken < 8 || len(m.platform.by) < 2 {
-		t.Errorf("%d acts under %d fences: too few to mean anything", m.platform.taken, len(m.platform.by))
+	if m.platform.taken < 8 || len(m.platform.holderOf) < 2 {
+		t.Errorf("%d acts under %d fences: too few to mean anything", m.platform.taken, len(m.platform.holderOf))
 	}
 }
 
--- a/internal/explore/chainmodel/duties.go
+++ b/internal/explore/chainmodel/duties.go
@@ -29,10 +29,10 @@
 	actEvery = time.Second
 )
 
-// officers are one machine's leases and its part in the duty.
-type officers struct {
-	lease   *lease.Manager
-	officer *duty.Officer
+// dutyHolder are one machine's leases and its part in the duty.
+type dutyHolder struct {
+	lease  *lease.Manager
+	holder *duty.Holder
 }
 
 // act is one that the platform has taken.
@@ -43,12 +43,12 @@
 
 // platform is the stand-in: it refuses fences below the highest it has seen.
 type platform struct {
-	down   bool
-	fence  uint64
-	by     map[uint64]string // fence: whose
-	bodies map[uint64]string // key: what was sent
-	acts   []act
-	taken  int
+	down     bool
+	fence    uint64
+	holderOf map[uint64]string // fence: whose
+	bodies   map[uint64]string // key: what was sent
+	acts     []act
+	taken    int
 }
 
 func (m *Model) startDuties(n string) {
@@ -56,15 +56,15 @@
 		return
 	}
 	life := uint64(m.w.Life(n)+1)<<32 | uint64(n[0])
-	m.officers[n] = &officers{
-		lease:   lease.New(m.w.Now, life, n, []string{dutyName}),
-		officer: duty.NewOfficer(dutyName, n, turn, 50, rand.New(rand.NewPCG(life, 2))),
+	m.dutyHolders[n] = &dutyHolder{
+		lease:  lease.New(m.w.Now, life, n, []string{dutyName}),
+		holder: duty.NewHolder(dutyName, n, turn, 50, rand.New(rand.NewPCG(life, 2))),
 	}
 }
 
-// officiate is the duties' step at a machine.
-func (m *Model) officiate(n string) {
-	o, c := m.officers[n], m.chain[n]
+// stepDuties is the duties' step at a machine.
+func (m *Model) stepDuties(n string) {
+	o, c := m.dutyHolders[n], m.chain[n]
 	if o == nil || c == nil {
 		return
 	}
@@ -75,7 +75,7 @@
 	if d := c.Committed(); d != nil {
 		rec = d.Duties[dutyName]
 	}
-	m.carryOut(n, o.officer.Step(m.w.Now, o.lease.Until(m.w.Now, dutyName), rec, func(after uint64) (uint64, []byte, bool) {
+	m.carryOut(n, o.holder.Step(m.w.Now, o.lease.Until(m.w.Now, dutyName), rec, func(after uint64) (uint64, []byte, bool) {
 		key := uint64(m.w.Now / actEvery)
 		return key, []byte(n + strconv.FormatUint(key, 10)), key > after
 	}))
@@ -91,7 +91,7 @@
 func (m *Model) recvLease(e *explore.Event) bool {
 	switch e.Msg.(type) {
 	case lease.Request, lease.Grant, lease.Release:
-		if o := m.officers[e.To]; o != nil {
+		if o := m.dutyHolders[e.To]; o != nil {
 			m.sendLease(e.To, o.lease.Recv(m.w.Now, e.From, e.Msg))
 		}
 		return true
@@ -105,9 +105,9 @@
 		case duty.Order:
 			m.run(n, func(c *headworks.Chain) []any { return c.Act(m.w.Now, x) })
 		case duty.Yield:
-			m.sendLease(n, m.officers[n].lease.Leave(m.w.Now, dutyName))
-		case duty.Post:
-			if _, ok := m.officers[n].lease.Holds(m.w.Now, dutyName); !ok {
+			m.sendLease(n, m.dutyHolders[n].lease.Leave(m.w.Now, dutyName))
+		case duty.Act:
+			if _, ok := m.dutyHolders[n].lease.Holds(m.w.Now, dutyName); !ok {
 				m.broken(RuleLeased, "%s sends key %d under fence %d", n, x.Key, x.Fence)
 			}
 			life := m.w.Life(n)
@@ -117,15 +117,15 @@
 }
 
 // post is a call at the platform; its answer may find its caller frozen or gone.
-func (m *Model) post(n string, life int, p duty.Post) {
+func (m *Model) post(n string, life int, p duty.Act) {
 	f := &m.platform
 	if f.down {
 		return
 	}
-	if was, ok := f.by[p.Fence]; ok && was != n {
+	if was, ok := f.holderOf[p.Fence]; ok && was != n {
 		m.broken(RuleOneFence, "fence %d is sent by %s and by %s", p.Fence, was, n)
 	}
-	f.by[p.Fence] = n
+	f.holderOf[p.Fence] = n
 	status := 409
 	if p.Fence >= f.fence {
 		status, f.fence = 200, p.Fence
@@ -139,7 +139,7 @@
 	}
 	m.w.After(explore.Delay, func() {
 		if m.w.Life(n) == life && m.w.Up(n) {
-			m.w.Act(n, func() { m.carryOut(n, m.officers[n].officer.Answered(m.w.Now, p.ID, status)) })
+			m.w.Act(n, func() { m.carryOut(n, m.dutyHolders[n].holder.Answered(m.w.Now, p.ID, status)) })
 		}
 	})
 }
@@ -160,7 +160,7 @@
 
 func (m *Model) holders() (who []string) {
 	for _, n := range m.w.Names {
-		if o := m.officers[n]; o != nil && m.w.Up(n) {
+		if o := m.dutyHolders[n]; o != nil && m.w.Up(n) {
 			if _, ok := o.lease.Holds(m.w.Now, dutyName); ok {
 				who = append(who, n)
 			}
@@ -192,7 +192,7 @@
 	parts := []any{m.platform.down, m.platform.fence, m.platform.acts[max(0, len(m.platform.acts)-3):], int(m.w.Now % actEvery)}
 	for _, n := range m.w.Names {
 		if m.w.Up(n) {
-			parts = append(parts, n, m.officers[n])
+			parts = append(parts, n, m.dutyHolders[n])
 		}
 	}
 	return a.Digest(m.w.Now, parts...)
--- a/internal/headworks/daemon.go
+++ b/internal/headworks/daemon.go
@@ -158,10 +158,10 @@
 	members   *membership.Agent
 	pollSince time.Duration
 
-	clock  *clock.Clock // agreed among the control machines
-	posts  []*post      // duties at the platform
-	tally  *usage.Tally
-	keeper *usage.Keeper // used by keepUsage only
+	clock       *clock.Clock  // agreed among the control machines
+	dutyRunners []*dutyRunner // duties at the platform
+	tally       *usage.Tally
+	keeper      *usage.Keeper // used by keepUsage only
 
 	scheme  atomic.Pointer[scheme.Scheme] // in force here
 	load    *scaling.Gauge
@@ -230,14 +230,14 @@
 	}
 	if set.HasDuty(settings.DutyUsage) {
 		duties = append(duties, settings.DutyUsage)
-		d.posts = append(d.posts, d.newPost(settings.DutyUsage, "/usage-reports", d.planUsage))
+		d.dutyRunners = append(d.dutyRunners, d.newDutyRunner(settings.DutyUsage, "/usage-reports", d.planUsage))
 	}
 	d.load, d.law, d.zonesOf = scaling.NewGauge(), scaling.NewLaw(), map[scaling.Subject]int{}
 	if set.HasDuty(settings.DutyScaling) {
 		duties = append(duties, settings.DutyScaling)
-		p := d.newPost(settings.DutyScaling, "/scaling", d.planScaling)
-		p.split, p.officer.Latest = scaling.Split, true
-		d.posts = append(d.posts, p)
+		p := d.newDutyRunner(settings.DutyScaling, "/scaling", d.planScaling)
+		p.split, p.holder.Latest = scaling.Split, true
+		d.dutyRunners = append(d.dutyRunners, p)
 	}
 	d.places = gazetteer.New(0, set.Zones)
 	d.leases = lease.New(0, rng.Uint64(), set.IPAddress, duties)
@@ -319,8 +319,8 @@
 		}
 		d.pen.Publish()
 	})
-	if len(d.posts) > 0 {
-		w.Turn(constants.DutyTick, d.officiate)
+	if len(d.dutyRunners) > 0 {
+		w.Turn(constants.DutyTick, d.stepDuties)
 		if d.set.HasDuty(settings.DutyUsage) {
 			w.Turn(constants.UsageSave, d.keepUsage)
 		}
--- a/internal/headworks/duties.go
+++ b/internal/headworks/duties.go
@@ -21,13 +21,13 @@
 	"slateridge/internal/usage"
 )
 
-// post is one duty at this machine: its officer, and the calls it makes.
-type post struct {
+// dutyRunner is one duty at this machine: its holder, and the calls it makes.
+type dutyRunner struct {
 	name    string
 	path    string // at the platform
 	plan    func(now time.Duration, after uint64) (key uint64, body []byte, ok bool)
 	mu      sync.Mutex
-	officer *duty.Officer
+	holder  *duty.Holder
 	client  *http.Client
 	cancel  context.CancelFunc
 	calling uint64
@@ -57,8 +57,8 @@
 	return g.Conn.Write(b)
 }
 
-func (d *Daemon) newPost(name, path string, plan func(time.Duration, uint64) (uint64, []byte, bool)) *post {
-	p := &post{name: name, path: path, plan: plan, officer: duty.NewOfficer(name, d.set.NodeName, d.set.Bounds.Lease.D(), d.set.CloudAPI.DutiesPerS, rand.New(rand.NewPCG(rand.Uint64(), 1)))}
+func (d *Daemon) newDutyRunner(name, path string, plan func(time.Duration, uint64) (uint64, []byte, bool)) *dutyRunner {
+	p := &dutyRunner{name: name, path: path, plan: plan, holder: duty.NewHolder(name, d.set.NodeName, d.set.Bounds.Lease.D(), d.set.CloudAPI.DutiesPerS, rand.New(rand.NewPCG(rand.Uint64(), 1)))}
 	dial := net.Dialer{Timeout: constants.DutyTimeout}
 	p.client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, DisableCompression: true, IdleConnTimeout: constants.DutyTimeout,
 		DialContext: func(ctx context.Context, _, addr string) (net.Conn, error) {
@@ -88,16 +88,16 @@
 	return duty.Record{}
 }
 
-// officiate drives the duties.
-func (d *Daemon) officiate() {
+// stepDuties drives the duties.
+func (d *Daemon) stepDuties() {
 	d.clock.Hear(d.set.IPAddress, time.Now().UnixNano(), d.now())
-	for _, p := range d.posts {
+	for _, p := range d.dutyRunners {
 		until, since := d.lease(p.name)
 		p.mu.Lock()
-		was := p.officer.Holding()
+		was := p.holder.Fence()
 		p.since = since
-		out := p.officer.Step(d.now(), until, d.record(p.name), func(after uint64) (uint64, []byte, bool) { return p.plan(d.now(), after) })
-		is := p.officer.Holding()
+		out := p.holder.Step(d.now(), until, d.record(p.name), func(after uint64) (uint64, []byte, bool) { return p.plan(d.now(), after) })
+		is := p.holder.Fence()
 		p.mu.Unlock()
 		if was != is {
 			d.events.Record(map[bool]string{true: "duty_fence_taken", false: "duty_fence_left"}[is > 0], p.name+" "+strconv.FormatUint(max(was, is), 10))
@@ -106,12 +106,12 @@
 	}
 }
 
-func (d *Daemon) carryOut(p *post, out []any) {
+func (d *Daemon) carryOut(p *dutyRunner, out []any) {
 	for _, o := range out {
 		switch o := o.(type) {
 		case duty.Order:
 			d.step(func() []any { return d.chain.Act(d.now(), o) })
-		case duty.Cut:
+		case duty.Cancel:
 			p.mu.Lock()
 			if p.cancel != nil && p.calling == o.ID {
 				p.cancel()
@@ -123,7 +123,7 @@
 			ss := d.leases.Leave(d.now(), p.name)
 			d.leaseMu.Unlock()
 			d.sendLeases(ss)
-		case duty.Post:
+		case duty.Act:
 			ctx, cancel := context.WithTimeout(context.Background(), constants.DutyTimeout)
 			p.mu.Lock()
 			p.cancel, p.calling = cancel, o.ID
@@ -132,7 +132,7 @@
 				defer cancel()
 				status := d.act(ctx, p, o)
 				p.mu.Lock()
-				more := p.officer.Answered(d.now(), o.ID, status)
+				more := p.holder.Answered(d.now(), o.ID, status)
 				p.mu.Unlock()
 				if status != http.StatusOK {
 					d.events.Count("duty_call_failed", 1)
@@ -147,7 +147,7 @@
 }
 
 // act sends what was decided, in as many calls as it takes; status 0 is no answer.
-func (d *Daemon) act(ctx context.Context, p *post, o duty.Post) int {
+func (d *Daemon) act(ctx context.Context, p *dutyRunner, o duty.Act) int {
 	if p.split == nil {
 		return d.call(ctx, p, o.Fence, o.Body)
 	}
@@ -171,7 +171,7 @@
 }
 
 // call makes one call to the platform.
-func (d *Daemon) call(ctx context.Context, p *post, fence uint64, body []byte) int {
+func (d *Daemon) call(ctx context.Context, p *dutyRunner, fence uint64, body []byte) int {
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+d.set.CloudAPI.Address+p.path, bytes.NewReader(body))
 	if err != nil {
 		return 0
@@ -363,17 +363,17 @@
 // dutyReports describes the duties at the platform.
 func (d *Daemon) dutyReports() map[string]DutyReport {
 	out := map[string]DutyReport{}
-	for _, p := range d.posts {
+	for _, p := range d.dutyRunners {
 		rec := d.record(p.name)
 		p.mu.Lock()
-		o := p.officer
-		r := DutyReport{Fence: rec.Fence, Holder: rec.Holder, Mine: o.Holding() > 0, Decided: rec.Key, Accepted: o.Accepted,
-			Refused: o.Refused, Failed: o.Failed, LastStatus: o.LastStatus}
+		h := p.holder
+		r := DutyReport{Fence: rec.Fence, Holder: rec.Holder, Mine: h.Fence() > 0, Decided: rec.Key, Accepted: h.Accepted,
+			Refused: h.Refused, Failed: h.Failed, LastStatus: h.LastStatus}
 		if r.Mine {
-			r.Held, r.Backlog = d.now()-p.since, o.Backlog(rec) != 0
+			r.Held, r.Backlog = d.now()-p.since, h.Backlog(rec) != 0
 		}
-		if o.AcceptedAt > 0 {
-			r.SinceOK = d.now() - o.AcceptedAt
+		if h.AcceptedAt > 0 {
+			r.SinceOK = d.now() - h.AcceptedAt
 		}
 		p.mu.Unlock()
 		if p.name == settings.DutyUsage {
--- a/internal/headworks/duties_test.go
+++ b/internal/headworks/duties_test.go
@@ -23,21 +23,21 @@
 	body   string
 }
 
-// works is a core with a platform, proxies that count, and a duty.
-type works struct {
+// dutyCluster is a core with a platform, proxies that count, and a duty.
+type dutyCluster struct {
 	*core
-	leases  map[string]*lease.Manager
-	men     map[string]*duty.Officer
-	tallies map[string]*usage.Tally
-	bornAs  map[string]int
-	born    map[string]time.Duration
-	meters  map[string]*usage.Meter
-	truth   map[uint64]usage.Counts
+	leases      map[string]*lease.Manager
+	holders     map[string]*duty.Holder
+	tallies     map[string]*usage.Tally
+	startedLife map[string]int
+	startedAt   map[string]time.Duration
+	meters      map[string]*usage.Meter
+	truth       map[uint64]usage.Counts
 
 	span, delay, turn          time.Duration // window, usageDelay, lease
 	platformDown, platformSlow bool
 	fence                      uint64
-	by                         map[uint64]string // fence -> holder
+	holderOf                   map[uint64]string // fence -> holder
 	content                    map[uint64]string // window -> body
 	acts                       []act
 	refused, lost              int
@@ -46,13 +46,13 @@
 // epoch makes the simulated true time a time of day.
 var epoch = time.Unix(1_800_000_000, 0)
 
-func (w *works) agreed() time.Time { return epoch.Add(w.network.Now) }
-func (w *works) window() uint64    { return usage.Window(w.agreed(), w.span) }
+func (w *dutyCluster) agreed() time.Time { return epoch.Add(w.network.Now) }
+func (w *dutyCluster) window() uint64    { return usage.Window(w.agreed(), w.span) }
 
-func newWorks(t *testing.T, seed uint64, names []string, tolerate int, span, delay, turn time.Duration) *works {
-	w := &works{core: newCore(t, seed, names, tolerate), leases: map[string]*lease.Manager{}, men: map[string]*duty.Officer{},
-		tallies: map[string]*usage.Tally{}, bornAs: map[string]int{}, born: map[string]time.Duration{}, meters: map[string]*usage.Meter{},
-		span: span, delay: delay, turn: turn, truth: map[uint64]usage.Counts{}, by: map[uint64]string{}, content: map[uint64]string{}}
+func newDutyCluster(t *testing.T, seed uint64, names []string, tolerate int, span, delay, turn time.Duration) *dutyCluster {
+	w := &dutyCluster{core: newCore(t, seed, names, tolerate), leases: map[string]*lease.Manager{}, holders: map[string]*duty.Holder{},
+		tallies: map[string]*usage.Tally{}, startedLife: map[string]int{}, startedAt: map[string]time.Duration{}, meters: map[string]*usage.Meter{},
+		span: span, delay: delay, turn: turn, truth: map[uint64]usage.Counts{}, holderOf: map[uint64]string{}, content: map[uint64]string{}}
 	w.stepped = w.elect
 	for _, n := range names {
 		w.drive(n)
@@ -65,36 +65,36 @@
 }
 
 // drive is a machine's loop: a new life of the process begins anew.
-func (w *works) drive(n string) {
+func (w *dutyCluster) drive(n string) {
 	defer w.network.After(constants.DutyTick, func() { w.drive(n) })
 	if w.chain[n] == nil || w.frozen[n] {
 		return
 	}
-	if w.leases[n] == nil || w.bornAs[n] != w.life[n] {
-		w.bornAs[n], w.born[n] = w.life[n], w.network.Now
+	if w.leases[n] == nil || w.startedLife[n] != w.life[n] {
+		w.startedLife[n], w.startedAt[n] = w.life[n], w.network.Now
 		w.leases[n] = lease.New(w.network.Now, w.network.Rng.Uint64(), n, []string{testDuty})
-		w.men[n] = duty.NewOfficer(testDuty, n, w.turn, 50, rand.New(rand.NewPCG(w.seed, w.network.Rng.Uint64())))
+		w.holders[n] = duty.NewHolder(testDuty, n, w.turn, 50, rand.New(rand.NewPCG(w.seed, w.network.Rng.Uint64())))
 		w.tallies[n] = usage.NewTally(w.network.Rng.Uint64())
 	}
-	l, o := w.leases[n], w.men[n]
+	l, h := w.leases[n], w.holders[n]
 	w.elect(n)
 	w.lease(n, l.Tick(w.network.Now))
 	since, _ := l.Holds(w.network.Now, testDuty)
 	rec := w.record(n)
-	w.carry(n, o.Step(w.network.Now, l.Until(w.network.Now, testDuty), rec, func(after uint64) (uint64, []byte, bool) {
+	w.carry(n, h.Step(w.network.Now, l.Until(w.network.Now, testDuty), rec, func(after uint64) (uint64, []byte, bool) {
 		return w.tallies[n].Next(usage.Moment{Steady: w.network.Now, Agreed: w.agreed(), Held: w.network.Now - since}, after, w.span, w.delay, []string{"p", "q"})
 	}))
 }
 
 // elect has a machine's leases follow its view, as the daemon does after each step.
-func (w *works) elect(n string) {
-	if w.leases[n] != nil && w.bornAs[n] == w.life[n] {
+func (w *dutyCluster) elect(n string) {
+	if w.leases[n] != nil && w.startedLife[n] == w.life[n] {
 		g := w.chain[n].Status()
 		w.leases[n].SetElectorate(w.network.Now, g.View.Epoch, g.View.VoterAddrs(), w.chain[n].LeavesElectorate())
 	}
 }
 
-func (w *works) record(n string) (r duty.Record) {
+func (w *dutyCluster) record(n string) (r duty.Record) {
 	if c := w.chain[n].Committed(); c != nil {
 		r = c.Duties[testDuty]
 	}
@@ -102,8 +102,8 @@
 }
 
 // later runs on a machine in its present life, after it wakes if it is frozen.
-func (w *works) later(n string, life int, f func()) {
-	if w.life[n] != life || w.chain[n] == nil || w.bornAs[n] != life {
+func (w *dutyCluster) later(n string, life int, f func()) {
+	if w.life[n] != life || w.chain[n] == nil || w.startedLife[n] != life {
 		return
 	}
 	if w.frozen[n] {
@@ -113,7 +113,7 @@
 	f()
 }
 
-func (w *works) lease(n string, out []lease.Send) {
+func (w *dutyCluster) lease(n string, out []lease.Send) {
 	for _, s := range out {
 		w.network.Send(n, s.To, func() {
 			w.later(s.To, w.life[s.To], func() { w.lease(s.To, w.leases[s.To].Recv(w.network.Now, n, s.Msg)) })
@@ -121,7 +121,7 @@
 	}
 }
 
-func (w *works) carry(n string, out []any) {
+func (w *dutyCluster) carry(n string, out []any) {
 	life := w.life[n]
 	for _, x := range out {
 		switch x := x.(type) {
@@ -129,7 +129,7 @@
 			w.run(n, life, func(ch *Chain) []any { return ch.Act(w.network.Now, x) })
 		case duty.Yield:
 			w.lease(n, w.leases[n].Leave(w.network.Now, testDuty))
-		case duty.Post:
+		case duty.Act:
 			if _, ok := w.leases[n].Holds(w.network.Now, testDuty); !ok {
 				w.fail("%s sends %d under fence %d without the lease", n, x.Key, x.Fence)
 			}
@@ -139,16 +139,16 @@
 }
 
 // platform takes a call, checks the rules, and answers, perhaps late or never.
-func (w *works) platform(n string, life int, p duty.Post) {
+func (w *dutyCluster) platform(n string, life int, p duty.Act) {
 	if w.platformDown {
 		w.lost++
 		return
 	}
 	status := 200
-	if h, ok := w.by[p.Fence]; ok && h != n {
+	if h, ok := w.holderOf[p.Fence]; ok && h != n {
 		w.fail("fence %d is sent by %s and by %s", p.Fence, h, n)
 	}
-	w.by[p.Fence] = n
+	w.holderOf[p.Fence] = n
 	if p.Fence < w.fence {
 		status = 409
 		w.refused++
@@ -171,13 +171,13 @@
 	}
 	w.network.After(wait, func() {
 		w.network.Send("platform", n, func() {
-			w.later(n, life, func() { w.carry(n, w.men[n].Answered(w.network.Now, p.ID, status)) })
+			w.later(n, life, func() { w.carry(n, w.holders[n].Answered(w.network.Now, p.ID, status)) })
 		})
 	})
 }
 
 // turns fails when the newest act ends an A-B-A inside the lease.
-func (w *works) turns() {
+func (w *dutyCluster) turns() {
 	last := w.acts[len(w.acts)-1]
 	other := false
 	for i := len(w.acts) - 2; i >= 0 && last.at-w.acts[i].at < w.turn; i-- {
@@ -190,7 +190,7 @@
 }
 
 // noMore fails when a report counts what did not happen.
-func (w *works) noMore(key uint64, body []byte) usage.Counts {
+func (w *dutyCluster) noMore(key uint64, body []byte) usage.Counts {
 	var r struct{ InstanceCounts usage.Counts }
 	if err := json.Unmarshal(body, &r); err != nil {
 		w.fail("window %d: %v", key, err)
@@ -204,7 +204,7 @@
 }
 
 // proxy counts requests and tells whoever it believes to hold the duty.
-func (w *works) proxy(p string) {
+func (w *dutyCluster) proxy(p string) {
 	for range w.network.Rng.IntN(8) {
 		tenant, k := []string{"x", "y", "z"}[w.network.Rng.IntN(3)], w.window()
 		w.meters[p].Begin(k)
@@ -251,7 +251,7 @@
 		if seed/2%2 == 0 {
 			span, delay, turn = 400*time.Millisecond, 3*time.Second, 7*time.Second
 		}
-		w := newWorks(t, seed, names, 1+int(seed%2), span, delay, turn)
+		w := newDutyCluster(t, seed, names, 1+int(seed%2), span, delay, turn)
 		w.network.Loss = []float64{0, 0.02, 0.1}[seed%3]
 		w.network.Delay = []time.Duration{5, 40, 200}[seed/3%3] * time.Millisecond
 		w.gap = []time.Duration{2, 6}[seed/9%2] * time.Second
@@ -294,7 +294,7 @@
 				}
 			}
 		}
-		moves += len(w.by)
+		moves += len(w.holderOf)
 		acts += len(w.content)
 		refused += w.refused
 		lost += w.lost
