--- a/cmd/scalerun/slopes.go
+++ b/cmd/scalerun/slopes.go
@@ -9,7 +9,7 @@
 	"runtime"
 	"time"
 
-	"slateridge/internal/intake"
+	"slateridge/internal/discovery"
 	"slateridge/internal/membership"
 	"slateridge/internal/scheme"
 	"slateridge/internal/sluice"
@@ -70,24 +70,24 @@
 	}
 	fmt.Fprintln(w, "upstreams: number, list MB as held and sent, heap MB at a proxy, first taking ms, taking a difference of ten ms, calls to read it")
 	for _, n := range []int{620, 6_200, 62_000} {
-		l := &intake.List{Num: 1}
+		l := &discovery.List{Num: 1}
 		for i := range n {
-			l.Instances = append(l.Instances, intake.Instance{ID: fmt.Sprintf("i-%010x", i), Service: fmt.Sprintf("svc%04d", i%max(1, n/25)), Address: fmt.Sprintf("10.%d.%d.%d:8080", i/65536, i/256%256, i%256), Zone: fmt.Sprintf("z%d", i%8), Slots: 2})
+			l.Instances = append(l.Instances, discovery.Instance{ID: fmt.Sprintf("i-%010x", i), Service: fmt.Sprintf("svc%04d", i%max(1, n/25)), Address: fmt.Sprintf("10.%d.%d.%d:8080", i/65536, i/256%256, i%256), Zone: fmt.Sprintf("z%d", i%8), Slots: 2})
 		}
 		base := heap()
 		y := sluice.NewYard("p", "z1", map[string]string{"z1": "r"}, func(string) int { return 5 }, func(string) time.Duration { return 0 })
 		first := timed(1, func() { y.Apply(time.Now(), l.Instances) })
 		held := heap() - base
 		again := timed(5, func() { y.Apply(time.Now(), l.Instances[:n-10]) })
-		fmt.Fprintf(w, "  %d, %.2f, %.1f, %.2f, %.2f, %d\n", n, float64(gobSize(intake.Diff(nil, l)))/1e6, held/1e6, first.Seconds()*1e3, again.Seconds()*1e3, (n+49)/50)
+		fmt.Fprintf(w, "  %d, %.2f, %.1f, %.2f, %.2f, %d\n", n, float64(gobSize(discovery.Diff(nil, l)))/1e6, held/1e6, first.Seconds()*1e3, again.Seconds()*1e3, (n+49)/50)
 		runtime.KeepAlive(y)
 	}
 	fmt.Fprintln(w, "a stream's placement: upstreams of its service in its zone, microseconds")
 	for _, n := range []int{50, 500, 5_000} {
 		y := sluice.NewYard("p", "z", map[string]string{"z": "r"}, func(string) int { return 5 }, func(string) time.Duration { return 0 })
-		var is []intake.Instance
+		var is []discovery.Instance
 		for i := range n {
-			is = append(is, intake.Instance{ID: fmt.Sprintf("i-%010x", i), Service: "svc", Zone: "z", Slots: 4})
+			is = append(is, discovery.Instance{ID: fmt.Sprintf("i-%010x", i), Service: "svc", Zone: "z", Slots: 4})
 		}
 		y.Apply(time.Now(), is)
 		i := 0
--- a/internal/intake/intake.go
+++ b/internal/discovery/discovery.go
@@ -1,6 +1,6 @@
-// Package intake draws from the source; in the field's terms: it reads the
-// platform's list of upstreams, all pages, and numbers what it finds.
-package intake
+// Package discovery reads the platform's list of upstreams, all pages, and numbers what it
+// finds.
+package discovery
 
 import (
 	"context"
--- a/internal/intake/intake_test.go
+++ b/internal/discovery/discovery_test.go
@@ -1,4 +1,4 @@
-package intake
+package discovery
 
 import (
 	"context"
--- a/internal/headworks/daemon.go
+++ b/internal/headworks/daemon.go
@@ -16,9 +16,9 @@
 
 	"slateridge/internal/clock"
 	"slateridge/internal/constants"
+	"slateridge/internal/discovery"
 	"slateridge/internal/eventlog"
 	"slateridge/internal/gazetteer"
-	"slateridge/internal/intake"
 	"slateridge/internal/lease"
 	"slateridge/internal/membership"
 	"slateridge/internal/penstock"
@@ -68,7 +68,7 @@
 type (
 	ListNews struct {
 		Num    uint64
-		Change *intake.Change
+		Change *discovery.Change
 		Age    time.Duration // since it was known to be current
 	}
 	ListAsk struct{}
@@ -145,13 +145,13 @@
 	pen        *penstock.Penstock
 
 	mu        sync.Mutex // list, roster
-	list      *intake.List
+	list      *discovery.List
 	listOK    time.Time
 	listTop   uint64
 	roster    map[string]*proxyEntry
 	rosterIn  bool
 	where     map[string]penstock.Peer // control machines, as they say
-	polls     *intake.Source
+	source    *discovery.Source
 	polling   sync.Mutex    // one reading at a time
 	bootRead  bool          // the list has been read without the duty, once
 	bootTurn  time.Duration // not before: machines that start together read one after the other
@@ -173,7 +173,7 @@
 func NewDaemon(set *settings.Settings, events *eventlog.Log) (*Daemon, error) {
 	d := &Daemon{set: set, events: events, began: time.Now(), seeds: set.SeedIPs(), connections: map[string]*transport.Peer{}, orders: map[uint64]chan struct{}{},
 		waits: map[chan struct{}]uint64{}, reads: map[uint64]*reader{}, roster: map[string]*proxyEntry{},
-		where: map[string]penstock.Peer{}, polls: intake.NewSource(set.CloudAPI.Address)}
+		where: map[string]penstock.Peer{}, source: discovery.NewSource(set.CloudAPI.Address)}
 	d.gates = weir.NewGatehouse(rand.Uint64(), set.Trackers(), func(told int, q weir.Quota) bool {
 		d.mu.Lock()
 		n := max(told, len(d.roster))
@@ -644,7 +644,7 @@
 		l, age := d.list, time.Since(d.listOK)
 		d.mu.Unlock()
 		if l != nil {
-			d.send(conn.Remote, ListNews{l.Num, intake.Diff(nil, l), age})
+			d.send(conn.Remote, ListNews{l.Num, discovery.Diff(nil, l), age})
 		}
 	default:
 		if g, ok := body.(Gauge); ok {
@@ -862,7 +862,7 @@
 	if !held && !first {
 		return
 	}
-	is, err := d.polls.Read(ctx)
+	is, err := d.source.Read(ctx)
 	if err != nil {
 		d.events.Count("poll_failed", 1)
 		if first {
@@ -891,7 +891,7 @@
 		// Others numbered before, and two that take over one after the other may
 		// have heard of the same number: each begins at one of its own.
 		num = firstNumber(num, rand.Uint64())
-	case d.list.Num != num || !intake.Same(d.list.Instances, is):
+	case d.list.Num != num || !discovery.Same(d.list.Instances, is):
 		num++
 	default:
 		changed = false
@@ -900,11 +900,11 @@
 	before := d.list
 	// A list that is the same keeps its number; how long its upstreams stay cold
 	// is taken anew, to notice one that turns cold again.
-	d.list, d.listTop = &intake.List{Num: num, Instances: is}, max(num, d.listTop)
+	d.list, d.listTop = &discovery.List{Num: num, Instances: is}, max(num, d.listTop)
 	d.listOK = time.Now()
 	n := ListNews{Num: num}
 	if changed {
-		n.Change = intake.Diff(before, d.list)
+		n.Change = discovery.Diff(before, d.list)
 	}
 	d.mu.Unlock()
 	for _, p := range d.peers() { // with the duty, or as the first to know any list
--- a/internal/penstock/contact_test.go
+++ b/internal/penstock/contact_test.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"slateridge/internal/constants"
-	"slateridge/internal/intake"
+	"slateridge/internal/discovery"
 	"slateridge/internal/scheme"
 	"slateridge/internal/transport"
 	"slateridge/internal/weir"
@@ -206,7 +206,7 @@
 	old := func(current bool) News {
 		c := scheme.Pack(nil, &scheme.Doc{Version: 3, Raw: []byte("3")})
 		return News{Current: current, Version: 3, ListNum: 5, Proxies: 3, StateNum: 4, Evacuated: []string{"y"},
-			Config: &c, List: intake.Diff(nil, &intake.List{Num: 5}), ComingVer: 6, Coming: map[string]weir.Quota{"k": {}}}
+			Config: &c, List: discovery.Diff(nil, &discovery.List{Num: 5}), ComingVer: 6, Coming: map[string]weir.Quota{"k": {}}}
 	}
 	l.take("127.0.0.41", old(false), time.Now())
 	if v, li, f := s.all(); len(v)+len(li) > 0 || f.State != 0 || f.Proxies != 0 || f.Coming != nil {
--- a/internal/penstock/line.go
+++ b/internal/penstock/line.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"slateridge/internal/constants"
-	"slateridge/internal/intake"
+	"slateridge/internal/discovery"
 	"slateridge/internal/scheme"
 	"slateridge/internal/transport"
 	"slateridge/internal/weir"
@@ -28,7 +28,7 @@
 	where   map[string]Peer // as control tells
 	named   []string        // those that the latest machine in contact named
 	doc     *scheme.Doc     // held, to tell differences from
-	list    *intake.List
+	list    *discovery.List
 	whole   bool
 	full    string // whose contents we take
 	dial    func(addr string, h transport.Handler) *transport.Peer
@@ -65,7 +65,7 @@
 // Fresh is what changed, for the proxy to put in force.
 type Fresh struct {
 	Config   *scheme.Doc
-	List     *intake.List
+	List     *discovery.List
 	Proxies  int
 	Trackers []string
 	Coming   map[string]weir.Quota
@@ -333,7 +333,7 @@
 	l.takeMu.Lock()
 	defer l.takeMu.Unlock()
 	var doc *scheme.Doc
-	var list *intake.List
+	var list *discovery.List
 	misfit := false
 	// Of a word that was long under way, as a machine that was frozen sends them, only
 	// what is numbered counts: the rest may have changed since.
@@ -374,7 +374,7 @@
 }
 
 // fold takes news into what is held and tells what of it is new.
-func (l *Line) fold(a string, n News, made time.Time, late bool, doc *scheme.Doc, list *intake.List, misfit bool) Fresh {
+func (l *Line) fold(a string, n News, made time.Time, late bool, doc *scheme.Doc, list *discovery.List, misfit bool) Fresh {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := time.Now()
--- a/internal/penstock/penstock.go
+++ b/internal/penstock/penstock.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"slateridge/internal/constants"
-	"slateridge/internal/intake"
+	"slateridge/internal/discovery"
 	"slateridge/internal/scheme"
 	"slateridge/internal/transport"
 	"slateridge/internal/weir"
@@ -59,7 +59,7 @@
 		Trackers    []string // these two only when they differ from what was told last
 		Peers       []Peer
 		Config      *scheme.Packed
-		List        *intake.Change
+		List        *discovery.Change
 		// Coming are the limits of a version that has arrived but is not in
 		// force; they are only evaluated.
 		ComingVer uint64
@@ -76,7 +76,7 @@
 type Face struct {
 	News
 	ConfigDoc *scheme.Doc
-	Upstreams *intake.List
+	Upstreams *discovery.List
 }
 
 // tapped is one held connection from a proxy.
@@ -112,7 +112,7 @@
 	Closed  func(node string) // told when a proxy's last held connection ends
 	pushes  uint64
 	docs    kept[scheme.Doc, scheme.Packed]
-	lists   kept[intake.List, intake.Change]
+	lists   kept[discovery.List, discovery.Change]
 }
 
 // kept are the latest states of a kind, the newest last, with its differences
@@ -152,7 +152,7 @@
 	return &Penstock{conns: map[*transport.Conn]*tapped{}, face: face, sharing: sharing,
 		docs: kept[scheme.Doc, scheme.Packed]{num: func(d *scheme.Doc) uint64 { return d.Version },
 			diff: func(base, d *scheme.Doc) *scheme.Packed { p := scheme.Pack(base, d); return &p }},
-		lists: kept[intake.List, intake.Change]{num: func(l *intake.List) uint64 { return l.Num }, diff: intake.Diff}}
+		lists: kept[discovery.List, discovery.Change]{num: func(l *discovery.List) uint64 { return l.Num }, diff: discovery.Diff}}
 }
 
 // Tapped takes a proxy's word and answers it.
--- a/internal/sluice/daemon.go
+++ b/internal/sluice/daemon.go
@@ -19,9 +19,9 @@
 
 	"slateridge/internal/clock"
 	"slateridge/internal/constants"
+	"slateridge/internal/discovery"
 	"slateridge/internal/eventlog"
 	"slateridge/internal/gaugeboard"
-	"slateridge/internal/intake"
 	"slateridge/internal/membership"
 	"slateridge/internal/penstock"
 	"slateridge/internal/scaling"
@@ -43,7 +43,7 @@
 	trackers atomic.Pointer[[]string]
 	ready    atomic.Bool
 	gate     *gate
-	source   *intake.Source
+	source   *discovery.Source
 	selfAt   time.Time
 	haveList atomic.Bool
 	setStamp atomic.Int64
@@ -59,7 +59,7 @@
 
 // NewDaemon builds the process's parts.
 func NewDaemon(set *settings.Settings, path string, events *eventlog.Log) *Daemon {
-	d := &Daemon{path: path, echo: map[string]heardStamp{}, source: intake.NewSource(set.CloudAPI.Address)}
+	d := &Daemon{path: path, echo: map[string]heardStamp{}, source: discovery.NewSource(set.CloudAPI.Address)}
 	d.set.Store(set)
 	d.setStamp.Store(d.settingsStamp()) // what changes from now on is read
 	b := set.Bounds
--- a/internal/sluice/outfall.go
+++ b/internal/sluice/outfall.go
@@ -15,12 +15,12 @@
 	"time"
 
 	"slateridge/internal/constants"
-	"slateridge/internal/intake"
+	"slateridge/internal/discovery"
 )
 
 // Outfall is one life of an upstream, as this proxy knows it.
 type Outfall struct {
-	inst   intake.Instance // but for its slots it never changes; what does is kept below
+	inst   discovery.Instance // but for its slots it never changes; what does is kept below
 	yard   *Yard
 	far    int // 0 in this zone, 1 in this region, 2 beyond
 	region string
@@ -203,7 +203,7 @@
 }
 
 // Apply takes a list: states change, lives that are gone end, new ones begin.
-func (y *Yard) Apply(now time.Time, is []intake.Instance) {
+func (y *Yard) Apply(now time.Time, is []discovery.Instance) {
 	y.mu.Lock()
 	defer y.mu.Unlock()
 	seen := map[string]bool{}
--- a/internal/sluice/path_test.go
+++ b/internal/sluice/path_test.go
@@ -17,8 +17,8 @@
 
 	"github.com/rs/zerolog"
 
+	"slateridge/internal/discovery"
 	"slateridge/internal/eventlog"
-	"slateridge/internal/intake"
 	"slateridge/internal/scheme"
 	"slateridge/internal/weir"
 )
@@ -87,8 +87,8 @@
 	return len(u.runs)
 }
 
-func (u *raw) instance(id string) intake.Instance {
-	return intake.Instance{ID: id, Service: "svc", Address: u.l.Addr().String(), Zone: "z", Slots: 2}
+func (u *raw) instance(id string) discovery.Instance {
+	return discovery.Instance{ID: id, Service: "svc", Address: u.l.Addr().String(), Zone: "z", Slots: 2}
 }
 
 func ok(r *http.Request, body string) string {
@@ -106,7 +106,7 @@
 {"resourceKind":"tenants","metadata":{"name":"tight"},"spec":{"apiKeys":["k2"],"ratePerS":0.001,"burstSize":1}},
 {"resourceKind":"limits","metadata":{},"spec":{"maxHeaderBytes":16384,"maxBodyBytes":1000000,"headerTimeout":"3000ms","idleTimeout":"15000ms"}}]}`
 
-func newSluice(t *testing.T, ups ...intake.Instance) *Sluice {
+func newSluice(t *testing.T, ups ...discovery.Instance) *Sluice {
 	sch, err := scheme.Read([]byte(fmt.Sprintf(testConfig, 1)))
 	if err != nil {
 		t.Fatal(err)
@@ -295,7 +295,7 @@
 	get(s, "GET", "/safe/", "")
 	i := u.instance("i-1")
 	i.Draining = true
-	s.yard.Apply(time.Now(), []intake.Instance{i})
+	s.yard.Apply(time.Now(), []discovery.Instance{i})
 	if w := get(s, "GET", "/safe/", ""); w.Code != 503 || u.count() != 1 {
 		t.Errorf("got %d after %d arrivals, want 503 after 1", w.Code, u.count())
 	}
@@ -447,7 +447,7 @@
 	other := newRaw(t, func(_ int, r *http.Request) (string, bool) { return shed, false })
 	s := newSluice(t, u.instance("i-1"))
 	get(s, "POST", "/once/", "")
-	s.yard.Apply(time.Now(), []intake.Instance{u.instance("i-1"), other.instance("i-2")})
+	s.yard.Apply(time.Now(), []discovery.Instance{u.instance("i-1"), other.instance("i-2")})
 	for id := range s.yard.by {
 		if id == "i-2" {
 			s.yard.by[id].ejected = time.Now().Add(time.Minute)
@@ -568,7 +568,7 @@
 	b := newRaw(t, func(_ int, r *http.Request) (string, bool) { return ok(r, "b"), false })
 	s := newSluice(t, a.instance("i-1"))
 	get(s, "POST", "/once/", "")
-	s.yard.Apply(time.Now(), []intake.Instance{b.instance("i-1")})
+	s.yard.Apply(time.Now(), []discovery.Instance{b.instance("i-1")})
 	if w := get(s, "POST", "/once/", ""); w.Body.String() != "b" || a.count() != 1 {
 		t.Errorf("got %d %q, %d sent to where it was", w.Code, w.Body, a.count())
 	}
--- a/internal/sluice/places_test.go
+++ b/internal/sluice/places_test.go
@@ -11,7 +11,7 @@
 	"testing"
 	"time"
 
-	"slateridge/internal/intake"
+	"slateridge/internal/discovery"
 	"slateridge/internal/scheme"
 )
 
@@ -42,7 +42,7 @@
 		var mu sync.Mutex
 		evac := map[string]bool{}
 		allowed := "" // of the request that is out
-		var ups []intake.Instance
+		var ups []discovery.Instance
 		cold := map[string]bool{}
 		for i, z := range []string{"z", "z", "z2", "y", "y", "x", "x"} {
 			id := fmt.Sprint("i-", i)
@@ -124,9 +124,9 @@
 // The near are chosen first, and the far only where the near have no room.
 func TestNearFirst(t *testing.T) {
 	y := NewYard("p", "z", map[string]string{"z": "r", "z2": "r", "y": "r2"}, func(string) int { return 10 }, func(string) time.Duration { return 0 })
-	var is []intake.Instance
+	var is []discovery.Instance
 	for i := range 60 {
-		is = append(is, intake.Instance{ID: fmt.Sprint("i-", i), Service: "svc", Address: "127.0.0.1:1", Zone: []string{"z", "z2", "y"}[i%3], Slots: 2})
+		is = append(is, discovery.Instance{ID: fmt.Sprint("i-", i), Service: "svc", Address: "127.0.0.1:1", Zone: []string{"z", "z2", "y"}[i%3], Slots: 2})
 	}
 	y.Apply(time.Now(), is)
 	got := map[string]int{}
@@ -151,11 +151,11 @@
 	for seed := uint64(1); seed <= 60; seed++ {
 		r := rand.New(rand.NewPCG(seed, 9))
 		now := time.Now()
-		in := intake.Instance{ID: fmt.Sprint("i-", seed), Service: "svc", Address: "127.0.0.1:1", Zone: "z", Slots: 3, Warmup: time.Minute}
+		in := discovery.Instance{ID: fmt.Sprint("i-", seed), Service: "svc", Address: "127.0.0.1:1", Zone: "z", Slots: 3, Warmup: time.Minute}
 		var times []time.Time
 		for p := range fleet {
 			y := NewYard(fmt.Sprint("10.0.0.", p), "z", nil, func(string) int { return 10 }, func(string) time.Duration { return time.Minute })
-			y.Apply(now, []intake.Instance{in})
+			y.Apply(now, []discovery.Instance{in})
 			y.SetProxies(fleet - r.IntN(30))
 			for at := now; at.Before(now.Add(4 * time.Second)); at = at.Add(time.Duration(r.IntN(60)) * time.Millisecond) {
 				if o := y.choose(want{service: "svc", homes: anywhere}, nil, at); o != nil {
--- a/internal/sluice/pool_test.go
+++ b/internal/sluice/pool_test.go
@@ -17,7 +17,7 @@
 	"testing"
 	"time"
 
-	"slateridge/internal/intake"
+	"slateridge/internal/discovery"
 )
 
 // The model test of the pool of upstream connections: callers at once ask through
@@ -70,8 +70,8 @@
 	w.mu.Unlock()
 }
 
-func (w *wayward) instance(service string) intake.Instance {
-	return intake.Instance{ID: w.life(), Service: service, Address: w.l.Addr().String(), Zone: "z", Slots: 4}
+func (w *wayward) instance(service string) discovery.Instance {
+	return discovery.Instance{ID: w.life(), Service: service, Address: w.l.Addr().String(), Zone: "z", Slots: 4}
 }
 
 // lots draws what happens to one arrival: the same for the same seed and name,
@@ -340,7 +340,7 @@
 			t.Run(fmt.Sprint(seed), func(t *testing.T) {
 				t.Parallel()
 				var ups []*wayward
-				list := func() (is []intake.Instance) {
+				list := func() (is []discovery.Instance) {
 					for i, u := range ups {
 						is = append(is, u.instance([]string{"svc", "svc", "svc", "other"}[i]))
 					}
--- a/internal/sluice/stream_test.go
+++ b/internal/sluice/stream_test.go
@@ -13,7 +13,7 @@
 	"testing"
 	"time"
 
-	"slateridge/internal/intake"
+	"slateridge/internal/discovery"
 	"slateridge/internal/usage"
 )
 
@@ -25,14 +25,14 @@
 }
 
 // source is an upstream stand-in whose answers are written by the test.
-func source(t *testing.T, answer func(c net.Conn, r *http.Request)) (intake.Instance, *atomic.Int64) {
+func source(t *testing.T, answer func(c net.Conn, r *http.Request)) (discovery.Instance, *atomic.Int64) {
 	runs := &atomic.Int64{}
 	l := upstream(t, func(c net.Conn, r *http.Request, _ string) bool {
 		runs.Add(1)
 		answer(c, r)
 		return true
 	})
-	return intake.Instance{ID: "i-" + l.Addr().String(), Service: "svc", Address: l.Addr().String(), Zone: "z", Slots: 4}, runs
+	return discovery.Instance{ID: "i-" + l.Addr().String(), Service: "svc", Address: l.Addr().String(), Zone: "z", Slots: 4}, runs
 }
 
 // flow opens a stream through a real server.
@@ -143,7 +143,7 @@
 	full, fulls := source(t, func(c net.Conn, _ *http.Request) {
 		io.WriteString(c, "HTTP/1.1 503 Service Unavailable\r\nX-Slateridge-Attempt-Id: id-1\r\nX-Slateridge-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n")
 	})
-	s.yard.Apply(time.Now(), []intake.Instance{full})
+	s.yard.Apply(time.Now(), []discovery.Instance{full})
 	if w := get(s, "POST", "/flow/x", "hi"); w.Code != 503 || w.Header().Get("Retry-After") == "" || fulls.Load() != 1 {
 		t.Errorf("turned away: %d %v, sent %d times", w.Code, w.Header(), fulls.Load())
 	}
@@ -214,7 +214,7 @@
 				c1.SetReadDeadline(time.Now().Add(10 * time.Second))
 				io.Copy(io.Discard, c1)
 			}()
-			s := newSluice(t, intake.Instance{ID: "i-1", Service: "svc", Address: l.Addr().String(), Zone: "z", Slots: 4})
+			s := newSluice(t, discovery.Instance{ID: "i-1", Service: "svc", Address: l.Addr().String(), Zone: "z", Slots: 4})
 			conn, br := flow(t, s)
 			line, rest, _ := strings.Cut(c.request, "\r\n")
 			io.WriteString(conn, line+"\r\nHost: h.example\r\nX-Slateridge-Attempt-Id: id-1\r\nX-Slateridge-Time-Budget-Ms: 9000\r\nX-Api-Key: k1\r\n"+rest)
@@ -308,9 +308,9 @@
 // when their lists differ by a few; a change moves few prefixes; what is full is
 // passed over, so a prefix that everybody asks for spreads.
 func TestPrefixesKeepTheirPlaces(t *testing.T) {
-	list := func(n int) (is []intake.Instance) {
+	list := func(n int) (is []discovery.Instance) {
 		for i := range n {
-			is = append(is, intake.Instance{ID: fmt.Sprintf("i-%03d", i), Service: "svc", Address: "127.0.0.1:9", Zone: []string{"z", "z2"}[i%2], Slots: 4})
+			is = append(is, discovery.Instance{ID: fmt.Sprintf("i-%03d", i), Service: "svc", Address: "127.0.0.1:9", Zone: []string{"z", "z2"}[i%2], Slots: 4})
 		}
 		return is
 	}
--- a/internal/sluice/unbroken_test.go
+++ b/internal/sluice/unbroken_test.go
@@ -14,15 +14,15 @@
 
 	"github.com/rs/zerolog"
 
+	"slateridge/internal/discovery"
 	"slateridge/internal/eventlog"
-	"slateridge/internal/intake"
 	"slateridge/internal/penstock"
 	"slateridge/internal/scheme"
 	"slateridge/internal/settings"
 )
 
 // daemonAt is a proxy whose settings lie in a file, with a gate of its own in front.
-func daemonAt(t *testing.T, ups ...intake.Instance) (d *Daemon, front string) {
+func daemonAt(t *testing.T, ups ...discovery.Instance) (d *Daemon, front string) {
 	path := filepath.Join(t.TempDir(), "boot.json")
 	raw, _ := json.Marshal(map[string]any{
 		"nodeName": "machine-1", "ipAddress": "127.0.0.61", "zone": "z",
@@ -51,8 +51,8 @@
 }
 
 // inForce puts a configuration and a list in force as control's news does.
-func (d *Daemon) inForce(config string, version uint64, ups []intake.Instance) {
-	d.apply(penstock.Fresh{Config: &scheme.Doc{Raw: []byte(config), Version: version}, List: &intake.List{Instances: ups}, Proxies: 1})
+func (d *Daemon) inForce(config string, version uint64, ups []discovery.Instance) {
+	d.apply(penstock.Fresh{Config: &scheme.Doc{Raw: []byte(config), Version: version}, List: &discovery.List{Instances: ups}, Proxies: 1})
 }
 
 // fetch sends a request over a connection of its own and gives the whole answer.
@@ -103,11 +103,11 @@
 	draining := u.instance("i-1")
 	draining.Draining = true
 	changed := strings.NewReplacer(`"idleTimeout":"15000ms"`, `"idleTimeout":"900ms"`, `"headerTimeout":"3000ms"`, `"headerTimeout":"1000ms"`, `"timeout":"2s"`, `"timeout":"1s"`).Replace(testConfig)
-	d.inForce(fmt.Sprintf(changed, 2), 2, []intake.Instance{draining, others.instance("i-2")})
+	d.inForce(fmt.Sprintf(changed, 2), 2, []discovery.Instance{draining, others.instance("i-2")})
 	if status, body, err := fetch(front, "POST", "/once/"); status != http.StatusOK || body != "other" || err != nil {
 		t.Errorf("a new request after the changes: %d %q %v", status, body, err)
 	}
-	d.inForce(fmt.Sprintf(testConfig, 3), 3, []intake.Instance{others.instance("i-2")})
+	d.inForce(fmt.Sprintf(testConfig, 3), 3, []discovery.Instance{others.instance("i-2")})
 	d.Reload()
 	d.gate.closeIdle(time.Now().Add(time.Hour))
 	close(release)
@@ -131,7 +131,7 @@
 					io.WriteString(c, whole[before:])
 					return true
 				})
-				_, front := daemonAt(t, intake.Instance{ID: "i-1", Service: "svc", Address: l.Addr().String(), Zone: "z", Slots: 2})
+				_, front := daemonAt(t, discovery.Instance{ID: "i-1", Service: "svc", Address: l.Addr().String(), Zone: "z", Slots: 2})
 				if status, body, err := fetch(front, "POST", "/once/"); status != http.StatusOK || len(body) != size || err != nil {
 					t.Errorf("%d, %d bytes of %d, %v", status, len(body), size, err)
 				}
@@ -149,7 +149,7 @@
 	config := testConfig
 	for version := uint64(2); version <= 6; version++ {
 		config = strings.Replace(config, `{"resourceKind":"services"`, fmt.Sprintf(added, version, version), 1)
-		d.inForce(fmt.Sprintf(config, version), version, []intake.Instance{u.instance("i-1")})
+		d.inForce(fmt.Sprintf(config, version), version, []discovery.Instance{u.instance("i-1")})
 		for v := uint64(2); v <= version; v++ {
 			for range 5 {
 				if status, _, err := fetch(front, "POST", fmt.Sprintf("/added-%d/x", v)); status != http.StatusOK || err != nil {
