--- a/cmd/scalerun/slopes.go
+++ b/cmd/scalerun/slopes.go
@@ -9,9 +9,9 @@
 	"runtime"
 	"time"
 
+	"slateridge/internal/config"
 	"slateridge/internal/discovery"
 	"slateridge/internal/membership"
-	"slateridge/internal/scheme"
 	"slateridge/internal/sluice"
 	"slateridge/internal/usage"
 	"slateridge/internal/weir"
@@ -55,14 +55,14 @@
 		cli.Routes, cli.Services, cli.Tenants, cli.Proxies, cli.PerProxy = n, max(1, n/44), 100, 100, 10
 		raw, next := configuration(1), configuration(2)
 		base := heap()
-		var rd scheme.Reader
-		var a, b *scheme.Scheme
+		var rd config.Reader
+		var a, b *config.Config
 		took := timed(1, func() { a = must(rd.Read(raw)) })
 		one := heap() - base
 		again := timed(1, func() { b = must(rd.Read(next)) })
 		two := heap() - base
-		da, db := &scheme.Doc{Version: 1, Raw: raw}, &scheme.Doc{Version: 2, Raw: next}
-		whole, diff := scheme.Pack(nil, da), scheme.Pack(da, db)
+		da, db := &config.Doc{Version: 1, Raw: raw}, &config.Doc{Version: 2, Raw: next}
+		whole, diff := config.Pack(nil, da), config.Pack(da, db)
 		fmt.Fprintf(w, "  %d, %.2f, %.0f, %.3f, %.1f, %d, %.3f, %.1f\n", n, float64(len(raw))/1e6, float64(gobSize(whole))/1e3, took.Seconds(), one/1e6, gobSize(diff), again.Seconds(), two/1e6)
 		runtime.KeepAlive(a)
 		runtime.KeepAlive(b)
--- a/cmd/slateridge/main.go
+++ b/cmd/slateridge/main.go
@@ -16,10 +16,10 @@
 	"github.com/oklog/run"
 	"github.com/rs/zerolog"
 
+	"slateridge/internal/config"
 	"slateridge/internal/constants"
 	"slateridge/internal/eventlog"
 	"slateridge/internal/headworks"
-	"slateridge/internal/scheme"
 	"slateridge/internal/settings"
 	"slateridge/internal/sluice"
 )
@@ -159,7 +159,7 @@
 	if err != nil {
 		return usageError{err}
 	}
-	s, err := scheme.Read(raw)
+	s, err := config.Read(raw)
 	if err != nil {
 		return fmt.Errorf("%s: %w", c.File, err)
 	}
--- a/cmd/slateridge/whole_test.go
+++ b/cmd/slateridge/whole_test.go
@@ -166,7 +166,7 @@
 	return resp.StatusCode, string(b), err
 }
 
-func config(version int, prefix string) string {
+func cfg(version int, prefix string) string {
 	return fmt.Sprintf(`{"configVersion":"r%d","resourceList":[{"resourceKind":"services","metadata":{"name":"svc"},"spec":{"maxConnections":50}},
 {"resourceKind":"routes","metadata":{"name":"r"},"spec":{"host":"h.example","pathPrefix":"%s","routeType":"idempotent","timeout":"2s","targetLatency":"500ms","priority":1,"targetService":"svc","maxAttempts":2}}]}`, version, prefix)
 }
@@ -189,7 +189,7 @@
 	replace := func(i, version int, prefix string) {
 		t.Helper()
 		s.until("configuration", func() error {
-			code, b, err := s.call(i, "configuration.replace", config(version, prefix))
+			code, b, err := s.call(i, "configuration.replace", cfg(version, prefix))
 			if err != nil || code != 200 {
 				return fmt.Errorf("%d %s %v", code, b, err)
 			}
@@ -213,8 +213,8 @@
 	for i, c := range []struct {
 		call, body string
 		code       int
-	}{{"configuration.replace", `{"configVersion":"r9"`, 400}, {"configuration.replace", config(2, "/old/"), 200},
-		{"configuration.replace", strings.Replace(config(9, "/b/"), `"targetService":"svc"`, `"targetService":"nobody"`, 1), 400}, {"configuration.undo", "", 404}} {
+	}{{"configuration.replace", `{"configVersion":"r9"`, 400}, {"configuration.replace", cfg(2, "/old/"), 200},
+		{"configuration.replace", strings.Replace(cfg(9, "/b/"), `"targetService":"svc"`, `"targetService":"nobody"`, 1), 400}, {"configuration.undo", "", 404}} {
 		if code, b, err := s.call(i%3, c.call, c.body); code != c.code {
 			t.Errorf("%s: got %d %s %v, want %d", c.call, code, b, err, c.code)
 		}
@@ -241,7 +241,7 @@
 	})
 	replace(0, 6, "/c/")
 	s.until("read back", func() error {
-		if code, b, err := s.call(0, "configuration.describe", ""); code != 200 || b != config(6, "/c/") {
+		if code, b, err := s.call(0, "configuration.describe", ""); code != 200 || b != cfg(6, "/c/") {
 			return fmt.Errorf("%d %s %v", code, b, err)
 		}
 		return nil
--- a/internal/scheme/scheme.go
+++ b/internal/config/config.go
@@ -1,6 +1,6 @@
-// Package scheme is the plan a waterworks is run by; in the field's terms: the
-// configuration document, its validation, and the form proxies look up.
-package scheme
+// Package config holds the configuration document, its validation, and the form in which
+// proxies look it up.
+package config
 
 import (
 	"bytes"
@@ -33,21 +33,21 @@
 	Streaming     = "streaming" // answered piece by piece, and sent at most once
 )
 
-// Stamp orders the states of the control plane: the number of the view whose
+// Revision orders the states of the control plane: the number of the view whose
 // head made it, and a count within.
-type Stamp struct{ View, Seq uint64 }
+type Revision struct{ View, Seq uint64 }
 
 // Less says whether s is older than o.
-func (s Stamp) Less(o Stamp) bool { return s.View < o.View || s.View == o.View && s.Seq < o.Seq }
+func (s Revision) Less(o Revision) bool { return s.View < o.View || s.View == o.View && s.Seq < o.Seq }
 
-// Num is the stamp as one number that orders alike; views and orders within one
+// Num is the revision as one number that orders alike; views and orders within one
 // stay far below 2^32.
-func (s Stamp) Num() uint64 { return s.View<<32 | s.Seq&(1<<32-1) }
+func (s Revision) Num() uint64 { return s.View<<32 | s.Seq&(1<<32-1) }
 
-// Evac is the latest order on a zone's evacuation. Num counts the orders on the
+// Evacuation is the latest order on a zone's evacuation. Num counts the orders on the
 // zone; IDs are the latest ones, by which whoever sent one knows it has been
 // taken.
-type Evac struct {
+type Evacuation struct {
 	On  bool
 	Num uint64
 	IDs []uint64
@@ -56,13 +56,13 @@
 // Doc is one state of the control plane: the configuration as it was sent, with
 // its version's number, the evacuations by zone, and the duties at the platform.
 type Doc struct {
-	Stamp   Stamp
-	Ordered Stamp // of the state in which the operator's part last changed
+	Stamp   Revision
+	Ordered Revision // of the state in which the operator's part last changed
 	Version uint64
 	Sum     uint64 // of Raw, which is left out where the receiver has it
 	Raw     []byte
 	Ledger  Ledger // what was taken, this one and those before it; its list is left out with Raw
-	Evac    map[string]Evac
+	Evac    map[string]Evacuation
 	Duties  duty.Records
 }
 
@@ -74,9 +74,9 @@
 }
 
 // OrderNum orders what the operator has ordered; a state written before it was
-// told apart counts by its own stamp.
+// told apart counts by its own revision.
 func (d *Doc) OrderNum() uint64 {
-	if d.Ordered == (Stamp{}) {
+	if d.Ordered == (Revision{}) {
 		return d.Stamp.Num()
 	}
 	return d.Ordered.Num()
@@ -187,15 +187,15 @@
 
 // Route is one route, ready for use.
 type Route struct {
-	Name, Host, Prefix string
-	Idempotent         bool
-	Stream, Affinity   bool
-	Timeout, Aim       time.Duration
-	Priority           int
-	MaxAttempts        int
-	Public             bool
-	Targets            []Target
-	Homes              []string // regions it may be served in; none named means all
+	Name, Host, Prefix     string
+	Idempotent             bool
+	Stream, Affinity       bool
+	Timeout, TargetLatency time.Duration
+	Priority               int
+	MaxAttempts            int
+	Public                 bool
+	Targets                []Target
+	Homes                  []string // regions it may be served in; none named means all
 }
 
 // Homes are the regions in which a request may be served, where both its route
@@ -226,8 +226,8 @@
 	return r.Targets[len(r.Targets)-1].Service
 }
 
-// Goes says whether the route may go to a service.
-func (r *Route) Goes(service string) bool {
+// RoutesTo says whether the route may go to a service.
+func (r *Route) RoutesTo(service string) bool {
 	for _, t := range r.Targets {
 		if t.Service == service {
 			return true
@@ -267,8 +267,8 @@
 	HeaderTimeout, IdleTime time.Duration
 }
 
-// Scheme is a whole configuration, ready for use.
-type Scheme struct {
+// Config is a whole configuration, ready for use.
+type Config struct {
 	Version  uint64
 	Services map[string]*Service
 	Tenants  map[string]*Tenant
@@ -278,7 +278,7 @@
 }
 
 // Match finds the route of the longest prefix.
-func (s *Scheme) Match(host, path string) *Route {
+func (s *Config) Match(host, path string) *Route {
 	host = strings.ToLower(host)
 	rs, ok := s.hosts[host]
 	if !ok {
@@ -295,13 +295,13 @@
 }
 
 // Holder finds the tenant of a key.
-func (s *Scheme) Holder(key string) *Tenant { return s.keys[key] }
+func (s *Config) Holder(key string) *Tenant { return s.keys[key] }
 
 // Keyed says whether routes that are not public need a key.
-func (s *Scheme) Keyed() bool { return len(s.Tenants) > 0 }
+func (s *Config) Keyed() bool { return len(s.Tenants) > 0 }
 
 // Routes lists all routes.
-func (s *Scheme) Routes() []*Route {
+func (s *Config) Routes() []*Route {
 	var out []*Route
 	for _, rs := range s.hosts {
 		out = append(out, rs...)
@@ -346,7 +346,7 @@
 }
 
 // item is one entry of a configuration, read and checked by itself. It is never
-// changed, so schemes of several versions may share it.
+// changed, so configurations of several versions may share it.
 type item struct {
 	kind, name string
 	route      *routeSpec
@@ -412,10 +412,10 @@
 	return it, nil
 }
 
-// breathe lets other work of the process go on between the items of a long
+// yieldProcessor lets other work of the process go on between the items of a long
 // configuration: on a small part of a core, reading hundreds of them at one go
 // is a stall that every request at this process would feel.
-func breathe(n int) {
+func yieldProcessor(n int) {
 	if n%constants.ReadBatch == 0 {
 		runtime.Gosched()
 	}
@@ -423,7 +423,7 @@
 
 // Read checks a whole configuration and makes it ready for use. Its error is
 // always a *Fault.
-func Read(raw []byte) (*Scheme, error) {
+func Read(raw []byte) (*Config, error) {
 	var d document
 	dec := json.NewDecoder(bytes.NewReader(raw))
 	if err := dec.Decode(&d); err != nil {
@@ -446,15 +446,15 @@
 			return nil, err
 		}
 		its = append(its, it)
-		breathe(i)
+		yieldProcessor(i)
 	}
 	return build(ver, its)
 }
 
-// letters stand for an item's text, which need not be kept to know it again.
-type letters [16]byte
+// textHash stand for an item's text, which need not be kept to know it again.
+type textHash [16]byte
 
-func lettersOf(text string) (l letters) {
+func hashText(text string) (l textHash) {
 	sum := sha256.Sum256([]byte(text))
 	copy(l[:], sum[:])
 	return l
@@ -463,17 +463,17 @@
 // Reader reads one configuration after another, and of each only the items that
 // the one before did not have, letter for letter.
 type Reader struct {
-	have map[letters]*item
-	New  int // items the last document did not share with the one before
+	items map[textHash]*item
+	New   int // items the last document did not share with the one before
 }
 
 // Read is like the function of that name; a document that is written otherwise
 // than items can be told apart in is read whole.
-func (rd *Reader) Read(raw []byte) (*Scheme, error) {
+func (rd *Reader) Read(raw []byte) (*Config, error) {
 	if s, err := rd.changes(raw); err == nil {
 		return s, nil
 	}
-	rd.have, rd.New = nil, 0
+	rd.items, rd.New = nil, 0
 	return Read(raw)
 }
 
@@ -483,7 +483,7 @@
 
 var errWritten = errors.New("items cannot be told apart")
 
-func (rd *Reader) changes(raw []byte) (*Scheme, error) {
+func (rd *Reader) changes(raw []byte) (*Config, error) {
 	parts := items(raw)
 	var d document
 	if len(parts) < 2 || !itemsFollow.Match(parts[0]) || json.Unmarshal(append(slices.Clone(parts[0]), "]}"...), &d) != nil {
@@ -493,7 +493,7 @@
 	if err != nil {
 		return nil, err
 	}
-	have := make(map[letters]*item, len(parts))
+	have := make(map[textHash]*item, len(parts))
 	var its []*item
 	rd.New = 0
 	for i, p := range parts[1:] {
@@ -509,8 +509,8 @@
 			return nil, errWritten
 		}
 		text = strings.TrimSpace(text)
-		key := lettersOf(text)
-		it := rd.have[key]
+		key := hashText(text)
+		it := rd.items[key]
 		if it == nil {
 			var r resource
 			if json.Unmarshal([]byte(text), &r) != nil {
@@ -520,21 +520,21 @@
 				return nil, err
 			}
 			rd.New++
-			breathe(rd.New)
+			yieldProcessor(rd.New)
 		}
 		have[key] = it
 		its = append(its, it)
 	}
 	s, err := build(ver, its)
 	if err == nil {
-		rd.have = have
+		rd.items = have
 	}
 	return s, err
 }
 
 // build puts checked items together, and checks what concerns several.
-func build(ver uint64, its []*item) (*Scheme, error) {
-	s := &Scheme{Version: ver, Services: map[string]*Service{}, Tenants: map[string]*Tenant{},
+func build(ver uint64, its []*item) (*Config, error) {
+	s := &Config{Version: ver, Services: map[string]*Service{}, Tenants: map[string]*Tenant{},
 		keys: map[string]*Tenant{}, hosts: map[string][]*Route{}}
 	names := make(map[string]bool, len(its))
 	limits := false
@@ -569,11 +569,11 @@
 		if it.route == nil {
 			continue
 		}
-		breathe(i)
+		yieldProcessor(i)
 		sp := it.route
 		r := &Route{Name: it.name, Host: strings.ToLower(sp.Host), Prefix: sp.PathPrefix, Idempotent: sp.RouteType == Idempotent,
 			Stream: sp.RouteType == Streaming, Affinity: sp.SessionAffinity,
-			Timeout: sp.Timeout.D(), Aim: sp.TargetLatency.D(), Priority: sp.Priority, MaxAttempts: sp.MaxAttempts, Public: sp.Public, Homes: sp.AllowedRegions}
+			Timeout: sp.Timeout.D(), TargetLatency: sp.TargetLatency.D(), Priority: sp.Priority, MaxAttempts: sp.MaxAttempts, Public: sp.Public, Homes: sp.AllowedRegions}
 		place := r.Host + r.Prefix
 		if other, ok := places[place]; ok {
 			return nil, &Fault{Item: it.label(), Field: "pathPrefix", Why: "route " + other + " has the same host and prefix"}
--- a/internal/scheme/scheme_test.go
+++ b/internal/config/config_test.go
@@ -1,4 +1,4 @@
-package scheme
+package config
 
 import (
 	"errors"
--- a/internal/scheme/fuzz_test.go
+++ b/internal/config/fuzz_test.go
@@ -1,4 +1,4 @@
-package scheme
+package config
 
 import (
 	"bytes"
@@ -64,7 +64,7 @@
 				t.Fatalf("route %s is not found by its own host and prefix", r.Name)
 			}
 			for _, u := range []float64{0, 0.5, 1} {
-				if s.Services[r.Pick(u)] == nil || !r.Goes(r.Pick(u)) {
+				if s.Services[r.Pick(u)] == nil || !r.RoutesTo(r.Pick(u)) {
 					t.Fatalf("route %s goes to %q", r.Name, r.Pick(u))
 				}
 			}
--- a/internal/explore/admissionmodel/admissionmodel.go
+++ b/internal/explore/admissionmodel/admissionmodel.go
@@ -532,7 +532,7 @@
 	}
 }
 
-// hear notes a tracker's stamp.
+// hear notes a tracker's time.
 func (m *Model) hear(n, from string, s weir.Stamp) {
 	p := m.proxies[n]
 	was := p.echo[from].stamp
--- a/internal/explore/chainmodel/chainmodel.go
+++ b/internal/explore/chainmodel/chainmodel.go
@@ -11,11 +11,11 @@
 	"strings"
 	"time"
 
+	"slateridge/internal/config"
 	"slateridge/internal/constants"
 	"slateridge/internal/explore"
 	"slateridge/internal/headworks"
 	"slateridge/internal/lease"
-	"slateridge/internal/scheme"
 	"slateridge/internal/simnet"
 )
 
@@ -23,7 +23,7 @@
 const (
 	RuleOneView    = "one view a number"
 	RuleOneContent = "one content a number"
-	RuleOneState   = "one state a stamp"
+	RuleOneState   = "one state a revision"
 	RuleForward    = "never back"
 	RuleFreshRead  = "no old read"
 	RuleLateOrder  = "no order undoes one sent after its end"
@@ -77,17 +77,17 @@
 
 // Confirms says whether a state that a machine knows to be in force confirms an
 // order that waits there, as the API judges it.
-func Confirms(in *scheme.Doc, o Order) bool {
+func Confirms(in *config.Doc, o Order) bool {
 	if in == nil {
 		return false
 	}
 	sum, ok := in.Ledger.Find(o.Version)
-	return ok && sum == scheme.SumOf([]byte(o.Content))
+	return ok && sum == config.SumOf([]byte(o.Content))
 }
 
 // submit hands an order to a machine.
 func submit(c *headworks.Chain, now time.Duration, o Order) []any {
-	return c.Submit(now, scheme.Doc{Version: o.Version, Raw: []byte(o.Content)})
+	return c.Submit(now, config.Doc{Version: o.Version, Raw: []byte(o.Content)})
 }
 
 // waiting is a call of an operator that has no answer yet.
@@ -139,8 +139,8 @@
 	evacSent    map[uint64]time.Duration
 	views       map[uint64]string
 	viewOf      map[string]uint64
-	states      map[scheme.Stamp]state
-	inForce     map[string]*scheme.Doc // of a process
+	states      map[config.Revision]state
+	inForce     map[string]*config.Doc // of a process
 	dutyHolders map[string]*dutyHolder
 	platform    platform
 	answers     int // reads answered
@@ -167,7 +167,7 @@
 	m.reads, m.evacs = map[string]map[uint64]reading{}, map[string]map[uint64]evacuation{}
 	m.confirmed, m.acked, m.evacAcked = map[uint64]string{}, 0, map[string]uint64{}
 	m.evacSent = map[uint64]time.Duration{}
-	m.views, m.viewOf, m.states, m.inForce = map[uint64]string{}, map[string]uint64{}, map[scheme.Stamp]state{}, map[string]*scheme.Doc{}
+	m.views, m.viewOf, m.states, m.inForce = map[uint64]string{}, map[string]uint64{}, map[config.Revision]state{}, map[string]*config.Doc{}
 	m.answers, m.confirms, m.left = 0, 0, 0
 	m.dutyHolders, m.platform = map[string]*dutyHolder{}, platform{holderOf: map[uint64]string{}, bodies: map[uint64]string{}}
 	for _, n := range names[:m.Founders] {
@@ -346,7 +346,7 @@
 	m.views[v.Num] = is
 }
 
-func (m *Model) commit(n string, d scheme.Doc) {
+func (m *Model) commit(n string, d config.Doc) {
 	if was := m.inForce[n]; was != nil && d.Stamp.Less(was.Stamp) {
 		m.broken(RuleForward, "%s goes back from %v to %v", n, was.Stamp, d.Stamp)
 	}
--- a/internal/headworks/api.go
+++ b/internal/headworks/api.go
@@ -11,8 +11,8 @@
 	"net/http"
 	"time"
 
+	"slateridge/internal/config"
 	"slateridge/internal/constants"
-	"slateridge/internal/scheme"
 	"slateridge/internal/weir"
 )
 
@@ -94,14 +94,14 @@
 		fail(w, http.StatusBadRequest, why("the body did not come whole: "+err.Error()))
 		return
 	}
-	s, err := scheme.Read(raw)
+	s, err := config.Read(raw)
 	if err != nil {
 		d.events.Record("config_refused", err.Error())
 		fail(w, http.StatusBadRequest, err)
 		return
 	}
 	if !settled(d.inForce.Load(), s.Version) {
-		if c := d.coming.Load(); (c == nil || c.version < s.Version) && ver(d.inForce.Load()) < s.Version {
+		if c := d.coming.Load(); (c == nil || c.version < s.Version) && versionOf(d.inForce.Load()) < s.Version {
 			d.coming.Store(&coming{s.Version, weir.Quotas(s)})
 			d.pen.Publish()
 		}
@@ -115,7 +115,7 @@
 			d.waitMu.Unlock()
 		}()
 		if !settled(d.inForce.Load(), s.Version) {
-			d.step(func() []any { return d.chain.Submit(d.now(), scheme.Doc{Version: s.Version, Raw: raw}) })
+			d.step(func() []any { return d.chain.Submit(d.now(), config.Doc{Version: s.Version, Raw: raw}) })
 			if !d.await(r.Context(), ch) {
 				unavailable(w, notAcknowledged)
 				return
@@ -128,7 +128,7 @@
 	case !known:
 		d.events.Count("order_forgotten", 1)
 		unavailable(w, fmt.Sprintf("r%d lies below r%d, and what was taken up to there is not remembered", s.Version, in.Ledger.Floor+1))
-	case sum != scheme.SumOf(raw):
+	case sum != config.SumOf(raw):
 		d.events.Record("number_taken", fmt.Sprintf("r%d has been taken with another content", s.Version))
 		d.numberTaken(w, s.Version)
 	default:
@@ -193,7 +193,7 @@
 // reader is a read under way; doc is set before done is closed.
 type reader struct {
 	done chan struct{}
-	doc  *scheme.Doc
+	doc  *config.Doc
 }
 
 // evacuate takes the order to send nothing more to a zone's upstreams, or to
--- a/internal/headworks/api_test.go
+++ b/internal/headworks/api_test.go
@@ -11,9 +11,9 @@
 
 	"github.com/rs/zerolog"
 
+	"slateridge/internal/config"
 	"slateridge/internal/constants"
 	"slateridge/internal/eventlog"
-	"slateridge/internal/scheme"
 	"slateridge/internal/settings"
 )
 
@@ -72,7 +72,7 @@
 	want("to a later life", plan(5, "one"), 200)
 	want("to a later life, another content", plan(7, "two"), 409)
 	long := *d.inForce.Load() // much later: the list no longer reaches down there
-	long.Stamp.Seq, long.Ledger = long.Stamp.Seq+1, scheme.Ledger{Floor: 1000}.With(1007, long.Sum)
+	long.Stamp.Seq, long.Ledger = long.Stamp.Seq+1, config.Ledger{Floor: 1000}.With(1007, long.Sum)
 	d.committed(long)
 	want("below what is remembered", plan(5, "one"), 503)
 }
--- a/internal/headworks/catchup.go
+++ b/internal/headworks/catchup.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
+	"slateridge/internal/config"
 	"slateridge/internal/constants"
-	"slateridge/internal/scheme"
 )
 
 // Catching up: what the machines tell each other regularly, what is kept on disk,
@@ -14,10 +14,10 @@
 type rawRef struct {
 	Version, Sum uint64
 	Raw          []byte
-	Ledger       scheme.Ledger
+	Ledger       config.Ledger
 }
 
-func (r rawRef) of(d *scheme.Doc) bool {
+func (r rawRef) of(d *config.Doc) bool {
 	return d != nil && r.Version == d.Version && r.Sum == d.Sum && r.Ledger.Sum == d.Ledger.Sum
 }
 
@@ -31,7 +31,7 @@
 
 func (c *Chain) gauge() Gauge {
 	g := Gauge{Me: c.Me, View: c.agr.View, Joined: c.agr.Joined, Asks: c.Relay || !c.agr.Joined, Original: c.Original, Leaving: c.leaving, Unheard: c.unheard(), Sealed: c.sealed(), Sick: c.store.Failed(), Relay: c.Relay, Zone: c.Zone, Region: c.Region,
-		Committed: at(c.committed), Held: at(c.held), Version: ver(c.committed), Dropped: c.Dropped}
+		Committed: revisionOf(c.committed), Held: revisionOf(c.held), Version: versionOf(c.committed), Dropped: c.Dropped}
 	if c.Wall != nil {
 		g.Wall = c.Wall()
 	}
@@ -44,7 +44,7 @@
 	if s := c.seen[p]; s != nil && s.gauge.View.Num >= g.View.Num {
 		g.View = View{Num: g.View.Num} // it has that view; its number is enough
 	}
-	g.At = c.stampBase + uint64(c.now)
+	g.At = c.clockBase + uint64(c.now)
 	if s := c.seen[p]; s != nil {
 		g.Echo = s.gauge.At
 	}
@@ -93,7 +93,7 @@
 	var since []time.Duration
 	for _, v := range c.agr.View.Voters {
 		if v == c.Me {
-			if at(c.committed) == at(c.held) {
+			if revisionOf(c.committed) == revisionOf(c.held) {
 				since = append(since, c.now)
 			}
 			continue
@@ -102,7 +102,7 @@
 		if s == nil || s.gauge.Me != v || s.echoed < 0 || !s.gauge.Joined || s.gauge.Sealed {
 			continue
 		}
-		if s.gauge.View.Num > c.agr.View.Num || at(c.committed).Less(s.gauge.Held) {
+		if s.gauge.View.Num > c.agr.View.Num || revisionOf(c.committed).Less(s.gauge.Held) {
 			continue // it knows more, or may
 		}
 		since = append(since, s.echoed)
@@ -138,7 +138,7 @@
 	}
 	p.everSeen, p.heard, p.gauge = true, c.now, g
 	p.echoed = -1
-	if since := g.Echo - c.stampBase; since <= uint64(c.now) {
+	if since := g.Echo - c.clockBase; since <= uint64(c.now) {
 		p.echoed = time.Duration(since)
 	} else {
 		unproven = true
@@ -146,16 +146,16 @@
 	p.reached = max(p.reached, p.echoed)
 	c.heardGoodbye(from, g)
 	c.learn(g.View)
-	if at(c.committed).Less(g.Committed) && !c.Relay {
+	if revisionOf(c.committed).Less(g.Committed) && !c.Relay {
 		// Copies found old are mended: from what is held here when it is that
 		// very version, or else by asking for it.
-		if at(c.held) == g.Committed {
+		if revisionOf(c.held) == g.Committed {
 			c.commit(*c.held)
 		} else if c.now >= c.fetchAt {
 			if c.inContact(from) { // the asking of one that may not hear it holds up no other
 				c.fetchAt = c.now + constants.HeartbeatEvery
 			}
-			c.send(from, Fetch{at(c.committed)})
+			c.send(from, Fetch{revisionOf(c.committed)})
 		}
 	}
 	return unproven
@@ -164,8 +164,8 @@
 // keep makes a state durable here if it is newer than what is held. Its
 // configuration is written only when it is another one: a duty's decisions are
 // many and small.
-func (c *Chain) keep(d scheme.Doc) bool {
-	if !at(c.held).Less(d.Stamp) {
+func (c *Chain) keep(d config.Doc) bool {
+	if !revisionOf(c.held).Less(d.Stamp) {
 		return true
 	}
 	d.Complete()
@@ -181,7 +181,7 @@
 			c.raws[i] = rawRef{} // may or may not be there
 			return false
 		}
-		c.raws[i] = rawRef{Version: d.Version, Sum: d.Sum, Ledger: scheme.Ledger{Sum: d.Ledger.Sum}}
+		c.raws[i] = rawRef{Version: d.Version, Sum: d.Sum, Ledger: config.Ledger{Sum: d.Ledger.Sum}}
 	}
 	if c.store.Put("held", d.Bare()) != nil {
 		return false
@@ -191,8 +191,8 @@
 }
 
 // commit takes a state that is known to be in force for good.
-func (c *Chain) commit(d scheme.Doc) {
-	if !at(c.committed).Less(d.Stamp) {
+func (c *Chain) commit(d config.Doc) {
+	if !revisionOf(c.committed).Less(d.Stamp) {
 		return
 	}
 	d.Complete()
@@ -202,8 +202,8 @@
 	c.out = append(c.out, Commit{d})
 }
 
-func (c *Chain) commitAt(s scheme.Stamp) {
-	if at(c.committed).Less(s) && at(c.held) == s {
+func (c *Chain) commitAt(s config.Revision) {
+	if revisionOf(c.committed).Less(s) && revisionOf(c.held) == s {
 		c.commit(*c.held)
 	}
 }
--- a/internal/headworks/chain.go
+++ b/internal/headworks/chain.go
@@ -12,9 +12,9 @@
 	"sort"
 	"time"
 
+	"slateridge/internal/config"
 	"slateridge/internal/constants"
 	"slateridge/internal/duty"
-	"slateridge/internal/scheme"
 )
 
 // Member is a machine and the life of its disk: a machine whose disk came back
@@ -34,7 +34,7 @@
 	Voters  []Member
 	Epoch   uint64
 	Base    int
-	From    scheme.Stamp
+	From    config.Revision
 }
 
 func (v View) votes(m Member) bool { return slices.Contains(v.Voters, m) }
@@ -78,11 +78,11 @@
 		Msg any
 	}
 	// Commit tells that a version is in force for good.
-	Commit struct{ Doc scheme.Doc }
+	Commit struct{ Doc config.Doc }
 	// ReadDone ends a read; Doc is nil when there is no configuration yet.
 	ReadDone struct {
 		ID  uint64
-		Doc *scheme.Doc
+		Doc *config.Doc
 	}
 	// Moved tells of a new view.
 	Moved struct{ View View }
@@ -121,7 +121,7 @@
 	began    time.Duration
 	promises map[string]Promise // of voters
 	chosen   []Member
-	doc      *scheme.Doc
+	doc      *config.Doc
 	synced   map[string]bool
 	value    *View
 	accepted map[Member]bool
@@ -158,8 +158,8 @@
 	rng   *rand.Rand
 
 	agr       agreement
-	held      *scheme.Doc
-	committed *scheme.Doc
+	held      *config.Doc
+	committed *config.Doc
 
 	seen      map[string]*peerState
 	now       time.Duration
@@ -172,13 +172,13 @@
 	troubleAt time.Duration // since when a change of view is wanted
 	rounds    uint64
 	round     *round
-	wanted    map[scheme.Taken]scheme.Doc // an operator's changes not yet committed, by number and content
-	wantAt    map[scheme.Taken]time.Duration
+	wanted    map[config.Taken]config.Doc // an operator's changes not yet committed, by number and content
+	wantAt    map[config.Taken]time.Duration
 	orders    map[uint64]Order // likewise, evacuations
 	orderAt   map[uint64]time.Duration
 	reads     []*reading
 	nonce     uint64
-	stampBase uint64                   // moments of this life are told apart from those of others by it
+	clockBase uint64                   // moments of this life are told apart from those of others by it
 	freshAsOf time.Duration            // nothing newer than what is committed here had been committed at this moment; negative: never known
 	leaving   bool                     // this machine is about to stop
 	lastTick  time.Duration            // to see that the process stood still
@@ -195,7 +195,7 @@
 // a machine without a history takes part in nothing until a view takes it in.
 func NewChain(now time.Duration, addr string, peers []string, founding bool, store Store, rng *rand.Rand) (*Chain, error) {
 	c := &Chain{seeds: peers, peers: slices.Clone(peers), store: store, rng: rng, now: now, started: now,
-		seen: map[string]*peerState{}, wanted: map[scheme.Taken]scheme.Doc{}, wantAt: map[scheme.Taken]time.Duration{},
+		seen: map[string]*peerState{}, wanted: map[config.Taken]config.Doc{}, wantAt: map[config.Taken]time.Duration{},
 		orders: map[uint64]Order{}, orderAt: map[uint64]time.Duration{}, goodbyes: map[string]time.Duration{}, retire: map[string]time.Duration{},
 		lastTick: now}
 	c.meet(addr)
@@ -246,13 +246,13 @@
 	for _, m := range c.agr.View.Voters {
 		c.meet(m.Addr)
 	}
-	var d scheme.Doc
+	var d config.Doc
 	if store.Get("held", &d) {
-		if d.Stamp == (scheme.Stamp{}) {
+		if d.Stamp == (config.Revision{}) {
 			d.Stamp.Seq = d.Version // written when versions alone ordered states
 		}
 		if d.Raw != nil && d.Sum == 0 {
-			d.Sum = scheme.SumOf(d.Raw)
+			d.Sum = config.SumOf(d.Raw)
 		}
 		for i, k := range rawKeys {
 			var r rawRef
@@ -270,22 +270,22 @@
 		d.Complete()
 		c.held = &d
 	}
-	c.nonce, c.stampBase, c.freshAsOf = rng.Uint64(), rng.Uint64()>>1, -1
+	c.nonce, c.clockBase, c.freshAsOf = rng.Uint64(), rng.Uint64()>>1, -1
 	c.rounds = c.agr.Promised.Round
 	return c, nil
 }
 
-func ver(d *scheme.Doc) uint64 {
+func versionOf(d *config.Doc) uint64 {
 	if d == nil {
 		return 0
 	}
 	return d.Version
 }
 
-// at is a state's place in the order; nothing is before all.
-func at(d *scheme.Doc) scheme.Stamp {
+// revisionOf is a state's place in the order; nothing is before all.
+func revisionOf(d *config.Doc) config.Revision {
 	if d == nil {
-		return scheme.Stamp{}
+		return config.Revision{}
 	}
 	return d.Stamp
 }
@@ -305,7 +305,7 @@
 func (c *Chain) View() View { return c.agr.View }
 
 // Committed is the newest configuration known to be in force, or nil.
-func (c *Chain) Committed() *scheme.Doc { return c.committed }
+func (c *Chain) Committed() *config.Doc { return c.committed }
 
 // Member says whether this machine is in the view, and sealed whether it has
 // promised to leave that view.
@@ -315,9 +315,9 @@
 // serves says whether this machine has its part in the chain: a member of an unsealed
 // view, and of the newest it knows of. One that holds a state of a later view has caught
 // up with what that view committed and not yet learnt of the view itself: were it to
-// head, its next state would bear a stamp that the later view's head may give to another.
+// head, its next state would bear a revision that the later view's head may give to another.
 func (c *Chain) serves() bool {
-	return c.member() && !c.sealed() && at(c.held).View <= c.agr.View.Num && at(c.committed).View <= c.agr.View.Num
+	return c.member() && !c.sealed() && revisionOf(c.held).View <= c.agr.View.Num && revisionOf(c.committed).View <= c.agr.View.Num
 }
 
 // heads says whether orders enter here.
@@ -436,7 +436,7 @@
 			c.admit(&m.Doc)
 		}
 	case Lack:
-		if v := c.agr.View; m.View == v.Num && c.member() && !c.sealed() && at(c.held) == m.Stamp {
+		if v := c.agr.View; m.View == v.Num && c.member() && !c.sealed() && revisionOf(c.held) == m.Stamp {
 			if i := v.index(c.Me.Addr); i+1 < len(v.Members) && v.Members[i+1].Addr == from {
 				c.send(from, Pass{View: v.Num, Doc: *c.held})
 			}
@@ -477,7 +477,7 @@
 	case Answer:
 		c.out = append(c.out, ReadDone(m))
 	case Fetch:
-		if m.Have.Less(at(c.committed)) {
+		if m.Have.Less(revisionOf(c.committed)) {
 			c.send(from, Fetched{*c.committed})
 		}
 	case Fetched:
--- a/internal/headworks/chain_test.go
+++ b/internal/headworks/chain_test.go
@@ -9,8 +9,8 @@
 	"testing"
 	"time"
 
+	"slateridge/internal/config"
 	"slateridge/internal/constants"
-	"slateridge/internal/scheme"
 	"slateridge/internal/simnet"
 )
 
@@ -24,7 +24,7 @@
 	seeds    []string // the first three found the view; the others join
 	tolerate int
 	orders   map[string]map[uint64]order // sent at a machine in this life, not yet acknowledged
-	evac     map[string]map[string]scheme.Evac
+	evac     map[string]map[string]config.Evacuation
 	ackedNum map[string]uint64            // by zone: the orders acknowledged
 	readNum  map[uint64]map[string]uint64 // by read: those when it began
 	disks    map[string]*simnet.Disk
@@ -40,30 +40,30 @@
 	over    bool              // no more trouble
 	gap     time.Duration     // longest pause between troubles
 	next    uint64
-	sent    []config               // all that was ever sent, to be sent again
-	known   map[scheme.Taken]bool  // likewise, to tell what was never sent
+	sent    []cfg                  // all that was ever sent, to be sent again
+	known   map[config.Taken]bool  // likewise, to tell what was never sent
 	taken   map[uint64]uint64      // by number: the content that a committed ledger has shown
 	acked   uint64                 // highest version acknowledged to the operator
 	ackedAt []ackedAt              // each time it rose
-	said    []scheme.Taken         // all that was acknowledged, in order
-	inForce map[string]*scheme.Doc // per life: the newest committed state
+	said    []config.Taken         // all that was acknowledged, in order
+	inForce map[string]*config.Doc // per life: the newest committed state
 	views   map[uint64]string
 	joined  int // machines that came at new addresses
 	acks    int
 	lost    int // orders told that their number has another content
 	reads   int
-	waits   map[string]map[scheme.Taken]bool // orders submitted at a machine in this life
+	waits   map[string]map[config.Taken]bool // orders submitted at a machine in this life
 	reading map[string]map[uint64]begun      // read id: what was acknowledged when it began
 }
 
 // config is a configuration sent: one of perhaps several contents under its number.
-type config struct {
+type cfg struct {
 	version uint64
 	content string
 }
 
-func (o config) key() scheme.Taken {
-	return scheme.Taken{Version: o.version, Sum: scheme.SumOf([]byte(o.content))}
+func (o cfg) key() config.Taken {
+	return config.Taken{Version: o.version, Sum: config.SumOf([]byte(o.content))}
 }
 
 // begun is what had been acknowledged when a read began.
@@ -85,8 +85,8 @@
 	at, ok := c.chain[n].FreshAsOf()
 	for i := len(c.ackedAt) - 1; ok && i >= 0; i-- {
 		if a := c.ackedAt[i]; a.at < at {
-			if a.version > ver(c.chain[n].Committed()) && a.version > 0 {
-				c.fail("%s is sure of r%d at %v, r%d was acknowledged at %v", n, ver(c.chain[n].Committed()), at, a.version, a.at)
+			if a.version > versionOf(c.chain[n].Committed()) && a.version > 0 {
+				c.fail("%s is sure of r%d at %v, r%d was acknowledged at %v", n, versionOf(c.chain[n].Committed()), at, a.version, a.at)
 			}
 			return
 		}
@@ -96,8 +96,8 @@
 func newCore(t *testing.T, seed uint64, names []string, tolerate int) *core {
 	c := &core{t: t, seed: seed, network: simnet.New(seed), names: names, seeds: names[:3], disks: map[string]*simnet.Disk{}, chain: map[string]*Chain{},
 		life: map[string]int{}, frozen: map[string]bool{}, pending: map[string][]func(){}, calm: map[string]time.Duration{},
-		known: map[scheme.Taken]bool{}, taken: map[uint64]uint64{}, inForce: map[string]*scheme.Doc{}, views: map[uint64]string{}, tolerate: tolerate, orders: map[string]map[uint64]order{}, readNum: map[uint64]map[string]uint64{}, ackedNum: map[string]uint64{}, evac: map[string]map[string]scheme.Evac{},
-		waits: map[string]map[scheme.Taken]bool{}, reading: map[string]map[uint64]begun{}}
+		known: map[config.Taken]bool{}, taken: map[uint64]uint64{}, inForce: map[string]*config.Doc{}, views: map[uint64]string{}, tolerate: tolerate, orders: map[string]map[uint64]order{}, readNum: map[uint64]map[string]uint64{}, ackedNum: map[string]uint64{}, evac: map[string]map[string]config.Evacuation{},
+		waits: map[string]map[config.Taken]bool{}, reading: map[string]map[uint64]begun{}}
 	for _, n := range c.names {
 		c.disks[n] = simnet.NewDisk()
 		c.start(n, true)
@@ -126,7 +126,7 @@
 	c.chain[n] = ch
 	c.inForce[n] = nil
 	c.orders[n], c.evac[n] = map[uint64]order{}, nil
-	c.waits[n], c.reading[n] = map[scheme.Taken]bool{}, map[uint64]begun{}
+	c.waits[n], c.reading[n] = map[config.Taken]bool{}, map[uint64]begun{}
 	c.tick(n, c.life[n])
 }
 
@@ -172,8 +172,8 @@
 			}
 			began, ok := c.reading[n][o.ID]
 			delete(c.reading[n], o.ID)
-			if ok && ver(o.Doc) < began.version {
-				c.fail("read at %s gives r%d, r%d was acknowledged before it began", n, ver(o.Doc), began.version)
+			if ok && versionOf(o.Doc) < began.version {
+				c.fail("read at %s gives r%d, r%d was acknowledged before it began", n, versionOf(o.Doc), began.version)
 			}
 			if ok {
 				c.reads++
@@ -215,21 +215,21 @@
 		if r.IntN(4) == 0 && v > 4 {
 			v -= r.Uint64N(4) // an older change arrives again, or one that was skipped
 		}
-		o := config{v, fmt.Sprintf("doc %d %d", v, r.Uint64())}
+		o := cfg{v, fmt.Sprintf("doc %d %d", v, r.Uint64())}
 		if len(c.sent) > 0 && r.IntN(3) == 0 {
 			o = c.sent[len(c.sent)-1-r.IntN(min(len(c.sent), 6))] // sent again, its answer was lost
 		}
 		c.send(n, o)
 		if r.IntN(4) == 0 {
 			// Another operator sends something else under the same number, at once.
-			c.send(c.names[r.IntN(len(c.names))], config{v, fmt.Sprintf("other %d %d", v, r.Uint64())})
+			c.send(c.names[r.IntN(len(c.names))], cfg{v, fmt.Sprintf("other %d %d", v, r.Uint64())})
 		}
 	}
 	c.network.After(time.Duration(r.Int64N(int64(300*time.Millisecond))), c.operator)
 }
 
 // send brings an operator's configuration to a machine.
-func (c *core) send(n string, o config) {
+func (c *core) send(n string, o cfg) {
 	k, life := o.key(), c.life[n]
 	if !c.known[k] {
 		c.known[k] = true
@@ -243,7 +243,7 @@
 		c.answer(n, *d) // without asking anybody
 		return
 	}
-	d := scheme.Doc{Version: o.version, Raw: []byte(o.content)}
+	d := config.Doc{Version: o.version, Raw: []byte(o.content)}
 	c.run(n, life, func(ch *Chain) []any { return ch.Submit(c.network.Now, d) })
 	c.network.After(constants.SubmitWait, func() {
 		if c.life[n] == life {
@@ -254,8 +254,8 @@
 
 // committed checks a committed state: what it has was sent, under one number stands one
 // content for ever, and nothing goes back.
-func (c *core) committed(n string, d scheme.Doc) {
-	if d.Version > 0 && !c.known[scheme.Taken{Version: d.Version, Sum: scheme.SumOf(d.Raw)}] {
+func (c *core) committed(n string, d config.Doc) {
+	if d.Version > 0 && !c.known[config.Taken{Version: d.Version, Sum: config.SumOf(d.Raw)}] {
 		c.fail("%s commits r%d with %q, which was never sent", n, d.Version, d.Raw)
 	}
 	if old := c.inForce[n]; old != nil && d.Version < old.Version {
@@ -276,7 +276,7 @@
 }
 
 // answer acknowledges the orders at a machine that a committed state has settled.
-func (c *core) answer(n string, d scheme.Doc) {
+func (c *core) answer(n string, d config.Doc) {
 	for k := range c.waits[n] {
 		sum, ok := d.Ledger.Find(k.Version)
 		if !ok {
@@ -328,7 +328,7 @@
 
 // evacsIn takes a committed state: counts of orders never go back, what is
 // acknowledged is in it or overtaken.
-func (c *core) evacsIn(n string, d scheme.Doc) {
+func (c *core) evacsIn(n string, d config.Doc) {
 	for z, e := range c.evac[n] {
 		if d.Evac[z].Num < e.Num {
 			c.fail("%s: the orders on %s go back from %d to %d", n, z, e.Num, d.Evac[z].Num)
@@ -574,12 +574,12 @@
 		}
 		return c
 	}
-	old := scheme.Doc{Stamp: scheme.Stamp{View: 1, Seq: 1}, Version: 1, Raw: []byte("1")}
-	newer := scheme.Doc{Stamp: scheme.Stamp{View: 1, Seq: 2}, Version: 2, Raw: []byte("2")}
+	old := config.Doc{Stamp: config.Revision{View: 1, Seq: 1}, Version: 1, Raw: []byte("1")}
+	newer := config.Doc{Stamp: config.Revision{View: 1, Seq: 2}, Version: 2, Raw: []byte("2")}
 	c := mk()
 	c.Recv(1, "b", Pass{View: 1, Doc: old})
 	c.Recv(2, "b", Pass{View: 1, Doc: newer})
-	if ver(c.Committed()) != 2 {
+	if versionOf(c.Committed()) != 2 {
 		t.Fatal("the tail did not commit what was passed to it")
 	}
 	c = mk()
@@ -603,10 +603,10 @@
 		return got
 	}
 	if got := read(); len(got) != 0 {
-		t.Fatalf("answered r%d, though r2 was committed here", ver(got[0].Doc))
+		t.Fatalf("answered r%d, though r2 was committed here", versionOf(got[0].Doc))
 	}
 	c.Recv(7, "b", Pass{View: 1, Doc: newer})
-	if got := read(); len(got) == 0 || ver(got[len(got)-1].Doc) != 2 {
+	if got := read(); len(got) == 0 || versionOf(got[len(got)-1].Doc) != 2 {
 		t.Fatalf("not answered once the chain had passed it again: %v", got)
 	}
 }
@@ -617,9 +617,9 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	c.Submit(1, scheme.Doc{Version: 4, Raw: []byte("4")})
+	c.Submit(1, config.Doc{Version: 4, Raw: []byte("4")})
 	out := c.Read(2, 7)
-	if len(out) != 1 || ver(out[0].(ReadDone).Doc) != 4 {
+	if len(out) != 1 || versionOf(out[0].(ReadDone).Doc) != 4 {
 		t.Fatalf("got %v", out)
 	}
 }
@@ -636,7 +636,7 @@
 		c.start(n, false)
 	}
 	c.network.Run(5*time.Second, nil)
-	if from := at(c.chain["r3"].held); from != (scheme.Stamp{}) {
+	if from := revisionOf(c.chain["r3"].held); from != (config.Revision{}) {
 		t.Fatal("a relay holds a configuration")
 	}
 	c.chain["a"] = nil
@@ -671,7 +671,7 @@
 	c := newCore(t, 3, three, 1)
 	c.network.Run(4*time.Second, nil)
 	long := string(make([]byte, 2<<20))
-	c.send("a", config{9, long})
+	c.send("a", cfg{9, long})
 	c.network.Run(7*time.Second, nil)
 	for _, n := range three {
 		c.chain[n] = nil
@@ -681,8 +681,8 @@
 	}
 	c.network.Run(7*time.Second+900*time.Millisecond+2*constants.HeartbeatEvery, nil)
 	for _, n := range three {
-		if ver(c.inForce[n]) != 9 {
-			t.Errorf("%s has r%d in force", n, ver(c.inForce[n]))
+		if versionOf(c.inForce[n]) != 9 {
+			t.Errorf("%s has r%d in force", n, versionOf(c.inForce[n]))
 		}
 	}
 }
--- a/internal/headworks/daemon.go
+++ b/internal/headworks/daemon.go
@@ -15,6 +15,7 @@
 	"github.com/oklog/run"
 
 	"slateridge/internal/clock"
+	"slateridge/internal/config"
 	"slateridge/internal/constants"
 	"slateridge/internal/discovery"
 	"slateridge/internal/eventlog"
@@ -23,7 +24,6 @@
 	"slateridge/internal/membership"
 	"slateridge/internal/penstock"
 	"slateridge/internal/scaling"
-	"slateridge/internal/scheme"
 	"slateridge/internal/settings"
 	"slateridge/internal/storage"
 	"slateridge/internal/transport"
@@ -121,7 +121,7 @@
 	chain     *Chain
 	store     *storage.Store
 	standing  atomic.Pointer[standing]
-	inForce   atomic.Pointer[scheme.Doc]
+	inForce   atomic.Pointer[config.Doc]
 	freshAsOf atomic.Pointer[freshness]
 	waitSaid  time.Duration          // when it was last said that this machine waits to be taken in; the chain's loop only
 	contact   atomic.Int64           // nanoseconds since this process began, at which it was last in contact with a majority; 0 never
@@ -163,7 +163,7 @@
 	tally       *usage.Tally
 	keeper      *usage.Keeper // used by keepUsage only
 
-	scheme  atomic.Pointer[scheme.Scheme] // in force here
+	config  atomic.Pointer[config.Config] // in force here
 	load    *scaling.Gauge
 	law     *scaling.Law
 	zonesOf map[scaling.Subject]int // slots of an upstream, where any was seen
@@ -459,7 +459,7 @@
 		d.leaseMu.Unlock()
 	}
 	if at, ok := d.chain.FreshAsOf(); ok {
-		fresh := freshness{at, ver(d.chain.Committed())}
+		fresh := freshness{at, versionOf(d.chain.Committed())}
 		if was := d.freshAsOf.Load(); was == nil || *was != fresh {
 			d.freshAsOf.Store(&fresh)
 		}
@@ -473,7 +473,7 @@
 
 // committed puts a version in force here: for the proxies, for the trackers,
 // and for the operators that wait.
-func (d *Daemon) committed(doc scheme.Doc) {
+func (d *Daemon) committed(doc config.Doc) {
 	d.mu.Lock()
 	old := d.inForce.Load()
 	if old != nil && !old.Stamp.Less(doc.Stamp) {
@@ -483,11 +483,11 @@
 	d.inForce.Store(&doc)
 	d.mu.Unlock()
 	if doc.Raw != nil && (old == nil || old.Version < doc.Version) {
-		s, err := scheme.Read(doc.Raw)
+		s, err := config.Read(doc.Raw)
 		if err != nil {
 			panic("headworks: an invalid configuration was committed: " + err.Error())
 		}
-		d.scheme.Store(s)
+		d.config.Store(s)
 		d.gates.SetQuotas(d.now(), weir.Quotas(s))
 		d.events.Record("config", fmt.Sprintf("r%d in force", doc.Version))
 	}
--- a/internal/headworks/duties.go
+++ b/internal/headworks/duties.go
@@ -271,16 +271,16 @@
 // scalable lists what may be ordered: each service with bounds, in each zone where
 // the platform's list has ever shown it here.
 func (d *Daemon) scalable() map[scaling.Subject]scaling.Bound {
-	sch := d.scheme.Load()
+	cfg := d.config.Load()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	out := map[scaling.Subject]scaling.Bound{}
-	if sch == nil || d.list == nil {
+	if cfg == nil || d.list == nil {
 		return out
 	}
 	for _, i := range d.list.Instances {
 		s := scaling.Subject{Service: i.Service, Zone: i.Zone}
-		if sv := sch.Services[i.Service]; sv != nil && sv.Scaling != nil {
+		if sv := cfg.Services[i.Service]; sv != nil && sv.Scaling != nil {
 			if d.zonesOf[s] == 0 {
 				d.zonesOf[s] = i.Slots
 			}
@@ -292,7 +292,7 @@
 		}
 	}
 	for s, slots := range d.zonesOf {
-		sv := sch.Services[s.Service]
+		sv := cfg.Services[s.Service]
 		if sv == nil || sv.Scaling == nil {
 			continue
 		}
--- a/internal/headworks/electorate.go
+++ b/internal/headworks/electorate.go
@@ -22,7 +22,7 @@
 // place of its earlier self, whose disk is gone, or as one more.
 func (c *Chain) nextView(r *round) View {
 	old := c.agr.View
-	v := View{Num: r.slot, Members: r.chosen, Voters: slices.Clone(old.Voters), Epoch: old.Epoch, Base: old.Base, From: at(r.doc)}
+	v := View{Num: r.slot, Members: r.chosen, Voters: slices.Clone(old.Voters), Epoch: old.Epoch, Base: old.Base, From: revisionOf(r.doc)}
 	joined, original := 0, 0
 	for _, m := range r.chosen {
 		if i := v.voter(m.Addr); i >= 0 {
--- a/internal/headworks/electorate_test.go
+++ b/internal/headworks/electorate_test.go
@@ -8,8 +8,8 @@
 	"testing"
 	"time"
 
+	"slateridge/internal/config"
 	"slateridge/internal/constants"
-	"slateridge/internal/scheme"
 	"slateridge/internal/simnet"
 )
 
@@ -69,7 +69,7 @@
 	c.t.Helper()
 	for _, n := range c.up() {
 		c.next++
-		o := config{c.next, fmt.Sprintf("doc %d", c.next)}
+		o := cfg{c.next, fmt.Sprintf("doc %d", c.next)}
 		for end := c.network.Now + 5*time.Second; !slices.Contains(c.said, o.key()); {
 			if c.network.Now >= end {
 				c.fail("%s: r%d, sent to %s, is not acknowledged; %+v", when, o.version, n, c.chain[n].Status())
@@ -282,7 +282,7 @@
 								c.network.After(time.Second, func() { c.start(n, false) })
 							}
 							c.next++
-							o := config{c.next, fmt.Sprintf("doc %d", c.next)}
+							o := cfg{c.next, fmt.Sprintf("doc %d", c.next)}
 							lost := c.lost
 							c.send(x, o) // an operator that sees the cut-off side only
 							if id := c.network.Rng.Uint64(); c.chain[x] != nil {
@@ -299,7 +299,7 @@
 									t.Fatalf("seed %d: %s is cut off and says that it is in contact", seed, x)
 								}
 							}
-							c.send(rest[len(rest)-1], config{o.version, o.content}) // elsewhere the same order is taken
+							c.send(rest[len(rest)-1], cfg{o.version, o.content}) // elsewhere the same order is taken
 							c.network.Run(c.network.Now+500*time.Millisecond, nil)
 						}
 						if n := len(c.said) - told; n < 8 {
@@ -341,7 +341,7 @@
 			t.Fatalf("seed %d: %d views in 20 s", seed, n)
 		}
 		c.next++
-		o := config{c.next, "with a pair apart"}
+		o := cfg{c.next, "with a pair apart"}
 		for _, m := range c.chain[c.names[len(c.names)-1]].View().Members {
 			c.send(m.Addr, o)
 		}
@@ -492,7 +492,7 @@
 		c.network.Run(c.network.Now+2*time.Second, nil)
 		for range missed {
 			c.next++
-			o := config{c.next, fmt.Sprintf("doc %d", c.next)}
+			o := cfg{c.next, fmt.Sprintf("doc %d", c.next)}
 			c.send("a", o)
 			c.network.Run(c.network.Now+100*time.Millisecond, nil)
 		}
@@ -502,9 +502,9 @@
 		}
 		c.start("b", false)
 		began := c.network.Now
-		for want := at(c.chain["a"].Committed()); at(c.chain["b"].Committed()) != want; {
+		for want := revisionOf(c.chain["a"].Committed()); revisionOf(c.chain["b"].Committed()) != want; {
 			if c.network.Now-began > catchUp {
-				t.Fatalf("after %d changes it holds %v, committed is %v", missed, at(c.chain["b"].Committed()), want)
+				t.Fatalf("after %d changes it holds %v, committed is %v", missed, revisionOf(c.chain["b"].Committed()), want)
 			}
 			c.network.Run(c.network.Now+10*time.Millisecond, nil)
 		}
@@ -525,8 +525,8 @@
 	for seed := uint64(1); seed <= 10; seed++ {
 		c := calmCore(t, seed, 3, 1)
 		c.next += 2
-		a, b := config{c.next, "one"}, config{c.next, "other"}
-		low := config{c.next - 1, "below the number in force"} // a race's loser
+		a, b := cfg{c.next, "one"}, cfg{c.next, "other"}
+		low := cfg{c.next - 1, "below the number in force"} // a race's loser
 		c.send(c.names[seed%3], a)
 		c.send(c.names[(seed+1)%3], b)
 		c.network.Run(c.network.Now+time.Second, nil)
@@ -547,7 +547,7 @@
 				c.send(n, a)
 				c.send(n, b)
 				c.send(n, low)
-				c.send(n, config{low.version, "other below"})
+				c.send(n, cfg{low.version, "other below"})
 				c.network.Run(c.network.Now+time.Second, nil)
 				if c.acks != acks+2 || c.lost != refused+2 || won != slices.Contains(c.said, a.key()) {
 					t.Fatalf("seed %d: %s, at %s: %d acknowledged, %d refused", seed, when, n, c.acks-acks, c.lost-refused)
@@ -577,9 +577,9 @@
 func TestEightOrdersAtOnce(t *testing.T) {
 	for seed := uint64(1); seed <= 10; seed++ {
 		c := calmCore(t, seed, 3, 1)
-		var sent []config
+		var sent []cfg
 		for i, k := range c.network.Rng.Perm(8) {
-			sent = append(sent, config{c.next + 1 + uint64(k), fmt.Sprintf("one of eight %d", k)})
+			sent = append(sent, cfg{c.next + 1 + uint64(k), fmt.Sprintf("one of eight %d", k)})
 			c.send(c.names[i%3], sent[i])
 		}
 		c.network.Run(c.network.Now+constants.SubmitWait, nil)
@@ -592,7 +592,7 @@
 }
 
 func TestLedgerIsBounded(t *testing.T) {
-	var l scheme.Ledger
+	var l config.Ledger
 	r := rand.New(rand.NewPCG(1, 1))
 	for v := uint64(1); v <= 3*constants.LedgerKept; v++ {
 		l = l.With(v, r.Uint64())
@@ -656,7 +656,7 @@
 	c := calmCore(t, 6, 3, 1)
 	before := fmt.Sprintf("%+v", c.chain["a"].View())
 	for _, m := range []any{Prepare{Slot: 99, Ballot: Ballot{7, "x"}}, Accept{Slot: 2, View: View{Num: 2}}, Accepted{Slot: 2}, Promise{Slot: 2}, Sync{Slot: 1 << 60},
-		Decide{View{Num: 9}}, Retire{"b"}, Retire{"nobody"}, Higher{View: 1}, Pass{View: 1}, Ack{View: 1, Stamp: scheme.Stamp{View: 9}}, Lack{}, Forward{}, Read{1}, Answer{ID: 5}, Fetch{}, Confirm{}, Confirmed{}} {
+		Decide{View{Num: 9}}, Retire{"b"}, Retire{"nobody"}, Higher{View: 1}, Pass{View: 1}, Ack{View: 1, Stamp: config.Revision{View: 9}}, Lack{}, Forward{}, Read{1}, Answer{ID: 5}, Fetch{}, Confirm{}, Confirmed{}} {
 		c.run("a", c.life["a"], func(ch *Chain) []any { return ch.Recv(c.network.Now, "x", m) })
 	}
 	c.network.Run(c.network.Now+catchUp, nil)
--- a/internal/headworks/left_behind_test.go
+++ b/internal/headworks/left_behind_test.go
@@ -15,7 +15,7 @@
 		c.cutPair("a", "b", true)
 		c.cutPair("a", "c", true)
 		c.next++
-		first := config{c.next, "left at a, of the first view"}
+		first := cfg{c.next, "left at a, of the first view"}
 		c.send("a", first)
 		c.network.Run(c.network.Now+catchUp, nil)
 		if v := c.chain["b"].View(); v.index("a") >= 0 || v.Members[0].Addr != "b" {
@@ -23,7 +23,7 @@
 		}
 		c.cutPair("b", "c", true)
 		c.next++
-		c.send("b", config{c.next, "left at b, of the second view"})
+		c.send("b", cfg{c.next, "left at b, of the second view"})
 		c.cutPair("a", "c", false)
 		c.network.Run(c.network.Now+catchUp, nil)
 		if v := c.chain["c"].View(); v.index("a") < 0 || v.index("b") >= 0 {
--- a/internal/headworks/messages.go
+++ b/internal/headworks/messages.go
@@ -1,7 +1,7 @@
 package headworks
 
 import (
-	"slateridge/internal/scheme"
+	"slateridge/internal/config"
 	"slateridge/internal/transport"
 )
 
@@ -19,7 +19,7 @@
 		Leaving         bool     // is about to stop in order: the others go on without it
 		Unheard         []string // control machines it has no contact with both ways
 		Asks            bool     // wants a heartbeat back: a relay, or a machine that no view has taken in yet
-		Committed, Held scheme.Stamp
+		Committed, Held config.Revision
 		Version         uint64 // of the configuration in force
 		Wall            int64  // its time of day, in nanoseconds
 		At, Echo        uint64 // a moment of the sender's, and the latest of the receiver's that reached it
@@ -29,7 +29,7 @@
 	Prepare struct {
 		Slot   uint64
 		Ballot Ballot
-		Held   scheme.Stamp
+		Held   config.Revision
 	}
 	Promise struct {
 		Slot     uint64
@@ -37,8 +37,8 @@
 		Me       Member
 		Accepted Ballot // zero: nothing accepted
 		View     View
-		Held     *scheme.Doc // when newer than the asker's
-		HeldAt   scheme.Stamp
+		Held     *config.Doc // when newer than the asker's
+		HeldAt   config.Revision
 	}
 	// Nack tells a proposer of a higher ballot.
 	Nack struct {
@@ -49,14 +49,14 @@
 	Sync struct {
 		Slot   uint64
 		Ballot Ballot
-		Doc    *scheme.Doc
+		Doc    *config.Doc
 	}
 	Synced struct {
 		Slot   uint64
 		Ballot Ballot
 		Me     Member
-		HeldAt scheme.Stamp
-		Held   *scheme.Doc // when newer
+		HeldAt config.Revision
+		Held   *config.Doc // when newer
 	}
 	Accept struct {
 		Slot   uint64
@@ -74,27 +74,27 @@
 	// says so.
 	Pass struct {
 		View uint64
-		Doc  scheme.Doc
+		Doc  config.Doc
 		Bare bool
 	}
 	Lack struct {
 		View  uint64
-		Stamp scheme.Stamp
+		Stamp config.Revision
 	}
 	// Ack tells all members what the tail has committed.
 	Ack struct {
 		View  uint64
-		Stamp scheme.Stamp
+		Stamp config.Revision
 	}
 	// Higher gives the head a newer version that a later member holds.
 	Higher struct {
 		View uint64
-		Doc  scheme.Doc
+		Doc  config.Doc
 	}
 	// Forward brings an operator's configuration to the head. With PassOn a machine
 	// that is not the head sends it on, without: it goes through one other at most.
 	Forward struct {
-		Doc    scheme.Doc
+		Doc    config.Doc
 		PassOn bool
 	}
 	// Retire wants a voter that is gone out of the electorate; its Member decides.
@@ -120,11 +120,11 @@
 	Read   struct{ ID uint64 }
 	Answer struct {
 		ID  uint64
-		Doc *scheme.Doc
+		Doc *config.Doc
 	}
 	// Fetch asks for a committed version newer than Have; Fetched brings it.
-	Fetch   struct{ Have scheme.Stamp }
-	Fetched struct{ Doc scheme.Doc }
+	Fetch   struct{ Have config.Revision }
+	Fetched struct{ Doc config.Doc }
 )
 
 func init() {
--- a/internal/headworks/orders.go
+++ b/internal/headworks/orders.go
@@ -6,9 +6,9 @@
 	"slices"
 	"time"
 
+	"slateridge/internal/config"
 	"slateridge/internal/constants"
 	"slateridge/internal/duty"
-	"slateridge/internal/scheme"
 )
 
 // Orders: what the operator and the duties want enters at the head, is synced by
@@ -16,11 +16,11 @@
 
 // Submit takes an operator's valid change. What became of it stands in the ledger of
 // a committed state that has settled its number: the content taken, this one or another.
-func (c *Chain) Submit(now time.Duration, d scheme.Doc) []any {
+func (c *Chain) Submit(now time.Duration, d config.Doc) []any {
 	c.now = now
-	d.Sum = scheme.SumOf(d.Raw)
+	d.Sum = config.SumOf(d.Raw)
 	if !settled(c.committed, d.Version) {
-		k := scheme.Taken{Version: d.Version, Sum: d.Sum}
+		k := config.Taken{Version: d.Version, Sum: d.Sum}
 		c.wanted[k], c.wantAt[k] = d, now
 		c.forward(d, 0)
 	}
@@ -28,18 +28,18 @@
 }
 
 // settled says whether a state has decided what a number stands for.
-func settled(d *scheme.Doc, version uint64) bool { return d != nil && d.Ledger.Settled(version) }
+func settled(d *config.Doc, version uint64) bool { return d != nil && d.Ledger.Settled(version) }
 
 // onForward is an operator's configuration at the head. One content is taken under a
 // number, whichever comes first; one below the number in force is only entered in the
 // ledger, so that it can be acknowledged, and no other under its number ever.
-func (c *Chain) onForward(m scheme.Doc) {
+func (c *Chain) onForward(m config.Doc) {
 	if settled(c.held, m.Version) {
 		c.admit(nil)
 		return
 	}
 	d := c.nextState()
-	sum := scheme.SumOf(m.Raw)
+	sum := config.SumOf(m.Raw)
 	d.Ledger = d.Ledger.With(m.Version, sum)
 	if m.Version > d.Version {
 		d.Version, d.Raw, d.Sum, d.Ordered = m.Version, m.Raw, sum, d.Stamp
@@ -94,7 +94,7 @@
 }
 
 // forward sends a configuration to the head; since is as for otherWay.
-func (c *Chain) forward(d scheme.Doc, since time.Duration) {
+func (c *Chain) forward(d config.Doc, since time.Duration) {
 	c.sendHead(Forward{Doc: d})
 	if via, ok := c.otherWay(since); ok {
 		c.send(via, Forward{Doc: d, PassOn: true})
@@ -131,22 +131,22 @@
 	return ways[c.rng.IntN(len(ways))], true
 }
 
-// nextStamp is the place of the head's next state.
-func (c *Chain) nextStamp() scheme.Stamp {
-	s := at(c.held)
+// nextRevision is the place of the head's next state.
+func (c *Chain) nextRevision() config.Revision {
+	s := revisionOf(c.held)
 	if s.View < c.agr.View.Num {
-		return scheme.Stamp{View: c.agr.View.Num, Seq: 1}
+		return config.Revision{View: c.agr.View.Num, Seq: 1}
 	}
-	return scheme.Stamp{View: s.View, Seq: s.Seq + 1}
+	return config.Revision{View: s.View, Seq: s.Seq + 1}
 }
 
-// nextState is what is held, under the head's next stamp.
-func (c *Chain) nextState() scheme.Doc {
-	var d scheme.Doc
+// nextState is what is held, under the head's next revision.
+func (c *Chain) nextState() config.Doc {
+	var d config.Doc
 	if c.held != nil {
 		d = *c.held
 	}
-	d.Stamp = c.nextStamp()
+	d.Stamp = c.nextRevision()
 	return d
 }
 
@@ -160,7 +160,7 @@
 	return c.flush()
 }
 
-func (c *Chain) evacs() map[string]scheme.Evac {
+func (c *Chain) evacs() map[string]config.Evacuation {
 	if c.held == nil {
 		return nil
 	}
@@ -176,19 +176,19 @@
 		c.admit(nil)
 		return
 	}
-	evac := map[string]scheme.Evac{}
+	evac := map[string]config.Evacuation{}
 	for z, e := range c.evacs() {
 		evac[z] = e
 	}
 	ids := append(slices.Clone(cur.IDs), o.ID)
-	evac[o.Zone] = scheme.Evac{On: o.On, Num: cur.Num + 1, IDs: ids[max(0, len(ids)-constants.OrderIDs):]}
+	evac[o.Zone] = config.Evacuation{On: o.On, Num: cur.Num + 1, IDs: ids[max(0, len(ids)-constants.OrderIDs):]}
 	d := c.nextState()
 	d.Evac, d.Ordered = evac, d.Stamp
 	c.admit(&d)
 }
 
 // admit is the head's entry: a newer state, or nil to pass on what it holds.
-func (c *Chain) admit(d *scheme.Doc) {
+func (c *Chain) admit(d *config.Doc) {
 	if !c.heads() || d != nil && !c.keep(*d) {
 		return
 	}
@@ -213,15 +213,15 @@
 			c.passAt += time.Duration(len(c.held.Raw)*len(c.agr.View.Members)) * time.Second / constants.PassBytes
 		}
 	}
-	if c.serves() && at(c.committed).Less(at(c.held)) {
+	if c.serves() && revisionOf(c.committed).Less(revisionOf(c.held)) {
 		head := c.agr.View.Members[0]
 		if head == c.Me {
 			c.lead()
-		} else if s := c.seen[head.Addr]; s != nil && s.gauge.Held.Less(at(c.held)) {
+		} else if s := c.seen[head.Addr]; s != nil && s.gauge.Held.Less(revisionOf(c.held)) {
 			c.send(head.Addr, Higher{c.agr.View.Num, *c.held})
 		}
 	}
-	ks := slices.SortedFunc(maps.Keys(c.wanted), func(a, b scheme.Taken) int {
+	ks := slices.SortedFunc(maps.Keys(c.wanted), func(a, b config.Taken) int {
 		return cmp.Or(cmp.Compare(a.Version, b.Version), cmp.Compare(a.Sum, b.Sum))
 	})
 	for _, k := range ks {
@@ -250,17 +250,17 @@
 }
 
 // lead has the chain take up what the head holds. What it was left by an earlier view
-// gets a stamp of this one first: another state of a view between the two may have been
+// gets a revision of this one first: another state of a view between the two may have been
 // left elsewhere, by a head that was alone, and must not outrank what is committed now.
 func (c *Chain) lead() {
-	if at(c.held).View < c.agr.View.Num && !c.keep(c.nextState()) {
+	if revisionOf(c.held).View < c.agr.View.Num && !c.keep(c.nextState()) {
 		return
 	}
 	c.pass(*c.held)
 }
 
 // pass hands a version to the next member; the last one commits it.
-func (c *Chain) pass(d scheme.Doc) {
+func (c *Chain) pass(d config.Doc) {
 	v := c.agr.View
 	i := v.index(c.Me.Addr)
 	if i+1 < len(v.Members) {
@@ -287,7 +287,7 @@
 	if m.Bare && m.Doc.Version > 0 {
 		if m.Doc.SameBulk(c.held) {
 			m.Doc.Fill(c.held)
-		} else if at(c.held).Less(m.Doc.Stamp) {
+		} else if revisionOf(c.held).Less(m.Doc.Stamp) {
 			c.send(from, Lack{m.View, m.Doc.Stamp})
 			return
 		}
@@ -295,14 +295,14 @@
 	if !c.keep(m.Doc) {
 		return
 	}
-	if m.Doc.Stamp.Less(at(c.held)) && at(c.committed).Less(m.Doc.Stamp) {
+	if m.Doc.Stamp.Less(revisionOf(c.held)) && revisionOf(c.committed).Less(m.Doc.Stamp) {
 		// Something newer, never committed, was left here by a change of view:
 		// the chain takes it up from the head, since the highest version holds.
 		c.send(v.Members[0].Addr, Higher{v.Num, *c.held})
 		return
 	}
-	if !at(c.committed).Less(m.Doc.Stamp) {
-		c.others(func(p string) { c.send(p, Ack{v.Num, at(c.committed)}) })
+	if !revisionOf(c.committed).Less(m.Doc.Stamp) {
+		c.others(func(p string) { c.send(p, Ack{v.Num, revisionOf(c.committed)}) })
 		c.send(from, Fetched{*c.committed})
 		return
 	}
--- a/internal/headworks/pass_on_test.go
+++ b/internal/headworks/pass_on_test.go
@@ -29,7 +29,7 @@
 					}
 					for range 3 {
 						c.next++
-						o := config{c.next, fmt.Sprintf("doc %d", c.next)}
+						o := cfg{c.next, fmt.Sprintf("doc %d", c.next)}
 						for _, sent := range []string{"once", "again"} {
 							acks := c.acks
 							c.send(x, o)
@@ -39,7 +39,7 @@
 							}
 						}
 						lost := c.lost
-						c.send(x, config{o.version, "another content"})
+						c.send(x, cfg{o.version, "another content"})
 						c.network.Run(c.network.Now+constants.SubmitWait, nil)
 						if c.lost != lost+1 {
 							c.fail("another content under r%d is not refused at %s", o.version, x)
--- a/internal/headworks/reads.go
+++ b/internal/headworks/reads.go
@@ -58,7 +58,7 @@
 	if !c.member() || c.sealed() {
 		return
 	}
-	if at(c.committed).Less(at(c.held)) {
+	if revisionOf(c.committed).Less(revisionOf(c.held)) {
 		return
 	}
 	c.reads = slices.DeleteFunc(c.reads, func(r *reading) bool {
--- a/internal/headworks/stale_head_test.go
+++ b/internal/headworks/stale_head_test.go
@@ -4,28 +4,28 @@
 	"math/rand/v2"
 	"testing"
 
-	"slateridge/internal/scheme"
+	"slateridge/internal/config"
 	"slateridge/internal/simnet"
 )
 
 // A head that was cut off catches up with what a later view committed before it learns
 // of the view itself. It must not head its old view with that: its next state would bear
-// a stamp that the later view's head gives to another state, and whoever heard that
-// stamp called committed would take the wrong one for it.
-func TestHeadOfAnEarlierViewStampsNothing(t *testing.T) {
+// a revision that the later view's head gives to another state, and whoever heard that
+// revision called committed would take the wrong one for it.
+func TestHeadOfAnEarlierViewNumbersNothing(t *testing.T) {
 	c, err := NewChain(0, "a", []string{"a", "b", "c"}, true, simnet.NewDisk(), rand.New(rand.NewPCG(1, 1)))
 	if err != nil {
 		t.Fatal(err)
 	}
-	c.Recv(1, "b", Fetched{scheme.Doc{Stamp: scheme.Stamp{View: 2, Seq: 8}, Version: 3, Raw: []byte("3"), Sum: scheme.SumOf([]byte("3"))}})
-	c.Submit(2, scheme.Doc{Version: 4, Raw: []byte("4")})
+	c.Recv(1, "b", Fetched{config.Doc{Stamp: config.Revision{View: 2, Seq: 8}, Version: 3, Raw: []byte("3"), Sum: config.SumOf([]byte("3"))}})
+	c.Submit(2, config.Doc{Version: 4, Raw: []byte("4")})
 	c.Evacuate(3, 7, "z", true)
-	if h := c.Status().Held; h != (scheme.Stamp{View: 2, Seq: 8}) {
-		t.Fatalf("the head of view 1 holds a state stamped %v", h)
+	if h := c.Status().Held; h != (config.Revision{View: 2, Seq: 8}) {
+		t.Fatalf("the head of view 1 holds a state numbered %v", h)
 	}
 	// The later view's head made its own state 2/9; here it is not known.
-	c.Recv(4, "b", Gauge{Me: Member{"b", 1}, View: View{Num: 2}, Joined: true, Committed: scheme.Stamp{View: 2, Seq: 9}, Held: scheme.Stamp{View: 2, Seq: 9}})
-	if got := c.Committed(); got.Stamp != (scheme.Stamp{View: 2, Seq: 8}) || got.Version != 3 {
+	c.Recv(4, "b", Gauge{Me: Member{"b", 1}, View: View{Num: 2}, Joined: true, Committed: config.Revision{View: 2, Seq: 9}, Held: config.Revision{View: 2, Seq: 9}})
+	if got := c.Committed(); got.Stamp != (config.Revision{View: 2, Seq: 8}) || got.Version != 3 {
 		t.Fatalf("r%d at %v passes for committed", got.Version, got.Stamp)
 	}
 }
--- a/internal/headworks/step_bench_test.go
+++ b/internal/headworks/step_bench_test.go
@@ -28,7 +28,7 @@
 		for _, n := range names[1:] {
 			g := c.Status()
 			g.Me = Member{n, 1}
-			g.Echo = c.stampBase + uint64(now)
+			g.Echo = c.clockBase + uint64(now)
 			d.step(func() []any { c.Recv(now, n, g); return nil })
 		}
 	}
--- a/internal/headworks/store_before_test.go
+++ b/internal/headworks/store_before_test.go
@@ -8,8 +8,8 @@
 	"strings"
 	"testing"
 
+	"slateridge/internal/config"
 	"slateridge/internal/gobtest"
-	"slateridge/internal/scheme"
 	"slateridge/internal/storage"
 	"slateridge/internal/usage"
 )
@@ -21,7 +21,7 @@
 	var (
 		incarnation  uint64
 		agreed       agreement
-		held         scheme.Doc
+		held         config.Doc
 		bulks        [len(rawKeys)]rawRef
 		roster       []string
 		usageWindows []usage.Told
@@ -71,7 +71,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	held, bulk := want["held"].(*scheme.Doc), want[rawKeys[0]].(*rawRef)
+	held, bulk := want["held"].(*config.Doc), want[rawKeys[0]].(*rawRef)
 	if c.Me.Incarnation != *want["incarnation"].(*uint64) || !reflect.DeepEqual(c.agr, *want["agreement"].(*agreement)) {
 		t.Errorf("the chain took up %v with %+v", c.Me, c.agr)
 	}
--- a/internal/headworks/view.go
+++ b/internal/headworks/view.go
@@ -227,7 +227,7 @@
 	r := &round{slot: c.agr.View.Num + 1, ballot: Ballot{c.rounds, c.Me.Addr}, began: c.now,
 		promises: map[string]Promise{}, synced: map[string]bool{}, accepted: map[Member]bool{}}
 	c.round = r
-	p := Prepare{r.slot, r.ballot, at(c.held)}
+	p := Prepare{r.slot, r.ballot, revisionOf(c.held)}
 	c.send(c.Me.Addr, p)
 	if c.round != r || len(r.promises) == 0 {
 		c.round = nil
@@ -274,8 +274,8 @@
 	if from != c.Me.Addr {
 		c.yield() // to its round
 	}
-	p := Promise{Slot: m.Slot, Ballot: m.Ballot, Me: c.Me, Accepted: a.Accepted, View: a.Next, HeldAt: at(c.held)}
-	if m.Held.Less(at(c.held)) {
+	p := Promise{Slot: m.Slot, Ballot: m.Ballot, Me: c.Me, Accepted: a.Accepted, View: a.Next, HeldAt: revisionOf(c.held)}
+	if m.Held.Less(revisionOf(c.held)) {
 		p.Held = c.held
 	}
 	c.send(from, p)
@@ -312,7 +312,7 @@
 	}
 	doc := c.held
 	for _, p := range r.promises {
-		if at(doc).Less(p.HeldAt) && p.Held != nil {
+		if revisionOf(doc).Less(p.HeldAt) && p.Held != nil {
 			doc = p.Held
 		}
 	}
@@ -337,8 +337,8 @@
 	if m.Doc != nil && !c.keep(*m.Doc) {
 		return
 	}
-	s := Synced{Slot: m.Slot, Ballot: m.Ballot, Me: c.Me, HeldAt: at(c.held)}
-	if at(m.Doc).Less(at(c.held)) {
+	s := Synced{Slot: m.Slot, Ballot: m.Ballot, Me: c.Me, HeldAt: revisionOf(c.held)}
+	if revisionOf(m.Doc).Less(revisionOf(c.held)) {
 		s.Held = c.held
 	}
 	c.send(from, s)
@@ -349,7 +349,7 @@
 	if r == nil || m.Slot != r.slot || m.Ballot != r.ballot || r.value != nil || !slices.Contains(r.chosen, m.Me) {
 		return
 	}
-	if at(r.doc).Less(at(m.Held)) {
+	if revisionOf(r.doc).Less(revisionOf(m.Held)) {
 		// Held by a member since before it was sealed: all take it up.
 		r.doc = m.Held
 		r.synced = map[string]bool{}
@@ -361,7 +361,7 @@
 		}
 		return
 	}
-	if m.HeldAt.Less(at(r.doc)) {
+	if m.HeldAt.Less(revisionOf(r.doc)) {
 		return // answers an earlier Sync
 	}
 	r.synced[from] = true
--- a/internal/penstock/contact_test.go
+++ b/internal/penstock/contact_test.go
@@ -7,9 +7,9 @@
 	"testing"
 	"time"
 
+	"slateridge/internal/config"
 	"slateridge/internal/constants"
 	"slateridge/internal/discovery"
-	"slateridge/internal/scheme"
 	"slateridge/internal/transport"
 	"slateridge/internal/weir"
 )
@@ -204,7 +204,7 @@
 func TestStartTrustsContactOnly(t *testing.T) {
 	l, s := alone(t, "127.0.0.41")
 	old := func(current bool) News {
-		c := scheme.Pack(nil, &scheme.Doc{Version: 3, Raw: []byte("3")})
+		c := config.Pack(nil, &config.Doc{Version: 3, Raw: []byte("3")})
 		return News{Current: current, Version: 3, ListNum: 5, Proxies: 3, StateNum: 4, Evacuated: []string{"y"},
 			Config: &c, List: discovery.Diff(nil, &discovery.List{Num: 5}), ComingVer: 6, Coming: map[string]weir.Quota{"k": {}}}
 	}
@@ -232,7 +232,7 @@
 	l.listNum = 8
 	before := l.State(now)
 	late := now.Add(-20 * time.Second)
-	c := scheme.Pack(nil, &scheme.Doc{Version: 3, Raw: []byte("3")})
+	c := config.Pack(nil, &config.Doc{Version: 3, Raw: []byte("3")})
 	l.version = 6
 	l.take("127.0.0.41", News{Current: true, Version: 3, Config: &c, ListNum: 8, StateNum: 5, Evacuated: []string{"y"}, Proxies: 40,
 		Wall: 6e18, Trackers: []string{"a"}, Metered: "a", Scaler: "a"}, late)
@@ -361,7 +361,7 @@
 	// came by a push, is read.
 	h.change(func(f *Face) {
 		f.SureVersion = 4
-		f.Version, f.ConfigDoc = 4, &scheme.Doc{Version: 4, Raw: []byte("4")}
+		f.Version, f.ConfigDoc = 4, &config.Doc{Version: 4, Raw: []byte("4")}
 	})
 	<-reading
 	if at := l.sureBy(News{SureVersion: 4}, time.Now()); !at.IsZero() {
--- a/internal/penstock/line.go
+++ b/internal/penstock/line.go
@@ -8,9 +8,9 @@
 	"sync"
 	"time"
 
+	"slateridge/internal/config"
 	"slateridge/internal/constants"
 	"slateridge/internal/discovery"
-	"slateridge/internal/scheme"
 	"slateridge/internal/transport"
 	"slateridge/internal/weir"
 )
@@ -27,7 +27,7 @@
 	order   []string        // of preference: own zone, own region, the rest
 	where   map[string]Peer // as control tells
 	named   []string        // those that the latest machine in contact named
-	doc     *scheme.Doc     // held, to tell differences from
+	doc     *config.Doc     // held, to tell differences from
 	list    *discovery.List
 	whole   bool
 	full    string // whose contents we take
@@ -64,7 +64,7 @@
 
 // Fresh is what changed, for the proxy to put in force.
 type Fresh struct {
-	Config   *scheme.Doc
+	Config   *config.Doc
 	List     *discovery.List
 	Proxies  int
 	Trackers []string
@@ -332,7 +332,7 @@
 func (l *Line) take(a string, n News, made time.Time) {
 	l.takeMu.Lock()
 	defer l.takeMu.Unlock()
-	var doc *scheme.Doc
+	var doc *config.Doc
 	var list *discovery.List
 	misfit := false
 	// Of a word that was long under way, as a machine that was frozen sends them, only
@@ -374,7 +374,7 @@
 }
 
 // fold takes news into what is held and tells what of it is new.
-func (l *Line) fold(a string, n News, made time.Time, late bool, doc *scheme.Doc, list *discovery.List, misfit bool) Fresh {
+func (l *Line) fold(a string, n News, made time.Time, late bool, doc *config.Doc, list *discovery.List, misfit bool) Fresh {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := time.Now()
--- a/internal/penstock/penstock.go
+++ b/internal/penstock/penstock.go
@@ -8,9 +8,9 @@
 	"sync"
 	"time"
 
+	"slateridge/internal/config"
 	"slateridge/internal/constants"
 	"slateridge/internal/discovery"
-	"slateridge/internal/scheme"
 	"slateridge/internal/transport"
 	"slateridge/internal/weir"
 )
@@ -58,7 +58,7 @@
 		SureAge     time.Duration
 		Trackers    []string // these two only when they differ from what was told last
 		Peers       []Peer
-		Config      *scheme.Packed
+		Config      *config.Packed
 		List        *discovery.Change
 		// Coming are the limits of a version that has arrived but is not in
 		// force; they are only evaluated.
@@ -75,7 +75,7 @@
 // Face is what there is to tell at this moment.
 type Face struct {
 	News
-	ConfigDoc *scheme.Doc
+	ConfigDoc *config.Doc
 	Upstreams *discovery.List
 }
 
@@ -111,7 +111,7 @@
 	sharing func(node string) bool
 	Closed  func(node string) // told when a proxy's last held connection ends
 	pushes  uint64
-	docs    kept[scheme.Doc, scheme.Packed]
+	docs    kept[config.Doc, config.Packed]
 	lists   kept[discovery.List, discovery.Change]
 }
 
@@ -150,8 +150,8 @@
 // New makes the control side; face tells what is in force.
 func New(face func() Face, sharing func(node string) bool) *Penstock {
 	return &Penstock{conns: map[*transport.Conn]*tapped{}, face: face, sharing: sharing,
-		docs: kept[scheme.Doc, scheme.Packed]{num: func(d *scheme.Doc) uint64 { return d.Version },
-			diff: func(base, d *scheme.Doc) *scheme.Packed { p := scheme.Pack(base, d); return &p }},
+		docs: kept[config.Doc, config.Packed]{num: func(d *config.Doc) uint64 { return d.Version },
+			diff: func(base, d *config.Doc) *config.Packed { p := config.Pack(base, d); return &p }},
 		lists: kept[discovery.List, discovery.Change]{num: func(l *discovery.List) uint64 { return l.Num }, diff: discovery.Diff}}
 }
 
--- a/internal/penstock/penstock_test.go
+++ b/internal/penstock/penstock_test.go
@@ -7,9 +7,9 @@
 	"testing"
 	"time"
 
+	"slateridge/internal/config"
 	"slateridge/internal/constants"
 	"slateridge/internal/discovery"
-	"slateridge/internal/scheme"
 	"slateridge/internal/transport"
 )
 
@@ -24,7 +24,7 @@
 func (h *head) set(version, list uint64, current bool) {
 	h.mu.Lock()
 	h.face = Face{News: News{Current: current, Zone: "z", Version: version, ListNum: list, Proxies: 3},
-		ConfigDoc: &scheme.Doc{Version: version, Raw: []byte(fmt.Sprint(version))}, Upstreams: &discovery.List{Num: list}}
+		ConfigDoc: &config.Doc{Version: version, Raw: []byte(fmt.Sprint(version))}, Upstreams: &discovery.List{Num: list}}
 	h.mu.Unlock()
 	h.pen.Publish()
 }
--- a/internal/sluice/admin.go
+++ b/internal/sluice/admin.go
@@ -67,7 +67,7 @@
 		Line: d.line.State(now), Proxies: d.weir.Proxies(), Requests: map[string]uint64{}, Upstreams: d.yard.States(now),
 		Hedges: d.hedges.Load(), Quotas: d.weir.Reports(d.now()), Audit: d.audit.list(), Members: d.members.Members(),
 		Events: d.events.Latest(20), Tallies: d.events.Tallies()}
-	if s := d.scheme.Load(); s != nil {
+	if s := d.config.Load(); s != nil {
 		r.Version = s.Version
 	}
 	r.Zone, r.Region, r.Evacuated = d.set.Load().Zone, d.set.Load().Region, d.yard.Evacuated()
--- a/internal/sluice/attempts_test.go
+++ b/internal/sluice/attempts_test.go
@@ -7,13 +7,13 @@
 	"testing"
 	"time"
 
-	"slateridge/internal/scheme"
+	"slateridge/internal/config"
 )
 
 // A request whose route's maxAttempts is lowered while it is under way goes to no more
 // upstreams than the newest configuration allows.
 func TestLoweredMaxAttemptsBindsRequestsUnderWay(t *testing.T) {
-	lowered, err := scheme.Read([]byte(strings.NewReplacer(`"maxAttempts":2`, `"maxAttempts":1`, `"maxAttempts":3`, `"maxAttempts":1`).
+	lowered, err := config.Read([]byte(strings.NewReplacer(`"maxAttempts":2`, `"maxAttempts":1`, `"maxAttempts":3`, `"maxAttempts":1`).
 		Replace(fmt.Sprintf(testConfig, 2))))
 	if err != nil {
 		t.Fatal(err)
@@ -26,7 +26,7 @@
 		t.Run(name, func(t *testing.T) {
 			var s *Sluice
 			answer := func(_ int, r *http.Request) (string, bool) {
-				s.scheme.Store(lowered)
+				s.config.Store(lowered)
 				return answerOf(c.status, "id-1", c.more, ""), false
 			}
 			a, b := newRaw(t, answer), newRaw(t, answer)
@@ -51,11 +51,11 @@
 	}
 	a, b := newRaw(t, answer), newRaw(t, answer)
 	s := newSluice(t, a.instance("i-1"), b.instance("i-2"))
-	quick, err := scheme.Read([]byte(strings.ReplaceAll(fmt.Sprintf(testConfig, 2), `"targetLatency":"400ms"`, `"targetLatency":"3ms"`)))
+	quick, err := config.Read([]byte(strings.ReplaceAll(fmt.Sprintf(testConfig, 2), `"targetLatency":"400ms"`, `"targetLatency":"3ms"`)))
 	if err != nil {
 		t.Fatal(err)
 	}
-	s.scheme.Store(quick)
+	s.config.Store(quick)
 	for range 4000 {
 		s.allow.Request(s.now(), "svc")
 	}
--- a/internal/sluice/audit.go
+++ b/internal/sluice/audit.go
@@ -4,8 +4,8 @@
 	"sync"
 	"time"
 
+	"slateridge/internal/config"
 	"slateridge/internal/constants"
-	"slateridge/internal/scheme"
 	"slateridge/internal/weir"
 )
 
@@ -23,7 +23,7 @@
 	all []AuditEntry
 }
 
-func (a *audit) add(old, new *scheme.Scheme) {
+func (a *audit) add(old, new *config.Config) {
 	was := map[string]weir.Quota{}
 	if old != nil {
 		was = weir.Quotas(old)
--- a/internal/sluice/daemon.go
+++ b/internal/sluice/daemon.go
@@ -18,6 +18,7 @@
 	"github.com/oklog/run"
 
 	"slateridge/internal/clock"
+	"slateridge/internal/config"
 	"slateridge/internal/constants"
 	"slateridge/internal/discovery"
 	"slateridge/internal/eventlog"
@@ -25,7 +26,6 @@
 	"slateridge/internal/membership"
 	"slateridge/internal/penstock"
 	"slateridge/internal/scaling"
-	"slateridge/internal/scheme"
 	"slateridge/internal/settings"
 	"slateridge/internal/transport"
 	"slateridge/internal/usage"
@@ -39,7 +39,7 @@
 	set      atomic.Pointer[settings.Settings]
 	path     string
 	line     *penstock.Line
-	reader   scheme.Reader // used by apply only, one call at a time
+	reader   config.Reader // used by apply only, one call at a time
 	trackers atomic.Pointer[[]string]
 	ready    atomic.Bool
 	gate     *gate
@@ -97,19 +97,19 @@
 
 // connCap is this proxy's part of an upstream's connections.
 func (d *Daemon) connCap(service string) int {
-	sch := d.scheme.Load()
-	if sch == nil || sch.Services[service] == nil || sch.Services[service].MaxConnections == 0 {
+	cfg := d.config.Load()
+	if cfg == nil || cfg.Services[service] == nil || cfg.Services[service].MaxConnections == 0 {
 		return constants.UpstreamCap * 2
 	}
 	n := max(1, d.weir.Proxies())
-	return max(1, int(constants.ConnShare*float64(sch.Services[service].MaxConnections))/n)
+	return max(1, int(constants.ConnShare*float64(cfg.Services[service].MaxConnections))/n)
 }
 
 // warmup is how long a service's upstreams stay cold, where they may only be
 // sent so much.
 func (d *Daemon) warmup(service string) time.Duration {
-	if sch := d.scheme.Load(); sch != nil && sch.Services[service] != nil && sch.Services[service].WarmupPerS > 0 {
-		return sch.Services[service].Warmup
+	if cfg := d.config.Load(); cfg != nil && cfg.Services[service] != nil && cfg.Services[service].WarmupPerS > 0 {
+		return cfg.Services[service].Warmup
 	}
 	return 0
 }
@@ -118,16 +118,16 @@
 func (d *Daemon) apply(f penstock.Fresh) {
 	now := d.now()
 	if f.Config != nil {
-		sch, err := d.reader.Read(f.Config.Raw)
+		cfg, err := d.reader.Read(f.Config.Raw)
 		if err != nil {
 			d.events.Record("config_unreadable", err.Error()) // control checks before; never expected
 		} else {
-			old := d.scheme.Load()
-			if old == nil || sch.Version > old.Version {
-				d.audit.add(old, sch)
-				d.weir.SetQuotas(now, weir.Quotas(sch))
-				d.scheme.Store(sch)
-				d.events.Record("config", "r"+strconv.FormatUint(sch.Version, 10)+" in force")
+			old := d.config.Load()
+			if old == nil || cfg.Version > old.Version {
+				d.audit.add(old, cfg)
+				d.weir.SetQuotas(now, weir.Quotas(cfg))
+				d.config.Store(cfg)
+				d.events.Record("config", "r"+strconv.FormatUint(cfg.Version, 10)+" in force")
 			}
 		}
 	}
@@ -174,11 +174,11 @@
 	if err != nil {
 		return err
 	}
-	d.gate = newGate(front, d.Sluice, func() scheme.Limits {
-		if s := d.scheme.Load(); s != nil {
+	d.gate = newGate(front, d.Sluice, func() config.Limits {
+		if s := d.config.Load(); s != nil {
 			return s.Limits
 		}
-		return scheme.Limits{}
+		return config.Limits{}
 	})
 	g.Add(d.gate.serve, func(error) { d.gate.close() })
 	w := wheel.New(g)
@@ -237,11 +237,11 @@
 	now := time.Now()
 	d.line.Step(now, d.ready.Load() && !d.leaving.Load())
 	st := d.line.State(now)
-	if !d.ready.Load() && d.scheme.Load() != nil && d.haveList.Load() && st.ListAge < constants.UpdateCurrent && st.Current < constants.UpdateCurrent {
+	if !d.ready.Load() && d.config.Load() != nil && d.haveList.Load() && st.ListAge < constants.UpdateCurrent && st.Current < constants.UpdateCurrent {
 		d.ready.Store(true)
 		d.events.Record("ready", "configuration and upstreams known")
 	}
-	if d.outOfContact(st, now) && now.After(d.selfAt) && d.scheme.Load() != nil {
+	if d.outOfContact(st, now) && now.After(d.selfAt) && d.config.Load() != nil {
 		every := selfPollEvery(d.yard.Len(), d.weir.Proxies(), d.set.Load().CloudAPI.RatePerS)
 		first := d.selfAt.IsZero()
 		if d.selfAt = now.Add(every/2 + rand.N(every)); first && rand.Float64() > float64(constants.SelfPollEvery)/float64(every) {
@@ -402,7 +402,7 @@
 
 // Version is the configuration in force here, and Upstreams how many are known.
 func (d *Daemon) Version() uint64 {
-	if s := d.scheme.Load(); s != nil {
+	if s := d.config.Load(); s != nil {
 		return s.Version
 	}
 	return 0
@@ -440,13 +440,13 @@
 
 // tellLoad says what runs and waits here of the services that are scaled.
 func (d *Daemon) tellLoad() {
-	to, sch := d.scaler.Load(), d.scheme.Load()
-	if to == nil || *to == "" || sch == nil {
+	to, cfg := d.scaler.Load(), d.config.Load()
+	if to == nil || *to == "" || cfg == nil {
 		return
 	}
 	set := d.set.Load()
 	t := scaling.Told{Proxy: set.IPAddress, Zone: set.Zone, Running: map[string]int{}}
-	for name, s := range sch.Services {
+	for name, s := range cfg.Services {
 		if s.Scaling != nil {
 			t.Running[name] = d.yard.Busy(name)
 		}
@@ -465,7 +465,7 @@
 	}
 	defer d.telling.Unlock()
 	to := d.metered.Load()
-	if to == nil || *to == "" || d.scheme.Load() == nil {
+	if to == nil || *to == "" || d.config.Load() == nil {
 		return
 	}
 	for range 2 { // a new holder's first answer asks for the rest
--- a/internal/sluice/forward.go
+++ b/internal/sluice/forward.go
@@ -11,8 +11,8 @@
 	"strings"
 	"time"
 
+	"slateridge/internal/config"
 	"slateridge/internal/constants"
-	"slateridge/internal/scheme"
 	"slateridge/internal/usage"
 )
 
@@ -22,9 +22,9 @@
 	r        *http.Request
 	arrived  time.Time
 	deadline time.Time
-	sch      *scheme.Scheme
-	route    *scheme.Route
-	tenant   *scheme.Tenant
+	config   *config.Config
+	route    *config.Route
+	tenant   *config.Tenant
 	prio     int
 	service  string
 	homes    string    // regions it may be served in
@@ -91,20 +91,20 @@
 	if !time.Now().Before(p.deadline) || p.r.Context().Err() != nil || !o.usable(p.homes) {
 		return false
 	}
-	sch := p.s.scheme.Load()
-	if sch == p.sch {
+	cfg := p.s.config.Load()
+	if cfg == p.config {
 		return true
 	}
-	route, tenant, code := match(sch, p.r)
-	if code != 0 || !route.Goes(p.service) || (tenant == nil) != (p.tenant == nil) || tenant != nil && tenant.Name != p.tenant.Name ||
+	route, tenant, code := match(cfg, p.r)
+	if code != 0 || !route.RoutesTo(p.service) || (tenant == nil) != (p.tenant == nil) || tenant != nil && tenant.Name != p.tenant.Name ||
 		route.Idempotent != p.route.Idempotent {
 		return false
 	}
-	homes := homesOf(scheme.Homes(route, tenant))
+	homes := homesOf(config.Homes(route, tenant))
 	if !within(homes, o.region) {
 		return false
 	}
-	p.sch, p.route, p.tenant, p.homes = sch, route, tenant, homes
+	p.config, p.route, p.tenant, p.homes = cfg, route, tenant, homes
 	return true
 }
 
@@ -248,7 +248,7 @@
 	y := p.s.yard
 	now := p.s.now()
 	p.service = p.route.Pick(rand.Float64())
-	p.homes = homesOf(scheme.Homes(p.route, p.tenant))
+	p.homes = homesOf(config.Homes(p.route, p.tenant))
 	p.s.allow.Request(now, p.service)
 	skip := map[*Outfall]bool{}
 	hold := time.Duration(float64(p.aim()) * constants.HoldShare)
@@ -280,15 +280,15 @@
 			if last != nil {
 				return last, 0
 			}
-			if sch := p.s.scheme.Load(); sch != p.sch {
+			if cfg := p.s.config.Load(); cfg != p.config {
 				// The configuration moved on before anything was sent.
-				route, tenant, code := match(sch, p.r)
+				route, tenant, code := match(cfg, p.r)
 				if code != 0 {
 					return nil, code
 				}
-				p.sch, p.route, p.tenant = sch, route, tenant
-				p.homes = homesOf(scheme.Homes(route, tenant))
-				if !route.Goes(p.service) {
+				p.config, p.route, p.tenant = cfg, route, tenant
+				p.homes = homesOf(config.Homes(route, tenant))
+				if !route.RoutesTo(p.service) {
 					p.service = route.Pick(rand.Float64())
 				}
 			}
@@ -341,11 +341,11 @@
 // maxAttempts is how many upstreams the request may be sent to: what its route allowed
 // when it came, and what the newest configuration allows.
 func (p *passage) maxAttempts() int {
-	sch := p.s.scheme.Load()
-	if sch == p.sch {
+	cfg := p.s.config.Load()
+	if cfg == p.config {
 		return p.route.MaxAttempts
 	}
-	route, _, code := match(sch, p.r)
+	route, _, code := match(cfg, p.r)
 	if code != 0 {
 		return p.route.MaxAttempts // allowed stops it before bytes go out
 	}
@@ -376,8 +376,8 @@
 }
 
 func (p *passage) aim() time.Duration {
-	if p.route.Aim > 0 {
-		return p.route.Aim
+	if p.route.TargetLatency > 0 {
+		return p.route.TargetLatency
 	}
 	return p.route.Timeout / 4
 }
@@ -459,20 +459,20 @@
 }
 
 // match finds route and tenant, or the status that refuses the request.
-func match(sch *scheme.Scheme, r *http.Request) (*scheme.Route, *scheme.Tenant, int) {
+func match(cfg *config.Config, r *http.Request) (*config.Route, *config.Tenant, int) {
 	path, _, _ := strings.Cut(r.RequestURI, "?")
-	route := sch.Match(r.Host, path)
+	route := cfg.Match(r.Host, path)
 	if route == nil {
 		return nil, nil, http.StatusNotFound
 	}
-	if route.Public || !sch.Keyed() {
+	if route.Public || !cfg.Keyed() {
 		return route, nil, 0
 	}
 	keys := r.Header[hdrKey]
 	if len(keys) != 1 {
 		return nil, nil, http.StatusUnauthorized
 	}
-	t := sch.Holder(keys[0])
+	t := cfg.Holder(keys[0])
 	if t == nil {
 		return nil, nil, http.StatusUnauthorized
 	}
--- a/internal/sluice/fuzz_test.go
+++ b/internal/sluice/fuzz_test.go
@@ -68,8 +68,8 @@
 		r := httptest.NewRequest(method, path, nil)
 		r.RequestURI, r.Host = path, "h.example"
 		r.Header.Set(hdrAttempt, "id-1")
-		sch := s.scheme.Load()
-		p := &passage{s: s, r: r, arrived: time.Now(), deadline: time.Now().Add(time.Minute), sch: sch, route: sch.Match("h.example", path), service: "svc", homes: anywhere}
+		cfg := s.config.Load()
+		p := &passage{s: s, r: r, arrived: time.Now(), deadline: time.Now().Add(time.Minute), config: cfg, route: cfg.Match("h.example", path), service: "svc", homes: anywhere}
 		of := s.yard.Place(p.want(), nil)
 		if of == nil {
 			t.Fatal("no room")
--- a/internal/sluice/gate.go
+++ b/internal/sluice/gate.go
@@ -9,8 +9,8 @@
 	"sync"
 	"time"
 
+	"slateridge/internal/config"
 	"slateridge/internal/constants"
-	"slateridge/internal/scheme"
 )
 
 // gate is the frontend's entry: it accepts connections and hands each to a
@@ -18,10 +18,10 @@
 type gate struct {
 	l      net.Listener
 	h      http.Handler
-	limits func() scheme.Limits
+	limits func() config.Limits
 
 	mu      sync.Mutex
-	now     scheme.Limits
+	now     config.Limits
 	feed    *feed
 	servers []*http.Server
 	conns   map[net.Conn]*clientConn
@@ -64,7 +64,7 @@
 func (f *feed) Close() error   { f.once.Do(func() { close(f.done) }); return nil }
 func (f *feed) Addr() net.Addr { return f.addr }
 
-func newGate(l net.Listener, h http.Handler, limits func() scheme.Limits) *gate {
+func newGate(l net.Listener, h http.Handler, limits func() config.Limits) *gate {
 	return &gate{l: l, h: h, limits: limits, conns: map[net.Conn]*clientConn{}, ended: make(chan struct{})}
 }
 
@@ -101,7 +101,7 @@
 	}
 }
 
-func (g *gate) feedFor(l scheme.Limits) *feed {
+func (g *gate) feedFor(l config.Limits) *feed {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	l.BodyBytes, l.IdleTime = 0, 0 // checked by the handler, and by closeIdle
--- a/internal/sluice/gate_test.go
+++ b/internal/sluice/gate_test.go
@@ -10,8 +10,8 @@
 	"testing"
 	"time"
 
+	"slateridge/internal/config"
 	"slateridge/internal/constants"
-	"slateridge/internal/scheme"
 )
 
 // restingClient opens a connection to a gate whose idle bound is read from idle, and
@@ -23,7 +23,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	g := newGate(l, s, func() scheme.Limits { return scheme.Limits{IdleTime: time.Duration(idle.Load())} })
+	g := newGate(l, s, func() config.Limits { return config.Limits{IdleTime: time.Duration(idle.Load())} })
 	go g.serve()
 	t.Cleanup(g.close)
 	c, err := net.Dial("tcp4", l.Addr().String())
@@ -72,7 +72,7 @@
 // force since it was opened; a lowered bound holds for those opened after clients knew it.
 func TestIdleConnectionsAreClosed(t *testing.T) {
 	var bound atomic.Int64
-	g := newGate(nil, nil, func() scheme.Limits { return scheme.Limits{IdleTime: time.Duration(bound.Load())} })
+	g := newGate(nil, nil, func() config.Limits { return config.Limits{IdleTime: time.Duration(bound.Load())} })
 	began := time.Now()
 	open := func(after time.Duration) net.Conn {
 		ours, theirs := net.Pipe()
--- a/internal/sluice/path_test.go
+++ b/internal/sluice/path_test.go
@@ -17,9 +17,9 @@
 
 	"github.com/rs/zerolog"
 
+	"slateridge/internal/config"
 	"slateridge/internal/discovery"
 	"slateridge/internal/eventlog"
-	"slateridge/internal/scheme"
 	"slateridge/internal/weir"
 )
 
@@ -107,7 +107,7 @@
 {"resourceKind":"limits","metadata":{},"spec":{"maxHeaderBytes":16384,"maxBodyBytes":1000000,"headerTimeout":"3000ms","idleTimeout":"15000ms"}}]}`
 
 func newSluice(t *testing.T, ups ...discovery.Instance) *Sluice {
-	sch, err := scheme.Read([]byte(fmt.Sprintf(testConfig, 1)))
+	cfg, err := config.Read([]byte(fmt.Sprintf(testConfig, 1)))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -117,8 +117,8 @@
 	s.yard = NewYard("p", "z", map[string]string{"z": "r", "z2": "r", "far": "r2"}, func(string) int { return 10 }, func(string) time.Duration { return 0 })
 	s.askFor = func(string) {}
 	s.weir.SetProxies(0, 1)
-	s.weir.SetQuotas(0, weir.Quotas(sch))
-	s.scheme.Store(sch)
+	s.weir.SetQuotas(0, weir.Quotas(cfg))
+	s.config.Store(cfg)
 	s.yard.Apply(time.Now(), ups)
 	return s
 }
@@ -331,7 +331,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	g := newGate(l, s, func() scheme.Limits { return scheme.Limits{} })
+	g := newGate(l, s, func() config.Limits { return config.Limits{} })
 	served := make(chan struct{})
 	go func() { g.serve(); close(served) }()
 	got := make(chan string, 1)
@@ -380,19 +380,19 @@
 	r.RequestURI, r.Host = "/once/", "h.example"
 	r.Header.Set(hdrAttempt, "id-1")
 	r.Header.Set(hdrKey, "k1")
-	sch := s.scheme.Load()
-	route, tenant, _ := match(sch, r)
-	p := &passage{s: s, r: r, arrived: time.Now(), deadline: time.Now().Add(time.Second), sch: sch, route: route, tenant: tenant}
-	gone, err := scheme.Read([]byte(strings.Replace(fmt.Sprintf(testConfig, 2), `"/once/"`, `"/elsewhere/"`, 1)))
+	cfg := s.config.Load()
+	route, tenant, _ := match(cfg, r)
+	p := &passage{s: s, r: r, arrived: time.Now(), deadline: time.Now().Add(time.Second), config: cfg, route: route, tenant: tenant}
+	gone, err := config.Read([]byte(strings.Replace(fmt.Sprintf(testConfig, 2), `"/once/"`, `"/elsewhere/"`, 1)))
 	if err != nil {
 		t.Fatal(err)
 	}
-	s.scheme.Store(gone)
+	s.config.Store(gone)
 	if res, code := p.forward(); res != nil || code != 404 || u.count() != 0 {
 		t.Errorf("got %v %d after %d arrivals, want 404 after none", res, code, u.count())
 	}
 	p.deadline = time.Now().Add(-time.Millisecond)
-	s.scheme.Store(sch)
+	s.config.Store(cfg)
 	if of := s.yard.Place(want{service: "svc", homes: anywhere}, nil); of == nil || !p.try(of).notRun || u.count() != 0 {
 		t.Error("sent after its deadline")
 	}
@@ -586,8 +586,8 @@
 	of := s.yard.Place(want{service: "svc", homes: anywhere}, nil)
 	r := httptest.NewRequest("POST", "/once/", nil)
 	r.RequestURI, r.Host = "/once/", "h.example"
-	sch := s.scheme.Load()
-	p := &passage{s: s, r: r, arrived: time.Now(), deadline: time.Now().Add(time.Second), sch: sch, route: sch.Match("h.example", "/once/"), homes: "none"}
+	cfg := s.config.Load()
+	p := &passage{s: s, r: r, arrived: time.Now(), deadline: time.Now().Add(time.Second), config: cfg, route: cfg.Match("h.example", "/once/"), homes: "none"}
 	r.Header.Set(hdrAttempt, "id-2")
 	if res := p.try(of); !res.gone || u.count() != 1 {
 		t.Fatalf("sent where it may not be: %+v", res)
--- a/internal/sluice/places_test.go
+++ b/internal/sluice/places_test.go
@@ -11,8 +11,8 @@
 	"testing"
 	"time"
 
+	"slateridge/internal/config"
 	"slateridge/internal/discovery"
-	"slateridge/internal/scheme"
 )
 
 const placesConfig = `{"configVersion":"r2","resourceList":[
@@ -29,7 +29,7 @@
 // of both route and tenant, in no zone under evacuation, and at no cold upstream;
 // and where nothing may be used the answer is 503.
 func TestPlacesBind(t *testing.T) {
-	sch, err := scheme.Read([]byte(placesConfig))
+	cfg, err := config.Read([]byte(placesConfig))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -76,7 +76,7 @@
 		}
 		s := newSluice(t)
 		s.yard = NewYard("p", "z", regions, func(string) int { return 10 }, func(string) time.Duration { return time.Nanosecond }) // bounded; no live count, no lot
-		s.scheme.Store(sch)
+		s.config.Store(cfg)
 		s.yard.Apply(time.Now(), ups)
 		for range 60 {
 			if r.IntN(6) == 0 {
@@ -190,21 +190,21 @@
 	for name, change := range map[string]func(*Sluice){
 		"evacuated": func(s *Sluice) { s.yard.Evacuate(time.Now(), []string{"z"}) },
 		"forbidden": func(s *Sluice) {
-			sch, err := scheme.Read([]byte(strings.Replace(strings.Replace(placesConfig, `"r2"`, `"r3"`, 1), `"allowedRegions":[]`, `"allowedRegions":["r2"]`, 1)))
+			cfg, err := config.Read([]byte(strings.Replace(strings.Replace(placesConfig, `"r2"`, `"r3"`, 1), `"allowedRegions":[]`, `"allowedRegions":["r2"]`, 1)))
 			if err != nil {
 				t.Fatal(err)
 			}
-			s.scheme.Store(sch)
+			s.config.Store(cfg)
 		},
 	} {
 		s := newSluice(t, u.instance("i-1"))
-		sch, _ := scheme.Read([]byte(placesConfig))
-		s.scheme.Store(sch)
+		cfg, _ := config.Read([]byte(placesConfig))
+		s.config.Store(cfg)
 		r, _ := http.NewRequest("POST", "/any/", nil)
 		r.RequestURI, r.Host = "/any/", "h.example"
 		r.Header.Set(hdrKey, "k1")
-		route, tenant, _ := match(sch, r)
-		p := &passage{s: s, r: r, sch: sch, route: route, tenant: tenant, service: "svc", homes: anywhere, deadline: time.Now().Add(time.Second)}
+		route, tenant, _ := match(cfg, r)
+		p := &passage{s: s, r: r, config: cfg, route: route, tenant: tenant, service: "svc", homes: anywhere, deadline: time.Now().Add(time.Second)}
 		of := s.yard.Place(want{service: "svc", homes: anywhere}, nil)
 		change(s)
 		if of == nil || !p.try(of).notRun || u.count() != 0 {
--- a/internal/sluice/sluice.go
+++ b/internal/sluice/sluice.go
@@ -15,9 +15,9 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"slateridge/internal/config"
 	"slateridge/internal/constants"
 	"slateridge/internal/eventlog"
-	"slateridge/internal/scheme"
 	"slateridge/internal/usage"
 	"slateridge/internal/weir"
 )
@@ -26,7 +26,7 @@
 type Sluice struct {
 	events  *eventlog.Log
 	began   time.Time
-	scheme  atomic.Pointer[scheme.Scheme]
+	config  atomic.Pointer[config.Config]
 	yard    *Yard
 	weir    *weir.Weir
 	meter   *usage.Meter // nil where usage is not reported
@@ -97,27 +97,27 @@
 		w.Header().Set("Connection", "close")
 	}
 	arrived := time.Now()
-	sch := s.scheme.Load()
-	if sch == nil {
+	cfg := s.config.Load()
+	if cfg == nil {
 		s.counts[cNoRoom].Add(1)
 		s.refuse(w, r, http.StatusServiceUnavailable, constants.RetryStart)
 		return
 	}
-	route, tenant, code := match(sch, r)
+	route, tenant, code := match(cfg, r)
 	if code != 0 {
 		s.counts[map[int]int{http.StatusNotFound: cNoRoute, http.StatusUnauthorized: cUnknown}[code]].Add(1)
 		s.refuse(w, r, code, 0)
 		return
 	}
-	if sch.Limits.BodyBytes > 0 && r.ContentLength > sch.Limits.BodyBytes {
+	if cfg.Limits.BodyBytes > 0 && r.ContentLength > cfg.Limits.BodyBytes {
 		s.refuse(w, r, http.StatusRequestEntityTooLarge, 0)
 		return
 	}
-	if sch.Limits.HeaderBytes > 0 && headerSize(r) > sch.Limits.HeaderBytes {
+	if cfg.Limits.HeaderBytes > 0 && headerSize(r) > cfg.Limits.HeaderBytes {
 		s.refuse(w, r, http.StatusRequestHeaderFieldsTooLarge, 0)
 		return
 	}
-	p := &passage{s: s, r: r, arrived: arrived, sch: sch, route: route, tenant: tenant, prio: route.Priority,
+	p := &passage{s: s, r: r, arrived: arrived, config: cfg, route: route, tenant: tenant, prio: route.Priority,
 		deadline: arrived.Add(min(budget(r), route.Timeout)), run: &usage.Run{}}
 	if tenant != nil {
 		if s.strict > 0 && arrived.Sub(s.sure()) > s.strict {
@@ -207,7 +207,7 @@
 		return 0
 	}
 	body := io.Reader(r.Body)
-	if m := p.sch.Limits.BodyBytes; m > 0 {
+	if m := p.config.Limits.BodyBytes; m > 0 {
 		body = http.MaxBytesReader(w, r.Body, m)
 	}
 	body = newTimedBody(w, body, p.deadline)
--- a/internal/sluice/unbroken_test.go
+++ b/internal/sluice/unbroken_test.go
@@ -14,10 +14,10 @@
 
 	"github.com/rs/zerolog"
 
+	"slateridge/internal/config"
 	"slateridge/internal/discovery"
 	"slateridge/internal/eventlog"
 	"slateridge/internal/penstock"
-	"slateridge/internal/scheme"
 	"slateridge/internal/settings"
 )
 
@@ -43,7 +43,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	d.gate = newGate(l, d.Sluice, func() scheme.Limits { return d.scheme.Load().Limits })
+	d.gate = newGate(l, d.Sluice, func() config.Limits { return d.config.Load().Limits })
 	t.Cleanup(d.gate.close)
 	d.inForce(fmt.Sprintf(testConfig, 1), 1, ups)
 	go d.gate.serve()
@@ -51,8 +51,8 @@
 }
 
 // inForce puts a configuration and a list in force as control's news does.
-func (d *Daemon) inForce(config string, version uint64, ups []discovery.Instance) {
-	d.apply(penstock.Fresh{Config: &scheme.Doc{Raw: []byte(config), Version: version}, List: &discovery.List{Instances: ups}, Proxies: 1})
+func (d *Daemon) inForce(cfg string, version uint64, ups []discovery.Instance) {
+	d.apply(penstock.Fresh{Config: &config.Doc{Raw: []byte(cfg), Version: version}, List: &discovery.List{Instances: ups}, Proxies: 1})
 }
 
 // fetch sends a request over a connection of its own and gives the whole answer.
--- a/internal/weir/quotas.go
+++ b/internal/weir/quotas.go
@@ -1,9 +1,9 @@
 package weir
 
-import "slateridge/internal/scheme"
+import "slateridge/internal/config"
 
 // Quotas are the limits a configuration sets, by throttle key.
-func Quotas(s *scheme.Scheme) map[string]Quota {
+func Quotas(s *config.Config) map[string]Quota {
 	out := map[string]Quota{}
 	for n, t := range s.Tenants {
 		if t.Rate > 0 {
--- a/internal/weir/standby.go
+++ b/internal/weir/standby.go
@@ -11,7 +11,7 @@
 // tracker: every request asks. So that the loss of all trackers does not refuse
 // all its requests, each proxy is told a standby rate, which it uses only while
 // it hears nothing from the tracker. The tracker in turn leaves the standby of
-// whoever may be using it out of its pool. Both reckon from the tracker's stamp
+// whoever may be using it out of its pool. Both reckon from the tracker's time
 // that last reached the proxy: the tracker from when it gave the stamp, the proxy
 // from when the stamp came and for longer, so the tracker has always made room
 // before the proxy begins.
