Rename: usage

Told and Heard of usage are a Report and its Ack. Behaviour, names on the wire and on disk unchanged; build, vet and the compatibility tests pass.

--- a/cmd/scalerun/slopes.go
+++ b/cmd/scalerun/slopes.go
@@ -102,7 +102,7 @@
 			for k := range 40 {
 				c[fmt.Sprintf("t%06d", (p*37+k*k)%200_000)] = 3
 			}
-			t.Take(0, 101, usage.Told{Proxy: fmt.Sprint(p), Life: uint64(p + 1), Windows: map[uint64]usage.Counts{100: c}})
+			t.Take(0, 101, usage.Report{Proxy: fmt.Sprint(p), Life: uint64(p + 1), Windows: map[uint64]usage.Counts{100: c}})
 		}
 		held := heap() - base
 		c := usage.Counts{}
@@ -110,7 +110,7 @@
 			c[fmt.Sprintf("t%06d", k)] = 3
 		}
 		word := timed(1000, func() {
-			t.Take(0, 101, usage.Told{Proxy: "0", Life: 1, Windows: map[uint64]usage.Counts{100: c}})
+			t.Take(0, 101, usage.Report{Proxy: "0", Life: 1, Windows: map[uint64]usage.Counts{100: c}})
 		})
 		many := []int{2_000, 20_000, 200_000}[i]
 		sum := usage.Counts{}
--- a/internal/headworks/daemon.go
+++ b/internal/headworks/daemon.go
@@ -629,7 +629,7 @@
 		d.sendLeases(out)
 	case usage.Handover:
 		d.takeHandover(m)
-	case usage.Told:
+	case usage.Report:
 		return d.takeUsage(m)
 	case scaling.Told:
 		return d.takeLoad(m)
--- a/internal/headworks/duties.go
+++ b/internal/headworks/duties.go
@@ -191,11 +191,11 @@
 // ---- usage
 
 // takeUsage merges what a proxy tells, while this machine holds the duty.
-func (d *Daemon) takeUsage(m usage.Told) any {
+func (d *Daemon) takeUsage(m usage.Report) any {
 	until, _ := d.lease(settings.DutyUsage)
 	at, ok := d.clock.Now(d.now())
 	if until == 0 || !ok {
-		return usage.Heard{}
+		return usage.Ack{}
 	}
 	h, _ := d.tally.Take(d.now(), usage.Window(at, d.set.Bounds.UsageWindow.D()), m)
 	return h
@@ -230,7 +230,7 @@
 		d.takeUsage(t)
 	}
 	if m.Last {
-		d.tally.Handed(d.now())
+		d.tally.HandedOver(d.now())
 	}
 }
 
@@ -377,7 +377,7 @@
 		}
 		p.mu.Unlock()
 		if p.name == settings.DutyUsage {
-			r.Tellers = d.tally.Tellers()
+			r.Tellers = d.tally.Reporters()
 		}
 		out[p.name] = r
 	}
--- a/internal/headworks/duties_test.go
+++ b/internal/headworks/duties_test.go
@@ -217,7 +217,7 @@
 			w.truth[k][tenant]++
 		})
 	}
-	if t, some := w.meters[p].Tell(p, w.window()); some {
+	if t, some := w.meters[p].Report(p, w.window()); some {
 		for _, n := range w.names {
 			if l := w.leases[n]; l != nil && w.chain[n] != nil && l.Until(w.network.Now, testDuty) > 0 {
 				for range 1 + w.network.Rng.IntN(2) { // some words come twice
@@ -225,7 +225,7 @@
 						w.later(n, w.life[n], func() {
 							h, ok := w.tallies[n].Take(w.network.Now, w.window(), t)
 							if ok && w.leases[n].Until(w.network.Now, testDuty) > 0 {
-								w.network.Send(n, p, func() { w.meters[p].Heard(t, h) })
+								w.network.Send(n, p, func() { w.meters[p].Acknowledged(t, h) })
 							}
 						})
 					})
--- a/internal/headworks/store_before_test.go
+++ b/internal/headworks/store_before_test.go
@@ -24,7 +24,7 @@
 		held         config.Doc
 		bulks        [len(rawKeys)]rawRef
 		roster       []string
-		usageWindows []usage.Told
+		usageWindows []usage.Report
 		peers        []string // of stores from before views named their voters
 	)
 	records := map[string]any{"incarnation": &incarnation, "agreement": &agreed, "held": &held,
--- a/internal/sluice/daemon.go
+++ b/internal/sluice/daemon.go
@@ -469,17 +469,17 @@
 		return
 	}
 	for range 2 { // a new holder's first answer asks for the rest
-		t, some := d.meter.Tell(d.set.Load().IPAddress, d.windowAt(time.Now()))
+		t, some := d.meter.Report(d.set.Load().IPAddress, d.windowAt(time.Now()))
 		if !some {
 			return
 		}
 		v, err := d.line.Ask(*to, t, constants.UsageWait)
-		h, ok := v.(usage.Heard)
+		h, ok := v.(usage.Ack)
 		if err != nil || !ok || h.Term == 0 {
 			d.events.Count("usage_untold", 1)
 			return
 		}
-		d.meter.Heard(t, h)
+		d.meter.Acknowledged(t, h)
 		if h.Term == t.Term {
 			return
 		}
--- a/internal/sluice/stream_test.go
+++ b/internal/sluice/stream_test.go
@@ -95,7 +95,7 @@
 			t.Fatalf("round %d: the end: %v", round, err)
 		}
 	}
-	if told, _ := s.meter.Tell("p", 41); told.Windows[40]["ten"] != 2 || runs.Load() != 2 {
+	if told, _ := s.meter.Report("p", 41); told.Windows[40]["ten"] != 2 || runs.Load() != 2 {
 		t.Errorf("%d runs, counted %v", runs.Load(), told.Windows)
 	}
 	s.yard.mu.Lock()
@@ -147,7 +147,7 @@
 	if w := get(s, "POST", "/flow/x", "hi"); w.Code != 503 || w.Header().Get("Retry-After") == "" || fulls.Load() != 1 {
 		t.Errorf("turned away: %d %v, sent %d times", w.Code, w.Header(), fulls.Load())
 	}
-	if told, _ := s.meter.Tell("p", 41); len(told.Windows) > 0 {
+	if told, _ := s.meter.Report("p", 41); len(told.Windows) > 0 {
 		t.Errorf("counted %v", told.Windows)
 	}
 }
@@ -391,9 +391,9 @@
 		s.meter, s.window = usage.NewMeter(1), func(time.Time) uint64 { return 40 }
 		y := usage.NewTally(1)
 		sum := func() uint64 {
-			told, _ := s.meter.Tell("p", 41)
+			told, _ := s.meter.Report("p", 41)
 			if h, ok := y.Take(0, 41, told); ok {
-				s.meter.Heard(told, h)
+				s.meter.Acknowledged(told, h)
 			}
 			return y.Sum(40)["ten"]
 		}
--- a/internal/transport/compatibility_test.go
+++ b/internal/transport/compatibility_test.go
@@ -36,7 +36,7 @@
 		headworks.Roster{}, headworks.ListNews{}, headworks.ListAsk{},
 		penstock.Tap{}, penstock.News{},
 		duty.Order{}, lease.Request{}, lease.Grant{}, lease.Release{},
-		usage.Handover{}, usage.Told{}, usage.Heard{}, scaling.Told{}, scaling.Heard{},
+		usage.Handover{}, usage.Report{}, usage.Ack{}, scaling.Told{}, scaling.Heard{},
 		weir.AskGrants{}, weir.GrantsGiven{},
 	}
 }
--- a/internal/usage/keeper.go
+++ b/internal/usage/keeper.go
@@ -10,7 +10,7 @@
 	// Save replaces a value on the machine's disk.
 	Save struct {
 		Key   string
-		Words []Told
+		Words []Report
 	}
 	// HandOn goes to the duty's holder, which may be this machine.
 	HandOn struct {
@@ -31,10 +31,10 @@
 // that is left. It has no clock, disk or network of its own.
 type Keeper struct {
 	tally  *Tally
-	kept   []Told // what another holder should know
-	held   bool   // the duty was held at the last step
-	handOn bool   // there is something to hand on, be it only that there was nothing
-	turn   int    // saves since the latest whole one
+	kept   []Report // what another holder should know
+	held   bool     // the duty was held at the last step
+	handOn bool     // there is something to hand on, be it only that there was nothing
+	turn   int      // saves since the latest whole one
 }
 
 // NewKeeper makes the keeper of a tally; get reads a value from the machine's disk, on
@@ -43,7 +43,7 @@
 	k := &Keeper{tally: tally}
 	get(StoreKey, &k.kept)
 	for turn := 1; turn < constants.UsageSaves; turn++ {
-		var recent []Told
+		var recent []Report
 		if get(recentKey(turn), &recent) {
 			k.kept = append(k.kept, recent...)
 		}
--- a/internal/usage/loss_test.go
+++ b/internal/usage/loss_test.go
@@ -115,7 +115,7 @@
 					to.tally.Take(f.Now, f.window(f.Now), word)
 				}
 				if out.Last {
-					to.tally.Handed(f.Now)
+					to.tally.HandedOver(f.Now)
 				}
 			})
 		}
@@ -190,7 +190,7 @@
 
 // ask tells the holder, once more when it was told only what had changed.
 func (f *lossFleet) ask(p *lossProxy, tries int) {
-	word, some := p.meter.Tell(p.name, f.window(f.Now))
+	word, some := p.meter.Report(p.name, f.window(f.Now))
 	m := f.machines[f.known]
 	if tries == 0 || !some || m == nil {
 		p.telling = false
@@ -213,7 +213,7 @@
 				return
 			}
 			answered = true
-			p.meter.Heard(word, heard)
+			p.meter.Acknowledged(word, heard)
 			if heard.Term == word.Term {
 				p.telling = false
 				return
@@ -349,10 +349,10 @@
 				truth++
 				meter.Count(7, fmt.Sprint("tenant-", rng.IntN(3)))
 			}
-			word, _ := meter.Tell("proxy", 8)
+			word, _ := meter.Report("proxy", 8)
 			for range 1 + rng.IntN(2) {
 				heard, _ := tally.Take(0, 8, word)
-				meter.Heard(word, heard)
+				meter.Acknowledged(word, heard)
 			}
 			for _, out := range keeper.Step(true, "a") {
 				if save, ok := out.(Save); ok {
--- a/internal/usage/usage.go
+++ b/internal/usage/usage.go
@@ -1,7 +1,7 @@
-// Package usage meters what upstreams ran for each tenant; in the field's terms:
-// windowed counters, cumulative by process life and merged by maximum, so that a
-// word told twice, late or out of order counts once. Proxies hold the counts and
-// tell them to whoever holds the duty; a successor is told all of what is open.
+// Package usage meters what upstreams ran for each tenant: windowed counters, cumulative by
+// process life and merged by maximum, so that a report that arrives twice, late or out of
+// order counts once. Proxies hold the counts and report them to whoever holds the duty; a
+// successor is told all of what is open.
 package usage
 
 import (
@@ -17,10 +17,10 @@
 type (
 	// Counts are cumulative numbers by tenant.
 	Counts map[string]uint64
-	// Told is one proxy's word to the duty's holder: of each window what has
+	// Report is one proxy's report to the duty's holder: of each window what has
 	// changed since that holder last answered, and what is running. All windows up to
 	// Closed are final.
-	Told struct {
+	Report struct {
 		Proxy   string
 		Life    uint64
 		Term    uint64 // of the tally that what is left out has been told to
@@ -29,8 +29,8 @@
 		Seq     uint64            // of this life's words: what runs is as the latest says
 		Running map[uint64]Counts // sent whole, and neither counted nor known not to have run
 	}
-	// Heard answers it. Windows up to Settled are decided and need no telling.
-	Heard struct {
+	// Ack answers it. Windows up to Settled are decided and need no telling.
+	Ack struct {
 		Term    uint64
 		Settled uint64
 	}
@@ -39,14 +39,14 @@
 // Handover is what a holder that was knows, to the one that is; the last says that
 // this was all.
 type Handover struct {
-	Words []Told
+	Words []Report
 	Last  bool
 }
 
 func init() {
 	transport.Register(transport.NameUsageHandover, Handover{})
-	transport.Register(transport.NameUsageReport, Told{})
-	transport.Register(transport.NameUsageAck, Heard{})
+	transport.Register(transport.NameUsageReport, Report{})
+	transport.Register(transport.NameUsageAck, Ack{})
 }
 
 // Window is the number of the window a time lies in.
@@ -61,33 +61,33 @@
 
 // Meter is a proxy's counts.
 type Meter struct {
-	mu      sync.Mutex
-	life    uint64
-	windows map[uint64]Counts
-	unsaid  map[uint64]map[string]bool // changed since the holder's last answer
-	open    map[uint64]int             // requests that may still count, by the window they came in
-	settled uint64
-	term    uint64
-	said    uint64 // closed, as last answered
-	seq     uint64 // of the latest word
-	running map[uint64]Counts
-	changed uint64 // the first word that says what is running now
-	heard   uint64 // the latest word that was answered
-	Dropped uint64 // counts of windows that were decided before they came
+	mu         sync.Mutex
+	life       uint64
+	windows    map[uint64]Counts
+	unreported map[uint64]map[string]bool // changed since the holder's last answer
+	open       map[uint64]int             // requests that may still count, by the window they came in
+	settled    uint64
+	term       uint64
+	reported   uint64 // closed, as last answered
+	seq        uint64 // of the latest word
+	running    map[uint64]Counts
+	changed    uint64 // the first word that says what is running now
+	heard      uint64 // the latest word that was answered
+	Dropped    uint64 // counts of windows that were decided before they came
 }
 
 // NewMeter makes an empty meter for one life of a proxy.
 func NewMeter(life uint64) *Meter {
-	return &Meter{life: life, windows: map[uint64]Counts{}, unsaid: map[uint64]map[string]bool{}, open: map[uint64]int{}, running: map[uint64]Counts{}}
+	return &Meter{life: life, windows: map[uint64]Counts{}, unreported: map[uint64]map[string]bool{}, open: map[uint64]int{}, running: map[uint64]Counts{}}
 }
 
 // Run is one request's, from when it has first been sent to an upstream until it is known
 // whether it counts. A process that is killed in between has told of it with its last
 // word, and it has mostly run.
 type Run struct {
-	window  uint64
-	tenant  string
-	on, off bool
+	window        uint64
+	tenant        string
+	running, over bool
 }
 
 // Sent notes a request that an upstream has been sent whole; again, or once the request
@@ -95,10 +95,10 @@
 func (m *Meter) Sent(r *Run, w uint64, tenant string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if r.on || r.off {
+	if r.running || r.over {
 		return
 	}
-	r.window, r.tenant, r.on = w, tenant, true
+	r.window, r.tenant, r.running = w, tenant, true
 	if m.running[w] == nil {
 		m.running[w] = Counts{}
 	}
@@ -110,11 +110,11 @@
 func (m *Meter) Over(r *Run) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	r.off = true
-	if !r.on {
+	r.over = true
+	if !r.running {
 		return
 	}
-	r.on = false
+	r.running = false
 	m.changed = m.seq + 1
 	c := m.running[r.window]
 	if c[r.tenant]--; c[r.tenant] == 0 {
@@ -150,18 +150,18 @@
 		return
 	}
 	if m.windows[w] == nil {
-		m.windows[w], m.unsaid[w] = Counts{}, map[string]bool{}
+		m.windows[w], m.unreported[w] = Counts{}, map[string]bool{}
 	}
 	m.windows[w][tenant]++
-	m.unsaid[w][tenant] = true
+	m.unreported[w][tenant] = true
 }
 
-// Tell is what is to be said in window now; false when there is nothing new.
-func (m *Meter) Tell(proxy string, now uint64) (Told, bool) {
+// Report is what is to be said in window now; false when there is nothing new.
+func (m *Meter) Report(proxy string, now uint64) (Report, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.seq++
-	t := Told{Proxy: proxy, Life: m.life, Term: m.term, Windows: map[uint64]Counts{}, Seq: m.seq, Running: map[uint64]Counts{}}
+	t := Report{Proxy: proxy, Life: m.life, Term: m.term, Windows: map[uint64]Counts{}, Seq: m.seq, Running: map[uint64]Counts{}}
 	for w, c := range m.running {
 		t.Running[w] = maps.Clone(c)
 	}
@@ -171,10 +171,10 @@
 	for w := range m.open {
 		t.Closed = min(t.Closed, w-1)
 	}
-	for w, ts := range m.unsaid {
+	for w, ts := range m.unreported {
 		if w+constants.UsageKept < now {
 			delete(m.windows, w) // nobody has wanted it for so long
-			delete(m.unsaid, w)
+			delete(m.unreported, w)
 			continue
 		}
 		if len(ts) > 0 {
@@ -184,12 +184,12 @@
 			}
 		}
 	}
-	return t, len(t.Windows) > 0 || t.Closed > m.said || m.changed > m.heard
+	return t, len(t.Windows) > 0 || t.Closed > m.reported || m.changed > m.heard
 }
 
-// Heard takes the holder's answer to a word. Another term means another holder, or
+// Acknowledged takes the holder's answer to a word. Another term means another holder, or
 // one that has begun anew: it is told all that is open.
-func (m *Meter) Heard(t Told, h Heard) {
+func (m *Meter) Acknowledged(t Report, h Ack) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.heard = max(m.heard, t.Seq)
@@ -198,25 +198,25 @@
 		for w := range m.windows {
 			if w <= h.Settled {
 				delete(m.windows, w)
-				delete(m.unsaid, w)
+				delete(m.unreported, w)
 			}
 		}
 	}
 	if h.Term != m.term {
-		m.term, m.said = h.Term, 0
+		m.term, m.reported = h.Term, 0
 		for w, c := range m.windows {
 			for tenant := range c {
-				m.unsaid[w][tenant] = true
+				m.unreported[w][tenant] = true
 			}
 		}
 	}
 	if h.Term == t.Term {
-		m.said = max(m.said, t.Closed)
+		m.reported = max(m.reported, t.Closed)
 	}
 	for w, c := range t.Windows { // told to this very tally
 		for tenant, n := range c {
 			if m.windows[w][tenant] == n {
-				delete(m.unsaid[w], tenant)
+				delete(m.unreported[w], tenant)
 			}
 		}
 	}
@@ -229,11 +229,11 @@
 	return len(m.windows), m.Dropped
 }
 
-// teller is one life of a proxy, as a tally knows it.
-type teller struct {
+// reporter is one life of a proxy, as a tally knows it.
+type reporter struct {
 	proxy   string
 	closed  uint64
-	at      time.Duration
+	heardAt time.Duration
 	windows map[uint64]Counts
 	seq     uint64            // of the latest word
 	running map[uint64]Counts // as it said
@@ -242,23 +242,23 @@
 // Tally is the holder's gathering. It lives as long as the process: what a lost
 // one had gathered, the proxies tell its successor.
 type Tally struct {
-	mu      sync.Mutex
-	term    uint64
-	settled uint64
-	dirty   bool
-	handed  time.Duration // when a holder before last handed on what it knew
-	first   uint64        // window in which this tally was first asked, nothing being decided yet
-	lives   map[uint64]*teller
-	recent  []Told // taken since the latest Keep or Recent
-	Garbage uint64
+	mu           sync.Mutex
+	term         uint64
+	settled      uint64
+	dirty        bool
+	handedOverAt time.Duration // when a holder before last handed on what it knew
+	first        uint64        // window in which this tally was first asked, nothing being decided yet
+	reporters    map[uint64]*reporter
+	recent       []Report // taken since the latest Keep or Recent
+	Garbage      uint64
 }
 
 // NewTally makes an empty one; term is a number no other tally has.
-func NewTally(term uint64) *Tally { return &Tally{term: term | 1, lives: map[uint64]*teller{}} }
+func NewTally(term uint64) *Tally { return &Tally{term: term | 1, reporters: map[uint64]*reporter{}} }
 
-// Take merges a proxy's word; now is the window at this moment. Words that cannot
+// Take merges a proxy's report; now is the window at this moment. Words that cannot
 // be are dropped and counted.
-func (t *Tally) Take(at time.Duration, now uint64, m Told) (Heard, bool) {
+func (t *Tally) Take(at time.Duration, now uint64, m Report) (Ack, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	bad := m.Proxy == "" || len(m.Proxy) > constants.NameMax || m.Closed > now+1
@@ -273,14 +273,14 @@
 	}
 	if bad {
 		t.Garbage++
-		return Heard{}, false
+		return Ack{}, false
 	}
-	l := t.lives[m.Life]
+	l := t.reporters[m.Life]
 	if l == nil {
-		l = &teller{proxy: m.Proxy, windows: map[uint64]Counts{}}
-		t.lives[m.Life] = l
+		l = &reporter{proxy: m.Proxy, windows: map[uint64]Counts{}}
+		t.reporters[m.Life] = l
 	}
-	l.at = at
+	l.heardAt = at
 	t.dirty = true
 	t.recent = append(t.recent, m)
 	if m.Term == t.term {
@@ -305,12 +305,12 @@
 			}
 		}
 	}
-	return Heard{t.term, t.settled}, true
+	return Ack{t.term, t.settled}, true
 }
 
 // Keep is what a tally knows of open windows, as words that can be told to another:
 // lives that are over tell nothing any more. Changed since the last Keep, or false.
-func (t *Tally) Keep() ([]Told, bool) {
+func (t *Tally) Keep() ([]Report, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if !t.dirty {
@@ -322,7 +322,7 @@
 
 // Recent is the words taken since the latest Keep or Recent, as they can be told to
 // another tally: as not all that their lives know.
-func (t *Tally) Recent() []Told {
+func (t *Tally) Recent() []Report {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	words := t.recent
@@ -334,25 +334,25 @@
 }
 
 // All is the same, changed or not.
-func (t *Tally) All() []Told {
+func (t *Tally) All() []Report {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return t.allLocked()
 }
 
-// Handed notes that a holder before has handed on what it knew.
-func (t *Tally) Handed(at time.Duration) {
+// HandedOver notes that a holder before has handed on what it knew.
+func (t *Tally) HandedOver(at time.Duration) {
 	t.mu.Lock()
-	t.handed = at
+	t.handedOverAt = at
 	t.mu.Unlock()
 }
 
-func (t *Tally) allLocked() (out []Told) {
-	for id, l := range t.lives {
+func (t *Tally) allLocked() (out []Report) {
+	for id, l := range t.reporters {
 		if len(l.windows) == 0 && len(l.running) == 0 {
 			continue
 		}
-		m := Told{Proxy: l.proxy, Life: id, Windows: map[uint64]Counts{}, Seq: l.seq, Running: map[uint64]Counts{}}
+		m := Report{Proxy: l.proxy, Life: id, Windows: map[uint64]Counts{}, Seq: l.seq, Running: map[uint64]Counts{}}
 		for w, c := range l.running {
 			m.Running[w] = maps.Clone(c)
 		}
@@ -369,7 +369,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.settled = max(t.settled, through)
-	for id, l := range t.lives {
+	for id, l := range t.reporters {
 		for w := range l.windows {
 			if w <= t.settled {
 				delete(l.windows, w)
@@ -381,7 +381,7 @@
 			}
 		}
 		if len(l.windows) == 0 && len(l.running) == 0 && l.closed+constants.UsageKept < t.settled {
-			delete(t.lives, id)
+			delete(t.reporters, id)
 		}
 	}
 }
@@ -391,14 +391,14 @@
 func (t *Tally) Complete(w uint64, since time.Duration, live []string) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	newest := map[string]*teller{}
-	for _, l := range t.lives {
-		if o := newest[l.proxy]; o == nil || o.at < l.at {
+	newest := map[string]*reporter{}
+	for _, l := range t.reporters {
+		if o := newest[l.proxy]; o == nil || o.heardAt < l.heardAt {
 			newest[l.proxy] = l
 		}
 	}
 	for _, l := range newest {
-		if l.closed < w && l.at >= since {
+		if l.closed < w && l.heardAt >= since {
 			return false
 		}
 	}
@@ -416,7 +416,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	out := Counts{}
-	for _, l := range t.lives {
+	for _, l := range t.reporters {
 		for _, c := range []Counts{l.windows[w], l.running[w]} {
 			for tenant, n := range c {
 				out[tenant] += n
@@ -460,7 +460,7 @@
 	// Of a window that another holder gathered in, that one may know of lives that are
 	// over: it, or its successor from its disk, hands on what it knew.
 	t.mu.Lock()
-	alone := m.Agreed.Add(-m.Held).Before(time.Unix(0, int64(w)*int64(length))) || t.handed > m.Steady-m.Held
+	alone := m.Agreed.Add(-m.Held).Before(time.Unix(0, int64(w)*int64(length))) || t.handedOverAt > m.Steady-m.Held
 	t.mu.Unlock()
 	if !(alone && t.Complete(w, m.Steady-delay, live)) && (age < float64(delay)*constants.UsageLate || m.Held < 2*constants.UsageEvery) {
 		return 0, nil, false
@@ -468,11 +468,11 @@
 	return w, Body(w, t.Sum(w)), true
 }
 
-// Tellers is how many lives are known.
-func (t *Tally) Tellers() int {
+// Reporters is how many lives are known.
+func (t *Tally) Reporters() int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return len(t.lives)
+	return len(t.reporters)
 }
 
 // Body is a window's report as the platform wants it.
--- a/internal/usage/usage_test.go
+++ b/internal/usage/usage_test.go
@@ -12,10 +12,10 @@
 // knows that it has not heard all before it has.
 func TestSuccessorGathersAnew(t *testing.T) {
 	m, old, next := NewMeter(7), NewTally(10), NewTally(20)
-	tell := func(to *Tally, now uint64) Told {
-		w, _ := m.Tell("p", now)
+	tell := func(to *Tally, now uint64) Report {
+		w, _ := m.Report("p", now)
 		if h, ok := to.Take(0, now, w); ok {
-			m.Heard(w, h)
+			m.Acknowledged(w, h)
 		}
 		return w
 	}
@@ -27,12 +27,12 @@
 		t.Fatalf("the first holder has %v", old.Sum(100))
 	}
 	m.Count(100, "x") // late
-	w, _ := m.Tell("p", 101)
+	w, _ := m.Report("p", 101)
 	h, _ := next.Take(0, 101, w)
 	if next.Complete(100, 0, []string{"p"}) {
 		t.Fatal("the successor takes a difference for the whole")
 	}
-	m.Heard(w, h)
+	m.Acknowledged(w, h)
 	tell(next, 101)
 	if got := next.Sum(100); !next.Complete(100, 0, []string{"p"}) || got["x"] != 2 || got["y"] != 1 {
 		t.Fatalf("the successor has %v", got)
@@ -46,8 +46,8 @@
 // words: it adds nothing to those that live, and all of those that do not.
 func TestKeptWordsMerge(t *testing.T) {
 	a, b := NewTally(1), NewTally(2)
-	dead := Told{Proxy: "p", Life: 1, Windows: map[uint64]Counts{5: {"x": 3}}}
-	live := Told{Proxy: "q", Life: 2, Windows: map[uint64]Counts{5: {"x": 4}}}
+	dead := Report{Proxy: "p", Life: 1, Windows: map[uint64]Counts{5: {"x": 3}}}
+	live := Report{Proxy: "q", Life: 2, Windows: map[uint64]Counts{5: {"x": 4}}}
 	a.Take(0, 6, dead)
 	a.Take(0, 6, live)
 	kept, changed := a.Keep()
@@ -70,17 +70,17 @@
 func TestOpenWindows(t *testing.T) {
 	m := NewMeter(1)
 	m.Begin(50)
-	if w, _ := m.Tell("p", 53); w.Closed != 49 {
+	if w, _ := m.Report("p", 53); w.Closed != 49 {
 		t.Fatalf("closed up to %d with a request of 50 under way", w.Closed)
 	}
 	m.End(50)
-	w, some := m.Tell("p", 53)
+	w, some := m.Report("p", 53)
 	if !some || w.Closed != 52 {
 		t.Fatalf("closed up to %d", w.Closed)
 	}
-	m.Heard(w, Heard{Term: 1, Settled: 52})
+	m.Acknowledged(w, Ack{Term: 1, Settled: 52})
 	m.Count(52, "x")
-	if w, _ := m.Tell("p", 53); m.Dropped != 1 || len(w.Windows) > 0 {
+	if w, _ := m.Report("p", 53); m.Dropped != 1 || len(w.Windows) > 0 {
 		t.Errorf("counted after it was settled: %v", w)
 	}
 }
@@ -89,7 +89,7 @@
 func TestGarbageAndBounds(t *testing.T) {
 	y := NewTally(1)
 	long := make([]byte, constants.NameMax+1)
-	for _, w := range []Told{
+	for _, w := range []Report{
 		{Life: 1},
 		{Proxy: string(long)},
 		{Proxy: "p", Closed: 1000},
@@ -101,15 +101,15 @@
 			t.Errorf("%+.60v was taken", w)
 		}
 	}
-	if y.Garbage != 6 || y.Tellers() != 0 {
-		t.Errorf("%d counted, %d tellers", y.Garbage, y.Tellers())
+	if y.Garbage != 6 || y.Reporters() != 0 {
+		t.Errorf("%d counted, %d tellers", y.Garbage, y.Reporters())
 	}
 	m := NewMeter(1)
 	for w := uint64(1); w < 1000; w++ {
 		m.Count(w, "x")
-		m.Tell("p", w)
+		m.Report("p", w)
 	}
-	if w, _ := m.Tell("p", 1000); len(w.Windows) > constants.UsageKept+1 {
+	if w, _ := m.Report("p", 1000); len(w.Windows) > constants.UsageKept+1 {
 		t.Errorf("%d windows kept", len(w.Windows))
 	}
 }
@@ -134,7 +134,7 @@
 	if w, _, ok := y.Next(at(11+delay.Seconds()*constants.UsageLate), 1009, span, delay, nil); !ok || w != 1010 {
 		t.Fatal("held up for ever")
 	}
-	y.Handed(11 * time.Second)
+	y.HandedOver(11 * time.Second)
 	if w, _, ok := y.Next(at(12), 1009, span, delay, nil); !ok || w != 1010 {
 		t.Fatal("waits after all has been handed on")
 	}
@@ -184,9 +184,9 @@
 					break
 				}
 				if now >= phase && (now-phase)%constants.UsageReportEvery < step {
-					w, _ := m.Tell(name, 7)
+					w, _ := m.Report(name, 7)
 					if h, ok := y.Take(now, 7, w); ok {
-						m.Heard(w, h)
+						m.Acknowledged(w, h)
 					}
 				}
 			}
@@ -202,12 +202,12 @@
 // words change nothing.
 func TestRunningAtTheEnd(t *testing.T) {
 	m, y := NewMeter(5), NewTally(1)
-	var words []Told
+	var words []Report
 	tell := func() {
-		w, _ := m.Tell("p", 8)
+		w, _ := m.Report("p", 8)
 		words = append(words, w)
 		if h, ok := y.Take(0, 8, w); ok {
-			m.Heard(w, h)
+			m.Acknowledged(w, h)
 		}
 	}
 	runs := []*Run{{}, {}, {}}
@@ -230,7 +230,7 @@
 	}
 	next := NewTally(2)
 	for range 2 {
-		for _, w := range append([]Told{words[1], words[0]}, y.All()...) {
+		for _, w := range append([]Report{words[1], words[0]}, y.All()...) {
 			y.Take(0, 8, w)
 			next.Take(0, 8, w)
 		}
@@ -249,7 +249,7 @@
 	if got := y.Sum(7); len(got) > 0 || len(m.running) > 0 {
 		t.Errorf("kept: %v, %v", got, m.running)
 	}
-	bad := Told{Proxy: "p", Life: 5, Seq: 99, Running: map[uint64]Counts{7: {"x": constants.UsageMost + 1}}}
+	bad := Report{Proxy: "p", Life: 5, Seq: 99, Running: map[uint64]Counts{7: {"x": constants.UsageMost + 1}}}
 	if _, ok := y.Take(0, 8, bad); ok || y.Garbage != 1 {
 		t.Error("garbage was taken")
 	}
