Rename: clock

What one clock says is a reading. Done by a type-checked rewrite: every identifier resolves to the same object as before.

--- a/internal/clock/clock_test.go
+++ b/internal/clock/clock_test.go
@@ -30,7 +30,7 @@
 				if i < 5 && now > 10*time.Second && now < 25*time.Second {
 					o += jump
 				}
-				c.Hear(fmt.Sprint(i), epoch.Add(now+o).UnixNano(), now)
+				c.Observe(fmt.Sprint(i), epoch.Add(now+o).UnixNano(), now)
 			}
 			at, ok := c.Now(now)
 			if err := at.Sub(epoch.Add(now)); !ok || err < -2*spread || err > 3*spread {
@@ -43,8 +43,8 @@
 		}
 	}
 	c := New()
-	c.Hear("gone", epoch.Add(time.Hour).UnixNano(), -constants.ClockFresh)
-	c.Hear("here", epoch.Add(time.Second).UnixNano(), time.Second)
+	c.Observe("gone", epoch.Add(time.Hour).UnixNano(), -constants.ClockFresh)
+	c.Observe("here", epoch.Add(time.Second).UnixNano(), time.Second)
 	if at, _ := c.Now(time.Second); at.Sub(epoch) != time.Second {
 		t.Errorf("a clock heard of long ago counts: %v", at.Sub(epoch))
 	}
--- a/internal/headworks/daemon.go
+++ b/internal/headworks/daemon.go
@@ -651,7 +651,7 @@
 			d.mu.Lock()
 			d.where[conn.Remote] = penstock.Peer{Addr: conn.Remote, Zone: g.Zone, Region: g.Region}
 			if !g.Relay {
-				d.clock.Hear(conn.Remote, g.Wall, d.now())
+				d.clock.Observe(conn.Remote, g.Wall, d.now())
 			}
 			d.mu.Unlock()
 		}
--- a/internal/headworks/duties.go
+++ b/internal/headworks/duties.go
@@ -90,7 +90,7 @@
 
 // stepDuties drives the duties.
 func (d *Daemon) stepDuties() {
-	d.clock.Hear(d.set.IPAddress, time.Now().UnixNano(), d.now())
+	d.clock.Observe(d.set.IPAddress, time.Now().UnixNano(), d.now())
 	for _, p := range d.dutyRunners {
 		until, since := d.lease(p.name)
 		p.mu.Lock()
--- a/internal/sluice/daemon.go
+++ b/internal/sluice/daemon.go
@@ -146,7 +146,7 @@
 		d.allow.SetProxies(f.Proxies)
 		d.yard.SetProxies(f.Proxies)
 	}
-	d.clock.Hear(f.From, f.Wall, now)
+	d.clock.Observe(f.From, f.Wall, now)
 	d.scaler.Store(&f.Scaler)
 	if old := d.metered.Swap(&f.Metered); d.meter != nil && (old == nil || *old != f.Metered) {
 		go d.tellUsage() // a successor gathers anew
