--- /dev/null
+++ b/internal/directory/directory.go
@@ -0,0 +1,233 @@
+// Package directory answers clients that ask where to connect. It answers from what this
+// machine has heard of the proxies, with no agreed read and no disk on the way, so it goes
+// on through cuts and the loss of the core.
+package directory
+
+import (
+	"hash/fnv"
+	"math"
+	"slices"
+	"sort"
+	"sync"
+	"time"
+
+	"slateridge/internal/constants"
+)
+
+// Location is what a proxy says of itself.
+type Location struct {
+	Front        string // where clients connect
+	Zone, Region string
+	Ready        bool
+}
+
+// entry is a proxy as known here.
+type entry struct {
+	Location
+	asOf         time.Duration // when this was so
+	heardHereAt  time.Duration // when it last said so itself, to this machine
+	validFor     time.Duration // how long its word counts
+	disconnected bool          // its connection ended and it has not spoken since
+}
+
+// Directory keeps the places and the answers made from them. An answer is made
+// anew when a place changes or grows old, not with each call.
+type Directory struct {
+	mu           sync.Mutex
+	zones        map[string]string // zone to region
+	began        time.Duration
+	proxies      map[string]*entry
+	answers      map[string][]string
+	answersUntil time.Duration // answers hold until then
+	Asked        uint64
+	Empty        uint64 // calls that could not be answered
+	Spilled      uint64 // answers made that name proxies beyond the zone asked for
+}
+
+// New makes a directory that knows nothing yet.
+func New(now time.Duration, zones map[string]string) *Directory {
+	return &Directory{zones: zones, began: now, proxies: map[string]*entry{}, answers: map[string][]string{}}
+}
+
+// Report takes a proxy's own word; often says that the next is due soon.
+func (d *Directory) Report(now time.Duration, node string, p Location, often bool) (changed bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	changed = d.put(now, node, p)
+	e := d.proxies[node]
+	e.heardHereAt, e.validFor = now, constants.PlaceFresh
+	if often {
+		e.validFor = constants.PlaceOften
+	}
+	return changed
+}
+
+// Relay takes another control machine's word on a proxy, as old as that is. What
+// the proxy said here itself of late counts more.
+func (d *Directory) Relay(now time.Duration, node string, p Location, age time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if e := d.proxies[node]; e == nil || now-age > e.asOf {
+		d.put(now-age, node, p)
+		if e := d.proxies[node]; now-e.heardHereAt > constants.PlaceFresh {
+			e.validFor = constants.PlaceFresh
+		}
+	}
+}
+
+func (d *Directory) put(at time.Duration, node string, p Location) bool {
+	e := d.proxies[node]
+	if e == nil {
+		e = &entry{heardHereAt: -constants.ProxyForget, validFor: constants.PlaceFresh}
+		d.proxies[node] = e
+	}
+	changed := e.Location != p || e.disconnected || at-e.asOf > e.validFor
+	e.Location, e.asOf, e.disconnected = p, at, false
+	if changed {
+		d.answersUntil = 0
+	}
+	return changed
+}
+
+// Disconnected notes that a proxy's connection ended, here or at another control
+// machine: it leaves the answers until it speaks again.
+func (d *Directory) Disconnected(now time.Duration, node string, here bool) (changed bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	e := d.proxies[node]
+	if e == nil || e.disconnected || !here && now-e.heardHereAt < constants.SubscriptionSilence {
+		return false
+	}
+	e.disconnected = true
+	d.answersUntil = 0
+	return true
+}
+
+// Lookup answers a client of a zone. false: too little is known yet.
+func (d *Directory) Lookup(now time.Duration, zone, region string) ([]string, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.Asked++
+	if now >= d.answersUntil {
+		clear(d.answers)
+		d.answersUntil = now + constants.AnswerFresh
+	}
+	if r, ok := d.zones[zone]; ok {
+		region = r
+	}
+	key := zone + " " + region
+	a, ok := d.answers[key]
+	if !ok {
+		a = d.answer(now, zone, region)
+		if len(d.answers) < constants.AnswersKept {
+			d.answers[key] = a
+		}
+	}
+	if len(a) == 0 || now-d.began < constants.DirectoryQuiet {
+		d.Empty++
+		return nil, false
+	}
+	return a, true
+}
+
+// answer names the ready proxies of the client's zone. When they are too few to
+// carry what the zone's proxies carry together, others make up for what is
+// missing, of the region first: as many as are needed, and so by degrees. All
+// count alike: clients choose evenly among the addresses of an answer.
+func (d *Directory) answer(now time.Duration, zone, region string) []string {
+	type cand struct {
+		*entry
+		far int
+		lot uint32
+	}
+	var all []cand
+	known := 0
+	old := true // nobody is known afresh: what was known last is better than nothing
+	for _, e := range d.proxies {
+		old = old && (e.disconnected || !e.Ready || now-e.asOf > e.validFor)
+	}
+	for n, e := range d.proxies {
+		if now-e.asOf > constants.ProxyForget {
+			delete(d.proxies, n)
+			continue
+		}
+		if e.Zone == zone {
+			known++
+		}
+		if !e.Ready || !old && (e.disconnected || now-e.asOf > e.validFor) {
+			continue
+		}
+		c := cand{entry: e}
+		switch {
+		case e.Zone == zone:
+		case e.Region == region:
+			c.far = 1
+		default:
+			c.far = 2
+		}
+		h := fnv.New32a()
+		h.Write([]byte(n + " " + zone))
+		c.lot = h.Sum32()
+		all = append(all, c)
+	}
+	sort.Slice(all, func(i, j int) bool {
+		return all[i].far < all[j].far || all[i].far == all[j].far && (all[i].lot < all[j].lot || all[i].lot == all[j].lot && all[i].Front < all[j].Front)
+	})
+	var out []string
+	beyond := false
+	want := int(math.Ceil(float64(known) * constants.ZoneEnough))
+	for _, c := range all {
+		if len(out) >= constants.AnswerMost || c.far > 0 && len(out) >= max(want, constants.AnswerLeast) {
+			break
+		}
+		beyond = beyond || c.far > 0
+		out = append(out, c.Front)
+	}
+	if beyond {
+		d.Spilled++
+	}
+	slices.Sort(out)
+	return out
+}
+
+// LocationState is one proxy for operators.
+type LocationState struct {
+	Node string
+	Location
+	Silent time.Duration
+	Gone   bool
+	Old    bool // its word no longer counts
+}
+
+// State is how the directory treats the proxy.
+func (p LocationState) State() string {
+	switch {
+	case p.Gone:
+		return "gone"
+	case !p.Ready:
+		return "not_ready"
+	case p.Old:
+		return "silent"
+	}
+	return "named"
+}
+
+// Counts are the calls, those without an answer, and the answers made that name
+// proxies beyond the zone asked for.
+func (d *Directory) Counts() (asked, empty, spilled uint64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.Asked, d.Empty, d.Spilled
+}
+
+// States lists all places.
+func (d *Directory) States(now time.Duration) []LocationState {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var out []LocationState
+	for n, e := range d.proxies {
+		out = append(out, LocationState{n, e.Location, now - e.asOf, e.disconnected, now-e.asOf > e.validFor})
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Node < out[j].Node })
+	return out
+}
--- a/internal/gazetteer/gazetteer_test.go
+++ b/internal/directory/directory_test.go
@@ -1,4 +1,4 @@
-package gazetteer
+package directory
 
 import (
 	"fmt"
@@ -21,9 +21,9 @@
 	answered := 0
 	for seed := uint64(1); seed <= 200; seed++ {
 		r := rand.New(rand.NewPCG(seed, 5))
-		g := New(0, zones)
+		d := New(0, zones)
 		type proxy struct {
-			Place
+			Location
 			up      bool
 			gone    bool          // the directory was told, and has not heard it since
 			downAt  time.Duration // when it went
@@ -34,7 +34,7 @@
 		for z, reg := range zones {
 			for i := range 3 + r.IntN(9) {
 				n := fmt.Sprint(z, "-", i)
-				ps[n] = &proxy{Place: Place{Front: n, Zone: z, Region: reg, Ready: true}, up: true, heardAt: -time.Hour}
+				ps[n] = &proxy{Location: Location{Front: n, Zone: z, Region: reg, Ready: true}, up: true, heardAt: -time.Hour}
 				names = append(names, n)
 			}
 		}
@@ -51,22 +51,22 @@
 					p.up, p.downAt = false, now
 					if r.IntN(2) == 0 && now >= cut {
 						p.gone = true
-						g.Gone(now, n, true)
+						d.Disconnected(now, n, true)
 					}
 				case !p.up && r.IntN(60) == 0:
 					p.up = true
 				}
 				if p.up && now >= cut && r.IntN(8) == 0 {
 					if r.IntN(3) == 0 {
-						g.Hear(now, n, p.Place, time.Duration(r.IntN(300))*time.Millisecond)
+						d.Relay(now, n, p.Location, time.Duration(r.IntN(300))*time.Millisecond)
 					} else {
-						g.Tell(now, n, p.Place, false)
+						d.Report(now, n, p.Location, false)
 					}
 					p.heardAt, p.gone = now, false
 				}
 			}
 			zone := []string{"a1", "a2", "b1", "b2"}[r.IntN(4)]
-			got, ok := g.Lookup(now, zone, zones[zone])
+			got, ok := d.Lookup(now, zone, zones[zone])
 			known, fresh, near := 0, 0, 0
 			for _, p := range ps {
 				if now-p.heardAt < constants.ProxyForget {
@@ -119,9 +119,9 @@
 // A zone that loses its proxies one by one is made up for one by one, from its
 // own region, and another region is named only when that is not enough.
 func TestSpillsByDegrees(t *testing.T) {
-	g := New(-time.Minute, zones)
+	d := New(-time.Minute, zones)
 	put := func(n, z string, ready bool) {
-		g.Tell(0, n, Place{Front: n, Zone: z, Region: zones[z], Ready: ready}, true)
+		d.Report(0, n, Location{Front: n, Zone: z, Region: zones[z], Ready: ready}, true)
 	}
 	for z := range zones {
 		for i := range 10 {
@@ -131,7 +131,7 @@
 	was := 0
 	for i := range 10 {
 		put(fmt.Sprint("a1-", i), "a1", false)
-		got, ok := g.Lookup(0, "a1", "a")
+		got, ok := d.Lookup(0, "a1", "a")
 		beyond := 0
 		for _, a := range got {
 			if a[:2] != "a1" {
--- a/internal/headworks/admin.go
+++ b/internal/headworks/admin.go
@@ -11,9 +11,9 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"slateridge/internal/constants"
+	"slateridge/internal/directory"
 	"slateridge/internal/eventlog"
 	"slateridge/internal/gaugeboard"
-	"slateridge/internal/gazetteer"
 	"slateridge/internal/membership"
 	"slateridge/internal/penstock"
 )
@@ -90,7 +90,7 @@
 
 // Directory is what the directory knows and has answered.
 type Directory struct {
-	Places                []gazetteer.PlaceState
+	Places                []directory.LocationState
 	Asked, Empty, Spilled uint64
 }
 
@@ -115,8 +115,8 @@
 	r.Platform, r.Scaling = d.dutyReports(), d.scalingReports()
 	r.Zone, r.Region = d.set.Zone, d.set.Region
 	if d.set.ListenAddresses.Directory != "" {
-		r.Directory = &Directory{Places: d.places.States(d.now())}
-		r.Directory.Asked, r.Directory.Empty, r.Directory.Spilled = d.places.Counts()
+		r.Directory = &Directory{Places: d.proxyDirectory.States(d.now())}
+		r.Directory.Asked, r.Directory.Empty, r.Directory.Spilled = d.proxyDirectory.Counts()
 	}
 	if f.Upstreams != nil {
 		r.Upstreams = len(f.Upstreams.Instances)
--- a/internal/headworks/daemon.go
+++ b/internal/headworks/daemon.go
@@ -18,9 +18,9 @@
 	"slateridge/internal/clock"
 	"slateridge/internal/config"
 	"slateridge/internal/constants"
+	"slateridge/internal/directory"
 	"slateridge/internal/discovery"
 	"slateridge/internal/eventlog"
-	"slateridge/internal/gazetteer"
 	"slateridge/internal/lease"
 	"slateridge/internal/membership"
 	"slateridge/internal/penstock"
@@ -46,19 +46,19 @@
 type Word struct {
 	Age   time.Duration
 	Count int
-	Place gazetteer.Place
+	Place directory.Location
 }
 
 // proxyEntry is a proxy on the roster. shares says that it has been told a
 // count, so that it may be using a share of the split quotas.
 type proxyEntry struct {
-	at     time.Time
-	direct time.Time // when it last spoke here
-	place  gazetteer.Place
-	shares bool
-	count  int // the live count it last said it uses, here or to another
-	told   Word
-	toldAt time.Time // when the others nearby were last told
+	at       time.Time
+	direct   time.Time // when it last spoke here
+	location directory.Location
+	shares   bool
+	count    int // the live count it last said it uses, here or to another
+	told     Word
+	toldAt   time.Time // when the others nearby were last told
 }
 
 // ListNews brings the list from the machine that polls to the other control
@@ -138,11 +138,11 @@
 	leaseMu sync.Mutex
 	leases  *lease.Manager
 
-	quotaTracker *admission.Tracker
-	places       *gazetteer.Gazetteer
-	turns        int
-	sharesTold   []string
-	pen          *penstock.Penstock
+	quotaTracker   *admission.Tracker
+	proxyDirectory *directory.Directory
+	turns          int
+	sharesTold     []string
+	pen            *penstock.Penstock
 
 	mu        sync.Mutex // list, roster
 	list      *discovery.List
@@ -239,11 +239,11 @@
 		p.split, p.holder.Latest = scaling.Split, true
 		d.dutyRunners = append(d.dutyRunners, p)
 	}
-	d.places = gazetteer.New(0, set.Zones)
+	d.proxyDirectory = directory.New(0, set.Zones)
 	d.leases = lease.New(0, rng.Uint64(), set.IPAddress, duties)
 	d.pen = penstock.New(d.face, d.sharing)
 	d.pen.Closed = func(node string) {
-		if d.directory() && d.places.Gone(d.now(), node, true) {
+		if d.directory() && d.proxyDirectory.Disconnected(d.now(), node, true) {
 			for _, p := range d.peers() {
 				d.send(p, Roster{Gone: []string{node}})
 			}
@@ -667,10 +667,10 @@
 // count, so that the shares in use never add up to more than the whole.
 func (d *Daemon) seen(t penstock.Tap) {
 	node, count := t.Node, t.Proxies
-	var place gazetteer.Place
+	var place directory.Location
 	if d.directory() {
-		place = gazetteer.Place{Front: t.Front, Zone: t.Zone, Region: t.Region, Ready: t.Ready}
-		if d.places.Tell(d.now(), node, place, t.Full) {
+		place = directory.Location{Front: t.Front, Zone: t.Zone, Region: t.Region, Ready: t.Ready}
+		if d.proxyDirectory.Report(d.now(), node, place, t.Full) {
 			w := Roster{Words: map[string]Word{node: {Count: count, Place: place}}}
 			for _, p := range d.peers() {
 				d.send(p, w)
@@ -684,7 +684,7 @@
 		e = &proxyEntry{}
 		d.roster[node] = e
 	}
-	e.at, e.count, e.place = time.Now(), count, place
+	e.at, e.count, e.location = time.Now(), count, place
 	e.direct = e.at
 	grew := d.admitLocked()
 	d.mu.Unlock()
@@ -764,7 +764,7 @@
 			continue
 		}
 		if age := time.Since(e.direct); age < constants.SubscriptionSilence { // the others' own proxies are theirs to tell of
-			w := Word{age, e.count, e.place}
+			w := Word{age, e.count, e.location}
 			far.Words[a] = w
 			if e.told.Count != w.Count || e.told.Place != w.Place || time.Since(e.toldAt) >= constants.RosterRefresh {
 				near.Words[a], e.told, e.toldAt = w, w, time.Now()
@@ -801,17 +801,17 @@
 	for a, w := range m.Words {
 		at := time.Now().Add(-w.Age)
 		if e := d.roster[a]; e == nil {
-			d.roster[a] = &proxyEntry{at: at, count: w.Count, place: w.Place}
+			d.roster[a] = &proxyEntry{at: at, count: w.Count, location: w.Place}
 			grew = true
 		} else if at.After(e.at) {
-			e.at, e.count, e.place = at, w.Count, w.Place
+			e.at, e.count, e.location = at, w.Count, w.Place
 		}
 		if d.directory() {
-			d.places.Hear(d.now(), a, w.Place, w.Age)
+			d.proxyDirectory.Relay(d.now(), a, w.Place, w.Age)
 		}
 	}
 	for _, a := range m.Gone {
-		d.places.Gone(d.now(), a, false)
+		d.proxyDirectory.Disconnected(d.now(), a, false)
 	}
 	if len(m.Shares) > 0 {
 		d.rosterIn = true
--- a/internal/headworks/directory.go
+++ b/internal/headworks/directory.go
@@ -31,7 +31,7 @@
 			fail(w, http.StatusBadRequest, why("name is missing"))
 			return
 		}
-		as, ok := d.places.Lookup(d.now(), q.Get("zone"), q.Get("region"))
+		as, ok := d.proxyDirectory.Lookup(d.now(), q.Get("zone"), q.Get("region"))
 		if !ok {
 			unavailable(w, "no proxy is known here yet")
 			return
