--- a/internal/gaugeboard/gaugeboard.go
+++ b/internal/adminhttp/adminhttp.go
@@ -1,7 +1,6 @@
-// Package gaugeboard is the board by the water that anyone can read; in the
-// field's terms: the admin interface both roles share, with the metrics they
+// Package adminhttp serves the admin interface that both roles share, with the metrics they
 // have in common.
-package gaugeboard
+package adminhttp
 
 import (
 	"encoding/json"
--- a/internal/headworks/admin.go
+++ b/internal/headworks/admin.go
@@ -10,10 +10,10 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"slateridge/internal/adminhttp"
 	"slateridge/internal/constants"
 	"slateridge/internal/directory"
 	"slateridge/internal/eventlog"
-	"slateridge/internal/gaugeboard"
 	"slateridge/internal/membership"
 	"slateridge/internal/penstock"
 )
@@ -58,7 +58,7 @@
 // word on voters that are gone for good.
 func (d *Daemon) adminAPI() http.Handler {
 	m := http.NewServeMux()
-	m.Handle("/", gaugeboard.Handler(d.Report))
+	m.Handle("/", adminhttp.Handler(d.Report))
 	m.HandleFunc("POST /retire", d.retire)
 	return m
 }
@@ -141,10 +141,10 @@
 	g := func(name string, v uint64) { metrics.WriteGaugeUint64(w, "slateridge_"+name, v) }
 	g("view_number", r.Chain.View.Num)
 	g("view_members", uint64(len(r.Chain.View.Members)))
-	g("view_member", gaugeboard.Flag(r.Chain.View.has(r.Chain.Me)))
-	g("view_sealed", gaugeboard.Flag(r.Chain.Sealed))
-	g("disk_failed", gaugeboard.Flag(r.Chain.Sick))
-	g("majority_heard", gaugeboard.Flag(r.Current))
+	g("view_member", adminhttp.Flag(r.Chain.View.has(r.Chain.Me)))
+	g("view_sealed", adminhttp.Flag(r.Chain.Sealed))
+	g("disk_failed", adminhttp.Flag(r.Chain.Sick))
+	g("majority_heard", adminhttp.Flag(r.Current))
 	metrics.WriteGaugeFloat64(w, "slateridge_majority_contact_age_seconds", r.Contact.Seconds())
 	metrics.WriteGaugeFloat64(w, "slateridge_electorate_margin", float64(r.Margin))
 	for _, v := range r.Voters {
@@ -155,7 +155,7 @@
 	g("state_held", r.Chain.Held.Num())
 	g("view_voters", uint64(len(r.Chain.View.Voters)))
 	g("zones_evacuated", uint64(len(r.Evacuated)))
-	g("relay", gaugeboard.Flag(r.Chain.Relay))
+	g("relay", adminhttp.Flag(r.Chain.Relay))
 	g("config_acknowledged_proxies", uint64(r.Acked))
 	g("connected_proxies", uint64(len(r.Proxies)))
 	g("live_proxies", uint64(r.Live))
@@ -163,8 +163,8 @@
 	g("upstreams_listed", uint64(r.Upstreams))
 	metrics.WriteGaugeFloat64(w, "slateridge_upstream_list_age_seconds", r.ListAge.Seconds())
 	for duty, who := range r.Duties {
-		g(fmt.Sprintf("duty_assigned{duty=%q}", duty), gaugeboard.Flag(who != ""))
-		g(fmt.Sprintf("duty_held{duty=%q}", duty), gaugeboard.Flag(who == r.Chain.Me.Addr))
+		g(fmt.Sprintf("duty_assigned{duty=%q}", duty), adminhttp.Flag(who != ""))
+		g(fmt.Sprintf("duty_held{duty=%q}", duty), adminhttp.Flag(who == r.Chain.Me.Addr))
 	}
 	for _, s := range r.Scaling {
 		l := fmt.Sprintf("{service=%q,zone=%q}", s.Service, s.Zone)
@@ -175,8 +175,8 @@
 		l := fmt.Sprintf("{duty=%q}", name)
 		g("platform_duty_fence"+l, p.Fence)
 		g("platform_duty_decided"+l, p.Decided)
-		g("platform_duty_mine"+l, gaugeboard.Flag(p.Mine))
-		g("platform_duty_backlog"+l, gaugeboard.Flag(p.Backlog))
+		g("platform_duty_mine"+l, adminhttp.Flag(p.Mine))
+		g("platform_duty_backlog"+l, adminhttp.Flag(p.Backlog))
 		metrics.WriteGaugeFloat64(w, "slateridge_platform_duty_held_seconds"+l, p.Held.Seconds())
 		metrics.WriteCounterUint64(w, "slateridge_platform_duty_accepted_total"+l, p.Accepted)
 		metrics.WriteCounterUint64(w, "slateridge_platform_duty_refused_total"+l, p.Refused)
@@ -200,7 +200,7 @@
 	}
 	metrics.WriteCounterUint64(w, "slateridge_pushes_total", r.Pushes)
 	metrics.WriteCounterUint64(w, "slateridge_lease_messages_dropped_total", r.Dropped+r.Chain.Dropped)
-	gaugeboard.WriteCommon(w, r.Members, r.Tallies)
+	adminhttp.WriteCommon(w, r.Members, r.Tallies)
 }
 
 // Late lists the proxies that do not hold what is in force.
--- a/internal/sluice/admin.go
+++ b/internal/sluice/admin.go
@@ -7,9 +7,9 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"slateridge/internal/adminhttp"
 	"slateridge/internal/admission"
 	"slateridge/internal/eventlog"
-	"slateridge/internal/gaugeboard"
 	"slateridge/internal/membership"
 	"slateridge/internal/penstock"
 )
@@ -97,7 +97,7 @@
 	for _, n := range countNames {
 		metrics.WriteCounterUint64(w, fmt.Sprintf("slateridge_requests_total{outcome=%q}", n), r.Requests[n])
 	}
-	metrics.WriteGaugeUint64(w, "slateridge_ready", gaugeboard.Flag(r.Ready && !r.Leaving))
+	metrics.WriteGaugeUint64(w, "slateridge_ready", adminhttp.Flag(r.Ready && !r.Leaving))
 	metrics.WriteGaugeUint64(w, "slateridge_requests_in_flight", uint64(max(0, r.InFlight)))
 	metrics.WriteGaugeUint64(w, "slateridge_config_version", r.Version)
 	metrics.WriteGaugeUint64(w, "slateridge_upstream_list_number", r.Line.ListNum)
@@ -143,5 +143,5 @@
 		metrics.WriteGaugeFloat64(w, "slateridge_quota_demand"+l, q.Demand)
 		metrics.WriteGaugeFloat64(w, "slateridge_quota_balance"+l, q.Balance)
 	}
-	gaugeboard.WriteCommon(w, r.Members, r.Tallies)
+	adminhttp.WriteCommon(w, r.Members, r.Tallies)
 }
--- a/internal/sluice/daemon.go
+++ b/internal/sluice/daemon.go
@@ -17,13 +17,13 @@
 
 	"github.com/oklog/run"
 
+	"slateridge/internal/adminhttp"
 	"slateridge/internal/admission"
 	"slateridge/internal/clock"
 	"slateridge/internal/config"
 	"slateridge/internal/constants"
 	"slateridge/internal/discovery"
 	"slateridge/internal/eventlog"
-	"slateridge/internal/gaugeboard"
 	"slateridge/internal/membership"
 	"slateridge/internal/penstock"
 	"slateridge/internal/scaling"
@@ -183,7 +183,7 @@
 	g.Add(d.gate.serve, func(error) { d.gate.close() })
 	w := wheel.New(g)
 	w.Serve(rl, http.HandlerFunc(d.readiness))
-	w.Serve(adm, gaugeboard.Handler(d.Report))
+	w.Serve(adm, adminhttp.Handler(d.Report))
 	w.Turn(constants.SettingsEvery, d.lookAtSettings)
 	w.Turn(constants.RetireEvery, func() { d.gate.closeIdle(time.Now()) })
 	return d.AddHollow(g, w)
