Rename: rungroup

Done by a type-checked rewrite: every identifier resolves to the same object as before. Behaviour, names on the wire and on disk unchanged; build, vet and the compatibility tests pass.

--- a/cmd/scalerun/main.go
+++ b/cmd/scalerun/main.go
@@ -31,10 +31,10 @@
 
 	"slateridge/internal/constants"
 	"slateridge/internal/eventlog"
+	"slateridge/internal/rungroup"
 	"slateridge/internal/settings"
 	"slateridge/internal/sluice"
 	"slateridge/internal/transport"
-	"slateridge/internal/wheel"
 )
 
 var cli struct {
@@ -325,14 +325,14 @@
 	return time.Since(began), nil
 }
 
-func hollow(i int, g *run.Group, w *wheel.Wheel) (*sluice.Daemon, error) {
+func hollow(i int, g *run.Group, group *rungroup.Group) (*sluice.Daemon, error) {
 	b, _ := json.Marshal(bootSettings(fmt.Sprintf("hollow-%d", i), hollowIP(i), fmt.Sprintf("z%d", i%4), ""))
 	set := &settings.Settings{}
 	if err := json.Unmarshal(b, set); err != nil {
 		return nil, err
 	}
 	d := sluice.NewDaemon(set, "", eventlog.New(zerolog.Nop()))
-	return d, d.AddHollow(g, w)
+	return d, d.AddHollow(g, group)
 }
 
 // startPlatform serves the list, and stand-in upstreams.
@@ -410,10 +410,10 @@
 	}
 	began := used()
 	g := &run.Group{}
-	w := wheel.New(g)
+	group := rungroup.New(g)
 	var ds []*sluice.Daemon
 	for i := range cli.Proxies {
-		d, err := hollow(i, g, w)
+		d, err := hollow(i, g, group)
 		if err != nil {
 			return err
 		}
--- a/internal/headworks/daemon.go
+++ b/internal/headworks/daemon.go
@@ -24,12 +24,12 @@
 	"slateridge/internal/lease"
 	"slateridge/internal/membership"
 	"slateridge/internal/penstock"
+	"slateridge/internal/rungroup"
 	"slateridge/internal/scaling"
 	"slateridge/internal/settings"
 	"slateridge/internal/storage"
 	"slateridge/internal/transport"
 	"slateridge/internal/usage"
-	"slateridge/internal/wheel"
 )
 
 // Roster tells the other control machines of the proxies that spoke here: how
@@ -285,24 +285,24 @@
 		return err
 	}
 	g.Add(d.members.Serve, func(error) { d.members.Close() })
-	w := wheel.New(g)
-	w.Serve(ctl, d.operatorAPI())
-	w.Serve(adm, d.adminAPI())
+	group := rungroup.New(g)
+	group.Serve(ctl, d.operatorAPI())
+	group.Serve(adm, d.adminAPI())
 	if a := d.set.ListenAddresses.Directory; a != "" {
 		dir, err := net.Listen("tcp4", a)
 		if err != nil {
 			return err
 		}
-		w.Serve(dir, d.directoryAPI())
+		group.Serve(dir, d.directoryAPI())
 	}
-	w.Turn(membership.TickEvery, d.members.Tick)
+	group.Every(membership.TickEvery, d.members.Tick)
 	if d.relay {
-		w.Turn(constants.RelayEvery, func() { d.step(func() []any { return d.chain.Tick(d.now()) }) })
+		group.Every(constants.RelayEvery, func() { d.step(func() []any { return d.chain.Tick(d.now()) }) })
 		return nil
 	}
-	w.Turn(constants.ChainTick, d.advance)
+	group.Every(constants.ChainTick, d.advance)
 	held := map[string]bool{}
-	w.Turn(constants.LeaseTick, func() {
+	group.Every(constants.LeaseTick, func() {
 		d.leaseMu.Lock()
 		out := d.leases.Tick(d.now())
 		var moved []string
@@ -320,9 +320,9 @@
 		d.pen.Publish()
 	})
 	if len(d.dutyRunners) > 0 {
-		w.Turn(constants.DutyTick, d.stepDuties)
+		group.Every(constants.DutyTick, d.stepDuties)
 		if d.set.HasDuty(settings.DutyUsage) {
-			w.Turn(constants.UsageSave, d.keepUsage)
+			group.Every(constants.UsageSave, d.keepUsage)
 		}
 	}
 	d.bootTurn = time.Duration(max(0, slices.Index(d.controls(), d.set.IPAddress))) * constants.BootStagger
@@ -330,12 +330,12 @@
 		for _, p := range d.peers() {
 			d.send(p, ListAsk{}) // whoever has started before may have one
 		}
-		for d.polled(w.Context()) {
+		for d.polled(group.Context()) {
 			time.Sleep(constants.BootCheckEvery)
 		}
 	}()
-	w.Turn(time.Duration(constants.PollShare*float64(d.set.Bounds.Drain.D())), func() { d.poll(w.Context()) })
-	w.Turn(constants.RosterEvery, d.shareRoster)
+	group.Every(time.Duration(constants.PollShare*float64(d.set.Bounds.Drain.D())), func() { d.poll(group.Context()) })
+	group.Every(constants.RosterEvery, d.shareRoster)
 	return nil
 }
 
--- a/internal/wheel/wheel_test.go
+++ b/internal/rungroup/rungroup_test.go
@@ -1,4 +1,4 @@
-package wheel
+package rungroup
 
 import (
 	"sync/atomic"
@@ -12,15 +12,15 @@
 // group also while it waits.
 func TestTurnFrom(t *testing.T) {
 	var g run.Group
-	w := New(&g)
+	group := New(&g)
 	began := time.Now()
 	var first atomic.Int64
 	beats := make(chan struct{}, 100)
-	w.TurnFrom(60*time.Millisecond, 10*time.Millisecond, func() {
+	group.EveryAfter(60*time.Millisecond, 10*time.Millisecond, func() {
 		first.CompareAndSwap(0, int64(time.Since(began)))
 		beats <- struct{}{}
 	})
-	w.TurnFrom(time.Hour, time.Millisecond, func() { t.Error("an hour is over already") })
+	group.EveryAfter(time.Hour, time.Millisecond, func() { t.Error("an hour is over already") })
 	g.Add(func() error {
 		for range 3 {
 			<-beats
--- a/internal/sluice/daemon.go
+++ b/internal/sluice/daemon.go
@@ -26,11 +26,11 @@
 	"slateridge/internal/eventlog"
 	"slateridge/internal/membership"
 	"slateridge/internal/penstock"
+	"slateridge/internal/rungroup"
 	"slateridge/internal/scaling"
 	"slateridge/internal/settings"
 	"slateridge/internal/transport"
 	"slateridge/internal/usage"
-	"slateridge/internal/wheel"
 )
 
 // Daemon is the sluice process: the request path, and what keeps it informed.
@@ -181,17 +181,17 @@
 		return config.Limits{}
 	})
 	g.Add(d.gate.serve, func(error) { d.gate.close() })
-	w := wheel.New(g)
-	w.Serve(rl, http.HandlerFunc(d.readiness))
-	w.Serve(adm, adminhttp.Handler(d.Report))
-	w.Turn(constants.SettingsEvery, d.lookAtSettings)
-	w.Turn(constants.RetireEvery, func() { d.gate.closeIdle(time.Now()) })
-	return d.AddHollow(g, w)
+	group := rungroup.New(g)
+	group.Serve(rl, http.HandlerFunc(d.readiness))
+	group.Serve(adm, adminhttp.Handler(d.Report))
+	group.Every(constants.SettingsEvery, d.lookAtSettings)
+	group.Every(constants.RetireEvery, func() { d.gate.closeIdle(time.Now()) })
+	return d.AddHollow(g, group)
 }
 
 // AddHollow puts in what keeps a proxy informed and is said to others, without the
 // path of requests: many such proxies can share one process, to try control's size.
-func (d *Daemon) AddHollow(g *run.Group, w *wheel.Wheel) error {
+func (d *Daemon) AddHollow(g *run.Group, group *rungroup.Group) error {
 	set := d.set.Load()
 	var err error
 	var seeds []string
@@ -206,16 +206,16 @@
 	}
 	g.Add(d.members.Serve, func(error) { d.members.Close() })
 	go d.step()
-	w.Turn(constants.StepEvery, d.step)
-	w.Turn(constants.GrantEvery, d.renewGrants)
+	group.Every(constants.StepEvery, d.step)
+	group.Every(constants.GrantEvery, d.renewGrants)
 	if set.HasDuty(settings.DutyScaling) {
-		w.Turn(constants.ScaleEvery, d.tellLoad)
+		group.Every(constants.ScaleEvery, d.tellLoad)
 	}
 	if d.meter != nil {
-		w.TurnFrom(usage.Phase(rand.Uint64()), constants.UsageReportEvery, d.tellUsage)
+		group.EveryAfter(usage.Phase(rand.Uint64()), constants.UsageReportEvery, d.tellUsage)
 	}
-	w.Turn(constants.RetireEvery, func() { d.yard.Retire(time.Now()) })
-	w.Turn(membership.TickEvery, d.members.Tick)
+	group.Every(constants.RetireEvery, func() { d.yard.Retire(time.Now()) })
+	group.Every(membership.TickEvery, d.members.Tick)
 	return nil
 }
 
