--- a/cmd/slateridge/main.go
+++ b/cmd/slateridge/main.go
@@ -41,13 +41,13 @@
 }
 
 var cli struct {
-	Sluice    sluiceCmd    `cmd:"" help:"Run the proxy. Settings are read from the file named by SLATERIDGE_NODE_FILE."`
-	Headworks headworksCmd `cmd:"" help:"Run the control plane. Settings are read from the file named by SLATERIDGE_NODE_FILE."`
-	Check     checkCmd     `cmd:"" help:"Validate a configuration file with the errors the API gives."`
-	Status    statusCmd    `cmd:"" help:"Show what running daemons know: view, versions, acknowledgements, duties, upstreams, quotas."`
-	Retire    retireCmd    `cmd:"" help:"Take a control machine that is gone for good out of the electorate, by agreement of the others."`
-	Explore   exploreCmd   `cmd:"" help:"Look for schedules that break the rules of the control plane's machines."`
-	Version   versionCmd   `cmd:"" help:"Print the version."`
+	Sluice     sluiceCmd     `cmd:"" help:"Run the proxy. Settings are read from the file named by SLATERIDGE_NODE_FILE."`
+	Headworks  headworksCmd  `cmd:"" help:"Run the control plane. Settings are read from the file named by SLATERIDGE_NODE_FILE."`
+	Check      checkCmd      `cmd:"" help:"Validate a configuration file with the errors the API gives."`
+	Status     statusCmd     `cmd:"" help:"Show what running daemons know: view, versions, acknowledgements, duties, upstreams, quotas."`
+	Retire     retireCmd     `cmd:"" help:"Take a control machine that is gone for good out of the electorate, by agreement of the others."`
+	Modelcheck modelcheckCmd `cmd:"" help:"Look for schedules that break the rules of the control plane's machines."`
+	Version    versionCmd    `cmd:"" help:"Print the version."`
 }
 
 func main() {
--- a/cmd/slateridge/explore.go
+++ b/cmd/slateridge/modelcheck.go
@@ -8,13 +8,13 @@
 	"strings"
 	"time"
 
-	"slateridge/internal/explore"
-	"slateridge/internal/explore/admissionmodel"
-	"slateridge/internal/explore/chainmodel"
-	"slateridge/internal/explore/leasemodel"
+	"slateridge/internal/modelcheck"
+	"slateridge/internal/modelcheck/admissionmodel"
+	"slateridge/internal/modelcheck/chainmodel"
+	"slateridge/internal/modelcheck/leasemodel"
 )
 
-type exploreCmd struct {
+type modelcheckCmd struct {
 	Model      string        `enum:"chain,leases,duties,admission" default:"chain" help:"What to drive: chain (orders, reads, views), leases (by themselves), duties (a chain, its leases, and acts under their fences) or admission (proxies that share a quota, and its trackers)."`
 	Strategy   string        `enum:"systematic,random" default:"systematic" help:"All schedules, those with fewer deviations first, or random walks within the same bounds."`
 	Deviations int           `default:"3" help:"Most deviations from the default schedule."`
@@ -44,14 +44,14 @@
 
 var errBroken = errors.New("a rule was broken")
 
-func (c exploreCmd) model() (func() explore.Model, []string) {
+func (c modelcheckCmd) model() (func() modelcheck.Model, []string) {
 	if c.Model == "leases" {
 		cfg := leasemodel.Small()
 		cfg.Faults, cfg.Messages, cfg.Kinds, cfg.Without, cfg.Others, cfg.Warm = c.Faults, c.Messages, c.Kinds, c.Without, c.Newcomers, c.Warm
 		if c.Step > 0 {
 			cfg.Step = c.Step
 		}
-		return func() explore.Model { return leasemodel.New(cfg) }, leasemodel.ChoiceKinds
+		return func() modelcheck.Model { return leasemodel.New(cfg) }, leasemodel.ChoiceKinds
 	}
 	if c.Model == "admission" {
 		return c.admission()
@@ -65,10 +65,10 @@
 	if c.Step > 0 {
 		cfg.Step = c.Step
 	}
-	return func() explore.Model { return chainmodel.New(cfg) }, chainmodel.ChoiceKinds
+	return func() modelcheck.Model { return chainmodel.New(cfg) }, chainmodel.ChoiceKinds
 }
 
-func (c exploreCmd) admission() (func() explore.Model, []string) {
+func (c modelcheckCmd) admission() (func() modelcheck.Model, []string) {
 	cfg := admissionmodel.Small()
 	cfg.Faults, cfg.Messages, cfg.Kinds, cfg.Without, cfg.Newcomers, cfg.Warm = c.Faults, c.Messages, c.Kinds, c.Without, c.Newcomers, c.Warm
 	cfg.Proxies, cfg.Pressed, cfg.Quota.Burst, cfg.Slack, cfg.Tolerance = c.Proxies, c.Pressed, c.Burst, c.Slack, c.Tolerance
@@ -78,10 +78,10 @@
 	if c.Step > 0 {
 		cfg.Step = c.Step
 	}
-	return func() explore.Model { return admissionmodel.New(cfg) }, admissionmodel.ChoiceKinds
+	return func() modelcheck.Model { return admissionmodel.New(cfg) }, admissionmodel.ChoiceKinds
 }
 
-func (c exploreCmd) Run() error {
+func (c modelcheckCmd) Run() error {
 	if c.Model == "admission" && (c.Proxies < 1 || c.Proxies+c.Newcomers > admissionmodel.MostProxies) {
 		return usageError{fmt.Errorf("admission has one to %d proxies, newcomers among them", admissionmodel.MostProxies)}
 	}
@@ -98,8 +98,8 @@
 		return usageError{errors.New("there are 3 or 5 founders, and 8 machines at most")}
 	}
 	if c.Replay != "" {
-		err := explore.Replay(mk(), explore.Parse(c.Replay))
-		if errors.Is(err, explore.ErrNotEnabled) {
+		err := modelcheck.Replay(mk(), modelcheck.Parse(c.Replay))
+		if errors.Is(err, modelcheck.ErrNotEnabled) {
 			return usageError{err}
 		}
 		if err != nil {
@@ -109,12 +109,12 @@
 		fmt.Println("no rule was broken")
 		return nil
 	}
-	run := explore.Systematic
+	run := modelcheck.Systematic
 	if c.Strategy == "random" {
-		run = explore.Random
+		run = modelcheck.Random
 	}
-	r := run(mk, explore.Options{Deviations: c.Deviations, Depth: c.Depth, Schedules: c.Schedules, Limit: c.Limit, Seed: c.Seed, Jobs: c.Jobs, KeepGoing: c.KeepGoing,
-		Progress: func(r explore.Report) {
+	r := run(mk, modelcheck.Options{Deviations: c.Deviations, Depth: c.Depth, Schedules: c.Schedules, Limit: c.Limit, Seed: c.Seed, Jobs: c.Jobs, KeepGoing: c.KeepGoing,
+		Progress: func(r modelcheck.Report) {
 			level := ""
 			if r.LevelOf > 0 {
 				level = fmt.Sprintf(", %d of %d with %d deviations", r.LevelDone, r.LevelOf, r.Level)
--- a/cmd/slateridge/explore_test.go
+++ b/cmd/slateridge/modelcheck_test.go
@@ -22,7 +22,7 @@
 		{[]string{"--deviations=-1"}, true},
 		{[]string{"--newcomers", "9"}, true},
 	} {
-		var cmd exploreCmd
+		var cmd modelcheckCmd
 		if _, err := kong.Must(&cmd).Parse(c.args); err != nil {
 			t.Errorf("%v: %v", c.args, err)
 			continue
--- a/internal/explore/admissionmodel/admissionmodel.go
+++ b/internal/modelcheck/admissionmodel/admissionmodel.go
@@ -1,4 +1,4 @@
-// Package admissionmodel has package explore drive admission: the token buckets of
+// Package admissionmodel has package modelcheck drive admission: the token buckets of
 // a few proxies, the trackers that lend and grant, and the live proxy count. What
 // runs in any window must stay within the quota's bound, and after quiet what is
 // within the quota must be served.
@@ -12,7 +12,7 @@
 
 	"slateridge/internal/admission"
 	"slateridge/internal/constants"
-	"slateridge/internal/explore"
+	"slateridge/internal/modelcheck"
 )
 
 // The rules, by the names under which a broken one is reported.
@@ -156,10 +156,10 @@
 	shares bool
 }
 
-// Model is admission as package explore drives it.
+// Model is admission as package modelcheck drives it.
 type Model struct {
 	Config
-	world  *explore.World
+	world  *modelcheck.World
 	grid   time.Duration
 	err    error
 	faults int
@@ -187,7 +187,7 @@
 func New(c Config) *Model { return &Model{Config: c} }
 
 func (m *Model) Reset() {
-	m.world = explore.NewWorld(constants.GrantEvery, m.tick, m.recv)
+	m.world = modelcheck.NewWorld(constants.GrantEvery, m.tick, m.recv)
 	m.grid, m.err, m.faults, m.came, m.lives, m.ids, m.served = m.Warm, nil, 0, 0, 0, 0, 0
 	m.stopped = map[string]time.Duration{}
 	m.proxies, m.trackers, m.roster = map[string]*proxy{}, map[string]*tracker{}, map[string]*rosterEntry{}
@@ -201,7 +201,7 @@
 	for _, n := range proxyNames[:m.Proxies] {
 		m.startProxy(n)
 	}
-	m.world.Run(m.Warm, nil, m.well)
+	m.world.Run(m.Warm, nil, m.healthy)
 	m.pressAll(m.Pressed)
 	m.world.Trouble = 0
 }
@@ -223,11 +223,11 @@
 	return (m.Quota.Rate*m.Window.Seconds()+m.Quota.Burst)*(1+promisedOverage) + m.Slack
 }
 
-func (m *Model) well() bool { return m.err == nil }
+func (m *Model) healthy() bool { return m.err == nil }
 
 func (m *Model) broken(rule, f string, a ...any) {
 	if m.err == nil {
-		m.err = explore.Broken(rule, "at %v: %s", m.world.Now, fmt.Sprintf(f, a...))
+		m.err = modelcheck.Broken(rule, "at %v: %s", m.world.Now, fmt.Sprintf(f, a...))
 	}
 }
 
@@ -333,7 +333,7 @@
 
 func (m *Model) back(n string) {
 	life := m.world.Life(n)
-	m.world.After(explore.Stall, func() {
+	m.world.After(modelcheck.Stall, func() {
 		if m.world.Life(n) == life {
 			m.start(n)
 		}
@@ -368,7 +368,7 @@
 	}
 }
 
-func (m *Model) recv(e *explore.Event) {
+func (m *Model) recv(e *modelcheck.Event) {
 	switch x := e.Msg.(type) {
 	case heartbeat:
 		m.takeHeartbeat(e.From, x)
--- a/internal/explore/admissionmodel/admissionmodel_test.go
+++ b/internal/modelcheck/admissionmodel/admissionmodel_test.go
@@ -4,38 +4,38 @@
 	"testing"
 	"time"
 
-	"slateridge/internal/explore"
+	"slateridge/internal/modelcheck"
 )
 
 // large is a fleet whose slack covers its floors: no key goes to its tracker alone.
 func large(c *Config) { c.Slack = 20 }
 
-// Short searches in bounds that stay the same; slateridge explore runs long ones.
+// Short searches in bounds that stay the same; slateridge modelcheck runs long ones.
 func TestAdmission(t *testing.T) {
 	for _, s := range []struct {
 		name    string
 		change  func(*Config)
 		random  bool
-		o       explore.Options
+		o       modelcheck.Options
 		atLeast int
 	}{
-		{"one deviation", func(c *Config) {}, false, explore.Options{Deviations: 1, Depth: 4}, 140},
-		{"one deviation, pressed", pressed, false, explore.Options{Deviations: 1, Depth: 4}, 140},
-		{"one deviation, shares only", func(c *Config) { large(c); pressed(c) }, false, explore.Options{Deviations: 1, Depth: 4}, 140},
-		{"cut off", func(c *Config) { c.Kinds = []string{"isolate", "press"} }, false, explore.Options{Deviations: 2, Depth: 2}, 100},
-		{"carried by its tracker, beyond what is known", func(c *Config) { carried(c); c.Tolerance = 6 }, false, explore.Options{Deviations: 1, Depth: 5}, 140},
-		{"messages lost, late and overtaken", func(c *Config) { c.Messages, c.Without = true, []string{"restart", "go", "long"}; c.Tolerance = 1 }, true, explore.Options{Deviations: 4, Depth: 80, Schedules: 150, Seed: 1}, 150},
-		{"the duty moves", func(c *Config) { c.Kinds, c.Pressed = []string{"duty"}, true }, false, explore.Options{Deviations: 3, Depth: 5}, 100},
+		{"one deviation", func(c *Config) {}, false, modelcheck.Options{Deviations: 1, Depth: 4}, 140},
+		{"one deviation, pressed", pressed, false, modelcheck.Options{Deviations: 1, Depth: 4}, 140},
+		{"one deviation, shares only", func(c *Config) { large(c); pressed(c) }, false, modelcheck.Options{Deviations: 1, Depth: 4}, 140},
+		{"cut off", func(c *Config) { c.Kinds = []string{"isolate", "press"} }, false, modelcheck.Options{Deviations: 2, Depth: 2}, 100},
+		{"carried by its tracker, beyond what is known", func(c *Config) { carried(c); c.Tolerance = 6 }, false, modelcheck.Options{Deviations: 1, Depth: 5}, 140},
+		{"messages lost, late and overtaken", func(c *Config) { c.Messages, c.Without = true, []string{"restart", "go", "long"}; c.Tolerance = 1 }, true, modelcheck.Options{Deviations: 4, Depth: 80, Schedules: 150, Seed: 1}, 150},
+		{"the duty moves", func(c *Config) { c.Kinds, c.Pressed = []string{"duty"}, true }, false, modelcheck.Options{Deviations: 3, Depth: 5}, 100},
 	} {
 		t.Run(s.name, func(t *testing.T) {
 			c := Small()
 			s.change(&c)
 			s.o.Jobs = 2
-			search := explore.Systematic
+			search := modelcheck.Systematic
 			if s.random {
-				search = explore.Random
+				search = modelcheck.Random
 			}
-			r := search(func() explore.Model { return New(c) }, s.o)
+			r := search(func() modelcheck.Model { return New(c) }, s.o)
 			t.Log(r)
 			for _, f := range r.Failures {
 				t.Errorf("%v\n%s", f.Err, f.Source())
@@ -56,25 +56,25 @@
 // how many tokens at most. What is mended has 0 here.
 var known = []struct {
 	change   func(*Config)
-	schedule explore.Schedule
+	schedule modelcheck.Schedule
 	beyond   float64
 }{
 	// The loan of a process that ended stands at the tracker, while the next life has the whole share.
-	{func(*Config) {}, explore.Schedule{"restart p", "+2", "isolate p"}, 5},
+	{func(*Config) {}, modelcheck.Schedule{"restart p", "+2", "isolate p"}, 5},
 	// Likewise, and the tracker that took the loan is gone while what it leased is used.
-	{func(c *Config) { large(c); pressed(c) }, explore.Schedule{"restart p", "+2", "restart t"}, 0},
+	{func(c *Config) { large(c); pressed(c) }, modelcheck.Schedule{"restart p", "+2", "restart t"}, 0},
 	// A loan told under a smaller live count stands, while the share it is part of has shrunk.
-	{func(c *Config) { large(c); pressed(c) }, explore.Schedule{"part p|t", "come r"}, 0},
+	{func(c *Config) { large(c); pressed(c) }, modelcheck.Schedule{"part p|t", "come r"}, 0},
 	// A standby bucket fills a burst of its own, beside the pool.
-	{carried, explore.Schedule{"+5", "isolate p"}, 6},
-	{func(c *Config) { carried(c); c.Newcomers = 1 }, explore.Schedule{"+4", "duty u", "+1", "come s"}, 1},
+	{carried, modelcheck.Schedule{"+5", "isolate p"}, 6},
+	{func(c *Config) { carried(c); c.Newcomers = 1 }, modelcheck.Schedule{"+4", "duty u", "+1", "come s"}, 1},
 	// A live count that falls ends the standby's treatment, not the standby: for up to ten seconds
 	// it is used as a lease, beside the split share.
-	{carried, explore.Schedule{"go p", "long", "long", "+4"}, 0},
+	{carried, modelcheck.Schedule{"go p", "long", "long", "+4"}, 0},
 	// A newcomer comes while the duty moves, and stands still.
-	{func(c *Config) { c.Messages = true }, explore.Schedule{"come r", "duty u", "+38", "freeze r"}, 0},
+	{func(c *Config) { c.Messages = true }, modelcheck.Schedule{"come r", "duty u", "+38", "freeze r"}, 0},
 	// A proxy that has given its share up goes on lending it.
-	{func(*Config) {}, explore.Schedule{"part c|p", "long", "long"}, 0},
+	{func(*Config) {}, modelcheck.Schedule{"part c|p", "long", "long"}, 0},
 }
 
 // What is known to go beyond the bound goes no further, and each of it is looked at with
@@ -84,13 +84,13 @@
 		t.Run(k.schedule.String(), func(t *testing.T) {
 			c := Small()
 			k.change(&c)
-			if err := explore.Replay(New(c), k.schedule); err != nil {
+			if err := modelcheck.Replay(New(c), k.schedule); err != nil {
 				t.Logf("still open: %v", err)
 			} else if k.beyond > 0 {
 				t.Logf("mended: may be 0 instead of %v", k.beyond)
 			}
 			c.Tolerance = k.beyond
-			if err := explore.Replay(New(c), k.schedule); err != nil {
+			if err := modelcheck.Replay(New(c), k.schedule); err != nil {
 				t.Error(err)
 			}
 		})
@@ -115,12 +115,12 @@
 			s.change(&c)
 			sound := c
 			c.Planted = s.fault
-			r := explore.Systematic(func() explore.Model { return New(c) }, explore.Options{Deviations: s.deviations, Depth: 5, Jobs: 1})
+			r := modelcheck.Systematic(func() modelcheck.Model { return New(c) }, modelcheck.Options{Deviations: s.deviations, Depth: 5, Jobs: 1})
 			t.Log(r)
 			if len(r.Failures) != 1 || r.Failures[0].Rule != RuleBound {
 				t.Fatalf("found %+v", r.Failures)
 			}
-			if err := explore.Replay(New(sound), r.Failures[0].Shrunk); err != nil {
+			if err := modelcheck.Replay(New(sound), r.Failures[0].Shrunk); err != nil {
 				t.Errorf("%v, without the defect: %v", r.Failures[0].Shrunk, err)
 			}
 		})
@@ -129,15 +129,15 @@
 
 // The same schedule comes to the same state.
 func TestReplaysAlike(t *testing.T) {
-	s := explore.Schedule{"press all", "+2", "restart p", "+1", "duty u", "come r", "+2", "freeze q", "+2", "thaw q", "part c|p", "+3"}
+	s := modelcheck.Schedule{"press all", "+2", "restart p", "+1", "duty u", "come r", "+2", "freeze q", "+2", "thaw q", "part c|p", "+3"}
 	c := Small()
 	c.Faults = 4
 	a, b := New(c), New(c)
 	for range 3 {
-		if err := explore.Replay(a, s); err != nil {
+		if err := modelcheck.Replay(a, s); err != nil {
 			t.Fatal(err)
 		}
-		explore.Replay(b, s)
+		modelcheck.Replay(b, s)
 		if a.Hash() != b.Hash() || a.served != b.served {
 			t.Fatal("two runs differ")
 		}
--- a/internal/explore/admissionmodel/choices.go
+++ b/internal/modelcheck/admissionmodel/choices.go
@@ -6,7 +6,7 @@
 	"strings"
 
 	"slateridge/internal/constants"
-	"slateridge/internal/explore"
+	"slateridge/internal/modelcheck"
 )
 
 // faultKinds count as faults; the others repair, or are work.
@@ -19,7 +19,7 @@
 	out := []string{"wait"}
 	add := func(words ...string) {
 		for _, w := range words {
-			if kind := strings.Fields(w)[0]; explore.Offered(kind, m.Kinds, m.Without) && (m.faults < m.Faults || !slices.Contains(faultKinds, kind)) {
+			if kind := strings.Fields(w)[0]; modelcheck.Offered(kind, m.Kinds, m.Without) && (m.faults < m.Faults || !slices.Contains(faultKinds, kind)) {
 				out = append(out, w)
 			}
 		}
@@ -59,7 +59,7 @@
 }
 
 // mayStart says whether a stopped process may start: a start takes its time.
-func (m *Model) mayStart(n string) bool { return m.world.Now-m.stopped[n] >= explore.Stall }
+func (m *Model) mayStart(n string) bool { return m.world.Now-m.stopped[n] >= modelcheck.Stall }
 
 // proxyChoices lists what may happen to a proxy and its paths.
 func (m *Model) proxyChoices(n string, add func(...string)) {
@@ -85,7 +85,7 @@
 
 func (m *Model) Apply(n int) {
 	if n == 0 {
-		m.world.Run(m.grid, func(*explore.Event) bool { return m.Messages }, m.well)
+		m.world.Run(m.grid, func(*modelcheck.Event) bool { return m.Messages }, m.healthy)
 		if m.world.Now >= m.grid {
 			m.grid += m.Step
 		}
@@ -131,7 +131,7 @@
 		m.vacate("")
 		m.ended += powerVacancy
 	case "long":
-		m.world.Run(m.world.Now+m.Long, nil, m.well)
+		m.world.Run(m.world.Now+m.Long, nil, m.healthy)
 		m.grid = max(m.grid, m.world.Now)
 	}
 }
@@ -141,7 +141,7 @@
 
 func (m *Model) Hash() uint64 {
 	m.forgetOld()
-	a := explore.Abstraction{LongAgo: longAgo, Skip: skip, Grain: grain}
+	a := modelcheck.Abstraction{LongAgo: longAgo, Skip: skip, Grain: grain}
 	parts := []any{m.world.Hash(a), m.stopped, m.grid, m.faults, m.came, m.roster, m.started, m.holder, m.since, m.ended, m.next, m.bound, m.recent}
 	for _, n := range m.proxiesUp() {
 		p := m.proxies[n]
@@ -163,7 +163,7 @@
 // then it ends the troubles, and the pressed key must be served.
 func (m *Model) Quiet() error {
 	m.pressAll(true)
-	m.world.Run(m.world.Now+lastPress, nil, m.well)
+	m.world.Run(m.world.Now+lastPress, nil, m.healthy)
 	m.pressAll(false)
 	m.world.Heal()
 	for _, n := range m.world.Names {
@@ -171,13 +171,13 @@
 			m.start(n)
 		}
 	}
-	m.world.Run(m.world.Now+m.Settle, nil, m.well)
+	m.world.Run(m.world.Now+m.Settle, nil, m.healthy)
 	if m.waitsForTheGone() {
-		m.world.Run(m.world.Now+constants.ProxyForget, nil, m.well)
+		m.world.Run(m.world.Now+constants.ProxyForget, nil, m.healthy)
 	}
 	before := m.served
 	m.pressAll(true)
-	m.world.Run(m.world.Now+servedPress, nil, m.well)
+	m.world.Run(m.world.Now+servedPress, nil, m.healthy)
 	got, want := float64(m.served-before), servedPart*m.Quota.Rate*servedPress.Seconds()
 	if m.err == nil && got < want && len(m.proxiesUp()) > 0 {
 		m.broken(RuleServes, "%.0f served in %v after %v of quiet, at least %.0f of what is pressed for should be: %s", got, servedPress, m.Settle, want, m.describe())
--- a/internal/explore/chainmodel/chainmodel.go
+++ b/internal/modelcheck/chainmodel/chainmodel.go
@@ -1,6 +1,6 @@
-// Package chainmodel has package explore drive the chain of control machines:
-// founders and newcomers, operators that order and ask again after lost answers,
-// and the rules that must hold through all of it.
+// Package chainmodel has package modelcheck drive the chain of control machines: founders
+// and newcomers, operators that order and ask again after lost answers, and the rules that
+// must hold through all of it.
 package chainmodel
 
 import (
@@ -13,9 +13,9 @@
 
 	"slateridge/internal/config"
 	"slateridge/internal/constants"
-	"slateridge/internal/explore"
 	"slateridge/internal/headworks"
 	"slateridge/internal/lease"
+	"slateridge/internal/modelcheck"
 	"slateridge/internal/simnet"
 )
 
@@ -112,10 +112,10 @@
 	content string
 }
 
-// Model is the chain as package explore drives it.
+// Model is the chain as package modelcheck drives it.
 type Model struct {
 	Config
-	w     *explore.World
+	world *modelcheck.World
 	chain map[string]*headworks.Chain
 	disks map[string]*simnet.Disk
 	grid  time.Duration
@@ -128,8 +128,8 @@
 	lossAt               time.Duration    // the latest of them
 	leaving              map[string]leave // machines that stop in order
 	last                 map[string]Order // by operator
-	wanted               uint64           // highest version sent
-	waits                map[string][]waiting
+	highestVersion       uint64           // highest version sent
+	waiters              map[string][]waiting
 	reads                map[string]map[uint64]reading
 	evacs                map[string]map[uint64]evacuation
 
@@ -158,12 +158,12 @@
 var skip = []string{"Gauge.At", "Gauge.Echo", "Gauge.Wall", "Chain.freshAsOf"}
 
 func (m *Model) Reset() {
-	m.w = explore.NewWorld(constants.ChainTick, m.tick, m.recv)
+	m.world = modelcheck.NewWorld(constants.ChainTick, m.tick, m.recv)
 	m.chain, m.disks = map[string]*headworks.Chain{}, map[string]*simnet.Disk{}
 	m.grid, m.err = m.Warm, nil
-	m.faults, m.orders, m.came, m.ids, m.wanted = 0, 0, 0, 0, 0
+	m.faults, m.orders, m.came, m.ids, m.highestVersion = 0, 0, 0, 0, 0
 	m.spares, m.losses, m.lossAt, m.leaving = nil, 0, 0, map[string]leave{}
-	m.last, m.waits = map[string]Order{}, map[string][]waiting{}
+	m.last, m.waiters = map[string]Order{}, map[string][]waiting{}
 	m.reads, m.evacs = map[string]map[uint64]reading{}, map[string]map[uint64]evacuation{}
 	m.confirmed, m.acked, m.evacAcked = map[uint64]string{}, 0, map[string]uint64{}
 	m.evacSent = map[uint64]time.Duration{}
@@ -173,12 +173,12 @@
 	for _, n := range names[:m.Founders] {
 		m.start(n, true)
 	}
-	m.w.Run(m.Warm, nil, m.well)
-	m.w.Trouble = 0
+	m.world.Run(m.Warm, nil, m.healthy)
+	m.world.Trouble = 0
 }
 
-// well checks what must hold at every moment.
-func (m *Model) well() bool {
+// healthy checks what must hold at every moment.
+func (m *Model) healthy() bool {
 	if m.Duties {
 		m.oneHolder()
 	}
@@ -187,7 +187,7 @@
 
 func (m *Model) broken(rule, f string, a ...any) {
 	if m.err == nil {
-		m.err = explore.Broken(rule, "at %v: %s", m.w.Now, fmt.Sprintf(f, a...))
+		m.err = modelcheck.Broken(rule, "at %v: %s", m.world.Now, fmt.Sprintf(f, a...))
 	}
 }
 
@@ -204,10 +204,10 @@
 	m.disks[n].Recover() // a new process opens it anew
 	peers := names[:m.Founders]
 	if !founding {
-		peers = append(slices.Clone(m.w.Names), n)
+		peers = append(slices.Clone(m.world.Names), n)
 	}
-	rng := rand.New(rand.NewPCG(uint64(n[0]), uint64(m.w.Life(n)+1)))
-	c, err := headworks.NewChain(m.w.Now, n, slices.Clone(peers), founding, m.disks[n], rng)
+	rng := rand.New(rand.NewPCG(uint64(n[0]), uint64(m.world.Life(n)+1)))
+	c, err := headworks.NewChain(m.world.Now, n, slices.Clone(peers), founding, m.disks[n], rng)
 	if err != nil {
 		if !m.disks[n].Refuse {
 			m.broken(RuleStarts, "%s: %v", n, err)
@@ -216,27 +216,27 @@
 	}
 	c.Tolerate = m.Tolerate
 	m.chain[n] = c
-	m.inForce[n], m.waits[n] = nil, nil
+	m.inForce[n], m.waiters[n] = nil, nil
 	m.reads[n], m.evacs[n] = map[uint64]reading{}, map[uint64]evacuation{}
 	m.viewOf[n] = 0
 	m.startDuties(n)
-	m.w.Start(n)
+	m.world.Start(n)
 }
 
 func (m *Model) stop(n string) {
-	m.w.Stop(n)
+	m.world.Stop(n)
 	delete(m.leaving, n)
 	m.chain[n], m.dutyHolders[n] = nil, nil
-	m.waits[n], m.reads[n], m.evacs[n] = nil, nil, nil
+	m.waiters[n], m.reads[n], m.evacs[n] = nil, nil, nil
 }
 
-// back starts a stopped machine a little later.
-func (m *Model) back(n string) {
-	life := m.w.Life(n)
-	m.w.After(explore.Stall, func() {
-		if m.w.Life(n) == life && slices.Contains(m.w.Names, n) {
+// restartLater starts a stopped machine a little later.
+func (m *Model) restartLater(n string) {
+	life := m.world.Life(n)
+	m.world.After(modelcheck.Stall, func() {
+		if m.world.Life(n) == life && slices.Contains(m.world.Names, n) {
 			m.start(n, false)
-			m.w.Trouble = m.w.Now
+			m.world.Trouble = m.world.Now
 		}
 	})
 }
@@ -244,13 +244,13 @@
 // quit stops a machine in order, as its daemon does: its leases are handed over, the
 // others are told, and it waits for a view without it, if they can make one.
 func (m *Model) quit(n string, forGood bool) {
-	well := m.whole() && m.chain[n].CanLeave() && len(m.leaving) == 0
+	well := m.allHealthy() && m.chain[n].CanLeave() && len(m.leaving) == 0
 	m.lose(n, true)
 	if o := m.dutyHolders[n]; o != nil {
-		m.sendLease(n, o.lease.Leave(m.w.Now))
+		m.sendLease(n, o.lease.Leave(m.world.Now))
 	}
-	m.leaving[n] = leave{m.w.Now, m.w.Life(n), m.faults, forGood, well}
-	m.run(n, func(c *headworks.Chain) []any { return c.Leave(m.w.Now) })
+	m.leaving[n] = leave{m.world.Now, m.world.Life(n), m.faults, forGood, well}
+	m.run(n, func(c *headworks.Chain) []any { return c.Leave(m.world.Now) })
 	m.awaitLeft(n, m.leaving[n])
 }
 
@@ -265,36 +265,36 @@
 
 func (m *Model) awaitLeft(n string, l leave) {
 	c := m.chain[n]
-	if m.w.Life(n) != l.life || c == nil {
+	if m.world.Life(n) != l.life || c == nil {
 		return // stopped before
 	}
-	late := m.w.Now-l.began >= constants.LeaveWait
-	if !c.Left() && c.CanLeave() && !late || m.w.Frozen(n) {
-		m.w.After(constants.ChainTick/2, func() { m.awaitLeft(n, l) })
+	late := m.world.Now-l.began >= constants.LeaveWait
+	if !c.Left() && c.CanLeave() && !late || m.world.Frozen(n) {
+		m.world.After(constants.ChainTick/2, func() { m.awaitLeft(n, l) })
 		return
 	}
 	if !c.Left() && l.well && m.faults == l.faults {
-		m.broken(RuleLeaves, "%s stops after %v and is still a member: %s", n, m.w.Now-l.began, m.describe())
+		m.broken(RuleLeaves, "%s stops after %v and is still a member: %s", n, m.world.Now-l.began, m.describe())
 	}
 	if c.Left() {
 		m.left++
 	}
 	m.stop(n)
 	if l.forGood {
-		m.w.Leave(n)
+		m.world.Leave(n)
 	}
 }
 
 func (m *Model) tick(n string) {
-	m.run(n, func(c *headworks.Chain) []any { return c.Tick(m.w.Now) })
+	m.run(n, func(c *headworks.Chain) []any { return c.Tick(m.world.Now) })
 	m.stepDuties(n)
 }
 
-func (m *Model) recv(e *explore.Event) {
+func (m *Model) recv(e *modelcheck.Event) {
 	if m.recvLease(e) {
 		return
 	}
-	m.run(e.To, func(c *headworks.Chain) []any { return c.Recv(m.w.Now, e.From, e.Msg) })
+	m.run(e.To, func(c *headworks.Chain) []any { return c.Recv(m.world.Now, e.From, e.Msg) })
 }
 
 // run has a machine do something and checks the rules on what came of it.
@@ -313,7 +313,7 @@
 			case headworks.Accepted:
 				m.votes(c, before, s.Slot, "accepts")
 			}
-			m.w.Send(n, o.To, o.Msg)
+			m.world.Send(n, o.To, o.Msg)
 		case headworks.Commit:
 			m.commit(n, o.Doc)
 		case headworks.ReadDone:
@@ -365,16 +365,16 @@
 	if was, ok := m.confirmed[d.Version]; ok && was != is.content {
 		m.broken(RuleOneContent, "%s has r%d %q in force, %q was confirmed", n, d.Version, is.content, was)
 	}
-	m.waits[n] = slices.DeleteFunc(m.waits[n], func(w waiting) bool { return m.w.Now-w.at > constants.SubmitWait })
+	m.waiters[n] = slices.DeleteFunc(m.waiters[n], func(w waiting) bool { return m.world.Now-w.at > constants.SubmitWait })
 	var left []waiting
-	for _, w := range m.waits[n] {
+	for _, w := range m.waiters[n] {
 		if !Confirms(&d, w.Order) {
 			left = append(left, w)
 		} else {
 			m.confirm(n, w.Order)
 		}
 	}
-	m.waits[n] = left
+	m.waiters[n] = left
 	for z, e := range d.Evac {
 		for i, id := range e.IDs {
 			for _, before := range e.IDs[:i] {
@@ -413,7 +413,7 @@
 func (m *Model) readDone(n string, o headworks.ReadDone) {
 	r, ok := m.reads[n][o.ID]
 	delete(m.reads[n], o.ID)
-	if !ok || m.w.Now-r.began > constants.SubmitWait {
+	if !ok || m.world.Now-r.began > constants.SubmitWait {
 		return // its caller has gone
 	}
 	m.answers++
@@ -439,20 +439,20 @@
 // order sends an operator's configuration to a machine.
 func (m *Model) order(n string, o Order) {
 	m.last[o.Operator] = o
-	m.wanted = max(m.wanted, o.Version)
-	if m.chain[n] == nil || m.w.Frozen(n) {
+	m.highestVersion = max(m.highestVersion, o.Version)
+	if m.chain[n] == nil || m.world.Frozen(n) {
 		return // no answer
 	}
 	if Confirms(m.inForce[n], o) {
 		m.confirm(n, o)
 		return
 	}
-	m.waits[n] = append(m.waits[n], waiting{o, m.w.Now})
-	m.run(n, func(c *headworks.Chain) []any { return submit(c, m.w.Now, o) })
+	m.waiters[n] = append(m.waiters[n], waiting{o, m.world.Now})
+	m.run(n, func(c *headworks.Chain) []any { return submit(c, m.world.Now, o) })
 }
 
 func (m *Model) read(n string) {
-	if m.chain[n] == nil || m.w.Frozen(n) {
+	if m.chain[n] == nil || m.world.Frozen(n) {
 		return
 	}
 	m.ids++
@@ -460,20 +460,20 @@
 	for z, k := range m.evacAcked {
 		evacs[z] = k
 	}
-	m.reads[n][m.ids] = reading{m.w.Now, m.acked, evacs}
+	m.reads[n][m.ids] = reading{m.world.Now, m.acked, evacs}
 	id := m.ids
-	m.run(n, func(c *headworks.Chain) []any { return c.Read(m.w.Now, id) })
+	m.run(n, func(c *headworks.Chain) []any { return c.Read(m.world.Now, id) })
 }
 
 func (m *Model) evacuate(n string, on bool) {
-	if m.chain[n] == nil || m.w.Frozen(n) {
+	if m.chain[n] == nil || m.world.Frozen(n) {
 		return
 	}
 	m.ids++
 	id := m.ids
-	m.evacSent[id] = m.w.Now
+	m.evacSent[id] = m.world.Now
 	m.evacs[n][id] = evacuation{"z", on}
-	m.run(n, func(c *headworks.Chain) []any { return c.Evacuate(m.w.Now, id, "z", on) })
+	m.run(n, func(c *headworks.Chain) []any { return c.Evacuate(m.world.Now, id, "z", on) })
 }
 
 // ---- choices
@@ -487,24 +487,24 @@
 	return false
 }
 
-func (m *Model) atMessage() *explore.Event {
-	if e := m.w.Head(); m.Messages && e != nil && !regular(e.Msg) {
+func (m *Model) atMessage() *modelcheck.Event {
+	if e := m.world.Head(); m.Messages && e != nil && !regular(e.Msg) {
 		return e
 	}
 	return nil
 }
 
-// whole says whether a disk may be lost: all machines are up and one chain, and
+// allHealthy says whether a disk may be lost: all machines are up and one chain, and
 // have had the time to catch up.
-func (m *Model) whole() bool {
+func (m *Model) allHealthy() bool {
 	if m.Reckless {
 		return true
 	}
-	if m.w.Parted() || len(m.w.Names) < m.Founders || m.w.Now-m.w.Trouble < m.CatchUp {
+	if m.world.Parted() || len(m.world.Names) < m.Founders || m.world.Now-m.world.Trouble < m.CatchUp {
 		return false
 	}
-	for _, n := range m.w.Names {
-		if m.chain[n] == nil || m.w.Frozen(n) || m.disks[n].Refuse || m.disks[n].Failed() || !slices.ContainsFunc(m.chain[m.w.Names[0]].View().Members, func(x headworks.Member) bool { return x == m.chain[n].Me }) {
+	for _, n := range m.world.Names {
+		if m.chain[n] == nil || m.world.Frozen(n) || m.disks[n].Refuse || m.disks[n].Failed() || !slices.ContainsFunc(m.chain[m.world.Names[0]].View().Members, func(x headworks.Member) bool { return x == m.chain[n].Me }) {
 			return false
 		}
 	}
@@ -514,19 +514,19 @@
 // mayLose says whether one more machine, or disk, may be lost by what is promised:
 // all is whole, or nothing but tolerated losses has happened since it was.
 func (m *Model) mayLose() bool {
-	return m.whole() || m.losses > 0 && m.losses < m.Tolerate && m.w.Trouble == m.lossAt
+	return m.allHealthy() || m.losses > 0 && m.losses < m.Tolerate && m.world.Trouble == m.lossAt
 }
 
 // lose notes that a machine is stopped or lost; spare says that the others have to
 // do without it.
 func (m *Model) lose(n string, spare bool) {
-	if m.whole() {
+	if m.allHealthy() {
 		m.losses, m.spares = 0, nil
 	} else if !m.mayLose() {
 		return
 	}
 	m.losses++
-	m.lossAt = m.w.Now
+	m.lossAt = m.world.Now
 	if spare {
 		m.spares = append(m.spares, n)
 	}
@@ -542,18 +542,18 @@
 	out := []string{"wait"}
 	add := func(ws ...string) {
 		for _, w := range ws {
-			if kind := strings.Fields(w)[0]; explore.Offered(kind, m.Kinds, m.Without) && (m.faults < m.Faults || !slices.Contains(faultKinds, kind)) {
+			if kind := strings.Fields(w)[0]; modelcheck.Offered(kind, m.Kinds, m.Without) && (m.faults < m.Faults || !slices.Contains(faultKinds, kind)) {
 				out = append(out, w)
 			}
 		}
 	}
 	if e := m.atMessage(); e != nil {
-		add(m.w.OnHead()...)
+		add(m.world.OnHead()...)
 	}
-	for _, n := range m.w.Names {
-		if m.w.Up(n) {
+	for _, n := range m.world.Names {
+		if m.world.Up(n) {
 			add("restart "+n, "stop "+n)
-			if _, ok := m.leaving[n]; !ok && !m.w.Frozen(n) {
+			if _, ok := m.leaving[n]; !ok && !m.world.Frozen(n) {
 				add("quit " + n)
 			}
 		} else {
@@ -561,7 +561,7 @@
 		}
 	}
 	add("power")
-	for _, n := range m.w.Names {
+	for _, n := range m.world.Names {
 		if m.disks[n].Refuse {
 			add("clear " + n)
 		} else {
@@ -569,8 +569,8 @@
 		}
 	}
 	if m.mayLose() {
-		for _, n := range m.w.Names {
-			if _, ok := m.leaving[n]; !ok && m.w.Up(n) {
+		for _, n := range m.world.Names {
+			if _, ok := m.leaving[n]; !ok && m.world.Up(n) {
 				add("wipe "+n, "leave "+n, "depart "+n)
 			}
 		}
@@ -583,18 +583,18 @@
 	if m.came < m.Newcomers {
 		add("come " + names[m.Founders+m.came])
 	}
-	add(m.w.Freezes()...)
-	add(m.w.Paths()...)
+	add(m.world.Freezes()...)
+	add(m.world.Paths()...)
 	if m.orders < m.Orders {
-		for _, n := range m.w.Names {
-			if !m.w.Up(n) {
+		for _, n := range m.world.Names {
+			if !m.world.Up(n) {
 				continue
 			}
 			for i := range m.Operators {
 				p := string(rune('p' + i))
-				add(fmt.Sprintf("order %s at %s: r%d", p, n, m.wanted+1))
-				if m.wanted > 0 && m.last[p].Version != m.wanted {
-					add(fmt.Sprintf("order %s at %s: r%d", p, n, m.wanted))
+				add(fmt.Sprintf("order %s at %s: r%d", p, n, m.highestVersion+1))
+				if m.highestVersion > 0 && m.last[p].Version != m.highestVersion {
+					add(fmt.Sprintf("order %s at %s: r%d", p, n, m.highestVersion))
 				}
 				if m.last[p].Version > 0 {
 					add(fmt.Sprintf("again %s at %s", p, n))
@@ -608,8 +608,8 @@
 
 func (m *Model) Apply(n int) {
 	if n == 0 {
-		m.w.Run(m.grid, func(*explore.Event) bool { return m.atMessage() != nil }, m.well)
-		if m.w.Now >= m.grid {
+		m.world.Run(m.grid, func(*modelcheck.Event) bool { return m.atMessage() != nil }, m.healthy)
+		if m.world.Now >= m.grid {
 			m.grid += m.Step
 		}
 		return
@@ -619,13 +619,13 @@
 	if slices.Contains(faultKinds, f[0]) {
 		m.faults++
 	}
-	if m.w.Do(word) {
+	if m.world.Do(word) {
 		return
 	}
 	switch f[0] {
 	case "restart":
 		m.stop(f[1])
-		m.back(f[1])
+		m.restartLater(f[1])
 	case "stop":
 		m.lose(f[1], true)
 		m.stop(f[1])
@@ -635,9 +635,9 @@
 		m.spares = nil
 		m.start(f[1], false)
 	case "power":
-		for _, n := range m.w.Names {
+		for _, n := range m.world.Names {
 			m.stop(n)
-			m.back(n)
+			m.restartLater(n)
 		}
 	case "fill", "clear":
 		m.disks[f[1]].Refuse = f[0] == "fill"
@@ -647,11 +647,11 @@
 		m.lose(f[1], false)
 		m.stop(f[1])
 		m.disks[f[1]] = simnet.NewDisk()
-		m.back(f[1])
+		m.restartLater(f[1])
 	case "leave":
 		m.lose(f[1], false)
 		m.stop(f[1])
-		m.w.Leave(f[1])
+		m.world.Leave(f[1])
 	case "come":
 		m.came++
 		m.start(f[1], false)
@@ -670,14 +670,14 @@
 		}
 		return // no trouble
 	}
-	m.w.Trouble = m.w.Now
+	m.world.Trouble = m.world.Now
 }
 
 func (m *Model) Hash() uint64 {
-	a := explore.Abstraction{LongAgo: m.LongAgo, Skip: skip}
-	parts := []any{m.spares, m.losses, m.lossAt == m.w.Trouble, m.leaving, m.faults, m.orders, m.came, m.wanted, m.last, m.confirmed, m.evacAcked, m.evacSent, m.states, m.views, m.grid, int(min(m.w.Now-m.w.Trouble, m.CatchUp))}
-	for _, n := range m.w.Names {
-		parts = append(parts, n, m.disks[n], m.inForce[n] != nil, m.waits[n], m.reads[n], m.evacs[n])
+	a := modelcheck.Abstraction{LongAgo: m.LongAgo, Skip: skip}
+	parts := []any{m.spares, m.losses, m.lossAt == m.world.Trouble, m.leaving, m.faults, m.orders, m.came, m.highestVersion, m.last, m.confirmed, m.evacAcked, m.evacSent, m.states, m.views, m.grid, int(min(m.world.Now-m.world.Trouble, m.CatchUp))}
+	for _, n := range m.world.Names {
+		parts = append(parts, n, m.disks[n], m.inForce[n] != nil, m.waiters[n], m.reads[n], m.evacs[n])
 		if c := m.chain[n]; c != nil {
 			parts = append(parts, c)
 		}
@@ -685,7 +685,7 @@
 	if m.Duties {
 		parts = append(parts, m.dutiesHash(a))
 	}
-	return a.Digest(m.w.Now, m.w.Hash(a), a.Digest(m.w.Now, parts...))
+	return a.Digest(m.world.Now, m.world.Hash(a), a.Digest(m.world.Now, parts...))
 }
 
 // Quiet ends all trouble; then every machine must have an order confirmed and a
@@ -693,17 +693,17 @@
 // at a time, with the others whole. A machine that was stopped while all was
 // whole stays down at first: the others have to do without it.
 func (m *Model) Quiet() error {
-	m.w.Heal()
+	m.world.Heal()
 	m.platform.down = false
-	for _, n := range m.w.Names {
+	for _, n := range m.world.Names {
 		m.disks[n].Refuse = false
 	}
 	if len(m.leaving) > 0 {
-		m.w.Run(m.w.Now+constants.LeaveWait+constants.ChainTick, nil, m.well)
+		m.world.Run(m.world.Now+constants.LeaveWait+constants.ChainTick, nil, m.healthy)
 	}
 	spared := true
 	down := 0
-	for _, n := range m.w.Names {
+	for _, n := range m.world.Names {
 		if m.chain[n] == nil {
 			down++
 			spared = spared && slices.Contains(m.spares, n)
@@ -712,7 +712,7 @@
 	if down > 0 && spared {
 		m.serve()
 	}
-	for _, n := range slices.Clone(m.w.Names) {
+	for _, n := range slices.Clone(m.world.Names) {
 		if m.chain[n] == nil {
 			m.start(n, false)
 		}
@@ -723,33 +723,33 @@
 
 // serve lets things settle and asks each machine that is up for its service.
 func (m *Model) serve() {
-	m.w.Run(m.w.Now+m.Settle, nil, m.well)
+	m.world.Run(m.world.Now+m.Settle, nil, m.healthy)
 	if m.Duties {
 		m.quietDuties()
 	}
 	var up []string
-	for _, n := range m.w.Names {
+	for _, n := range m.world.Names {
 		if m.chain[n] != nil {
 			up = append(up, n)
 		}
 	}
 	for _, n := range up {
-		o := Order{"quiet", m.wanted + 1, fmt.Sprintf("r%d after quiet", m.wanted+1)}
+		o := Order{"quiet", m.highestVersion + 1, fmt.Sprintf("r%d after quiet", m.highestVersion+1)}
 		confirmed := func() bool { _, ok := m.confirmed[o.Version]; return ok }
-		until := m.w.Now + m.Serve
-		for m.err == nil && !confirmed() && m.w.Now < until {
+		until := m.world.Now + m.Serve
+		for m.err == nil && !confirmed() && m.world.Now < until {
 			m.order(n, o)
-			m.w.Run(m.w.Now+constants.SubmitWait, nil, func() bool { return m.well() && !confirmed() })
+			m.world.Run(m.world.Now+constants.SubmitWait, nil, func() bool { return m.healthy() && !confirmed() })
 		}
 		if m.err == nil && !confirmed() {
 			m.broken(RuleServes, "%s: nothing confirmed in %v of quiet and %v: %s", n, m.Settle, m.Serve, m.describe())
 		}
 	}
 	for _, n := range up {
-		was, until := m.answers, m.w.Now+m.Serve
-		for m.err == nil && m.answers == was && m.w.Now < until {
+		was, until := m.answers, m.world.Now+m.Serve
+		for m.err == nil && m.answers == was && m.world.Now < until {
 			m.read(n)
-			m.w.Run(m.w.Now+constants.SubmitWait, nil, func() bool { return m.well() && m.answers == was })
+			m.world.Run(m.world.Now+constants.SubmitWait, nil, func() bool { return m.healthy() && m.answers == was })
 		}
 		if m.err == nil && m.answers == was {
 			m.broken(RuleAnswers, "%s: no read answered in %v of quiet and %v: %s", n, m.Settle, m.Serve, m.describe())
@@ -760,7 +760,7 @@
 // describe tells what each machine knows.
 func (m *Model) describe() string {
 	var out []string
-	for _, n := range m.w.Names {
+	for _, n := range m.world.Names {
 		if c := m.chain[n]; c != nil {
 			g := c.Status()
 			var ms []string
--- a/internal/explore/chainmodel/chainmodel_test.go
+++ b/internal/modelcheck/chainmodel/chainmodel_test.go
@@ -4,64 +4,64 @@
 	"testing"
 	"time"
 
-	"slateridge/internal/explore"
+	"slateridge/internal/modelcheck"
 )
 
-// found are schedules that broke a rule once, as the explorer printed them.
+// found are schedules that broke a rule once, as the model checker printed them.
 var found = []struct {
 	rule     string
-	schedule explore.Schedule
+	schedule modelcheck.Schedule
 }{
 	// Voters that left for good counted for the majority for ever.
-	{RuleServes, explore.Schedule{"leave a", "come d", "+3", "leave b"}},
-	{RuleServes, explore.Schedule{"leave a", "come d", "+3", "leave c"}},
-	{RuleServes, explore.Schedule{"leave a", "come d", "+3", "wipe b"}},
-	{RuleServes, explore.Schedule{"leave a", "come d", "+3", "wipe c"}},
-	{RuleServes, explore.Schedule{"leave a", "come d", "+3", "leave b", "come e"}},
-	{RuleServes, explore.Schedule{"leave a", "come d", "+3", "stop c"}},
+	{RuleServes, modelcheck.Schedule{"leave a", "come d", "+3", "leave b"}},
+	{RuleServes, modelcheck.Schedule{"leave a", "come d", "+3", "leave c"}},
+	{RuleServes, modelcheck.Schedule{"leave a", "come d", "+3", "wipe b"}},
+	{RuleServes, modelcheck.Schedule{"leave a", "come d", "+3", "wipe c"}},
+	{RuleServes, modelcheck.Schedule{"leave a", "come d", "+3", "leave b", "come e"}},
+	{RuleServes, modelcheck.Schedule{"leave a", "come d", "+3", "stop c"}},
 	// One that came soon after the founding passed for a founder, and its place was kept.
-	{RuleServes, explore.Schedule{"come d", "+3", "leave a", "+2", "stop c"}},
+	{RuleServes, modelcheck.Schedule{"come d", "+3", "leave a", "+2", "stop c"}},
 	// A number was confirmed whatever stood under it.
-	{RuleOneContent, explore.Schedule{"order p at a: r1", "order q at a: r1"}},
-	{RuleOneContent, explore.Schedule{"order p at a: r1", "order q at b: r1"}},
-	{RuleOneContent, explore.Schedule{"order p at a: r1", "+1", "order q at c: r1"}},
+	{RuleOneContent, modelcheck.Schedule{"order p at a: r1", "order q at a: r1"}},
+	{RuleOneContent, modelcheck.Schedule{"order p at a: r1", "order q at b: r1"}},
+	{RuleOneContent, modelcheck.Schedule{"order p at a: r1", "+1", "order q at c: r1"}},
 }
 
 func TestFound(t *testing.T) {
 	for _, f := range found {
 		t.Run(f.rule+"/"+f.schedule.String(), func(t *testing.T) {
-			if err := explore.Replay(New(Small()), f.schedule); err != nil {
+			if err := modelcheck.Replay(New(Small()), f.schedule); err != nil {
 				t.Error(err)
 			}
 		})
 	}
 }
 
-// Short searches in bounds that stay the same; slateridge explore runs long ones.
+// Short searches in bounds that stay the same; slateridge modelcheck runs long ones.
 func TestChain(t *testing.T) {
 	for _, s := range []struct {
 		name   string
 		change func(*Config)
 		random bool
-		o      explore.Options
+		o      modelcheck.Options
 	}{
-		{"membership", func(c *Config) { c.Kinds = []string{"leave", "come", "wipe"} }, false, explore.Options{Deviations: 3, Depth: 4, Schedules: 130}},
-		{"orders", func(c *Config) { c.Kinds = []string{"order", "again", "read", "evacuate"} }, false, explore.Options{Deviations: 2, Depth: 1, Schedules: 120}},
-		{"faults", func(c *Config) { c.Newcomers, c.Operators = 0, 1 }, false, explore.Options{Deviations: 1, Depth: 1}},
-		{"messages", func(c *Config) { c.Newcomers, c.Operators, c.Messages = 0, 1, true }, true, explore.Options{Deviations: 4, Depth: 60, Schedules: 60, Seed: 1}},
-		{"orderly leaves", func(c *Config) { c.Kinds = []string{"quit", "depart", "come", "start"} }, false, explore.Options{Deviations: 2, Depth: 2}},
-		{"two of five lost", func(c *Config) { *c = Five(); c.Kinds = []string{"stop", "wipe", "leave", "quit"} }, false, explore.Options{Deviations: 2, Depth: 0}},
-		{"five machines", func(c *Config) { *c = Five() }, true, explore.Options{Deviations: 4, Depth: 3, Schedules: 40, Seed: 3}},
+		{"membership", func(c *Config) { c.Kinds = []string{"leave", "come", "wipe"} }, false, modelcheck.Options{Deviations: 3, Depth: 4, Schedules: 130}},
+		{"orders", func(c *Config) { c.Kinds = []string{"order", "again", "read", "evacuate"} }, false, modelcheck.Options{Deviations: 2, Depth: 1, Schedules: 120}},
+		{"faults", func(c *Config) { c.Newcomers, c.Operators = 0, 1 }, false, modelcheck.Options{Deviations: 1, Depth: 1}},
+		{"messages", func(c *Config) { c.Newcomers, c.Operators, c.Messages = 0, 1, true }, true, modelcheck.Options{Deviations: 4, Depth: 60, Schedules: 60, Seed: 1}},
+		{"orderly leaves", func(c *Config) { c.Kinds = []string{"quit", "depart", "come", "start"} }, false, modelcheck.Options{Deviations: 2, Depth: 2}},
+		{"two of five lost", func(c *Config) { *c = Five(); c.Kinds = []string{"stop", "wipe", "leave", "quit"} }, false, modelcheck.Options{Deviations: 2, Depth: 0}},
+		{"five machines", func(c *Config) { *c = Five() }, true, modelcheck.Options{Deviations: 4, Depth: 3, Schedules: 40, Seed: 3}},
 	} {
 		t.Run(s.name, func(t *testing.T) {
 			c := Small()
 			s.change(&c)
 			s.o.Jobs = 2
-			search := explore.Systematic
+			search := modelcheck.Systematic
 			if s.random {
-				search = explore.Random
+				search = modelcheck.Random
 			}
-			r := search(func() explore.Model { return New(c) }, s.o)
+			r := search(func() modelcheck.Model { return New(c) }, s.o)
 			t.Log(r)
 			for _, f := range r.Failures {
 				t.Errorf("%v\n%s", f.Err, f.Source())
@@ -79,13 +79,13 @@
 	c := Small()
 	c.Duties, c.Operators, c.Newcomers, c.Step = true, 1, 1, 300*time.Millisecond
 	c.Without = []string{"order", "again", "read", "evacuate"}
-	r := explore.Random(func() explore.Model { return New(c) }, explore.Options{Deviations: 4, Depth: 20, Schedules: 60, Seed: 2, Jobs: 2})
+	r := modelcheck.Random(func() modelcheck.Model { return New(c) }, modelcheck.Options{Deviations: 4, Depth: 20, Schedules: 60, Seed: 2, Jobs: 2})
 	t.Log(r)
 	for _, f := range r.Failures {
 		t.Errorf("%v\n%s", f.Err, f.Source())
 	}
 	m := New(c)
-	if err := explore.Replay(m, explore.Schedule{"+2", "isolate a", "+10", "join", "+3", "outage", "+2", "recover", "freeze b", "+6", "thaw b"}); err != nil {
+	if err := modelcheck.Replay(m, modelcheck.Schedule{"+2", "isolate a", "+10", "join", "+3", "outage", "+2", "recover", "freeze b", "+6", "thaw b"}); err != nil {
 		t.Error(err)
 	}
 	if m.platform.taken < 8 || len(m.platform.holderOf) < 2 {
@@ -97,7 +97,7 @@
 func TestLossesBeyondThePromiseAreFound(t *testing.T) {
 	c := Small()
 	c.Reckless, c.Kinds = true, []string{"wipe", "order"}
-	r := explore.Systematic(func() explore.Model { return New(c) }, explore.Options{Deviations: 2, Depth: 1})
+	r := modelcheck.Systematic(func() modelcheck.Model { return New(c) }, modelcheck.Options{Deviations: 2, Depth: 1})
 	t.Log(r)
 	for _, f := range r.Failures {
 		t.Log(f.Source())
@@ -112,7 +112,7 @@
 func TestThreeOfFiveLostAreFound(t *testing.T) {
 	c := Five()
 	c.Reckless, c.Kinds = true, []string{"leave"}
-	r := explore.Systematic(func() explore.Model { return New(c) }, explore.Options{Deviations: 3, Depth: 0, Jobs: 2})
+	r := modelcheck.Systematic(func() modelcheck.Model { return New(c) }, modelcheck.Options{Deviations: 3, Depth: 0, Jobs: 2})
 	t.Log(r)
 	if len(r.Failures) != 1 || r.Failures[0].Rule != RuleServes || r.Failures[0].Shrunk.Deviations() != 3 {
 		t.Errorf("found %+v", r.Failures)
@@ -123,16 +123,16 @@
 func TestOrderlyLeaves(t *testing.T) {
 	m := New(Five())
 	for _, s := range []struct {
-		schedule explore.Schedule
+		schedule modelcheck.Schedule
 		left     int
 	}{
-		{explore.Schedule{"quit a", "+1"}, 1},
-		{explore.Schedule{"quit a", "+1", "quit b", "+1"}, 2},
-		{explore.Schedule{"depart a", "+1", "quit b", "+1"}, 2},
-		{explore.Schedule{"quit a", "+2", "start a", "+4", "quit b", "+2"}, 2},
-		{explore.Schedule{"isolate a", "quit a", "+2"}, 0},
+		{modelcheck.Schedule{"quit a", "+1"}, 1},
+		{modelcheck.Schedule{"quit a", "+1", "quit b", "+1"}, 2},
+		{modelcheck.Schedule{"depart a", "+1", "quit b", "+1"}, 2},
+		{modelcheck.Schedule{"quit a", "+2", "start a", "+4", "quit b", "+2"}, 2},
+		{modelcheck.Schedule{"isolate a", "quit a", "+2"}, 0},
 	} {
-		if err := explore.Replay(m, s.schedule); err != nil || m.left != s.left {
+		if err := modelcheck.Replay(m, s.schedule); err != nil || m.left != s.left {
 			t.Errorf("%v: %d left with a view without them, want %d; %v", s.schedule, m.left, s.left, err)
 		}
 	}
@@ -140,13 +140,13 @@
 
 // The same schedule comes to the same state, by way of the same steps.
 func TestReplaysAlike(t *testing.T) {
-	s := explore.Schedule{"order p at a: r1", "+2", "restart b", "+1", "mute c", "evacuate a on", "+2", "join", "+3"}
+	s := modelcheck.Schedule{"order p at a: r1", "+2", "restart b", "+1", "mute c", "evacuate a on", "+2", "join", "+3"}
 	a, b := New(Small()), New(Small())
 	for range 3 {
-		if err := explore.Replay(a, s); err != nil {
+		if err := modelcheck.Replay(a, s); err != nil {
 			t.Fatal(err)
 		}
-		explore.Replay(b, s)
+		modelcheck.Replay(b, s)
 		if a.Hash() != b.Hash() {
 			t.Fatal("two runs differ")
 		}
--- a/internal/explore/chainmodel/duties.go
+++ b/internal/modelcheck/chainmodel/duties.go
@@ -7,9 +7,9 @@
 	"time"
 
 	"slateridge/internal/duty"
-	"slateridge/internal/explore"
 	"slateridge/internal/headworks"
 	"slateridge/internal/lease"
+	"slateridge/internal/modelcheck"
 )
 
 // The rules on duties, checked when Config.Duties is set.
@@ -55,9 +55,9 @@
 	if !m.Duties {
 		return
 	}
-	life := uint64(m.w.Life(n)+1)<<32 | uint64(n[0])
+	life := uint64(m.world.Life(n)+1)<<32 | uint64(n[0])
 	m.dutyHolders[n] = &dutyHolder{
-		lease:  lease.New(m.w.Now, life, n, []string{dutyName}),
+		lease:  lease.New(m.world.Now, life, n, []string{dutyName}),
 		holder: duty.NewHolder(dutyName, n, turn, 50, rand.New(rand.NewPCG(life, 2))),
 	}
 }
@@ -69,30 +69,30 @@
 		return
 	}
 	v := c.View()
-	o.lease.SetElectorate(m.w.Now, v.Epoch, v.VoterAddrs(), c.LeavesElectorate())
-	m.sendLease(n, o.lease.Tick(m.w.Now))
+	o.lease.SetElectorate(m.world.Now, v.Epoch, v.VoterAddrs(), c.LeavesElectorate())
+	m.sendLease(n, o.lease.Tick(m.world.Now))
 	var rec duty.Record
 	if d := c.Committed(); d != nil {
 		rec = d.Duties[dutyName]
 	}
-	m.carryOut(n, o.holder.Step(m.w.Now, o.lease.Until(m.w.Now, dutyName), rec, func(after uint64) (uint64, []byte, bool) {
-		key := uint64(m.w.Now / actEvery)
+	m.carryOut(n, o.holder.Step(m.world.Now, o.lease.Until(m.world.Now, dutyName), rec, func(after uint64) (uint64, []byte, bool) {
+		key := uint64(m.world.Now / actEvery)
 		return key, []byte(n + strconv.FormatUint(key, 10)), key > after
 	}))
 }
 
 func (m *Model) sendLease(n string, out []lease.Send) {
 	for _, s := range out {
-		m.w.Send(n, s.To, s.Msg)
+		m.world.Send(n, s.To, s.Msg)
 	}
 }
 
 // recvLease takes a message if it is one on leases.
-func (m *Model) recvLease(e *explore.Event) bool {
+func (m *Model) recvLease(e *modelcheck.Event) bool {
 	switch e.Msg.(type) {
 	case lease.Request, lease.Grant, lease.Release:
 		if o := m.dutyHolders[e.To]; o != nil {
-			m.sendLease(e.To, o.lease.Recv(m.w.Now, e.From, e.Msg))
+			m.sendLease(e.To, o.lease.Recv(m.world.Now, e.From, e.Msg))
 		}
 		return true
 	}
@@ -103,15 +103,15 @@
 	for _, x := range out {
 		switch x := x.(type) {
 		case duty.Order:
-			m.run(n, func(c *headworks.Chain) []any { return c.Act(m.w.Now, x) })
+			m.run(n, func(c *headworks.Chain) []any { return c.Act(m.world.Now, x) })
 		case duty.Yield:
-			m.sendLease(n, m.dutyHolders[n].lease.Leave(m.w.Now, dutyName))
+			m.sendLease(n, m.dutyHolders[n].lease.Leave(m.world.Now, dutyName))
 		case duty.Act:
-			if _, ok := m.dutyHolders[n].lease.Holds(m.w.Now, dutyName); !ok {
+			if _, ok := m.dutyHolders[n].lease.Holds(m.world.Now, dutyName); !ok {
 				m.broken(RuleLeased, "%s sends key %d under fence %d", n, x.Key, x.Fence)
 			}
-			life := m.w.Life(n)
-			m.w.After(explore.Delay, func() { m.post(n, life, x) })
+			life := m.world.Life(n)
+			m.world.After(modelcheck.Delay, func() { m.post(n, life, x) })
 		}
 	}
 }
@@ -133,19 +133,19 @@
 			m.broken(RuleOneAct, "key %d is sent as %s and as %s", p.Key, was, p.Body)
 		}
 		f.bodies[p.Key] = string(p.Body)
-		f.acts = append(f.acts, act{m.w.Now, n})
+		f.acts = append(f.acts, act{m.world.Now, n})
 		f.taken++
-		m.turns()
+		m.checkTurns()
 	}
-	m.w.After(explore.Delay, func() {
-		if m.w.Life(n) == life && m.w.Up(n) {
-			m.w.Act(n, func() { m.carryOut(n, m.dutyHolders[n].holder.Answered(m.w.Now, p.ID, status)) })
+	m.world.After(modelcheck.Delay, func() {
+		if m.world.Life(n) == life && m.world.Up(n) {
+			m.world.Act(n, func() { m.carryOut(n, m.dutyHolders[n].holder.Answered(m.world.Now, p.ID, status)) })
 		}
 	})
 }
 
-// turns looks whether the newest act ends an A-B-A inside the lease bound.
-func (m *Model) turns() {
+// checkTurns looks whether the newest act ends an A-B-A inside the lease bound.
+func (m *Model) checkTurns() {
 	f := &m.platform
 	last, other := f.acts[len(f.acts)-1], false
 	for i := len(f.acts) - 2; i >= 0 && last.at-f.acts[i].at < turn; i-- {
@@ -159,9 +159,9 @@
 }
 
 func (m *Model) holders() (who []string) {
-	for _, n := range m.w.Names {
-		if o := m.dutyHolders[n]; o != nil && m.w.Up(n) {
-			if _, ok := o.lease.Holds(m.w.Now, dutyName); ok {
+	for _, n := range m.world.Names {
+		if o := m.dutyHolders[n]; o != nil && m.world.Up(n) {
+			if _, ok := o.lease.Holds(m.world.Now, dutyName); ok {
 				who = append(who, n)
 			}
 		}
@@ -180,20 +180,20 @@
 	if m.err == nil && len(m.holders()) != 1 {
 		m.broken(RuleHeld, "held by %d machines after %v of quiet: %s", len(m.holders()), m.Settle, m.describe())
 	}
-	was, until := m.platform.taken, m.w.Now+turn+m.Serve
-	m.w.Run(until, nil, func() bool { return m.well() && m.platform.taken == was })
+	was, until := m.platform.taken, m.world.Now+turn+m.Serve
+	m.world.Run(until, nil, func() bool { return m.healthy() && m.platform.taken == was })
 	if m.err == nil && m.platform.taken == was {
 		m.broken(RuleActs, "none in %v: %s", turn+m.Serve, m.describe())
 	}
 }
 
 // dutiesHash is of what the duties' coming depends on.
-func (m *Model) dutiesHash(a explore.Abstraction) uint64 {
-	parts := []any{m.platform.down, m.platform.fence, m.platform.acts[max(0, len(m.platform.acts)-3):], int(m.w.Now % actEvery)}
-	for _, n := range m.w.Names {
-		if m.w.Up(n) {
+func (m *Model) dutiesHash(a modelcheck.Abstraction) uint64 {
+	parts := []any{m.platform.down, m.platform.fence, m.platform.acts[max(0, len(m.platform.acts)-3):], int(m.world.Now % actEvery)}
+	for _, n := range m.world.Names {
+		if m.world.Up(n) {
 			parts = append(parts, n, m.dutyHolders[n])
 		}
 	}
-	return a.Digest(m.w.Now, parts...)
+	return a.Digest(m.world.Now, parts...)
 }
--- a/internal/explore/digest.go
+++ b/internal/modelcheck/digest.go
@@ -1,4 +1,4 @@
-package explore
+package modelcheck
 
 import (
 	"encoding/binary"
--- a/internal/explore/leasemodel/leasemodel.go
+++ b/internal/modelcheck/leasemodel/leasemodel.go
@@ -1,6 +1,5 @@
-// Package leasemodel has package explore drive the leases of single duties: never
-// two holders of a duty at one moment, and one after quiet, also while the
-// electorate changes.
+// Package leasemodel has package modelcheck drive the leases of single duties: never two
+// holders of a duty at one moment, and one after quiet, also while the electorate changes.
 package leasemodel
 
 import (
@@ -9,8 +8,8 @@
 	"time"
 
 	"slateridge/internal/constants"
-	"slateridge/internal/explore"
 	"slateridge/internal/lease"
+	"slateridge/internal/modelcheck"
 )
 
 // The rules.
@@ -47,15 +46,15 @@
 // electorate is one of those decided so far.
 type electorate struct{ peers []string }
 
-// Model is the leases as package explore drives them.
+// Model is the leases as package modelcheck drives them.
 type Model struct {
 	Config
-	w      *explore.World
-	ms     map[string]*lease.Manager
-	born   map[string]time.Duration
-	grid   time.Duration
-	err    error
-	faults int
+	world     *modelcheck.World
+	managers  map[string]*lease.Manager
+	startedAt map[string]time.Duration
+	grid      time.Duration
+	err       error
+	faults    int
 
 	agreed []electorate
 	knows  map[string]int // by machine: the number of the electorate it knows
@@ -66,13 +65,13 @@
 func New(c Config) *Model { return &Model{Config: c} }
 
 // Grants are over after a second and a machine that has just started waits as long.
-var abstraction = explore.Abstraction{LongAgo: 3 * time.Second}
+var abstraction = modelcheck.Abstraction{LongAgo: 3 * time.Second}
 
 var names = []string{"a", "b", "c", "d", "e", "f", "g", "h"}
 
 func (m *Model) Reset() {
-	m.w = explore.NewWorld(constants.LeaseTick, m.tick, m.recv)
-	m.ms, m.born = map[string]*lease.Manager{}, map[string]time.Duration{}
+	m.world = modelcheck.NewWorld(constants.LeaseTick, m.tick, m.recv)
+	m.managers, m.startedAt = map[string]*lease.Manager{}, map[string]time.Duration{}
 	m.grid, m.err, m.faults = m.Warm, nil, 0
 	m.agreed = []electorate{{names[:m.Machines]}}
 	m.knows, m.sealed = map[string]int{}, map[string]bool{}
@@ -80,8 +79,8 @@
 		m.knows[n] = 1
 		m.start(n)
 	}
-	m.w.Run(m.Warm, nil, m.well)
-	m.w.Trouble = 0
+	m.world.Run(m.Warm, nil, m.healthy)
+	m.world.Trouble = 0
 }
 
 // clock is a machine's steady clock.
@@ -90,46 +89,46 @@
 	if i := slices.Index(names, n); i < len(m.Skew) {
 		skew = m.Skew[i]
 	}
-	return (m.w.Now - m.born[n]) * time.Duration(1000+skew) / 1000
+	return (m.world.Now - m.startedAt[n]) * time.Duration(1000+skew) / 1000
 }
 
 // start brings a machine up, with what its disk holds of the electorate.
 func (m *Model) start(n string) {
-	m.born[n] = m.w.Now
-	life := uint64(m.w.Life(n)+1) << 32
-	m.ms[n] = lease.New(0, life, n, m.Duties)
-	m.w.Start(n)
+	m.startedAt[n] = m.world.Now
+	life := uint64(m.world.Life(n)+1) << 32
+	m.managers[n] = lease.New(0, life, n, m.Duties)
+	m.world.Start(n)
 }
 
 func (m *Model) put(n string, out []lease.Send) {
 	for _, s := range out {
-		m.w.Send(n, s.To, s.Msg)
+		m.world.Send(n, s.To, s.Msg)
 	}
 }
 
 func (m *Model) tick(n string) {
 	k := m.knows[n]
-	m.ms[n].SetElectorate(m.clock(n), uint64(k), m.agreed[k-1].peers, m.sealed[n])
-	m.put(n, m.ms[n].Tick(m.clock(n)))
+	m.managers[n].SetElectorate(m.clock(n), uint64(k), m.agreed[k-1].peers, m.sealed[n])
+	m.put(n, m.managers[n].Tick(m.clock(n)))
 }
 
-func (m *Model) recv(e *explore.Event) {
-	m.put(e.To, m.ms[e.To].Recv(m.clock(e.To), e.From, e.Msg))
+func (m *Model) recv(e *modelcheck.Event) {
+	m.put(e.To, m.managers[e.To].Recv(m.clock(e.To), e.From, e.Msg))
 }
 
-func (m *Model) well() bool {
+func (m *Model) healthy() bool {
 	for _, d := range m.Duties {
 		if who := m.holders(d); len(who) > 1 && m.err == nil {
-			m.err = explore.Broken(RuleOneHolder, "at %v: %s is held by %s", m.w.Now, d, strings.Join(who, " and "))
+			m.err = modelcheck.Broken(RuleOneHolder, "at %v: %s is held by %s", m.world.Now, d, strings.Join(who, " and "))
 		}
 	}
 	return m.err == nil
 }
 
 func (m *Model) holders(duty string) (who []string) {
-	for _, n := range m.w.Names {
-		if m.w.Up(n) {
-			if _, ok := m.ms[n].Holds(m.clock(n), duty); ok {
+	for _, n := range m.world.Names {
+		if m.world.Up(n) {
+			if _, ok := m.managers[n].Holds(m.clock(n), duty); ok {
 				who = append(who, n)
 			}
 		}
@@ -165,7 +164,7 @@
 func (m *Model) deciders() (out []string) {
 	now := m.agreed[len(m.agreed)-1].peers
 	for _, n := range now {
-		if m.w.Up(n) && !m.w.Frozen(n) && m.knows[n] == len(m.agreed) {
+		if m.world.Up(n) && !m.world.Frozen(n) && m.knows[n] == len(m.agreed) {
 			out = append(out, n)
 		}
 	}
@@ -179,39 +178,39 @@
 	out := []string{"wait"}
 	add := func(ws ...string) {
 		for _, w := range ws {
-			if kind := strings.Fields(w)[0]; explore.Offered(kind, m.Kinds, m.Without) && (m.faults < m.Faults || !slices.Contains(faultKinds, kind)) {
+			if kind := strings.Fields(w)[0]; modelcheck.Offered(kind, m.Kinds, m.Without) && (m.faults < m.Faults || !slices.Contains(faultKinds, kind)) {
 				out = append(out, w)
 			}
 		}
 	}
-	if m.Messages && m.w.Head() != nil {
-		add(m.w.OnHead()...)
+	if m.Messages && m.world.Head() != nil {
+		add(m.world.OnHead()...)
 	}
-	for _, n := range m.w.Names {
-		if !m.w.Up(n) {
+	for _, n := range m.world.Names {
+		if !m.world.Up(n) {
 			add("start " + n)
 			continue
 		}
 		add("restart "+n, "stop "+n)
-		if !m.w.Frozen(n) {
+		if !m.world.Frozen(n) {
 			add("yield " + n)
 		}
 	}
 	if m.deciders() != nil {
 		add(m.electable()...)
 	}
-	add(m.w.Freezes()...)
-	add(m.w.Paths()...)
+	add(m.world.Freezes()...)
+	add(m.world.Paths()...)
 	return out
 }
 
 func (m *Model) Apply(n int) {
 	if n == 0 {
-		m.w.Run(m.grid, func(*explore.Event) bool { return m.Messages }, m.well)
-		if m.w.Now >= m.grid {
+		m.world.Run(m.grid, func(*modelcheck.Event) bool { return m.Messages }, m.healthy)
+		if m.world.Now >= m.grid {
 			m.grid += m.Step
 		}
-		m.well()
+		m.healthy()
 		return
 	}
 	word := m.Choices()[n]
@@ -219,30 +218,30 @@
 	if slices.Contains(faultKinds, f[0]) {
 		m.faults++
 	}
-	if m.w.Do(word) {
-		m.well()
+	if m.world.Do(word) {
+		m.healthy()
 		return
 	}
 	switch f[0] {
 	case "restart":
-		m.w.Stop(f[1])
-		life := m.w.Life(f[1])
-		m.w.After(explore.Stall, func() {
-			if m.w.Life(f[1]) == life {
+		m.world.Stop(f[1])
+		life := m.world.Life(f[1])
+		m.world.After(modelcheck.Stall, func() {
+			if m.world.Life(f[1]) == life {
 				m.start(f[1])
 			}
 		})
 	case "stop":
-		m.w.Stop(f[1])
+		m.world.Stop(f[1])
 	case "start":
 		m.start(f[1])
 	case "yield":
-		m.put(f[1], m.ms[f[1]].Leave(m.clock(f[1])))
+		m.put(f[1], m.managers[f[1]].Leave(m.clock(f[1])))
 	case "elect":
 		m.elect(f[1])
 	}
-	m.w.Trouble = m.w.Now
-	m.well()
+	m.world.Trouble = m.world.Now
+	m.healthy()
 }
 
 // elect decides on a next electorate as the views do: a majority of the present
@@ -258,12 +257,12 @@
 	for _, n := range m.deciders() {
 		m.sealed[n] = true
 		k := m.knows[n]
-		m.ms[n].SetElectorate(m.clock(n), uint64(k), m.agreed[k-1].peers, true)
+		m.managers[n].SetElectorate(m.clock(n), uint64(k), m.agreed[k-1].peers, true)
 	}
 	m.agreed = append(m.agreed, electorate{peers})
 	num := len(m.agreed)
 	for i, n := range names[:m.Machines+m.Others] {
-		m.w.After(time.Duration(i*i)*explore.Stall, func() { m.learn(n, num) })
+		m.world.After(time.Duration(i*i)*modelcheck.Stall, func() { m.learn(n, num) })
 	}
 }
 
@@ -278,27 +277,27 @@
 	for _, e := range m.agreed {
 		parts = append(parts, e.peers)
 	}
-	out := []any{m.w.Hash(abstraction), abstraction.Digest(m.w.Now, parts...)}
-	for _, n := range m.w.Names {
-		if m.w.Up(n) {
-			out = append(out, abstraction.Digest(m.clock(n), m.ms[n]))
+	out := []any{m.world.Hash(abstraction), abstraction.Digest(m.world.Now, parts...)}
+	for _, n := range m.world.Names {
+		if m.world.Up(n) {
+			out = append(out, abstraction.Digest(m.clock(n), m.managers[n]))
 		}
 	}
-	return abstraction.Digest(m.w.Now, out...)
+	return abstraction.Digest(m.world.Now, out...)
 }
 
 // Quiet ends all trouble; then each duty has its one holder.
 func (m *Model) Quiet() error {
-	m.w.Heal()
-	for _, n := range m.w.Names {
-		if !m.w.Up(n) {
+	m.world.Heal()
+	for _, n := range m.world.Names {
+		if !m.world.Up(n) {
 			m.start(n)
 		}
 	}
-	m.w.Run(m.w.Now+m.Settle, nil, m.well)
+	m.world.Run(m.world.Now+m.Settle, nil, m.healthy)
 	for _, d := range m.Duties {
 		if who := m.holders(d); m.err == nil && len(who) != 1 {
-			m.err = explore.Broken(RuleHeld, "at %v: after %v of quiet %s is held by %d machines", m.w.Now, m.Settle, d, len(who))
+			m.err = modelcheck.Broken(RuleHeld, "at %v: after %v of quiet %s is held by %d machines", m.world.Now, m.Settle, d, len(who))
 		}
 	}
 	return m.err
--- a/internal/explore/leasemodel/leasemodel_test.go
+++ b/internal/modelcheck/leasemodel/leasemodel_test.go
@@ -4,12 +4,12 @@
 	"testing"
 	"time"
 
-	"slateridge/internal/explore"
+	"slateridge/internal/modelcheck"
 )
 
-// A short search in bounds that stay the same; slateridge explore runs long ones.
+// A short search in bounds that stay the same; slateridge modelcheck runs long ones.
 func TestLeases(t *testing.T) {
-	report := func(r explore.Report, atLeast int) {
+	report := func(r modelcheck.Report, atLeast int) {
 		t.Helper()
 		t.Log(r)
 		for _, f := range r.Failures {
@@ -20,10 +20,10 @@
 		}
 	}
 	c := Small()
-	mk := func() explore.Model { return New(c) }
-	report(explore.Systematic(mk, explore.Options{Deviations: 1, Depth: 4, Jobs: 2}), 150)
+	mk := func() modelcheck.Model { return New(c) }
+	report(modelcheck.Systematic(mk, modelcheck.Options{Deviations: 1, Depth: 4, Jobs: 2}), 150)
 	c.Messages = true
-	report(explore.Random(mk, explore.Options{Deviations: 5, Depth: 100, Schedules: 150, Seed: 1, Jobs: 2}), 150)
+	report(modelcheck.Random(mk, modelcheck.Options{Deviations: 5, Depth: 100, Schedules: 150, Seed: 1, Jobs: 2}), 150)
 }
 
 // The search sees what it is there to see: clocks that differ by more than the
@@ -31,7 +31,7 @@
 func TestTwoHoldersAreFound(t *testing.T) {
 	c := Small()
 	c.Skew, c.Step, c.Kinds = []int{-400, 300, 300, 300}, 400*time.Millisecond, []string{"yield", "isolate"}
-	r := explore.Systematic(func() explore.Model { return New(c) }, explore.Options{Deviations: 2, Depth: 4, Jobs: 2})
+	r := modelcheck.Systematic(func() modelcheck.Model { return New(c) }, modelcheck.Options{Deviations: 2, Depth: 4, Jobs: 2})
 	t.Log(r)
 	if len(r.Failures) != 1 || r.Failures[0].Rule != RuleOneHolder || r.Failures[0].Shrunk.Deviations() != 2 {
 		t.Errorf("found %+v", r.Failures)
--- a/internal/explore/explore.go
+++ b/internal/modelcheck/modelcheck.go
@@ -1,10 +1,9 @@
-// Package explore looks for trouble in the deterministic machines; in the
-// field's terms: a bounded, stateless model checker. A schedule is the default
-// one (oldest message first, time goes on) with a few deviations from it; all
-// schedules with up to so many deviations are run, level by level (delay
-// bounding with iterative deepening), states seen before are not gone on from,
-// and a schedule that breaks a rule is shrunk to a short list that replays.
-package explore
+// Package modelcheck is a bounded, stateless model checker for the deterministic state
+// machines. A schedule is the default one (oldest message first, time goes on) with a few
+// deviations from it; all schedules with up to so many deviations are run, level by level
+// (delay bounding with iterative deepening), states seen before are not gone on from, and a
+// schedule that breaks a rule is shrunk to a short list that replays.
+package modelcheck
 
 import (
 	"errors"
@@ -222,7 +221,7 @@
 // Source is a schedule as an entry of a test table in Go.
 func (f Failure) Source() string {
 	var b strings.Builder
-	fmt.Fprintf(&b, "\t{%q, explore.Schedule{", f.Rule)
+	fmt.Fprintf(&b, "\t{%q, modelcheck.Schedule{", f.Rule)
 	for i, w := range f.Shrunk {
 		if i > 0 {
 			b.WriteString(", ")
@@ -286,24 +285,24 @@
 
 type search struct {
 	Options
-	mu    sync.Mutex
-	rep   Report
-	began time.Time
-	told  time.Time
-	seen  map[uint64]bool // states in which the quiet phase was run
+	mu         sync.Mutex
+	rep        Report
+	began      time.Time
+	reportedAt time.Time
+	seen       map[uint64]bool // states in which the quiet phase was run
 }
 
 func newSearch(o Options) *search {
 	o.Jobs = max(1, o.Jobs)
-	return &search{Options: o, began: time.Now(), told: time.Now(), seen: map[uint64]bool{}, rep: Report{Complete: -1, Kinds: map[string]int{}}}
+	return &search{Options: o, began: time.Now(), reportedAt: time.Now(), seen: map[uint64]bool{}, rep: Report{Complete: -1, Kinds: map[string]int{}}}
 }
 
 // over says whether the search has to end.
 func (s *search) over() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.Progress != nil && time.Since(s.told) > 5*time.Second {
-		s.told = time.Now()
+	if s.Progress != nil && time.Since(s.reportedAt) > 5*time.Second {
+		s.reportedAt = time.Now()
 		s.Progress(s.report())
 	}
 	return s.Limit > 0 && time.Since(s.began) > s.Limit || s.Schedules > 0 && s.rep.Schedules >= s.Schedules || len(s.rep.Failures) > 0 && !s.KeepGoing
@@ -354,20 +353,20 @@
 
 // place is a state on the way of the default after a schedule.
 type place struct {
-	hash  uint64
-	words []string
+	hash    uint64
+	choices []string
 }
 
 // node is a schedule as the one before it and one deviation more.
 type node struct {
 	parent *node
 	wait   int
-	word   string
+	choice string
 }
 
 func (n *node) schedule() (s Schedule) {
-	for ; n != nil && n.word != ""; n = n.parent {
-		s = append(s, n.word)
+	for ; n != nil && n.choice != ""; n = n.parent {
+		s = append(s, n.choice)
 		if n.wait > 0 {
 			s = append(s, "+"+strconv.Itoa(n.wait))
 		}
@@ -475,7 +474,7 @@
 						break // what comes after it was seen too
 					}
 					from[p.hash] = true
-					for _, w := range p.words {
+					for _, w := range p.choices {
 						next = append(next, &node{n, wait, w})
 					}
 				}
--- a/internal/explore/explore_test.go
+++ b/internal/modelcheck/modelcheck_test.go
@@ -1,4 +1,4 @@
-package explore
+package modelcheck
 
 import (
 	"errors"
@@ -115,7 +115,7 @@
 	if again := Parse(s.String()); !slices.Equal(again, s) {
 		t.Errorf("%v is read as %v", s, again)
 	}
-	want := "\t{\"shut\", explore.Schedule{\"left\", \"+3\"}}, // shut: why"
+	want := "\t{\"shut\", modelcheck.Schedule{\"left\", \"+3\"}}, // shut: why"
 	if got := (Failure{Rule: "shut", Shrunk: Schedule{"left", "+3"}, Err: Broken("shut", "why")}).Source(); got != want {
 		t.Errorf("printed %s", got)
 	}
