--- a/cmd/scalerun/main.go
+++ b/cmd/scalerun/main.go
@@ -1,4 +1,4 @@
-// Command scalerun tries the control plane's size on one machine: real headworks
+// Command scalerun tries the control plane's size on one machine: real control
 // processes and a real proxy on loopback addresses, and beside them hollow proxies,
 // which subscribe, take part in membership, admit and meter like real ones but carry
 // no traffic, many to a process. It ends by itself and prints one row of figures.
@@ -29,12 +29,12 @@
 	"github.com/oklog/run"
 	"github.com/rs/zerolog"
 
-	"slateridge/internal/conduit"
-	"slateridge/internal/datum"
-	"slateridge/internal/logbook"
-	"slateridge/internal/sill"
-	"slateridge/internal/sluice"
-	"slateridge/internal/wheel"
+	"slateridge/internal/constants"
+	"slateridge/internal/eventlog"
+	"slateridge/internal/proxy"
+	"slateridge/internal/rungroup"
+	"slateridge/internal/settings"
+	"slateridge/internal/transport"
 )
 
 var cli struct {
@@ -69,7 +69,7 @@
 func controlIP(i int) string { return fmt.Sprintf("127.10.0.%d", i+1) }
 func hollowIP(i int) string  { return fmt.Sprintf("127.20.%d.%d", i/250, i%250+1) }
 
-func settings(name, ip, zone, data string) map[string]any {
+func bootSettings(name, ip, zone, data string) map[string]any {
 	var seeds []string
 	for i := range min(3, cli.Control) {
 		seeds = append(seeds, net.JoinHostPort(controlIP(i), strconv.Itoa(portControl)))
@@ -112,14 +112,14 @@
 		out["z0"] = append(out["z0"], inst{"instanceId": fmt.Sprintf("echo-%d", i), "targetService": "echo", "zone": "z0",
 			"address": echoAddr(i), "capacitySlots": 16, "state": "ready", "warmupLeft": "0ms"})
 	}
-	for i := from; i < min(from+datum.PollPage, cli.Upstreams); i++ {
+	for i := from; i < min(from+constants.PollPage, cli.Upstreams); i++ {
 		z := fmt.Sprintf("z%d", i%4)
 		out[z] = append(out[z], inst{"instanceId": fmt.Sprintf("i-%08d", i), "targetService": fmt.Sprintf("svc%04d", i%cli.Services), "zone": z,
 			"address": fmt.Sprintf("127.30.%d.%d:8080", i/250%250, i%250), "capacitySlots": 2, "state": "ready", "warmupLeft": "0ms"})
 	}
 	var next any
-	if from+datum.PollPage < cli.Upstreams {
-		next = strconv.Itoa(from + datum.PollPage)
+	if from+constants.PollPage < cli.Upstreams {
+		next = strconv.Itoa(from + constants.PollPage)
 	}
 	json.NewEncoder(w).Encode(map[string]any{"instances": out, "nextPageToken": next})
 }
@@ -238,12 +238,12 @@
 
 func start(dir, role, name, ip, data string, admin int) (*proc, error) {
 	path := filepath.Join(dir, name+".json")
-	b, _ := json.Marshal(settings(name, ip, "z0", data))
+	b, _ := json.Marshal(bootSettings(name, ip, "z0", data))
 	if err := os.WriteFile(path, b, 0o600); err != nil {
 		return nil, err
 	}
 	c := exec.Command(cli.Program, role)
-	c.Env = append(os.Environ(), sill.EnvFile+"="+path)
+	c.Env = append(os.Environ(), settings.EnvFile+"="+path)
 	if cli.Verbose {
 		c.Stderr = os.Stderr
 	}
@@ -310,7 +310,7 @@
 }
 
 func here() reading {
-	t := &conduit.Traffic
+	t := &transport.Traffic
 	return reading{time.Now(), cpu(os.Getpid()), float64(t.InBytes.Load()), float64(t.OutBytes.Load()), float64(t.In.Load()), float64(t.Out.Load())}
 }
 
@@ -325,14 +325,14 @@
 	return time.Since(began), nil
 }
 
-func hollow(i int, g *run.Group, w *wheel.Wheel) (*sluice.Daemon, error) {
-	b, _ := json.Marshal(settings(fmt.Sprintf("hollow-%d", i), hollowIP(i), fmt.Sprintf("z%d", i%4), ""))
-	set := &sill.Settings{}
+func hollow(i int, g *run.Group, group *rungroup.Group) (*proxy.Daemon, error) {
+	b, _ := json.Marshal(bootSettings(fmt.Sprintf("hollow-%d", i), hollowIP(i), fmt.Sprintf("z%d", i%4), ""))
+	set := &settings.Settings{}
 	if err := json.Unmarshal(b, set); err != nil {
 		return nil, err
 	}
-	d := sluice.NewDaemon(set, "", logbook.New(zerolog.Nop()))
-	return d, d.AddHollow(g, w)
+	d := proxy.NewDaemon(set, "", eventlog.New(zerolog.Nop()))
+	return d, d.AddHollow(g, group)
 }
 
 // startPlatform serves the list, and stand-in upstreams.
@@ -360,7 +360,7 @@
 	if err := os.MkdirAll(data, 0o700); err != nil {
 		return nil, err
 	}
-	return start(dir, "headworks", fmt.Sprintf("control-%d", i), controlIP(i), data, datum.PortHeadworksAdmin)
+	return start(dir, "control", fmt.Sprintf("control-%d", i), controlIP(i), data, constants.PortControlAdmin)
 }
 
 func (p *proc) end() {
@@ -391,7 +391,7 @@
 		}
 		controls = append(controls, p)
 	}
-	real, err := start(dir, "sluice", "proxy-0", "127.10.1.1", "", datum.PortSluiceAdmin)
+	real, err := start(dir, "proxy", "proxy-0", "127.10.1.1", "", constants.PortProxyAdmin)
 	if err != nil {
 		return err
 	}
@@ -410,10 +410,10 @@
 	}
 	began := used()
 	g := &run.Group{}
-	w := wheel.New(g)
-	var ds []*sluice.Daemon
+	group := rungroup.New(g)
+	var ds []*proxy.Daemon
 	for i := range cli.Proxies {
-		d, err := hollow(i, g, w)
+		d, err := hollow(i, g, group)
 		if err != nil {
 			return err
 		}
@@ -422,7 +422,7 @@
 	go g.Run()
 	all := func(version uint64) func() bool {
 		return func() bool {
-			return !slices.ContainsFunc(ds, func(d *sluice.Daemon) bool { return d.Version() < version || d.Upstreams() < cli.Upstreams })
+			return !slices.ContainsFunc(ds, func(d *proxy.Daemon) bool { return d.Version() < version || d.Upstreams() < cli.Upstreams })
 		}
 	}
 	informed, err := waitFor("all proxies informed", all(1))
--- a/cmd/scalerun/slopes.go
+++ b/cmd/scalerun/slopes.go
@@ -9,12 +9,12 @@
 	"runtime"
 	"time"
 
-	"slateridge/internal/intake"
-	"slateridge/internal/scheme"
-	"slateridge/internal/sluice"
-	"slateridge/internal/staff"
+	"slateridge/internal/admission"
+	"slateridge/internal/config"
+	"slateridge/internal/discovery"
+	"slateridge/internal/membership"
+	"slateridge/internal/proxy"
 	"slateridge/internal/usage"
-	"slateridge/internal/weir"
 )
 
 // heap is the live heap after a collection, in bytes.
@@ -55,14 +55,14 @@
 		cli.Routes, cli.Services, cli.Tenants, cli.Proxies, cli.PerProxy = n, max(1, n/44), 100, 100, 10
 		raw, next := configuration(1), configuration(2)
 		base := heap()
-		var rd scheme.Reader
-		var a, b *scheme.Scheme
+		var rd config.Reader
+		var a, b *config.Config
 		took := timed(1, func() { a = must(rd.Read(raw)) })
 		one := heap() - base
 		again := timed(1, func() { b = must(rd.Read(next)) })
 		two := heap() - base
-		da, db := &scheme.Doc{Version: 1, Raw: raw}, &scheme.Doc{Version: 2, Raw: next}
-		whole, diff := scheme.Pack(nil, da), scheme.Pack(da, db)
+		da, db := &config.Doc{Version: 1, Raw: raw}, &config.Doc{Version: 2, Raw: next}
+		whole, diff := config.Pack(nil, da), config.Pack(da, db)
 		fmt.Fprintf(w, "  %d, %.2f, %.0f, %.3f, %.1f, %d, %.3f, %.1f\n", n, float64(len(raw))/1e6, float64(gobSize(whole))/1e3, took.Seconds(), one/1e6, gobSize(diff), again.Seconds(), two/1e6)
 		runtime.KeepAlive(a)
 		runtime.KeepAlive(b)
@@ -70,28 +70,28 @@
 	}
 	fmt.Fprintln(w, "upstreams: number, list MB as held and sent, heap MB at a proxy, first taking ms, taking a difference of ten ms, calls to read it")
 	for _, n := range []int{620, 6_200, 62_000} {
-		l := &intake.List{Num: 1}
+		l := &discovery.List{Num: 1}
 		for i := range n {
-			l.Instances = append(l.Instances, intake.Instance{ID: fmt.Sprintf("i-%010x", i), Service: fmt.Sprintf("svc%04d", i%max(1, n/25)), Address: fmt.Sprintf("10.%d.%d.%d:8080", i/65536, i/256%256, i%256), Zone: fmt.Sprintf("z%d", i%8), Slots: 2})
+			l.Instances = append(l.Instances, discovery.Instance{ID: fmt.Sprintf("i-%010x", i), Service: fmt.Sprintf("svc%04d", i%max(1, n/25)), Address: fmt.Sprintf("10.%d.%d.%d:8080", i/65536, i/256%256, i%256), Zone: fmt.Sprintf("z%d", i%8), Slots: 2})
 		}
 		base := heap()
-		y := sluice.NewYard("p", "z1", map[string]string{"z1": "r"}, func(string) int { return 5 }, func(string) time.Duration { return 0 })
-		first := timed(1, func() { y.Apply(time.Now(), l.Instances) })
+		pool := proxy.NewPool("p", "z1", map[string]string{"z1": "r"}, func(string) int { return 5 }, func(string) time.Duration { return 0 })
+		first := timed(1, func() { pool.Apply(time.Now(), l.Instances) })
 		held := heap() - base
-		again := timed(5, func() { y.Apply(time.Now(), l.Instances[:n-10]) })
-		fmt.Fprintf(w, "  %d, %.2f, %.1f, %.2f, %.2f, %d\n", n, float64(gobSize(intake.Diff(nil, l)))/1e6, held/1e6, first.Seconds()*1e3, again.Seconds()*1e3, (n+49)/50)
-		runtime.KeepAlive(y)
+		again := timed(5, func() { pool.Apply(time.Now(), l.Instances[:n-10]) })
+		fmt.Fprintf(w, "  %d, %.2f, %.1f, %.2f, %.2f, %d\n", n, float64(gobSize(discovery.Diff(nil, l)))/1e6, held/1e6, first.Seconds()*1e3, again.Seconds()*1e3, (n+49)/50)
+		runtime.KeepAlive(pool)
 	}
 	fmt.Fprintln(w, "a stream's placement: upstreams of its service in its zone, microseconds")
 	for _, n := range []int{50, 500, 5_000} {
-		y := sluice.NewYard("p", "z", map[string]string{"z": "r"}, func(string) int { return 5 }, func(string) time.Duration { return 0 })
-		var is []intake.Instance
+		pool := proxy.NewPool("p", "z", map[string]string{"z": "r"}, func(string) int { return 5 }, func(string) time.Duration { return 0 })
+		var is []discovery.Instance
 		for i := range n {
-			is = append(is, intake.Instance{ID: fmt.Sprintf("i-%010x", i), Service: "svc", Zone: "z", Slots: 4})
+			is = append(is, discovery.Instance{ID: fmt.Sprintf("i-%010x", i), Service: "svc", Zone: "z", Slots: 4})
 		}
-		y.Apply(time.Now(), is)
+		pool.Apply(time.Now(), is)
 		i := 0
-		fmt.Fprintf(w, "  %d, %.1f\n", n, float64(timed(300, func() { y.PlaceStream("svc", fmt.Sprint(i)); i++ }).Nanoseconds())/1e3)
+		fmt.Fprintf(w, "  %d, %.1f\n", n, float64(timed(300, func() { pool.PlaceStream("svc", fmt.Sprint(i)); i++ }).Nanoseconds())/1e3)
 	}
 	fmt.Fprintln(w, "usage at the holder: proxies of 40 tenants each, microseconds a word, heap MB of a window, then tenants in a report: MB, ms to add up and write it")
 	for i, n := range []int{52, 520, 5_200} {
@@ -102,7 +102,7 @@
 			for k := range 40 {
 				c[fmt.Sprintf("t%06d", (p*37+k*k)%200_000)] = 3
 			}
-			t.Take(0, 101, usage.Told{Proxy: fmt.Sprint(p), Life: uint64(p + 1), Windows: map[uint64]usage.Counts{100: c}})
+			t.Take(0, 101, usage.Report{Proxy: fmt.Sprint(p), Life: uint64(p + 1), Windows: map[uint64]usage.Counts{100: c}})
 		}
 		held := heap() - base
 		c := usage.Counts{}
@@ -110,7 +110,7 @@
 			c[fmt.Sprintf("t%06d", k)] = 3
 		}
 		word := timed(1000, func() {
-			t.Take(0, 101, usage.Told{Proxy: "0", Life: 1, Windows: map[uint64]usage.Counts{100: c}})
+			t.Take(0, 101, usage.Report{Proxy: "0", Life: 1, Windows: map[uint64]usage.Counts{100: c}})
 		})
 		many := []int{2_000, 20_000, 200_000}[i]
 		sum := usage.Counts{}
@@ -124,38 +124,38 @@
 	fmt.Fprintln(w, "admission at a tracker: keys, proxies asking for two each, heap MB, microseconds a question")
 	for _, n := range [][2]int{{2_000, 52}, {20_000, 520}, {200_000, 5_200}} {
 		base := heap()
-		g := weir.NewGatehouse(1, 6, func(int, weir.Quota) bool { return true })
-		qs := map[string]weir.Quota{}
+		tracker := admission.NewTracker(1, 6, func(int, admission.Quota) bool { return true })
+		qs := map[string]admission.Quota{}
 		for k := range n[0] {
-			qs[fmt.Sprintf("t%06d", k)] = weir.Quota{Rate: 10, Burst: 10}
+			qs[fmt.Sprintf("t%06d", k)] = admission.Quota{Rate: 10, Burst: 10}
 		}
-		g.SetQuotas(0, qs)
+		tracker.SetQuotas(0, qs)
 		asked, now := 0, 10*time.Second
 		began := time.Now()
 		for p := range n[1] {
 			for k := range 2 {
 				now += time.Microsecond
-				g.Ask(now, weir.AskGrants{Proxy: fmt.Sprint(p), Proxies: n[1], Wants: []weir.Want{{Key: fmt.Sprintf("t%06d", (p*31+k)%n[0]), Demand: 1}}},
+				tracker.Ask(now, admission.GrantRequest{Proxy: fmt.Sprint(p), Proxies: n[1], Wants: []admission.Want{{Key: fmt.Sprintf("t%06d", (p*31+k)%n[0]), Demand: 1}}},
 					func(int) (time.Duration, bool) { return 0, true })
 				asked++
 			}
 		}
 		took := time.Since(began)
 		fmt.Fprintf(w, "  %d, %d, %.1f, %.1f\n", n[0], n[1], (heap()-base)/1e6, float64(took.Nanoseconds())/float64(asked)/1e3)
-		runtime.KeepAlive(g)
+		runtime.KeepAlive(tracker)
 	}
 	fmt.Fprintln(w, "membership: members, heap MB, microseconds a datagram")
 	for _, n := range []int{52, 520, 5_200} {
 		base := heap()
-		s := staff.New(0, "10.0.0.1:1", "me", nil, rand.New(rand.NewPCG(1, 1)))
+		d := membership.New(0, "10.0.0.1:1", "me", nil, rand.New(rand.NewPCG(1, 1)))
 		i := 0
 		took := timed(n, func() {
 			a := net.JoinHostPort(fmt.Sprintf("10.1.%d.%d", i/250, i%250), "7563")
-			s.Recv(time.Duration(i)*time.Millisecond, a, staff.Msg{Seq: uint64(i), Facts: []staff.Fact{{Addr: a, Name: fmt.Sprintf("edge-some-hall-%d/sluice", i)}}})
+			d.Recv(time.Duration(i)*time.Millisecond, a, membership.Msg{Seq: uint64(i), Facts: []membership.Fact{{Addr: a, Name: fmt.Sprintf("edge-some-hall-%d/proxy", i)}}})
 			i++
 		})
 		fmt.Fprintf(w, "  %d, %.2f, %.1f\n", n, (heap()-base)/1e6, float64(took.Nanoseconds())/1e3)
-		runtime.KeepAlive(s)
+		runtime.KeepAlive(d)
 	}
 }
 
--- a/cmd/slateridge/main.go
+++ b/cmd/slateridge/main.go
@@ -1,5 +1,5 @@
-// Command slateridge is an API gateway: its proxies (sluice) and its control
-// plane (headworks) are subcommands of this one program.
+// Command slateridge is an API gateway: its proxies (proxy) and its control
+// plane (control) are subcommands of this one program.
 package main
 
 import (
@@ -16,12 +16,12 @@
 	"github.com/oklog/run"
 	"github.com/rs/zerolog"
 
-	"slateridge/internal/datum"
-	"slateridge/internal/headworks"
-	"slateridge/internal/logbook"
-	"slateridge/internal/scheme"
-	"slateridge/internal/sill"
-	"slateridge/internal/sluice"
+	"slateridge/internal/config"
+	"slateridge/internal/constants"
+	"slateridge/internal/controlplane"
+	"slateridge/internal/eventlog"
+	"slateridge/internal/proxy"
+	"slateridge/internal/settings"
 )
 
 // version is set by the build of a release.
@@ -32,8 +32,8 @@
 // usageError ends the program with exit code 2 and one line.
 type usageError struct{ error }
 
-type sluiceCmd struct{}
-type headworksCmd struct{}
+type proxyCmd struct{}
+type controlCmd struct{}
 type versionCmd struct{}
 
 type checkCmd struct {
@@ -41,13 +41,13 @@
 }
 
 var cli struct {
-	Sluice    sluiceCmd    `cmd:"" help:"Run the proxy. Settings are read from the file named by SLATERIDGE_NODE_FILE."`
-	Headworks headworksCmd `cmd:"" help:"Run the control plane. Settings are read from the file named by SLATERIDGE_NODE_FILE."`
-	Check     checkCmd     `cmd:"" help:"Validate a configuration file with the errors the API gives."`
-	Status    statusCmd    `cmd:"" help:"Show what running daemons know: view, versions, acknowledgements, duties, upstreams, quotas."`
-	Retire    retireCmd    `cmd:"" help:"Take a control machine that is gone for good out of the electorate, by agreement of the others."`
-	Explore   exploreCmd   `cmd:"" help:"Look for schedules that break the rules of the control plane's machines."`
-	Version   versionCmd   `cmd:"" help:"Print the version."`
+	Proxy      proxyCmd      `cmd:"" help:"Run the proxy. Settings are read from the file named by SLATERIDGE_NODE_FILE."`
+	Control    controlCmd    `cmd:"" help:"Run the control plane. Settings are read from the file named by SLATERIDGE_NODE_FILE."`
+	Check      checkCmd      `cmd:"" help:"Validate a configuration file with the errors the API gives."`
+	Status     statusCmd     `cmd:"" help:"Show what running daemons know: view, versions, acknowledgements, duties, upstreams, quotas."`
+	Retire     retireCmd     `cmd:"" help:"Take a control machine that is gone for good out of the electorate, by agreement of the others."`
+	Modelcheck modelcheckCmd `cmd:"" help:"Look for schedules that break the rules of the control plane's machines."`
+	Version    versionCmd    `cmd:"" help:"Print the version."`
 }
 
 func main() {
@@ -68,16 +68,16 @@
 	}
 }
 
-func newBook(set *sill.Settings, role string) *logbook.Logbook {
+func newEventLog(set *settings.Settings, role string) *eventlog.Log {
 	zerolog.TimeFieldFormat = zerolog.TimeFormatUnixMs
-	return logbook.New(zerolog.New(os.Stderr).With().Timestamp().Str("node", set.NodeName).Str("role", role).Logger())
+	return eventlog.New(zerolog.New(os.Stderr).With().Timestamp().Str("node", set.NodeName).Str("role", role).Logger())
 }
 
 // boundMemory has the collector work harder as the process comes near the
 // machine's limit, over which it would be ended.
-func boundMemory(set *sill.Settings) {
+func boundMemory(set *settings.Settings) {
 	if mb := set.Limits.MemoryMb; mb > 0 {
-		debug.SetMemoryLimit(int64(float64(mb) * datum.MemoryPart * (1 << 20)))
+		debug.SetMemoryLimit(int64(float64(mb) * constants.MemoryPart * (1 << 20)))
 	}
 }
 
@@ -111,15 +111,15 @@
 	}, func(error) { cancel() })
 }
 
-func (sluiceCmd) Run() error {
+func (proxyCmd) Run() error {
 	caught := catchSignals()
-	path := os.Getenv(sill.EnvFile)
-	set, err := sill.Load(path, "frontend", "readiness")
+	path := os.Getenv(settings.EnvFile)
+	set, err := settings.Load(path, "frontend", "readiness")
 	if err != nil {
 		return usageError{err}
 	}
 	boundMemory(set)
-	d := sluice.NewDaemon(set, path, newBook(set, "sluice"))
+	d := proxy.NewDaemon(set, path, newEventLog(set, "proxy"))
 	var g run.Group
 	if err := d.Add(&g); err != nil {
 		return err
@@ -128,15 +128,15 @@
 	return g.Run()
 }
 
-func (headworksCmd) Run() error {
+func (controlCmd) Run() error {
 	caught := catchSignals()
-	path := os.Getenv(sill.EnvFile)
-	set, err := sill.Load(path, "controlPlane")
+	path := os.Getenv(settings.EnvFile)
+	set, err := settings.Load(path, "controlPlane")
 	if err != nil {
 		return usageError{err}
 	}
 	boundMemory(set)
-	d, err := headworks.NewDaemon(set, newBook(set, "headworks"))
+	d, err := controlplane.NewDaemon(set, newEventLog(set, "control"))
 	if err != nil {
 		return err
 	}
@@ -159,7 +159,7 @@
 	if err != nil {
 		return usageError{err}
 	}
-	s, err := scheme.Read(raw)
+	s, err := config.Read(raw)
 	if err != nil {
 		return fmt.Errorf("%s: %w", c.File, err)
 	}
--- a/cmd/slateridge/whole_test.go
+++ b/cmd/slateridge/whole_test.go
@@ -17,10 +17,10 @@
 	"github.com/oklog/run"
 	"github.com/rs/zerolog"
 
-	"slateridge/internal/headworks"
-	"slateridge/internal/logbook"
-	"slateridge/internal/sill"
-	"slateridge/internal/sluice"
+	"slateridge/internal/controlplane"
+	"slateridge/internal/eventlog"
+	"slateridge/internal/proxy"
+	"slateridge/internal/settings"
 )
 
 // site is three machines on loopback addresses, each with both roles, beside
@@ -80,7 +80,7 @@
 
 func (s *site) ip(i int) string { return fmt.Sprintf("127.0.0.%d", 11+i) }
 
-func (s *site) settings(i int, bootstrap bool) *sill.Settings {
+func (s *site) settings(i int, bootstrap bool) *settings.Settings {
 	dir := filepath.Join(s.dir, fmt.Sprint(i))
 	os.MkdirAll(dir, 0o755)
 	at := func(off int) string { return fmt.Sprintf("%s:%d", s.ip(i), s.port+off) }
@@ -97,7 +97,7 @@
 	})
 	path := filepath.Join(dir, "boot.json")
 	os.WriteFile(path, raw, 0o644)
-	set, err := sill.Load(path, "frontend", "readiness", "controlPlane")
+	set, err := settings.Load(path, "frontend", "readiness", "controlPlane")
 	if err != nil {
 		s.t.Fatal(err)
 	}
@@ -121,12 +121,12 @@
 
 func (s *site) start(i int, bootstrap bool) {
 	set := s.settings(i, bootstrap)
-	h, err := headworks.NewDaemon(set, logbook.New(zerolog.Nop()))
+	h, err := controlplane.NewDaemon(set, eventlog.New(zerolog.Nop()))
 	if err != nil {
 		s.t.Fatal(err)
 	}
-	s.launch(fmt.Sprint("headworks", i), h)
-	s.launch(fmt.Sprint("sluice", i), sluice.NewDaemon(set, filepath.Join(s.dir, fmt.Sprint(i), "boot.json"), logbook.New(zerolog.Nop())))
+	s.launch(fmt.Sprint("control", i), h)
+	s.launch(fmt.Sprint("proxy", i), proxy.NewDaemon(set, filepath.Join(s.dir, fmt.Sprint(i), "boot.json"), eventlog.New(zerolog.Nop())))
 }
 
 // until repeats something that takes its time; it fails only when all hope is
@@ -166,7 +166,7 @@
 	return resp.StatusCode, string(b), err
 }
 
-func config(version int, prefix string) string {
+func cfg(version int, prefix string) string {
 	return fmt.Sprintf(`{"configVersion":"r%d","resourceList":[{"resourceKind":"services","metadata":{"name":"svc"},"spec":{"maxConnections":50}},
 {"resourceKind":"routes","metadata":{"name":"r"},"spec":{"host":"h.example","pathPrefix":"%s","routeType":"idempotent","timeout":"2s","targetLatency":"500ms","priority":1,"targetService":"svc","maxAttempts":2}}]}`, version, prefix)
 }
@@ -189,7 +189,7 @@
 	replace := func(i, version int, prefix string) {
 		t.Helper()
 		s.until("configuration", func() error {
-			code, b, err := s.call(i, "configuration.replace", config(version, prefix))
+			code, b, err := s.call(i, "configuration.replace", cfg(version, prefix))
 			if err != nil || code != 200 {
 				return fmt.Errorf("%d %s %v", code, b, err)
 			}
@@ -213,15 +213,15 @@
 	for i, c := range []struct {
 		call, body string
 		code       int
-	}{{"configuration.replace", `{"configVersion":"r9"`, 400}, {"configuration.replace", config(2, "/old/"), 200},
-		{"configuration.replace", strings.Replace(config(9, "/b/"), `"targetService":"svc"`, `"targetService":"nobody"`, 1), 400}, {"configuration.undo", "", 404}} {
+	}{{"configuration.replace", `{"configVersion":"r9"`, 400}, {"configuration.replace", cfg(2, "/old/"), 200},
+		{"configuration.replace", strings.Replace(cfg(9, "/b/"), `"targetService":"svc"`, `"targetService":"nobody"`, 1), 400}, {"configuration.undo", "", 404}} {
 		if code, b, err := s.call(i%3, c.call, c.body); code != c.code {
 			t.Errorf("%s: got %d %s %v, want %d", c.call, code, b, err, c.code)
 		}
 	}
 	// The head's machine is lost with its disk; work goes on without it.
-	s.stops["headworks0"]()
-	s.stops["sluice0"]()
+	s.stops["control0"]()
+	s.stops["proxy0"]()
 	replace(2, 5, "/b/")
 	served("/b/x", 200, 1, 2)
 	served("/a/x", 404, 1, 2)
@@ -230,7 +230,7 @@
 	served("/b/x", 200, 0)
 	s.until("taken in again", func() error {
 		b, err := fetch(http.DefaultClient, fmt.Sprintf("%s:%d", s.ip(0), s.port+3+1))
-		var r headworks.Report
+		var r controlplane.Report
 		if err == nil {
 			err = json.Unmarshal(b, &r)
 		}
@@ -241,7 +241,7 @@
 	})
 	replace(0, 6, "/c/")
 	s.until("read back", func() error {
-		if code, b, err := s.call(0, "configuration.describe", ""); code != 200 || b != config(6, "/c/") {
+		if code, b, err := s.call(0, "configuration.describe", ""); code != 200 || b != cfg(6, "/c/") {
 			return fmt.Errorf("%d %s %v", code, b, err)
 		}
 		return nil
--- a/internal/headworks/admin.go
+++ b/internal/controlplane/admin.go
@@ -1,4 +1,4 @@
-package headworks
+package controlplane
 
 import (
 	"encoding/json"
@@ -10,19 +10,19 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
-	"slateridge/internal/datum"
-	"slateridge/internal/gaugeboard"
-	"slateridge/internal/gazetteer"
-	"slateridge/internal/logbook"
-	"slateridge/internal/penstock"
-	"slateridge/internal/staff"
+	"slateridge/internal/adminhttp"
+	"slateridge/internal/constants"
+	"slateridge/internal/directory"
+	"slateridge/internal/distribution"
+	"slateridge/internal/eventlog"
+	"slateridge/internal/membership"
 )
 
 // Report is what `slateridge status` shows of a control machine.
 type Report struct {
 	Role      string
 	Node      string
-	Chain     Gauge
+	Chain     Heartbeat
 	Current   bool
 	Contact   time.Duration // since it was last in contact with a majority both ways; negative: never
 	Voters    []Voter
@@ -38,14 +38,14 @@
 	Region    string
 	Directory *Directory // where this machine serves it
 	Live      int
-	Proxies   []penstock.ProxyState
+	Proxies   []distribution.ProxyState
 	Acked     int
 	Pushes    uint64
 	Dropped   uint64 // words on leases and duties from who has no vote, or of an older view
 	Leased    map[string]float64
-	Members   []staff.Fact
-	Events    []logbook.Event
-	Tallies   []logbook.Tally
+	Members   []membership.Fact
+	Events    []eventlog.Event
+	Tallies   []eventlog.Tally
 }
 
 func (d *Daemon) electorate() ([]Voter, int) {
@@ -58,7 +58,7 @@
 // word on voters that are gone for good.
 func (d *Daemon) adminAPI() http.Handler {
 	m := http.NewServeMux()
-	m.Handle("/", gaugeboard.Handler(d.Report))
+	m.Handle("/", adminhttp.Handler(d.Report))
 	m.HandleFunc("POST /retire", d.retire)
 	return m
 }
@@ -73,13 +73,13 @@
 		return out
 	})
 	if refused != "" {
-		d.book.Note("retire_refused", addr+": "+refused)
-		fail(w, http.StatusConflict, why(refused))
+		d.events.Record("retire_refused", addr+": "+refused)
+		fail(w, http.StatusConflict, errorBody(refused))
 		return
 	}
-	for end := d.now() + datum.RetireWish/2; d.now() < end; time.Sleep(datum.ChainTick) {
+	for end := d.now() + constants.RetireRequestLife/2; d.now() < end; time.Sleep(constants.ChainTick) {
 		if !slices.Contains(d.standing.Load().voters, addr) {
-			d.book.Note("retired", addr)
+			d.events.Record("retired", addr)
 			w.Header().Set("Content-Type", "application/json")
 			json.NewEncoder(w).Encode(map[string]any{"retired": addr, "voters": d.standing.Load().voters})
 			return
@@ -90,12 +90,12 @@
 
 // Directory is what the directory knows and has answered.
 type Directory struct {
-	Places                []gazetteer.PlaceState
+	Places                []directory.LocationState
 	Asked, Empty, Spilled uint64
 }
 
 // chainStatus is the chain's state at this moment. It waits for the disk.
-func (d *Daemon) chainStatus() Gauge {
+func (d *Daemon) chainStatus() Heartbeat {
 	d.chainMu.Lock()
 	defer d.chainMu.Unlock()
 	return d.chain.Status()
@@ -103,20 +103,20 @@
 
 // Report describes this machine for operators.
 func (d *Daemon) Report() Report {
-	f := d.face()
-	r := Report{Role: "headworks", Node: d.set.NodeName, Chain: d.chainStatus(), Current: f.Current, Duties: map[string]string{},
-		ListNum: f.ListNum, ListAge: f.ListAge, Live: f.Proxies, Proxies: d.pen.Proxies(), Leased: d.gates.Held(d.now()),
-		Members: d.staff.Members(), Evacuated: f.Evacuated, Events: d.book.Latest(20), Tallies: d.book.Tallies()}
+	f := d.snapshot()
+	r := Report{Role: "control", Node: d.settings.NodeName, Chain: d.chainStatus(), Current: f.Current, Duties: map[string]string{},
+		ListNum: f.ListNum, ListAge: f.ListAge, Live: f.Proxies, Proxies: d.publisher.Proxies(), Leased: d.quotaTracker.Held(d.now()),
+		Members: d.members.Members(), Evacuated: f.Evacuated, Events: d.events.Latest(20), Tallies: d.events.Tallies()}
 	r.Contact = -1
-	if at := d.contact.Load(); at > 0 {
+	if at := d.contactAt.Load(); at > 0 {
 		r.Contact = d.now() - time.Duration(at)
 	}
 	r.Voters, r.Margin = d.electorate()
 	r.Platform, r.Scaling = d.dutyReports(), d.scalingReports()
-	r.Zone, r.Region = d.set.Zone, d.set.Region
-	if d.set.ListenAddresses.Directory != "" {
-		r.Directory = &Directory{Places: d.places.States(d.now())}
-		r.Directory.Asked, r.Directory.Empty, r.Directory.Spilled = d.places.Counts()
+	r.Zone, r.Region = d.settings.Zone, d.settings.Region
+	if d.settings.ListenAddresses.Directory != "" {
+		r.Directory = &Directory{Places: d.proxyDirectory.States(d.now())}
+		r.Directory.Asked, r.Directory.Empty, r.Directory.Spilled = d.proxyDirectory.Counts()
 	}
 	if f.Upstreams != nil {
 		r.Upstreams = len(f.Upstreams.Instances)
@@ -126,7 +126,7 @@
 			r.Acked++
 		}
 	}
-	r.Pushes = d.pen.Pushed()
+	r.Pushes = d.publisher.Pushed()
 	d.leaseMu.Lock()
 	r.Dropped = d.leases.Dropped
 	for _, duty := range d.leases.Duties() {
@@ -141,10 +141,10 @@
 	g := func(name string, v uint64) { metrics.WriteGaugeUint64(w, "slateridge_"+name, v) }
 	g("view_number", r.Chain.View.Num)
 	g("view_members", uint64(len(r.Chain.View.Members)))
-	g("view_member", gaugeboard.Flag(r.Chain.View.has(r.Chain.Me)))
-	g("view_sealed", gaugeboard.Flag(r.Chain.Sealed))
-	g("disk_sick", gaugeboard.Flag(r.Chain.Sick))
-	g("majority_heard", gaugeboard.Flag(r.Current))
+	g("view_member", adminhttp.Flag(r.Chain.View.has(r.Chain.Me)))
+	g("view_sealed", adminhttp.Flag(r.Chain.Sealed))
+	g("disk_failed", adminhttp.Flag(r.Chain.Sick))
+	g("majority_heard", adminhttp.Flag(r.Current))
 	metrics.WriteGaugeFloat64(w, "slateridge_majority_contact_age_seconds", r.Contact.Seconds())
 	metrics.WriteGaugeFloat64(w, "slateridge_electorate_margin", float64(r.Margin))
 	for _, v := range r.Voters {
@@ -155,7 +155,7 @@
 	g("state_held", r.Chain.Held.Num())
 	g("view_voters", uint64(len(r.Chain.View.Voters)))
 	g("zones_evacuated", uint64(len(r.Evacuated)))
-	g("relay", gaugeboard.Flag(r.Chain.Relay))
+	g("relay", adminhttp.Flag(r.Chain.Relay))
 	g("config_acknowledged_proxies", uint64(r.Acked))
 	g("connected_proxies", uint64(len(r.Proxies)))
 	g("live_proxies", uint64(r.Live))
@@ -163,8 +163,8 @@
 	g("upstreams_listed", uint64(r.Upstreams))
 	metrics.WriteGaugeFloat64(w, "slateridge_upstream_list_age_seconds", r.ListAge.Seconds())
 	for duty, who := range r.Duties {
-		g(fmt.Sprintf("duty_assigned{duty=%q}", duty), gaugeboard.Flag(who != ""))
-		g(fmt.Sprintf("duty_held{duty=%q}", duty), gaugeboard.Flag(who == r.Chain.Me.Addr))
+		g(fmt.Sprintf("duty_assigned{duty=%q}", duty), adminhttp.Flag(who != ""))
+		g(fmt.Sprintf("duty_held{duty=%q}", duty), adminhttp.Flag(who == r.Chain.Me.Addr))
 	}
 	for _, s := range r.Scaling {
 		l := fmt.Sprintf("{service=%q,zone=%q}", s.Service, s.Zone)
@@ -175,8 +175,8 @@
 		l := fmt.Sprintf("{duty=%q}", name)
 		g("platform_duty_fence"+l, p.Fence)
 		g("platform_duty_decided"+l, p.Decided)
-		g("platform_duty_mine"+l, gaugeboard.Flag(p.Mine))
-		g("platform_duty_backlog"+l, gaugeboard.Flag(p.Backlog))
+		g("platform_duty_mine"+l, adminhttp.Flag(p.Mine))
+		g("platform_duty_backlog"+l, adminhttp.Flag(p.Backlog))
 		metrics.WriteGaugeFloat64(w, "slateridge_platform_duty_held_seconds"+l, p.Held.Seconds())
 		metrics.WriteCounterUint64(w, "slateridge_platform_duty_accepted_total"+l, p.Accepted)
 		metrics.WriteCounterUint64(w, "slateridge_platform_duty_refused_total"+l, p.Refused)
@@ -199,15 +199,15 @@
 		}
 	}
 	metrics.WriteCounterUint64(w, "slateridge_pushes_total", r.Pushes)
-	metrics.WriteCounterUint64(w, "slateridge_lease_words_dropped_total", r.Dropped+r.Chain.Dropped)
-	gaugeboard.WriteCommon(w, r.Members, r.Tallies)
+	metrics.WriteCounterUint64(w, "slateridge_lease_messages_dropped_total", r.Dropped+r.Chain.Dropped)
+	adminhttp.WriteCommon(w, r.Members, r.Tallies)
 }
 
 // Late lists the proxies that do not hold what is in force.
 func (r Report) Late() []string {
 	var out []string
 	for _, p := range r.Proxies {
-		if p.Version < r.Chain.Version && p.Silent < datum.ProxyForget {
+		if p.Version < r.Chain.Version && p.Silent < constants.ProxyForget {
 			out = append(out, p.Name)
 		}
 	}
--- a/internal/headworks/messages.go
+++ b/internal/controlplane/messages.go
@@ -1,14 +1,14 @@
-package headworks
+package controlplane
 
 import (
-	"slateridge/internal/conduit"
-	"slateridge/internal/scheme"
+	"slateridge/internal/config"
+	"slateridge/internal/transport"
 )
 
-// Messages between headworks.
+// Messages between control machines.
 type (
-	// Gauge is the regular word of one machine about itself.
-	Gauge struct {
+	// Heartbeat is the regular word of one machine about itself.
+	Heartbeat struct {
 		Me              Member
 		View            View
 		Joined, Sealed  bool
@@ -18,8 +18,8 @@
 		Original        bool     // was there at the founding, and no view has taken it in yet
 		Leaving         bool     // is about to stop in order: the others go on without it
 		Unheard         []string // control machines it has no contact with both ways
-		Asks            bool     // wants a gauge back: a relay, or a machine that no view has taken in yet
-		Committed, Held scheme.Stamp
+		Asks            bool     // wants a heartbeat back: a relay, or a machine that no view has taken in yet
+		Committed, Held config.Revision
 		Version         uint64 // of the configuration in force
 		Wall            int64  // its time of day, in nanoseconds
 		At, Echo        uint64 // a moment of the sender's, and the latest of the receiver's that reached it
@@ -29,7 +29,7 @@
 	Prepare struct {
 		Slot   uint64
 		Ballot Ballot
-		Held   scheme.Stamp
+		Held   config.Revision
 	}
 	Promise struct {
 		Slot     uint64
@@ -37,8 +37,8 @@
 		Me       Member
 		Accepted Ballot // zero: nothing accepted
 		View     View
-		Held     *scheme.Doc // when newer than the asker's
-		HeldAt   scheme.Stamp
+		Held     *config.Doc // when newer than the asker's
+		HeldAt   config.Revision
 	}
 	// Nack tells a proposer of a higher ballot.
 	Nack struct {
@@ -49,14 +49,14 @@
 	Sync struct {
 		Slot   uint64
 		Ballot Ballot
-		Doc    *scheme.Doc
+		Doc    *config.Doc
 	}
 	Synced struct {
 		Slot   uint64
 		Ballot Ballot
 		Me     Member
-		HeldAt scheme.Stamp
-		Held   *scheme.Doc // when newer
+		HeldAt config.Revision
+		Held   *config.Doc // when newer
 	}
 	Accept struct {
 		Slot   uint64
@@ -74,35 +74,35 @@
 	// says so.
 	Pass struct {
 		View uint64
-		Doc  scheme.Doc
+		Doc  config.Doc
 		Bare bool
 	}
 	Lack struct {
 		View  uint64
-		Stamp scheme.Stamp
+		Stamp config.Revision
 	}
 	// Ack tells all members what the tail has committed.
 	Ack struct {
 		View  uint64
-		Stamp scheme.Stamp
+		Stamp config.Revision
 	}
 	// Higher gives the head a newer version that a later member holds.
 	Higher struct {
 		View uint64
-		Doc  scheme.Doc
+		Doc  config.Doc
 	}
 	// Forward brings an operator's configuration to the head. With PassOn a machine
 	// that is not the head sends it on, without: it goes through one other at most.
 	Forward struct {
-		Doc    scheme.Doc
+		Doc    config.Doc
 		PassOn bool
 	}
 	// Retire wants a voter that is gone out of the electorate; its Member decides.
 	Retire struct{ Voter string }
-	// Order starts or stops the evacuation of a zone. It is taken only while
+	// EvacuationOrder starts or stops the evacuation of a zone. It is taken only while
 	// the zone's count of orders is still Base: one that was held up on its way
 	// must not undo what was ordered since. PassOn is as in Forward.
-	Order struct {
+	EvacuationOrder struct {
 		ID     uint64
 		Zone   string
 		On     bool
@@ -116,38 +116,38 @@
 		Nonce uint64
 		Me    Member
 	}
-	// Read asks the tail for what is committed; Answer brings it.
-	Read   struct{ ID uint64 }
-	Answer struct {
+	// Read asks the tail for what is committed; ReadAnswer brings it.
+	Read       struct{ ID uint64 }
+	ReadAnswer struct {
 		ID  uint64
-		Doc *scheme.Doc
+		Doc *config.Doc
 	}
 	// Fetch asks for a committed version newer than Have; Fetched brings it.
-	Fetch   struct{ Have scheme.Stamp }
-	Fetched struct{ Doc scheme.Doc }
+	Fetch   struct{ Have config.Revision }
+	Fetched struct{ Doc config.Doc }
 )
 
 func init() {
-	conduit.Register(conduit.NameHeartbeat, Gauge{})
-	conduit.Register(conduit.NamePrepare, Prepare{})
-	conduit.Register(conduit.NamePromise, Promise{})
-	conduit.Register(conduit.NameNack, Nack{})
-	conduit.Register(conduit.NameSync, Sync{})
-	conduit.Register(conduit.NameSynced, Synced{})
-	conduit.Register(conduit.NameAccept, Accept{})
-	conduit.Register(conduit.NameAccepted, Accepted{})
-	conduit.Register(conduit.NameDecide, Decide{})
-	conduit.Register(conduit.NameChainPass, Pass{})
-	conduit.Register(conduit.NameChainLack, Lack{})
-	conduit.Register(conduit.NameChainAck, Ack{})
-	conduit.Register(conduit.NameChainHigher, Higher{})
-	conduit.Register(conduit.NameRetire, Retire{})
-	conduit.Register(conduit.NameForward, Forward{})
-	conduit.Register(conduit.NameEvacuationOrder, Order{})
-	conduit.Register(conduit.NameConfirm, Confirm{})
-	conduit.Register(conduit.NameConfirmed, Confirmed{})
-	conduit.Register(conduit.NameRead, Read{})
-	conduit.Register(conduit.NameReadAnswer, Answer{})
-	conduit.Register(conduit.NameFetch, Fetch{})
-	conduit.Register(conduit.NameFetched, Fetched{})
+	transport.Register(transport.NameHeartbeat, Heartbeat{})
+	transport.Register(transport.NamePrepare, Prepare{})
+	transport.Register(transport.NamePromise, Promise{})
+	transport.Register(transport.NameNack, Nack{})
+	transport.Register(transport.NameSync, Sync{})
+	transport.Register(transport.NameSynced, Synced{})
+	transport.Register(transport.NameAccept, Accept{})
+	transport.Register(transport.NameAccepted, Accepted{})
+	transport.Register(transport.NameDecide, Decide{})
+	transport.Register(transport.NameChainPass, Pass{})
+	transport.Register(transport.NameChainLack, Lack{})
+	transport.Register(transport.NameChainAck, Ack{})
+	transport.Register(transport.NameChainHigher, Higher{})
+	transport.Register(transport.NameRetire, Retire{})
+	transport.Register(transport.NameForward, Forward{})
+	transport.Register(transport.NameEvacuationOrder, EvacuationOrder{})
+	transport.Register(transport.NameConfirm, Confirm{})
+	transport.Register(transport.NameConfirmed, Confirmed{})
+	transport.Register(transport.NameRead, Read{})
+	transport.Register(transport.NameReadAnswer, ReadAnswer{})
+	transport.Register(transport.NameFetch, Fetch{})
+	transport.Register(transport.NameFetched, Fetched{})
 }
--- a/internal/gazetteer/gazetteer_test.go
+++ b/internal/directory/directory_test.go
@@ -1,4 +1,4 @@
-package gazetteer
+package directory
 
 import (
 	"fmt"
@@ -7,7 +7,7 @@
 	"testing"
 	"time"
 
-	"slateridge/internal/datum"
+	"slateridge/internal/constants"
 )
 
 var zones = map[string]string{"a1": "a", "a2": "a", "b1": "b", "b2": "b"}
@@ -21,9 +21,9 @@
 	answered := 0
 	for seed := uint64(1); seed <= 200; seed++ {
 		r := rand.New(rand.NewPCG(seed, 5))
-		g := New(0, zones)
+		d := New(0, zones)
 		type proxy struct {
-			Place
+			Location
 			up      bool
 			gone    bool          // the directory was told, and has not heard it since
 			downAt  time.Duration // when it went
@@ -34,7 +34,7 @@
 		for z, reg := range zones {
 			for i := range 3 + r.IntN(9) {
 				n := fmt.Sprint(z, "-", i)
-				ps[n] = &proxy{Place: Place{Front: n, Zone: z, Region: reg, Ready: true}, up: true, heardAt: -time.Hour}
+				ps[n] = &proxy{Location: Location{Front: n, Zone: z, Region: reg, Ready: true}, up: true, heardAt: -time.Hour}
 				names = append(names, n)
 			}
 		}
@@ -51,35 +51,35 @@
 					p.up, p.downAt = false, now
 					if r.IntN(2) == 0 && now >= cut {
 						p.gone = true
-						g.Gone(now, n, true)
+						d.Disconnected(now, n, true)
 					}
 				case !p.up && r.IntN(60) == 0:
 					p.up = true
 				}
 				if p.up && now >= cut && r.IntN(8) == 0 {
 					if r.IntN(3) == 0 {
-						g.Hear(now, n, p.Place, time.Duration(r.IntN(300))*time.Millisecond)
+						d.Relay(now, n, p.Location, time.Duration(r.IntN(300))*time.Millisecond)
 					} else {
-						g.Tell(now, n, p.Place, false)
+						d.Report(now, n, p.Location, false)
 					}
 					p.heardAt, p.gone = now, false
 				}
 			}
 			zone := []string{"a1", "a2", "b1", "b2"}[r.IntN(4)]
-			got, ok := g.Lookup(now, zone, zones[zone])
+			got, ok := d.Lookup(now, zone, zones[zone])
 			known, fresh, near := 0, 0, 0
 			for _, p := range ps {
-				if now-p.heardAt < datum.ProxyForget {
+				if now-p.heardAt < constants.ProxyForget {
 					known++
 				}
-				if p.up && !p.gone && now-p.heardAt < datum.PlaceFresh-time.Second {
+				if p.up && !p.gone && now-p.heardAt < constants.PlaceFresh-time.Second {
 					fresh++
 					if p.Zone == zone {
 						near++
 					}
 				}
 			}
-			if now < datum.GazetteerQuiet {
+			if now < constants.DirectoryQuiet {
 				if ok {
 					t.Fatalf("seed %d: answered after %v of life", seed, now)
 				}
@@ -91,13 +91,13 @@
 			answered++
 			for _, a := range got {
 				p := ps[a]
-				if late := datum.PlaceFresh + datum.AnswerFresh + 300*time.Millisecond; !p.up && now-p.downAt > late && fresh > 0 {
+				if late := constants.PlaceFresh + constants.AnswerFresh + 300*time.Millisecond; !p.up && now-p.downAt > late && fresh > 0 {
 					t.Fatalf("seed %d at %v: %s, gone for %v, is named beside %d that live", seed, now, a, now-p.downAt, fresh)
 				}
 			}
 			total, far := 0, 0
 			for _, p := range ps {
-				if p.Zone == zone && now-p.heardAt < datum.ProxyForget {
+				if p.Zone == zone && now-p.heardAt < constants.ProxyForget {
 					total++
 				}
 			}
@@ -106,7 +106,7 @@
 					far++
 				}
 			}
-			if near == total && near >= datum.AnswerLeast && far > 0 {
+			if near == total && near >= constants.AnswerLeast && far > 0 {
 				t.Fatalf("seed %d at %v: %d of %d proxies of %s live, and %d beyond are named", seed, now, near, total, zone, far)
 			}
 		}
@@ -119,9 +119,9 @@
 // A zone that loses its proxies one by one is made up for one by one, from its
 // own region, and another region is named only when that is not enough.
 func TestSpillsByDegrees(t *testing.T) {
-	g := New(-time.Minute, zones)
+	d := New(-time.Minute, zones)
 	put := func(n, z string, ready bool) {
-		g.Tell(0, n, Place{Front: n, Zone: z, Region: zones[z], Ready: ready}, true)
+		d.Report(0, n, Location{Front: n, Zone: z, Region: zones[z], Ready: ready}, true)
 	}
 	for z := range zones {
 		for i := range 10 {
@@ -131,7 +131,7 @@
 	was := 0
 	for i := range 10 {
 		put(fmt.Sprint("a1-", i), "a1", false)
-		got, ok := g.Lookup(0, "a1", "a")
+		got, ok := d.Lookup(0, "a1", "a")
 		beyond := 0
 		for _, a := range got {
 			if a[:2] != "a1" {
--- a/internal/intake/intake.go
+++ b/internal/discovery/discovery.go
@@ -1,6 +1,6 @@
-// Package intake draws from the source; in the field's terms: it reads the
-// platform's list of upstreams, all pages, and numbers what it finds.
-package intake
+// Package discovery reads the platform's list of upstreams, all pages, and numbers what it
+// finds.
+package discovery
 
 import (
 	"context"
@@ -14,8 +14,8 @@
 	"sort"
 	"time"
 
-	"slateridge/internal/datum"
-	"slateridge/internal/sill"
+	"slateridge/internal/constants"
+	"slateridge/internal/settings"
 )
 
 // Instance is one upstream on the platform's list.
@@ -106,13 +106,13 @@
 
 type page struct {
 	Instances map[string][]struct {
-		InstanceID    string    `json:"instanceId"`
-		TargetService string    `json:"targetService"`
-		Address       string    `json:"address"`
-		Zone          string    `json:"zone"`
-		CapacitySlots int       `json:"capacitySlots"`
-		State         string    `json:"state"`
-		WarmupLeft    sill.Span `json:"warmupLeft"`
+		InstanceID    string            `json:"instanceId"`
+		TargetService string            `json:"targetService"`
+		Address       string            `json:"address"`
+		Zone          string            `json:"zone"`
+		CapacitySlots int               `json:"capacitySlots"`
+		State         string            `json:"state"`
+		WarmupLeft    settings.Duration `json:"warmupLeft"`
 	} `json:"instances"`
 	NextPageToken *string `json:"nextPageToken"`
 }
@@ -137,7 +137,7 @@
 
 // Read fetches all pages, sorted.
 func (s *Source) Read(ctx context.Context) ([]Instance, error) {
-	ctx, cancel := context.WithTimeout(ctx, datum.PollTimeout)
+	ctx, cancel := context.WithTimeout(ctx, constants.PollTimeout)
 	defer cancel()
 	var out []Instance
 	token := ""
--- a/internal/sluice/audit.go
+++ b/internal/proxy/audit.go
@@ -1,19 +1,19 @@
-package sluice
+package proxy
 
 import (
 	"sync"
 	"time"
 
-	"slateridge/internal/datum"
-	"slateridge/internal/scheme"
-	"slateridge/internal/weir"
+	"slateridge/internal/admission"
+	"slateridge/internal/config"
+	"slateridge/internal/constants"
 )
 
 // AuditEntry is one changed limit.
 type AuditEntry struct {
 	Version  uint64
 	Key      string
-	Old, New weir.Quota
+	Old, New admission.Quota
 	When     time.Time
 }
 
@@ -23,12 +23,12 @@
 	all []AuditEntry
 }
 
-func (a *audit) add(old, new *scheme.Scheme) {
-	was := map[string]weir.Quota{}
+func (a *audit) add(old, new *config.Config) {
+	was := map[string]admission.Quota{}
 	if old != nil {
-		was = weir.Quotas(old)
+		was = admission.Quotas(old)
 	}
-	is := weir.Quotas(new)
+	is := admission.Quotas(new)
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	put := func(k string) {
@@ -44,7 +44,7 @@
 			put(k)
 		}
 	}
-	if n := len(a.all) - datum.JournalEvents; n > 0 {
+	if n := len(a.all) - constants.JournalEvents; n > 0 {
 		a.all = append([]AuditEntry(nil), a.all[n:]...)
 	}
 }
--- a/internal/usage/keeper.go
+++ b/internal/usage/keeper.go
@@ -3,14 +3,14 @@
 import (
 	"strconv"
 
-	"slateridge/internal/datum"
+	"slateridge/internal/constants"
 )
 
 type (
 	// Save replaces a value on the machine's disk.
 	Save struct {
 		Key   string
-		Words []Told
+		Words []Report
 	}
 	// HandOn goes to the duty's holder, which may be this machine.
 	HandOn struct {
@@ -31,10 +31,10 @@
 // that is left. It has no clock, disk or network of its own.
 type Keeper struct {
 	tally  *Tally
-	kept   []Told // what another holder should know
-	held   bool   // the duty was held at the last step
-	handOn bool   // there is something to hand on, be it only that there was nothing
-	turn   int    // saves since the latest whole one
+	kept   []Report // what another holder should know
+	held   bool     // the duty was held at the last step
+	handOn bool     // there is something to hand on, be it only that there was nothing
+	turn   int      // saves since the latest whole one
 }
 
 // NewKeeper makes the keeper of a tally; get reads a value from the machine's disk, on
@@ -42,8 +42,8 @@
 func NewKeeper(tally *Tally, get func(key string, v any) bool) *Keeper {
 	k := &Keeper{tally: tally}
 	get(StoreKey, &k.kept)
-	for turn := 1; turn < datum.UsageSaves; turn++ {
-		var recent []Told
+	for turn := 1; turn < constants.UsageSaves; turn++ {
+		var recent []Report
 		if get(recentKey(turn), &recent) {
 			k.kept = append(k.kept, recent...)
 		}
@@ -51,7 +51,7 @@
 	return k
 }
 
-// Step is driven every datum.UsageSave; held says that this machine holds the duty, and
+// Step is driven every constants.UsageSave; held says that this machine holds the duty, and
 // holder who does, as far as is known here. What it gives is Save and HandOn.
 func (k *Keeper) Step(held bool, holder string) []any {
 	if k.held && !held {
@@ -61,8 +61,8 @@
 	k.held = held
 	var out []any
 	if (k.handOn || len(k.kept) > 0) && holder != "" {
-		for i := 0; i == 0 || i < len(k.kept); i += datum.UsageAtOnce {
-			end := min(i+datum.UsageAtOnce, len(k.kept))
+		for i := 0; i == 0 || i < len(k.kept); i += constants.UsageBatch {
+			end := min(i+constants.UsageBatch, len(k.kept))
 			out = append(out, HandOn{holder, Handover{Words: k.kept[i:end], Last: end == len(k.kept)}})
 		}
 		k.kept, k.handOn = nil, false
@@ -76,10 +76,10 @@
 	return out
 }
 
-// save is the next value for the disk: one step in datum.UsageSaves all that is known,
+// save is the next value for the disk: one step in constants.UsageSaves all that is known,
 // else the words that have come since the step before.
 func (k *Keeper) save() (Save, bool) {
-	if k.turn = (k.turn + 1) % datum.UsageSaves; k.turn == 0 {
+	if k.turn = (k.turn + 1) % constants.UsageSaves; k.turn == 0 {
 		words, changed := k.tally.Keep()
 		return Save{StoreKey, words}, changed
 	}
--- a/internal/usage/loss_test.go
+++ b/internal/usage/loss_test.go
@@ -9,8 +9,8 @@
 	"testing"
 	"time"
 
-	"slateridge/internal/basin"
-	"slateridge/internal/datum"
+	"slateridge/internal/constants"
+	"slateridge/internal/simnet"
 )
 
 // mostLost is how long before a proxy was killed a request must have been sent to be
@@ -21,7 +21,7 @@
 // mostUnheard is the same for a proxy that is killed while nobody holds the duty: besides,
 // the time until another does, that in which proxies learn of it, and a word's that waits
 // for an answer meanwhile.
-const mostUnheard = mostLost + lossTakeover + 100*time.Millisecond + datum.UsageWait
+const mostUnheard = mostLost + lossTakeover + 100*time.Millisecond + constants.UsageWait
 
 const (
 	lossSpan     = 5 * time.Second // a window
@@ -54,7 +54,7 @@
 // lossMachine is one control machine; what its disk holds outlasts its process.
 type lossMachine struct {
 	name   string
-	disk   *basin.Disk
+	disk   *simnet.Disk
 	life   int // rises with each end of the process
 	up     bool
 	tally  *Tally
@@ -64,7 +64,7 @@
 
 // lossFleet is a fleet with a holder of the usage duty, the leases being an oracle's.
 type lossFleet struct {
-	*basin.Basin
+	*simnet.Network
 	t        *testing.T
 	seed     uint64
 	machines map[string]*lossMachine
@@ -91,7 +91,7 @@
 	m.life++
 }
 
-// drive is what headworks does every UsageSave: keeping, handing on, and deciding.
+// drive is what control does every UsageSave: keeping, handing on, and deciding.
 func (f *lossFleet) drive(m *lossMachine, life int) {
 	if !m.up || m.life != life {
 		return
@@ -115,7 +115,7 @@
 					to.tally.Take(f.Now, f.window(f.Now), word)
 				}
 				if out.Last {
-					to.tally.Handed(f.Now)
+					to.tally.HandedOver(f.Now)
 				}
 			})
 		}
@@ -181,7 +181,7 @@
 	if p.killed > 0 {
 		return
 	}
-	f.After(datum.UsageTell, func() { f.tell(p) })
+	f.After(constants.UsageReportEvery, func() { f.tell(p) })
 	if !p.telling {
 		p.telling = true
 		f.ask(p, 2)
@@ -190,19 +190,19 @@
 
 // ask tells the holder, once more when it was told only what had changed.
 func (f *lossFleet) ask(p *lossProxy, tries int) {
-	word, some := p.meter.Tell(p.name, f.window(f.Now))
+	word, some := p.meter.Report(p.name, f.window(f.Now))
 	m := f.machines[f.known]
 	if tries == 0 || !some || m == nil {
 		p.telling = false
 		return
 	}
 	answered := false
-	f.After(datum.UsageWait, func() {
+	f.After(constants.UsageWait, func() {
 		if !answered {
 			p.telling = false
 		}
 	})
-	late := f.Now + datum.UsageWait
+	late := f.Now + constants.UsageWait
 	f.Send(p.name, m.name, func() {
 		if !m.up || f.holder != m.name {
 			return
@@ -213,7 +213,7 @@
 				return
 			}
 			answered = true
-			p.meter.Heard(word, heard)
+			p.meter.Acknowledged(word, heard)
 			if heard.Term == word.Term {
 				p.telling = false
 				return
@@ -304,10 +304,10 @@
 func TestLossIsBounded(t *testing.T) {
 	sent, lost := 0, 0
 	for seed := uint64(1); seed <= 60; seed++ {
-		f := &lossFleet{Basin: basin.New(seed), t: t, seed: seed, machines: map[string]*lossMachine{}, proxies: map[string]*lossProxy{}, reports: map[uint64]Counts{}}
+		f := &lossFleet{Network: simnet.New(seed), t: t, seed: seed, machines: map[string]*lossMachine{}, proxies: map[string]*lossProxy{}, reports: map[uint64]Counts{}}
 		f.Delay = []time.Duration{2, 10, 40}[seed%3] * time.Millisecond
 		for _, name := range []string{"a", "b", "c"} {
-			f.machines[name] = &lossMachine{name: name, disk: basin.NewDisk()}
+			f.machines[name] = &lossMachine{name: name, disk: simnet.NewDisk()}
 			f.start(f.machines[name])
 		}
 		f.after = f.window(0) - 1
@@ -341,7 +341,7 @@
 func TestSavedWordsAreComplete(t *testing.T) {
 	for seed := uint64(1); seed <= 60; seed++ {
 		rng := rand.New(rand.NewPCG(seed, 11))
-		disk, tally := basin.NewDisk(), NewTally(1)
+		disk, tally := simnet.NewDisk(), NewTally(1)
 		keeper, truth := NewKeeper(tally, disk.Get), 0
 		meter := NewMeter(seed)
 		for range 5 + rng.IntN(20) {
@@ -349,10 +349,10 @@
 				truth++
 				meter.Count(7, fmt.Sprint("tenant-", rng.IntN(3)))
 			}
-			word, _ := meter.Tell("proxy", 8)
+			word, _ := meter.Report("proxy", 8)
 			for range 1 + rng.IntN(2) {
 				heard, _ := tally.Take(0, 8, word)
-				meter.Heard(word, heard)
+				meter.Acknowledged(word, heard)
 			}
 			for _, out := range keeper.Step(true, "a") {
 				if save, ok := out.(Save); ok {
@@ -379,4 +379,4 @@
 }
 
 // saveEvery is how often a keeper is driven.
-const saveEvery = datum.UsageSave
+const saveEvery = constants.UsageSave
