Distribution: late news hands on no live count

Cause: what a proxy reads after it was frozen for long was made before; of such an update only what is numbered counts, yet the live count held was handed on with it. The limiter took that for a word of control and revived a split share that it had given up after SplitHold, and that others may have by then.

Change: the count is handed on only where some control machine spoke lately.

TestLateUpdateBringsNoLiveCount failed before (a late word handed on the live count 4).

--- a/internal/distribution/contact_test.go
+++ b/internal/distribution/contact_test.go
@@ -255,6 +255,35 @@
 	}
 }
 
+// A proxy that was frozen for long reads what its control machines sent before. The live
+// count it held is no news then: others may have its split share, which a count handed
+// on would revive. The first word made since brings it again.
+func TestLateUpdateBringsNoLiveCount(t *testing.T) {
+	subscriber, s := alone(t, "127.0.0.41", "127.0.0.42")
+	subscriber.version = 6
+	now := time.Now()
+	subscriber.receive("127.0.0.41", Update{Current: true, Proxies: 4}, now)
+	if _, _, f := s.all(); f.Proxies != 4 {
+		t.Fatalf("live count %d", f.Proxies)
+	}
+	frozen := now.Add(-2 * constants.SplitHold)
+	for _, conn := range subscriber.conns {
+		conn.heardAt = frozen
+	}
+	subscriber.receive("127.0.0.41", Update{Current: true, Proxies: 4, StateNum: 9, Evacuated: []string{"y"}}, frozen)
+	_, _, f := s.all()
+	if f.Proxies != 0 {
+		t.Errorf("a late word handed on the live count %d", f.Proxies)
+	}
+	if f.State != 9 || len(f.Evacuated) != 1 {
+		t.Errorf("what is numbered was not taken: %+v", f)
+	}
+	subscriber.receive("127.0.0.42", Update{Current: true, Proxies: 5}, time.Now())
+	if _, _, f := s.all(); f.Proxies != 5 {
+		t.Errorf("live count %d after a word made since", f.Proxies)
+	}
+}
+
 // A push is as old as the latest of this proxy's words that its maker had heard.
 func TestPushNamesWhatWasHeard(t *testing.T) {
 	const port = 39166
--- a/internal/distribution/subscriber.go
+++ b/internal/distribution/subscriber.go
@@ -66,7 +66,7 @@
 type Changes struct {
 	Config   *config.Doc
 	List     *discovery.List
-	Proxies  int
+	Proxies  int // the live count, where a control machine spoke lately; 0 is no news
 	Trackers []string
 	Coming   map[string]admission.Quota
 	// State numbers the orders known here; Evacuated are the zones nothing is
@@ -435,6 +435,7 @@
 	// count would split the quotas too generously. While none is, it may only rise. A
 	// tracker that no machine in contact knows may be known to another.
 	told := map[bool]int{false: subscriber.proxies}
+	heard := false // whether any machine spoke lately: the count held is no news by itself
 	var trackers []string
 	for _, current := range []bool{true, false} {
 		for _, x := range subscriber.order {
@@ -442,6 +443,7 @@
 			if !o.answered || now.Sub(o.heardAt) >= constants.SubscriptionSilence || o.update.Current != current {
 				continue
 			}
+			heard = true
 			told[current] = max(told[current], o.update.Proxies)
 			for i, t := range o.update.Trackers {
 				if len(trackers) <= i {
@@ -455,7 +457,10 @@
 	if subscriber.proxies = told[true]; subscriber.proxies == 0 {
 		subscriber.proxies = told[false]
 	}
-	f.Proxies, f.Trackers, f.Coming = subscriber.proxies, trackers, update.Coming
+	f.Trackers, f.Coming = trackers, update.Coming
+	if heard {
+		f.Proxies = subscriber.proxies
+	}
 	subscriber.applying = f.Config != nil || f.List != nil
 	return f
 }
