Distribution: a count that control no longer tells brings no share back

Cause: control that has forgotten a proxy (ProxyForget) tells it no live count until sharing is safe. Any update made the subscriber hand on the count it held, and the limiter revived the split share it had given up.

Change: without a count told lately, the held one is handed on only while it was so within SplitHold; a roster that is incomplete for a while ends no share, as before.

TestUntoldCountIsNotRevived failed before (live count 4 revived).

--- a/internal/distribution/contact_test.go
+++ b/internal/distribution/contact_test.go
@@ -284,6 +284,27 @@
 	}
 }
 
+// A control machine that has forgotten a proxy tells it no live count until sharing is
+// safe again. The count that the proxy held is no answer to that once its share is given
+// up; before, as while control's roster is incomplete, the share goes on.
+func TestUntoldCountIsNotRevived(t *testing.T) {
+	subscriber, s := alone(t, "127.0.0.41")
+	subscriber.receive("127.0.0.41", Update{Current: true, Proxies: 4}, time.Now())
+	subscriber.receive("127.0.0.41", Update{Current: true}, time.Now())
+	if _, _, f := s.all(); f.Proxies != 4 {
+		t.Errorf("live count %d while it is held", f.Proxies)
+	}
+	subscriber.countAt = time.Now().Add(-2 * constants.SplitHold)
+	subscriber.receive("127.0.0.41", Update{Current: true}, time.Now())
+	if _, _, f := s.all(); f.Proxies != 0 {
+		t.Errorf("live count %d revived", f.Proxies)
+	}
+	subscriber.receive("127.0.0.41", Update{Current: true, Proxies: 5}, time.Now())
+	if _, _, f := s.all(); f.Proxies != 5 {
+		t.Errorf("live count %d once told", f.Proxies)
+	}
+}
+
 // A push is as old as the latest of this proxy's words that its maker had heard.
 func TestPushNamesWhatWasHeard(t *testing.T) {
 	const port = 39166
--- a/internal/distribution/subscriber.go
+++ b/internal/distribution/subscriber.go
@@ -43,6 +43,7 @@
 	firstHeardAt  time.Time // when any spoke first
 	stale         bool      // looked long enough for one that hears a majority: takes what may be old
 	proxies       int
+	countAt       time.Time // when the live count was last handed on
 	state         uint64
 	evacuated     []string
 	metered       string
@@ -435,7 +436,7 @@
 	// count would split the quotas too generously. While none is, it may only rise. A
 	// tracker that no machine in contact knows may be known to another.
 	told := map[bool]int{false: subscriber.proxies}
-	heard := false // whether any machine spoke lately: the count held is no news by itself
+	heard, counted := false, false // whether any machine spoke lately, and told a count
 	var trackers []string
 	for _, current := range []bool{true, false} {
 		for _, x := range subscriber.order {
@@ -443,7 +444,7 @@
 			if !o.answered || now.Sub(o.heardAt) >= constants.SubscriptionSilence || o.update.Current != current {
 				continue
 			}
-			heard = true
+			heard, counted = true, counted || o.update.Proxies > 0
 			told[current] = max(told[current], o.update.Proxies)
 			for i, t := range o.update.Trackers {
 				if len(trackers) <= i {
@@ -458,8 +459,10 @@
 		subscriber.proxies = told[false]
 	}
 	f.Trackers, f.Coming = trackers, update.Coming
-	if heard {
-		f.Proxies = subscriber.proxies
+	// The count held is no news by itself. It goes on while control tells none, as when
+	// its roster is incomplete; a share that was given up it does not bring back.
+	if counted || heard && now.Sub(subscriber.countAt) <= constants.SplitHold {
+		f.Proxies, subscriber.countAt = subscriber.proxies, now
 	}
 	subscriber.applying = f.Config != nil || f.List != nil
 	return f
