--- a/internal/proxy/daemon.go
+++ b/internal/proxy/daemon.go
@@ -2,12 +2,9 @@
 
 import (
 	"context"
-	"errors"
-	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"os"
 	"slices"
 	"strconv"
 	"strings"
@@ -19,7 +16,6 @@
 
 	"slateridge/internal/adminhttp"
 	"slateridge/internal/admission"
-	"slateridge/internal/autoscale"
 	"slateridge/internal/clock"
 	"slateridge/internal/config"
 	"slateridge/internal/constants"
@@ -231,175 +227,6 @@
 	w.WriteHeader(http.StatusServiceUnavailable)
 }
 
-// step drives the line, decides readiness, and reads the platform's list here
-// when no control machine in contact has spoken for long.
-func (d *Daemon) step() {
-	now := time.Now()
-	d.subscriber.Step(now, d.ready.Load() && !d.leaving.Load())
-	st := d.subscriber.State(now)
-	if !d.ready.Load() && d.config.Load() != nil && d.haveList.Load() && st.ListAge < constants.UpdateCurrent && st.Current < constants.UpdateCurrent {
-		d.ready.Store(true)
-		d.events.Record("ready", "configuration and upstreams known")
-	}
-	if d.outOfContact(st, now) && now.After(d.selfPollAt) && d.config.Load() != nil {
-		every := selfPollEvery(d.pool.Len(), d.limiter.Proxies(), d.set.Load().CloudAPI.RatePerS)
-		first := d.selfPollAt.IsZero()
-		if d.selfPollAt = now.Add(every/2 + rand.N(every)); first && rand.Float64() > float64(constants.SelfPollEvery)/float64(every) {
-			return // most of a large fleet have to wait for their turn from the beginning
-		}
-		go func() {
-			is, err := d.source.Read(context.Background())
-			if err != nil {
-				d.events.Count("self_poll_failed", 1)
-				return
-			}
-			if now := time.Now(); d.outOfContact(d.subscriber.State(now), now) {
-				d.pool.Apply(time.Now(), is)
-				d.haveList.Store(true)
-				d.events.Count("self_poll", 1)
-			}
-		}()
-	}
-}
-
-// outOfContact says that the list has to be read here: what control machines without
-// contact say of it is what they knew before they lost it.
-func (d *Daemon) outOfContact(st distribution.State, now time.Time) bool {
-	return min(st.Current, now.Sub(d.began)) > constants.SelfPollAfter
-}
-
-// selfPollEvery is how often a proxy out of touch reads the list, so that all of
-// them together leave the platform's rate to whoever reads for everybody.
-func selfPollEvery(upstreams, proxies int, rate float64) time.Duration {
-	calls := float64(upstreams/constants.PollPage+1) * float64(max(1, proxies))
-	if rate <= 0 {
-		return constants.SelfPollEvery
-	}
-	return max(constants.SelfPollEvery, time.Duration(calls/(rate*constants.SelfPollPart)*float64(time.Second)))
-}
-
-// tracker is where a key's questions go.
-func (d *Daemon) tracker(shard int) string {
-	if t := *d.trackers.Load(); shard < len(t) {
-		return t[shard]
-	}
-	return ""
-}
-
-// shardsOf are those that a machine tracks.
-func (d *Daemon) shardsOf(tracker string) []int {
-	var out []int
-	for i, t := range *d.trackers.Load() {
-		if t == tracker {
-			out = append(out, i)
-		}
-	}
-	return out
-}
-
-func (d *Daemon) shard(key string) int { return admission.Shard(key, d.set.Load().Trackers()) }
-
-func (d *Daemon) askTracker(key string) {
-	asked := d.now()
-	to := d.tracker(d.shard(key))
-	if to != "" {
-		d.trackerEchoesMu.Lock()
-		echo := d.trackerEchoes[to].time
-		d.trackerEchoesMu.Unlock()
-		v, err := d.subscriber.Ask(to, admission.GrantRequest{Proxy: d.set.Load().IPAddress, Wants: []admission.Want{d.limiter.Need(asked, key)}, Echo: echo, Proxies: d.limiter.Proxies(), Life: d.limiter.Life(), Sent: asked}, constants.GrantWait)
-		if g, ok := v.(admission.Grants); err == nil && ok && !g.Refused {
-			d.heardTracker(to, g.Stamp, d.shard(key))
-			for _, x := range g.Given {
-				d.limiter.Take(d.now(), asked, x)
-			}
-			return
-		}
-		if errors.Is(err, transport.ErrRefused) {
-			for _, i := range d.shardsOf(to) {
-				d.limiter.TrackerDown(i)
-			}
-		}
-	}
-	d.limiter.Unanswered(d.now(), key)
-}
-
-// heardTracker notes a tracker's answer for some shards.
-func (d *Daemon) heardTracker(to string, s admission.TrackerTime, shards ...int) {
-	now := d.now()
-	d.trackerEchoesMu.Lock()
-	o := d.trackerEchoes[to]
-	if o.time.Life != s.Life || o.time.At < s.At {
-		d.trackerEchoes[to] = trackerEcho{s, now}
-	}
-	d.trackerEchoesMu.Unlock()
-	if o.time.Life != s.Life || o.time.Begun < s.Begun {
-		d.untold(d.shardsOf(to))
-		go d.renewGrants()
-	}
-	for _, i := range shards {
-		d.limiter.TrackerAnswered(now, i)
-	}
-}
-
-// trackerEcho is a tracker's latest time, and when it came here.
-type trackerEcho struct {
-	time admission.TrackerTime
-	at   time.Duration
-}
-
-// renewGrants tells the trackers this proxy's demand and loans, and takes their
-// leases.
-func (d *Daemon) renewGrants() {
-	asked := d.now()
-	d.trackerEchoesMu.Lock()
-	echo := maps.Clone(d.trackerEchoes)
-	d.trackerEchoesMu.Unlock()
-	by := map[string][]admission.Want{}
-	for _, w := range d.limiter.Wants(asked, func(key string) (time.Duration, uint64, bool) {
-		h, ok := echo[d.tracker(d.shard(key))]
-		return h.at, h.time.Life, ok
-	}) {
-		if to := d.tracker(d.shard(w.Key)); to != "" {
-			by[to] = append(by[to], w)
-		}
-	}
-	shards := map[string][]int{}
-	for i, to := range *d.trackers.Load() {
-		if to != "" {
-			shards[to] = append(shards[to], i)
-			if _, ok := by[to]; !ok && asked-echo[to].at > constants.ContactEvery {
-				by[to] = nil // nothing to say but that it is heard
-			}
-		}
-	}
-	for to, ws := range by {
-		go func() {
-			q := admission.GrantRequest{Proxy: d.set.Load().IPAddress, Wants: ws, Echo: echo[to].time, Proxies: d.limiter.Proxies(), Life: d.limiter.Life(), Sent: asked}
-			v, err := d.subscriber.Ask(to, q, constants.CallTimeout)
-			if g, ok := v.(admission.Grants); err == nil && ok {
-				if !g.Refused { // what does not track borrows nothing
-					d.heardTracker(to, g.Stamp, shards[to]...)
-				}
-				for _, x := range g.Given {
-					d.limiter.Take(d.now(), asked, x)
-				}
-				if g.Retell {
-					d.untold(shards[to])
-				}
-			} else {
-				d.untold(shards[to])
-			}
-		}()
-	}
-}
-
-// untold notes that the tracker of some shards does not know what it was told.
-func (d *Daemon) untold(shards []int) {
-	for _, i := range shards {
-		d.limiter.ReportAgain(i)
-	}
-}
-
 // Version is the configuration in force here, and Upstreams how many are known.
 func (d *Daemon) Version() uint64 {
 	if s := d.config.Load(); s != nil {
@@ -429,91 +256,6 @@
 	return true
 }
 
-// windowAt is the usage window that a moment lies in, by the agreed time.
-func (d *Daemon) windowAt(at time.Time) uint64 {
-	agreed, ok := d.clock.Now(d.now())
-	if !ok {
-		agreed = time.Now()
-	}
-	return usage.Window(agreed.Add(-time.Since(at)), d.set.Load().Bounds.UsageWindow.D())
-}
-
-// tellLoad says what runs and waits here of the services that are scaled.
-func (d *Daemon) tellLoad() {
-	to, cfg := d.scalingHolder.Load(), d.config.Load()
-	if to == nil || *to == "" || cfg == nil {
-		return
-	}
-	set := d.set.Load()
-	t := autoscale.Report{Proxy: set.IPAddress, Zone: set.Zone, Running: map[string]int{}}
-	for name, s := range cfg.Services {
-		if s.Scaling != nil {
-			t.Running[name] = d.pool.Busy(name)
-		}
-	}
-	v, err := d.subscriber.Ask(*to, t, constants.UsageWait)
-	if h, ok := v.(autoscale.Ack); err != nil || !ok || !h.OK {
-		d.events.Count("load_untold", 1)
-	}
-}
-
-// tellUsage brings what has been counted to the duty's holder, until it has heard
-// all.
-func (d *Daemon) tellUsage() {
-	if !d.telling.TryLock() {
-		return
-	}
-	defer d.telling.Unlock()
-	to := d.usageHolder.Load()
-	if to == nil || *to == "" || d.config.Load() == nil {
-		return
-	}
-	for range 2 { // a new holder's first answer asks for the rest
-		t, some := d.meter.Report(d.set.Load().IPAddress, d.windowAt(time.Now()))
-		if !some {
-			return
-		}
-		v, err := d.subscriber.Ask(*to, t, constants.UsageWait)
-		h, ok := v.(usage.Ack)
-		if err != nil || !ok || h.Term == 0 {
-			d.events.Count("usage_untold", 1)
-			return
-		}
-		d.meter.Acknowledged(t, h)
-		if h.Term == t.Term {
-			return
-		}
-	}
-}
-
-// settingsModTime tells one state of the settings file from another; 0 if there is none.
-func (d *Daemon) settingsModTime() int64 {
-	fi, err := os.Stat(d.path)
-	if err != nil {
-		return 0
-	}
-	return fi.ModTime().UnixNano() ^ fi.Size()
-}
-
-// lookAtSettings reloads a settings file that has changed.
-func (d *Daemon) lookAtSettings() {
-	if is := d.settingsModTime(); is != 0 && d.settingsChangedAt.Swap(is) != is {
-		d.Reload()
-	}
-}
-
-// Reload reads the settings again; a file that cannot be used changes nothing.
-func (d *Daemon) Reload() {
-	set, err := settings.Load(d.path, "frontend", "readiness")
-	if err != nil {
-		d.events.Record("settings_refused", err.Error())
-		return
-	}
-	d.set.Store(set)
-	d.subscriber.Add(set.SeedIPs())
-	d.events.Record("settings", "read again")
-}
-
 // Leave answers the last requests: readiness fails at once, connections are
 // still accepted until the platform has noticed, answers ask clients to close,
 // and what is in flight finishes within grace.
--- /dev/null
+++ b/internal/proxy/ejection.go
@@ -0,0 +1,88 @@
+package proxy
+
+import (
+	"time"
+
+	"slateridge/internal/constants"
+)
+
+// mostEjected says that more than half of some upstreams are left alone after failures:
+// ejection is bounded, and then all are asked again.
+func (pool *Pool) mostEjected(os []*Upstream, now time.Time) bool {
+	all, out := 0, 0
+	for _, u := range os {
+		if !u.draining && !pool.evacuated[u.instance.Zone] {
+			if all++; now.Before(u.ejectedUntil) {
+				out++
+			}
+		}
+	}
+	return out*2 > all
+}
+
+// outcome is how an offer ended, for judging the upstream.
+type outcome int
+
+const (
+	served     outcome = iota // it answered
+	atCapacity                // it turned the request away
+	broken                    // refused, reset, cut, odd
+	silent                    // no answer in time
+	unused                    // nothing was sent, nothing learned
+	errored                   // it answered with a failure of its own
+)
+
+// eject leaves an upstream alone after a failure, longer with each in a row.
+func (u *Upstream) eject(now time.Time) {
+	u.fails++
+	u.pool.Ejected++
+	u.ejectedUntil = now.Add(min(constants.EjectFirst<<min(u.fails-1, 5), constants.EjectMax))
+}
+
+// done ends an offer and learns from it.
+func (pool *Pool) done(p *placement, how outcome) {
+	pool.mu.Lock()
+	defer pool.mu.Unlock()
+	u := p.upstream
+	began, ok := u.active[p]
+	if !ok {
+		return
+	}
+	delete(u.active, p)
+	now := time.Now()
+	took := now.Sub(began).Seconds()
+	if p.first > 0 {
+		took = p.first
+	}
+	learn := func(s float64) {
+		if u.delay == 0 {
+			u.delay = s
+		} else {
+			u.delay = u.expect(now, meanDelay(pool.candidates(target{service: u.instance.Service, homes: anywhere}).preferred))
+			u.delay += constants.DelayWeight * (s - u.delay)
+		}
+		u.delayAt = now
+	}
+	switch how {
+	case served:
+		u.fails = 0
+		u.answers++
+		learn(took)
+	case errored:
+		// Few answers of a healthy upstream are failures, so one is evidence
+		// enough to leave it alone for a moment, whatever its health answer says;
+		// its connections are as good as before.
+		learn(max(took, constants.FirstDelay.Seconds()))
+		u.eject(now)
+	case atCapacity:
+		learn(max(2*meanDelay(pool.candidates(target{service: u.instance.Service, homes: anywhere}).preferred), took))
+		u.ejectedUntil = now.Add(constants.FullPause)
+	case broken, silent:
+		if how == silent {
+			learn(took)
+		}
+		u.eject(now)
+		u.closeIdle()
+	}
+	pool.wakeLocked(u.instance.Service)
+}
--- /dev/null
+++ b/internal/proxy/reload.go
@@ -0,0 +1,35 @@
+package proxy
+
+import (
+	"os"
+
+	"slateridge/internal/settings"
+)
+
+// settingsModTime tells one state of the settings file from another; 0 if there is none.
+func (d *Daemon) settingsModTime() int64 {
+	fi, err := os.Stat(d.path)
+	if err != nil {
+		return 0
+	}
+	return fi.ModTime().UnixNano() ^ fi.Size()
+}
+
+// lookAtSettings reloads a settings file that has changed.
+func (d *Daemon) lookAtSettings() {
+	if is := d.settingsModTime(); is != 0 && d.settingsChangedAt.Swap(is) != is {
+		d.Reload()
+	}
+}
+
+// Reload reads the settings again; a file that cannot be used changes nothing.
+func (d *Daemon) Reload() {
+	set, err := settings.Load(d.path, "frontend", "readiness")
+	if err != nil {
+		d.events.Record("settings_refused", err.Error())
+		return
+	}
+	d.set.Store(set)
+	d.subscriber.Add(set.SeedIPs())
+	d.events.Record("settings", "read again")
+}
--- /dev/null
+++ b/internal/proxy/states.go
@@ -0,0 +1,55 @@
+package proxy
+
+import (
+	"math"
+	"sort"
+	"time"
+)
+
+// UpstreamState is one upstream for operators.
+type UpstreamState struct {
+	Instance, Service, Zone string
+	Region                  string
+	State                   string
+	Out, Idle, Conns, Fails int
+	DelayMs                 float64
+	Answers                 uint64
+	Busy                    float64 // how full it is thought to be, in parts of its slots, where it tells
+}
+
+// States lists all upstreams.
+func (pool *Pool) States(now time.Time) []UpstreamState {
+	pool.mu.Lock()
+	defer pool.mu.Unlock()
+	var out []UpstreamState
+	means := map[string]float64{}
+	for s, os := range pool.byService {
+		means[s] = meanBusy(os, now)
+	}
+	for _, u := range pool.upstreams {
+		st := "in"
+		switch {
+		case u.draining:
+			st = "draining"
+		case now.Before(u.ejectedUntil):
+			st = "out"
+		case now.Before(u.warmFrom):
+			st = "warming"
+			if pool.warmup(u.instance.Service) > 0 {
+				st = "cold"
+			}
+		}
+		if pool.evacuated[u.instance.Zone] {
+			st = "evacuated"
+		}
+		out = append(out, UpstreamState{u.instance.ID, u.instance.Service, u.instance.Zone, u.region, st, len(u.active), len(u.idle), u.conns, u.fails,
+			math.Round(u.delay*1e4) / 10, u.answers, 0})
+		if !u.loadAt.IsZero() {
+			out[len(out)-1].Busy = math.Round(u.busy(now, means[u.instance.Service])*100) / 100
+		}
+	}
+	sort.Slice(out, func(a, b int) bool {
+		return out[a].Service < out[b].Service || out[a].Service == out[b].Service && out[a].Instance < out[b].Instance
+	})
+	return out
+}
--- /dev/null
+++ b/internal/proxy/upstream.go
@@ -0,0 +1,90 @@
+package proxy
+
+import (
+	"hash/fnv"
+	"strconv"
+	"strings"
+	"time"
+
+	"slateridge/internal/discovery"
+)
+
+// Upstream is one life of an upstream, as this proxy knows it.
+type Upstream struct {
+	instance discovery.Instance // but for its slots it never changes; what does is kept below
+	pool     *Pool
+	distance int // 0 in this zone, 1 in this region, 2 beyond
+	region   string
+	rank     uint32    // this proxy's lot for it, by which its own few are drawn
+	warmFrom time.Time // slow before this
+
+	// under pool.mu
+	removed      bool
+	draining     bool
+	active       map[*placement]time.Time // requests there, since when
+	idle         []*Conn
+	conns        int
+	coldAt       time.Time // last given a place while cold
+	load         float64   // requests running and waiting for each slot, as it last told
+	ownActive    int       // of them from here
+	loadAt       time.Time
+	delay        float64 // running mean of the time to an answer, seconds; 0 unknown
+	delayAt      time.Time
+	fails        int
+	ejectedUntil time.Time // not before
+	answers      uint64
+}
+
+// placement is one request's place at an upstream.
+type placement struct {
+	upstream *Upstream
+	first    float64 // seconds to a stream's first piece; 0 none yet
+}
+
+// rankOf draws an upstream's place in a proxy's order: stable while both live, and
+// even over all proxies.
+func rankOf(proxy, instance string) uint32 {
+	h := fnv.New64a()
+	h.Write([]byte(proxy + " " + instance))
+	x := h.Sum64()
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	return uint32(x >> 32)
+}
+
+// usable says whether the upstream may still be sent a request with such homes.
+func (u *Upstream) usable(homes string) bool {
+	u.pool.mu.Lock()
+	defer u.pool.mu.Unlock()
+	return !u.removed && !u.draining && !u.pool.evacuated[u.instance.Zone] && within(homes, u.region)
+}
+
+// noteLoad takes what an upstream says of its load: running, waiting, slots.
+func (u *Upstream) noteLoad(header string) {
+	p := strings.Split(header, ",")
+	if len(p) != 3 {
+		return
+	}
+	var n [3]float64
+	for i := range p {
+		v, err := strconv.ParseUint(strings.TrimSpace(p[i]), 10, 16)
+		if err != nil {
+			return
+		}
+		n[i] = float64(v)
+	}
+	if n[2] == 0 {
+		return
+	}
+	u.pool.mu.Lock()
+	u.load, u.loadAt, u.ownActive = (n[0]+n[1])/n[2], time.Now(), len(u.active)
+	u.pool.mu.Unlock()
+}
+
+// share is this proxy's part of the upstream's places.
+func (u *Upstream) share() int {
+	if u.pool.proxies == 0 {
+		return 0 // not known yet
+	}
+	return (u.instance.Slots + u.pool.proxies - 1) / u.pool.proxies
+}
--- /dev/null
+++ b/internal/proxy/zones.go
@@ -0,0 +1,40 @@
+package proxy
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+// Evacuated lists the zones under evacuation.
+func (pool *Pool) Evacuated() []string {
+	pool.mu.Lock()
+	defer pool.mu.Unlock()
+	return slices.Sorted(maps.Keys(pool.evacuated))
+}
+
+// Evacuate takes the zones under evacuation; true when they are others than
+// before. The upstreams of a zone taken back may have turned cold meanwhile.
+func (pool *Pool) Evacuate(now time.Time, zones []string) bool {
+	pool.mu.Lock()
+	defer pool.mu.Unlock()
+	is := map[string]bool{}
+	for _, z := range zones {
+		is[z] = true
+	}
+	if maps.Equal(is, pool.evacuated) {
+		return false
+	}
+	for _, u := range pool.upstreams {
+		z := u.instance.Zone
+		if is[z] {
+			u.closeIdle()
+		} else if pool.evacuated[z] {
+			if cold := now.Add(pool.warmup(u.instance.Service)); cold.After(u.warmFrom) {
+				u.warmFrom = cold
+			}
+		}
+	}
+	pool.evacuated = is
+	return true
+}
