--- a/internal/distribution/receive.go
+++ b/internal/distribution/receive.go
@@ -82,6 +82,28 @@
 	now := time.Now()
 	e := subscriber.conns[a]
 	subscriber.addPeersLocked(update.Peers, update.Current)
+	subscriber.noteHeardLocked(e, update, late, now)
+	f := Changes{From: a, Coming: update.Coming}
+	subscriber.holdLocked(&f, doc, list, misfit)
+	if update.StateNum > subscriber.state {
+		subscriber.state, subscriber.evacuated = update.StateNum, update.Evacuated
+	}
+	f.State, f.Evacuated = subscriber.state, subscriber.evacuated
+	subscriber.noteHoldersLocked(update, now)
+	f.Metered, f.Scaler = subscriber.metered, subscriber.scaler
+	if update.Current {
+		f.Wall = update.Wall
+		subscriber.noteCurrentLocked(update, made)
+	}
+	f.Proxies = subscriber.liveCountLocked(now)
+	f.Trackers = subscriber.trackersLocked(now)
+	subscriber.applying = f.Config != nil || f.List != nil
+	return f
+}
+
+// noteHeardLocked notes what a control machine said last, and that it spoke now unless
+// the news is late.
+func (subscriber *Subscriber) noteHeardLocked(e *controlConn, update Update, late bool, now time.Time) {
 	if update.Trackers == nil {
 		update.Trackers = e.update.Trackers // as told on this connection before
 	}
@@ -94,7 +116,11 @@
 	if subscriber.firstHeardAt.IsZero() {
 		subscriber.firstHeardAt = now
 	}
-	var f Changes
+}
+
+// holdLocked takes new contents, which may be nil, as those held; misfit says that a
+// difference did not fit what is held, so that all is asked for.
+func (subscriber *Subscriber) holdLocked(f *Changes, doc *config.Doc, list *discovery.List, misfit bool) {
 	if doc != nil {
 		subscriber.version, subscriber.doc, f.Config = doc.Version, doc, doc
 	}
@@ -104,65 +130,90 @@
 	if doc != nil || list != nil || misfit {
 		subscriber.wantsWhole = misfit
 	}
-	if update.StateNum > subscriber.state {
-		subscriber.state, subscriber.evacuated = update.StateNum, update.Evacuated
+}
+
+// noteHoldersLocked takes who usage and load are reported to. A machine out of contact
+// is believed only while none in contact speaks.
+func (subscriber *Subscriber) noteHoldersLocked(update Update, now time.Time) {
+	if !update.Current && now.Sub(subscriber.currentAt) <= constants.SubscriptionSilence {
+		return
 	}
-	f.State, f.Evacuated = subscriber.state, subscriber.evacuated
-	// A machine out of contact is believed only while none in contact speaks.
-	if update.Current || now.Sub(subscriber.currentAt) > constants.SubscriptionSilence {
-		if update.Metered != "" {
-			subscriber.metered = update.Metered
-		}
-		if update.Scaler != "" {
-			subscriber.scaler = update.Scaler
-		}
+	if update.Metered != "" {
+		subscriber.metered = update.Metered
 	}
-	f.From, f.Metered, f.Scaler = a, subscriber.metered, subscriber.scaler
-	if update.Current {
-		f.Wall = update.Wall
+	if update.Scaler != "" {
+		subscriber.scaler = update.Scaler
 	}
-	if update.Current {
-		if made.After(subscriber.currentAt) {
-			subscriber.currentAt = made
-		}
-		if update.ListNum == subscriber.listNum && update.ListNum > 0 {
-			if at := made.Add(-update.ListAge); at.After(subscriber.listCurrentAt) {
-				subscriber.listCurrentAt = at
-			}
-		}
+}
+
+// noteCurrentLocked notes since when the word of a machine in contact vouches for the
+// proxy being in contact itself, and for the list it holds.
+func (subscriber *Subscriber) noteCurrentLocked(update Update, made time.Time) {
+	if made.After(subscriber.currentAt) {
+		subscriber.currentAt = made
 	}
-	// The live count is the largest that a machine in contact lately told: too small a
-	// count would split the quotas too generously. While none is, it may only rise. A
-	// tracker that no machine in contact knows may be known to another.
-	told := map[bool]int{false: subscriber.proxies}
-	heard, counted := false, false // whether any machine spoke lately, and told a count
-	var trackers []string
-	for _, current := range []bool{true, false} {
-		for _, x := range subscriber.order {
-			o := subscriber.conns[x]
-			if !o.answered || now.Sub(o.heardAt) >= constants.SubscriptionSilence || o.update.Current != current {
-				continue
-			}
-			heard, counted = true, counted || o.update.Proxies > 0
-			told[current] = max(told[current], o.update.Proxies)
-			for i, t := range o.update.Trackers {
-				if len(trackers) <= i {
-					trackers = append(trackers, t)
-				} else if trackers[i] == "" {
-					trackers[i] = t
-				}
-			}
+	if update.ListNum == 0 || update.ListNum != subscriber.listNum {
+		return
+	}
+	if at := made.Add(-update.ListAge); at.After(subscriber.listCurrentAt) {
+		subscriber.listCurrentAt = at
+	}
+}
+
+// heardLatelyLocked lists what the machines said last that spoke lately: first those in
+// contact or those out of it, each in the order of preference.
+func (subscriber *Subscriber) heardLatelyLocked(now time.Time, current bool) []*Update {
+	var updates []*Update
+	for _, a := range subscriber.order {
+		e := subscriber.conns[a]
+		if e.answered && now.Sub(e.heardAt) < constants.SubscriptionSilence && e.update.Current == current {
+			updates = append(updates, &e.update)
 		}
 	}
-	if subscriber.proxies = told[true]; subscriber.proxies == 0 {
-		subscriber.proxies = told[false]
+	return updates
+}
+
+// liveCountLocked is the live count to hand on, 0 for no news. It is the largest that a
+// machine in contact lately told: too small a count would split the quotas too
+// generously. While none is, it may only rise.
+func (subscriber *Subscriber) liveCountLocked(now time.Time) int {
+	inContact, outOfContact := subscriber.heardLatelyLocked(now, true), subscriber.heardLatelyLocked(now, false)
+	told, counted := 0, false
+	for _, update := range inContact {
+		told = max(told, update.Proxies)
+		counted = counted || update.Proxies > 0
+	}
+	toldOutside := subscriber.proxies
+	for _, update := range outOfContact {
+		toldOutside = max(toldOutside, update.Proxies)
+		counted = counted || update.Proxies > 0
+	}
+	if subscriber.proxies = told; told == 0 {
+		subscriber.proxies = toldOutside
 	}
-	f.Trackers, f.Coming = trackers, update.Coming
 	// The count held is no news by itself. It goes on while control tells none, as when
 	// its roster is incomplete; a share that was given up it does not bring back.
-	if counted || heard && now.Sub(subscriber.countAt) <= constants.SplitHold {
-		f.Proxies, subscriber.countAt = subscriber.proxies, now
+	heard := len(inContact)+len(outOfContact) > 0
+	if !counted && (!heard || now.Sub(subscriber.countAt) > constants.SplitHold) {
+		return 0
 	}
-	subscriber.applying = f.Config != nil || f.List != nil
-	return f
+	subscriber.countAt = now
+	return subscriber.proxies
+}
+
+// trackersLocked is who tracks each shard of the quotas, as the machines that spoke
+// lately tell. A tracker that no machine in contact knows may be known to another.
+func (subscriber *Subscriber) trackersLocked(now time.Time) []string {
+	var trackers []string
+	updates := append(subscriber.heardLatelyLocked(now, true), subscriber.heardLatelyLocked(now, false)...)
+	for _, update := range updates {
+		for shard, tracker := range update.Trackers {
+			if len(trackers) <= shard {
+				trackers = append(trackers, tracker)
+			} else if trackers[shard] == "" {
+				trackers[shard] = tracker
+			}
+		}
+	}
+	return trackers
 }
--- a/internal/proxy/affinity.go
+++ b/internal/proxy/affinity.go
@@ -69,68 +69,84 @@
 	return sum / n
 }
 
+// streamCandidate is an upstream that a stream may be placed at.
+type streamCandidate struct {
+	upstream *Upstream
+	busy     float64 // how full it is thought to be, in parts of its slots
+	rank     uint32  // its place in the order of the stream's prefix
+}
+
 // chooseStream places a stream: by rendezvous hashing of its prefix over the zone's
 // upstreams, the first of a few that is not full, so that proxies that never speak
 // to each other agree where a prefix is kept; else the least busy one of the zone,
 // and of other zones when it is full. With all of them as full as they may be, there
 // is no room: the request waits its short time and is refused.
 func (pool *Pool) chooseStream(w target, skip map[*Upstream]bool, now time.Time) *Upstream {
+	near, far := pool.streamCandidates(w, skip, now)
+	if w.prefix != "" && len(near) > 0 {
+		if u := pool.chooseByPrefix(near); u != nil {
+			return u
+		}
+	}
+	best, busy := leastBusy(near)
+	if best == nil || busy > 1 {
+		if u, b := leastBusy(far); u != nil && b+0.3 < busy {
+			best = u
+		}
+	}
+	return best
+}
+
+// streamCandidates lists the upstreams with room for a stream, of this zone and of others.
+func (pool *Pool) streamCandidates(w target, skip map[*Upstream]bool, now time.Time) (near, far []streamCandidate) {
 	all := pool.candidates(w).all
 	mean := meanBusy(all, now)
-	tooFew := pool.mostEjected(all, now)
-	type cand struct {
-		o    *Upstream
-		busy float64
-		rank uint32
-	}
-	var near, far []cand
+	c := choice{skip: skip, now: now, ejectedToo: pool.mostEjected(all, now)}
 	for _, u := range all {
-		if u.draining || skip[u] || pool.evacuated[u.instance.Zone] || !tooFew && now.Before(u.ejectedUntil) || u.fails > 0 && len(u.active) > 0 {
+		if !u.eligible(c) {
 			continue
 		}
-		c := cand{o: u, busy: u.busy(now, mean)}
-		if c.busy >= constants.StreamFull {
+		candidate := streamCandidate{upstream: u, busy: u.busy(now, mean)}
+		if candidate.busy >= constants.StreamFull {
 			continue // what it cannot queue it resets, and a stream is sent once
 		}
 		if now.Before(u.warmFrom) {
-			c.busy += constants.WarmupFactor - 1
+			candidate.busy += constants.WarmupFactor - 1
 		}
-		if u.distance == 0 {
-			if w.prefix != "" {
-				c.rank = rankOf(w.prefix, u.instance.ID)
-			}
-			near = append(near, c)
-		} else {
-			far = append(far, c)
+		if u.distance > 0 {
+			far = append(far, candidate)
+			continue
 		}
-	}
-	if w.prefix != "" && len(near) > 0 {
-		slices.SortFunc(near, func(a, b cand) int { return cmp.Compare(a.rank, b.rank) })
-		for i, c := range near {
-			if i == constants.AffinityTop {
-				break
-			}
-			if c.busy < constants.AffinityFull {
-				pool.Kept[min(i, 1)]++
-				return c.o
-			}
+		if w.prefix != "" {
+			candidate.rank = rankOf(w.prefix, u.instance.ID)
 		}
-		pool.Kept[2]++
+		near = append(near, candidate)
 	}
-	least := func(cs []cand) (best *Upstream, busy float64) {
-		busy = math.Inf(1)
-		for _, c := range cs {
-			if b := c.busy + 0.1*rand.Float64(); b < busy {
-				best, busy = c.o, b
-			}
+	return near, far
+}
+
+// chooseByPrefix picks the first of a few upstreams, in the order of the prefix, that is
+// not full, or nil; and counts which it was.
+func (pool *Pool) chooseByPrefix(near []streamCandidate) *Upstream {
+	slices.SortFunc(near, func(a, b streamCandidate) int { return cmp.Compare(a.rank, b.rank) })
+	for i, c := range near[:min(len(near), constants.AffinityTop)] {
+		if c.busy < constants.AffinityFull {
+			pool.Kept[min(i, 1)]++
+			return c.upstream
 		}
-		return best, busy
 	}
-	best, busy := least(near)
-	if best == nil || busy > 1 {
-		if u, b := least(far); u != nil && b+0.3 < busy {
-			best = u
+	pool.Kept[2]++
+	return nil
+}
+
+// leastBusy is the least busy upstream, with a little noise, and how busy that is; nil
+// and infinity where there is none.
+func leastBusy(candidates []streamCandidate) (best *Upstream, busy float64) {
+	busy = math.Inf(1)
+	for _, c := range candidates {
+		if b := c.busy + 0.1*rand.Float64(); b < busy {
+			best, busy = c.upstream, b
 		}
 	}
-	return best
+	return best, busy
 }
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -5,7 +5,6 @@
 	"errors"
 	"io"
 	"net"
-	"net/http"
 	"time"
 
 	"slateridge/internal/config"
@@ -135,16 +134,7 @@
 		pool.done(of, how)
 		return &result{outcome: how, sentAt: at, sent: true, err: err}
 	}
-	switch {
-	case resp.Header.Get(headerNotRun) != "" && resp.StatusCode/100 != 2 || resp.StatusCode == http.StatusMisdirectedRequest:
-		res.notRun = !doubt
-		res.outcome = atCapacity
-		if resp.StatusCode == http.StatusMisdirectedRequest {
-			res.outcome = broken
-		}
-	case resp.StatusCode >= 500:
-		res.outcome = errored
-	}
+	res.judge()
 	pool.done(of, res.outcome)
 	return res
 }
--- a/internal/proxy/attempts_test.go
+++ b/internal/proxy/attempts_test.go
@@ -25,7 +25,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			var s *Proxy
-			answer := func(_ int, r *http.Request) (string, bool) {
+			answer := func(_ int, _ *http.Request) (string, bool) {
 				s.config.Store(lowered)
 				return answerOf(c.status, "id-1", c.more, ""), false
 			}
--- a/internal/proxy/choice.go
+++ b/internal/proxy/choice.go
@@ -76,70 +76,107 @@
 	if w.stream {
 		return pool.chooseStream(w, skip, now)
 	}
-	pk := pool.candidates(w)
-	few, os := pk.preferred, pk.all
-	mean := meanDelay(few)
-	bounded := pool.warmup(w.service) > 0
-	pass := func(os []*Upstream, ejectedToo bool) *Upstream {
-		var best *Upstream
-		least := math.Inf(1)
-		for _, u := range os {
-			if u.draining || skip[u] || pool.evacuated[u.instance.Zone] || bounded && now.Before(u.warmFrom) && !u.admitsCold(now) || !ejectedToo && now.Before(u.ejectedUntil) {
-				continue
-			}
-			if u.fails > 0 && len(u.active) > 0 {
-				continue // one trial at a time
-			}
-			d := u.expect(now, mean)
-			oldest := 0.0
-			for _, at := range u.active {
-				oldest = max(oldest, now.Sub(at).Seconds())
-			}
-			share := u.share()
-			limit := max(constants.UpstreamCap, 2*share) // as many again may wait there
-			if d > mean*constants.SlowFactor || oldest > mean*constants.SlowFactor {
-				limit = max(constants.UpstreamCapSlow, share)
-			}
-			if len(u.active) >= limit {
-				continue
-			}
-			score := max(d, oldest) * (1 + float64(len(u.active))/float64(u.instance.Slots))
-			if now.Before(u.warmFrom) {
-				score *= constants.WarmupFactor
-			}
-			if age := now.Sub(u.loadAt); u.load > 1 && age < constants.LoadFresh {
-				score *= 1 + (u.load-1)*(1-age.Seconds()/constants.LoadFresh.Seconds())
-			}
-			switch u.distance {
-			case 1:
-				score += constants.ZonePenalty.Seconds()
-			case 2:
-				score += constants.RegionPenalty.Seconds()
-			}
-			if len(u.idle) == 0 {
-				score += constants.NewConnPenalty.Seconds()
-			}
-			score *= 1 + constants.ChoiceNoise*rand.Float64()
-			if score < least {
-				best, least = u, score
-			}
-		}
-		return best
-	}
-	if u := pass(few, false); u != nil {
+	set := pool.candidates(w)
+	c := choice{skip: skip, now: now, mean: meanDelay(set.preferred), bounded: pool.warmup(w.service) > 0}
+	if u := pool.chooseAmong(set.preferred, c); u != nil {
 		return u
 	}
-	if len(few) < len(os) {
-		if u := pass(os, false); u != nil {
+	if len(set.preferred) < len(set.all) {
+		if u := pool.chooseAmong(set.all, c); u != nil {
 			return u
 		}
 	}
-	if pool.mostEjected(os, now) {
-		return pass(os, true)
+	if pool.mostEjected(set.all, now) {
+		c.ejectedToo = true
+		return pool.chooseAmong(set.all, c)
 	}
 	return nil
 }
 
+// choice is what one choice of an upstream goes by.
+type choice struct {
+	skip       map[*Upstream]bool // those that the request has been offered to
+	now        time.Time
+	mean       float64 // the mean delay of the preferred candidates, in seconds
+	bounded    bool    // cold upstreams may only be sent so much
+	ejectedToo bool    // those left alone after failures are asked as well
+}
+
+// chooseAmong picks the upstream with the least score of those that have room, or nil.
+func (pool *Pool) chooseAmong(candidates []*Upstream, c choice) *Upstream {
+	var best *Upstream
+	least := math.Inf(1)
+	for _, u := range candidates {
+		if !u.eligible(c) {
+			continue
+		}
+		delay := u.expect(c.now, c.mean)
+		oldest := u.oldestActive(c.now)
+		if len(u.active) >= u.activeLimit(delay, oldest, c.mean) {
+			continue
+		}
+		if score := u.score(delay, oldest, c.now); score < least {
+			best, least = u, score
+		}
+	}
+	return best
+}
+
+// eligible says whether an upstream may be chosen at all, its room aside.
+func (u *Upstream) eligible(c choice) bool {
+	if u.draining || c.skip[u] || u.pool.evacuated[u.instance.Zone] {
+		return false
+	}
+	if c.bounded && c.now.Before(u.warmFrom) && !u.admitsCold(c.now) {
+		return false
+	}
+	if !c.ejectedToo && c.now.Before(u.ejectedUntil) {
+		return false
+	}
+	return u.fails == 0 || len(u.active) == 0 // one trial at a time
+}
+
+// oldestActive is for how long the oldest request there has been under way, in seconds.
+func (u *Upstream) oldestActive(now time.Time) float64 {
+	oldest := 0.0
+	for _, at := range u.active {
+		oldest = max(oldest, now.Sub(at).Seconds())
+	}
+	return oldest
+}
+
+// activeLimit is how many requests may be under way there from this proxy: fewer while
+// it is slow.
+func (u *Upstream) activeLimit(delay, oldest, mean float64) int {
+	share := u.share()
+	if delay > mean*constants.SlowFactor || oldest > mean*constants.SlowFactor {
+		return max(constants.UpstreamCapSlow, share)
+	}
+	return max(constants.UpstreamCap, 2*share) // as many again may wait there
+}
+
+// score is the delay to expect of one more request there, in seconds, with a penalty for
+// distance, load, cold upstreams and new connections, and a little noise.
+func (u *Upstream) score(delay, oldest float64, now time.Time) float64 {
+	score := max(delay, oldest) * (1 + float64(len(u.active))/float64(u.instance.Slots))
+	if now.Before(u.warmFrom) {
+		score *= constants.WarmupFactor
+	}
+	if age := now.Sub(u.loadAt); u.load > 1 && age < constants.LoadFresh {
+		score *= 1 + (u.load-1)*(1-age.Seconds()/constants.LoadFresh.Seconds())
+	}
+	switch u.distance {
+	case 1:
+		score += constants.ZonePenalty.Seconds()
+	case 2:
+		score += constants.RegionPenalty.Seconds()
+	}
+	if len(u.idle) == 0 {
+		score += constants.NewConnPenalty.Seconds()
+	}
+	return score * (1 + constants.ChoiceNoise*rand.Float64())
+}
+
 // Place finds room at an upstream at once, or nil, for a request that has been offered
 // before: what others wait for is theirs.
 func (pool *Pool) Place(w target, skip map[*Upstream]bool) *placement {
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -36,7 +36,6 @@
 // forward offers the request until it is served or nothing more may be done,
 // and gives the result to hand to the client; nil with a status means refusal.
 func (p *exchange) forward() (*result, int) {
-	pool := p.proxy.pool
 	now := p.proxy.now()
 	p.service = p.route.Pick(rand.Float64())
 	p.homes = homesOf(config.Homes(p.route, p.tenant))
@@ -50,41 +49,18 @@
 		if p.tooLate() {
 			return last, http.StatusServiceUnavailable
 		}
-		var of *placement
-		if last == nil {
-			of = pool.Wait(p.request.Context(), p.target(), p.priority, skip, min(time.Until(held), time.Until(p.deadline)))
-		} else {
-			of = pool.Place(p.target(), skip)
-		}
+		of := p.place(last == nil, held, skip)
 		if of == nil {
 			return last, http.StatusServiceUnavailable
 		}
 		skip[of.upstream] = true
-		var res *result
-		if p.route.Idempotent && p.bodyRest == nil {
-			res = p.hedged(of, skip)
-		} else {
-			res = p.try(of)
-			p.count(res)
-		}
+		res := p.offer(of, skip)
 		if res.abandoned {
 			if last != nil {
 				return last, 0
 			}
-			if cfg := p.proxy.config.Load(); cfg != p.config {
-				// The configuration moved on before anything was sent.
-				route, tenant, code := match(cfg, p.request)
-				if code != 0 {
-					return nil, code
-				}
-				p.config, p.route, p.tenant = cfg, route, tenant
-				p.homes = homesOf(config.Homes(route, tenant))
-				if !route.RoutesTo(p.service) {
-					p.service = route.Pick(rand.Float64())
-				}
-			}
-			if !time.Now().Before(p.deadline) || p.request.Context().Err() != nil {
-				return nil, http.StatusServiceUnavailable
+			if code := p.resume(); code != 0 {
+				return nil, code
 			}
 			if dials++; dials > constants.MaxDials {
 				return nil, http.StatusServiceUnavailable
@@ -110,12 +86,63 @@
 			}
 			continue
 		}
-		if !res.notRun && !p.route.Idempotent || p.bodyRest != nil || p.sends >= p.maxAttempts() || !p.proxy.retryBudget.Take(p.proxy.now(), p.service) {
+		if !p.mayRetry(res) {
 			return last, 0
 		}
 	}
 }
 
+// place finds room for an offer, or nil: the first may wait for it until held.
+func (p *exchange) place(first bool, held time.Time, skip map[*Upstream]bool) *placement {
+	if !first {
+		return p.proxy.pool.Place(p.target(), skip)
+	}
+	patience := min(time.Until(held), time.Until(p.deadline))
+	return p.proxy.pool.Wait(p.request.Context(), p.target(), p.priority, skip, patience)
+}
+
+// offer makes one offer of the request, and a second beside it where it may be repeated.
+func (p *exchange) offer(of *placement, skip map[*Upstream]bool) *result {
+	if p.route.Idempotent && p.bodyRest == nil {
+		return p.hedged(of, skip)
+	}
+	res := p.try(of)
+	p.count(res)
+	return res
+}
+
+// resume looks at the request again after an offer was abandoned before anything was
+// sent, as when the configuration moved on; a status refuses it.
+func (p *exchange) resume() int {
+	if cfg := p.proxy.config.Load(); cfg != p.config {
+		route, tenant, code := match(cfg, p.request)
+		if code != 0 {
+			return code
+		}
+		p.config, p.route, p.tenant = cfg, route, tenant
+		p.homes = homesOf(config.Homes(route, tenant))
+		if !route.RoutesTo(p.service) {
+			p.service = route.Pick(rand.Float64())
+		}
+	}
+	if !time.Now().Before(p.deadline) || p.request.Context().Err() != nil {
+		return http.StatusServiceUnavailable
+	}
+	return 0
+}
+
+// mayRetry says whether a request that was sent may be sent once more, and takes that
+// from the retry budget.
+func (p *exchange) mayRetry(res *result) bool {
+	if !res.notRun && !p.route.Idempotent {
+		return false
+	}
+	if p.bodyRest != nil || p.sends >= p.maxAttempts() {
+		return false
+	}
+	return p.proxy.retryBudget.Take(p.proxy.now(), p.service)
+}
+
 // tooLate says that the request has so little time left that it would hardly be served,
 // and that having been sent it could not be refused with a promise any more.
 func (p *exchange) tooLate() bool {
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -108,34 +108,17 @@
 		s.refuse(w, r, code, 0)
 		return
 	}
-	if cfg.Limits.BodyBytes > 0 && r.ContentLength > cfg.Limits.BodyBytes {
-		s.refuse(w, r, http.StatusRequestEntityTooLarge, 0)
-		return
-	}
-	if cfg.Limits.HeaderBytes > 0 && headerSize(r) > cfg.Limits.HeaderBytes {
-		s.refuse(w, r, http.StatusRequestHeaderFieldsTooLarge, 0)
+	if code := tooLarge(cfg, r); code != 0 {
+		s.refuse(w, r, code, 0)
 		return
 	}
 	p := &exchange{proxy: s, request: r, arrived: arrived, config: cfg, route: route, tenant: tenant, priority: route.Priority,
 		deadline: arrived.Add(min(budget(r), route.Timeout)), usageRun: &usage.Run{}}
 	if tenant != nil {
-		if s.trustFor > 0 && arrived.Sub(s.readIndexAt()) > s.trustFor {
-			// The key may have been taken away, and nobody here would know.
-			s.counts[countKeyUnsure].Add(1)
-			s.refuse(w, r, http.StatusServiceUnavailable, constants.RetryUnsure)
-			return
-		}
 		if tenant.HasPriority {
 			p.priority = tenant.Priority
 		}
-		v := s.limiter.Admit(s.now(), tenant.Name, false)
-		if v.Ask {
-			s.askFor(tenant.Name)
-			v = s.limiter.Admit(s.now(), tenant.Name, true)
-		}
-		if !v.OK {
-			s.counts[countOverQuota].Add(1)
-			s.refuse(w, r, http.StatusTooManyRequests, v.Retry)
+		if !s.admit(w, p) {
 			return
 		}
 	}
@@ -166,6 +149,39 @@
 	s.reply(w, p, res, code)
 }
 
+// tooLarge is the status that refuses a request over the client bounds, or 0.
+func tooLarge(cfg *config.Config, r *http.Request) int {
+	if cfg.Limits.BodyBytes > 0 && r.ContentLength > cfg.Limits.BodyBytes {
+		return http.StatusRequestEntityTooLarge
+	}
+	if cfg.Limits.HeaderBytes > 0 && headerSize(r) > cfg.Limits.HeaderBytes {
+		return http.StatusRequestHeaderFieldsTooLarge
+	}
+	return 0
+}
+
+// admit says whether a tenant's request is admitted by its key and its quota, and
+// refuses it if not.
+func (s *Proxy) admit(w http.ResponseWriter, p *exchange) bool {
+	if s.trustFor > 0 && p.arrived.Sub(s.readIndexAt()) > s.trustFor {
+		// The key may have been taken away, and nobody here would know.
+		s.counts[countKeyUnsure].Add(1)
+		s.refuse(w, p.request, http.StatusServiceUnavailable, constants.RetryUnsure)
+		return false
+	}
+	v := s.limiter.Admit(s.now(), p.tenant.Name, false)
+	if v.Ask {
+		s.askFor(p.tenant.Name)
+		v = s.limiter.Admit(s.now(), p.tenant.Name, true)
+	}
+	if !v.OK {
+		s.counts[countOverQuota].Add(1)
+		s.refuse(w, p.request, http.StatusTooManyRequests, v.Retry)
+		return false
+	}
+	return true
+}
+
 func headerSize(r *http.Request) int {
 	n := len(r.Method) + len(r.RequestURI) + len(r.Host)
 	for k, vs := range r.Header {
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -215,7 +215,7 @@
 
 func TestAmbiguityIsNotPromised(t *testing.T) {
 	plain := func(status string) script {
-		return func(_ int, r *http.Request) (string, bool) {
+		return func(_ int, _ *http.Request) (string, bool) {
 			return "HTTP/1.1 " + status + "\r\nX-Slateridge-Attempt-Id: id-1\r\nContent-Length: 0\r\n\r\n", false
 		}
 	}
@@ -303,7 +303,7 @@
 
 // A long answer that breaks off is broken off toward the client too.
 func TestCutLongAnswerIsVisible(t *testing.T) {
-	u := newRawUpstream(t, func(_ int, r *http.Request) (string, bool) {
+	u := newRawUpstream(t, func(_ int, _ *http.Request) (string, bool) {
 		return fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Slateridge-Attempt-Id: id-1\r\nX-Slateridge-Response-Seal: s\r\nContent-Length: %d\r\n\r\n%s", 900000, strings.Repeat("x", 600000)), true
 	})
 	srv := httptest.NewServer(newProxy(t, u.instance("i-1")))
@@ -444,7 +444,7 @@
 		}
 		return shed, false
 	})
-	other := newRawUpstream(t, func(_ int, r *http.Request) (string, bool) { return shed, false })
+	other := newRawUpstream(t, func(_ int, _ *http.Request) (string, bool) { return shed, false })
 	s := newProxy(t, u.instance("i-1"))
 	get(s, "POST", "/once/", "")
 	s.pool.Apply(time.Now(), []discovery.Instance{u.instance("i-1"), other.instance("i-2")})
--- a/internal/proxy/result.go
+++ b/internal/proxy/result.go
@@ -51,3 +51,18 @@
 	return c >= 500 || c == http.StatusTooManyRequests || c == http.StatusRequestTimeout || c == http.StatusMisdirectedRequest ||
 		c/100 == 2 && r.resp.Header.Get(headerSeal) == ""
 }
+
+// judge sets what the answer's status and headers say of the run and of the upstream.
+func (r *result) judge() {
+	status := r.resp.StatusCode
+	switch {
+	case status == http.StatusMisdirectedRequest:
+		r.notRun = !r.doubtful
+		r.outcome = broken
+	case r.resp.Header.Get(headerNotRun) != "" && status/100 != 2:
+		r.notRun = !r.doubtful
+		r.outcome = atCapacity
+	case status >= 500:
+		r.outcome = errored
+	}
+}
