--- a/internal/distribution/subscriber.go
+++ b/internal/distribution/subscriber.go
@@ -80,7 +80,16 @@
 // NewSubscriber makes a proxy's end, with the control machines it knows to begin
 // with; apply is called, one call at a time, with what is newer.
 func NewSubscriber(me Subscription, peers []string, dial func(addr string, h transport.Handler) *transport.Peer, apply func(Changes)) *Subscriber {
-	subscriber := &Subscriber{self: me, locations: map[string]Peer{}, conns: map[string]*controlConn{}, dial: dial, apply: apply, began: time.Now(), heardAt: time.Now()}
+	now := time.Now()
+	subscriber := &Subscriber{
+		self:      me,
+		locations: map[string]Peer{},
+		conns:     map[string]*controlConn{},
+		dial:      dial,
+		apply:     apply,
+		began:     now,
+		heardAt:   now,
+	}
 	subscriber.addLocked(peers)
 	return subscriber
 }
@@ -132,14 +141,26 @@
 			continue
 		}
 		e.asking, e.subscribeAt, e.pullAt = true, now, time.Time{}
-		subscription := subscriber.self
-		subscription.Sent = now.Sub(subscriber.began)
-		subscription.Version, subscription.ListNum, subscription.Full, subscription.Proxies = subscriber.version, subscriber.listNum, a == subscriber.contentsFrom || pull, subscriber.reckonsWith()
-		subscription.Whole, subscription.Stale, subscription.Missed = subscriber.wantsWhole && subscription.Full, subscriber.stale, e.missed
-		go subscriber.ask(a, e, subscription)
+		full := a == subscriber.contentsFrom || pull
+		go subscriber.ask(a, e, subscriber.subscriptionLocked(now, full, e.missed))
 	}
 }
 
+// subscriptionLocked is what a control machine is told now: what is held here, and
+// whether contents are wanted from it.
+func (subscriber *Subscriber) subscriptionLocked(now time.Time, full, missed bool) Subscription {
+	subscription := subscriber.self
+	subscription.Sent = now.Sub(subscriber.began)
+	subscription.Version = subscriber.version
+	subscription.ListNum = subscriber.listNum
+	subscription.Proxies = subscriber.reckonsWith()
+	subscription.Full = full
+	subscription.Whole = full && subscriber.wantsWhole
+	subscription.Stale = subscriber.stale
+	subscription.Missed = missed
+	return subscription
+}
+
 func (subscriber *Subscriber) ask(a string, e *controlConn, subscription Subscription) {
 	asked := time.Now()
 	v, err := e.peer.Call(subscription, constants.CallTimeout)
--- a/internal/proxy/admin.go
+++ b/internal/proxy/admin.go
@@ -82,10 +82,10 @@
 		}
 	}
 	r.histograms = d.histograms
-	d.pool.mu.Lock()
-	r.Streams.First, r.Streams.Next, r.Streams.Elsewhere = d.pool.Kept[0], d.pool.Kept[1], d.pool.Kept[2]
-	r.NewConns, r.Ejections, r.Waited, r.Full = d.pool.NewConns, d.pool.Ejected, d.pool.Waited, d.pool.Full
-	d.pool.mu.Unlock()
+	counts := d.pool.counters()
+	r.Streams.First, r.Streams.Next, r.Streams.Elsewhere = counts.kept[0], counts.kept[1], counts.kept[2]
+	r.NewConns, r.Ejections = counts.newConns, counts.ejected
+	r.Waited, r.Full = counts.waited, counts.full
 	d.retryBudget.mu.Lock()
 	r.Retries, r.Denied = d.retryBudget.Spent, d.retryBudget.Denied
 	d.retryBudget.mu.Unlock()
--- a/internal/proxy/conn.go
+++ b/internal/proxy/conn.go
@@ -2,13 +2,11 @@
 
 import (
 	"bufio"
-	"bytes"
 	"errors"
 	"io"
 	"net"
 	"net/http"
 	"strconv"
-	"strings"
 	"syscall"
 	"time"
 
@@ -161,7 +159,7 @@
 func (conn *Conn) exhausted(resp *http.Response) {
 	conn.used++
 	if resp.Close || resp.ProtoMajor != 1 || resp.ProtoMinor < 1 || conn.buffered.Buffered() > 0 {
-		conn.upstream.drop(conn)
+		conn.drop()
 		return
 	}
 	if s, ok := keepAlive(resp.Header); ok {
@@ -170,77 +168,5 @@
 	conn.upstream.keep(conn, true)
 }
 
-// keepAlive reads the time in a Keep-Alive header.
-func keepAlive(h http.Header) (time.Duration, bool) {
-	for _, p := range strings.Split(h.Get("Keep-Alive"), ",") {
-		if v, ok := strings.CutPrefix(strings.TrimSpace(p), "timeout="); ok {
-			if n, err := strconv.Atoi(v); err == nil && n >= 0 && n < 1e6 {
-				return time.Duration(n) * time.Second, true
-			}
-		}
-	}
-	return 0, false
-}
-
-// The protocol's own headers.
-const (
-	headerAttemptID        = "X-Slateridge-Attempt-Id"
-	headerBudget           = "X-Slateridge-Time-Budget-Ms"
-	headerExpectedInstance = "X-Slateridge-Expected-Instance"
-	headerTenant           = "X-Slateridge-Tenant-Name"
-	headerSeal             = "X-Slateridge-Response-Seal"
-	headerNotRun           = "X-Slateridge-Not-Executed"
-	headerLoad             = "X-Slateridge-Instance-Load"
-	headerAPIKey           = "X-Api-Key"
-	headerPrefix           = "X-Slateridge-Prompt-Prefix"
-)
-
-// hopHeaders are the headers that concern one connection only, and those this proxy
-// sets itself.
-var hopHeaders = map[string]bool{"Connection": true, "Keep-Alive": true, "Proxy-Connection": true, "Proxy-Authenticate": true,
-	"Proxy-Authorization": true, "Te": true, "Trailer": true, "Transfer-Encoding": true, "Upgrade": true, "Expect": true,
-	"Content-Length": true, headerBudget: true, headerExpectedInstance: true, headerTenant: true, headerAPIKey: true}
-
-// connectionHeaders lists the headers that a Connection header names.
-func connectionHeaders(h http.Header) map[string]bool {
-	var out map[string]bool
-	for _, v := range h["Connection"] {
-		for _, t := range strings.Split(v, ",") {
-			if out == nil {
-				out = map[string]bool{}
-			}
-			out[http.CanonicalHeaderKey(strings.TrimSpace(t))] = true
-		}
-	}
-	return out
-}
-
-// requestHead writes the request line and headers as the client sent them,
-// byte for byte in the target, with the protocol's own in place.
-func requestHead(r *http.Request, instance, tenant string, left time.Duration, length int64) []byte {
-	var b bytes.Buffer
-	b.Grow(512)
-	b.WriteString(r.Method + " " + r.RequestURI + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
-	drop := connectionHeaders(r.Header)
-	for k, vs := range r.Header {
-		if hopHeaders[k] || drop[k] && k != headerAttemptID {
-			continue
-		}
-		for _, v := range vs {
-			b.WriteString(k + ": " + v + "\r\n")
-		}
-	}
-	b.WriteString(headerBudget + ": " + strconv.FormatInt(max(0, left.Milliseconds()), 10) + "\r\n")
-	b.WriteString(headerExpectedInstance + ": " + instance + "\r\n")
-	if tenant != "" {
-		b.WriteString(headerTenant + ": " + tenant + "\r\n")
-	}
-	switch {
-	case length < 0:
-		b.WriteString("Transfer-Encoding: chunked\r\n")
-	case length > 0 || r.Method == http.MethodPost || r.Method == http.MethodPut || r.Method == http.MethodPatch:
-		b.WriteString("Content-Length: " + strconv.FormatInt(length, 10) + "\r\n")
-	}
-	b.WriteString("\r\n")
-	return b.Bytes()
-}
+// drop closes the connection.
+func (conn *Conn) drop() { conn.upstream.drop(conn) }
--- a/internal/proxy/hedge.go
+++ b/internal/proxy/hedge.go
@@ -76,8 +76,5 @@
 
 // usualDelay is the time in which upstreams of the service usually answer.
 func (p *exchange) usualDelay() time.Duration {
-	pool := p.proxy.pool
-	pool.mu.Lock()
-	defer pool.mu.Unlock()
-	return time.Duration(meanDelay(pool.candidates(p.target()).preferred) * float64(time.Second))
+	return p.proxy.pool.usualDelay(p.target())
 }
--- a/internal/proxy/pool.go
+++ b/internal/proxy/pool.go
@@ -9,7 +9,8 @@
 	"slateridge/internal/discovery"
 )
 
-// Pool knows all upstreams and holds requests that wait for room.
+// Pool knows all upstreams and holds requests that wait for room. Its mutex guards all
+// that changes in it and in its upstreams; it is not held while dialling, reading or writing.
 type Pool struct {
 	mu            sync.Mutex
 	zone          string
@@ -48,8 +49,19 @@
 
 // NewPool makes an empty pool for a proxy in a zone.
 func NewPool(me, zone string, regions map[string]string, connCap func(string) int, warmup func(string) time.Duration) *Pool {
-	return &Pool{self: me, zone: zone, regions: regions, warmup: warmup, candidateSets: map[target]*candidateSet{}, evacuated: map[string]bool{}, upstreams: map[string]*Upstream{}, byService: map[string][]*Upstream{}, waiting: map[string][]*waiter{}, connCap: connCap,
-		dialer: net.Dialer{Timeout: constants.ConnectTimeout, KeepAlive: -1}}
+	return &Pool{
+		self:          me,
+		zone:          zone,
+		regions:       regions,
+		warmup:        warmup,
+		connCap:       connCap,
+		upstreams:     map[string]*Upstream{},
+		byService:     map[string][]*Upstream{},
+		candidateSets: map[target]*candidateSet{},
+		evacuated:     map[string]bool{},
+		waiting:       map[string][]*waiter{},
+		dialer:        net.Dialer{Timeout: constants.ConnectTimeout, KeepAlive: -1},
+	}
 }
 
 // Apply takes a list: states change, lives that are gone end, new ones begin.
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -328,7 +328,7 @@
 		return
 	}
 	if _, err := io.Copy(w, res.resp.Body); err != nil {
-		res.conn.upstream.drop(res.conn)
+		res.conn.drop()
 		panic(http.ErrAbortHandler)
 	}
 	res.conn.exhausted(res.resp)
--- a/internal/proxy/result.go
+++ b/internal/proxy/result.go
@@ -38,7 +38,7 @@
 // release ends the connection of an answer that nobody is to read to its end.
 func (r *result) release() {
 	if r != nil && r.conn != nil {
-		r.conn.upstream.drop(r.conn)
+		r.conn.drop()
 	}
 }
 
--- a/internal/proxy/states.go
+++ b/internal/proxy/states.go
@@ -53,3 +53,23 @@
 	})
 	return out
 }
+
+// poolCounters is what a pool has counted since its start.
+type poolCounters struct {
+	newConns, ejected uint64
+	waited, full      uint64    // requests that waited for room, and that found none
+	kept              [3]uint64 // streams by where they were placed, as Pool.Kept
+}
+
+// counters reads the pool's counters at one moment.
+func (pool *Pool) counters() poolCounters {
+	pool.mu.Lock()
+	defer pool.mu.Unlock()
+	return poolCounters{
+		newConns: pool.NewConns,
+		ejected:  pool.Ejected,
+		waited:   pool.Waited,
+		full:     pool.Full,
+		kept:     pool.Kept,
+	}
+}
