--- a/internal/distribution/subscriber.go
+++ b/internal/distribution/subscriber.go
@@ -2,9 +2,6 @@
 
 import (
 	"errors"
-	"hash/fnv"
-	"slices"
-	"sort"
 	"sync"
 	"time"
 
@@ -43,6 +40,7 @@
 	firstHeardAt  time.Time // when any spoke first
 	stale         bool      // looked long enough for one that hears a majority: takes what may be old
 	proxies       int
+	countAt       time.Time // when the live count was last handed on
 	state         uint64
 	evacuated     []string
 	metered       string
@@ -66,7 +64,7 @@
 type Changes struct {
 	Config   *config.Doc
 	List     *discovery.List
-	Proxies  int
+	Proxies  int // the live count, where a control machine spoke lately; 0 is no news
 	Trackers []string
 	Coming   map[string]admission.Quota
 	// State numbers the orders known here; Evacuated are the zones nothing is
@@ -82,7 +80,16 @@
 // NewSubscriber makes a proxy's end, with the control machines it knows to begin
 // with; apply is called, one call at a time, with what is newer.
 func NewSubscriber(me Subscription, peers []string, dial func(addr string, h transport.Handler) *transport.Peer, apply func(Changes)) *Subscriber {
-	subscriber := &Subscriber{self: me, locations: map[string]Peer{}, conns: map[string]*controlConn{}, dial: dial, apply: apply, began: time.Now(), heardAt: time.Now()}
+	now := time.Now()
+	subscriber := &Subscriber{
+		self:      me,
+		locations: map[string]Peer{},
+		conns:     map[string]*controlConn{},
+		dial:      dial,
+		apply:     apply,
+		began:     now,
+		heardAt:   now,
+	}
 	subscriber.addLocked(peers)
 	return subscriber
 }
@@ -102,107 +109,6 @@
 	return min(subscriber.settled(), subscriber.proxies)
 }
 
-func (subscriber *Subscriber) addLocked(addrs []string) {
-	for _, a := range addrs {
-		if subscriber.conns[a] != nil || a == "" {
-			continue
-		}
-		e := &controlConn{}
-		e.peer = subscriber.dial(a, func(_ *transport.Conn, body any) any {
-			if update, ok := body.(Update); ok {
-				// It was made after the Subscription that it names, and maybe only just after.
-				subscriber.receive(a, update, subscriber.began.Add(update.Heard))
-			}
-			return nil
-		})
-		subscriber.conns[a] = e
-		subscriber.order = append(subscriber.order, a)
-	}
-	subscriber.sortLocked()
-}
-
-// departedLocked says whether a machine known here is none of control any more.
-func (subscriber *Subscriber) departedLocked(a string) bool {
-	return len(subscriber.namedPeers) > 0 && !slices.Contains(subscriber.namedPeers, a)
-}
-
-// addPeersLocked takes control's word on where its machines stand. Addresses are learned
-// from any; which machines are no more is believed of one in contact only.
-func (subscriber *Subscriber) addPeersLocked(ps []Peer, current bool) {
-	if len(ps) == 0 {
-		return
-	}
-	var addrs []string
-	for _, p := range ps {
-		subscriber.locations[p.Addr] = p
-		addrs = append(addrs, p.Addr)
-	}
-	if current {
-		subscriber.namedPeers = addrs
-	}
-	subscriber.addLocked(addrs) // which sorts by what is known now
-	if !current {
-		// Better words are to be had elsewhere: dialled now, asked with the next step.
-		subscriber.chooseSubscriptionsLocked(time.Now())
-		for _, a := range subscriber.order {
-			if e := subscriber.conns[a]; e.subscribed && !e.answered {
-				e.peer.Conn()
-			}
-		}
-	}
-}
-
-// sortLocked puts near machines first, and equals in an order of this proxy's
-// own, so that proxies spread.
-func (subscriber *Subscriber) sortLocked() {
-	far := func(a string) int {
-		switch p, ok := subscriber.locations[a]; {
-		case subscriber.departedLocked(a):
-			return 4
-		case !ok || p.Zone == "":
-			return 2 // nothing is known of it yet
-		case p.Zone == subscriber.self.Zone:
-			return 0
-		case p.Region == subscriber.self.Region:
-			return 1
-		}
-		return 3
-	}
-	lot := func(a string) uint32 {
-		h := fnv.New32a()
-		h.Write([]byte(subscriber.self.Node + " " + a))
-		return h.Sum32()
-	}
-	sort.SliceStable(subscriber.order, func(i, j int) bool {
-		a, b := subscriber.order[i], subscriber.order[j]
-		if far(a) != far(b) {
-			return far(a) < far(b)
-		}
-		return lot(a) < lot(b)
-	})
-}
-
-// chooseSubscriptionsLocked decides which control machines are subscribed to: the first few, and for
-// each of them that is silent or hears no majority one more; those that left only
-// while there is no other.
-func (subscriber *Subscriber) chooseSubscriptionsLocked(now time.Time) {
-	good := 0
-	for _, a := range subscriber.order {
-		e := subscriber.conns[a]
-		e.subscribed = good < constants.SubscriptionCount && (good == 0 || !subscriber.departedLocked(a))
-		if e.answered && now.Sub(e.heardAt) <= constants.SubscriptionSilence && e.update.Current {
-			good++
-		}
-	}
-}
-
-// Add makes further control machines known.
-func (subscriber *Subscriber) Add(addrs []string) {
-	subscriber.mu.Lock()
-	defer subscriber.mu.Unlock()
-	subscriber.addLocked(addrs)
-}
-
 // Step drives the line; it is to be called several times a second.
 func (subscriber *Subscriber) Step(now time.Time, ready bool) {
 	subscriber.mu.Lock()
@@ -235,53 +141,24 @@
 			continue
 		}
 		e.asking, e.subscribeAt, e.pullAt = true, now, time.Time{}
-		subscription := subscriber.self
-		subscription.Sent = now.Sub(subscriber.began)
-		subscription.Version, subscription.ListNum, subscription.Full, subscription.Proxies = subscriber.version, subscriber.listNum, a == subscriber.contentsFrom || pull, subscriber.reckonsWith()
-		subscription.Whole, subscription.Stale, subscription.Missed = subscriber.wantsWhole && subscription.Full, subscriber.stale, e.missed
-		go subscriber.ask(a, e, subscription)
-	}
-}
-
-// chooseLocked decides whose contents are taken: the first that speaks, until
-// one in the own zone does; a silent one, or one that hears no majority, is
-// passed over.
-func (subscriber *Subscriber) chooseLocked(now time.Time) {
-	speaks := func(e *controlConn) bool {
-		return e != nil && e.subscribed && e.answered && now.Sub(e.heardAt) <= constants.SubscriptionSilence
-	}
-	rank := func(a string) int {
-		e := subscriber.conns[a]
-		switch {
-		case !speaks(e):
-			return 3
-		case !e.update.Current:
-			return 2
-		case e.update.Zone != subscriber.self.Zone:
-			return 1
-		}
-		return 0
-	}
-	if subscriber.contentsFrom == "" {
-		subscriber.contentsFrom = subscriber.order[0]
+		full := a == subscriber.contentsFrom || pull
+		go subscriber.ask(a, e, subscriber.subscriptionLocked(now, full, e.missed))
 	}
-	for _, a := range subscriber.order {
-		if rank(a) < rank(subscriber.contentsFrom) {
-			subscriber.contentsFrom = a
-		}
-	}
-}
-
-// trustsLocked says whether a control machine's contents are taken by a proxy that
-// may hold an earlier state of them: newer is better, but what one out of contact has
-// is no beginning while better can be had.
-func (subscriber *Subscriber) trustsLocked(update Update, holds bool) bool {
-	return update.Current || holds || subscriber.stale
 }
 
-func (subscriber *Subscriber) behindLocked(e *controlConn) bool {
-	return e.update.Version > subscriber.version && subscriber.trustsLocked(e.update, subscriber.version > 0) ||
-		e.update.ListNum > subscriber.listNum && subscriber.trustsLocked(e.update, subscriber.listNum > 0)
+// subscriptionLocked is what a control machine is told now: what is held here, and
+// whether contents are wanted from it.
+func (subscriber *Subscriber) subscriptionLocked(now time.Time, full, missed bool) Subscription {
+	subscription := subscriber.self
+	subscription.Sent = now.Sub(subscriber.began)
+	subscription.Version = subscriber.version
+	subscription.ListNum = subscriber.listNum
+	subscription.Proxies = subscriber.reckonsWith()
+	subscription.Full = full
+	subscription.Whole = full && subscriber.wantsWhole
+	subscription.Stale = subscriber.stale
+	subscription.Missed = missed
+	return subscription
 }
 
 func (subscriber *Subscriber) ask(a string, e *controlConn, subscription Subscription) {
@@ -308,158 +185,6 @@
 	}
 }
 
-// noteReadIndex takes what an answer says of the versions committed, and tells since when this
-// proxy is sure of its own. An answer was made after its question: only from there can
-// its age be reckoned, however long it was under way.
-func (subscriber *Subscriber) noteReadIndex(update Update, asked time.Time) time.Time {
-	subscriber.mu.Lock()
-	defer subscriber.mu.Unlock()
-	if at := asked.Add(-update.SureAge); update.SureVersion > 0 && update.SureVersion <= subscriber.inForce && at.After(subscriber.readIndexAt) {
-		subscriber.readIndexAt = at
-	}
-	return subscriber.readIndexAt
-}
-
-// ReadIndexAt is the latest moment at which nothing newer than what is in force here had
-// been acknowledged to an operator.
-func (subscriber *Subscriber) ReadIndexAt() time.Time {
-	subscriber.mu.Lock()
-	defer subscriber.mu.Unlock()
-	return subscriber.readIndexAt
-}
-
-// receive puts news in force. What a proxy says it holds is in force there, so its
-// words wait until that is so; the questions of its requests do not. made is a moment
-// before which the news cannot have been made.
-func (subscriber *Subscriber) receive(a string, update Update, made time.Time) {
-	subscriber.receiveMu.Lock()
-	defer subscriber.receiveMu.Unlock()
-	var doc *config.Doc
-	var list *discovery.List
-	misfit := false
-	// Of a word that was long under way, as a machine that was frozen sends them, only
-	// what is numbered counts: the rest may have changed since.
-	late := time.Since(made) > constants.SubscriptionSilence
-	if late {
-		update.Current, update.Metered, update.Scaler, update.Coming = false, "", "", nil
-	}
-	// What is held changes under receiveMu only.
-	subscriber.mu.Lock()
-	if !subscriber.trustsLocked(update, subscriber.version > 0) {
-		update.Config, update.Coming, update.StateNum, update.Proxies = nil, nil, 0, 0
-	}
-	if !subscriber.trustsLocked(update, subscriber.listNum > 0) {
-		update.List = nil
-	}
-	subscriber.mu.Unlock()
-	if c := update.Config; c != nil && c.Version > subscriber.version {
-		if d, err := c.Unpack(subscriber.doc, constants.ConfigMax); err == nil {
-			doc = d
-		} else {
-			misfit = true
-		}
-	}
-	if li := update.List; li != nil && li.Num > subscriber.listNum {
-		if full, ok := li.Apply(subscriber.list); ok {
-			list = full
-		} else {
-			misfit = true
-		}
-	}
-	f := subscriber.merge(a, update, made, late, doc, list, misfit)
-	subscriber.apply(f)
-	if f.Config != nil || f.List != nil {
-		subscriber.mu.Lock()
-		subscriber.applying, subscriber.inForce = false, subscriber.version
-		subscriber.mu.Unlock()
-	}
-}
-
-// merge takes news into what is held and tells what of it is new.
-func (subscriber *Subscriber) merge(a string, update Update, made time.Time, late bool, doc *config.Doc, list *discovery.List, misfit bool) Changes {
-	subscriber.mu.Lock()
-	defer subscriber.mu.Unlock()
-	now := time.Now()
-	e := subscriber.conns[a]
-	subscriber.addPeersLocked(update.Peers, update.Current)
-	if update.Trackers == nil {
-		update.Trackers = e.update.Trackers // as told on this connection before
-	}
-	if late {
-		e.update.Trackers = update.Trackers // the next words only say what differs from it
-	} else {
-		e.heardAt, e.answered, e.update, subscriber.heardAt = now, true, update, now
-		e.update.Config, e.update.List, e.update.Peers, e.update.Coming = nil, nil, nil, nil
-	}
-	if subscriber.firstHeardAt.IsZero() {
-		subscriber.firstHeardAt = now
-	}
-	var f Changes
-	if doc != nil {
-		subscriber.version, subscriber.doc, f.Config = doc.Version, doc, doc
-	}
-	if list != nil {
-		subscriber.listNum, subscriber.list, f.List = list.Num, list, list
-	}
-	if doc != nil || list != nil || misfit {
-		subscriber.wantsWhole = misfit
-	}
-	if update.StateNum > subscriber.state {
-		subscriber.state, subscriber.evacuated = update.StateNum, update.Evacuated
-	}
-	f.State, f.Evacuated = subscriber.state, subscriber.evacuated
-	// A machine out of contact is believed only while none in contact speaks.
-	if update.Current || now.Sub(subscriber.currentAt) > constants.SubscriptionSilence {
-		if update.Metered != "" {
-			subscriber.metered = update.Metered
-		}
-		if update.Scaler != "" {
-			subscriber.scaler = update.Scaler
-		}
-	}
-	f.From, f.Metered, f.Scaler = a, subscriber.metered, subscriber.scaler
-	if update.Current {
-		f.Wall = update.Wall
-	}
-	if update.Current {
-		if made.After(subscriber.currentAt) {
-			subscriber.currentAt = made
-		}
-		if update.ListNum == subscriber.listNum && update.ListNum > 0 {
-			if at := made.Add(-update.ListAge); at.After(subscriber.listCurrentAt) {
-				subscriber.listCurrentAt = at
-			}
-		}
-	}
-	// The live count is the largest that a machine in contact lately told: too small a
-	// count would split the quotas too generously. While none is, it may only rise. A
-	// tracker that no machine in contact knows may be known to another.
-	told := map[bool]int{false: subscriber.proxies}
-	var trackers []string
-	for _, current := range []bool{true, false} {
-		for _, x := range subscriber.order {
-			o := subscriber.conns[x]
-			if !o.answered || now.Sub(o.heardAt) >= constants.SubscriptionSilence || o.update.Current != current {
-				continue
-			}
-			told[current] = max(told[current], o.update.Proxies)
-			for i, t := range o.update.Trackers {
-				if len(trackers) <= i {
-					trackers = append(trackers, t)
-				} else if trackers[i] == "" {
-					trackers[i] = t
-				}
-			}
-		}
-	}
-	if subscriber.proxies = told[true]; subscriber.proxies == 0 {
-		subscriber.proxies = told[false]
-	}
-	f.Proxies, f.Trackers, f.Coming = subscriber.proxies, trackers, update.Coming
-	subscriber.applying = f.Config != nil || f.List != nil
-	return f
-}
-
 // Announce has every control machine subscribed to told with the next step.
 func (subscriber *Subscriber) Announce() {
 	subscriber.mu.Lock()
--- /dev/null
+++ b/internal/proxy/choice.go
@@ -0,0 +1,201 @@
+package proxy
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"sort"
+	"strings"
+	"time"
+
+	"slateridge/internal/constants"
+)
+
+// target is what a request asks for: an upstream of a service, in certain regions.
+type target struct {
+	service, homes string
+	stream         bool   // it runs for long, and beside others in a batch
+	prefix         string // what its prompt has in common with others
+}
+
+// group is the want without what tells requests for the same upstreams apart.
+func (w target) group() target { return target{service: w.service, homes: w.homes} }
+
+// anywhere is the homes of a request that may be served in all regions.
+const anywhere = "*"
+
+// homesOf writes regions as a want has them.
+func homesOf(regions []string, all bool) string {
+	if all {
+		return anywhere
+	}
+	rs := slices.Clone(regions)
+	slices.Sort(rs)
+	return strings.Join(slices.Compact(rs), ",")
+}
+
+// within says whether an upstream of a region may serve a request with homes.
+func within(homes, region string) bool {
+	if homes == anywhere {
+		return true
+	}
+	return region != "" && slices.Contains(strings.Split(homes, ","), region)
+}
+
+// candidateSet is the upstreams that fit a want, near ones first; few are those this
+// proxy turns to before any other.
+type candidateSet struct{ preferred, all []*Upstream }
+
+func (pool *Pool) candidates(w target) *candidateSet {
+	w = w.group()
+	p := pool.candidateSets[w]
+	if p == nil {
+		p = &candidateSet{}
+		for _, u := range pool.byService[w.service] {
+			if within(w.homes, u.region) {
+				p.all = append(p.all, u)
+			}
+		}
+		sort.Slice(p.all, func(a, b int) bool {
+			x, z := p.all[a], p.all[b]
+			return x.distance < z.distance || x.distance == z.distance && (x.rank < z.rank || x.rank == z.rank && x.instance.ID < z.instance.ID)
+		})
+		p.preferred = p.all
+		if len(p.all) > constants.FewUpstreams*3/2 {
+			p.preferred = p.all[:constants.FewUpstreams]
+		}
+		pool.candidateSets[w] = p
+	}
+	return p
+}
+
+// choose picks the upstream with the least expected delay, or nil when none
+// has room. Among those out after failures the longest out is taken only when
+// too few are left.
+func (pool *Pool) choose(w target, skip map[*Upstream]bool, now time.Time) *Upstream {
+	if w.stream {
+		return pool.chooseStream(w, skip, now)
+	}
+	set := pool.candidates(w)
+	c := choice{skip: skip, now: now, mean: meanDelay(set.preferred), bounded: pool.warmup(w.service) > 0}
+	if u := pool.chooseAmong(set.preferred, c); u != nil {
+		return u
+	}
+	if len(set.preferred) < len(set.all) {
+		if u := pool.chooseAmong(set.all, c); u != nil {
+			return u
+		}
+	}
+	if pool.mostEjected(set.all, now) {
+		c.ejectedToo = true
+		return pool.chooseAmong(set.all, c)
+	}
+	return nil
+}
+
+// choice is what one choice of an upstream goes by.
+type choice struct {
+	skip       map[*Upstream]bool // those that the request has been offered to
+	now        time.Time
+	mean       float64 // the mean delay of the preferred candidates, in seconds
+	bounded    bool    // cold upstreams may only be sent so much
+	ejectedToo bool    // those left alone after failures are asked as well
+}
+
+// chooseAmong picks the upstream with the least score of those that have room, or nil.
+func (pool *Pool) chooseAmong(candidates []*Upstream, c choice) *Upstream {
+	var best *Upstream
+	least := math.Inf(1)
+	for _, u := range candidates {
+		if !u.eligible(c) {
+			continue
+		}
+		delay := u.expect(c.now, c.mean)
+		oldest := u.oldestActive(c.now)
+		if len(u.active) >= u.activeLimit(delay, oldest, c.mean) {
+			continue
+		}
+		if score := u.score(delay, oldest, c.now); score < least {
+			best, least = u, score
+		}
+	}
+	return best
+}
+
+// eligible says whether an upstream may be chosen at all, its room aside.
+func (u *Upstream) eligible(c choice) bool {
+	if u.draining || c.skip[u] || u.pool.evacuated[u.instance.Zone] {
+		return false
+	}
+	if c.bounded && c.now.Before(u.warmFrom) && !u.admitsCold(c.now) {
+		return false
+	}
+	if !c.ejectedToo && c.now.Before(u.ejectedUntil) {
+		return false
+	}
+	return u.fails == 0 || len(u.active) == 0 // one trial at a time
+}
+
+// oldestActive is for how long the oldest request there has been under way, in seconds.
+func (u *Upstream) oldestActive(now time.Time) float64 {
+	oldest := 0.0
+	for _, at := range u.active {
+		oldest = max(oldest, now.Sub(at).Seconds())
+	}
+	return oldest
+}
+
+// activeLimit is how many requests may be under way there from this proxy: fewer while
+// it is slow.
+func (u *Upstream) activeLimit(delay, oldest, mean float64) int {
+	share := u.share()
+	if delay > mean*constants.SlowFactor || oldest > mean*constants.SlowFactor {
+		return max(constants.UpstreamCapSlow, share)
+	}
+	return max(constants.UpstreamCap, 2*share) // as many again may wait there
+}
+
+// score is the delay to expect of one more request there, in seconds, with a penalty for
+// distance, load, cold upstreams and new connections, and a little noise.
+func (u *Upstream) score(delay, oldest float64, now time.Time) float64 {
+	score := max(delay, oldest) * (1 + float64(len(u.active))/float64(u.instance.Slots))
+	if now.Before(u.warmFrom) {
+		score *= constants.WarmupFactor
+	}
+	if age := now.Sub(u.loadAt); u.load > 1 && age < constants.LoadFresh {
+		score *= 1 + (u.load-1)*(1-age.Seconds()/constants.LoadFresh.Seconds())
+	}
+	switch u.distance {
+	case 1:
+		score += constants.ZonePenalty.Seconds()
+	case 2:
+		score += constants.RegionPenalty.Seconds()
+	}
+	if len(u.idle) == 0 {
+		score += constants.NewConnPenalty.Seconds()
+	}
+	return score * (1 + constants.ChoiceNoise*rand.Float64())
+}
+
+// Place finds room at an upstream at once, or nil, for a request that has been offered
+// before: what others wait for is theirs.
+func (pool *Pool) Place(w target, skip map[*Upstream]bool) *placement {
+	pool.mu.Lock()
+	defer pool.mu.Unlock()
+	pool.wakeLocked(w.service)
+	return pool.placeLocked(w, skip)
+}
+
+func (pool *Pool) placeLocked(w target, skip map[*Upstream]bool) *placement {
+	now := time.Now()
+	u := pool.choose(w, skip, now)
+	if u == nil {
+		return nil
+	}
+	if now.Before(u.warmFrom) {
+		u.coldAt = now
+	}
+	p := &placement{upstream: u}
+	u.active[p] = now
+	return p
+}
