Lease, directory: long functions divided by message and by step

lease.Manager.take hands each message to onRequest, onRelease or onGrant; a grant or a refusal of this machine's own request is counted in granted and denied. directory.answer takes its proxies from candidates, which orders them with compareCandidates; allOld says whether none was heard of lately.

Behaviour is unchanged; the tests of both packages pass as they are.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -4,6 +4,7 @@
 package directory
 
 import (
+	"cmp"
 	"hash/fnv"
 	"math"
 	"slices"
@@ -135,17 +136,40 @@
 // missing, of the region first: as many as are needed, and so by degrees. All
 // count alike: clients choose evenly among the addresses of an answer.
 func (d *Directory) answer(now time.Duration, zone, region string) []string {
-	type cand struct {
-		*entry
-		far int
-		lot uint32
+	candidates, known := d.candidates(now, zone, region)
+	var out []string
+	beyond := false
+	want := int(math.Ceil(float64(known) * constants.ZoneEnough))
+	for _, c := range candidates {
+		if len(out) >= constants.AnswerMost || c.distance > 0 && len(out) >= max(want, constants.AnswerLeast) {
+			break
+		}
+		beyond = beyond || c.distance > 0
+		out = append(out, c.Front)
 	}
-	var all []cand
-	known := 0
-	old := true // nobody is known afresh: what was known last is better than nothing
-	for _, e := range d.proxies {
-		old = old && (e.disconnected || !e.Ready || now-e.asOf > e.validFor)
+	if beyond {
+		d.Spilled++
 	}
+	slices.Sort(out)
+	return out
+}
+
+// candidate is a proxy that an answer may name. distance is 0 in the client's zone, 1 in
+// its region, 2 elsewhere; lot orders those at the same distance, differently for each zone.
+type candidate struct {
+	*entry
+	distance int
+	lot      uint32
+}
+
+func compareCandidates(a, b candidate) int {
+	return cmp.Or(cmp.Compare(a.distance, b.distance), cmp.Compare(a.lot, b.lot), cmp.Compare(a.Front, b.Front))
+}
+
+// candidates lists the proxies that an answer may name, in the order of preference, and
+// counts all those known in the zone. It drops the ones that have long been silent.
+func (d *Directory) candidates(now time.Duration, zone, region string) (out []candidate, known int) {
+	old := d.allOld(now) // nobody is known afresh: what was known last is better than nothing
 	for n, e := range d.proxies {
 		if now-e.asOf > constants.ProxyForget {
 			delete(d.proxies, n)
@@ -157,37 +181,31 @@
 		if !e.Ready || !old && (e.disconnected || now-e.asOf > e.validFor) {
 			continue
 		}
-		c := cand{entry: e}
+		c := candidate{entry: e}
 		switch {
 		case e.Zone == zone:
 		case e.Region == region:
-			c.far = 1
+			c.distance = 1
 		default:
-			c.far = 2
+			c.distance = 2
 		}
 		h := fnv.New32a()
 		h.Write([]byte(n + " " + zone))
 		c.lot = h.Sum32()
-		all = append(all, c)
+		out = append(out, c)
 	}
-	sort.Slice(all, func(i, j int) bool {
-		return all[i].far < all[j].far || all[i].far == all[j].far && (all[i].lot < all[j].lot || all[i].lot == all[j].lot && all[i].Front < all[j].Front)
-	})
-	var out []string
-	beyond := false
-	want := int(math.Ceil(float64(known) * constants.ZoneEnough))
-	for _, c := range all {
-		if len(out) >= constants.AnswerMost || c.far > 0 && len(out) >= max(want, constants.AnswerLeast) {
-			break
+	slices.SortFunc(out, compareCandidates)
+	return out, known
+}
+
+// allOld says whether there is no ready proxy that was heard of lately.
+func (d *Directory) allOld(now time.Duration) bool {
+	for _, e := range d.proxies {
+		if !e.disconnected && e.Ready && now-e.asOf <= e.validFor {
+			return false
 		}
-		beyond = beyond || c.far > 0
-		out = append(out, c.Front)
-	}
-	if beyond {
-		d.Spilled++
 	}
-	slices.Sort(out)
-	return out
+	return true
 }
 
 // LocationState is one proxy for operators.
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -280,99 +280,122 @@
 func (manager *Manager) take(now time.Duration, from string, msg any) {
 	switch m := msg.(type) {
 	case Request:
-		if manager.claims[m.Duty] == nil || m.Epoch != manager.epoch {
-			manager.Dropped++
-			return
-		}
-		if manager.sealed {
-			return
-		}
-		g := manager.grants[m.Duty]
-		known := g.holder == from && g.until > now
-		if known && sameLife(m.Nonce, g.nonce) && m.Nonce < g.nonce {
-			return // overtaken by a later one
-		}
-		ok := (g.until <= now || g.holder == from) && now-manager.startedAt >= constants.LeaseLength+constants.LeaseMargin
-		if m.Again && (g.until <= now || g.holder != from) {
-			return
-		}
-		if ok {
-			// Of two lives of the holder nothing tells here which is the later one, as
-			// words of the one that is over may come last: each keeps what it got.
-			other := time.Duration(0)
-			if known {
-				other = g.otherUntil
-				if !sameLife(m.Nonce, g.nonce) {
-					other = max(other, g.until)
-				}
-			}
-			g = grant{from, m.Nonce, now + constants.LeaseLength + constants.LeaseMargin, other}
-			manager.grants[m.Duty] = g
-		}
-		manager.send(from, Grant{m.Duty, manager.epoch, m.Nonce, ok, g.holder}, now)
+		manager.onRequest(now, from, m)
 	case Release:
-		if manager.claims[m.Duty] == nil {
-			manager.Dropped++
-			return
-		}
-		g := manager.grants[m.Duty]
-		if g.holder != from || g.nonce != m.Nonce && !(sameLife(g.nonce, m.Nonce) && g.nonce < m.Nonce) {
-			return // of a later Request, or of another life
-		}
-		manager.grants[m.Duty] = grant{holder: from, until: g.otherUntil, otherUntil: g.otherUntil}
-		if m.Successor == "" || g.until <= now || g.otherUntil > now {
-			return
-		}
-		manager.grants[m.Duty] = grant{holder: m.Successor, until: now + constants.LeaseReserve}
-		if m.Successor == manager.self {
-			manager.inherit(now, m.Duty)
-		}
+		manager.onRelease(now, from, m)
 	case Grant:
-		c := manager.claims[m.Duty]
-		if c == nil || m.Epoch != manager.epoch || !m.OK && m.Holder != "" && !slices.Contains(manager.peers, m.Holder) {
-			manager.Dropped++
-			return
-		}
-		i := slices.IndexFunc(c.rounds, func(q round) bool { return q.nonce == m.Nonce })
-		if i < 0 {
-			return // overtaken
-		}
-		q := c.rounds[i]
-		if !m.OK {
-			if m.Nonce != c.nonce {
-				return
-			}
-			if m.Holder != "" && m.Holder != manager.self {
-				c.otherHeldAt = now
-				if c.until <= now && now >= c.heir {
-					// Give back what was granted here and there, and wait a time
-					// of this machine's own: claims that split the votes would
-					// keep them split for ever.
-					c.nextAt = now + constants.LeaseRenew + constants.LeaseStagger*time.Duration(1+slices.Index(manager.peers, manager.self))
-					for _, p := range manager.peers {
-						manager.send(p, Release{Duty: m.Duty, Nonce: c.nonce}, now)
-					}
-					c.nonce, c.rounds = 0, nil
-				}
-			}
-			return
-		}
-		q.granted[from] = true
-		// A holder that came straight back has forgotten its own grant. Half of all
-		// machines, itself not counted, leave too few for anyone else.
-		enough := len(manager.peers)/2 + 1
-		if q.again {
-			enough = (len(manager.peers) + 1) / 2
-		}
-		if until := q.asked + constants.LeaseLength; len(q.granted) >= enough && until > now && until > c.until {
-			if c.until <= now {
-				c.since = now
+		manager.onGrant(now, from, m)
+	default:
+		manager.Dropped++
+	}
+}
+
+// onRequest grants a duty to whoever asks, unless it is another's.
+func (manager *Manager) onRequest(now time.Duration, from string, m Request) {
+	if manager.claims[m.Duty] == nil || m.Epoch != manager.epoch {
+		manager.Dropped++
+		return
+	}
+	if manager.sealed {
+		return
+	}
+	g := manager.grants[m.Duty]
+	known := g.holder == from && g.until > now
+	if known && sameLife(m.Nonce, g.nonce) && m.Nonce < g.nonce {
+		return // overtaken by a later one
+	}
+	ok := (g.until <= now || g.holder == from) && now-manager.startedAt >= constants.LeaseLength+constants.LeaseMargin
+	if m.Again && (g.until <= now || g.holder != from) {
+		return
+	}
+	if ok {
+		// Of two lives of the holder nothing tells here which is the later one, as
+		// words of the one that is over may come last: each keeps what it got.
+		other := time.Duration(0)
+		if known {
+			other = g.otherUntil
+			if !sameLife(m.Nonce, g.nonce) {
+				other = max(other, g.until)
 			}
-			c.until = until
 		}
-	default:
+		g = grant{from, m.Nonce, now + constants.LeaseLength + constants.LeaseMargin, other}
+		manager.grants[m.Duty] = g
+	}
+	manager.send(from, Grant{m.Duty, manager.epoch, m.Nonce, ok, g.holder}, now)
+}
+
+// onRelease ends a grant, and reserves the duty for the successor it names.
+func (manager *Manager) onRelease(now time.Duration, from string, m Release) {
+	if manager.claims[m.Duty] == nil {
 		manager.Dropped++
+		return
+	}
+	g := manager.grants[m.Duty]
+	if g.holder != from || g.nonce != m.Nonce && !(sameLife(g.nonce, m.Nonce) && g.nonce < m.Nonce) {
+		return // of a later Request, or of another life
+	}
+	manager.grants[m.Duty] = grant{holder: from, until: g.otherUntil, otherUntil: g.otherUntil}
+	if m.Successor == "" || g.until <= now || g.otherUntil > now {
+		return
+	}
+	manager.grants[m.Duty] = grant{holder: m.Successor, until: now + constants.LeaseReserve}
+	if m.Successor == manager.self {
+		manager.inherit(now, m.Duty)
+	}
+}
+
+// onGrant takes the answer to a Request of this machine's.
+func (manager *Manager) onGrant(now time.Duration, from string, m Grant) {
+	c := manager.claims[m.Duty]
+	if c == nil || m.Epoch != manager.epoch || !m.OK && m.Holder != "" && !slices.Contains(manager.peers, m.Holder) {
+		manager.Dropped++
+		return
+	}
+	i := slices.IndexFunc(c.rounds, func(q round) bool { return q.nonce == m.Nonce })
+	switch {
+	case i < 0: // overtaken
+	case m.OK:
+		manager.granted(now, from, c, c.rounds[i])
+	case m.Nonce == c.nonce:
+		manager.denied(now, c, m)
+	}
+}
+
+// denied takes a refusal of the latest Request. Another holder has the duty, or is about
+// to: what was granted here and there is given back, and the next try waits a time of this
+// machine's own, since claims that split the votes would keep them split for ever.
+func (manager *Manager) denied(now time.Duration, c *claim, m Grant) {
+	if m.Holder == "" || m.Holder == manager.self {
+		return
+	}
+	c.otherHeldAt = now
+	if c.until > now || now < c.heir {
+		return
+	}
+	c.nextAt = now + constants.LeaseRenew + constants.LeaseStagger*time.Duration(1+slices.Index(manager.peers, manager.self))
+	for _, p := range manager.peers {
+		manager.send(p, Release{Duty: m.Duty, Nonce: c.nonce}, now)
+	}
+	c.nonce, c.rounds = 0, nil
+}
+
+// granted counts a grant; with enough of them this machine holds the duty. A holder that
+// came straight back has forgotten its own grant. Half of all machines, itself not counted,
+// leave too few for anyone else.
+func (manager *Manager) granted(now time.Duration, from string, c *claim, q round) {
+	q.granted[from] = true
+	enough := len(manager.peers)/2 + 1
+	if q.again {
+		enough = (len(manager.peers) + 1) / 2
+	}
+	until := q.asked + constants.LeaseLength
+	if len(q.granted) < enough || until <= now || until <= c.until {
+		return
+	}
+	if c.until <= now {
+		c.since = now
 	}
+	c.until = until
 }
 
 // Leave gives up what is held, before a planned stop, or the one duty named. Before a
