Control plane, duty: effects of a step are of a closed interface

Chain's steps give []Effect (Send, Commit, ReadDone, Moved) and duty.Holder's []duty.Effect (Order, Act, Cancel, Yield) in place of []any, so that the type says what the I/O around them has to carry out. The tests and the model checker follow in their signatures only; behaviour and assertions are unchanged.

--- a/internal/controlplane/admin.go
+++ b/internal/controlplane/admin.go
@@ -68,7 +68,7 @@
 func (d *Daemon) retire(w http.ResponseWriter, r *http.Request) {
 	addr := r.URL.Query().Get("machine")
 	var refused string
-	d.step(func() (out []any) {
+	d.step(func() (out []Effect) {
 		out, refused = d.chain.Retire(d.now(), addr)
 		return out
 	})
--- a/internal/controlplane/api.go
+++ b/internal/controlplane/api.go
@@ -115,7 +115,7 @@
 			d.waitMu.Unlock()
 		}()
 		if !settled(d.inForce.Load(), s.Version) {
-			d.step(func() []any { return d.chain.Submit(d.now(), config.Doc{Version: s.Version, Raw: raw}) })
+			d.step(func() []Effect { return d.chain.Submit(d.now(), config.Doc{Version: s.Version, Raw: raw}) })
 			if !d.await(r.Context(), ch) {
 				unavailable(w, notAcknowledged)
 				return
@@ -178,7 +178,7 @@
 		delete(d.reads, id)
 		d.waitMu.Unlock()
 	}()
-	d.step(func() []any { return d.chain.Read(d.now(), id) })
+	d.step(func() []Effect { return d.chain.Read(d.now(), id) })
 	switch {
 	case !d.await(r.Context(), got.done):
 		unavailable(w, "the chain's tail did not confirm in time")
@@ -227,9 +227,9 @@
 		d.waitMu.Unlock()
 	}()
 	on := r.URL.Query().Get("call") == "evacuations.start"
-	d.step(func() []any { return d.chain.Evacuate(d.now(), id, zone, on) })
+	d.step(func() []Effect { return d.chain.Evacuate(d.now(), id, zone, on) })
 	if !d.await(r.Context(), ch) {
-		d.step(func() []any { return d.chain.Abandon(d.now(), id) })
+		d.step(func() []Effect { return d.chain.Abandon(d.now(), id) })
 		unavailable(w, notAcknowledged)
 		return
 	}
--- a/internal/controlplane/api_test.go
+++ b/internal/controlplane/api_test.go
@@ -68,7 +68,7 @@
 	}
 	d.store.Close()
 	d = desk(t, dir, false)
-	d.step(func() []any { return d.chain.Tick(d.now()) })
+	d.step(func() []Effect { return d.chain.Tick(d.now()) })
 	want("to a later life", plan(5, "one"), 200)
 	want("to a later life, another content", plan(7, "two"), 409)
 	long := *d.inForce.Load() // much later: the list no longer reaches down there
--- a/internal/controlplane/chain.go
+++ b/internal/controlplane/chain.go
@@ -69,7 +69,16 @@
 	return b.Round < o.Round || b.Round == o.Round && b.Addr < o.Addr
 }
 
-// Outcomes of a step.
+// Effect is what the caller of a step has to carry out, in the order given: a Send, a
+// Commit, a ReadDone or a Moved, and nothing else.
+type Effect interface{ effect() }
+
+func (Send) effect()     {}
+func (Commit) effect()   {}
+func (ReadDone) effect() {}
+func (Moved) effect()    {}
+
+// Effects of a step.
 type (
 	// Send is a message to another machine.
 	Send struct {
@@ -184,7 +193,7 @@
 	quietUntil             time.Duration            // its picture of the others is old until then
 	departures             map[string]time.Duration // who said that it leaves, and when
 	retire                 map[string]time.Duration // an operator's word on voters that are gone
-	effects                []any
+	effects                []Effect
 	bulks                  [2]bulk // configurations on disk; states name them
 	Dropped                uint64
 }
@@ -344,14 +353,14 @@
 	}
 }
 
-func (c *Chain) flush() []any {
+func (c *Chain) flush() []Effect {
 	out := c.effects
 	c.effects = nil
 	return out
 }
 
 // Tick advances time.
-func (c *Chain) Tick(now time.Duration) []any {
+func (c *Chain) Tick(now time.Duration) []Effect {
 	c.now = now
 	if now-c.lastTick > constants.StallGap {
 		c.quietUntil = now + constants.StallQuiet
@@ -377,7 +386,7 @@
 }
 
 // Recv takes a message.
-func (c *Chain) Recv(now time.Duration, from string, msg any) []any {
+func (c *Chain) Recv(now time.Duration, from string, msg any) []Effect {
 	c.now = now
 	if g, ok := msg.(Heartbeat); ok {
 		answer := g.Asks
--- a/internal/controlplane/chain_test.go
+++ b/internal/controlplane/chain_test.go
@@ -131,7 +131,7 @@
 }
 
 func (c *core) tick(n string, life int) {
-	c.run(n, life, func(ch *Chain) []any { return ch.Tick(c.network.Now) })
+	c.run(n, life, func(ch *Chain) []Effect { return ch.Tick(c.network.Now) })
 	c.network.After(constants.ChainTick, func() {
 		if c.life[n] == life && c.chain[n] != nil {
 			c.tick(n, life)
@@ -139,7 +139,7 @@
 	})
 }
 
-func (c *core) run(n string, life int, f func(*Chain) []any) {
+func (c *core) run(n string, life int, f func(*Chain) []Effect) {
 	if c.life[n] != life || c.chain[n] == nil {
 		return
 	}
@@ -159,7 +159,7 @@
 		case Send:
 			to := o.To
 			c.network.Send(n, to, func() {
-				c.run(to, c.life[to], func(ch *Chain) []any { return ch.Recv(c.network.Now, n, o.Msg) })
+				c.run(to, c.life[to], func(ch *Chain) []Effect { return ch.Recv(c.network.Now, n, o.Msg) })
 			})
 		case Commit:
 			c.evacsIn(n, o.Doc)
@@ -207,7 +207,7 @@
 		if c.chain[n] != nil {
 			c.reading[n][id] = begun{c.acked, len(c.said)}
 			c.readNum[id] = maps.Clone(c.ackedNum)
-			c.run(n, life, func(ch *Chain) []any { return ch.Read(c.network.Now, id) })
+			c.run(n, life, func(ch *Chain) []Effect { return ch.Read(c.network.Now, id) })
 		}
 	} else {
 		c.next += 1 + r.Uint64N(3)
@@ -244,7 +244,7 @@
 		return
 	}
 	d := config.Doc{Version: o.version, Raw: []byte(o.content)}
-	c.run(n, life, func(ch *Chain) []any { return ch.Submit(c.network.Now, d) })
+	c.run(n, life, func(ch *Chain) []Effect { return ch.Submit(c.network.Now, d) })
 	c.network.After(constants.SubmitWait, func() {
 		if c.life[n] == life {
 			delete(c.waits[n], k)
@@ -318,7 +318,7 @@
 		return
 	}
 	c.orders[n][id] = o
-	c.run(n, life, func(ch *Chain) []any { return ch.Evacuate(c.network.Now, id, o.zone, o.on) })
+	c.run(n, life, func(ch *Chain) []Effect { return ch.Evacuate(c.network.Now, id, o.zone, o.on) })
 	c.network.After(constants.SubmitWait, func() {
 		if c.life[n] == life {
 			delete(c.orders[n], id)
@@ -446,7 +446,7 @@
 		c.names = slices.DeleteFunc(slices.Clone(c.names), func(o string) bool { return o == n })
 	}
 	if inOrder {
-		c.run(n, c.life[n], func(ch *Chain) []any { return ch.Leave(c.network.Now) })
+		c.run(n, c.life[n], func(ch *Chain) []Effect { return ch.Leave(c.network.Now) })
 		c.network.Run(c.network.Now+constants.ChainTick, nil)
 	}
 	gone()
--- a/internal/controlplane/daemon.go
+++ b/internal/controlplane/daemon.go
@@ -297,7 +297,7 @@
 	}
 	group.Every(membership.TickEvery, d.members.Tick)
 	if d.relay {
-		group.Every(constants.RelayEvery, func() { d.step(func() []any { return d.chain.Tick(d.now()) }) })
+		group.Every(constants.RelayEvery, func() { d.step(func() []Effect { return d.chain.Tick(d.now()) }) })
 		return nil
 	}
 	group.Every(constants.ChainTick, d.advance)
@@ -358,7 +358,7 @@
 		d.chainMu.Unlock()
 	}
 	look()
-	d.step(func() []any { return d.chain.Leave(d.now()) })
+	d.step(func() []Effect { return d.chain.Leave(d.now()) })
 	for end := began + constants.LeaveWait; !left && can && d.now() < end; look() {
 		time.Sleep(constants.ChainTick / 2)
 	}
@@ -412,7 +412,7 @@
 }
 
 // step runs the chain machine and carries out what comes of it.
-func (d *Daemon) step(f func() []any) {
+func (d *Daemon) step(f func() []Effect) {
 	d.chainMu.Lock()
 	out := f()
 	d.electorateNow()
@@ -535,7 +535,7 @@
 		d.stalledAt.Store(int64(now))
 		d.events.Count("stood_still", 1)
 	}
-	d.step(func() []any { return d.chain.Tick(d.now()) })
+	d.step(func() []Effect { return d.chain.Tick(d.now()) })
 	if g := d.standing.Load(); !g.joined && now-d.joinReportedAt > constants.JoinReport {
 		d.joinReportedAt = now
 		d.events.Record("waiting", fmt.Sprintf("no view has taken this machine in; known: view %d of %d voters, asked: %v. If no control machine has a view, a first start was cut short before a majority of the seeds had written: start those with empty disks and bootstrap true",
@@ -655,7 +655,7 @@
 			}
 			d.mu.Unlock()
 		}
-		d.step(func() []any { return d.chain.Recv(d.now(), conn.Remote, body) })
+		d.step(func() []Effect { return d.chain.Recv(d.now(), conn.Remote, body) })
 	}
 	return nil
 }
--- a/internal/controlplane/duties.go
+++ b/internal/controlplane/duties.go
@@ -106,11 +106,11 @@
 	}
 }
 
-func (d *Daemon) carryOut(p *dutyRunner, out []any) {
+func (d *Daemon) carryOut(p *dutyRunner, out []duty.Effect) {
 	for _, o := range out {
 		switch o := o.(type) {
 		case duty.Order:
-			d.step(func() []any { return d.chain.Act(d.now(), o) })
+			d.step(func() []Effect { return d.chain.Act(d.now(), o) })
 		case duty.Cancel:
 			p.mu.Lock()
 			if p.cancel != nil && p.calling == o.ID {
--- a/internal/controlplane/duties_test.go
+++ b/internal/controlplane/duties_test.go
@@ -121,12 +121,12 @@
 	}
 }
 
-func (w *dutyCluster) carry(n string, out []any) {
+func (w *dutyCluster) carry(n string, out []duty.Effect) {
 	life := w.life[n]
 	for _, x := range out {
 		switch x := x.(type) {
 		case duty.Order:
-			w.run(n, life, func(ch *Chain) []any { return ch.Act(w.network.Now, x) })
+			w.run(n, life, func(ch *Chain) []Effect { return ch.Act(w.network.Now, x) })
 		case duty.Yield:
 			w.lease(n, w.leases[n].Leave(w.network.Now, testDuty))
 		case duty.Act:
--- a/internal/controlplane/electorate.go
+++ b/internal/controlplane/electorate.go
@@ -204,7 +204,7 @@
 
 // Leave tells the others that this machine is about to stop, so that they go on without
 // it at once. Left says when they do.
-func (c *Chain) Leave(now time.Duration) []any {
+func (c *Chain) Leave(now time.Duration) []Effect {
 	c.now = now
 	if !c.Relay {
 		c.leaving, c.round = true, nil
@@ -231,7 +231,7 @@
 
 // Retire takes an operator's word that a voter is gone for good. The answer says why it
 // cannot be; with none, a view without it is tried for, and Voters show whether it came.
-func (c *Chain) Retire(now time.Duration, addr string) (out []any, refused string) {
+func (c *Chain) Retire(now time.Duration, addr string) (out []Effect, refused string) {
 	c.now = now
 	v := c.agreement.View
 	switch {
--- a/internal/controlplane/electorate_test.go
+++ b/internal/controlplane/electorate_test.go
@@ -43,7 +43,7 @@
 // leave ends a machine for good, in order or not.
 func (c *core) leave(n string, inOrder bool) {
 	if inOrder {
-		c.run(n, c.life[n], func(ch *Chain) []any { return ch.Leave(c.network.Now) })
+		c.run(n, c.life[n], func(ch *Chain) []Effect { return ch.Leave(c.network.Now) })
 		c.network.Run(c.network.Now+500*time.Millisecond, nil)
 	}
 	c.kill(n)
@@ -91,7 +91,7 @@
 			}
 			id := c.network.Rng.Uint64()
 			c.reading[n][id] = begun{c.acked, len(c.said)}
-			c.run(n, c.life[n], func(ch *Chain) []any { return ch.Read(c.network.Now, id) })
+			c.run(n, c.life[n], func(ch *Chain) []Effect { return ch.Read(c.network.Now, id) })
 			c.network.Run(c.network.Now+500*time.Millisecond, nil)
 		}
 	}
@@ -287,7 +287,7 @@
 							c.send(x, o) // an operator that sees the cut-off side only
 							if id := c.network.Rng.Uint64(); c.chain[x] != nil {
 								c.reading[x][id] = begun{}
-								c.run(x, c.life[x], func(ch *Chain) []any { return ch.Read(c.network.Now, id) })
+								c.run(x, c.life[x], func(ch *Chain) []Effect { return ch.Read(c.network.Now, id) })
 							}
 							reads := c.reads
 							c.network.Run(c.network.Now+500*time.Millisecond, nil)
@@ -428,7 +428,7 @@
 	refused("a", "a", "in contact")
 	c.leave("f", false)
 	c.network.Run(c.network.Now+4*time.Second, nil)
-	c.run("b", c.life["b"], func(ch *Chain) []any {
+	c.run("b", c.life["b"], func(ch *Chain) []Effect {
 		out, no := ch.Retire(c.network.Now, "f")
 		if no != "" {
 			t.Fatal(no)
@@ -455,7 +455,7 @@
 			t.Fatalf("seed %d: %s cannot leave", seed, n)
 		}
 		began := c.network.Now
-		c.run(n, c.life[n], func(ch *Chain) []any { return ch.Leave(c.network.Now) })
+		c.run(n, c.life[n], func(ch *Chain) []Effect { return ch.Leave(c.network.Now) })
 		for !c.chain[n].Left() {
 			if c.network.Now-began > constants.LeaveWait/2 {
 				t.Fatalf("seed %d: %s still counts after %v", seed, n, c.network.Now-began)
@@ -475,7 +475,7 @@
 		t.Fatal("b would leave c alone with the only copy")
 	}
 	views := len(c.views)
-	c.run("b", c.life["b"], func(ch *Chain) []any { return ch.Leave(c.network.Now) })
+	c.run("b", c.life["b"], func(ch *Chain) []Effect { return ch.Leave(c.network.Now) })
 	c.network.Run(c.network.Now+2*time.Second, nil)
 	if len(c.views) != views {
 		t.Fatal("a view of one machine was made")
@@ -657,7 +657,7 @@
 	before := fmt.Sprintf("%+v", c.chain["a"].View())
 	for _, m := range []any{Prepare{Slot: 99, Ballot: Ballot{7, "x"}}, Accept{Slot: 2, View: View{Num: 2}}, Accepted{Slot: 2}, Promise{Slot: 2}, Sync{Slot: 1 << 60},
 		Decide{View{Num: 9}}, Retire{"b"}, Retire{"nobody"}, Higher{View: 1}, Pass{View: 1}, Ack{View: 1, Stamp: config.Revision{View: 9}}, Lack{}, Forward{}, Read{1}, ReadAnswer{ID: 5}, Fetch{}, Confirm{}, Confirmed{}} {
-		c.run("a", c.life["a"], func(ch *Chain) []any { return ch.Recv(c.network.Now, "x", m) })
+		c.run("a", c.life["a"], func(ch *Chain) []Effect { return ch.Recv(c.network.Now, "x", m) })
 	}
 	c.network.Run(c.network.Now+catchUp, nil)
 	if now := fmt.Sprintf("%+v", c.chain["a"].View()); now != before {
--- a/internal/controlplane/orders.go
+++ b/internal/controlplane/orders.go
@@ -16,7 +16,7 @@
 
 // Submit takes an operator's valid change. What became of it stands in the ledger of
 // a committed state that has settled its number: the content taken, this one or another.
-func (c *Chain) Submit(now time.Duration, d config.Doc) []any {
+func (c *Chain) Submit(now time.Duration, d config.Doc) []Effect {
 	c.now = now
 	d.Sum = config.SumOf(d.Raw)
 	if !settled(c.committed, d.Version) {
@@ -49,7 +49,7 @@
 
 // Evacuate takes an operator's order on a zone; it is committed when a Commit
 // comes out whose state names its ID.
-func (c *Chain) Evacuate(now time.Duration, id uint64, zone string, on bool) []any {
+func (c *Chain) Evacuate(now time.Duration, id uint64, zone string, on bool) []Effect {
 	c.now = now
 	c.pendingEvacuations[id], c.pendingEvacuationSince[id] = EvacuationOrder{ID: id, Zone: zone, On: on}, now
 	c.forwardOrder(c.pendingEvacuations[id], 0)
@@ -58,7 +58,7 @@
 
 // Abandon stops trying for an evacuation whose caller has been told that it is not
 // acknowledged, or has gone: it may still be taken, but is not sent again.
-func (c *Chain) Abandon(now time.Duration, id uint64) []any {
+func (c *Chain) Abandon(now time.Duration, id uint64) []Effect {
 	c.now = now
 	delete(c.pendingEvacuations, id)
 	delete(c.pendingEvacuationSince, id)
@@ -152,7 +152,7 @@
 
 // Act takes a duty's order to the head; whether it was taken shows in what is
 // committed.
-func (c *Chain) Act(now time.Duration, o duty.Order) []any {
+func (c *Chain) Act(now time.Duration, o duty.Order) []Effect {
 	c.now = now
 	if m := c.agreement.View.Members; len(m) > 0 {
 		c.send(m[0].Addr, o)
--- a/internal/controlplane/pass_on_test.go
+++ b/internal/controlplane/pass_on_test.go
@@ -45,7 +45,7 @@
 							c.fail("another content under r%d is not refused at %s", o.version, x)
 						}
 						id := c.network.Rng.Uint64()
-						c.run(x, c.life[x], func(ch *Chain) []any { return ch.Evacuate(c.network.Now, id, "y", true) })
+						c.run(x, c.life[x], func(ch *Chain) []Effect { return ch.Evacuate(c.network.Now, id, "y", true) })
 						c.network.Run(c.network.Now+constants.SubmitWait, nil)
 						if d := c.inForce[x]; !slices.Contains(d.Evac["y"].IDs, id) {
 							c.fail("an evacuation is not acknowledged at %s", x)
--- a/internal/controlplane/reads.go
+++ b/internal/controlplane/reads.go
@@ -9,7 +9,7 @@
 // view still stands.
 
 // Read starts a read of what is in force.
-func (c *Chain) Read(now time.Duration, id uint64) []any {
+func (c *Chain) Read(now time.Duration, id uint64) []Effect {
 	c.now = now
 	if m := c.agreement.View.Members; len(m) > 0 {
 		c.send(m[len(m)-1].Addr, Read{id})
--- a/internal/controlplane/step_bench_test.go
+++ b/internal/controlplane/step_bench_test.go
@@ -29,7 +29,7 @@
 			g := c.Status()
 			g.Me = Member{n, 1}
 			g.Echo = c.clockBase + uint64(now)
-			d.step(func() []any { c.Recv(now, n, g); return nil })
+			d.step(func() []Effect { c.Recv(now, n, g); return nil })
 		}
 	}
 	b.ReportAllocs()
@@ -41,6 +41,6 @@
 			heard(now)
 			b.StartTimer()
 		}
-		d.step(func() []any { c.Tick(now); return nil })
+		d.step(func() []Effect { c.Tick(now); return nil })
 	}
 }
--- a/internal/duty/duty_test.go
+++ b/internal/duty/duty_test.go
@@ -45,7 +45,7 @@
 
 func none(uint64) (uint64, []byte, bool) { return 0, nil, false }
 
-func posts(out []any) (ps []Act) {
+func posts(out []Effect) (ps []Act) {
 	for _, o := range out {
 		if p, ok := o.(Act); ok {
 			ps = append(ps, p)
--- a/internal/duty/holder.go
+++ b/internal/duty/holder.go
@@ -7,6 +7,15 @@
 	"slateridge/internal/constants"
 )
 
+// Effect is what the caller of a step has to carry out, in the order given: an Order, an
+// Act, a Cancel or a Yield, and nothing else.
+type Effect interface{ effect() }
+
+func (Order) effect()  {}
+func (Act) effect()    {}
+func (Cancel) effect() {}
+func (Yield) effect()  {}
+
 // Act is an act to send: the bytes that were decided, under the holder's fence.
 // A call still under way when the lease is lost is cut.
 type Act struct {
@@ -65,7 +74,7 @@
 // Step is driven often. until is the lease's end by this machine's steady clock (0:
 // not held), rec the newest committed record; plan names what is to be decided next,
 // once all before has been accepted.
-func (h *Holder) Step(now, until time.Duration, rec Record, plan func(after uint64) (key uint64, body []byte, ok bool)) []any {
+func (h *Holder) Step(now, until time.Duration, rec Record, plan func(after uint64) (key uint64, body []byte, ok bool)) []Effect {
 	if until <= now+constants.DutyMargin {
 		h.fence = 0
 		return h.cancel()
@@ -79,7 +88,7 @@
 		h.nextOrderAt = now + constants.DutyOrderRetry
 		return append(out, Order{Duty: h.name, Base: rec.Fence, Holder: h.self})
 	}
-	var out []any
+	var out []Effect
 	if rec.Fence != h.fence {
 		out = h.cancel()
 		h.fence, h.heldSince, h.accepted, h.nextOrderAt, h.failures, h.nextCallAt = rec.Fence, now, 0, 0, 0, 0
@@ -115,13 +124,13 @@
 	return out
 }
 
-func (h *Holder) cancel() []any {
+func (h *Holder) cancel() []Effect {
 	if h.calling == 0 {
 		return nil
 	}
 	id := h.calling
 	h.calling = 0
-	return []any{Cancel{id}}
+	return []Effect{Cancel{id}}
 }
 
 func (h *Holder) failed(now time.Duration) {
@@ -132,7 +141,7 @@
 }
 
 // Answered takes the platform's answer to a call; status 0 is none.
-func (h *Holder) Answered(now time.Duration, id uint64, status int) []any {
+func (h *Holder) Answered(now time.Duration, id uint64, status int) []Effect {
 	if id != h.calling || id == 0 {
 		return nil
 	}
@@ -146,7 +155,7 @@
 		h.Refused++
 		h.refused, h.fence = h.fence, 0
 		h.failed(now)
-		return []any{Yield{}}
+		return []Effect{Yield{}}
 	default:
 		h.failed(now)
 	}
--- a/internal/modelcheck/chainmodel/chainmodel.go
+++ b/internal/modelcheck/chainmodel/chainmodel.go
@@ -86,7 +86,7 @@
 }
 
 // submit hands an order to a machine.
-func submit(c *controlplane.Chain, now time.Duration, o Order) []any {
+func submit(c *controlplane.Chain, now time.Duration, o Order) []controlplane.Effect {
 	return c.Submit(now, config.Doc{Version: o.Version, Raw: []byte(o.Content)})
 }
 
@@ -250,7 +250,7 @@
 		m.sendLease(n, o.lease.Leave(m.world.Now))
 	}
 	m.leaving[n] = leave{m.world.Now, m.world.Life(n), m.faults, forGood, well}
-	m.run(n, func(c *controlplane.Chain) []any { return c.Leave(m.world.Now) })
+	m.run(n, func(c *controlplane.Chain) []controlplane.Effect { return c.Leave(m.world.Now) })
 	m.awaitLeft(n, m.leaving[n])
 }
 
@@ -286,7 +286,7 @@
 }
 
 func (m *Model) tick(n string) {
-	m.run(n, func(c *controlplane.Chain) []any { return c.Tick(m.world.Now) })
+	m.run(n, func(c *controlplane.Chain) []controlplane.Effect { return c.Tick(m.world.Now) })
 	m.stepDuties(n)
 }
 
@@ -294,11 +294,11 @@
 	if m.recvLease(e) {
 		return
 	}
-	m.run(e.To, func(c *controlplane.Chain) []any { return c.Recv(m.world.Now, e.From, e.Msg) })
+	m.run(e.To, func(c *controlplane.Chain) []controlplane.Effect { return c.Recv(m.world.Now, e.From, e.Msg) })
 }
 
 // run has a machine do something and checks the rules on what came of it.
-func (m *Model) run(n string, f func(*controlplane.Chain) []any) {
+func (m *Model) run(n string, f func(*controlplane.Chain) []controlplane.Effect) {
 	c := m.chain[n]
 	if c == nil {
 		return
@@ -448,7 +448,7 @@
 		return
 	}
 	m.waiters[n] = append(m.waiters[n], waiting{o, m.world.Now})
-	m.run(n, func(c *controlplane.Chain) []any { return submit(c, m.world.Now, o) })
+	m.run(n, func(c *controlplane.Chain) []controlplane.Effect { return submit(c, m.world.Now, o) })
 }
 
 func (m *Model) read(n string) {
@@ -462,7 +462,7 @@
 	}
 	m.reads[n][m.ids] = reading{m.world.Now, m.acked, evacs}
 	id := m.ids
-	m.run(n, func(c *controlplane.Chain) []any { return c.Read(m.world.Now, id) })
+	m.run(n, func(c *controlplane.Chain) []controlplane.Effect { return c.Read(m.world.Now, id) })
 }
 
 func (m *Model) evacuate(n string, on bool) {
@@ -473,7 +473,7 @@
 	id := m.ids
 	m.evacSent[id] = m.world.Now
 	m.evacs[n][id] = evacuation{"z", on}
-	m.run(n, func(c *controlplane.Chain) []any { return c.Evacuate(m.world.Now, id, "z", on) })
+	m.run(n, func(c *controlplane.Chain) []controlplane.Effect { return c.Evacuate(m.world.Now, id, "z", on) })
 }
 
 // ---- choices
--- a/internal/modelcheck/chainmodel/duties.go
+++ b/internal/modelcheck/chainmodel/duties.go
@@ -99,11 +99,11 @@
 	return false
 }
 
-func (m *Model) carryOut(n string, out []any) {
+func (m *Model) carryOut(n string, out []duty.Effect) {
 	for _, x := range out {
 		switch x := x.(type) {
 		case duty.Order:
-			m.run(n, func(c *controlplane.Chain) []any { return c.Act(m.world.Now, x) })
+			m.run(n, func(c *controlplane.Chain) []controlplane.Effect { return c.Act(m.world.Now, x) })
 		case duty.Yield:
 			m.sendLease(n, m.dutyHolders[n].lease.Leave(m.world.Now, dutyName))
 		case duty.Act:
