Control plane: daemon.go is wiring only, each job a type in a file of its own

connections.go sends to the other control machines; replica.go runs the Chain, carries out its effects and publishes its standing; inforce.go holds the state in force; waits.go the operators' calls that wait; leases.go the leases of duties; upstreamlist.go reads and shares the platform's list; roster.go the proxies; locations.go where control machines stand, from their heartbeats; pushes.go what proxies are told. Each type says which lock guards what and in which order locks are taken. The lock that list, roster and locations had together is now one for each; nothing was read under it from more than one of them that had to agree.

api_test.go and step_bench_test.go reach the moved fields by their new places; their assertions are unchanged.

--- a/internal/controlplane/admin.go
+++ b/internal/controlplane/admin.go
@@ -48,12 +48,6 @@
 	Tallies   []eventlog.Tally
 }
 
-func (d *Daemon) electorate() ([]Voter, int) {
-	d.chainMu.Lock()
-	defer d.chainMu.Unlock()
-	return d.chain.Electorate()
-}
-
 // adminAPI is the admin interface of a control machine: the report, and the operator's
 // word on voters that are gone for good.
 func (d *Daemon) adminAPI() http.Handler {
@@ -68,8 +62,8 @@
 func (d *Daemon) retire(w http.ResponseWriter, r *http.Request) {
 	addr := r.URL.Query().Get("machine")
 	var refused string
-	d.step(func() (out []Effect) {
-		out, refused = d.chain.Retire(d.now(), addr)
+	d.replica.step(func() (out []Effect) {
+		out, refused = d.replica.chain.Retire(d.now(), addr)
 		return out
 	})
 	if refused != "" {
@@ -78,10 +72,10 @@
 		return
 	}
 	for end := d.now() + constants.RetireRequestLife/2; d.now() < end; time.Sleep(constants.ChainTick) {
-		if !slices.Contains(d.standing.Load().voters, addr) {
+		if !slices.Contains(d.replica.standing.Load().voters, addr) {
 			d.events.Record("retired", addr)
 			w.Header().Set("Content-Type", "application/json")
-			json.NewEncoder(w).Encode(map[string]any{"retired": addr, "voters": d.standing.Load().voters})
+			json.NewEncoder(w).Encode(map[string]any{"retired": addr, "voters": d.replica.standing.Load().voters})
 			return
 		}
 	}
@@ -94,24 +88,14 @@
 	Asked, Empty, Spilled uint64
 }
 
-// chainStatus is the chain's state at this moment. It waits for the disk.
-func (d *Daemon) chainStatus() Heartbeat {
-	d.chainMu.Lock()
-	defer d.chainMu.Unlock()
-	return d.chain.Status()
-}
-
 // Report describes this machine for operators.
 func (d *Daemon) Report() Report {
-	f := d.snapshot()
-	r := Report{Role: "control", Node: d.settings.NodeName, Chain: d.chainStatus(), Current: f.Current, Duties: map[string]string{},
-		ListNum: f.ListNum, ListAge: f.ListAge, Live: f.Proxies, Proxies: d.publisher.Proxies(), Leased: d.quotaTracker.Held(d.now()),
+	f := d.pushes.snapshot()
+	r := Report{Role: "control", Node: d.settings.NodeName, Chain: d.replica.status(), Current: f.Current,
+		ListNum: f.ListNum, ListAge: f.ListAge, Live: f.Proxies, Proxies: d.pushes.publisher.Proxies(), Leased: d.quotaTracker.Held(d.now()),
 		Members: d.members.Members(), Evacuated: f.Evacuated, Events: d.events.Latest(20), Tallies: d.events.Tallies()}
-	r.Contact = -1
-	if at := d.contactAt.Load(); at > 0 {
-		r.Contact = d.now() - time.Duration(at)
-	}
-	r.Voters, r.Margin = d.electorate()
+	r.Contact = d.replica.contactAge()
+	r.Voters, r.Margin = d.replica.electorate()
 	r.Platform, r.Scaling = d.dutyReports(), d.scalingReports()
 	r.Zone, r.Region = d.settings.Zone, d.settings.Region
 	if d.settings.ListenAddresses.Directory != "" {
@@ -126,13 +110,8 @@
 			r.Acked++
 		}
 	}
-	r.Pushes = d.publisher.Pushed()
-	d.leaseMu.Lock()
-	r.Dropped = d.leases.Dropped
-	for _, duty := range d.leases.Duties() {
-		r.Duties[duty] = d.leases.Holder(d.now(), duty)
-	}
-	d.leaseMu.Unlock()
+	r.Pushes = d.pushes.publisher.Pushed()
+	r.Duties, r.Dropped = d.leases.holders()
 	return r
 }
 
@@ -185,24 +164,29 @@
 	for key, rate := range r.Leased {
 		metrics.WriteGaugeFloat64(w, fmt.Sprintf("slateridge_quota_leased_rate{key=%q}", key), rate)
 	}
-	if d := r.Directory; d != nil {
-		metrics.WriteCounterUint64(w, "slateridge_directory_lookups_total", d.Asked)
-		metrics.WriteCounterUint64(w, "slateridge_directory_unanswered_total", d.Empty)
-		metrics.WriteCounterUint64(w, "slateridge_directory_spilled_answers_total", d.Spilled)
-		type group struct{ region, zone, state string }
-		ps := map[group]uint64{}
-		for _, p := range d.Places {
-			ps[group{p.Region, p.Zone, p.State()}]++
-		}
-		for k, n := range ps {
-			g(fmt.Sprintf("directory_proxies{region=%q,zone=%q,state=%q}", k.region, k.zone, k.state), n)
-		}
+	if r.Directory != nil {
+		r.Directory.writeMetrics(w)
 	}
 	metrics.WriteCounterUint64(w, "slateridge_pushes_total", r.Pushes)
 	metrics.WriteCounterUint64(w, "slateridge_lease_messages_dropped_total", r.Dropped+r.Chain.Dropped)
 	adminhttp.WriteCommon(w, r.Members, r.Tallies)
 }
 
+// writeMetrics gives what the directory knows and has answered.
+func (d *Directory) writeMetrics(w io.Writer) {
+	metrics.WriteCounterUint64(w, "slateridge_directory_lookups_total", d.Asked)
+	metrics.WriteCounterUint64(w, "slateridge_directory_unanswered_total", d.Empty)
+	metrics.WriteCounterUint64(w, "slateridge_directory_spilled_answers_total", d.Spilled)
+	type group struct{ region, zone, state string }
+	counts := map[group]uint64{}
+	for _, p := range d.Places {
+		counts[group{p.Region, p.Zone, p.State()}]++
+	}
+	for k, n := range counts {
+		metrics.WriteGaugeUint64(w, fmt.Sprintf("slateridge_directory_proxies{region=%q,zone=%q,state=%q}", k.region, k.zone, k.state), n)
+	}
+}
+
 // Late lists the proxies that do not hold what is in force.
 func (r Report) Late() []string {
 	var out []string
--- a/internal/controlplane/api.go
+++ b/internal/controlplane/api.go
@@ -11,7 +11,6 @@
 	"net/http"
 	"time"
 
-	"slateridge/internal/admission"
 	"slateridge/internal/config"
 	"slateridge/internal/constants"
 )
@@ -57,7 +56,7 @@
 			fail(w, http.StatusMethodNotAllowed, errorBody("calls are made with POST"))
 			return
 		}
-		if d.relay {
+		if d.replica.relay {
 			d.sendOn(w, r)
 			return
 		}
@@ -69,9 +68,7 @@
 // configuration does not pass through here: the link of such a machine is narrow
 // and carries requests.
 func (d *Daemon) sendOn(w http.ResponseWriter, r *http.Request) {
-	d.chainMu.Lock()
-	to, ok := d.chain.Ahead()
-	d.chainMu.Unlock()
+	to, ok := d.replica.ahead()
 	if !ok {
 		unavailable(w, "no control machine with a say is known here now")
 		return
@@ -101,22 +98,12 @@
 		return
 	}
 	if !settled(d.inForce.Load(), s.Version) {
-		if c := d.pendingLimits.Load(); (c == nil || c.version < s.Version) && versionOf(d.inForce.Load()) < s.Version {
-			d.pendingLimits.Store(&pendingLimits{s.Version, admission.Quotas(s)})
-			d.publisher.Publish()
-		}
-		ch := make(chan struct{})
-		d.waitMu.Lock()
-		d.waiters[ch] = s.Version
-		d.waitMu.Unlock()
-		defer func() {
-			d.waitMu.Lock()
-			delete(d.waiters, ch)
-			d.waitMu.Unlock()
-		}()
+		d.inForce.announce(s)
+		done, stop := d.waits.version(s.Version)
+		defer stop()
 		if !settled(d.inForce.Load(), s.Version) {
-			d.step(func() []Effect { return d.chain.Submit(d.now(), config.Doc{Version: s.Version, Raw: raw}) })
-			if !d.await(r.Context(), ch) {
+			d.replica.step(func() []Effect { return d.replica.chain.Submit(d.now(), config.Doc{Version: s.Version, Raw: raw}) })
+			if !d.await(r.Context(), done) {
 				unavailable(w, notAcknowledged)
 				return
 			}
@@ -159,7 +146,7 @@
 		case <-ctx.Done():
 			return false
 		case <-look.C:
-			if !d.current() {
+			if !d.replica.current() {
 				return false
 			}
 		}
@@ -167,18 +154,9 @@
 }
 
 func (d *Daemon) describe(w http.ResponseWriter, r *http.Request) {
-	got := &reader{done: make(chan struct{})}
-	d.waitMu.Lock()
-	d.readID++
-	id := d.readID
-	d.reads[id] = got
-	d.waitMu.Unlock()
-	defer func() {
-		d.waitMu.Lock()
-		delete(d.reads, id)
-		d.waitMu.Unlock()
-	}()
-	d.step(func() []Effect { return d.chain.Read(d.now(), id) })
+	id, got, stop := d.waits.read()
+	defer stop()
+	d.replica.step(func() []Effect { return d.replica.chain.Read(d.now(), id) })
 	switch {
 	case !d.await(r.Context(), got.done):
 		unavailable(w, "the chain's tail did not confirm in time")
@@ -190,12 +168,6 @@
 	}
 }
 
-// reader is a read under way; doc is set before done is closed.
-type reader struct {
-	done chan struct{}
-	doc  *config.Doc
-}
-
 // evacuate takes the order to send nothing more to a zone's upstreams, or to
 // take the zone back. It is acknowledged once the state that holds it is
 // committed; a repeat is a new order with the same effect.
@@ -212,24 +184,18 @@
 	// Orders have no numbers: one read late, by a process that stood still or over a path
 	// that was cut, must not undo what was ordered since. Its caller has gone by then.
 	time.Sleep(constants.CallerCheck)
-	if d.stalled() || r.Context().Err() != nil {
+	if d.replica.stalled() || r.Context().Err() != nil {
 		d.events.Count("order_too_late", 1)
 		unavailable(w, "this machine stood still: the order may be an old one")
 		return
 	}
-	id, ch := rand.Uint64(), make(chan struct{})
-	d.waitMu.Lock()
-	d.orders[id] = ch
-	d.waitMu.Unlock()
-	defer func() {
-		d.waitMu.Lock()
-		delete(d.orders, id)
-		d.waitMu.Unlock()
-	}()
+	id := rand.Uint64()
+	done, stop := d.waits.evacuation(id)
+	defer stop()
 	on := r.URL.Query().Get("call") == "evacuations.start"
-	d.step(func() []Effect { return d.chain.Evacuate(d.now(), id, zone, on) })
-	if !d.await(r.Context(), ch) {
-		d.step(func() []Effect { return d.chain.Abandon(d.now(), id) })
+	d.replica.step(func() []Effect { return d.replica.chain.Evacuate(d.now(), id, zone, on) })
+	if !d.await(r.Context(), done) {
+		d.replica.step(func() []Effect { return d.replica.chain.Abandon(d.now(), id) })
 		unavailable(w, notAcknowledged)
 		return
 	}
--- a/internal/controlplane/api_test.go
+++ b/internal/controlplane/api_test.go
@@ -29,7 +29,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(d.store.Close)
+	t.Cleanup(d.replica.store.Close)
 	return d
 }
 
@@ -66,9 +66,9 @@
 	if w, _ := call(d, "configuration.describe", ""); w.Code != 200 || w.Body.String() != plan(7, "three") {
 		t.Fatalf("read back %d %s", w.Code, w.Body)
 	}
-	d.store.Close()
+	d.replica.store.Close()
 	d = desk(t, dir, false)
-	d.step(func() []Effect { return d.chain.Tick(d.now()) })
+	d.replica.step(func() []Effect { return d.replica.chain.Tick(d.now()) })
 	want("to a later life", plan(5, "one"), 200)
 	want("to a later life, another content", plan(7, "two"), 409)
 	long := *d.inForce.Load() // much later: the list no longer reaches down there
@@ -91,7 +91,7 @@
 	if w, _ := call(d, "configuration.replace", strings.Replace(plan(5, "one"), `"host":"one"`, `"host":""`, 1)); w.Code != 400 {
 		t.Errorf("an invalid configuration: %d", w.Code)
 	}
-	if d.current() || d.snapshot().Current {
+	if d.replica.current() || d.pushes.snapshot().Current {
 		t.Error("it passes for current")
 	}
 }
@@ -103,17 +103,17 @@
 	if w, _ := call(d, "evacuations.start&of=there", ""); w.Code != 200 {
 		t.Fatalf("%d %s", w.Code, w.Body)
 	}
-	d.advance()
+	d.replica.advance()
 	time.Sleep(constants.StallGap + 100*time.Millisecond) // it stands still
 	if w, _ := call(d, "evacuations.stop&of=there", ""); w.Code != 503 {
 		t.Errorf("before its first step after that: %d", w.Code)
 	}
-	d.advance()
+	d.replica.advance()
 	if w, _ := call(d, "evacuations.stop&of=there", ""); w.Code != 503 {
 		t.Errorf("right after: %d", w.Code)
 	}
 	for end := time.Now().Add(constants.StallQuiet); time.Now().Before(end); time.Sleep(constants.ChainTick) {
-		d.advance()
+		d.replica.advance()
 	}
 	gone, cancel := context.WithCancel(context.Background())
 	cancel()
@@ -133,7 +133,7 @@
 // A read's number is of its life: an answer to an earlier life's read meets none.
 func TestReadsOfLivesAreApart(t *testing.T) {
 	a, b := desk(t, t.TempDir(), true), desk(t, t.TempDir(), true)
-	if x, y := a.readID, b.readID; x == y || x < 1<<20 || y < 1<<20 {
+	if x, y := a.waits.lastRead, b.waits.lastRead; x == y || x < 1<<20 || y < 1<<20 {
 		t.Errorf("two lives number their reads from %d and %d", x, y)
 	}
 }
--- a/internal/controlplane/duties.go
+++ b/internal/controlplane/duties.go
@@ -66,20 +66,11 @@
 			if err != nil {
 				return nil, err
 			}
-			return guarded{c, func() bool { until, _ := d.lease(name); return until > d.now() }}, nil
+			return guarded{c, func() bool { until, _ := d.leases.term(name); return until > d.now() }}, nil
 		}}}
 	return p
 }
 
-// lease is the end of this machine's lease of a duty, and the start of its holding.
-func (d *Daemon) lease(name string) (until, since time.Duration) {
-	d.leaseMu.Lock()
-	defer d.leaseMu.Unlock()
-	now := d.now()
-	since, _ = d.leases.Holds(now, name)
-	return d.leases.Until(now, name), since
-}
-
 // record is the newest committed state of a duty.
 func (d *Daemon) record(name string) duty.Record {
 	if in := d.inForce.Load(); in != nil {
@@ -92,7 +83,7 @@
 func (d *Daemon) stepDuties() {
 	d.clock.Observe(d.settings.IPAddress, time.Now().UnixNano(), d.now())
 	for _, p := range d.dutyRunners {
-		until, since := d.lease(p.name)
+		until, since := d.leases.term(p.name)
 		p.mu.Lock()
 		was := p.holder.Fence()
 		p.since = since
@@ -110,7 +101,7 @@
 	for _, o := range out {
 		switch o := o.(type) {
 		case duty.Order:
-			d.step(func() []Effect { return d.chain.Act(d.now(), o) })
+			d.replica.step(func() []Effect { return d.replica.chain.Act(d.now(), o) })
 		case duty.Cancel:
 			p.mu.Lock()
 			if p.cancel != nil && p.calling == o.ID {
@@ -119,10 +110,7 @@
 			p.mu.Unlock()
 		case duty.Yield:
 			d.events.Record("duty_refused", p.name+": the platform has seen a higher fence")
-			d.leaseMu.Lock()
-			ss := d.leases.Leave(d.now(), p.name)
-			d.leaseMu.Unlock()
-			d.sendLeases(ss)
+			d.leases.leave(p.name)
 		case duty.Act:
 			ctx, cancel := context.WithTimeout(context.Background(), constants.DutyTimeout)
 			p.mu.Lock()
@@ -192,7 +180,7 @@
 
 // takeUsage merges what a proxy tells, while this machine holds the duty.
 func (d *Daemon) takeUsage(m usage.Report) any {
-	until, _ := d.lease(settings.DutyUsage)
+	until, _ := d.leases.term(settings.DutyUsage)
 	at, ok := d.clock.Now(d.now())
 	if until == 0 || !ok {
 		return usage.Ack{}
@@ -204,23 +192,19 @@
 // keepUsage has what is gathered here outlast this process, and hands on what another
 // holder should know.
 func (d *Daemon) keepUsage() {
-	until, _ := d.lease(settings.DutyUsage)
-	d.leaseMu.Lock()
-	holder := d.leases.Holder(d.now(), settings.DutyUsage)
-	d.leaseMu.Unlock()
+	until, _ := d.leases.term(settings.DutyUsage)
+	holder := d.leases.holder(settings.DutyUsage)
 	for _, o := range d.keeper.Step(until > 0, holder) {
 		switch o := o.(type) {
 		case usage.HandOn:
 			if o.To == d.settings.IPAddress {
 				d.takeHandover(o.Handover)
 			} else {
-				d.send(o.To, o.Handover)
+				d.connections.send(o.To, o.Handover)
 			}
 			d.events.Record("usage_handed_on", strconv.Itoa(len(o.Words))+" words to "+o.To)
 		case usage.Save:
-			d.chainMu.Lock()
-			d.store.Put(o.Key, o.Words) // one that cannot be kept is told by its proxies while they live
-			d.chainMu.Unlock()
+			d.replica.keep(o.Key, func() any { return o.Words }) // one that cannot be kept is told by its proxies while they live
 		}
 	}
 }
@@ -240,29 +224,16 @@
 	if !ok {
 		return 0, nil, false
 	}
-	_, since := d.lease(settings.DutyUsage)
+	_, since := d.leases.term(settings.DutyUsage)
 	b := d.settings.Bounds
-	return d.tally.Next(usage.Moment{Steady: now, Agreed: at, Held: now - since}, after, b.UsageWindow.D(), b.UsageDelay.D(), d.freshProxies())
-}
-
-// freshProxies are those that have spoken lately, to any control machine.
-func (d *Daemon) freshProxies() []string {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	var out []string
-	for a, e := range d.roster {
-		if time.Since(e.heardAt) < constants.UsageSilent {
-			out = append(out, a)
-		}
-	}
-	return out
+	return d.tally.Next(usage.Moment{Steady: now, Agreed: at, Held: now - since}, after, b.UsageWindow.D(), b.UsageDelay.D(), d.roster.fresh())
 }
 
 // ---- scaling
 
 // takeLoad keeps what a proxy tells, while this machine holds the duty.
 func (d *Daemon) takeLoad(t autoscale.Report) any {
-	if until, _ := d.lease(settings.DutyScaling); until == 0 {
+	if until, _ := d.leases.term(settings.DutyScaling); until == 0 {
 		return autoscale.Ack{}
 	}
 	return autoscale.Ack{OK: d.load.Take(d.now(), t)}
@@ -271,14 +242,15 @@
 // scalable lists what may be ordered: each service with bounds, in each zone where
 // the platform's list has ever shown it here.
 func (d *Daemon) scalable() map[autoscale.Subject]autoscale.Bound {
-	cfg := d.config.Load()
-	d.mu.Lock()
-	defer d.mu.Unlock()
+	cfg := d.inForce.config.Load()
+	list, _ := d.list.current()
+	d.zonesOfMu.Lock()
+	defer d.zonesOfMu.Unlock()
 	out := map[autoscale.Subject]autoscale.Bound{}
-	if cfg == nil || d.list == nil {
+	if cfg == nil || list == nil {
 		return out
 	}
-	for _, i := range d.list.Instances {
+	for _, i := range list.Instances {
 		s := autoscale.Subject{Service: i.Service, Zone: i.Zone}
 		if sv := cfg.Services[i.Service]; sv != nil && sv.Scaling != nil {
 			if d.zonesOf[s] == 0 {
@@ -305,7 +277,7 @@
 
 // planScaling names the next orders, once they differ from those decided before.
 func (d *Daemon) planScaling(now time.Duration, after uint64) (uint64, []byte, bool) {
-	sum, whole := d.load.Sum(now, d.freshProxies())
+	sum, whole := d.load.Sum(now, d.roster.fresh())
 	had := autoscale.Read(d.record(settings.DutyScaling).Body)
 	wanted, changed := d.scaler.Step(now, sum, whole, d.scalable(), had)
 	if !changed {
--- /dev/null
+++ b/internal/controlplane/roster.go
@@ -0,0 +1,338 @@
+package controlplane
+
+import (
+	"net"
+	"slices"
+	"sync"
+	"time"
+
+	"slateridge/internal/constants"
+	"slateridge/internal/directory"
+	"slateridge/internal/distribution"
+	"slateridge/internal/eventlog"
+	"slateridge/internal/membership"
+	"slateridge/internal/settings"
+	"slateridge/internal/transport"
+)
+
+// Roster tells the other control machines of the proxies that spoke here: how
+// long ago, the count they said they use, where they stand, and which share in
+// the split quotas. It tells what has changed at once, and the rest by turns.
+// Gone are those whose connections have just ended.
+type Roster struct {
+	Words  map[string]ProxyStatus
+	Shares []string
+	Gone   []string
+}
+
+// ProxyStatus is one proxy's latest.
+type ProxyStatus struct {
+	Age   time.Duration
+	Count int
+	Place directory.Location
+}
+
+func init() { transport.Register(transport.NameRoster, Roster{}) }
+
+// proxyEntry is a proxy on the roster. shares says that it has been told a
+// count, so that it may be using a share of the split quotas.
+type proxyEntry struct {
+	heardAt     time.Time
+	heardHereAt time.Time // when it last spoke here
+	location    directory.Location
+	shares      bool
+	count       int // the live count it last said it uses, here or to another
+	sentStatus  ProxyStatus
+	sentAt      time.Time // when the others nearby were last told
+}
+
+// roster knows the live proxies and which of them share in the split quotas, and tells the
+// other control machines. mu guards the fields below it. It is released before messages are
+// sent or the proxies are told; the directory's lock may be taken under it.
+type roster struct {
+	settings  *settings.Settings
+	events    *eventlog.Log
+	began     time.Time
+	now       func() time.Duration
+	directory *directory.Directory // nil where no directory is served
+	locations *locations           // of the control machines
+	members   func() []membership.Fact
+	peers     func() []string // the other control machines
+	send      func(to string, message any)
+	publish   func()                             // has the proxies told
+	keep      func(key string, value func() any) // stores a value; takes the replica's lock
+
+	mu         sync.Mutex
+	entries    map[string]*proxyEntry // by address
+	complete   bool                   // all proxies with a share are on it
+	turn       int
+	sharesSent []string
+}
+
+// restore takes up the proxies that had a share when this process last ran.
+func (r *roster) restore(addresses []string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.complete = true
+	for _, a := range addresses {
+		r.entries[a] = &proxyEntry{heardAt: r.began, shares: true}
+	}
+}
+
+// size is how many proxies are on the roster.
+func (r *roster) size() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.entries)
+}
+
+// live is how many proxies there are; 0 while the roster is not complete.
+func (r *roster) live() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.complete {
+		return 0
+	}
+	return len(r.entries)
+}
+
+// fresh are the proxies that have spoken lately, to any control machine.
+func (r *roster) fresh() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var out []string
+	for a, e := range r.entries {
+		if time.Since(e.heardAt) < constants.UsageSilent {
+			out = append(out, a)
+		}
+	}
+	return out
+}
+
+// sharing says whether a proxy may be told the live count.
+func (r *roster) sharing(node string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	e := r.entries[node]
+	return e != nil && e.shares
+}
+
+// subscribed takes a proxy's message. A newcomer gets a share of the split quotas only
+// after every other proxy that has one has said that it reckons with the larger
+// count, so that the shares in use never add up to more than the whole.
+func (r *roster) subscribed(subscription distribution.Subscription) {
+	node, count := subscription.Node, subscription.Proxies
+	var place directory.Location
+	if r.directory != nil {
+		place = directory.Location{Front: subscription.Front, Zone: subscription.Zone, Region: subscription.Region, Ready: subscription.Ready}
+		if r.directory.Report(r.now(), node, place, subscription.Full) {
+			r.sendAll(Roster{Words: map[string]ProxyStatus{node: {Count: count, Place: place}}})
+		}
+	}
+	r.mu.Lock()
+	e := r.entries[node]
+	known := e != nil
+	if !known {
+		e = &proxyEntry{}
+		r.entries[node] = e
+	}
+	e.heardAt, e.count, e.location = time.Now(), count, place
+	e.heardHereAt = e.heardAt
+	grew := r.admitNewcomers()
+	r.mu.Unlock()
+	if !known {
+		r.events.Record("proxy", node+" joined")
+	}
+	if grew {
+		r.persist()
+	}
+	if !known || grew {
+		r.publish()
+	}
+}
+
+// disconnected takes the end of a proxy's last connection.
+func (r *roster) disconnected(node string) {
+	if r.directory != nil && r.directory.Disconnected(r.now(), node, true) {
+		r.sendAll(Roster{Gone: []string{node}})
+	}
+}
+
+// sendAll sends a message to all other control machines.
+func (r *roster) sendAll(m Roster) {
+	for _, p := range r.peers() {
+		r.send(p, m)
+	}
+}
+
+// admitNewcomers lets newcomers share once that is safe; true when any did. mu is held.
+func (r *roster) admitNewcomers() bool {
+	if !r.complete {
+		// The very first start: nobody has been told a count yet.
+		if !r.settings.Bootstrap || time.Since(r.began) < constants.RosterQuiet || len(r.entries) == 0 {
+			return false
+		}
+		r.complete = true
+	} else {
+		waiting := false
+		for _, e := range r.entries {
+			if e.shares && e.count < len(r.entries) {
+				return false
+			}
+			waiting = waiting || !e.shares
+		}
+		if !waiting {
+			return false
+		}
+	}
+	for _, e := range r.entries {
+		e.shares = true
+	}
+	return true
+}
+
+// persist stores which proxies have a share, in a goroutine of its own since the disk may
+// take long. What cannot be kept is told again by the others.
+func (r *roster) persist() {
+	go r.keep(rosterKey, func() any {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		return r.withShares()
+	})
+}
+
+// rosterKey names the roster in the store.
+const rosterKey = "roster"
+
+// withShares lists the proxies that have a share, sorted. mu is held.
+func (r *roster) withShares() []string {
+	var out []string
+	for a, e := range r.entries {
+		if e.shares {
+			out = append(out, a)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// share tells the other control machines, and drops proxies that have long been silent.
+func (r *roster) share() {
+	facts := r.members()
+	r.mu.Lock()
+	r.turn++
+	r.noteAlive(facts)
+	changed := r.dropSilent()
+	near, far := r.statuses()
+	shares := r.withShares()
+	if r.turn%constants.RosterWhole == 0 || !slices.Equal(shares, r.sharesSent) {
+		near.Shares, far.Shares, r.sharesSent = shares, shares, shares
+	}
+	farToo := r.turn%constants.RosterFar == 0 || far.Shares != nil
+	changed = r.admitNewcomers() || changed
+	r.mu.Unlock()
+	if changed {
+		r.persist()
+		r.publish()
+	}
+	for _, p := range r.peers() {
+		if r.locations.of(p).Region == r.settings.Region {
+			r.send(p, near)
+		} else if farToo {
+			r.send(p, far)
+		}
+	}
+}
+
+// noteAlive keeps proxies on the roster that cannot reach this machine but live, as others
+// vouch. mu is held.
+func (r *roster) noteAlive(facts []membership.Fact) {
+	for _, f := range facts {
+		host, _, _ := net.SplitHostPort(f.Addr)
+		e := r.entries[host]
+		if e != nil && f.State == membership.Alive && f.Addr == r.settings.PeerInternal(host, constants.PortProxyMembership) {
+			e.heardAt = time.Now()
+		}
+	}
+}
+
+// dropSilent forgets proxies that have long been silent; true when any was. mu is held.
+func (r *roster) dropSilent() bool {
+	dropped := false
+	for a, e := range r.entries {
+		if time.Since(e.heardAt) > constants.ProxyForget {
+			delete(r.entries, a)
+			dropped = true
+		}
+	}
+	return dropped
+}
+
+// statuses are the messages on the proxies that spoke here lately: near has what has changed
+// or not been told for a while, far all. mu is held.
+func (r *roster) statuses() (near, far Roster) {
+	near, far = Roster{Words: map[string]ProxyStatus{}}, Roster{Words: map[string]ProxyStatus{}}
+	for a, e := range r.entries {
+		age := time.Since(e.heardHereAt)
+		if age >= constants.SubscriptionSilence {
+			continue // the others' own proxies are theirs to tell of
+		}
+		status := ProxyStatus{age, e.count, e.location}
+		far.Words[a] = status
+		sent := e.sentStatus
+		if sent.Count != status.Count || sent.Place != status.Place || time.Since(e.sentAt) >= constants.RosterRefresh {
+			near.Words[a], e.sentStatus, e.sentAt = status, status, time.Now()
+		}
+	}
+	return near, far
+}
+
+// take takes what another control machine tells.
+func (r *roster) take(m Roster) {
+	r.mu.Lock()
+	grew := r.takeStatuses(m.Words)
+	if r.directory != nil {
+		for _, a := range m.Gone {
+			r.directory.Disconnected(r.now(), a, false)
+		}
+	}
+	grew = r.takeShares(m.Shares) || grew
+	r.mu.Unlock()
+	if grew {
+		r.persist()
+		r.publish()
+	}
+}
+
+// takeStatuses is true when a proxy is new here. mu is held.
+func (r *roster) takeStatuses(statuses map[string]ProxyStatus) bool {
+	grew := false
+	for a, s := range statuses {
+		at := time.Now().Add(-s.Age)
+		if e := r.entries[a]; e == nil {
+			r.entries[a] = &proxyEntry{heardAt: at, count: s.Count, location: s.Place}
+			grew = true
+		} else if at.After(e.heardAt) {
+			e.heardAt, e.count, e.location = at, s.Count, s.Place
+		}
+		if r.directory != nil {
+			r.directory.Relay(r.now(), a, s.Place, s.Age)
+		}
+	}
+	return grew
+}
+
+// takeShares is true when a proxy has a share that had none here. mu is held.
+func (r *roster) takeShares(shares []string) bool {
+	if len(shares) == 0 {
+		return false
+	}
+	grew := false
+	r.complete = true
+	for _, a := range shares {
+		if e := r.entries[a]; e != nil && !e.shares {
+			e.shares, grew = true, true
+		}
+	}
+	return grew
+}
--- a/internal/controlplane/step_bench_test.go
+++ b/internal/controlplane/step_bench_test.go
@@ -23,13 +23,14 @@
 	if err != nil {
 		b.Fatal(err)
 	}
-	d := &Daemon{chain: c, leases: lease.New(0, 1, names[0], []string{dutyPoll})}
+	r := &replica{chain: c}
+	r.leases = newLeases(lease.New(0, 1, names[0], []string{dutyPoll}), func() time.Duration { return 0 }, nil, nil)
 	heard := func(now time.Duration) {
 		for _, n := range names[1:] {
 			g := c.Status()
 			g.Me = Member{n, 1}
 			g.Echo = c.clockBase + uint64(now)
-			d.step(func() []Effect { c.Recv(now, n, g); return nil })
+			r.step(func() []Effect { c.Recv(now, n, g); return nil })
 		}
 	}
 	b.ReportAllocs()
@@ -41,6 +42,6 @@
 			heard(now)
 			b.StartTimer()
 		}
-		d.step(func() []Effect { c.Tick(now); return nil })
+		r.step(func() []Effect { c.Tick(now); return nil })
 	}
 }
