--- a/internal/controlplane/catchup.go
+++ b/internal/controlplane/catchup.go
@@ -30,8 +30,24 @@
 func (c *Chain) Status() Heartbeat { return c.heartbeat() }
 
 func (c *Chain) heartbeat() Heartbeat {
-	g := Heartbeat{Me: c.Me, View: c.agreement.View, Joined: c.agreement.Joined, Asks: c.Relay || !c.agreement.Joined, Original: c.Original, Leaving: c.leaving, Unheard: c.peersOutOfContact(), Sealed: c.sealed(), Sick: c.store.Failed(), Relay: c.Relay, Zone: c.Zone, Region: c.Region,
-		Committed: revisionOf(c.committed), Held: revisionOf(c.held), Version: versionOf(c.committed), Dropped: c.Dropped}
+	g := Heartbeat{
+		Me:        c.Me,
+		View:      c.agreement.View,
+		Joined:    c.agreement.Joined,
+		Sealed:    c.sealed(),
+		Sick:      c.store.Failed(),
+		Zone:      c.Zone,
+		Region:    c.Region,
+		Relay:     c.Relay,
+		Original:  c.Original,
+		Leaving:   c.leaving,
+		Unheard:   c.peersOutOfContact(),
+		Asks:      c.Relay || !c.agreement.Joined,
+		Committed: revisionOf(c.committed),
+		Held:      revisionOf(c.held),
+		Version:   versionOf(c.committed),
+		Dropped:   c.Dropped,
+	}
 	if c.Wall != nil {
 		g.Wall = c.Wall()
 	}
@@ -183,7 +199,7 @@
 		}
 		c.bulks[i] = bulk{Version: d.Version, Sum: d.Sum, Ledger: config.Ledger{Sum: d.Ledger.Sum}}
 	}
-	if c.store.Put("held", d.Bare()) != nil {
+	if c.store.Put(heldKey, d.Bare()) != nil {
 		return false
 	}
 	c.held = &d
--- a/internal/controlplane/messages.go
+++ b/internal/controlplane/messages.go
@@ -31,6 +31,7 @@
 		Ballot Ballot
 		Held   config.Revision
 	}
+	// Promise answers a Prepare, and takes no part in earlier ballots any more.
 	Promise struct {
 		Slot     uint64
 		Ballot   Ballot
@@ -51,6 +52,7 @@
 		Ballot Ballot
 		Doc    *config.Doc
 	}
+	// Synced answers a Sync, once its state is on disk.
 	Synced struct {
 		Slot   uint64
 		Ballot Ballot
@@ -58,25 +60,29 @@
 		HeldAt config.Revision
 		Held   *config.Doc // when newer
 	}
+	// Accept asks to accept a view under a ballot.
 	Accept struct {
 		Slot   uint64
 		Ballot Ballot
 		View   View
 	}
+	// Accepted answers an Accept, once the view is on disk.
 	Accepted struct {
 		Slot   uint64
 		Ballot Ballot
 		Me     Member
 	}
+	// Decide tells of a view that a majority of the voters has accepted.
 	Decide struct{ View View }
 	// Pass hands a state down the chain. A bare one leaves out the configuration,
 	// which every member holds once it has been committed; a member that does not
-	// says so.
+	// answers with a Lack.
 	Pass struct {
 		View uint64
 		Doc  config.Doc
 		Bare bool
 	}
+	// Lack asks the member before for a state with its configuration.
 	Lack struct {
 		View  uint64
 		Stamp config.Revision
@@ -116,14 +122,16 @@
 		Nonce uint64
 		Me    Member
 	}
-	// Read asks the tail for what is committed; ReadAnswer brings it.
-	Read       struct{ ID uint64 }
+	// Read asks the tail for what is committed.
+	Read struct{ ID uint64 }
+	// ReadAnswer brings what a Read asked for.
 	ReadAnswer struct {
 		ID  uint64
 		Doc *config.Doc
 	}
-	// Fetch asks for a committed version newer than Have; Fetched brings it.
-	Fetch   struct{ Have config.Revision }
+	// Fetch asks for a committed version newer than Have.
+	Fetch struct{ Have config.Revision }
+	// Fetched brings what a Fetch asked for.
 	Fetched struct{ Doc config.Doc }
 )
 
--- a/internal/controlplane/reads.go
+++ b/internal/controlplane/reads.go
@@ -37,7 +37,7 @@
 	}
 }
 
-func (c *Chain) onConfirmed(from string, m Confirmed) {
+func (c *Chain) onConfirmed(m Confirmed) {
 	// Once a majority of the voters was unsealed after the read came, no later
 	// view had been decided when it did.
 	if !c.member() || c.sealed() || !c.agreement.View.votes(m.Me) {
--- a/internal/controlplane/view.go
+++ b/internal/controlplane/view.go
@@ -12,7 +12,7 @@
 func (c *Chain) participant() bool { return c.agreement.Joined }
 
 func (c *Chain) persistAgreement(a agreement) bool {
-	if c.store.Put("agreement", a) != nil {
+	if c.store.Put(agreementKey, a) != nil {
 		return false
 	}
 	c.agreement = a
@@ -199,30 +199,51 @@
 	if c.troubleAt == 0 {
 		// The first live member proposes with the next step, the others wait
 		// their turn.
-		rank := 0
-		for _, m := range c.agreement.View.Members {
-			if m == c.Me {
-				break
-			}
-			if c.alive(m.Addr) {
-				rank++
-			}
-		}
-		c.troubleAt = c.now + time.Duration(rank)*constants.ProposeStagger + 1
+		c.troubleAt = c.now + time.Duration(c.rank())*constants.ProposeStagger + 1
 	}
 	if c.now < c.troubleAt {
 		return
 	}
+	if c.liveVoters() < c.majority() || len(c.candidates(c.known)) < c.fewest() {
+		return // none to be had; stay as we are, and seal nothing
+	}
+	c.beginRound()
+}
+
+// rank is how many live members stand before this one in the view.
+func (c *Chain) rank() int {
+	rank := 0
+	for _, m := range c.agreement.View.Members {
+		if m == c.Me {
+			break
+		}
+		if c.alive(m.Addr) {
+			rank++
+		}
+	}
+	return rank
+}
+
+// liveVoters counts the voters that would answer a round: one that leaves votes until it is
+// gone.
+func (c *Chain) liveVoters() int {
 	live := 0
 	for _, m := range c.agreement.View.Voters {
-		if s := c.peerStates[m.Addr]; m == c.Me || s != nil && c.inContact(m.Addr) && s.heartbeat.Me == m && !s.heartbeat.Sick {
-			live++ // one that leaves votes until it is gone
+		if m == c.Me || c.inContact(m.Addr) && c.known(m) && !c.peerStates[m.Addr].heartbeat.Sick {
+			live++
 		}
 	}
-	there := func(m Member) bool { s := c.peerStates[m.Addr]; return m == c.Me || s != nil && s.heartbeat.Me == m }
-	if live < c.majority() || len(c.candidates(there)) < c.fewest() {
-		return // none to be had; stay as we are, and seal nothing
-	}
+	return live
+}
+
+// known says whether a member's heartbeat is of that same life of its disk.
+func (c *Chain) known(m Member) bool {
+	s := c.peerStates[m.Addr]
+	return m == c.Me || s != nil && s.heartbeat.Me == m
+}
+
+// beginRound asks all voters for a promise, this machine first.
+func (c *Chain) beginRound() {
 	c.rounds = max(c.rounds, c.agreement.Promised.Round) + 1
 	r := &round{slot: c.agreement.View.Num + 1, ballot: Ballot{c.rounds, c.Me.Addr}, began: c.now,
 		promises: map[string]Promise{}, synced: map[string]bool{}, accepted: map[Member]bool{}}
@@ -394,7 +415,7 @@
 	}
 }
 
-func (c *Chain) onAccepted(from string, m Accepted) {
+func (c *Chain) onAccepted(m Accepted) {
 	r := c.round
 	if r == nil || r.value == nil || m.Slot != r.slot || m.Ballot != r.ballot {
 		return
