Control plane: the replicated state is a package of its own, controlplane/chain

chain.go, load.go, receive.go, view.go, electorate.go, catchup.go, reads.go, orders.go, messages.go and their tests moved from internal/controlplane to its chain folder, with the store written by the build before. NewChain is chain.New; View.Has, VersionOf and Settled are exported for the daemon, and the replica's Chain is its field machine. The model checker drives package chain.

BenchmarkStep takes the base of the machine's moments from its first heartbeat, since the field is not seen from the daemon's package.

--- a/cmd/slateridge/retire_test.go
+++ b/cmd/slateridge/retire_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"slateridge/internal/controlplane"
+	"slateridge/internal/controlplane/chain"
 )
 
 // What a control machine answers to a retirement reaches the operator as one line, and
@@ -48,7 +49,7 @@
 // The status tells how many more could be lost, and by name only who is not as should be.
 func TestStatusOfVoters(t *testing.T) {
 	var b strings.Builder
-	showVoters(&b, controlplane.Report{Margin: -1, Voters: []controlplane.Voter{{Addr: "a", Member: true, State: "in contact"},
+	showVoters(&b, controlplane.Report{Margin: -1, Voters: []chain.Voter{{Addr: "a", Member: true, State: "in contact"},
 		{Addr: "b", State: "out of contact", Gone: 3 * time.Second, WayOut: "leaves with a successor's coming"}}})
 	for _, want := range []string{"1 too few", "b\tout of contact for 3s, no member; leaves with"} {
 		if !strings.Contains(b.String(), want) {
--- a/internal/controlplane/admin.go
+++ b/internal/controlplane/admin.go
@@ -12,6 +12,7 @@
 
 	"slateridge/internal/adminhttp"
 	"slateridge/internal/constants"
+	"slateridge/internal/controlplane/chain"
 	"slateridge/internal/directory"
 	"slateridge/internal/distribution"
 	"slateridge/internal/eventlog"
@@ -22,10 +23,10 @@
 type Report struct {
 	Role      string
 	Node      string
-	Chain     Heartbeat
+	Chain     chain.Heartbeat
 	Current   bool
 	Contact   time.Duration // since it was last in contact with a majority both ways; negative: never
-	Voters    []Voter
+	Voters    []chain.Voter
 	Margin    int // voters beyond a majority that are left if as many were lost as may be
 	Duties    map[string]string
 	Platform  map[string]DutyReport // duties at the platform, with their fences
@@ -62,8 +63,8 @@
 func (d *Daemon) retire(w http.ResponseWriter, r *http.Request) {
 	addr := r.URL.Query().Get("machine")
 	var refused string
-	d.replica.step(func() (out []Effect) {
-		out, refused = d.replica.chain.Retire(d.now(), addr)
+	d.replica.step(func() (out []chain.Effect) {
+		out, refused = d.replica.machine.Retire(d.now(), addr)
 		return out
 	})
 	if refused != "" {
@@ -120,7 +121,7 @@
 	g := func(name string, v uint64) { metrics.WriteGaugeUint64(w, "slateridge_"+name, v) }
 	g("view_number", r.Chain.View.Num)
 	g("view_members", uint64(len(r.Chain.View.Members)))
-	g("view_member", adminhttp.Flag(r.Chain.View.has(r.Chain.Me)))
+	g("view_member", adminhttp.Flag(r.Chain.View.Has(r.Chain.Me)))
 	g("view_sealed", adminhttp.Flag(r.Chain.Sealed))
 	g("disk_failed", adminhttp.Flag(r.Chain.Sick))
 	g("majority_heard", adminhttp.Flag(r.Current))
--- a/internal/controlplane/api.go
+++ b/internal/controlplane/api.go
@@ -13,6 +13,7 @@
 
 	"slateridge/internal/config"
 	"slateridge/internal/constants"
+	"slateridge/internal/controlplane/chain"
 )
 
 func fail(w http.ResponseWriter, code int, body any) {
@@ -97,12 +98,14 @@
 		fail(w, http.StatusBadRequest, err)
 		return
 	}
-	if !settled(d.inForce.Load(), s.Version) {
+	if !chain.Settled(d.inForce.Load(), s.Version) {
 		d.inForce.announce(s)
 		done, stop := d.waits.version(s.Version)
 		defer stop()
-		if !settled(d.inForce.Load(), s.Version) {
-			d.replica.step(func() []Effect { return d.replica.chain.Submit(d.now(), config.Doc{Version: s.Version, Raw: raw}) })
+		if !chain.Settled(d.inForce.Load(), s.Version) {
+			d.replica.step(func() []chain.Effect {
+				return d.replica.machine.Submit(d.now(), config.Doc{Version: s.Version, Raw: raw})
+			})
 			if !d.await(r.Context(), done) {
 				unavailable(w, notAcknowledged)
 				return
@@ -156,7 +159,7 @@
 func (d *Daemon) describe(w http.ResponseWriter, r *http.Request) {
 	id, got, stop := d.waits.read()
 	defer stop()
-	d.replica.step(func() []Effect { return d.replica.chain.Read(d.now(), id) })
+	d.replica.step(func() []chain.Effect { return d.replica.machine.Read(d.now(), id) })
 	switch {
 	case !d.await(r.Context(), got.done):
 		unavailable(w, "the chain's tail did not confirm in time")
@@ -193,9 +196,9 @@
 	done, stop := d.waits.evacuation(id)
 	defer stop()
 	on := r.URL.Query().Get("call") == "evacuations.start"
-	d.replica.step(func() []Effect { return d.replica.chain.Evacuate(d.now(), id, zone, on) })
+	d.replica.step(func() []chain.Effect { return d.replica.machine.Evacuate(d.now(), id, zone, on) })
 	if !d.await(r.Context(), done) {
-		d.replica.step(func() []Effect { return d.replica.chain.Abandon(d.now(), id) })
+		d.replica.step(func() []chain.Effect { return d.replica.machine.Abandon(d.now(), id) })
 		unavailable(w, notAcknowledged)
 		return
 	}
--- a/internal/controlplane/api_test.go
+++ b/internal/controlplane/api_test.go
@@ -13,6 +13,7 @@
 
 	"slateridge/internal/config"
 	"slateridge/internal/constants"
+	"slateridge/internal/controlplane/chain"
 	"slateridge/internal/eventlog"
 	"slateridge/internal/settings"
 )
@@ -68,7 +69,7 @@
 	}
 	d.replica.store.Close()
 	d = desk(t, dir, false)
-	d.replica.step(func() []Effect { return d.replica.chain.Tick(d.now()) })
+	d.replica.step(func() []chain.Effect { return d.replica.machine.Tick(d.now()) })
 	want("to a later life", plan(5, "one"), 200)
 	want("to a later life, another content", plan(7, "two"), 409)
 	long := *d.inForce.Load() // much later: the list no longer reaches down there
--- a/internal/controlplane/catchup.go
+++ b/internal/controlplane/chain/catchup.go
@@ -1,4 +1,4 @@
-package controlplane
+package chain
 
 import (
 	"time"
@@ -45,7 +45,7 @@
 		Asks:      c.Relay || !c.agreement.Joined,
 		Committed: revisionOf(c.committed),
 		Held:      revisionOf(c.held),
-		Version:   versionOf(c.committed),
+		Version:   VersionOf(c.committed),
 		Dropped:   c.Dropped,
 	}
 	if c.Wall != nil {
--- a/internal/controlplane/chain.go
+++ b/internal/controlplane/chain/chain.go
@@ -1,8 +1,10 @@
-// Package controlplane is the control plane's core. The machines with a disk form a chain: a
-// configuration enters at the head, is synced by every member in turn, and is committed at
-// the tail. A small view (number and ordered members), agreed by a majority of the machines,
-// says who the chain is.
-package controlplane
+// Package chain is the replicated state of the control plane. The machines with a disk form
+// a chain: a configuration enters at the head, is synced by every member in turn, and is
+// committed at the tail (chain replication, van Renesse and Schneider, OSDI 2004). A small
+// view (number and ordered members), agreed by a majority of the machines, says who the
+// chain is. Chain is a deterministic machine: it takes moments and messages and gives
+// effects, and has no clock, goroutine or network of its own. Package controlplane runs it.
+package chain
 
 import (
 	"math/rand/v2"
@@ -54,7 +56,8 @@
 	return slices.IndexFunc(v.Members, func(m Member) bool { return m.Addr == addr })
 }
 
-func (v View) has(m Member) bool { return slices.Contains(v.Members, m) }
+// Has says whether a machine, with this life of its disk, is a member.
+func (v View) Has(m Member) bool { return slices.Contains(v.Members, m) }
 
 // Ballot orders attempts to agree on one view.
 type Ballot struct {
@@ -195,7 +198,8 @@
 	Dropped                uint64
 }
 
-func versionOf(d *config.Doc) uint64 {
+// VersionOf is the version of a state's configuration; 0 without a state.
+func VersionOf(d *config.Doc) uint64 {
 	if d == nil {
 		return 0
 	}
@@ -229,7 +233,7 @@
 
 // Member says whether this machine is in the view, and sealed whether it has
 // promised to leave that view.
-func (c *Chain) member() bool { return c.agreement.Joined && c.agreement.View.has(c.Me) }
+func (c *Chain) member() bool { return c.agreement.Joined && c.agreement.View.Has(c.Me) }
 func (c *Chain) sealed() bool { return c.agreement.Promised != Ballot{} }
 
 // serves says whether this machine has its part in the chain: a member of an unsealed
--- a/internal/controlplane/chain_test.go
+++ b/internal/controlplane/chain/chain_test.go
@@ -1,4 +1,4 @@
-package controlplane
+package chain
 
 import (
 	"fmt"
@@ -86,8 +86,8 @@
 	at, ok := c.chain[n].ReadIndexAt()
 	for i := len(c.ackedAt) - 1; ok && i >= 0; i-- {
 		if a := c.ackedAt[i]; a.at < at {
-			if a.version > versionOf(c.chain[n].Committed()) && a.version > 0 {
-				c.fail("%s is sure of r%d at %v, r%d was acknowledged at %v", n, versionOf(c.chain[n].Committed()), at, a.version, a.at)
+			if a.version > VersionOf(c.chain[n].Committed()) && a.version > 0 {
+				c.fail("%s is sure of r%d at %v, r%d was acknowledged at %v", n, VersionOf(c.chain[n].Committed()), at, a.version, a.at)
 			}
 			return
 		}
@@ -116,7 +116,7 @@
 		return
 	}
 	c.life[n]++
-	ch, err := NewChain(c.network.Now, n, c.seeds, founding && slices.Contains(c.seeds, n), c.disks[n], rand.New(rand.NewPCG(c.seed, uint64(c.life[n])*31+uint64(n[0]))))
+	ch, err := New(c.network.Now, n, c.seeds, founding && slices.Contains(c.seeds, n), c.disks[n], rand.New(rand.NewPCG(c.seed, uint64(c.life[n])*31+uint64(n[0]))))
 	if err != nil {
 		return // its disk refuses; it stays down
 	}
@@ -173,8 +173,8 @@
 			}
 			began, ok := c.reading[n][o.ID]
 			delete(c.reading[n], o.ID)
-			if ok && versionOf(o.Doc) < began.version {
-				c.fail("read at %s gives r%d, r%d was acknowledged before it began", n, versionOf(o.Doc), began.version)
+			if ok && VersionOf(o.Doc) < began.version {
+				c.fail("read at %s gives r%d, r%d was acknowledged before it began", n, VersionOf(o.Doc), began.version)
 			}
 			if ok {
 				c.reads++
@@ -376,7 +376,7 @@
 func (c *core) outsider() (name string, found bool) {
 	for _, n := range c.names {
 		for _, o := range c.names {
-			if c.chain[o] == nil || !c.chain[o].View().has(c.chain[n].Me) {
+			if c.chain[o] == nil || !c.chain[o].View().Has(c.chain[n].Me) {
 				return n, true
 			}
 		}
@@ -614,7 +614,7 @@
 		}
 	}
 	c.network.Run(8*time.Second, nil)
-	if v := c.chain["c"].View(); !v.has(c.chain["c"].Me) {
+	if v := c.chain["c"].View(); !v.Has(c.chain["c"].Me) {
 		t.Fatalf("it was not taken in: %+v", v)
 	}
 }
@@ -625,7 +625,7 @@
 	disk := simnet.NewDisk()
 	names := []string{"a", "b", "c"}
 	mk := func() *Chain {
-		c, err := NewChain(0, "c", names, true, disk, rand.New(rand.NewPCG(1, 1)))
+		c, err := New(0, "c", names, true, disk, rand.New(rand.NewPCG(1, 1)))
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -636,7 +636,7 @@
 	c := mk()
 	c.Recv(1, "b", Pass{View: 1, Doc: old})
 	c.Recv(2, "b", Pass{View: 1, Doc: newer})
-	if versionOf(c.Committed()) != 2 {
+	if VersionOf(c.Committed()) != 2 {
 		t.Fatal("the tail did not commit what was passed to it")
 	}
 	c = mk()
@@ -660,23 +660,23 @@
 		return got
 	}
 	if got := read(); len(got) != 0 {
-		t.Fatalf("answered r%d, though r2 was committed here", versionOf(got[0].Doc))
+		t.Fatalf("answered r%d, though r2 was committed here", VersionOf(got[0].Doc))
 	}
 	c.Recv(7, "b", Pass{View: 1, Doc: newer})
-	if got := read(); len(got) == 0 || versionOf(got[len(got)-1].Doc) != 2 {
+	if got := read(); len(got) == 0 || VersionOf(got[len(got)-1].Doc) != 2 {
 		t.Fatalf("not answered once the chain had passed it again: %v", got)
 	}
 }
 
 // A single control machine is its own majority.
 func TestSingleMachineAnswers(t *testing.T) {
-	c, err := NewChain(0, "a", []string{"a"}, true, simnet.NewDisk(), rand.New(rand.NewPCG(1, 1)))
+	c, err := New(0, "a", []string{"a"}, true, simnet.NewDisk(), rand.New(rand.NewPCG(1, 1)))
 	if err != nil {
 		t.Fatal(err)
 	}
 	c.Submit(1, config.Doc{Version: 4, Raw: []byte("4")})
 	out := c.Read(2, 7)
-	if len(out) != 1 || versionOf(out[0].(ReadDone).Doc) != 4 {
+	if len(out) != 1 || VersionOf(out[0].(ReadDone).Doc) != 4 {
 		t.Fatalf("got %v", out)
 	}
 }
@@ -716,7 +716,7 @@
 	c.start("a", false)
 	c.network.Run(16*time.Second, nil)
 	for _, n := range c.names {
-		if v := c.chain[n].View(); len(v.Members) != 3 || len(v.Voters) != 3 || !v.has(c.chain["a"].Me) {
+		if v := c.chain[n].View(); len(v.Members) != 3 || len(v.Voters) != 3 || !v.Has(c.chain["a"].Me) {
 			t.Fatalf("%s sees %+v", n, v)
 		}
 	}
@@ -738,8 +738,8 @@
 	}
 	c.network.Run(7*time.Second+900*time.Millisecond+2*constants.HeartbeatEvery, nil)
 	for _, n := range three {
-		if versionOf(c.inForce[n]) != 9 {
-			t.Errorf("%s has r%d in force", n, versionOf(c.inForce[n]))
+		if VersionOf(c.inForce[n]) != 9 {
+			t.Errorf("%s has r%d in force", n, VersionOf(c.inForce[n]))
 		}
 	}
 }
@@ -762,7 +762,7 @@
 		Version uint64
 		Raw     []byte
 	}{6, []byte("6")})
-	c, err := NewChain(0, "a", []string{"a", "b", "c"}, false, disk, rand.New(rand.NewPCG(1, 1)))
+	c, err := New(0, "a", []string{"a", "b", "c"}, false, disk, rand.New(rand.NewPCG(1, 1)))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -774,7 +774,7 @@
 // An order held up on its way, behind a cut say, must not undo what was ordered
 // since; a repeat of one that was taken changes nothing either.
 func TestHeldUpOrderChangesNothing(t *testing.T) {
-	c, err := NewChain(0, "a", []string{"a"}, true, simnet.NewDisk(), rand.New(rand.NewPCG(1, 1)))
+	c, err := New(0, "a", []string{"a"}, true, simnet.NewDisk(), rand.New(rand.NewPCG(1, 1)))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/controlplane/electorate_test.go
+++ b/internal/controlplane/chain/electorate_test.go
@@ -1,4 +1,4 @@
-package controlplane
+package chain
 
 import (
 	"fmt"
@@ -132,7 +132,7 @@
 					}
 					c.network.Run(c.network.Now+catchUp, nil)
 				}
-				c.settled()
+				c.Settled()
 			})
 		}
 	}
@@ -191,13 +191,13 @@
 				}
 				c.network.Run(c.network.Now+catchUp, nil)
 			}
-			c.settled()
+			c.Settled()
 		})
 	}
 }
 
 // settled wants one view of all machines, which may lose as many as may be.
-func (c *core) settled() {
+func (c *core) Settled() {
 	c.t.Helper()
 	for _, n := range c.names {
 		v := c.chain[n].View()
@@ -239,7 +239,7 @@
 					c.network.Run(c.network.Now+time.Duration(c.network.Rng.Int64N(int64(2*time.Second))), nil)
 					c.start(pick, false)
 					c.network.Run(c.network.Now+catchUp, nil)
-					c.settled()
+					c.Settled()
 					c.holds(fmt.Sprintf("after disk %d was lost", i+1))
 				}
 				c.acknowledged("in the end")
@@ -317,7 +317,7 @@
 							c.network.Cut(o, x, false)
 						}
 						c.network.Run(c.network.Now+catchUp, nil)
-						c.settled()
+						c.Settled()
 						c.acknowledged("after the cut")
 						c.holds("after the cut")
 					}
@@ -352,7 +352,7 @@
 		c.network.Cut(a, b, false)
 		c.network.Cut(b, a, false)
 		c.network.Run(c.network.Now+catchUp, nil)
-		c.settled()
+		c.Settled()
 	}
 }
 
@@ -388,7 +388,7 @@
 		c.network.Cut(old, n, false)
 	}
 	c.network.Run(c.network.Now+catchUp, nil)
-	c.settled()
+	c.Settled()
 	c.acknowledged("with it back")
 }
 
@@ -466,7 +466,7 @@
 		c.acknowledged("right after it left")
 		c.start(n, false)
 		c.network.Run(c.network.Now+catchUp, nil)
-		c.settled()
+		c.Settled()
 	}
 	c := calmCore(t, 1, 3, 1)
 	c.kill("a")
@@ -510,7 +510,7 @@
 		}
 		took[i] = c.network.Now - began
 		c.network.Run(began+catchUp, nil)
-		c.settled()
+		c.Settled()
 		c.holds("after it caught up")
 	}
 	if took[1] > took[0]+2*constants.HeartbeatEvery {
@@ -623,7 +623,7 @@
 		c.start(n, false) // bootstrap is false now
 	}
 	c.network.Run(c.network.Now+6*time.Second, nil)
-	c.settled()
+	c.Settled()
 	c.acknowledged("after a start that was cut short")
 }
 
@@ -637,7 +637,7 @@
 		half := simnet.NewDisk()
 		half.Full = 1 // the second write is refused: the process ends there
 		c.disks[n] = half
-		if _, err := NewChain(0, n, three, true, half, rand.New(rand.NewPCG(1, 1))); err == nil {
+		if _, err := New(0, n, three, true, half, rand.New(rand.NewPCG(1, 1))); err == nil {
 			t.Fatal("started without its second write")
 		}
 		half.Full = 0
@@ -647,7 +647,7 @@
 		c.start(n, false)
 	}
 	c.network.Run(c.network.Now+4*time.Second, nil)
-	c.settled()
+	c.Settled()
 	c.acknowledged("after founding ended between two writes")
 }
 
--- a/internal/controlplane/left_behind_test.go
+++ b/internal/controlplane/chain/left_behind_test.go
@@ -1,4 +1,4 @@
-package controlplane
+package chain
 
 import (
 	"slices"
@@ -37,7 +37,7 @@
 		c.cutPair("a", "b", false)
 		c.cutPair("b", "c", false)
 		c.network.Run(c.network.Now+2*catchUp, nil)
-		c.settled()
+		c.Settled()
 		c.holds("with b back")
 		c.acknowledged("with b back")
 	}
--- a/internal/controlplane/load.go
+++ b/internal/controlplane/chain/load.go
@@ -1,4 +1,4 @@
-package controlplane
+package chain
 
 import (
 	"errors"
@@ -23,10 +23,10 @@
 
 var errBulkMissing = errors.New("the configuration that the kept state names is not there")
 
-// NewChain builds the machine from its store, knowing some control machines.
+// New builds the machine from its store, knowing some control machines.
 // With founding set and an empty store the first view is made of them; otherwise
 // a machine without a history takes part in nothing until a view takes it in.
-func NewChain(now time.Duration, addr string, peers []string, founding bool, store Store, rng *rand.Rand) (*Chain, error) {
+func New(now time.Duration, addr string, peers []string, founding bool, store Store, rng *rand.Rand) (*Chain, error) {
 	c := &Chain{
 		seeds:                  peers,
 		peers:                  slices.Clone(peers),
@@ -70,7 +70,7 @@
 	a := agreement{}
 	// A founder that ended between these two writes founds all the same: it has said
 	// nothing yet, and were all to come back as newcomers, nobody would have founded.
-	if c.store.Get(agreementKey, &a) && a.Joined && a.View.Num == 1 && a.View.has(Member{addr, foundersIncarnation}) {
+	if c.store.Get(agreementKey, &a) && a.Joined && a.View.Num == 1 && a.View.Has(Member{addr, foundersIncarnation}) {
 		founding, c.peers = true, nil
 		for _, m := range a.View.Members {
 			c.addPeer(m.Addr)
--- a/internal/controlplane/orders.go
+++ b/internal/controlplane/chain/orders.go
@@ -1,4 +1,4 @@
-package controlplane
+package chain
 
 import (
 	"cmp"
@@ -19,7 +19,7 @@
 func (c *Chain) Submit(now time.Duration, d config.Doc) []Effect {
 	c.now = now
 	d.Sum = config.SumOf(d.Raw)
-	if !settled(c.committed, d.Version) {
+	if !Settled(c.committed, d.Version) {
 		k := config.Taken{Version: d.Version, Sum: d.Sum}
 		c.pendingConfigs[k], c.pendingConfigSince[k] = d, now
 		c.forward(d, 0)
@@ -27,14 +27,14 @@
 	return c.flush()
 }
 
-// settled says whether a state has decided what a number stands for.
-func settled(d *config.Doc, version uint64) bool { return d != nil && d.Ledger.Settled(version) }
+// Settled says whether a state has decided what a number stands for.
+func Settled(d *config.Doc, version uint64) bool { return d != nil && d.Ledger.Settled(version) }
 
 // onForward is an operator's configuration at the head. One content is taken under a
 // number, whichever comes first; one below the number in force is only entered in the
 // ledger, so that it can be acknowledged, and no other under its number ever.
 func (c *Chain) onForward(m config.Doc) {
-	if settled(c.held, m.Version) {
+	if Settled(c.held, m.Version) {
 		c.admit(nil)
 		return
 	}
@@ -80,7 +80,7 @@
 // Give up on forwarding changes whose caller has been answered.
 func (c *Chain) expire() {
 	for k, at := range c.pendingConfigSince {
-		if settled(c.committed, k.Version) || c.now-at > constants.SubmitWait {
+		if Settled(c.committed, k.Version) || c.now-at > constants.SubmitWait {
 			delete(c.pendingConfigs, k)
 			delete(c.pendingConfigSince, k)
 		}
@@ -225,7 +225,7 @@
 		return cmp.Or(cmp.Compare(a.Version, b.Version), cmp.Compare(a.Sum, b.Sum))
 	})
 	for _, k := range ks {
-		if at, ok := c.pendingConfigSince[k]; ok && c.now > at && !settled(c.held, k.Version) {
+		if at, ok := c.pendingConfigSince[k]; ok && c.now > at && !Settled(c.held, k.Version) {
 			c.forward(c.pendingConfigs[k], at)
 		}
 	}
--- a/internal/controlplane/stale_head_test.go
+++ b/internal/controlplane/chain/stale_head_test.go
@@ -1,4 +1,4 @@
-package controlplane
+package chain
 
 import (
 	"math/rand/v2"
@@ -13,7 +13,7 @@
 // a revision that the later view's head gives to another state, and whoever heard that
 // revision called committed would take the wrong one for it.
 func TestHeadOfAnEarlierViewNumbersNothing(t *testing.T) {
-	c, err := NewChain(0, "a", []string{"a", "b", "c"}, true, simnet.NewDisk(), rand.New(rand.NewPCG(1, 1)))
+	c, err := New(0, "a", []string{"a", "b", "c"}, true, simnet.NewDisk(), rand.New(rand.NewPCG(1, 1)))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/controlplane/store_before_test.go
+++ b/internal/controlplane/chain/store_before_test.go
@@ -1,4 +1,4 @@
-package controlplane
+package chain
 
 import (
 	"math/rand/v2"
@@ -67,7 +67,7 @@
 			t.Errorf("%s:\ngot  %+v\nwant %+v", key, got.Elem(), reflect.ValueOf(record).Elem())
 		}
 	}
-	c, err := NewChain(0, "10.1.0.13", nil, false, store, rand.New(rand.NewPCG(1, 1)))
+	c, err := New(0, "10.1.0.13", nil, false, store, rand.New(rand.NewPCG(1, 1)))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/controlplane/taken_in_test.go
+++ b/internal/controlplane/chain/taken_in_test.go
@@ -1,4 +1,4 @@
-package controlplane
+package chain
 
 import (
 	"fmt"
--- a/internal/controlplane/daemon.go
+++ b/internal/controlplane/daemon.go
@@ -1,3 +1,5 @@
+// Package controlplane is the control process: the operators' API, the duties, and what the
+// proxies are told. Package chain, below it, decides what is in force.
 package controlplane
 
 import (
@@ -16,6 +18,7 @@
 	"slateridge/internal/clock"
 	"slateridge/internal/config"
 	"slateridge/internal/constants"
+	"slateridge/internal/controlplane/chain"
 	"slateridge/internal/directory"
 	"slateridge/internal/discovery"
 	"slateridge/internal/distribution"
@@ -112,17 +115,17 @@
 	seeds := set.SeedIPs()
 	// The seeds found the first view; the other machines are taken in by views.
 	founding := set.Bootstrap && fresh && slices.Contains(seeds, set.IPAddress)
-	chain, err := NewChain(0, set.IPAddress, seeds, founding, store, rng)
+	machine, err := chain.New(0, set.IPAddress, seeds, founding, store, rng)
 	if err != nil {
 		return err
 	}
-	chain.Relay = set.DataDirectory == "" || !set.QuorumMember
-	chain.Original = set.Bootstrap && fresh && !founding && !chain.Relay
-	chain.Tolerate = set.FaultTolerance.MachineFailures
-	chain.Zones, chain.Regions = set.FaultTolerance.Zones, set.FaultTolerance.RegionFailures
-	chain.Zone, chain.Region = set.Zone, set.Region
-	chain.Wall = d.wall
-	d.replica = &replica{address: set.IPAddress, seeds: seeds, relay: chain.Relay, now: d.now, events: d.events, chain: chain, store: store,
+	machine.Relay = set.DataDirectory == "" || !set.QuorumMember
+	machine.Original = set.Bootstrap && fresh && !founding && !machine.Relay
+	machine.Tolerate = set.FaultTolerance.MachineFailures
+	machine.Zones, machine.Regions = set.FaultTolerance.Zones, set.FaultTolerance.RegionFailures
+	machine.Zone, machine.Region = set.Zone, set.Region
+	machine.Wall = d.wall
+	d.replica = &replica{address: set.IPAddress, seeds: seeds, relay: machine.Relay, now: d.now, events: d.events, machine: machine, store: store,
 		send: d.connections.send, commit: d.committed}
 	d.replica.read = func(id uint64, doc *config.Doc) { d.waits.readDone(id, doc) }
 	return nil
@@ -307,7 +310,7 @@
 		if update, ok := d.list.whole(); ok {
 			d.connections.send(conn.Remote, update)
 		}
-	case Heartbeat:
+	case chain.Heartbeat:
 		d.locations.observe(conn.Remote, m.Zone, m.Region)
 		if !m.Relay {
 			d.clock.Observe(conn.Remote, m.Wall, d.now())
--- a/internal/controlplane/duties.go
+++ b/internal/controlplane/duties.go
@@ -16,6 +16,7 @@
 
 	"slateridge/internal/autoscale"
 	"slateridge/internal/constants"
+	"slateridge/internal/controlplane/chain"
 	"slateridge/internal/duty"
 	"slateridge/internal/settings"
 	"slateridge/internal/usage"
@@ -101,7 +102,7 @@
 	for _, o := range out {
 		switch o := o.(type) {
 		case duty.Order:
-			d.replica.step(func() []Effect { return d.replica.chain.Act(d.now(), o) })
+			d.replica.step(func() []chain.Effect { return d.replica.machine.Act(d.now(), o) })
 		case duty.Cancel:
 			p.mu.Lock()
 			if p.cancel != nil && p.calling == o.ID {
--- a/internal/controlplane/inforce.go
+++ b/internal/controlplane/inforce.go
@@ -7,6 +7,7 @@
 
 	"slateridge/internal/admission"
 	"slateridge/internal/config"
+	"slateridge/internal/controlplane/chain"
 	"slateridge/internal/eventlog"
 )
 
@@ -64,7 +65,7 @@
 // announce takes the limits of a configuration that may come into force.
 func (f *inForce) announce(cfg *config.Config) {
 	pending := f.pending.Load()
-	if pending != nil && pending.version >= cfg.Version || versionOf(f.doc.Load()) >= cfg.Version {
+	if pending != nil && pending.version >= cfg.Version || chain.VersionOf(f.doc.Load()) >= cfg.Version {
 		return
 	}
 	f.pending.Store(&pendingLimits{cfg.Version, admission.Quotas(cfg)})
--- a/internal/controlplane/replica.go
+++ b/internal/controlplane/replica.go
@@ -9,6 +9,7 @@
 
 	"slateridge/internal/config"
 	"slateridge/internal/constants"
+	"slateridge/internal/controlplane/chain"
 	"slateridge/internal/eventlog"
 	"slateridge/internal/storage"
 )
@@ -25,11 +26,11 @@
 	view, epoch uint64
 	voters      []string // addresses, sorted
 	joined      bool     // the view names this machine's disk a voter
-	leaves      bool     // no lease is granted: see Chain.LeavesElectorate
+	leaves      bool     // no lease is granted: see chain.Chain.LeavesElectorate
 }
 
 // replica runs this machine's Chain: it steps it, carries out the effects, and publishes
-// what the rest of the process reads without a lock. mu guards chain and store, and is held
+// what the rest of the process reads without a lock. mu guards machine and store, and is held
 // while the disk works; the locks of leases and of the roster may be taken under it, and
 // none is held when it is taken. Effects are carried out after it is released.
 type replica struct {
@@ -43,9 +44,9 @@
 	commit  func(doc config.Doc)
 	read    func(id uint64, doc *config.Doc) // answers a read
 
-	mu    sync.Mutex
-	chain *Chain
-	store *storage.Store
+	mu      sync.Mutex
+	machine *chain.Chain
+	store   *storage.Store
 
 	standing       atomic.Pointer[standing]
 	readIndex      atomic.Pointer[readIndex]
@@ -56,7 +57,7 @@
 }
 
 // step runs the chain machine and carries out what comes of it.
-func (r *replica) step(f func() []Effect) {
+func (r *replica) step(f func() []chain.Effect) {
 	r.mu.Lock()
 	effects := f()
 	r.publish()
@@ -66,21 +67,21 @@
 	}
 }
 
-func (r *replica) carryOut(e Effect) {
+func (r *replica) carryOut(e chain.Effect) {
 	switch e := e.(type) {
-	case Send:
+	case chain.Send:
 		r.send(e.To, e.Msg)
-	case Commit:
+	case chain.Commit:
 		r.commit(e.Doc)
-	case ReadDone:
+	case chain.ReadDone:
 		r.read(e.ID, e.Doc)
-	case Moved:
+	case chain.Moved:
 		v := e.View
 		r.events.Record("view", fmt.Sprintf("%d %v of %d voters from %d/%d", v.Num, memberAddresses(v), len(v.Voters), v.From.View, v.From.Seq))
 	}
 }
 
-func memberAddresses(v View) []string {
+func memberAddresses(v chain.View) []string {
 	var out []string
 	for _, m := range v.Members {
 		out = append(out, m.Addr)
@@ -91,13 +92,13 @@
 // publish makes known what changed with a step, before any message of it leaves. mu is held.
 func (r *replica) publish() {
 	r.publishStanding()
-	if at, ok := r.chain.ReadIndexAt(); ok {
-		fresh := readIndex{at, versionOf(r.chain.Committed())}
+	if at, ok := r.machine.ReadIndexAt(); ok {
+		fresh := readIndex{at, chain.VersionOf(r.machine.Committed())}
 		if was := r.readIndex.Load(); was == nil || *was != fresh {
 			r.readIndex.Store(&fresh)
 		}
 	}
-	if at, ok := r.chain.Contact(); ok {
+	if at, ok := r.machine.Contact(); ok {
 		r.contactAt.Store(max(int64(at), 1))
 	} else {
 		r.contactAt.Store(0)
@@ -105,7 +106,7 @@
 }
 
 func (r *replica) publishStanding() {
-	view, joined, leaves := r.chain.View(), r.chain.Joined(), r.chain.LeavesElectorate()
+	view, joined, leaves := r.machine.View(), r.machine.Joined(), r.machine.LeavesElectorate()
 	was := r.standing.Load()
 	if was != nil && was.view == view.Num && was.joined == joined && was.leaves == leaves {
 		return
@@ -135,12 +136,12 @@
 
 // tick advances the chain's time.
 func (r *replica) tick() {
-	r.step(func() []Effect { return r.chain.Tick(r.now()) })
+	r.step(func() []chain.Effect { return r.machine.Tick(r.now()) })
 }
 
 // receive hands another machine's message to the chain.
 func (r *replica) receive(from string, message any) {
-	r.step(func() []Effect { return r.chain.Recv(r.now(), from, message) })
+	r.step(func() []chain.Effect { return r.machine.Recv(r.now(), from, message) })
 }
 
 // current says whether this machine is in contact with a majority of the voters, both
@@ -192,32 +193,32 @@
 	r.store.Put(key, value()) // what cannot be kept is told again by others
 }
 
-// ahead is the machine with a say that was heard last; see Chain.Ahead.
+// ahead is the machine with a say that was heard last; see chain.Chain.Ahead.
 func (r *replica) ahead() (address string, ok bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.chain.Ahead()
+	return r.machine.Ahead()
 }
 
 // status is the chain's state at this moment. It waits for the disk.
-func (r *replica) status() Heartbeat {
+func (r *replica) status() chain.Heartbeat {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.chain.Status()
+	return r.machine.Status()
 }
 
-// electorate describes the voters; see Chain.Electorate.
-func (r *replica) electorate() ([]Voter, int) {
+// electorate describes the voters; see chain.Chain.Electorate.
+func (r *replica) electorate() ([]chain.Voter, int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.chain.Electorate()
+	return r.machine.Electorate()
 }
 
 // leave waits for a view in which the others go on without this machine.
 func (r *replica) leave() {
 	began := r.now()
 	left, can := r.leaveState()
-	r.step(func() []Effect { return r.chain.Leave(r.now()) })
+	r.step(func() []chain.Effect { return r.machine.Leave(r.now()) })
 	for end := began + constants.LeaveWait; !left && can && r.now() < end; left, can = r.leaveState() {
 		time.Sleep(constants.ChainTick / 2)
 	}
@@ -234,5 +235,5 @@
 func (r *replica) leaveState() (left, can bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.chain.Left(), r.chain.CanLeave()
+	return r.machine.Left(), r.machine.CanLeave()
 }
--- a/internal/controlplane/step_bench_test.go
+++ b/internal/controlplane/step_bench_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"slateridge/internal/constants"
+	"slateridge/internal/controlplane/chain"
 	"slateridge/internal/lease"
 	"slateridge/internal/simnet"
 )
@@ -19,18 +20,27 @@
 	for range 8 {
 		names, addr = append(names, addr.String()), addr.Next()
 	}
-	c, err := NewChain(0, names[0], names, true, simnet.NewDisk(), rand.New(rand.NewPCG(1, 1)))
+	c, err := chain.New(0, names[0], names, true, simnet.NewDisk(), rand.New(rand.NewPCG(1, 1)))
 	if err != nil {
 		b.Fatal(err)
 	}
-	r := &replica{chain: c}
+	r := &replica{machine: c, send: func(string, any) {}}
 	r.leases = newLeases(lease.New(0, 1, names[0], []string{dutyPoll}), func() time.Duration { return 0 }, nil, nil)
+	// The base of the machine's own moments shows in the first heartbeat it sends.
+	var base uint64
+	for _, e := range c.Tick(0) {
+		if s, ok := e.(chain.Send); ok {
+			if h, ok := s.Msg.(chain.Heartbeat); ok {
+				base = h.At
+			}
+		}
+	}
 	heard := func(now time.Duration) {
 		for _, n := range names[1:] {
 			g := c.Status()
-			g.Me = Member{n, 1}
-			g.Echo = c.clockBase + uint64(now)
-			r.step(func() []Effect { c.Recv(now, n, g); return nil })
+			g.Me = chain.Member{Addr: n, Incarnation: 1}
+			g.Echo = base + uint64(now)
+			r.step(func() []chain.Effect { c.Recv(now, n, g); return nil })
 		}
 	}
 	b.ReportAllocs()
@@ -42,6 +52,6 @@
 			heard(now)
 			b.StartTimer()
 		}
-		r.step(func() []Effect { c.Tick(now); return nil })
+		r.step(func() []chain.Effect { c.Tick(now); return nil })
 	}
 }
--- a/internal/modelcheck/chainmodel/chainmodel.go
+++ b/internal/modelcheck/chainmodel/chainmodel.go
@@ -13,7 +13,7 @@
 
 	"slateridge/internal/config"
 	"slateridge/internal/constants"
-	"slateridge/internal/controlplane"
+	"slateridge/internal/controlplane/chain"
 	"slateridge/internal/lease"
 	"slateridge/internal/modelcheck"
 	"slateridge/internal/simnet"
@@ -86,7 +86,7 @@
 }
 
 // submit hands an order to a machine.
-func submit(c *controlplane.Chain, now time.Duration, o Order) []controlplane.Effect {
+func submit(c *chain.Chain, now time.Duration, o Order) []chain.Effect {
 	return c.Submit(now, config.Doc{Version: o.Version, Raw: []byte(o.Content)})
 }
 
@@ -116,7 +116,7 @@
 type Model struct {
 	Config
 	world *modelcheck.World
-	chain map[string]*controlplane.Chain
+	chain map[string]*chain.Chain
 	disks map[string]*simnet.Disk
 	grid  time.Duration
 	err   error
@@ -159,7 +159,7 @@
 
 func (m *Model) Reset() {
 	m.world = modelcheck.NewWorld(constants.ChainTick, m.tick, m.recv)
-	m.chain, m.disks = map[string]*controlplane.Chain{}, map[string]*simnet.Disk{}
+	m.chain, m.disks = map[string]*chain.Chain{}, map[string]*simnet.Disk{}
 	m.grid, m.err = m.Warm, nil
 	m.faults, m.orders, m.came, m.ids, m.highestVersion = 0, 0, 0, 0, 0
 	m.spares, m.losses, m.lossAt, m.leaving = nil, 0, 0, map[string]leave{}
@@ -207,7 +207,7 @@
 		peers = append(slices.Clone(m.world.Names), n)
 	}
 	rng := rand.New(rand.NewPCG(uint64(n[0]), uint64(m.world.Life(n)+1)))
-	c, err := controlplane.NewChain(m.world.Now, n, slices.Clone(peers), founding, m.disks[n], rng)
+	c, err := chain.New(m.world.Now, n, slices.Clone(peers), founding, m.disks[n], rng)
 	if err != nil {
 		if !m.disks[n].Refuse {
 			m.broken(RuleStarts, "%s: %v", n, err)
@@ -250,7 +250,7 @@
 		m.sendLease(n, o.lease.Leave(m.world.Now))
 	}
 	m.leaving[n] = leave{m.world.Now, m.world.Life(n), m.faults, forGood, well}
-	m.run(n, func(c *controlplane.Chain) []controlplane.Effect { return c.Leave(m.world.Now) })
+	m.run(n, func(c *chain.Chain) []chain.Effect { return c.Leave(m.world.Now) })
 	m.awaitLeft(n, m.leaving[n])
 }
 
@@ -286,7 +286,7 @@
 }
 
 func (m *Model) tick(n string) {
-	m.run(n, func(c *controlplane.Chain) []controlplane.Effect { return c.Tick(m.world.Now) })
+	m.run(n, func(c *chain.Chain) []chain.Effect { return c.Tick(m.world.Now) })
 	m.stepDuties(n)
 }
 
@@ -294,11 +294,11 @@
 	if m.recvLease(e) {
 		return
 	}
-	m.run(e.To, func(c *controlplane.Chain) []controlplane.Effect { return c.Recv(m.world.Now, e.From, e.Msg) })
+	m.run(e.To, func(c *chain.Chain) []chain.Effect { return c.Recv(m.world.Now, e.From, e.Msg) })
 }
 
 // run has a machine do something and checks the rules on what came of it.
-func (m *Model) run(n string, f func(*controlplane.Chain) []controlplane.Effect) {
+func (m *Model) run(n string, f func(*chain.Chain) []chain.Effect) {
 	c := m.chain[n]
 	if c == nil {
 		return
@@ -306,17 +306,17 @@
 	before := c.View()
 	for _, o := range f(c) {
 		switch o := o.(type) {
-		case controlplane.Send:
+		case chain.Send:
 			switch s := o.Msg.(type) {
-			case controlplane.Promise:
+			case chain.Promise:
 				m.votes(c, before, s.Slot, "promises")
-			case controlplane.Accepted:
+			case chain.Accepted:
 				m.votes(c, before, s.Slot, "accepts")
 			}
 			m.world.Send(n, o.To, o.Msg)
-		case controlplane.Commit:
+		case chain.Commit:
 			m.commit(n, o.Doc)
-		case controlplane.ReadDone:
+		case chain.ReadDone:
 			m.readDone(n, o)
 		}
 	}
@@ -326,8 +326,8 @@
 	}
 }
 
-func (m *Model) votes(c *controlplane.Chain, before controlplane.View, slot uint64, does string) {
-	for _, v := range []controlplane.View{before, c.View()} {
+func (m *Model) votes(c *chain.Chain, before chain.View, slot uint64, does string) {
+	for _, v := range []chain.View{before, c.View()} {
 		if v.Num+1 == slot && slices.Contains(v.Voters, c.Me) {
 			return
 		}
@@ -335,7 +335,7 @@
 	m.broken(RuleVoters, "%v %s for view %d, and knows view %d with the voters %v", c.Me, does, slot, before.Num, before.Voters)
 }
 
-func (m *Model) view(n string, v controlplane.View) {
+func (m *Model) view(n string, v chain.View) {
 	if v.Num == 0 {
 		return
 	}
@@ -410,7 +410,7 @@
 	m.confirms++
 }
 
-func (m *Model) readDone(n string, o controlplane.ReadDone) {
+func (m *Model) readDone(n string, o chain.ReadDone) {
 	r, ok := m.reads[n][o.ID]
 	delete(m.reads[n], o.ID)
 	if !ok || m.world.Now-r.began > constants.SubmitWait {
@@ -448,7 +448,7 @@
 		return
 	}
 	m.waiters[n] = append(m.waiters[n], waiting{o, m.world.Now})
-	m.run(n, func(c *controlplane.Chain) []controlplane.Effect { return submit(c, m.world.Now, o) })
+	m.run(n, func(c *chain.Chain) []chain.Effect { return submit(c, m.world.Now, o) })
 }
 
 func (m *Model) read(n string) {
@@ -462,7 +462,7 @@
 	}
 	m.reads[n][m.ids] = reading{m.world.Now, m.acked, evacs}
 	id := m.ids
-	m.run(n, func(c *controlplane.Chain) []controlplane.Effect { return c.Read(m.world.Now, id) })
+	m.run(n, func(c *chain.Chain) []chain.Effect { return c.Read(m.world.Now, id) })
 }
 
 func (m *Model) evacuate(n string, on bool) {
@@ -473,7 +473,7 @@
 	id := m.ids
 	m.evacSent[id] = m.world.Now
 	m.evacs[n][id] = evacuation{"z", on}
-	m.run(n, func(c *controlplane.Chain) []controlplane.Effect { return c.Evacuate(m.world.Now, id, "z", on) })
+	m.run(n, func(c *chain.Chain) []chain.Effect { return c.Evacuate(m.world.Now, id, "z", on) })
 }
 
 // ---- choices
@@ -481,7 +481,7 @@
 // regular are words that machines say all the time and that come again.
 func regular(msg any) bool {
 	switch msg.(type) {
-	case controlplane.Heartbeat, lease.Request, lease.Grant:
+	case chain.Heartbeat, lease.Request, lease.Grant:
 		return true
 	}
 	return false
@@ -504,7 +504,7 @@
 		return false
 	}
 	for _, n := range m.world.Names {
-		if m.chain[n] == nil || m.world.Frozen(n) || m.disks[n].Refuse || m.disks[n].Failed() || !slices.ContainsFunc(m.chain[m.world.Names[0]].View().Members, func(x controlplane.Member) bool { return x == m.chain[n].Me }) {
+		if m.chain[n] == nil || m.world.Frozen(n) || m.disks[n].Refuse || m.disks[n].Failed() || !slices.ContainsFunc(m.chain[m.world.Names[0]].View().Members, func(x chain.Member) bool { return x == m.chain[n].Me }) {
 			return false
 		}
 	}
--- a/internal/modelcheck/chainmodel/duties.go
+++ b/internal/modelcheck/chainmodel/duties.go
@@ -6,7 +6,7 @@
 	"strings"
 	"time"
 
-	"slateridge/internal/controlplane"
+	"slateridge/internal/controlplane/chain"
 	"slateridge/internal/duty"
 	"slateridge/internal/lease"
 	"slateridge/internal/modelcheck"
@@ -103,7 +103,7 @@
 	for _, x := range out {
 		switch x := x.(type) {
 		case duty.Order:
-			m.run(n, func(c *controlplane.Chain) []controlplane.Effect { return c.Act(m.world.Now, x) })
+			m.run(n, func(c *chain.Chain) []chain.Effect { return c.Act(m.world.Now, x) })
 		case duty.Yield:
 			m.sendLease(n, m.dutyHolders[n].lease.Leave(m.world.Now, dutyName))
 		case duty.Act:
--- a/internal/transport/compatibility_test.go
+++ b/internal/transport/compatibility_test.go
@@ -16,6 +16,7 @@
 	"slateridge/internal/admission"
 	"slateridge/internal/autoscale"
 	"slateridge/internal/controlplane"
+	"slateridge/internal/controlplane/chain"
 	"slateridge/internal/distribution"
 	"slateridge/internal/duty"
 	"slateridge/internal/gobtest"
@@ -29,10 +30,10 @@
 // messages are all messages between processes, in the order of the fixture.
 func messages() []any {
 	return []any{
-		controlplane.Heartbeat{}, controlplane.Prepare{}, controlplane.Promise{}, controlplane.Nack{}, controlplane.Sync{}, controlplane.Synced{},
-		controlplane.Accept{}, controlplane.Accepted{}, controlplane.Decide{}, controlplane.Pass{}, controlplane.Lack{}, controlplane.Ack{},
-		controlplane.Higher{}, controlplane.Retire{}, controlplane.Forward{}, controlplane.EvacuationOrder{}, controlplane.Confirm{}, controlplane.Confirmed{},
-		controlplane.Read{}, controlplane.ReadAnswer{}, controlplane.Fetch{}, controlplane.Fetched{},
+		chain.Heartbeat{}, chain.Prepare{}, chain.Promise{}, chain.Nack{}, chain.Sync{}, chain.Synced{},
+		chain.Accept{}, chain.Accepted{}, chain.Decide{}, chain.Pass{}, chain.Lack{}, chain.Ack{},
+		chain.Higher{}, chain.Retire{}, chain.Forward{}, chain.EvacuationOrder{}, chain.Confirm{}, chain.Confirmed{},
+		chain.Read{}, chain.ReadAnswer{}, chain.Fetch{}, chain.Fetched{},
 		controlplane.Roster{}, controlplane.ListUpdate{}, controlplane.ListRequest{},
 		distribution.Subscription{}, distribution.Update{},
 		duty.Order{}, lease.Request{}, lease.Grant{}, lease.Release{},
