--- a/internal/controlplane/daemon.go
+++ b/internal/controlplane/daemon.go
@@ -65,14 +65,25 @@
 
 // NewDaemon opens the store and builds the machines.
 func NewDaemon(set *settings.Settings, events *eventlog.Log) (*Daemon, error) {
-	d := &Daemon{settings: set, events: events, began: time.Now(), clock: clock.New(), tally: usage.NewTally(rand.Uint64()),
-		load: autoscale.NewLoadSum(), scaler: autoscale.NewController(), zonesOf: map[autoscale.Subject]int{},
-		locations: newLocations(), proxyDirectory: directory.New(0, set.Zones)}
+	d := &Daemon{
+		settings:       set,
+		events:         events,
+		began:          time.Now(),
+		clock:          clock.New(),
+		tally:          usage.NewTally(rand.Uint64()),
+		load:           autoscale.NewLoadSum(),
+		scaler:         autoscale.NewController(),
+		zonesOf:        map[autoscale.Subject]int{},
+		locations:      newLocations(),
+		proxyDirectory: directory.New(0, set.Zones),
+	}
 	d.connections = newConnections(set, d.onMessage)
 	d.quotaTracker = admission.NewTracker(rand.Uint64(), set.Trackers(), d.quotaIsTiny)
-	d.inForce = &inForce{events: events, publish: d.publish, quotas: func(quotas map[string]admission.Quota) {
-		d.quotaTracker.SetQuotas(d.now(), quotas)
-	}}
+	d.inForce = &inForce{
+		events:  events,
+		publish: d.publish,
+		quotas:  func(quotas map[string]admission.Quota) { d.quotaTracker.SetQuotas(d.now(), quotas) },
+	}
 	store, fresh, err := d.openStore()
 	if err != nil {
 		return nil, err
@@ -86,9 +97,14 @@
 	}
 	d.waits = newWaits(rng.Uint64())
 	d.buildRoster(store)
-	d.list = &upstreamList{source: discovery.NewSource(set.CloudAPI.Address), events: events, now: d.now, publish: d.publish,
+	d.list = &upstreamList{
+		source:    discovery.NewSource(set.CloudAPI.Address),
+		events:    events,
+		now:       d.now,
 		holdsPoll: func() (time.Duration, bool) { return d.leases.holds(d.now(), dutyPoll) },
-		broadcast: func(m any) { d.connections.sendAll(d.replica.peers(), m) }}
+		broadcast: func(m any) { d.connections.sendAll(d.replica.peers(), m) },
+		publish:   d.publish,
+	}
 	duties := d.buildDuties()
 	d.leases = newLeases(lease.New(0, rng.Uint64(), set.IPAddress, duties), d.now, d.connections.send, events)
 	d.replica.leases = d.leases
@@ -125,17 +141,36 @@
 	machine.Zones, machine.Regions = set.FaultTolerance.Zones, set.FaultTolerance.RegionFailures
 	machine.Zone, machine.Region = set.Zone, set.Region
 	machine.Wall = d.wall
-	d.replica = &replica{address: set.IPAddress, seeds: seeds, relay: machine.Relay, now: d.now, events: d.events, machine: machine, store: store,
-		send: d.connections.send, commit: d.committed}
-	d.replica.read = func(id uint64, doc *config.Doc) { d.waits.readDone(id, doc) }
+	d.replica = &replica{
+		address: set.IPAddress,
+		seeds:   seeds,
+		relay:   machine.Relay,
+		now:     d.now,
+		events:  d.events,
+		machine: machine,
+		store:   store,
+		send:    d.connections.send,
+		commit:  d.committed,
+		read:    func(id uint64, doc *config.Doc) { d.waits.readDone(id, doc) },
+	}
 	return nil
 }
 
 // buildRoster makes the roster, with the proxies that the store knows.
 func (d *Daemon) buildRoster(store *storage.Store) {
-	d.roster = &roster{settings: d.settings, events: d.events, began: d.began, now: d.now, entries: map[string]*proxyEntry{},
-		locations: d.locations, peers: d.replica.peers, send: d.connections.send, publish: d.publish, keep: d.replica.keep,
-		members: func() []membership.Fact { return d.members.Members() }}
+	d.roster = &roster{
+		settings:  d.settings,
+		events:    d.events,
+		began:     d.began,
+		now:       d.now,
+		entries:   map[string]*proxyEntry{},
+		locations: d.locations,
+		members:   func() []membership.Fact { return d.members.Members() },
+		peers:     d.replica.peers,
+		send:      d.connections.send,
+		publish:   d.publish,
+		keep:      d.replica.keep,
+	}
 	if d.settings.ListenAddresses.Directory != "" {
 		d.roster.directory = d.proxyDirectory
 	}
@@ -166,8 +201,17 @@
 
 // buildPushes makes what tells the proxies.
 func (d *Daemon) buildPushes() {
-	d.pushes = &pushes{settings: d.settings, now: d.now, clock: d.clock, inForce: d.inForce, replica: d.replica, leases: d.leases,
-		list: d.list, roster: d.roster, locations: d.locations}
+	d.pushes = &pushes{
+		settings:  d.settings,
+		now:       d.now,
+		clock:     d.clock,
+		inForce:   d.inForce,
+		replica:   d.replica,
+		leases:    d.leases,
+		list:      d.list,
+		roster:    d.roster,
+		locations: d.locations,
+	}
 	d.pushes.publisher = distribution.New(d.pushes.snapshot, d.roster.sharing)
 	d.pushes.publisher.OnClosed = d.roster.disconnected
 }
