Control: evacuations that contend for a zone follow one another in one round

Cause: of evacuations of one zone that contend one wins a round, and the others are sent again after 0.3 s.

--- a/internal/controlplane/chain.go
+++ b/internal/controlplane/chain.go
@@ -175,6 +175,7 @@
 	pendingConfigSince     map[config.Taken]time.Duration
 	pendingEvacuations     map[uint64]EvacuationOrder // likewise, evacuations
 	pendingEvacuationSince map[uint64]time.Duration
+	arrivals               arrivals // a head's: the evacuations it has received
 	reads                  []*reading
 	nonce                  uint64
 	clockBase              uint64                   // moments of this life are told apart from those of others by it
@@ -447,12 +448,16 @@
 		}
 		c.onForward(m.Doc)
 	case EvacuationOrder:
+		if m.Answer {
+			c.onWatermark(m)
+			return
+		}
 		if m.PassOn && !c.leads() {
 			m.PassOn = false
 			c.sendHead(m)
 			return
 		}
-		c.onOrder(m)
+		c.onOrder(from, m)
 	case Retire:
 		c.requestRetirement(m.Voter)
 	case duty.Order:
--- a/internal/controlplane/messages.go
+++ b/internal/controlplane/messages.go
@@ -101,14 +101,22 @@
 	Retire struct{ Voter string }
 	// EvacuationOrder starts or stops the evacuation of a zone. It is taken only while
 	// the zone's count of orders is still Base: one that was held up on its way
-	// must not undo what was ordered since. PassOn is as in Forward.
+	// must not undo what was ordered since. With a Watermark it is taken also after orders
+	// that the Watermark covers. PassOn is as in Forward. The head answers an order that is
+	// not taken with its present Watermark; its sender, if the caller still waits, sends it
+	// again with that.
 	EvacuationOrder struct {
-		ID     uint64
-		Zone   string
-		On     bool
-		Base   uint64
-		PassOn bool
-	}
+		ID        uint64
+		Zone      string
+		On        bool
+		Base      uint64
+		PassOn    bool
+		Answer    bool
+		Watermark Watermark
+	}
+	// Watermark covers the evacuations that a head had received at some moment: how many,
+	// in which view, and in which life of its process.
+	Watermark struct{ View, Life, Received uint64 }
 	// Confirm asks whether a view still stands unsealed.
 	Confirm struct{ View, Nonce uint64 }
 	// Confirmed answers it.
--- a/internal/controlplane/orders.go
+++ b/internal/controlplane/orders.go
@@ -167,15 +167,78 @@
 	return c.held.Evac
 }
 
+// arrivals is the order in which a head has received the evacuations of one view.
+type arrivals struct {
+	view     uint64
+	received uint64
+	place    map[uint64]uint64 // by order: its place among those received
+}
+
+// noteArrival notes an order at its first coming.
+func (c *Chain) noteArrival(id uint64) {
+	k := &c.arrivals
+	if k.view != c.agreement.View.Num || len(k.place) > constants.OrdersNoted {
+		k.view, k.place = c.agreement.View.Num, map[uint64]uint64{}
+	}
+	if _, known := k.place[id]; !known {
+		k.received++
+		k.place[id] = k.received
+	}
+}
+
+// watermark covers the orders that this head has received so far.
+func (c *Chain) watermark() Watermark {
+	return Watermark{View: c.agreement.View.Num, Life: c.clockBase, Received: c.arrivals.received}
+}
+
+// mayFollow says whether an order may be taken after all that its zone has taken. One
+// made knowing them all may. One with a watermark of this head's may also follow orders
+// that the watermark covers: its caller still waited when it was given, so those were not
+// ordered after the caller had given up.
+func (c *Chain) mayFollow(o EvacuationOrder, zone config.Evacuation) bool {
+	if o.Base == zone.Num {
+		return true
+	}
+	since := zone.Num - o.Base
+	if o.Base > zone.Num || since > uint64(len(zone.IDs)) || o.Watermark.View != c.agreement.View.Num || o.Watermark.Life != c.clockBase {
+		return false
+	}
+	for _, id := range zone.IDs[uint64(len(zone.IDs))-since:] {
+		if place, known := c.arrivals.place[id]; !known || place > o.Watermark.Received {
+			return false
+		}
+	}
+	return true
+}
+
+// onWatermark sends an evacuation again at once with the watermark that the head gave it.
+func (c *Chain) onWatermark(m EvacuationOrder) {
+	if o, waiting := c.pendingEvacuations[m.ID]; waiting {
+		o.Watermark = m.Watermark
+		c.forwardOrder(o, 0)
+	}
+}
+
 // onOrder is an evacuation order at the head. Orders on a zone take effect in
 // the order in which the head takes them; one it has taken before, or that was
 // made knowing less than the head holds, changes nothing.
-func (c *Chain) onOrder(o EvacuationOrder) {
+func (c *Chain) onOrder(from string, o EvacuationOrder) {
+	if !c.heads() {
+		return
+	}
 	cur := c.evacuations()[o.Zone]
-	if slices.Contains(cur.IDs, o.ID) || cur.Num != o.Base {
+	c.noteArrival(o.ID)
+	if slices.Contains(cur.IDs, o.ID) {
 		c.admit(nil)
 		return
 	}
+	if !c.mayFollow(o, cur) {
+		c.admit(nil)
+		if o.Watermark = c.watermark(); c.mayFollow(o, cur) { // otherwise it would be refused again
+			c.send(from, EvacuationOrder{ID: o.ID, Zone: o.Zone, On: o.On, Answer: true, Watermark: o.Watermark})
+		}
+		return
+	}
 	evac := map[string]config.Evacuation{}
 	for z, e := range c.evacuations() {
 		evac[z] = e
