--- a/internal/controlplane/chain/chain.go
+++ b/internal/controlplane/chain/chain.go
@@ -184,6 +184,7 @@
 	pendingConfigSince     map[config.Taken]time.Duration
 	pendingEvacuations     map[uint64]EvacuationOrder // likewise, evacuations
 	pendingEvacuationSince map[uint64]time.Duration
+	arrivals               arrivals // a head's: the evacuations it has received
 	reads                  []*reading
 	nonce                  uint64
 	clockBase              uint64                   // moments of this life are told apart from those of others by it
--- a/internal/controlplane/chain/receive.go
+++ b/internal/controlplane/chain/receive.go
@@ -127,11 +127,14 @@
 			c.onForward(m.Doc)
 		}
 	case EvacuationOrder:
-		if m.PassOn && !c.leads() {
+		switch {
+		case m.Answer:
+			c.onWatermark(m)
+		case m.PassOn && !c.leads():
 			m.PassOn = false
 			c.sendHead(m)
-		} else {
-			c.onOrder(m)
+		default:
+			c.onOrder(from, m)
 		}
 	case Retire:
 		c.requestRetirement(m.Voter)
