Admission: one file per job

limiter.go: into keystate.go (a key's buckets and mode), admit.go (admit and settle), wants.go (what the tracker is asked and told), answers.go (what it answered). tracker.go: into pool.go, loans.go, leases.go, contacts.go (which proxies are in contact) and messages.go. Declarations are moved as they were; the package's tests pass unchanged.

--- /dev/null
+++ b/internal/admission/messages.go
@@ -0,0 +1,48 @@
+package admission
+
+import (
+	"hash/fnv"
+	"time"
+
+	"slateridge/internal/transport"
+)
+
+// GrantRequest brings a proxy's wants to a tracker; Grants answers. Refused
+// says the machine asked does not track, or not yet.
+type (
+	GrantRequest struct {
+		Proxy   string
+		Wants   []Want
+		Echo    TrackerTime   // the tracker's latest that has reached the proxy
+		Proxies int           // the live count the proxy reckons with
+		Life    uint64        // of the proxy's process; 0 is not told
+		Sent    time.Duration // by that process's clock
+	}
+	Grants struct {
+		Refused bool
+		Given   []Given
+		Stamp   TrackerTime
+		Retell  bool // the word was overtaken by a newer one: shares told here are to be told of again
+	}
+	// TrackerTime is a moment on one tracker's clock. A loan is good for a time after
+	// the moment its proxy echoes: the proxy spoke later than that, so it
+	// still keeps its share lowered when the loan ends here, however long its
+	// word was under way.
+	TrackerTime struct {
+		Life  uint64
+		At    time.Duration
+		Begun uint64 // how often in this life a shard has been begun anew
+	}
+)
+
+func init() {
+	transport.Register(transport.NameQuotaRequest, GrantRequest{})
+	transport.Register(transport.NameQuotaGrants, Grants{})
+}
+
+// Shard is the tracker duty a throttle key hashes to, of so many.
+func Shard(key string, of int) int {
+	h := fnv.New32a()
+	h.Write([]byte(key))
+	return int(h.Sum32() % uint32(max(1, of)))
+}
