Modelcheck and its models: one file per job

modelcheck.go keeps the model's interface; schedule.go, shrink.go, search.go, systematic.go and random.go have the rest. chainmodel and admissionmodel: config.go, rules.go, and by what acts (machines, operators, choices, quiet; processes, control, proxy, messages). Moved as they were.

--- /dev/null
+++ b/internal/modelcheck/admissionmodel/messages.go
@@ -0,0 +1,31 @@
+package admissionmodel
+
+import (
+	"time"
+
+	"slateridge/internal/admission"
+)
+
+// Messages between the model's processes.
+type (
+	question struct {
+		ID  uint64
+		Ask admission.GrantRequest
+	}
+	answer struct {
+		ID    uint64
+		Given admission.Grants
+	}
+	// heartbeat is a proxy's word to control, news the answer.
+	heartbeat struct {
+		Sent  time.Duration // by the proxy's clock
+		Count int           // the live count it reckons with
+	}
+	news struct {
+		Heard   time.Duration // Sent of the heartbeat that it answers
+		Count   int           // the live count; 0 to one that may not share yet
+		Tracker string
+	}
+	// rosterSize tells a tracker the live count.
+	rosterSize struct{ Count int }
+)
--- /dev/null
+++ b/internal/modelcheck/admissionmodel/processes.go
@@ -0,0 +1,118 @@
+package admissionmodel
+
+import (
+	"slices"
+	"time"
+
+	"slateridge/internal/admission"
+	"slateridge/internal/modelcheck"
+)
+
+// trackerEcho is a tracker's latest time, and when it came, by the proxy's clock.
+type trackerEcho struct {
+	time admission.TrackerTime
+	at   time.Duration
+}
+
+// openQuestion waits for its answer.
+type openQuestion struct {
+	asked   time.Duration
+	tracker string
+	request bool // asked for a request that waits, not in the regular turn
+}
+
+// proxy is one proxy's process.
+type proxy struct {
+	limiter   *admission.Limiter
+	startedAt time.Duration
+	tracker   string // as control told
+	echo      map[string]trackerEcho
+	open      map[uint64]openQuestion
+	pressed   bool // its clients send more than the quota
+}
+
+// tracker is one tracker's process.
+type tracker struct {
+	state *admission.Tracker
+	count int // as control told
+}
+
+func (m *Model) proxiesUp() (out []string) {
+	for _, n := range proxyNames {
+		if m.proxies[n] != nil {
+			out = append(out, n)
+		}
+	}
+	return out
+}
+
+func (m *Model) startProxy(n string) {
+	m.lives++
+	p := &proxy{limiter: admission.New(m.Slack, shards, m.lives), startedAt: m.world.Now, echo: map[string]trackerEcho{}, open: map[uint64]openQuestion{}}
+	p.limiter.SetQuotas(0, m.quotas())
+	m.proxies[n] = p
+	m.world.Start(n)
+}
+
+func (m *Model) startTracker(n string) {
+	m.lives++
+	t := &tracker{count: len(m.roster)}
+	t.state = admission.NewTracker(m.lives, shards, func(told int, q admission.Quota) bool { return admission.Tiny(max(told, t.count), m.Slack, q) })
+	t.state.SetQuotas(m.world.Now, m.quotas())
+	m.trackers[n] = t
+	m.world.Start(n)
+}
+
+func (m *Model) start(n string) {
+	if slices.Contains(trackerNames, n) {
+		m.startTracker(n)
+	} else {
+		m.startProxy(n)
+	}
+}
+
+func (m *Model) stop(n string) {
+	m.world.Stop(n)
+	m.stopped[n] = m.world.Now
+	delete(m.proxies, n)
+	delete(m.trackers, n)
+	if n == m.holder {
+		m.vacate("")
+	}
+}
+
+func (m *Model) back(n string) {
+	life := m.world.Life(n)
+	m.world.After(modelcheck.Stall, func() {
+		if m.world.Life(n) == life {
+			m.start(n)
+		}
+	})
+}
+
+// clock is a proxy's steady clock.
+func (m *Model) clock(n string) time.Duration { return m.world.Now - m.proxies[n].startedAt }
+
+func (m *Model) tick(n string) {
+	switch {
+	case n == control:
+		m.controlTick()
+	case m.proxies[n] != nil:
+		m.proxyTick(n)
+	}
+}
+
+func (m *Model) recv(e *modelcheck.Event) {
+	switch x := e.Msg.(type) {
+	case heartbeat:
+		m.takeHeartbeat(e.From, x)
+	case news:
+		m.takeNews(e.To, x)
+	case rosterSize:
+		m.trackers[e.To].count = x.Count
+	case question:
+		m.world.Send(e.To, e.From, answer{x.ID, m.ask(e.To, x.Ask)})
+	case answer:
+		m.takeAnswer(e.To, x)
+	}
+}
--- /dev/null
+++ b/internal/modelcheck/chainmodel/choices.go
@@ -0,0 +1,208 @@
+package chainmodel
+
+import (
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+
+	"slateridge/internal/controlplane"
+	"slateridge/internal/lease"
+	"slateridge/internal/modelcheck"
+	"slateridge/internal/simnet"
+)
+
+// regular are words that machines say all the time and that come again.
+func regular(msg any) bool {
+	switch msg.(type) {
+	case controlplane.Heartbeat, lease.Request, lease.Grant:
+		return true
+	}
+	return false
+}
+
+func (m *Model) atMessage() *modelcheck.Event {
+	if e := m.world.Head(); m.Messages && e != nil && !regular(e.Msg) {
+		return e
+	}
+	return nil
+}
+
+// allHealthy says whether a disk may be lost: all machines are up and one chain, and
+// have had the time to catch up.
+func (m *Model) allHealthy() bool {
+	if m.Reckless {
+		return true
+	}
+	if m.world.Parted() || len(m.world.Names) < m.Founders || m.world.Now-m.world.Trouble < m.CatchUp {
+		return false
+	}
+	for _, n := range m.world.Names {
+		if m.chain[n] == nil || m.world.Frozen(n) || m.disks[n].Refuse || m.disks[n].Failed() || !slices.ContainsFunc(m.chain[m.world.Names[0]].View().Members, func(x controlplane.Member) bool { return x == m.chain[n].Me }) {
+			return false
+		}
+	}
+	return true
+}
+
+// mayLose says whether one more machine, or disk, may be lost by what is promised:
+// all is whole, or nothing but tolerated losses has happened since it was.
+func (m *Model) mayLose() bool {
+	return m.allHealthy() || m.losses > 0 && m.losses < m.Tolerate && m.world.Trouble == m.lossAt
+}
+
+// lose notes that a machine is stopped or lost; spare says that the others have to
+// do without it.
+func (m *Model) lose(n string, spare bool) {
+	if m.allHealthy() {
+		m.losses, m.spares = 0, nil
+	} else if !m.mayLose() {
+		return
+	}
+	m.losses++
+	m.lossAt = m.world.Now
+	if spare {
+		m.spares = append(m.spares, n)
+	}
+}
+
+// faultKinds count as faults; the others repair, or are work.
+var faultKinds = []string{"isolate", "mute", "deafen", "cut", "part", "freeze", "lose", "double", "late", "restart", "stop", "power", "fill", "wipe", "leave", "quit", "depart", "outage"}
+
+// ChoiceKinds names all kinds of choices.
+var ChoiceKinds = append(slices.Clone(faultKinds), "join", "thaw", "start", "clear", "recover", "come", "order", "again", "read", "evacuate")
+
+func (m *Model) Choices() []string {
+	out := []string{"wait"}
+	add := func(ws ...string) {
+		for _, w := range ws {
+			if kind := strings.Fields(w)[0]; modelcheck.Offered(kind, m.Kinds, m.Without) && (m.faults < m.Faults || !slices.Contains(faultKinds, kind)) {
+				out = append(out, w)
+			}
+		}
+	}
+	if e := m.atMessage(); e != nil {
+		add(m.world.OnHead()...)
+	}
+	for _, n := range m.world.Names {
+		if m.world.Up(n) {
+			add("restart "+n, "stop "+n)
+			if _, ok := m.leaving[n]; !ok && !m.world.Frozen(n) {
+				add("quit " + n)
+			}
+		} else {
+			add("start " + n)
+		}
+	}
+	add("power")
+	for _, n := range m.world.Names {
+		if m.disks[n].Refuse {
+			add("clear " + n)
+		} else {
+			add("fill " + n)
+		}
+	}
+	if m.mayLose() {
+		for _, n := range m.world.Names {
+			if _, ok := m.leaving[n]; !ok && m.world.Up(n) {
+				add("wipe "+n, "leave "+n, "depart "+n)
+			}
+		}
+	}
+	if m.Duties && m.platform.down {
+		add("recover")
+	} else if m.Duties {
+		add("outage")
+	}
+	if m.came < m.Newcomers {
+		add("come " + names[m.Founders+m.came])
+	}
+	add(m.world.Freezes()...)
+	add(m.world.Paths()...)
+	if m.orders < m.Orders {
+		for _, n := range m.world.Names {
+			if !m.world.Up(n) {
+				continue
+			}
+			for i := range m.Operators {
+				p := string(rune('p' + i))
+				add(fmt.Sprintf("order %s at %s: r%d", p, n, m.highestVersion+1))
+				if m.highestVersion > 0 && m.last[p].Version != m.highestVersion {
+					add(fmt.Sprintf("order %s at %s: r%d", p, n, m.highestVersion))
+				}
+				if m.last[p].Version > 0 {
+					add(fmt.Sprintf("again %s at %s", p, n))
+				}
+			}
+			add("read "+n, "evacuate "+n+" on", "evacuate "+n+" off")
+		}
+	}
+	return out
+}
+
+func (m *Model) Apply(n int) {
+	if n == 0 {
+		m.world.Run(m.grid, func(*modelcheck.Event) bool { return m.atMessage() != nil }, m.healthy)
+		if m.world.Now >= m.grid {
+			m.grid += m.Step
+		}
+		return
+	}
+	word := m.Choices()[n]
+	f := strings.Fields(word)
+	if slices.Contains(faultKinds, f[0]) {
+		m.faults++
+	}
+	if m.world.Do(word) {
+		return
+	}
+	switch f[0] {
+	case "restart":
+		m.stop(f[1])
+		m.restartLater(f[1])
+	case "stop":
+		m.lose(f[1], true)
+		m.stop(f[1])
+	case "quit", "depart":
+		m.quit(f[1], f[0] == "depart")
+	case "start":
+		m.spares = nil
+		m.start(f[1], false)
+	case "power":
+		for _, n := range m.world.Names {
+			m.stop(n)
+			m.restartLater(n)
+		}
+	case "fill", "clear":
+		m.disks[f[1]].Refuse = f[0] == "fill"
+	case "outage", "recover":
+		m.platform.down = f[0] == "outage"
+	case "wipe":
+		m.lose(f[1], false)
+		m.stop(f[1])
+		m.disks[f[1]] = simnet.NewDisk()
+		m.restartLater(f[1])
+	case "leave":
+		m.lose(f[1], false)
+		m.stop(f[1])
+		m.world.Leave(f[1])
+	case "come":
+		m.came++
+		m.start(f[1], false)
+	default:
+		m.orders++
+		switch f[0] {
+		case "order":
+			v, _ := strconv.ParseUint(strings.TrimPrefix(f[4], "r"), 10, 64)
+			m.order(strings.TrimSuffix(f[3], ":"), Order{f[1], v, fmt.Sprintf("r%d by %s", v, f[1])})
+		case "again":
+			m.order(f[3], m.last[f[1]])
+		case "read":
+			m.read(f[1])
+		case "evacuate":
+			m.evacuate(f[1], f[2] == "on")
+		}
+		return // no trouble
+	}
+	m.world.Trouble = m.world.Now
+}
--- /dev/null
+++ b/internal/modelcheck/chainmodel/config.go
@@ -0,0 +1,54 @@
+package chainmodel
+
+import (
+	"time"
+)
+
+// The rules, by the names under which a broken one is reported.
+const (
+	RuleOneView    = "one view a number"
+	RuleOneContent = "one content a number"
+	RuleOneState   = "one state a revision"
+	RuleForward    = "never back"
+	RuleFreshRead  = "no old read"
+	RuleLateOrder  = "no order undoes one sent after its end"
+	RuleVoters     = "only voters promise and accept"
+	RuleServes     = "orders are confirmed after quiet"
+	RuleAnswers    = "reads are answered after quiet"
+	RuleStarts     = "a kept disk is enough to start"
+	RuleLeaves     = "an orderly leave ends in time while all is well"
+)
+
+// Config bounds a model.
+type Config struct {
+	Founders  int
+	Newcomers int
+	Tolerate  int
+	Operators int
+	Faults    int           // most in a schedule; a repair is not one
+	Orders    int           // most in a schedule, reads and evacuations too
+	Step      time.Duration // of the default, between two places for a choice
+	Messages  bool          // also before each message of the protocol, those of the machines' regular word apart
+	Duties    bool          // machines lease a duty, and act at a platform under its fence
+	Kinds     []string      // of choices; empty: all
+	Without   []string      // kinds left out
+	Reckless  bool          // disks may be lost at any time: more than is promised, to see that it shows
+	Warm      time.Duration // before the first choice
+	CatchUp   time.Duration // without trouble before a disk may be lost: one machine at a time
+	Settle    time.Duration // after quiet, before orders must be served
+	Serve     time.Duration // within which an order is confirmed and a read answered then
+	LongAgo   time.Duration // longer than any time that the chain itself waits for anything
+}
+
+// Small is three founders and two newcomers with up to four faults.
+func Small() Config {
+	return Config{Founders: 3, Newcomers: 2, Tolerate: 1, Operators: 2, Faults: 4, Orders: 4, Step: 2 * time.Second,
+		Warm: 4 * time.Second, CatchUp: 4 * time.Second, Settle: 6 * time.Second, Serve: 3 * time.Second, LongAgo: 5 * time.Second}
+}
+
+// Five is five machines, of which two may be lost at once, with up to four faults.
+func Five() Config {
+	c := Small()
+	c.Founders, c.Newcomers, c.Tolerate, c.Operators = 5, 0, 2, 1
+	return c
+}
--- /dev/null
+++ b/internal/modelcheck/chainmodel/machines.go
@@ -0,0 +1,143 @@
+package chainmodel
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"slateridge/internal/constants"
+	"slateridge/internal/controlplane"
+	"slateridge/internal/modelcheck"
+	"slateridge/internal/simnet"
+)
+
+// start brings a machine's process up: a founder, a newcomer that is told the
+// others, or one that comes back.
+func (m *Model) start(n string, founding bool) {
+	if m.disks[n] == nil {
+		m.disks[n] = simnet.NewDisk()
+	}
+	m.disks[n].Recover() // a new process opens it anew
+	peers := names[:m.Founders]
+	if !founding {
+		peers = append(slices.Clone(m.world.Names), n)
+	}
+	rng := rand.New(rand.NewPCG(uint64(n[0]), uint64(m.world.Life(n)+1)))
+	c, err := controlplane.NewChain(m.world.Now, n, slices.Clone(peers), founding, m.disks[n], rng)
+	if err != nil {
+		if !m.disks[n].Refuse {
+			m.broken(RuleStarts, "%s: %v", n, err)
+		}
+		return // it stays down
+	}
+	c.Tolerate = m.Tolerate
+	m.chain[n] = c
+	m.inForce[n], m.waiters[n] = nil, nil
+	m.reads[n], m.evacs[n] = map[uint64]reading{}, map[uint64]evacuation{}
+	m.viewOf[n] = 0
+	m.startDuties(n)
+	m.world.Start(n)
+}
+
+func (m *Model) stop(n string) {
+	m.world.Stop(n)
+	delete(m.leaving, n)
+	m.chain[n], m.dutyHolders[n] = nil, nil
+	m.waiters[n], m.reads[n], m.evacs[n] = nil, nil, nil
+}
+
+// restartLater starts a stopped machine a little later.
+func (m *Model) restartLater(n string) {
+	life := m.world.Life(n)
+	m.world.After(modelcheck.Stall, func() {
+		if m.world.Life(n) == life && slices.Contains(m.world.Names, n) {
+			m.start(n, false)
+			m.world.Trouble = m.world.Now
+		}
+	})
+}
+
+// quit stops a machine in order, as its daemon does: its leases are handed over, the
+// others are told, and it waits for a view without it, if they can make one.
+func (m *Model) quit(n string, forGood bool) {
+	well := m.allHealthy() && m.chain[n].CanLeave() && len(m.leaving) == 0
+	m.lose(n, true)
+	if o := m.dutyHolders[n]; o != nil {
+		m.sendLease(n, o.lease.Leave(m.world.Now))
+	}
+	m.leaving[n] = leave{m.world.Now, m.world.Life(n), m.faults, forGood, well}
+	m.run(n, func(c *controlplane.Chain) []any { return c.Leave(m.world.Now) })
+	m.awaitLeft(n, m.leaving[n])
+}
+
+// leave is a machine's orderly stop under way.
+type leave struct {
+	began   time.Duration
+	life    int
+	faults  int // so far; with one more it may take longer
+	forGood bool
+	well    bool // all was whole as it began: it has to end in time
+}
+
+func (m *Model) awaitLeft(n string, l leave) {
+	c := m.chain[n]
+	if m.world.Life(n) != l.life || c == nil {
+		return // stopped before
+	}
+	late := m.world.Now-l.began >= constants.LeaveWait
+	if !c.Left() && c.CanLeave() && !late || m.world.Frozen(n) {
+		m.world.After(constants.ChainTick/2, func() { m.awaitLeft(n, l) })
+		return
+	}
+	if !c.Left() && l.well && m.faults == l.faults {
+		m.broken(RuleLeaves, "%s stops after %v and is still a member: %s", n, m.world.Now-l.began, m.describe())
+	}
+	if c.Left() {
+		m.left++
+	}
+	m.stop(n)
+	if l.forGood {
+		m.world.Leave(n)
+	}
+}
+
+func (m *Model) tick(n string) {
+	m.run(n, func(c *controlplane.Chain) []any { return c.Tick(m.world.Now) })
+	m.stepDuties(n)
+}
+
+func (m *Model) recv(e *modelcheck.Event) {
+	if m.recvLease(e) {
+		return
+	}
+	m.run(e.To, func(c *controlplane.Chain) []any { return c.Recv(m.world.Now, e.From, e.Msg) })
+}
+
+// run has a machine do something and checks the rules on what came of it.
+func (m *Model) run(n string, f func(*controlplane.Chain) []any) {
+	c := m.chain[n]
+	if c == nil {
+		return
+	}
+	before := c.View()
+	for _, o := range f(c) {
+		switch o := o.(type) {
+		case controlplane.Send:
+			switch s := o.Msg.(type) {
+			case controlplane.Promise:
+				m.votes(c, before, s.Slot, "promises")
+			case controlplane.Accepted:
+				m.votes(c, before, s.Slot, "accepts")
+			}
+			m.world.Send(n, o.To, o.Msg)
+		case controlplane.Commit:
+			m.commit(n, o.Doc)
+		case controlplane.ReadDone:
+			m.readDone(n, o)
+		}
+	}
+	if v := c.View(); v.Num != m.viewOf[n] {
+		m.viewOf[n] = v.Num
+		m.view(n, v)
+	}
+}
--- /dev/null
+++ b/internal/modelcheck/chainmodel/quiet.go
@@ -0,0 +1,94 @@
+package chainmodel
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+
+	"slateridge/internal/constants"
+)
+
+// Quiet ends all trouble; then every machine must have an order confirmed and a
+// read answered. The choices see to it that it may be asked: disks are lost one
+// at a time, with the others whole. A machine that was stopped while all was
+// whole stays down at first: the others have to do without it.
+func (m *Model) Quiet() error {
+	m.world.Heal()
+	m.platform.down = false
+	for _, n := range m.world.Names {
+		m.disks[n].Refuse = false
+	}
+	if len(m.leaving) > 0 {
+		m.world.Run(m.world.Now+constants.LeaveWait+constants.ChainTick, nil, m.healthy)
+	}
+	spared := true
+	down := 0
+	for _, n := range m.world.Names {
+		if m.chain[n] == nil {
+			down++
+			spared = spared && slices.Contains(m.spares, n)
+		}
+	}
+	if down > 0 && spared {
+		m.serve()
+	}
+	for _, n := range slices.Clone(m.world.Names) {
+		if m.chain[n] == nil {
+			m.start(n, false)
+		}
+	}
+	m.serve()
+	return m.err
+}
+
+// serve lets things settle and asks each machine that is up for its service.
+func (m *Model) serve() {
+	m.world.Run(m.world.Now+m.Settle, nil, m.healthy)
+	if m.Duties {
+		m.quietDuties()
+	}
+	var up []string
+	for _, n := range m.world.Names {
+		if m.chain[n] != nil {
+			up = append(up, n)
+		}
+	}
+	for _, n := range up {
+		o := Order{"quiet", m.highestVersion + 1, fmt.Sprintf("r%d after quiet", m.highestVersion+1)}
+		confirmed := func() bool { _, ok := m.confirmed[o.Version]; return ok }
+		until := m.world.Now + m.Serve
+		for m.err == nil && !confirmed() && m.world.Now < until {
+			m.order(n, o)
+			m.world.Run(m.world.Now+constants.SubmitWait, nil, func() bool { return m.healthy() && !confirmed() })
+		}
+		if m.err == nil && !confirmed() {
+			m.broken(RuleServes, "%s: nothing confirmed in %v of quiet and %v: %s", n, m.Settle, m.Serve, m.describe())
+		}
+	}
+	for _, n := range up {
+		was, until := m.answers, m.world.Now+m.Serve
+		for m.err == nil && m.answers == was && m.world.Now < until {
+			m.read(n)
+			m.world.Run(m.world.Now+constants.SubmitWait, nil, func() bool { return m.healthy() && m.answers == was })
+		}
+		if m.err == nil && m.answers == was {
+			m.broken(RuleAnswers, "%s: no read answered in %v of quiet and %v: %s", n, m.Settle, m.Serve, m.describe())
+		}
+	}
+}
+
+// describe tells what each machine knows.
+func (m *Model) describe() string {
+	var out []string
+	for _, n := range m.world.Names {
+		if c := m.chain[n]; c != nil {
+			g := c.Status()
+			var ms []string
+			for _, x := range g.View.Members {
+				ms = append(ms, x.Addr)
+			}
+			out = append(out, fmt.Sprintf("%s has view %d of %s, voters %s, sealed %v", n, g.View.Num, strings.Join(ms, ""), strings.Join(g.View.VoterAddrs(), ""), g.Sealed))
+		}
+	}
+	return strings.Join(out, "; ")
+}
--- /dev/null
+++ b/internal/modelcheck/chainmodel/rules.go
@@ -0,0 +1,123 @@
+package chainmodel
+
+import (
+	"fmt"
+	"slices"
+
+	"slateridge/internal/config"
+	"slateridge/internal/constants"
+	"slateridge/internal/controlplane"
+)
+
+type state struct {
+	version uint64
+	content string
+}
+
+func (m *Model) votes(c *controlplane.Chain, before controlplane.View, slot uint64, does string) {
+	for _, v := range []controlplane.View{before, c.View()} {
+		if v.Num+1 == slot && slices.Contains(v.Voters, c.Me) {
+			return
+		}
+	}
+	m.broken(RuleVoters, "%v %s for view %d, and knows view %d with the voters %v", c.Me, does, slot, before.Num, before.Voters)
+}
+
+func (m *Model) view(n string, v controlplane.View) {
+	if v.Num == 0 {
+		return
+	}
+	is := fmt.Sprint(v.Members, " of ", v.Voters)
+	if was, ok := m.views[v.Num]; ok && was != is {
+		m.broken(RuleOneView, "%s takes view %d to be %s, it was %s", n, v.Num, is, was)
+	}
+	m.views[v.Num] = is
+}
+
+func (m *Model) commit(n string, d config.Doc) {
+	if was := m.inForce[n]; was != nil && d.Stamp.Less(was.Stamp) {
+		m.broken(RuleForward, "%s goes back from %v to %v", n, was.Stamp, d.Stamp)
+	}
+	m.inForce[n] = &d
+	is := state{d.Version, string(d.Raw)}
+	if was, ok := m.states[d.Stamp]; !ok {
+		for s, o := range m.states {
+			if s.Less(d.Stamp) && o.version > is.version || d.Stamp.Less(s) && o.version < is.version {
+				m.broken(RuleForward, "%v holds r%d, %v holds r%d", s, o.version, d.Stamp, is.version)
+			}
+		}
+		m.states[d.Stamp] = is
+	} else if was != is {
+		m.broken(RuleOneState, "%s commits r%d %q at %v, it was r%d %q", n, is.version, is.content, d.Stamp, was.version, was.content)
+	}
+	if was, ok := m.confirmed[d.Version]; ok && was != is.content {
+		m.broken(RuleOneContent, "%s has r%d %q in force, %q was confirmed", n, d.Version, is.content, was)
+	}
+	m.waiters[n] = slices.DeleteFunc(m.waiters[n], func(w waiting) bool { return m.world.Now-w.at > constants.SubmitWait })
+	var left []waiting
+	for _, w := range m.waiters[n] {
+		if !Confirms(&d, w.Order) {
+			left = append(left, w)
+		} else {
+			m.confirm(n, w.Order)
+		}
+	}
+	m.waiters[n] = left
+	for z, e := range d.Evac {
+		for i, id := range e.IDs {
+			for _, before := range e.IDs[:i] {
+				if end := m.evacSent[id] + constants.SubmitWait; end < m.evacSent[before] {
+					m.broken(RuleLateOrder, "%s: zone %s: the order of %v, answered for by %v, takes effect after that of %v", n, z, m.evacSent[id], end, m.evacSent[before])
+				}
+			}
+			o, ok := m.evacs[n][id]
+			if !ok {
+				continue
+			}
+			delete(m.evacs[n], id)
+			if i == len(e.IDs)-1 && e.On != o.on {
+				m.broken(RuleForward, "%s: order %v on zone %s confirmed, it is %v", n, o.on, z, e.On)
+			}
+			m.evacAcked[z] = max(m.evacAcked[z], e.Num-uint64(len(e.IDs)-1-i))
+		}
+	}
+}
+
+// confirm is an operator told that its order is taken.
+func (m *Model) confirm(n string, o Order) {
+	if was, ok := m.confirmed[o.Version]; ok && was != o.Content {
+		m.broken(RuleOneContent, "%s confirms r%d %q to %s, %q was confirmed", n, o.Version, o.Content, o.Operator, was)
+	}
+	for at, s := range m.states {
+		if s.version == o.Version && s.content != o.Content {
+			m.broken(RuleOneContent, "%s confirms r%d %q to %s, %q was committed at %v", n, o.Version, o.Content, o.Operator, s.content, at)
+		}
+	}
+	m.confirmed[o.Version] = o.Content
+	m.acked = max(m.acked, o.Version)
+	m.confirms++
+}
+
+func (m *Model) readDone(n string, o controlplane.ReadDone) {
+	r, ok := m.reads[n][o.ID]
+	delete(m.reads[n], o.ID)
+	if !ok || m.world.Now-r.began > constants.SubmitWait {
+		return // its caller has gone
+	}
+	m.answers++
+	var v uint64
+	if o.Doc != nil {
+		v = o.Doc.Version
+		if was, ok := m.confirmed[v]; ok && was != string(o.Doc.Raw) {
+			m.broken(RuleOneContent, "a read at %s gives r%d %q, %q was confirmed", n, v, o.Doc.Raw, was)
+		}
+	}
+	if v < r.version {
+		m.broken(RuleFreshRead, "a read at %s gives r%d, r%d was confirmed before it began", n, v, r.version)
+	}
+	for z, num := range r.evacs {
+		if o.Doc == nil || o.Doc.Evac[z].Num < num {
+			m.broken(RuleFreshRead, "a read at %s lacks order %d on zone %s, confirmed before it began", n, num, z)
+		}
+	}
+}
--- /dev/null
+++ b/internal/modelcheck/random.go
@@ -0,0 +1,94 @@
+package modelcheck
+
+import (
+	"math/bits"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync"
+)
+
+// Random walks within the same bounds: each schedule has up to so many
+// deviations, at random places and of random kinds.
+func Random(mk func() Model, o Options) Report {
+	s := newSearch(o)
+	states := map[uint64]bool{}
+	var walks uint64
+	var wg sync.WaitGroup
+	for range s.Jobs {
+		wg.Go(func() {
+			m := mk()
+			for !s.over() {
+				s.mu.Lock()
+				walks++
+				rng := rand.New(rand.NewPCG(s.Seed, walks))
+				s.mu.Unlock()
+				s.walk(m, rng, states)
+			}
+		})
+	}
+	wg.Wait()
+	return s.finish(states)
+}
+
+func (s *search) walk(m Model, rng *rand.Rand, states map[uint64]bool) {
+	m.Reset()
+	var sch Schedule
+	steps := 0
+	last := rng.IntN(max(1, s.Deviations))
+	for dev := range last + 2 { // and once more without one: troubles last
+		wait := 0
+		if s.Depth > 0 && rng.IntN(3) > 0 {
+			// Of any size alike: trouble mostly lies close to trouble.
+			wait = rng.IntN(s.Depth>>rng.IntN(bits.Len(uint(s.Depth))) + 1)
+		}
+		for range wait {
+			m.Apply(0)
+			steps++
+			sch = append(sch, "+1")
+			if err := m.Check(); err != nil {
+				s.count(sch.tidy(), steps)
+				s.fail(m, sch, err)
+				return
+			}
+		}
+		if words := m.Choices()[1:]; len(words) > 0 && dev <= last {
+			i := draw(rng, words)
+			m.Apply(i + 1)
+			steps++
+			sch = append(sch, words[i])
+			if err := m.Check(); err != nil {
+				s.count(sch.tidy(), steps)
+				s.fail(m, sch, err)
+				return
+			}
+		}
+		h := m.Hash()
+		s.mu.Lock()
+		states[h] = true
+		s.mu.Unlock()
+	}
+	s.count(sch.tidy(), steps)
+	if err := m.Quiet(); err != nil {
+		s.fail(m, sch, err)
+	}
+}
+
+// draw picks a kind first, so that the many ways of one do not drown the rest.
+func draw(rng *rand.Rand, words []string) int {
+	var kinds []string
+	kind := func(w string) string { return strings.Fields(w)[0] }
+	for _, w := range words {
+		if !slices.Contains(kinds, kind(w)) {
+			kinds = append(kinds, kind(w))
+		}
+	}
+	k := kinds[rng.IntN(len(kinds))]
+	var of []int
+	for i, w := range words {
+		if kind(w) == k {
+			of = append(of, i)
+		}
+	}
+	return of[rng.IntN(len(of))]
+}
--- /dev/null
+++ b/internal/modelcheck/shrink.go
@@ -0,0 +1,96 @@
+package modelcheck
+
+import (
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+)
+
+// breaks says whether a schedule, less what is not enabled in it, breaks a rule.
+func breaks(m Model, s Schedule, rule string) (Schedule, bool) {
+	_, skipped, err := drive(m, s)
+	if err == nil {
+		err = m.Quiet()
+	}
+	if err == nil || ruleOf(err) != rule {
+		return nil, false
+	}
+	if len(skipped) > 0 { // by its words only: the same word may be enabled elsewhere
+		var left Schedule
+		for _, w := range s {
+			if i := slices.Index(skipped, w); i >= 0 {
+				skipped = slices.Delete(skipped, i, i+1)
+				continue
+			}
+			left = append(left, w)
+		}
+		return left, Replay(m, left) != nil && ruleOf(Replay(m, left)) == rule
+	}
+	return s, true
+}
+
+// Shrink makes a schedule that breaks a rule shorter as long as it breaks the
+// same rule: chunks are left out, then single words, then defaults are made fewer.
+func Shrink(m Model, s Schedule, rule string) Schedule {
+	try := func(c Schedule) bool {
+		c = c.tidy()
+		if len(c) > len(s) || len(c) == len(s) && slices.Equal(c, s) {
+			return false
+		}
+		left, ok := breaks(m, c, rule)
+		if ok {
+			s = left.tidy()
+		}
+		return ok
+	}
+	if t := s.tidy(); !slices.Equal(t, s) {
+		try(t)
+	}
+	for again := true; again; {
+		again = false
+		for chunk := len(s) / 2; chunk >= 1; chunk /= 2 {
+			for from := 0; from+chunk <= len(s); {
+				if try(slices.Delete(slices.Clone(s), from, from+chunk)) {
+					again = true
+				} else {
+					from++
+				}
+			}
+		}
+		for i := 0; i < len(s); i++ {
+			n, ok := defaults(s[i])
+			for k := 0; ok && k < n; k = k + max(1, (n-k)/2) {
+				c := slices.Clone(s)
+				c[i] = "+" + strconv.Itoa(k)
+				if try(c) {
+					again = true
+					break
+				}
+			}
+		}
+	}
+	return s
+}
+
+// Source is a schedule as an entry of a test table in Go.
+func (f Failure) Source() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "\t{%q, modelcheck.Schedule{", f.Rule)
+	for i, w := range f.Shrunk {
+		if i > 0 {
+			b.WriteString(", ")
+		}
+		b.WriteString(strconv.Quote(w))
+	}
+	fmt.Fprintf(&b, "}}, // %s", strings.ReplaceAll(f.Err.Error(), "\n", " "))
+	return b.String()
+}
+
+// Failure is a schedule that breaks a rule.
+type Failure struct {
+	Rule   string
+	Err    error // as the shrunk schedule breaks it
+	Found  Schedule
+	Shrunk Schedule
+}
--- /dev/null
+++ b/internal/modelcheck/systematic.go
@@ -0,0 +1,62 @@
+package modelcheck
+
+import (
+	"sync"
+)
+
+// Systematic runs all schedules within the bounds, those with fewer deviations
+// first.
+func Systematic(mk func() Model, o Options) Report {
+	s := newSearch(o)
+	models := make([]Model, s.Jobs)
+	for i := range models {
+		models[i] = mk()
+	}
+	level := []*node{nil}
+	from := map[uint64]bool{} // states that are deviated from already
+	for dev := 0; dev <= s.Deviations && len(level) > 0 && !s.over(); dev++ {
+		s.mu.Lock()
+		s.rep.Level, s.rep.LevelDone, s.rep.LevelOf = dev, 0, len(level)
+		s.mu.Unlock()
+		var next []*node
+		// Batches bound what is kept of one, and their order of one by one makes
+		// the next level the same whatever the number of jobs.
+		for at := 0; at < len(level) && !s.over(); at += 64 * s.Jobs {
+			batch := level[at:min(len(level), at+64*s.Jobs)]
+			found := make([][]place, len(batch))
+			var wg sync.WaitGroup
+			for j, m := range models {
+				wg.Go(func() {
+					for i := j; i < len(batch) && !s.over(); i += s.Jobs {
+						found[i] = s.visit(m, batch[i].schedule())
+						s.mu.Lock()
+						s.rep.LevelDone++
+						s.mu.Unlock()
+					}
+				})
+			}
+			wg.Wait()
+			for i, n := range batch {
+				if dev == s.Deviations {
+					break
+				}
+				for wait, p := range found[i] {
+					if from[p.hash] {
+						break // what comes after it was seen too
+					}
+					from[p.hash] = true
+					for _, w := range p.choices {
+						next = append(next, &node{n, wait, w})
+					}
+				}
+			}
+		}
+		if s.rep.LevelDone == len(level) {
+			s.rep.Complete = dev
+		}
+		if level = next; len(level) == 0 && s.rep.Complete == dev {
+			s.rep.Complete = s.Deviations // no state is left to deviate from
+		}
+	}
+	return s.finish(from)
+}
