Admission: Admit in steps

countArrival, spendToken, retryAfter: each a function of its own; the field that counts the tokens of standby used since the last admitted request is named so. Grants is documented at the type. Behaviour and tests unchanged.

--- a/internal/admission/admit.go
+++ b/internal/admission/admit.go
@@ -26,79 +26,102 @@
 		return Verdict{OK: true}
 	}
 	l.refresh(b, now)
-	room := b.wholeQuota.tokens >= 1
+	quotaHasRoom := b.wholeQuota.tokens >= 1
 	if !again {
-		b.arrived++
-		if room {
-			b.wholeQuota.tokens--
-		}
-		if s := b.shadow; s != nil {
-			if s.bucket.fill(now); s.bucket.tokens >= 1 {
-				s.bucket.tokens--
-			} else {
-				b.count.ShadowRefused++
-			}
-		}
+		b.countArrival(now, quotaHasRoom)
 	}
 	grant := &b.grant.tokens
 	if b.carried && !b.onStandby {
-		grant = new(float64) // standby rests
-	}
-	have := b.split.tokens + *grant + b.oneOff
-	if b.fast.tokens >= 1 && have >= 1-1e-9 {
-		b.fast.tokens--
-		need, before := 1.0, *grant
-		use := func(from *float64) {
-			if t := min(need, max(0, *from)); t > 0 {
-				*from -= t
-				need -= t
-			}
-		}
-		if use(&b.oneOff); need > 0 {
-			use(grant)
-		}
-		if need < 1 {
-			b.count.FromGrant++
-		} else {
-			b.count.FromSplit++
-		}
-		b.split.tokens -= need
-		b.count.Admitted++
-		fromGrant := before - *grant
-		switch {
-		case b.carried && need < tokenEpsilon && fromGrant > 0:
-			b.stood += fromGrant
-		case need > 0 || fromGrant > 0:
-			b.lastOK, b.stood = now, 0
-		}
-		if fromGrant < 1-tokenEpsilon {
-			b.tokensUsedAt = now
-		}
-		return Verdict{OK: true}
-	}
-	v := Verdict{Retry: time.Second}
-	if rate := b.split.rate + b.grant.rate; rate > 0 {
-		v.Retry = time.Duration(min(60, (1-have)/rate) * float64(time.Second))
-	}
-	// The tracker's word on when it has tokens again, or, out of touch, the hope
-	// that another proxy is better off.
-	if due := b.dryUntil - now; due < v.Retry {
-		v.Retry = max(due, constants.RetrySoon)
+		grant = new(float64) // the standby is not to be used
 	}
-	if b.unansweredAt > 0 && now-b.unansweredAt < constants.RetryLost {
-		v.Retry = constants.RetryLost // another proxy finds no tracker either; it takes its time to come back
+	available := b.split.tokens + *grant + b.oneOff
+	if b.fast.tokens >= 1 && available >= 1-1e-9 {
+		b.spendToken(now, grant)
+		return Verdict{OK: true}
 	}
+	verdict := Verdict{Retry: b.retryAfter(now, available)}
 	// One question to the tracker costs less than a wrong refusal, unless it
 	// has just said that there is nothing.
 	if !again && now >= b.dryUntil && b.fast.tokens >= 1 {
-		v.Ask = true
-		return v
+		verdict.Ask = true
+		return verdict
 	}
 	b.count.Refused++
-	if room {
+	if quotaHasRoom {
 		b.count.FalseRefused++
 	}
-	return v
+	return verdict
+}
+
+// countArrival counts a request once, in the demand and in the buckets that only audit.
+func (b *keyState) countArrival(now time.Duration, quotaHasRoom bool) {
+	b.arrived++
+	if quotaHasRoom {
+		b.wholeQuota.tokens--
+	}
+	if b.shadow == nil {
+		return
+	}
+	b.shadow.bucket.fill(now)
+	if b.shadow.bucket.tokens >= 1 {
+		b.shadow.bucket.tokens--
+	} else {
+		b.count.ShadowRefused++
+	}
+}
+
+// spendToken takes one token: from what was granted at once, then from the grant, and the
+// rest from the split share.
+func (b *keyState) spendToken(now time.Duration, grant *float64) {
+	b.fast.tokens--
+	need, before := 1.0, *grant
+	need -= takeUpTo(&b.oneOff, need)
+	if need > 0 {
+		need -= takeUpTo(grant, need)
+	}
+	if need < 1 {
+		b.count.FromGrant++
+	} else {
+		b.count.FromSplit++
+	}
+	b.split.tokens -= need
+	b.count.Admitted++
+	fromGrant := before - *grant
+	switch {
+	case b.carried && need < tokenEpsilon && fromGrant > 0:
+		b.standbyUsed += fromGrant
+	case need > 0 || fromGrant > 0:
+		b.lastAdmitted, b.standbyUsed = now, 0
+	}
+	if fromGrant < 1-tokenEpsilon {
+		b.tokensUsedAt = now
+	}
+}
+
+// takeUpTo takes at most need from a balance, and returns what it took.
+func takeUpTo(balance *float64, need float64) float64 {
+	taken := min(need, max(0, *balance))
+	if taken > 0 {
+		*balance -= taken
+	}
+	return taken
+}
+
+// retryAfter is when a refused client should try again, with so many tokens available now.
+func (b *keyState) retryAfter(now time.Duration, available float64) time.Duration {
+	retry := time.Second
+	if rate := b.split.rate + b.grant.rate; rate > 0 {
+		retry = time.Duration(min(60, (1-available)/rate) * float64(time.Second))
+	}
+	// When the tracker has tokens again, as it answered; without contact, another proxy
+	// may be better off.
+	if due := b.dryUntil - now; due < retry {
+		retry = max(due, constants.RetrySoon)
+	}
+	if b.unansweredAt > 0 && now-b.unansweredAt < constants.RetryLost {
+		retry = constants.RetryLost // another proxy finds no tracker either; it takes its time to come back
+	}
+	return retry
 }
 
 // Settle debits the true cost of an admitted request once it is over.
--- a/internal/admission/answers.go
+++ b/internal/admission/answers.go
@@ -51,7 +51,7 @@
 			g.Tokens -= paid
 		}
 		if g.Life != b.tokensFrom {
-			b.lastOK, b.tokensFrom = b.spentAt(g.Life), g.Life
+			b.lastAdmitted, b.tokensFrom = b.spentAt(g.Life), g.Life
 		}
 		b.oneOff += g.Tokens
 		b.oneOffEnds = ends
--- a/internal/admission/keystate.go
+++ b/internal/admission/keystate.go
@@ -60,7 +60,7 @@
 	unansweredAt time.Duration // a question brought no answer
 	arrived      float64       // since the last period
 	demand       float64       // requests a second, running mean
-	lastOK       time.Duration // a request was let through, other than by tokens of the tracker by
+	lastAdmitted time.Duration // a request was let through, other than by tokens of the tracker by
 	tokensFrom   uint64        // life of the tracker that last gave tokens
 	tokensUsedAt time.Duration // a request was let through by them
 	shard        int           // of trackers
@@ -69,7 +69,7 @@
 	releaseBy    time.Duration // carried, though the share could serve again: it does not before this unless the tracker agrees; 0 is no
 	since        time.Duration // carried, or not, since then: answers to earlier questions lease nothing
 	standby      float64       // standby rate the tracker told, until grantEnds
-	stood        float64       // tokens of standby used since lastOK
+	standbyUsed  float64       // tokens of standby used since lastAdmitted
 	count        Count
 }
 
@@ -194,7 +194,7 @@
 // does not know it from what it gave.
 func (b *keyState) spentAt(life uint64) time.Duration {
 	if b.tokensFrom != life {
-		return max(b.lastOK, b.tokensUsedAt)
+		return max(b.lastAdmitted, b.tokensUsedAt)
 	}
-	return b.lastOK
+	return b.lastAdmitted
 }
--- a/internal/admission/limiter.go
+++ b/internal/admission/limiter.go
@@ -87,10 +87,10 @@
 			// life before had ended by then and spends no more.
 			b = &keyState{shard: Shard(k, l.shards)}
 			b.split.filledAt, b.grant.filledAt, b.fast.filledAt, b.wholeQuota.filledAt = now, now, now, now
-			b.lastOK = now
+			b.lastAdmitted = now
 			if l.noLimitsYet {
 				b.fillFrom = -constants.RestartTime
-				b.fast.filledAt, b.lastOK = b.fillFrom, b.fillFrom
+				b.fast.filledAt, b.lastAdmitted = b.fillFrom, b.fillFrom
 			}
 			l.keys[k] = b
 		} else if b.quota == q {
--- a/internal/admission/messages.go
+++ b/internal/admission/messages.go
@@ -7,9 +7,8 @@
 	"slateridge/internal/transport"
 )
 
-// GrantRequest brings a proxy's wants to a tracker; Grants answers. Refused
-// says the machine asked does not track, or not yet.
 type (
+	// GrantRequest brings a proxy's wants to a tracker.
 	GrantRequest struct {
 		Proxy   string
 		Wants   []Want
@@ -18,8 +17,9 @@
 		Life    uint64        // of the proxy's process; 0 is not told
 		Sent    time.Duration // by that process's clock
 	}
+	// Grants answers a GrantRequest.
 	Grants struct {
-		Refused bool
+		Refused bool // the machine asked does not track, or not yet
 		Given   []Given
 		Stamp   TrackerTime
 		Retell  bool // the word was overtaken by a newer one: shares told here are to be told of again
--- a/internal/admission/wants.go
+++ b/internal/admission/wants.go
@@ -103,7 +103,7 @@
 		}
 		b.lentTo = life
 		b.lentAsked, b.toldCount = now, l.proxies
-		out = append(out, Want{Key: k, Demand: beyond, Rate: b.held(now), RateOf: b.grantAsked, Lend: true, Lent: lend * rate, Depth: lend * depth, Long: long, Idle: now - b.spentAt(life), Stood: b.stood, Release: returning})
+		out = append(out, Want{Key: k, Demand: beyond, Rate: b.held(now), RateOf: b.grantAsked, Lend: true, Lent: lend * rate, Depth: lend * depth, Long: long, Idle: now - b.spentAt(life), Stood: b.standbyUsed, Release: returning})
 	}
 	for shard := range told {
 		l.reportAt[shard] = now + constants.LendLong/4 + time.Duration(l.rng.Int64N(int64(constants.LendLong/8)))
