--- a/internal/config/build.go
+++ b/internal/config/build.go
@@ -6,17 +6,22 @@
 )
 
 // build puts checked items together, and checks what concerns several.
-func build(ver uint64, its []*item) (*Config, error) {
-	s := &Config{Version: ver, Services: map[string]*Service{}, Tenants: map[string]*Tenant{},
-		keys: map[string]*Tenant{}, hosts: map[string][]*Route{}}
-	names := make(map[string]bool, len(its))
+func build(version uint64, items []*item) (*Config, error) {
+	c := &Config{
+		Version:  version,
+		Services: map[string]*Service{},
+		Tenants:  map[string]*Tenant{},
+		keys:     map[string]*Tenant{},
+		hosts:    map[string][]*Route{},
+	}
+	names := make(map[string]bool, len(items))
 	limits := false
-	for _, it := range its {
+	for _, it := range items {
 		if it.kind == "limits" {
 			if limits {
 				return nil, &Fault{Item: "limits", Why: "stated twice"}
 			}
-			limits, s.Limits = true, it.limits
+			limits, c.Limits = true, it.limits
 			continue
 		}
 		label := it.label()
@@ -26,59 +31,97 @@
 		names[label] = true
 		switch {
 		case it.service != nil:
-			s.Services[it.name] = it.service
+			c.Services[it.name] = it.service
 		case it.tenant != nil:
-			s.Tenants[it.name] = it.tenant
-			for _, k := range it.keys {
-				if h := s.keys[k]; h != nil && h != it.tenant {
-					return nil, &Fault{Item: label, Field: "apiKeys", Why: "a key is held by tenant " + h.Name + " too"}
-				}
-				s.keys[k] = it.tenant
+			if err := c.addTenant(it); err != nil {
+				return nil, err
 			}
 		}
 	}
-	places := map[string]string{}
-	for i, it := range its {
+	places := map[string]string{} // host and prefix to the route's name
+	for i, it := range items {
 		if it.route == nil {
 			continue
 		}
 		yieldProcessor(i)
-		sp := it.route
-		r := &Route{Name: it.name, Host: strings.ToLower(sp.Host), Prefix: sp.PathPrefix, Idempotent: sp.RouteType == Idempotent,
-			Stream: sp.RouteType == Streaming, Affinity: sp.SessionAffinity,
-			Timeout: sp.Timeout.D(), TargetLatency: sp.TargetLatency.D(), Priority: sp.Priority, MaxAttempts: sp.MaxAttempts, Public: sp.Public, Homes: sp.AllowedRegions}
-		place := r.Host + r.Prefix
-		if other, ok := places[place]; ok {
-			return nil, &Fault{Item: it.label(), Field: "pathPrefix", Why: "route " + other + " has the same host and prefix"}
+		if err := c.addRoute(it, places); err != nil {
+			return nil, err
 		}
-		places[place] = r.Name
-		switch {
-		case sp.TargetService != "" && len(sp.WeightedTargets) > 0:
-			return nil, &Fault{Item: it.label(), Field: "targetService", Why: "stands beside weightedTargets"}
-		case sp.TargetService != "":
-			r.Targets = []Target{{sp.TargetService, 1}}
-		default:
-			sum := 0.0
-			for _, t := range sp.WeightedTargets {
-				if s.Services[t.TargetService] == nil {
-					return nil, &Fault{Item: it.label(), Field: "weightedTargets", Why: "service " + t.TargetService + " is not known"}
-				}
-				if t.Weight > 0 {
-					sum += t.Weight
-					r.Targets = append(r.Targets, Target{t.TargetService, sum})
-				}
-			}
-			if sum == 0 {
-				return nil, &Fault{Item: it.label(), Field: "targetService", Why: "no target has any weight"}
-			}
+	}
+	for _, routes := range c.hosts {
+		sort.Slice(routes, func(a, b int) bool { return len(routes[a].Prefix) > len(routes[b].Prefix) })
+	}
+	return c, nil
+}
+
+// addTenant adds a tenant with its keys, which no other may hold.
+func (c *Config) addTenant(it *item) error {
+	c.Tenants[it.name] = it.tenant
+	for _, key := range it.keys {
+		if holder := c.keys[key]; holder != nil && holder != it.tenant {
+			return &Fault{Item: it.label(), Field: "apiKeys", Why: "a key is held by tenant " + holder.Name + " too"}
+		}
+		c.keys[key] = it.tenant
+	}
+	return nil
+}
+
+// addRoute adds a route, after all services; places has the routes added so far.
+func (c *Config) addRoute(it *item, places map[string]string) error {
+	spec := it.route
+	r := &Route{
+		Name:          it.name,
+		Host:          strings.ToLower(spec.Host),
+		Prefix:        spec.PathPrefix,
+		Idempotent:    spec.RouteType == Idempotent,
+		Stream:        spec.RouteType == Streaming,
+		Affinity:      spec.SessionAffinity,
+		Timeout:       spec.Timeout.D(),
+		TargetLatency: spec.TargetLatency.D(),
+		Priority:      spec.Priority,
+		MaxAttempts:   spec.MaxAttempts,
+		Public:        spec.Public,
+		Homes:         spec.AllowedRegions,
+	}
+	place := r.Host + r.Prefix
+	if other, ok := places[place]; ok {
+		return &Fault{Item: it.label(), Field: "pathPrefix", Why: "route " + other + " has the same host and prefix"}
+	}
+	places[place] = r.Name
+	targets, err := c.targets(it)
+	if err != nil {
+		return err
+	}
+	r.Targets = targets
+	if c.Services[r.Targets[0].Service] == nil {
+		return &Fault{Item: it.label(), Field: "targetService", Why: "service " + r.Targets[0].Service + " is not known"}
+	}
+	c.hosts[r.Host] = append(c.hosts[r.Host], r)
+	return nil
+}
+
+// targets are the services that a route may go to: one, or several by weight.
+func (c *Config) targets(it *item) ([]Target, error) {
+	spec := it.route
+	if spec.TargetService != "" && len(spec.WeightedTargets) > 0 {
+		return nil, &Fault{Item: it.label(), Field: "targetService", Why: "stands beside weightedTargets"}
+	}
+	if spec.TargetService != "" {
+		return []Target{{spec.TargetService, 1}}, nil
+	}
+	var targets []Target
+	sum := 0.0
+	for _, t := range spec.WeightedTargets {
+		if c.Services[t.TargetService] == nil {
+			return nil, &Fault{Item: it.label(), Field: "weightedTargets", Why: "service " + t.TargetService + " is not known"}
 		}
-		if s.Services[r.Targets[0].Service] == nil {
-			return nil, &Fault{Item: it.label(), Field: "targetService", Why: "service " + r.Targets[0].Service + " is not known"}
+		if t.Weight > 0 {
+			sum += t.Weight
+			targets = append(targets, Target{t.TargetService, sum})
 		}
-		s.hosts[r.Host] = append(s.hosts[r.Host], r)
 	}
-	for _, rs := range s.hosts {
-		sort.Slice(rs, func(a, b int) bool { return len(rs[a].Prefix) > len(rs[b].Prefix) })
+	if sum == 0 {
+		return nil, &Fault{Item: it.label(), Field: "targetService", Why: "no target has any weight"}
 	}
-	return s, nil
+	return targets, nil
 }
