--- a/internal/membership/detector.go
+++ b/internal/membership/detector.go
@@ -19,6 +19,7 @@
 // one of the same number.
 type State int
 
+// The states, in the order of State.
 const (
 	Alive State = iota
 	Suspect
@@ -53,6 +54,7 @@
 // Kind of a message.
 type Kind int
 
+// The kinds of message: a probe, its answer, and the wish that another be probed.
 const (
 	Ping Kind = iota
 	Ack
@@ -163,33 +165,61 @@
 
 // Tick advances time; it is to be called a few times in a probe's timeout.
 func (d *Detector) Tick(now time.Duration) []any {
-	stopped := d.tickAt > 0 && now-d.tickAt > constants.ProbeTimeout
+	paused := d.tickAt > 0 && now-d.tickAt > constants.ProbeTimeout
 	d.tickAt = now
-	if stopped {
-		// This process stood still; nobody else need have.
-		d.probe = nil
-		for _, m := range d.members {
-			if m.fact.State == Suspect {
-				m.since = now
-			}
+	if paused {
+		d.resume(now)
+	}
+	d.checkProbe(now)
+	d.expire(now)
+	if now >= d.nextAt && d.probe == nil {
+		d.nextAt = now + constants.ProbeEvery
+		if t := d.next(); t != "" {
+			d.seq++
+			d.probe = &probe{target: t, seq: d.seq, began: now}
+			d.send(t, Msg{Kind: Ping, Seq: d.seq})
 		}
 	}
-	if p := d.probe; p != nil {
-		switch {
-		case !p.helped && now-p.began > constants.ProbeTimeout:
-			p.helped = true
-			for _, h := range d.helpers(p.target) {
-				d.send(h, Msg{Kind: PingRequest, Seq: p.seq, Target: p.target})
-			}
-		case now-p.began > 3*constants.ProbeTimeout:
-			if m := d.members[p.target]; m != nil && m.fact.State == Alive {
-				f := m.fact
-				f.State = Suspect
-				d.learn(now, f)
-			}
-			d.probe = nil
+	return d.flush()
+}
+
+// resume goes on after this process was paused: the others need not have been, so no
+// member is blamed for the time.
+func (d *Detector) resume(now time.Duration) {
+	d.probe = nil
+	for _, m := range d.members {
+		if m.fact.State == Suspect {
+			m.since = now
 		}
 	}
+}
+
+// checkProbe asks others to probe a member that does not answer, and suspects it when
+// they get no answer either.
+func (d *Detector) checkProbe(now time.Duration) {
+	p := d.probe
+	if p == nil {
+		return
+	}
+	switch {
+	case !p.helped && now-p.began > constants.ProbeTimeout:
+		p.helped = true
+		for _, h := range d.helpers(p.target) {
+			d.send(h, Msg{Kind: PingRequest, Seq: p.seq, Target: p.target})
+		}
+	case now-p.began > 3*constants.ProbeTimeout:
+		if m := d.members[p.target]; m != nil && m.fact.State == Alive {
+			f := m.fact
+			f.State = Suspect
+			d.learn(now, f)
+		}
+		d.probe = nil
+	}
+}
+
+// expire takes suspects that did not refute it for dead, and forgets dead members and
+// relayed probes after their time.
+func (d *Detector) expire(now time.Duration) {
 	for _, m := range d.members {
 		if m.fact.State == Suspect && now-m.since > constants.SuspectFor {
 			f := m.fact
@@ -207,15 +237,6 @@
 			delete(d.relayedProbes, q)
 		}
 	}
-	if now >= d.nextAt && d.probe == nil {
-		d.nextAt = now + constants.ProbeEvery
-		if t := d.next(); t != "" {
-			d.seq++
-			d.probe = &probe{target: t, seq: d.seq, began: now}
-			d.send(t, Msg{Kind: Ping, Seq: d.seq})
-		}
-	}
-	return d.flush()
 }
 
 // next is whom to probe: the members in turn, and the seeds that are not known
