--- /dev/null
+++ b/internal/usage/tally.go
@@ -0,0 +1,295 @@
+package usage
+
+import (
+	"encoding/json"
+	"maps"
+	"sync"
+	"time"
+
+	"slateridge/internal/constants"
+)
+
+// reporter is one life of a proxy, as a tally knows it.
+type reporter struct {
+	proxy   string
+	closed  uint64
+	heardAt time.Duration
+	windows map[uint64]Counts
+	seq     uint64            // of the latest word
+	running map[uint64]Counts // as it said
+}
+
+// Tally is the holder's gathering. It lives as long as the process: what a lost
+// one had gathered, the proxies tell its successor.
+type Tally struct {
+	mu           sync.Mutex
+	term         uint64
+	settled      uint64
+	dirty        bool
+	handedOverAt time.Duration // when a holder before last handed on what it knew
+	first        uint64        // window in which this tally was first asked, nothing being decided yet
+	reporters    map[uint64]*reporter
+	recent       []Report // taken since the latest Keep or Recent
+	Garbage      uint64
+}
+
+// NewTally makes an empty one; term is a number no other tally has.
+func NewTally(term uint64) *Tally { return &Tally{term: term | 1, reporters: map[uint64]*reporter{}} }
+
+// Take merges a proxy's report; window is the one at this moment. Reports that cannot
+// be right are dropped and counted.
+func (t *Tally) Take(at time.Duration, window uint64, m Report) (Ack, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !m.plausible(window) {
+		t.Garbage++
+		return Ack{}, false
+	}
+	r := t.reporters[m.Life]
+	if r == nil {
+		r = &reporter{proxy: m.Proxy, windows: map[uint64]Counts{}}
+		t.reporters[m.Life] = r
+	}
+	r.heardAt = at
+	t.dirty = true
+	t.recent = append(t.recent, m)
+	if m.Term == t.term {
+		r.closed = max(r.closed, m.Closed) // else more is to come
+	}
+	r.merge(m, t.settled)
+	return Ack{t.term, t.settled}, true
+}
+
+// plausible says whether a report is within the bounds that each honest one keeps to.
+func (m Report) plausible(window uint64) bool {
+	if m.Proxy == "" || len(m.Proxy) > constants.NameMax || m.Closed > window+1 {
+		return false
+	}
+	for _, windows := range []map[uint64]Counts{m.Windows, m.Running} {
+		if len(windows) > constants.UsageKept+2 {
+			return false
+		}
+		for w, counts := range windows {
+			if w > window+1 || !counts.plausible() {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// plausible says whether the counts of one window are within their bounds.
+func (c Counts) plausible() bool {
+	if len(c) > constants.UsageTenants {
+		return false
+	}
+	for tenant, n := range c {
+		if tenant == "" || len(tenant) > constants.NameMax || n > constants.UsageMost {
+			return false
+		}
+	}
+	return true
+}
+
+// merge takes what a report has of windows that are not settled yet.
+func (r *reporter) merge(m Report, settled uint64) {
+	for w, counts := range m.Windows {
+		if w <= settled {
+			continue
+		}
+		if r.windows[w] == nil {
+			r.windows[w] = Counts{}
+		}
+		for tenant, n := range counts {
+			r.windows[w][tenant] = max(r.windows[w][tenant], n)
+		}
+	}
+	if m.Seq <= r.seq {
+		return
+	}
+	r.seq, r.running = m.Seq, map[uint64]Counts{}
+	for w, counts := range m.Running {
+		if w > settled {
+			r.running[w] = maps.Clone(counts)
+		}
+	}
+}
+
+// Keep is what a tally knows of open windows, as words that can be told to another:
+// lives that are over tell nothing any more. Changed since the last Keep, or false.
+func (t *Tally) Keep() ([]Report, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.dirty {
+		return nil, false
+	}
+	t.dirty, t.recent = false, nil
+	return t.allLocked(), true
+}
+
+// Recent is the words taken since the latest Keep or Recent, as they can be told to
+// another tally: as not all that their lives know.
+func (t *Tally) Recent() []Report {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	words := t.recent
+	t.recent = nil
+	for i := range words {
+		words[i].Term = 0
+	}
+	return words
+}
+
+// All is the same, changed or not.
+func (t *Tally) All() []Report {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.allLocked()
+}
+
+// HandedOver notes that a holder before has handed on what it knew.
+func (t *Tally) HandedOver(at time.Duration) {
+	t.mu.Lock()
+	t.handedOverAt = at
+	t.mu.Unlock()
+}
+
+func (t *Tally) allLocked() (out []Report) {
+	for id, l := range t.reporters {
+		if len(l.windows) == 0 && len(l.running) == 0 {
+			continue
+		}
+		m := Report{Proxy: l.proxy, Life: id, Windows: map[uint64]Counts{}, Seq: l.seq, Running: map[uint64]Counts{}}
+		for w, c := range l.running {
+			m.Running[w] = maps.Clone(c)
+		}
+		for w, c := range l.windows {
+			m.Windows[w] = maps.Clone(c)
+		}
+		out = append(out, m)
+	}
+	return out
+}
+
+// Settle forgets windows that are decided.
+func (t *Tally) Settle(through uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.settled = max(t.settled, through)
+	for id, l := range t.reporters {
+		for w := range l.windows {
+			if w <= t.settled {
+				delete(l.windows, w)
+			}
+		}
+		for w := range l.running {
+			if w <= t.settled {
+				delete(l.running, w)
+			}
+		}
+		if len(l.windows) == 0 && len(l.running) == 0 && l.closed+constants.UsageKept < t.settled {
+			delete(t.reporters, id)
+		}
+	}
+}
+
+// Complete says whether all that may know something of a window have told it:
+// those that have spoken since a moment, and the proxies named as live.
+func (t *Tally) Complete(w uint64, since time.Duration, live []string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	newest := map[string]*reporter{}
+	for _, l := range t.reporters {
+		if o := newest[l.proxy]; o == nil || o.heardAt < l.heardAt {
+			newest[l.proxy] = l
+		}
+	}
+	for _, l := range newest {
+		if l.closed < w && l.heardAt >= since {
+			return false
+		}
+	}
+	for _, p := range live {
+		if newest[p] == nil {
+			return false
+		}
+	}
+	return true
+}
+
+// Sum adds up a window over all lives: what they have counted, and what was running as
+// they last spoke, which of one that is over nobody will count any more.
+func (t *Tally) Sum(w uint64) Counts {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := Counts{}
+	for _, l := range t.reporters {
+		for _, c := range []Counts{l.windows[w], l.running[w]} {
+			for tenant, n := range c {
+				out[tenant] += n
+			}
+		}
+	}
+	return out
+}
+
+// Moment is when Next is asked: by the steady clock, by the agreed time of day, and
+// how long the duty has been held here.
+type Moment struct {
+	Steady time.Duration
+	Agreed time.Time
+	Held   time.Duration
+}
+
+// Next is the report that follows the window named, once all that may know of it
+// have told, or when waiting longer would leave the platform too little time.
+// Windows that ended longer ago than proxies keep theirs are passed over; with none
+// before, the first is the one under way.
+func (t *Tally) Next(m Moment, after uint64, length, delay time.Duration, live []string) (uint64, []byte, bool) {
+	cur := Window(m.Agreed, length)
+	if after == 0 {
+		t.mu.Lock()
+		if t.first == 0 {
+			t.first = cur
+		}
+		after = t.first - 1
+		t.mu.Unlock()
+	}
+	t.Settle(after)
+	w := max(after+1, cur-min(cur, constants.UsageKept))
+	if w >= cur {
+		return 0, nil, false
+	}
+	age := float64(m.Agreed.Sub(time.Unix(0, int64(w+1)*int64(length))))
+	if age < float64(delay)*constants.UsageAll {
+		return 0, nil, false
+	}
+	// Of a window that another holder gathered in, that one may know of lives that are
+	// over: it, or its successor from its disk, hands on what it knew.
+	t.mu.Lock()
+	alone := m.Agreed.Add(-m.Held).Before(time.Unix(0, int64(w)*int64(length))) || t.handedOverAt > m.Steady-m.Held
+	t.mu.Unlock()
+	if !(alone && t.Complete(w, m.Steady-delay, live)) && (age < float64(delay)*constants.UsageLate || m.Held < 2*constants.UsageEvery) {
+		return 0, nil, false
+	}
+	return w, Body(w, t.Sum(w)), true
+}
+
+// Reporters is how many lives are known.
+func (t *Tally) Reporters() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.reporters)
+}
+
+// Body is a window's report as the platform wants it.
+func Body(w uint64, c Counts) []byte {
+	b, err := json.Marshal(struct {
+		Window uint64 `json:"windowNumber"`
+		Counts Counts `json:"instanceCounts"`
+	}{w, c})
+	if err != nil {
+		panic("usage: a report cannot be written: " + err.Error())
+	}
+	return b
+}
