Modelcheck: short functions, exported methods documented

The digest by kind of value; the chain model's choices, their application and its checks of a commit by subject. Choices come in the order as before, and digests are the same numbers.

--- a/internal/modelcheck/admissionmodel/admissionmodel.go
+++ b/internal/modelcheck/admissionmodel/admissionmodel.go
@@ -43,6 +43,7 @@
 // New makes one.
 func New(c Config) *Model { return &Model{Config: c} }
 
+// Reset goes back to the start, as package modelcheck asks.
 func (m *Model) Reset() {
 	m.world = modelcheck.NewWorld(constants.GrantEvery, m.tick, m.recv)
 	m.grid, m.err, m.faults, m.came, m.lives, m.ids, m.served = m.Warm, nil, 0, 0, 0, 0, 0
@@ -71,6 +72,7 @@
 	}
 }
 
+// Check is the first rule of safety that was broken.
 func (m *Model) Check() error { return m.err }
 
 func (m *Model) quotas() map[string]admission.Quota { return map[string]admission.Quota{key: m.Quota} }
--- a/internal/modelcheck/admissionmodel/admissionmodel_test.go
+++ b/internal/modelcheck/admissionmodel/admissionmodel_test.go
@@ -19,7 +19,7 @@
 		o       modelcheck.Options
 		atLeast int
 	}{
-		{"one deviation", func(c *Config) {}, false, modelcheck.Options{Deviations: 1, Depth: 4}, 140},
+		{"one deviation", func(*Config) {}, false, modelcheck.Options{Deviations: 1, Depth: 4}, 140},
 		{"one deviation, pressed", pressed, false, modelcheck.Options{Deviations: 1, Depth: 4}, 140},
 		{"one deviation, shares only", func(c *Config) { large(c); pressed(c) }, false, modelcheck.Options{Deviations: 1, Depth: 4}, 140},
 		{"cut off", func(c *Config) { c.Kinds = []string{"isolate", "press"} }, false, modelcheck.Options{Deviations: 2, Depth: 2}, 100},
--- a/internal/modelcheck/admissionmodel/choices.go
+++ b/internal/modelcheck/admissionmodel/choices.go
@@ -15,6 +15,7 @@
 // ChoiceKinds names all kinds of choices.
 var ChoiceKinds = append(slices.Clone(faultKinds), "join", "thaw", "start", "come", "long", "press", "rest")
 
+// Choices lists what may happen next, the default first, as package modelcheck asks.
 func (m *Model) Choices() []string {
 	out := []string{"wait"}
 	add := func(words ...string) {
@@ -83,6 +84,7 @@
 	}
 }
 
+// Apply has one of the choices happen, as package modelcheck asks.
 func (m *Model) Apply(n int) {
 	if n == 0 {
 		m.world.Run(m.grid, func(*modelcheck.Event) bool { return m.Messages }, m.healthy)
@@ -139,6 +141,7 @@
 // skip are numbers that only rise, and counts that decide nothing.
 var skip = []string{"keyState.count", "keyState.wholeQuota", "Tracker.Asked", "Tracker.Offered", "Tracker.Exhausted", "Tracker.scan", "pool.scan", "question.ID", "answer.ID", "World.seq"}
 
+// Hash distinguishes states, as package modelcheck asks.
 func (m *Model) Hash() uint64 {
 	m.forgetOld()
 	a := modelcheck.Abstraction{LongAgo: longAgo, Skip: skip, Grain: grain}
--- a/internal/modelcheck/chainmodel/chainmodel.go
+++ b/internal/modelcheck/chainmodel/chainmodel.go
@@ -59,6 +59,7 @@
 // each time.
 var skip = []string{"Heartbeat.At", "Heartbeat.Echo", "Heartbeat.Wall", "Chain.readIndexAt"}
 
+// Reset goes back to the start, as package modelcheck asks.
 func (m *Model) Reset() {
 	m.world = modelcheck.NewWorld(constants.ChainTick, m.tick, m.recv)
 	m.chain, m.disks = map[string]*controlplane.Chain{}, map[string]*simnet.Disk{}
@@ -93,8 +94,10 @@
 	}
 }
 
+// Check is the first rule of safety that was broken.
 func (m *Model) Check() error { return m.err }
 
+// Hash distinguishes states, as package modelcheck asks.
 func (m *Model) Hash() uint64 {
 	a := modelcheck.Abstraction{LongAgo: m.LongAgo, Skip: skip}
 	parts := []any{m.spares, m.losses, m.lossAt == m.world.Trouble, m.leaving, m.faults, m.orders, m.came, m.highestVersion, m.last, m.confirmed, m.evacAcked, m.evacSent, m.states, m.views, m.grid, int(min(m.world.Now-m.world.Trouble, m.CatchUp))}
--- a/internal/modelcheck/chainmodel/choices.go
+++ b/internal/modelcheck/chainmodel/choices.go
@@ -72,29 +72,55 @@
 // ChoiceKinds names all kinds of choices.
 var ChoiceKinds = append(slices.Clone(faultKinds), "join", "thaw", "start", "clear", "recover", "come", "order", "again", "read", "evacuate")
 
+// Choices lists what may happen next, as package modelcheck asks.
 func (m *Model) Choices() []string {
 	out := []string{"wait"}
-	add := func(ws ...string) {
-		for _, w := range ws {
-			if kind := strings.Fields(w)[0]; modelcheck.Offered(kind, m.Kinds, m.Without) && (m.faults < m.Faults || !slices.Contains(faultKinds, kind)) {
-				out = append(out, w)
+	add := func(choices ...string) {
+		for _, c := range choices {
+			kind := strings.Fields(c)[0]
+			if modelcheck.Offered(kind, m.Kinds, m.Without) && (m.faults < m.Faults || !slices.Contains(faultKinds, kind)) {
+				out = append(out, c)
 			}
 		}
 	}
 	if e := m.atMessage(); e != nil {
 		add(m.world.OnHead()...)
 	}
+	m.processChoices(add)
+	m.diskChoices(add)
+	if m.Duties && m.platform.down {
+		add("recover")
+	} else if m.Duties {
+		add("outage")
+	}
+	if m.came < m.Newcomers {
+		add("come " + names[m.Founders+m.came])
+	}
+	add(m.world.Freezes()...)
+	add(m.world.Paths()...)
+	if m.orders < m.Orders {
+		m.operatorChoices(add)
+	}
+	return out
+}
+
+// processChoices are the ways in which processes end and start.
+func (m *Model) processChoices(add func(...string)) {
 	for _, n := range m.world.Names {
-		if m.world.Up(n) {
-			add("restart "+n, "stop "+n)
-			if _, ok := m.leaving[n]; !ok && !m.world.Frozen(n) {
-				add("quit " + n)
-			}
-		} else {
+		if !m.world.Up(n) {
 			add("start " + n)
+			continue
+		}
+		add("restart "+n, "stop "+n)
+		if _, ok := m.leaving[n]; !ok && !m.world.Frozen(n) {
+			add("quit " + n)
 		}
 	}
 	add("power")
+}
+
+// diskChoices are what may happen to disks, and to machines with theirs.
+func (m *Model) diskChoices(add func(...string)) {
 	for _, n := range m.world.Names {
 		if m.disks[n].Refuse {
 			add("clear " + n)
@@ -102,44 +128,37 @@
 			add("fill " + n)
 		}
 	}
-	if m.mayLose() {
-		for _, n := range m.world.Names {
-			if _, ok := m.leaving[n]; !ok && m.world.Up(n) {
-				add("wipe "+n, "leave "+n, "depart "+n)
-			}
-		}
-	}
-	if m.Duties && m.platform.down {
-		add("recover")
-	} else if m.Duties {
-		add("outage")
+	if !m.mayLose() {
+		return
 	}
-	if m.came < m.Newcomers {
-		add("come " + names[m.Founders+m.came])
+	for _, n := range m.world.Names {
+		if _, ok := m.leaving[n]; !ok && m.world.Up(n) {
+			add("wipe "+n, "leave "+n, "depart "+n)
+		}
 	}
-	add(m.world.Freezes()...)
-	add(m.world.Paths()...)
-	if m.orders < m.Orders {
-		for _, n := range m.world.Names {
-			if !m.world.Up(n) {
-				continue
+}
+
+// operatorChoices are the orders and reads that operators may send.
+func (m *Model) operatorChoices(add func(...string)) {
+	for _, n := range m.world.Names {
+		if !m.world.Up(n) {
+			continue
+		}
+		for i := range m.Operators {
+			p := string(rune('p' + i))
+			add(fmt.Sprintf("order %s at %s: r%d", p, n, m.highestVersion+1))
+			if m.highestVersion > 0 && m.last[p].Version != m.highestVersion {
+				add(fmt.Sprintf("order %s at %s: r%d", p, n, m.highestVersion))
 			}
-			for i := range m.Operators {
-				p := string(rune('p' + i))
-				add(fmt.Sprintf("order %s at %s: r%d", p, n, m.highestVersion+1))
-				if m.highestVersion > 0 && m.last[p].Version != m.highestVersion {
-					add(fmt.Sprintf("order %s at %s: r%d", p, n, m.highestVersion))
-				}
-				if m.last[p].Version > 0 {
-					add(fmt.Sprintf("again %s at %s", p, n))
-				}
+			if m.last[p].Version > 0 {
+				add(fmt.Sprintf("again %s at %s", p, n))
 			}
-			add("read "+n, "evacuate "+n+" on", "evacuate "+n+" off")
 		}
+		add("read "+n, "evacuate "+n+" on", "evacuate "+n+" off")
 	}
-	return out
 }
 
+// Apply has one of the choices happen, as package modelcheck asks.
 func (m *Model) Apply(n int) {
 	if n == 0 {
 		m.world.Run(m.grid, func(*modelcheck.Event) bool { return m.atMessage() != nil }, m.healthy)
@@ -148,14 +167,23 @@
 		}
 		return
 	}
-	word := m.Choices()[n]
-	f := strings.Fields(word)
+	choice := m.Choices()[n]
+	f := strings.Fields(choice)
 	if slices.Contains(faultKinds, f[0]) {
 		m.faults++
 	}
-	if m.world.Do(word) {
+	if m.world.Do(choice) {
 		return
 	}
+	if m.applyOrder(f) {
+		return // no trouble
+	}
+	m.applyTrouble(f)
+	m.world.Trouble = m.world.Now
+}
+
+// applyTrouble has something happen to a machine or to the platform.
+func (m *Model) applyTrouble(f []string) {
 	switch f[0] {
 	case "restart":
 		m.stop(f[1])
@@ -189,20 +217,27 @@
 	case "come":
 		m.came++
 		m.start(f[1], false)
-	default:
+	}
+}
+
+// applyOrder has an operator order or read something, and says whether the choice was that.
+func (m *Model) applyOrder(f []string) bool {
+	switch f[0] {
+	case "order":
 		m.orders++
-		switch f[0] {
-		case "order":
-			v, _ := strconv.ParseUint(strings.TrimPrefix(f[4], "r"), 10, 64)
-			m.order(strings.TrimSuffix(f[3], ":"), Order{f[1], v, fmt.Sprintf("r%d by %s", v, f[1])})
-		case "again":
-			m.order(f[3], m.last[f[1]])
-		case "read":
-			m.read(f[1])
-		case "evacuate":
-			m.evacuate(f[1], f[2] == "on")
-		}
-		return // no trouble
+		version, _ := strconv.ParseUint(strings.TrimPrefix(f[4], "r"), 10, 64)
+		m.order(strings.TrimSuffix(f[3], ":"), Order{f[1], version, fmt.Sprintf("r%d by %s", version, f[1])})
+	case "again":
+		m.orders++
+		m.order(f[3], m.last[f[1]])
+	case "read":
+		m.orders++
+		m.read(f[1])
+	case "evacuate":
+		m.orders++
+		m.evacuate(f[1], f[2] == "on")
+	default:
+		return false
 	}
-	m.world.Trouble = m.world.Now
+	return true
 }
--- a/internal/modelcheck/chainmodel/rules.go
+++ b/internal/modelcheck/chainmodel/rules.go
@@ -34,24 +34,15 @@
 	m.views[v.Num] = is
 }
 
+// commit checks a state that a machine now knows to be in force.
 func (m *Model) commit(n string, d config.Doc) {
 	if was := m.inForce[n]; was != nil && d.Stamp.Less(was.Stamp) {
 		m.broken(RuleForward, "%s goes back from %v to %v", n, was.Stamp, d.Stamp)
 	}
 	m.inForce[n] = &d
-	is := state{d.Version, string(d.Raw)}
-	if was, ok := m.states[d.Stamp]; !ok {
-		for s, o := range m.states {
-			if s.Less(d.Stamp) && o.version > is.version || d.Stamp.Less(s) && o.version < is.version {
-				m.broken(RuleForward, "%v holds r%d, %v holds r%d", s, o.version, d.Stamp, is.version)
-			}
-		}
-		m.states[d.Stamp] = is
-	} else if was != is {
-		m.broken(RuleOneState, "%s commits r%d %q at %v, it was r%d %q", n, is.version, is.content, d.Stamp, was.version, was.content)
-	}
-	if was, ok := m.confirmed[d.Version]; ok && was != is.content {
-		m.broken(RuleOneContent, "%s has r%d %q in force, %q was confirmed", n, d.Version, is.content, was)
+	m.checkState(n, d)
+	if was, ok := m.confirmed[d.Version]; ok && was != string(d.Raw) {
+		m.broken(RuleOneContent, "%s has r%d %q in force, %q was confirmed", n, d.Version, d.Raw, was)
 	}
 	m.waiters[n] = slices.DeleteFunc(m.waiters[n], func(w waiting) bool { return m.world.Now-w.at > constants.SubmitWait })
 	var left []waiting
@@ -63,23 +54,47 @@
 		}
 	}
 	m.waiters[n] = left
-	for z, e := range d.Evac {
-		for i, id := range e.IDs {
-			for _, before := range e.IDs[:i] {
-				if end := m.evacSent[id] + constants.SubmitWait; end < m.evacSent[before] {
-					m.broken(RuleLateOrder, "%s: zone %s: the order of %v, answered for by %v, takes effect after that of %v", n, z, m.evacSent[id], end, m.evacSent[before])
-				}
-			}
-			o, ok := m.evacs[n][id]
-			if !ok {
-				continue
-			}
-			delete(m.evacs[n], id)
-			if i == len(e.IDs)-1 && e.On != o.on {
-				m.broken(RuleForward, "%s: order %v on zone %s confirmed, it is %v", n, o.on, z, e.On)
+	for zone, e := range d.Evac {
+		m.commitEvacuation(n, zone, e)
+	}
+}
+
+// checkState checks that a revision stands for one state, and that versions rise with it.
+func (m *Model) checkState(n string, d config.Doc) {
+	is := state{d.Version, string(d.Raw)}
+	was, ok := m.states[d.Stamp]
+	if ok {
+		if was != is {
+			m.broken(RuleOneState, "%s commits r%d %q at %v, it was r%d %q", n, is.version, is.content, d.Stamp, was.version, was.content)
+		}
+		return
+	}
+	for s, o := range m.states {
+		if s.Less(d.Stamp) && o.version > is.version || d.Stamp.Less(s) && o.version < is.version {
+			m.broken(RuleForward, "%v holds r%d, %v holds r%d", s, o.version, d.Stamp, is.version)
+		}
+	}
+	m.states[d.Stamp] = is
+}
+
+// commitEvacuation checks the orders on a zone that are in force at a machine, and
+// confirms those that wait there.
+func (m *Model) commitEvacuation(n, zone string, e config.Evacuation) {
+	for i, id := range e.IDs {
+		for _, before := range e.IDs[:i] {
+			if end := m.evacSent[id] + constants.SubmitWait; end < m.evacSent[before] {
+				m.broken(RuleLateOrder, "%s: zone %s: the order of %v, answered for by %v, takes effect after that of %v", n, zone, m.evacSent[id], end, m.evacSent[before])
 			}
-			m.evacAcked[z] = max(m.evacAcked[z], e.Num-uint64(len(e.IDs)-1-i))
 		}
+		o, ok := m.evacs[n][id]
+		if !ok {
+			continue
+		}
+		delete(m.evacs[n], id)
+		if i == len(e.IDs)-1 && e.On != o.on {
+			m.broken(RuleForward, "%s: order %v on zone %s confirmed, it is %v", n, o.on, zone, e.On)
+		}
+		m.evacAcked[zone] = max(m.evacAcked[zone], e.Num-uint64(len(e.IDs)-1-i))
 	}
 }
 
--- a/internal/modelcheck/digest.go
+++ b/internal/modelcheck/digest.go
@@ -58,8 +58,12 @@
 	return h.Sum64()
 }
 
-func (d digest) of(v reflect.Value, deep int) uint64 {
-	if !v.IsValid() || deep > 40 {
+// maxDigestDepth bounds how deep values are followed, since they may refer to each other.
+const maxDigestDepth = 40
+
+// of hashes one value; each kind has a number of its own, so that kinds differ.
+func (d digest) of(v reflect.Value, depth int) uint64 {
+	if !v.IsValid() || depth > maxDigestDepth {
 		return 1
 	}
 	if v.Type() == durationType {
@@ -70,58 +74,73 @@
 		return mix(3, uint64(max(t-d.now, -d.LongAgo)))
 	}
 	switch v.Kind() {
-	case reflect.Bool:
-		if v.Bool() {
-			return 4
-		}
-		return 5
-	case reflect.Int, reflect.Int8, reflect.Int16, reflect.Int32, reflect.Int64:
-		return mix(6, uint64(v.Int()))
-	case reflect.Uint, reflect.Uint8, reflect.Uint16, reflect.Uint32, reflect.Uint64, reflect.Uintptr:
-		return mix(7, v.Uint())
-	case reflect.Float32, reflect.Float64:
-		if d.Grain > 0 {
-			return mix(8, uint64(int64(math.Round(v.Float()/d.Grain))))
-		}
-		return mix(8, math.Float64bits(v.Float()))
-	case reflect.String:
-		return text(v.String())
 	case reflect.Pointer:
 		if v.IsNil() || v.Type() == randType {
 			return 9
 		}
-		return mix(10, d.of(v.Elem(), deep+1))
+		return mix(10, d.of(v.Elem(), depth+1))
 	case reflect.Interface:
 		if v.IsNil() {
 			return 9
 		}
-		return mix(11, text(v.Elem().Type().String()), d.of(v.Elem(), deep+1))
-	case reflect.Slice:
-		if v.Type().Elem().Kind() == reflect.Uint8 {
-			return text(string(v.Bytes()))
-		}
-		fallthrough
-	case reflect.Array:
-		out := []uint64{12}
-		for i := range v.Len() {
-			out = append(out, d.of(v.Index(i), deep+1))
-		}
-		return mix(out...)
+		return mix(11, text(v.Elem().Type().String()), d.of(v.Elem(), depth+1))
+	case reflect.Slice, reflect.Array:
+		return d.ofList(v, depth)
 	case reflect.Map:
-		var out []uint64
-		for it := v.MapRange(); it.Next(); {
-			out = append(out, mix(d.of(it.Key(), deep+1), d.of(it.Value(), deep+1)))
-		}
-		slices.Sort(out)
-		return mix(append(out, 13)...)
+		return d.ofMap(v, depth)
 	case reflect.Struct:
-		out := []uint64{14}
-		for i := range v.NumField() {
-			if !slices.Contains(d.Skip, v.Type().Name()+"."+v.Type().Field(i).Name) {
-				out = append(out, d.of(v.Field(i), deep+1))
-			}
+		return d.ofStruct(v, depth)
+	}
+	return d.ofScalar(v)
+}
+
+// ofScalar hashes what holds no further values; functions and channels are all alike.
+func (d digest) ofScalar(v reflect.Value) uint64 {
+	switch {
+	case v.Kind() == reflect.Bool && v.Bool():
+		return 4
+	case v.Kind() == reflect.Bool:
+		return 5
+	case v.CanInt():
+		return mix(6, uint64(v.Int()))
+	case v.CanUint():
+		return mix(7, v.Uint())
+	case v.CanFloat() && d.Grain > 0:
+		return mix(8, uint64(int64(math.Round(v.Float()/d.Grain))))
+	case v.CanFloat():
+		return mix(8, math.Float64bits(v.Float()))
+	case v.Kind() == reflect.String:
+		return text(v.String())
+	}
+	return 15
+}
+
+func (d digest) ofList(v reflect.Value, depth int) uint64 {
+	if v.Kind() == reflect.Slice && v.Type().Elem().Kind() == reflect.Uint8 {
+		return text(string(v.Bytes()))
+	}
+	out := []uint64{12}
+	for i := range v.Len() {
+		out = append(out, d.of(v.Index(i), depth+1))
+	}
+	return mix(out...)
+}
+
+func (d digest) ofMap(v reflect.Value, depth int) uint64 {
+	var out []uint64
+	for entry := v.MapRange(); entry.Next(); {
+		out = append(out, mix(d.of(entry.Key(), depth+1), d.of(entry.Value(), depth+1)))
+	}
+	slices.Sort(out)
+	return mix(append(out, 13)...)
+}
+
+func (d digest) ofStruct(v reflect.Value, depth int) uint64 {
+	out := []uint64{14}
+	for i := range v.NumField() {
+		if !slices.Contains(d.Skip, v.Type().Name()+"."+v.Type().Field(i).Name) {
+			out = append(out, d.of(v.Field(i), depth+1))
 		}
-		return mix(out...)
 	}
-	return 15 // functions, channels
+	return mix(out...)
 }
--- a/internal/modelcheck/leasemodel/leasemodel.go
+++ b/internal/modelcheck/leasemodel/leasemodel.go
@@ -69,6 +69,7 @@
 
 var names = []string{"a", "b", "c", "d", "e", "f", "g", "h"}
 
+// Reset goes back to the start, as package modelcheck asks.
 func (m *Model) Reset() {
 	m.world = modelcheck.NewWorld(constants.LeaseTick, m.tick, m.recv)
 	m.managers, m.startedAt = map[string]*lease.Manager{}, map[string]time.Duration{}
@@ -136,6 +137,7 @@
 	return who
 }
 
+// Check is the first rule of safety that was broken.
 func (m *Model) Check() error { return m.err }
 
 var faultKinds = []string{"isolate", "mute", "deafen", "cut", "part", "freeze", "lose", "double", "late", "restart", "stop"}
@@ -174,6 +176,7 @@
 	return nil
 }
 
+// Choices lists what may happen next, the default first, as package modelcheck asks.
 func (m *Model) Choices() []string {
 	out := []string{"wait"}
 	add := func(ws ...string) {
@@ -204,6 +207,7 @@
 	return out
 }
 
+// Apply has one of the choices happen, as package modelcheck asks.
 func (m *Model) Apply(n int) {
 	if n == 0 {
 		m.world.Run(m.grid, func(*modelcheck.Event) bool { return m.Messages }, m.healthy)
@@ -272,6 +276,7 @@
 	}
 }
 
+// Hash distinguishes states, as package modelcheck asks.
 func (m *Model) Hash() uint64 {
 	parts := []any{m.faults, m.grid, m.knows, m.sealed}
 	for _, e := range m.agreed {
--- a/internal/modelcheck/world.go
+++ b/internal/modelcheck/world.go
@@ -81,11 +81,14 @@
 	}
 }
 
-// Up says whether a machine's process is there, Frozen whether it stands still,
-// Life which process of it this is.
-func (w *World) Up(n string) bool     { return w.up[n] }
+// Up says whether a machine's process is running.
+func (w *World) Up(n string) bool { return w.up[n] }
+
+// Frozen says whether a machine's process is paused.
 func (w *World) Frozen(n string) bool { return w.frozen[n] }
-func (w *World) Life(n string) int    { return w.life[n] }
+
+// Life is the incarnation of a machine's process: it rises with each start and each stop.
+func (w *World) Life(n string) int { return w.life[n] }
 
 // Start has a machine's process step from now on; a new machine is added.
 func (w *World) Start(n string) {
@@ -203,6 +206,7 @@
 // Parted says whether any path is cut.
 func (w *World) Parted() bool { return len(w.cut) > 0 }
 
+// Freezes lists the choices that freeze and thaw machines.
 func (w *World) Freezes() (out []string) {
 	for _, n := range w.Names {
 		if w.up[n] && !w.frozen[n] {
@@ -214,6 +218,7 @@
 	return out
 }
 
+// OnHead lists the choices for the message that is due next.
 func (w *World) OnHead() []string { return []string{"lose", "double", "late"} }
 
 // Heal joins all paths and thaws all machines.
