Scalerun: trial, catch-up and slopes in steps

A trial is a system with one function a measurement; the made-up requests are counted by a type of their own; each table of slopes is a function. A process's figures are read in one place.

--- a/cmd/scalerun/catchup.go
+++ b/cmd/scalerun/catchup.go
@@ -12,7 +12,7 @@
 	"time"
 )
 
-// heartbeats reads some of a process's figures.
+// figures reads all of a process's metrics, by name and labels.
 func (p *proc) figures() map[string]float64 {
 	out := map[string]float64{}
 	resp, err := http.Get(fmt.Sprintf("http://%s:%d/metrics", p.ip, portInternal+p.admin))
@@ -42,79 +42,106 @@
 	if _, err := startPlatform(); err != nil {
 		return err
 	}
-	controls := make([]*proc, cli.Control)
-	defer func() {
-		for _, p := range controls {
-			if p != nil {
-				p.end()
-			}
+	c := &catchUpTrial{w: w, dir: dir, controls: make([]*proc, cli.Control), version: 1}
+	defer c.end()
+	if err := c.begin(); err != nil {
+		return err
+	}
+	for _, n := range cli.Missed {
+		if err := c.row(strconv.Itoa(n), n, false); err != nil {
+			return err
+		}
+	}
+	return c.row(fmt.Sprintf("1 and an empty disk (%d in all)", c.version), 1, true)
+}
+
+// catchUpTrial is the control processes of a trial; the last one is killed in each row.
+type catchUpTrial struct {
+	w        io.Writer
+	dir      string
+	controls []*proc
+	version  int // of the configuration, the newest
+}
+
+func (c *catchUpTrial) end() {
+	for _, p := range c.controls {
+		if p != nil {
+			p.end()
 		}
-	}()
-	for i := range controls {
-		if controls[i], err = startControl(dir, i); err != nil {
+	}
+}
+
+// last is the process that is killed.
+func (c *catchUpTrial) last() int { return len(c.controls) - 1 }
+
+// begin starts all processes and waits until they are one chain.
+func (c *catchUpTrial) begin() error {
+	for i := range c.controls {
+		p, err := startControl(c.dir, i)
+		if err != nil {
 			return err
 		}
+		c.controls[i] = p
 	}
-	version, last := 1, cli.Control-1
-	if err := post(version); err != nil {
+	if err := post(c.version); err != nil {
 		return err
 	}
 	again = true
-	member := func(most int) func() bool {
-		return func() bool {
-			g := controls[last].figures()
-			return g["slateridge_view_member"] == 1 && g["slateridge_view_members"] == float64(most)
-		}
-	}
-	if _, err := waitFor("all control processes in the view", member(cli.Control)); err != nil {
+	if _, err := waitFor("all control processes in the view", c.isMember); err != nil {
 		return err
 	}
-	fmt.Fprintf(w, "catching up: %d control processes, configuration of %d bytes\n", cli.Control, len(configuration(version)))
-	fmt.Fprintln(w, "  changes missed, posted in s, newest state after s, member again after s, KB taken in until it had the newest, its store KB")
-	row := func(what string, missed int, wipe bool) error {
-		controls[last].end()
-		controls[last] = nil
-		if wipe {
-			if err := os.RemoveAll(dataFolder(dir, last)); err != nil {
-				return err
-			}
-		}
-		began := time.Now()
-		for range missed {
-			version++
-			if err := post(version); err != nil {
-				return err
-			}
-		}
-		posted := time.Since(began)
-		began = time.Now()
-		if controls[last], err = startControl(dir, last); err != nil {
-			return err
-		}
-		var in float64
-		newest, err := waitFor("the newest state", func() bool {
-			g := controls[last].figures()
-			in = g[`slateridge_internal_bytes_total{dir="in"}`]
-			return g["slateridge_config_version"] == float64(version)
-		})
-		if err != nil {
-			return err
-		}
-		if _, err := waitFor("a member again", member(cli.Control)); err != nil {
+	fmt.Fprintf(c.w, "catching up: %d control processes, configuration of %d bytes\n", cli.Control, len(configuration(c.version)))
+	fmt.Fprintln(c.w, "  changes missed, posted in s, newest state after s, member again after s, KB taken in until it had the newest, its store KB")
+	return nil
+}
+
+// isMember says whether the last process is a member of a view that has all of them.
+func (c *catchUpTrial) isMember() bool {
+	f := c.controls[c.last()].figures()
+	return f["slateridge_view_member"] == 1 && f["slateridge_view_members"] == float64(cli.Control)
+}
+
+// row kills the last process, makes changes, starts it again and prints how long it took.
+func (c *catchUpTrial) row(name string, missed int, wipe bool) error {
+	last := c.last()
+	c.controls[last].end()
+	c.controls[last] = nil
+	if wipe {
+		if err := os.RemoveAll(dataFolder(c.dir, last)); err != nil {
 			return err
 		}
-		back := time.Since(began)
-		var size int64
-		if fi, err := os.Stat(dataFolder(dir, last) + "/slateridge.db"); err == nil {
-			size = fi.Size()
-		}
-		fmt.Fprintf(w, "  %s, %.1f, %.2f, %.2f, %.0f, %.0f\n", what, posted.Seconds(), newest.Seconds(), back.Seconds(), in/1e3, float64(size)/1e3)
-		return nil
 	}
-	for _, n := range cli.Missed {
-		if err := row(strconv.Itoa(n), n, false); err != nil {
+	began := time.Now()
+	for range missed {
+		c.version++
+		if err := post(c.version); err != nil {
 			return err
 		}
 	}
-	return row(fmt.Sprintf("1 and an empty disk (%d in all)", version), 1, true)
+	posted := time.Since(began)
+	began = time.Now()
+	p, err := startControl(c.dir, last)
+	if err != nil {
+		return err
+	}
+	c.controls[last] = p
+	var bytesIn float64
+	newest, err := waitFor("the newest state", func() bool {
+		f := p.figures()
+		bytesIn = f[`slateridge_internal_bytes_total{dir="in"}`]
+		return f["slateridge_config_version"] == float64(c.version)
+	})
+	if err != nil {
+		return err
+	}
+	if _, err := waitFor("a member again", c.isMember); err != nil {
+		return err
+	}
+	member := time.Since(began)
+	var size int64
+	if info, err := os.Stat(dataFolder(c.dir, last) + "/slateridge.db"); err == nil {
+		size = info.Size()
+	}
+	fmt.Fprintf(c.w, "  %s, %.1f, %.2f, %.2f, %.0f, %.0f\n", name, posted.Seconds(), newest.Seconds(), member.Seconds(), bytesIn/1e3, float64(size)/1e3)
+	return nil
 }
--- a/cmd/scalerun/process.go
+++ b/cmd/scalerun/process.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"encoding/json"
 	"fmt"
-	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -43,10 +42,12 @@
 	return &proc{name, ip, admin, c}, c.Start()
 }
 
+// reading is what a process has used since its start.
 type reading struct {
-	at                  time.Time
-	cpu                 time.Duration
-	in, out, inMs, outM float64
+	at                      time.Time
+	cpu                     time.Duration
+	bytesIn, bytesOut       float64
+	messagesIn, messagesOut float64
 }
 
 // cpu is the processor time a process has used.
@@ -77,27 +78,14 @@
 	return 0
 }
 
+// read takes a process's processor time and traffic at this moment.
 func (p *proc) read() reading {
 	r := reading{at: time.Now(), cpu: cpu(p.cmd.Process.Pid)}
-	resp, err := http.Get(fmt.Sprintf("http://%s:%d/metrics", p.ip, portInternal+p.admin))
-	if err != nil {
-		return r
-	}
-	defer resp.Body.Close()
-	for sc := bufio.NewScanner(resp.Body); sc.Scan(); {
-		name, v, _ := strings.Cut(sc.Text(), " ")
-		n, _ := strconv.ParseFloat(v, 64)
-		switch name {
-		case `slateridge_internal_bytes_total{dir="in"}`:
-			r.in = n
-		case `slateridge_internal_bytes_total{dir="out"}`:
-			r.out = n
-		case `slateridge_internal_messages_total{dir="in"}`:
-			r.inMs = n
-		case `slateridge_internal_messages_total{dir="out"}`:
-			r.outM = n
-		}
-	}
+	f := p.figures()
+	r.bytesIn = f[`slateridge_internal_bytes_total{dir="in"}`]
+	r.bytesOut = f[`slateridge_internal_bytes_total{dir="out"}`]
+	r.messagesIn = f[`slateridge_internal_messages_total{dir="in"}`]
+	r.messagesOut = f[`slateridge_internal_messages_total{dir="out"}`]
 	return r
 }
 
--- a/cmd/scalerun/slopes.go
+++ b/cmd/scalerun/slopes.go
@@ -50,6 +50,16 @@
 // slopes prints what single operations cost at three sizes each, in this process,
 // without a network: per-operation figures, as against the whole processes' of a run.
 func slopes(w io.Writer) {
+	configurationCosts(w)
+	poolCosts(w)
+	placementCosts(w)
+	usageCosts(w)
+	trackerCosts(w)
+	membershipCosts(w)
+}
+
+// configurationCosts prints what reading a configuration, and the next version of it, costs.
+func configurationCosts(w io.Writer) {
 	fmt.Fprintln(w, "configuration: routes, raw MB, packed KB, read s, heap MB, next version: difference bytes, read s, heap MB of both")
 	for _, n := range []int{1_100, 11_000, 110_000} {
 		cli.Routes, cli.Services, cli.Tenants, cli.Proxies, cli.PerProxy = n, max(1, n/44), 100, 100, 10
@@ -68,6 +78,10 @@
 		runtime.KeepAlive(b)
 		runtime.KeepAlive(rd)
 	}
+}
+
+// poolCosts prints what a proxy's pool of upstreams costs.
+func poolCosts(w io.Writer) {
 	fmt.Fprintln(w, "upstreams: number, list MB as held and sent, heap MB at a proxy, first taking ms, taking a difference of ten ms, calls to read it")
 	for _, n := range []int{620, 6_200, 62_000} {
 		l := &discovery.List{Num: 1}
@@ -82,6 +96,10 @@
 		fmt.Fprintf(w, "  %d, %.2f, %.1f, %.2f, %.2f, %d\n", n, float64(gobSize(discovery.Diff(nil, l)))/1e6, held/1e6, first.Seconds()*1e3, again.Seconds()*1e3, (n+49)/50)
 		runtime.KeepAlive(pool)
 	}
+}
+
+// placementCosts prints what placing a stream costs.
+func placementCosts(w io.Writer) {
 	fmt.Fprintln(w, "a stream's placement: upstreams of its service in its zone, microseconds")
 	for _, n := range []int{50, 500, 5_000} {
 		pool := proxy.NewPool("p", "z", map[string]string{"z": "r"}, func(string) int { return 5 }, func(string) time.Duration { return 0 })
@@ -93,7 +111,11 @@
 		i := 0
 		fmt.Fprintf(w, "  %d, %.1f\n", n, float64(timed(300, func() { pool.PlaceStream("svc", fmt.Sprint(i)); i++ }).Nanoseconds())/1e3)
 	}
-	fmt.Fprintln(w, "usage at the holder: proxies of 40 tenants each, microseconds a word, heap MB of a window, then tenants in a report: MB, ms to add up and write it")
+}
+
+// usageCosts prints what a holder of the usage report's duty pays for reports and their sum.
+func usageCosts(w io.Writer) {
+	fmt.Fprintln(w, "usage at the holder: proxies of 40 tenants each, microseconds a report, heap MB of a window, then tenants in a report: MB, ms to add up and write it")
 	for i, n := range []int{52, 520, 5_200} {
 		base := heap()
 		t := usage.NewTally(1)
@@ -109,7 +131,7 @@
 		for k := range 40 {
 			c[fmt.Sprintf("t%06d", k)] = 3
 		}
-		word := timed(1000, func() {
+		report := timed(1000, func() {
 			t.Take(0, 101, usage.Report{Proxy: "0", Life: 1, Windows: map[uint64]usage.Counts{100: c}})
 		})
 		many := []int{2_000, 20_000, 200_000}[i]
@@ -119,8 +141,12 @@
 		}
 		var body []byte
 		wrote := timed(1, func() { body = usage.Body(100, sum) })
-		fmt.Fprintf(w, "  %d, %.1f, %.2f; %d, %.2f, %.1f\n", n, float64(word.Nanoseconds())/1e3, held/1e6, many, float64(len(body))/1e6, wrote.Seconds()*1e3)
+		fmt.Fprintf(w, "  %d, %.1f, %.2f; %d, %.2f, %.1f\n", n, float64(report.Nanoseconds())/1e3, held/1e6, many, float64(len(body))/1e6, wrote.Seconds()*1e3)
 	}
+}
+
+// trackerCosts prints what a tracker pays for its keys and for a question.
+func trackerCosts(w io.Writer) {
 	fmt.Fprintln(w, "admission at a tracker: keys, proxies asking for two each, heap MB, microseconds a question")
 	for _, n := range [][2]int{{2_000, 52}, {20_000, 520}, {200_000, 5_200}} {
 		base := heap()
@@ -144,6 +170,10 @@
 		fmt.Fprintf(w, "  %d, %d, %.1f, %.1f\n", n[0], n[1], (heap()-base)/1e6, float64(took.Nanoseconds())/float64(asked)/1e3)
 		runtime.KeepAlive(tracker)
 	}
+}
+
+// membershipCosts prints what the membership of many costs one of them.
+func membershipCosts(w io.Writer) {
 	fmt.Fprintln(w, "membership: members, heap MB, microseconds a datagram")
 	for _, n := range []int{52, 520, 5_200} {
 		base := heap()
--- a/cmd/scalerun/trial.go
+++ b/cmd/scalerun/trial.go
@@ -11,6 +11,7 @@
 	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/oklog/run"
@@ -44,160 +45,226 @@
 	return d, d.AddHollow(g, group)
 }
 
+// trial runs the whole system once and prints its figures.
 func trial() error {
 	dir, err := os.MkdirTemp("", "scalerun")
 	if err != nil {
 		return err
 	}
 	defer os.RemoveAll(dir)
-	pl, err := startPlatform()
+	platform, err := startPlatform()
 	if err != nil {
 		return err
 	}
-	var controls []*proc
-	defer func() {
-		for _, p := range controls {
-			p.end()
-		}
-	}()
+	sys := &system{}
+	defer sys.end()
+	if err := sys.startProcesses(dir); err != nil {
+		return err
+	}
+	if err := sys.startHollow(); err != nil {
+		return err
+	}
+	requests := startRequests(sys.hollow)
+	time.Sleep(settleTime)
+	sys.measureSteady()
+	if cli.Load > 0 {
+		sys.measureLoad()
+	}
+	if err := sys.measureChanges(); err != nil {
+		return err
+	}
+	made, refused := requests.end()
+	platform.mu.Lock()
+	defer platform.mu.Unlock()
+	fmt.Printf("  %d made-up requests, %d refused; %d usage reports, %d list pages read\n", made, refused, platform.reports, platform.calls)
+	return nil
+}
+
+// settleTime is how long shares are reported and leases taken before the steady state is
+// measured.
+const settleTime = 10 * time.Second
+
+// system is all that a trial has started.
+type system struct {
+	processes []*proc // the control processes, then the real proxy
+	real      *proc
+	hollow    []*proxy.Daemon
+	empty     runtime.MemStats // of this process, before there were hollow proxies
+	informed  time.Duration    // until all hollow proxies had the configuration and the list
+	joining   time.Duration    // processor time of the control processes meanwhile
+}
+
+func (s *system) end() {
+	for _, p := range s.processes {
+		p.end()
+	}
+}
+
+func (s *system) controls() []*proc { return s.processes[:cli.Control] }
+
+// controlTime is the processor time that all control processes have used.
+func (s *system) controlTime() (used time.Duration) {
+	for _, p := range s.controls() {
+		used += cpu(p.cmd.Process.Pid)
+	}
+	return used
+}
+
+// startProcesses starts the control processes and the real proxy, with a configuration.
+func (s *system) startProcesses(dir string) error {
 	for i := range cli.Control {
 		p, err := startControl(dir, i)
 		if err != nil {
 			return err
 		}
-		controls = append(controls, p)
+		s.processes = append(s.processes, p)
 	}
-	real, err := start(dir, "proxy", "proxy-0", "127.10.1.1", "", constants.PortProxyAdmin)
+	p, err := start(dir, "proxy", "proxy-0", "127.10.1.1", "", constants.PortProxyAdmin)
 	if err != nil {
 		return err
 	}
-	controls = append(controls, real)
-	if err := post(1); err != nil {
-		return err
-	}
-	var empty runtime.MemStats
+	s.real = p
+	s.processes = append(s.processes, p)
+	return post(1)
+}
+
+// startHollow starts the hollow proxies and waits until all are informed.
+func (s *system) startHollow() error {
 	runtime.GC()
-	runtime.ReadMemStats(&empty)
-	used := func() (d time.Duration) {
-		for _, p := range controls[:cli.Control] {
-			d += cpu(p.cmd.Process.Pid)
-		}
-		return d
-	}
-	began := used()
+	runtime.ReadMemStats(&s.empty)
+	began := s.controlTime()
 	g := &run.Group{}
 	group := rungroup.New(g)
-	var ds []*proxy.Daemon
 	for i := range cli.Proxies {
 		d, err := hollow(i, g, group)
 		if err != nil {
 			return err
 		}
-		ds = append(ds, d)
+		s.hollow = append(s.hollow, d)
 	}
 	go g.Run()
-	all := func(version uint64) func() bool {
-		return func() bool {
-			return !slices.ContainsFunc(ds, func(d *proxy.Daemon) bool { return d.Version() < version || d.Upstreams() < cli.Upstreams })
-		}
-	}
-	informed, err := waitFor("all proxies informed", all(1))
+	informed, err := waitFor("all proxies informed", s.allInformed(1))
 	if err != nil {
 		return err
 	}
-	joining := used() - began
-	stop := make(chan struct{})
-	var wg sync.WaitGroup
-	var made, refused sync.Map
-	for i, d := range ds {
-		wg.Go(func() {
-			r := rand.New(rand.NewPCG(uint64(i), 1))
-			zipf := rand.NewZipf(r, 1.2, 4, uint64(cli.Tenants-1))
-			n, no := 0, 0
-			for {
-				select {
-				case <-stop:
-					made.Store(i, n)
-					refused.Store(i, no)
-					return
-				case <-time.After(time.Duration(r.ExpFloat64() / cli.PerProxy * float64(time.Second))):
-				}
-				n++
-				if !d.Rehearse(fmt.Sprintf("t%06d", zipf.Uint64())) {
-					no++
-				}
-			}
-		})
-	}
-	time.Sleep(10 * time.Second) // shares are told, leases taken
-	before, mine := make([]reading, len(controls)), here()
-	for i, p := range controls {
+	s.informed, s.joining = informed, s.controlTime()-began
+	return nil
+}
+
+// allInformed says whether all hollow proxies have a version, and all upstreams.
+func (s *system) allInformed(version uint64) func() bool {
+	behind := func(d *proxy.Daemon) bool { return d.Version() < version || d.Upstreams() < cli.Upstreams }
+	return func() bool { return !slices.ContainsFunc(s.hollow, behind) }
+}
+
+// measureSteady prints what each kind of process uses while nothing changes.
+func (s *system) measureSteady() {
+	before, mine := make([]reading, len(s.processes)), here()
+	for i, p := range s.processes {
 		before[i] = p.read()
 	}
 	time.Sleep(cli.For)
-	var cs []float64
-	var bytesOut, msgs, most float64
-	for i, p := range controls[:cli.Control] {
-		a := p.read()
-		s := a.at.Sub(before[i].at).Seconds()
-		cs = append(cs, (a.cpu-before[i].cpu).Seconds()/s)
-		bytesOut += (a.out - before[i].out) / s / float64(cli.Control)
-		msgs += (a.outM - before[i].outM + a.inMs - before[i].inMs) / s / float64(cli.Control)
-		most = max(most, rss(p.cmd.Process.Pid))
-	}
-	is := here()
-	s, n := is.at.Sub(mine.at).Seconds(), float64(cli.Proxies)
+	var cores []float64
+	var bytesOut, messages, peak float64
+	for i, p := range s.controls() {
+		after := p.read()
+		seconds := after.at.Sub(before[i].at).Seconds()
+		cores = append(cores, (after.cpu-before[i].cpu).Seconds()/seconds)
+		bytesOut += (after.bytesOut - before[i].bytesOut) / seconds / float64(cli.Control)
+		messages += (after.messagesOut - before[i].messagesOut + after.messagesIn - before[i].messagesIn) / seconds / float64(cli.Control)
+		peak = max(peak, rss(p.cmd.Process.Pid))
+	}
+	now := here()
+	seconds, n := now.at.Sub(mine.at).Seconds(), float64(cli.Proxies)
 	debug.FreeOSMemory()
 	var full runtime.MemStats
 	runtime.ReadMemStats(&full)
-	a := real.read()
+	after := s.real.read()
 	fmt.Printf("proxies %d, control %d, upstreams %d, routes %d, tenants %d, %g requests/s a proxy\n", cli.Proxies, cli.Control, cli.Upstreams, cli.Routes, cli.Tenants, cli.PerProxy)
-	fmt.Printf("  all started at once were informed after %v; that took %.2f ms of processor time a proxy, of all control processes\n", informed.Round(10*time.Millisecond), joining.Seconds()*1e3/n)
-	fmt.Printf("  control process: cores mean %.4f most %.4f; peak memory %.0f MB; %.1f KB/s out, %.0f messages/s\n", mean(cs), slices.Max(cs), most, bytesOut/1e3, msgs)
-	fmt.Printf("  hollow proxy: cores %.5f; heap and stacks %.2f MB; %.2f KB/s in, %.2f KB/s out, %.1f messages/s (made-up requests included)\n", (is.cpu-mine.cpu).Seconds()/s/n,
-		float64(full.HeapInuse+full.StackInuse-empty.HeapInuse-empty.StackInuse)/n/1e6, (is.in-mine.in)/s/n/1e3, (is.out-mine.out)/s/n/1e3, (is.inMs-mine.inMs+is.outM-mine.outM)/s/n)
+	fmt.Printf("  all started at once were informed after %v; that took %.2f ms of processor time a proxy, of all control processes\n", s.informed.Round(10*time.Millisecond), s.joining.Seconds()*1e3/n)
+	fmt.Printf("  control process: cores mean %.4f most %.4f; peak memory %.0f MB; %.1f KB/s out, %.0f messages/s\n", mean(cores), slices.Max(cores), peak, bytesOut/1e3, messages)
+	fmt.Printf("  hollow proxy: cores %.5f; heap and stacks %.2f MB; %.2f KB/s in, %.2f KB/s out, %.1f messages/s (made-up requests included)\n", (now.cpu-mine.cpu).Seconds()/seconds/n,
+		float64(full.HeapInuse+full.StackInuse-s.empty.HeapInuse-s.empty.StackInuse)/n/1e6, (now.bytesIn-mine.bytesIn)/seconds/n/1e3, (now.bytesOut-mine.bytesOut)/seconds/n/1e3, (now.messagesIn-mine.messagesIn+now.messagesOut-mine.messagesOut)/seconds/n)
 	last := before[len(before)-1]
-	fmt.Printf("  real proxy, idle: cores %.4f; peak memory %.0f MB; %.2f KB/s in and out\n", (a.cpu-last.cpu).Seconds()/s, rss(real.cmd.Process.Pid), (a.in+a.out-last.in-last.out)/s/1e3)
-	if cli.Load > 0 {
-		b := real.read()
-		through, failed := load(net.JoinHostPort(real.ip, strconv.Itoa(portFront)), cli.Load, cli.For)
-		a := real.read()
-		direct, _ := load(echoAddr(0), cli.Load, cli.For)
-		n := float64(len(through) + failed)
-		fmt.Printf("  real proxy at %g requests/s: p50 %v p99 %v, directly p50 %v p99 %v: it adds %v at p50, %v at p99; %d of %.0f failed; %.3f ms of processor time a request\n", cli.Load,
-			at(through, 0.5), at(through, 0.99), at(direct, 0.5), at(direct, 0.99), at(through, 0.5)-at(direct, 0.5), at(through, 0.99)-at(direct, 0.99), failed, n, (a.cpu-b.cpu).Seconds()*1e3/n)
-	}
-	var ways []time.Duration
+	fmt.Printf("  real proxy, idle: cores %.4f; peak memory %.0f MB; %.2f KB/s in and out\n", (after.cpu-last.cpu).Seconds()/seconds, rss(s.real.cmd.Process.Pid), (after.bytesIn+after.bytesOut-last.bytesIn-last.bytesOut)/seconds/1e3)
+}
+
+// measureLoad prints what the real proxy adds to requests that also go directly.
+func (s *system) measureLoad() {
+	before := s.real.read()
+	through, failed := load(net.JoinHostPort(s.real.ip, strconv.Itoa(portFront)), cli.Load, cli.For)
+	after := s.real.read()
+	direct, _ := load(echoAddr(0), cli.Load, cli.For)
+	n := float64(len(through) + failed)
+	fmt.Printf("  real proxy at %g requests/s: p50 %v p99 %v, directly p50 %v p99 %v: it adds %v at p50, %v at p99; %d of %.0f failed; %.3f ms of processor time a request\n", cli.Load,
+		at(through, 0.5), at(through, 0.99), at(direct, 0.5), at(direct, 0.99), at(through, 0.5)-at(direct, 0.5), at(through, 0.99)-at(direct, 0.99), failed, n, (after.cpu-before.cpu).Seconds()*1e3/n)
+}
+
+// measureChanges prints how long configuration changes take to be everywhere, and, if
+// that is asked for, one more with a control process killed.
+func (s *system) measureChanges() error {
+	var took []time.Duration
 	for v := 2; v < 2+cli.Changes; v++ {
 		began := time.Now()
 		if err := post(v); err != nil {
 			return err
 		}
-		if _, err := waitFor("change everywhere", all(uint64(v))); err != nil {
+		if _, err := waitFor("change everywhere", s.allInformed(uint64(v))); err != nil {
 			return err
 		}
-		ways = append(ways, time.Since(began).Round(time.Millisecond))
+		took = append(took, time.Since(began).Round(time.Millisecond))
 		time.Sleep(time.Second)
 	}
-	fmt.Printf("  changes, from the call to the last proxy: %v\n", ways)
-	if cli.Kill {
-		controls[0].cmd.Process.Kill()
-		began := time.Now()
-		if err := post(2 + cli.Changes); err != nil {
-			return err
+	fmt.Printf("  changes, from the call to the last proxy: %v\n", took)
+	if !cli.Kill {
+		return nil
+	}
+	s.processes[0].cmd.Process.Kill()
+	began := time.Now()
+	if err := post(2 + cli.Changes); err != nil {
+		return err
+	}
+	if _, err := waitFor("change everywhere with a control process lost", s.allInformed(uint64(2+cli.Changes))); err != nil {
+		return err
+	}
+	fmt.Printf("  a control process killed: the next change was everywhere after %v\n", time.Since(began).Round(time.Millisecond))
+	return nil
+}
+
+// requests are the made-up requests of all hollow proxies; each has a goroutine.
+type requests struct {
+	stop          chan struct{}
+	wg            sync.WaitGroup
+	made, refused atomic.Int64
+}
+
+func startRequests(proxies []*proxy.Daemon) *requests {
+	r := &requests{stop: make(chan struct{})}
+	for i, d := range proxies {
+		r.wg.Go(func() { r.run(d, rand.New(rand.NewPCG(uint64(i), 1))) })
+	}
+	return r
+}
+
+// run makes requests at one proxy until the end.
+func (r *requests) run(d *proxy.Daemon, rng *rand.Rand) {
+	zipf := rand.NewZipf(rng, 1.2, 4, uint64(cli.Tenants-1))
+	for {
+		select {
+		case <-r.stop:
+			return
+		case <-time.After(time.Duration(rng.ExpFloat64() / cli.PerProxy * float64(time.Second))):
 		}
-		if _, err := waitFor("change everywhere with a control process lost", all(uint64(2+cli.Changes))); err != nil {
-			return err
+		r.made.Add(1)
+		if !d.Rehearse(fmt.Sprintf("t%06d", zipf.Uint64())) {
+			r.refused.Add(1)
 		}
-		fmt.Printf("  a control process killed: the next change was everywhere after %v\n", time.Since(began).Round(time.Millisecond))
-	}
-	close(stop)
-	wg.Wait()
-	sum, no := 0, 0
-	made.Range(func(_, v any) bool { sum += v.(int); return true })
-	refused.Range(func(_, v any) bool { no += v.(int); return true })
-	pl.mu.Lock()
-	defer pl.mu.Unlock()
-	fmt.Printf("  %d made-up requests, %d refused; %d usage reports, %d list pages read\n", sum, no, pl.reports, pl.calls)
-	return nil
+	}
+}
+
+// end stops the requests, and returns how many were made and refused.
+func (r *requests) end() (made, refused int64) {
+	close(r.stop)
+	r.wg.Wait()
+	return r.made.Load(), r.refused.Load()
 }
