--- a/cmd/slateridge/modelcheck.go
+++ b/cmd/slateridge/modelcheck.go
@@ -81,46 +81,29 @@
 	return func() modelcheck.Model { return admissionmodel.New(cfg) }, admissionmodel.ChoiceKinds
 }
 
+// Run searches, or replays one schedule.
 func (c modelcheckCmd) Run() error {
-	if c.Model == "admission" && (c.Proxies < 1 || c.Proxies+c.Newcomers > admissionmodel.MostProxies) {
-		return usageError{fmt.Errorf("admission has one to %d proxies, newcomers among them", admissionmodel.MostProxies)}
-	}
-	mk, kinds := c.model()
-	for _, k := range slices.Concat(c.Kinds, c.Without) {
-		if !slices.Contains(kinds, k) {
-			return usageError{fmt.Errorf("there is no kind %q; there are %s", k, strings.Join(kinds, ", "))}
-		}
-	}
-	if c.Deviations < 0 || c.Faults < 0 || c.Depth < 0 || c.Step < 0 || c.Jobs < 1 || c.Newcomers < 0 || c.Newcomers > 5 || c.Operators < 0 || c.Operators > 8 || c.Warm < 0 {
-		return usageError{errors.New("a bound is out of its range")}
-	}
-	if c.Founders != 3 && c.Founders != 5 || c.Founders+c.Newcomers > 8 {
-		return usageError{errors.New("there are 3 or 5 founders, and 8 machines at most")}
+	newModel, kinds := c.model()
+	if err := c.check(kinds); err != nil {
+		return usageError{err}
 	}
 	if c.Replay != "" {
-		err := modelcheck.Replay(mk(), modelcheck.Parse(c.Replay))
-		if errors.Is(err, modelcheck.ErrNotEnabled) {
-			return usageError{err}
-		}
-		if err != nil {
-			fmt.Println("broken:", err)
-			return errBroken
-		}
-		fmt.Println("no rule was broken")
-		return nil
+		return replay(newModel(), c.Replay)
 	}
-	run := modelcheck.Systematic
+	search := modelcheck.Systematic
 	if c.Strategy == "random" {
-		run = modelcheck.Random
-	}
-	r := run(mk, modelcheck.Options{Deviations: c.Deviations, Depth: c.Depth, Schedules: c.Schedules, Limit: c.Limit, Seed: c.Seed, Jobs: c.Jobs, KeepGoing: c.KeepGoing,
-		Progress: func(r modelcheck.Report) {
-			level := ""
-			if r.LevelOf > 0 {
-				level = fmt.Sprintf(", %d of %d with %d deviations", r.LevelDone, r.LevelOf, r.Level)
-			}
-			fmt.Fprintf(os.Stderr, "%4.0f s: %d schedules%s, deepest %d, %d rules broken\n", r.Took.Seconds(), r.Schedules, level, r.Deepest, len(r.Failures))
-		}})
+		search = modelcheck.Random
+	}
+	r := search(newModel, modelcheck.Options{
+		Deviations: c.Deviations,
+		Depth:      c.Depth,
+		Schedules:  c.Schedules,
+		Limit:      c.Limit,
+		Seed:       c.Seed,
+		Jobs:       c.Jobs,
+		KeepGoing:  c.KeepGoing,
+		Progress:   printProgress,
+	})
 	fmt.Println(r)
 	for _, f := range r.Failures {
 		fmt.Printf("\nbroken: %s\nfound:  %s\nshrunk: %s\nas a test:\n%s\n", f.Err, f.Found, f.Shrunk, f.Source())
@@ -130,3 +113,53 @@
 	}
 	return nil
 }
+
+// The most machines and operators that the chain's model has names for.
+const (
+	mostMachines  = 8
+	mostNewcomers = 5
+	mostOperators = 8
+)
+
+// check says which flag is out of its range; kinds are the model's kinds of choices.
+func (c modelcheckCmd) check(kinds []string) error {
+	if c.Model == "admission" && (c.Proxies < 1 || c.Proxies+c.Newcomers > admissionmodel.MostProxies) {
+		return fmt.Errorf("admission has one to %d proxies, newcomers among them", admissionmodel.MostProxies)
+	}
+	for _, k := range slices.Concat(c.Kinds, c.Without) {
+		if !slices.Contains(kinds, k) {
+			return fmt.Errorf("there is no kind %q; there are %s", k, strings.Join(kinds, ", "))
+		}
+	}
+	negative := c.Deviations < 0 || c.Faults < 0 || c.Depth < 0 || c.Step < 0 || c.Newcomers < 0 || c.Operators < 0 || c.Warm < 0
+	if negative || c.Jobs < 1 || c.Newcomers > mostNewcomers || c.Operators > mostOperators {
+		return errors.New("a bound is out of its range")
+	}
+	if c.Founders != 3 && c.Founders != 5 || c.Founders+c.Newcomers > mostMachines {
+		return errors.New("there are 3 or 5 founders, and 8 machines at most")
+	}
+	return nil
+}
+
+// replay runs one schedule and prints the rule that it breaks.
+func replay(m modelcheck.Model, schedule string) error {
+	err := modelcheck.Replay(m, modelcheck.Parse(schedule))
+	if errors.Is(err, modelcheck.ErrNotEnabled) {
+		return usageError{err}
+	}
+	if err != nil {
+		fmt.Println("broken:", err)
+		return errBroken
+	}
+	fmt.Println("no rule was broken")
+	return nil
+}
+
+// printProgress prints how far a search has come.
+func printProgress(r modelcheck.Report) {
+	level := ""
+	if r.LevelOf > 0 {
+		level = fmt.Sprintf(", %d of %d with %d deviations", r.LevelDone, r.LevelOf, r.Level)
+	}
+	fmt.Fprintf(os.Stderr, "%4.0f s: %d schedules%s, deepest %d, %d rules broken\n", r.Took.Seconds(), r.Schedules, level, r.Deepest, len(r.Failures))
+}
--- a/cmd/slateridge/status.go
+++ b/cmd/slateridge/status.go
@@ -152,9 +152,37 @@
 
 func ago(d time.Duration) string { return d.Round(10 * time.Millisecond).String() }
 
+// showControl prints a control process's report.
 func showControl(t io.Writer, addr string, r controlplane.Report, all bool) {
-	v := r.Chain.View
 	fmt.Fprintf(t, "control %s at %s\n", r.Node, addr)
+	showView(t, r)
+	showVoters(t, r)
+	fmt.Fprintf(t, "  configuration\tr%d in force (state %d/%d, held %d/%d); %d of %d connected proxies hold it\n", r.Chain.Version, r.Chain.Committed.View, r.Chain.Committed.Seq, r.Chain.Held.View, r.Chain.Held.Seq, r.Acked, len(r.Proxies))
+	if late := r.Late(); len(late) > 0 {
+		fmt.Fprintf(t, "  behind\t%s\n", names(all, late))
+	}
+	showEvacuated(t, r.Evacuated)
+	showDirectory(t, r)
+	fmt.Fprintf(t, "  upstreams\t%d listed, list %d, read %s ago\n", r.Upstreams, r.ListNum, ago(r.ListAge))
+	showDuties(t, r)
+	for _, s := range r.Scaling {
+		ordered := "nothing ordered"
+		if s.Ordered >= 0 {
+			ordered = fmt.Sprintf("ordered %d", s.Ordered)
+		}
+		fmt.Fprintf(t, "    %s\t%s\t%s\tpresent %d\t%s\n", s.Service, s.Zone, ordered, s.Present, s.Why)
+	}
+	rows(t, all, r.Proxies, func(p distribution.ProxyState) bool {
+		return p.Version < r.Chain.Version || p.ListNum < r.ListNum || !p.Ready || p.Silent > constants.SubscriptionSilence
+	}, func(p distribution.ProxyState) {
+		fmt.Fprintf(t, "    %s\tr%d\tlist %d\tready %v\theard %s ago\n", p.Name, p.Version, p.ListNum, p.Ready, ago(p.Silent))
+	})
+	showCommon(t, r.Members, r.Events)
+}
+
+// showView prints the chain's members and this process's part in it.
+func showView(t io.Writer, r controlplane.Report) {
+	v := r.Chain.View
 	var ms []string
 	for i, m := range v.Members {
 		s := m.Addr
@@ -182,28 +210,31 @@
 		contact = fmt.Sprintf("in contact with a majority: %v, last %s ago", r.Current, ago(r.Contact))
 	}
 	fmt.Fprintf(t, "  view\t%d of %d voters: %s\n  state\t%s; %s\n", v.Num, len(v.Voters), strings.Join(ms, ", "), state, contact)
-	showVoters(t, r)
-	fmt.Fprintf(t, "  configuration\tr%d in force (state %d/%d, held %d/%d); %d of %d connected proxies hold it\n", r.Chain.Version, r.Chain.Committed.View, r.Chain.Committed.Seq, r.Chain.Held.View, r.Chain.Held.Seq, r.Acked, len(r.Proxies))
-	if late := r.Late(); len(late) > 0 {
-		fmt.Fprintf(t, "  behind\t%s\n", names(all, late))
+}
+
+// showDirectory prints what the directory has answered, and its places by zone.
+func showDirectory(t io.Writer, r controlplane.Report) {
+	d := r.Directory
+	if d == nil {
+		return
 	}
-	showEvacuated(t, r.Evacuated)
-	if d := r.Directory; d != nil {
-		fmt.Fprintf(t, "  directory\t%d look-ups, %d unanswered, %d answers made that name other zones\n", d.Asked, d.Empty, d.Spilled)
-		zones := map[string]map[string]int{}
-		for _, p := range d.Places {
-			z := p.Region + "/" + p.Zone
-			if zones[z] == nil {
-				zones[z] = map[string]int{}
-			}
-			zones[z][p.State()]++
-		}
-		for _, z := range slices.Sorted(maps.Keys(zones)) {
-			n := zones[z]
-			fmt.Fprintf(t, "    %s\t%d named\t%d not ready\t%d gone\t%d silent\n", z, n["named"], n["not_ready"], n["gone"], n["silent"])
+	fmt.Fprintf(t, "  directory\t%d look-ups, %d unanswered, %d answers made that name other zones\n", d.Asked, d.Empty, d.Spilled)
+	zones := map[string]map[string]int{}
+	for _, p := range d.Places {
+		z := p.Region + "/" + p.Zone
+		if zones[z] == nil {
+			zones[z] = map[string]int{}
 		}
+		zones[z][p.State()]++
 	}
-	fmt.Fprintf(t, "  upstreams\t%d listed, list %d, read %s ago\n", r.Upstreams, r.ListNum, ago(r.ListAge))
+	for _, z := range slices.Sorted(maps.Keys(zones)) {
+		n := zones[z]
+		fmt.Fprintf(t, "    %s\t%d named\t%d not ready\t%d gone\t%d silent\n", z, n["named"], n["not_ready"], n["gone"], n["silent"])
+	}
+}
+
+// showDuties prints who holds the duties, and how those at the platform stand.
+func showDuties(t io.Writer, r controlplane.Report) {
 	var ds []string
 	for d, who := range r.Duties {
 		if who == "" {
@@ -224,19 +255,6 @@
 		}
 		fmt.Fprintln(t)
 	}
-	for _, s := range r.Scaling {
-		ordered := "nothing ordered"
-		if s.Ordered >= 0 {
-			ordered = fmt.Sprintf("ordered %d", s.Ordered)
-		}
-		fmt.Fprintf(t, "    %s\t%s\t%s\tpresent %d\t%s\n", s.Service, s.Zone, ordered, s.Present, s.Why)
-	}
-	rows(t, all, r.Proxies, func(p distribution.ProxyState) bool {
-		return p.Version < r.Chain.Version || p.ListNum < r.ListNum || !p.Ready || p.Silent > constants.SubscriptionSilence
-	}, func(p distribution.ProxyState) {
-		fmt.Fprintf(t, "    %s\tr%d\tlist %d\tready %v\theard %s ago\n", p.Name, p.Version, p.ListNum, p.Ready, ago(p.Silent))
-	})
-	showCommon(t, r.Members, r.Events)
 }
 
 // showVoters tells what the electorate can bear, and by name who is not as should be.
--- a/cmd/slateridge/whole_test.go
+++ b/cmd/slateridge/whole_test.go
@@ -39,7 +39,7 @@
 }
 
 // report is the platform's side of a usage report.
-func (s *site) report(w http.ResponseWriter, r *http.Request) {
+func (s *site) report(_ http.ResponseWriter, r *http.Request) {
 	b, _ := io.ReadAll(r.Body)
 	var m struct{ WindowNumber json.Number }
 	json.Unmarshal(b, &m)
