--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -64,7 +64,7 @@
 	return all[max(0, len(all)-n):]
 }
 
-// Count of one kind in a fold of all events.
+// Tally is how many events of one kind there were.
 type Tally struct {
 	Kind string
 	N    uint64
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -40,6 +40,7 @@
 	return time.Duration(f * float64(unit)), nil
 }
 
+// UnmarshalJSON reads a duration written as a string, such as "1500ms".
 func (s *Duration) UnmarshalJSON(b []byte) error {
 	var t string
 	if err := json.Unmarshal(b, &t); err != nil {
@@ -50,6 +51,7 @@
 	return err
 }
 
+// MarshalJSON writes the duration as UnmarshalJSON reads it.
 func (s Duration) MarshalJSON() ([]byte, error) {
 	return json.Marshal(s.String())
 }
--- a/internal/simnet/simnet.go
+++ b/internal/simnet/simnet.go
@@ -97,11 +97,14 @@
 
 var errRefused = errors.New("refused")
 
+// Get reads a value into v, and says whether there was one.
 func (d *Disk) Get(key string, v any) bool {
 	b, ok := d.vals[key]
 	return ok && gob.NewDecoder(bytes.NewReader(b)).Decode(v) == nil
 }
 
+// Put keeps a value, or fails as a full or broken disk does; after a failure nothing is
+// written until Recover.
 func (d *Disk) Put(key string, v any) error {
 	if d.Refuse || d.failed || d.Full > 0 && len(d.vals) >= d.Full {
 		d.failed = true
@@ -115,8 +118,10 @@
 	return nil
 }
 
+// Failed says whether a write has failed since the disk was opened.
 func (d *Disk) Failed() bool { return d.failed }
 
+// Recover opens the disk anew after a failure, unless it still refuses.
 func (d *Disk) Recover() error {
 	if d.Refuse {
 		return errRefused
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -38,7 +38,9 @@
 var Malformed atomic.Uint64
 
 var (
-	ErrClosed  = errors.New("connection closed")
+	// ErrClosed says that the connection was closed, by either end.
+	ErrClosed = errors.New("connection closed")
+	// ErrTimeout says that no answer came in time.
 	ErrTimeout = errors.New("no answer in time")
 	// ErrRefused says that nobody listens there: the process is not running.
 	ErrRefused = errors.New("connection refused")
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -20,7 +20,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { l.Close() })
-	go Serve(l, func(conn *Conn, body any) any {
+	go Serve(l, func(_ *Conn, body any) any {
 		if w, ok := body.(word); ok {
 			return word{strings.ToUpper(w.S)}
 		}
