--- a/internal/admission/admit.go
+++ b/internal/admission/admit.go
@@ -21,80 +21,80 @@
 func (l *Limiter) Admit(now time.Duration, key string, again bool) Verdict {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	b := l.keys[key]
-	if b == nil {
+	ks := l.keys[key]
+	if ks == nil {
 		return Verdict{OK: true}
 	}
-	l.refresh(b, now)
-	quotaHasRoom := b.wholeQuota.tokens >= 1
+	l.refresh(ks, now)
+	quotaHasRoom := ks.wholeQuota.tokens >= 1
 	if !again {
-		b.countArrival(now, quotaHasRoom)
+		ks.countArrival(now, quotaHasRoom)
 	}
-	grant := &b.grant.tokens
-	if b.carried && !b.onStandby {
+	grant := &ks.grant.tokens
+	if ks.carried && !ks.onStandby {
 		grant = new(float64) // the standby is not to be used
 	}
-	available := b.split.tokens + *grant + b.oneOff
-	if b.fast.tokens >= 1 && available >= 1-1e-9 {
-		b.spendToken(now, grant)
+	available := ks.split.tokens + *grant + ks.waitingTokens
+	if ks.peakRate.tokens >= 1 && available >= 1-1e-9 {
+		ks.spendToken(now, grant)
 		return Verdict{OK: true}
 	}
-	verdict := Verdict{Retry: b.retryAfter(now, available)}
+	verdict := Verdict{Retry: ks.retryAfter(now, available)}
 	// One question to the tracker costs less than a wrong refusal, unless it
 	// has just said that there is nothing.
-	if !again && now >= b.dryUntil && b.fast.tokens >= 1 {
+	if !again && now >= ks.noTokensUntil && ks.peakRate.tokens >= 1 {
 		verdict.Ask = true
 		return verdict
 	}
-	b.count.Refused++
+	ks.count.Refused++
 	if quotaHasRoom {
-		b.count.FalseRefused++
+		ks.count.FalseRefused++
 	}
 	return verdict
 }
 
 // countArrival counts a request once, in the demand and in the buckets that only audit.
-func (b *keyState) countArrival(now time.Duration, quotaHasRoom bool) {
-	b.arrived++
+func (ks *keyState) countArrival(now time.Duration, quotaHasRoom bool) {
+	ks.arrivals++
 	if quotaHasRoom {
-		b.wholeQuota.tokens--
+		ks.wholeQuota.tokens--
 	}
-	if b.shadow == nil {
+	if ks.shadow == nil {
 		return
 	}
-	b.shadow.bucket.fill(now)
-	if b.shadow.bucket.tokens >= 1 {
-		b.shadow.bucket.tokens--
+	ks.shadow.bucket.fill(now)
+	if ks.shadow.bucket.tokens >= 1 {
+		ks.shadow.bucket.tokens--
 	} else {
-		b.count.ShadowRefused++
+		ks.count.ShadowRefused++
 	}
 }
 
 // spendToken takes one token: from what was granted at once, then from the grant, and the
 // rest from the split share.
-func (b *keyState) spendToken(now time.Duration, grant *float64) {
-	b.fast.tokens--
+func (ks *keyState) spendToken(now time.Duration, grant *float64) {
+	ks.peakRate.tokens--
 	need, before := 1.0, *grant
-	need -= takeUpTo(&b.oneOff, need)
+	need -= takeUpTo(&ks.waitingTokens, need)
 	if need > 0 {
 		need -= takeUpTo(grant, need)
 	}
 	if need < 1 {
-		b.count.FromGrant++
+		ks.count.FromGrant++
 	} else {
-		b.count.FromSplit++
+		ks.count.FromSplit++
 	}
-	b.split.tokens -= need
-	b.count.Admitted++
+	ks.split.tokens -= need
+	ks.count.Admitted++
 	fromGrant := before - *grant
 	switch {
-	case b.carried && need < tokenEpsilon && fromGrant > 0:
-		b.standbyUsed += fromGrant
+	case ks.carried && need < tokenEpsilon && fromGrant > 0:
+		ks.standbyUsed += fromGrant
 	case need > 0 || fromGrant > 0:
-		b.lastAdmitted, b.standbyUsed = now, 0
+		ks.lastAdmitted, ks.standbyUsed = now, 0
 	}
 	if fromGrant < 1-tokenEpsilon {
-		b.tokensUsedAt = now
+		ks.tokensUsedAt = now
 	}
 }
 
@@ -108,17 +108,17 @@
 }
 
 // retryAfter is when a refused client should try again, with so many tokens available now.
-func (b *keyState) retryAfter(now time.Duration, available float64) time.Duration {
+func (ks *keyState) retryAfter(now time.Duration, available float64) time.Duration {
 	retry := time.Second
-	if rate := b.split.rate + b.grant.rate; rate > 0 {
+	if rate := ks.split.rate + ks.grant.rate; rate > 0 {
 		retry = time.Duration(min(60, (1-available)/rate) * float64(time.Second))
 	}
 	// When the tracker has tokens again, as it answered; without contact, another proxy
 	// may be better off.
-	if due := b.dryUntil - now; due < retry {
+	if due := ks.noTokensUntil - now; due < retry {
 		retry = max(due, constants.RetrySoon)
 	}
-	if b.unansweredAt > 0 && now-b.unansweredAt < constants.RetryLost {
+	if ks.unansweredAt > 0 && now-ks.unansweredAt < constants.RetryLost {
 		retry = constants.RetryLost // another proxy finds no tracker either; it takes its time to come back
 	}
 	return retry
@@ -128,19 +128,19 @@
 func (l *Limiter) Settle(now time.Duration, key string, runs int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	b := l.keys[key]
-	if b == nil || runs == 1 {
+	ks := l.keys[key]
+	if ks == nil || runs == 1 {
 		return
 	}
-	l.refresh(b, now)
+	l.refresh(ks, now)
 	// The true cost is known now: none gives the token back, a further run
 	// costs one more, below zero if need be.
 	if runs == 0 {
-		b.split.tokens = min(b.split.depth, b.split.tokens+1)
-		b.fast.tokens = min(b.fast.depth, b.fast.tokens+1)
-		b.count.Returned++
+		ks.split.tokens = min(ks.split.depth, ks.split.tokens+1)
+		ks.peakRate.tokens = min(ks.peakRate.depth, ks.peakRate.tokens+1)
+		ks.count.Returned++
 	} else {
-		b.split.tokens -= float64(runs - 1)
-		b.count.Debited += uint64(runs - 1)
+		ks.split.tokens -= float64(runs - 1)
+		ks.count.Debited += uint64(runs - 1)
 	}
 }
--- a/internal/admission/answers.go
+++ b/internal/admission/answers.go
@@ -22,66 +22,66 @@
 
 // Take applies an answer to a question asked at a time; all of it is reckoned
 // from then, which is before the tracker reckoned.
-func (l *Limiter) Take(now, asked time.Duration, g Given) {
+func (l *Limiter) Take(now, asked time.Duration, given Given) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	b := l.keys[g.Key]
-	if b == nil {
+	ks := l.keys[given.Key]
+	if ks == nil {
 		return
 	}
-	l.refresh(b, now)
-	if ends := asked + grantLength(g.Long); !g.Keep && g.Long == b.carried && asked >= b.since && ends > now && ends > b.grantEnds {
-		b.grantEnds, b.grantAsked = ends, asked
-		if g.Long {
-			b.standby = min(g.Rate, b.quota.Rate)
-			l.shapeStandby(b, now)
+	l.refresh(ks, now)
+	if ends := asked + grantLength(given.Long); !given.Keep && given.Long == ks.carried && asked >= ks.modeSince && ends > now && ends > ks.grantExpires {
+		ks.grantExpires, ks.grantRequested = ends, asked
+		if given.Long {
+			ks.standbyRate = min(given.Rate, ks.quota.Rate)
+			l.resizeStandby(ks, now)
 		} else {
 			// Never more than the limit leaves beside the split share: the lease may
 			// have been given under a higher one.
-			b.grant.set(now, min(g.Rate, max(0, b.quota.Rate-b.split.rate)), min(g.Depth, max(0, b.quota.Burst-b.split.depth)))
+			ks.grant.set(now, min(given.Rate, max(0, ks.quota.Rate-ks.split.rate)), min(given.Depth, max(0, ks.quota.Burst-ks.split.depth)))
 		}
 	}
-	if g.Lent && asked == b.lentAsked && l.proxies > 0 {
-		l.takeLoan(b, now, asked, g)
+	if given.Lent && asked == ks.loanReported && l.proxies > 0 {
+		l.takeLoan(ks, now, asked, given)
 	}
-	if ends := asked + constants.OneOffLife; g.Tokens > 0 && ends > now {
-		if owed := max(0, -b.split.tokens); b.carried && owed > 0 {
-			paid := min(owed, max(0, g.Tokens-1))
-			b.split.tokens += paid
-			g.Tokens -= paid
+	if ends := asked + constants.OneOffLife; given.Tokens > 0 && ends > now {
+		if owed := max(0, -ks.split.tokens); ks.carried && owed > 0 {
+			paid := min(owed, max(0, given.Tokens-1))
+			ks.split.tokens += paid
+			given.Tokens -= paid
 		}
-		if g.Life != b.tokensFrom {
-			b.lastAdmitted, b.tokensFrom = b.spentAt(g.Life), g.Life
+		if given.Life != ks.tokensIncarnation {
+			ks.lastAdmitted, ks.tokensIncarnation = ks.lastSpentAt(given.Life), given.Life
 		}
-		b.oneOff += g.Tokens
-		b.oneOffEnds = ends
+		ks.waitingTokens += given.Tokens
+		ks.waitingTokensExpire = ends
 	}
-	if g.Dry > 0 {
-		b.dryUntil = now + g.Dry
+	if given.Dry > 0 {
+		ks.noTokensUntil = now + given.Dry
 	}
 }
 
-// takeLoan takes what a tracker says of the share that it was told is lent. It may
-// keep more of it than it was told, while others hold leases of that part.
-func (l *Limiter) takeLoan(b *keyState, now, asked time.Duration, g Given) {
-	b.loanCount = b.toldCount
-	if b.carried {
-		if g.Released && b.releaseBy > 0 {
-			l.takeShareBack(b, now)
-		} else if g.Keep {
-			b.lent = 0 // not noted there yet: told again with the next word
+// takeLoan takes what a tracker answers about the share that was reported as lent. It may
+// keep more of it than was reported, while others hold leases of that part.
+func (l *Limiter) takeLoan(ks *keyState, now, asked time.Duration, given Given) {
+	ks.loanProxies = ks.reportedProxies
+	if ks.carried {
+		if given.Released && ks.releaseDeadline > 0 {
+			l.takeShareBack(ks, now)
+		} else if given.Keep {
+			ks.lentPart = 0 // not noted there yet: the next report has it again
 		}
 		return
 	}
-	part := min(1, g.Loan*float64(l.proxies)/(constants.SplitPart*b.quota.Rate))
-	if part == b.lent {
+	part := min(1, given.Loan*float64(l.proxies)/(constants.SplitPart*ks.quota.Rate))
+	if part == ks.lentPart {
 		return
 	}
-	if part > b.lent {
-		b.lentEnds = max(b.lentEnds, asked+constants.LendLength)
+	if part > ks.lentPart {
+		ks.loanExpires = max(ks.loanExpires, asked+constants.LendLength)
 	}
-	b.lent = max(0, part)
-	l.shape(b, now)
+	ks.lentPart = max(0, part)
+	l.resizeBuckets(ks, now)
 }
 
 // Unanswered notes that a key's tracker did not answer: the next requests do
@@ -89,11 +89,11 @@
 func (l *Limiter) Unanswered(now time.Duration, key string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if b := l.keys[key]; b != nil {
-		b.dryUntil = now + constants.GrantEvery
-		if b.carried {
-			b.dryUntil = now + constants.AskRetryPause // there is nobody else to ask
-			b.unansweredAt = now
+	if ks := l.keys[key]; ks != nil {
+		ks.noTokensUntil = now + constants.GrantEvery
+		if ks.carried {
+			ks.noTokensUntil = now + constants.AskRetryPause // there is nobody else to ask
+			ks.unansweredAt = now
 		}
 	}
 }
--- a/internal/admission/contacts.go
+++ b/internal/admission/contacts.go
@@ -9,53 +9,54 @@
 
 // contact is what a tracker knows of its contact with a proxy.
 type contact struct {
-	echoedAt time.Duration // the latest that has reached it; none yet is long ago
-	askedAt  time.Duration // when it last asked here
-	proxies  int           // the live count it told last
-	life     uint64        // of its process
-	sent     time.Duration // the newest word of that life that tells of shares
+	echoedAt    time.Duration // the latest that has reached it; none yet is long ago
+	askedAt     time.Duration // when it last asked here
+	proxies     int           // the live count it reported last
+	incarnation uint64        // of its process
+	lastReport  time.Duration // when that incarnation sent its newest report of shares
 }
 
-// noteContact notes a proxy's word, and every so often whom this tracker may have lost.
-// It says whether a newer word that tells of shares, by the same process, came before.
-func (tracker *Tracker) noteContact(now time.Duration, a GrantRequest) (late bool) {
-	c, ok := tracker.contacts[a.Proxy]
+// noteContact notes a proxy's message, and every so often which proxies this tracker may have
+// lost contact with. It says whether a newer report of shares, by the same process, came
+// before.
+func (tracker *Tracker) noteContact(now time.Duration, request GrantRequest) (late bool) {
+	c, ok := tracker.contacts[request.Proxy]
 	if !ok {
 		c.echoedAt = now - 2*constants.GrantLong
-		tracker.outOfContact[a.Proxy] = true
+		tracker.outOfContact[request.Proxy] = true
 		tracker.scan++
 	}
-	if a.Echo.Life == tracker.life {
-		c.echoedAt = max(c.echoedAt, a.Echo.At)
+	if request.Echo.Life == tracker.incarnation {
+		c.echoedAt = max(c.echoedAt, request.Echo.At)
 	}
-	tells := slices.ContainsFunc(a.Wants, func(w Want) bool { return w.Lend })
-	late = tells && a.Life != 0 && a.Life == c.life && a.Sent < c.sent
+	tells := slices.ContainsFunc(request.Wants, func(want Want) bool { return want.Lend })
+	late = tells && request.Life != 0 && request.Life == c.incarnation && request.Sent < c.lastReport
 	if tells && !late {
-		c.life, c.sent = a.Life, a.Sent
+		c.incarnation, c.lastReport = request.Life, request.Sent
 	}
-	if a.Proxies > 0 && !late {
-		c.proxies = a.Proxies
+	if request.Proxies > 0 && !late {
+		c.proxies = request.Proxies
 	}
 	c.askedAt = now
-	tracker.contacts[a.Proxy] = c
-	tracker.count = max(tracker.count, c.proxies)
+	tracker.contacts[request.Proxy] = c
+	tracker.proxyCount = max(tracker.proxyCount, c.proxies)
 	if now < tracker.nextScanAt {
 		return late
 	}
 	tracker.nextScanAt = now + constants.ContactScanEvery
 	tracker.scan++
 	clear(tracker.outOfContact)
-	tracker.count = 0
+	tracker.proxyCount = 0
 	for n, c := range tracker.contacts {
 		if now-c.askedAt > 2*constants.GrantLong {
-			delete(tracker.contacts, n) // what it was told has ended
+			delete(tracker.contacts, n) // what it was granted has ended
 			continue
 		}
 		if now-c.askedAt <= constants.SubscriptionSilence {
-			tracker.count = max(tracker.count, c.proxies)
+			tracker.proxyCount = max(tracker.proxyCount, c.proxies)
 		}
 		if now+constants.ContactScanEvery-c.echoedAt > constants.StandbyRoom {
-			tracker.outOfContact[n] = true // it may begin before the next look
+			tracker.outOfContact[n] = true // it may begin before the next scan
 		}
 	}
 	return late
--- a/internal/admission/handover_test.go
+++ b/internal/admission/handover_test.go
@@ -141,7 +141,7 @@
 		return split, held, 0 // a pool of an earlier turn is thrown away with the first word
 	}
 	if p := tracker.pools[g.key]; p != nil {
-		p.shape(g.network.Now, tracker)
+		p.resize(g.network.Now, tracker)
 		pool = p.bucket.rate
 	}
 	return split, held, pool
--- a/internal/admission/leases.go
+++ b/internal/admission/leases.go
@@ -6,21 +6,21 @@
 	"slateridge/internal/constants"
 )
 
-// lease is a rate given to one proxy. Until the proxy has told what it uses,
+// lease is a rate given to one proxy. Until the proxy has reported what it uses,
 // both the old and the new rate count as given: the larger.
 type lease struct {
-	rate   float64 // offered last
-	count  float64 // what it may be using
-	until  time.Duration
-	demand float64
-	sent   time.Duration // when the proxy sent the word that the last offer answers
+	rate        float64 // offered last
+	reserved    float64 // what it may be using
+	expires     time.Duration
+	demand      float64
+	requestSent time.Duration // when the proxy sent the request that the last offer answers
 }
 
 func (p *pool) leased(but string) float64 {
 	sum := 0.0
 	for k, l := range p.leases {
 		if k != but {
-			sum += l.count
+			sum += l.reserved
 		}
 	}
 	return sum
@@ -35,20 +35,20 @@
 	return rate * min(constants.LeaseDepthTime.Seconds(), q.Burst/q.Rate)
 }
 
-// giveLease answers a proxy that uses its split share. A question for a request
+// grantLease answers a proxy that uses its split share. A question for a request
 // that waits gets tokens and leaves the lease as it is.
-func (tracker *Tracker) giveLease(now time.Duration, p *pool, a GrantRequest, w Want) Given {
+func (tracker *Tracker) grantLease(now time.Duration, p *pool, request GrantRequest, want Want) Given {
 	tracker.Asked++
-	p.shape(now, tracker)
-	if !w.Lend {
-		return tracker.oneOff(p, w, Given{Key: w.Key, Keep: true})
+	p.resize(now, tracker)
+	if !want.Lend {
+		return tracker.grantTokens(p, want, Given{Key: want.Key, Keep: true})
 	}
-	l := p.leases[a.Proxy]
+	l := p.leases[request.Proxy]
 	if l == nil {
 		l = &lease{}
-		p.leases[a.Proxy] = l
+		p.leases[request.Proxy] = l
 	}
-	l.demand = max(0, w.Demand)
+	l.demand = max(0, want.Demand)
 	// Nothing is leased of what proxies lend, so that they can have it back at once: the
 	// pool serves with it.
 	rate := 0.0
@@ -65,21 +65,21 @@
 	if leasable := rate * (1 - constants.PoolPart); total > leasable {
 		share = l.demand * leasable / total
 	}
-	share = min(share, max(0, rate-p.leased(a.Proxy)))
-	l.count = mayUse(l.count, l.sent, share, w)
-	l.rate, l.sent = share, a.Sent
-	l.until = now + constants.GrantLength
-	p.shape(now, tracker)
-	out := Given{Key: w.Key, Rate: share, Depth: leaseDepth(share, p.quota), Lent: true}
-	return tracker.oneOff(p, w, out)
+	share = min(share, max(0, rate-p.leased(request.Proxy)))
+	l.reserved = mostInUse(l.reserved, l.requestSent, share, want)
+	l.rate, l.requestSent = share, request.Sent
+	l.expires = now + constants.GrantLength
+	p.resize(now, tracker)
+	out := Given{Key: want.Key, Rate: share, Depth: leaseDepth(share, p.quota), Lent: true}
+	return tracker.grantTokens(p, want, out)
 }
 
-// mayUse is the most that a proxy may be using when it is offered a rate. What was
+// mostInUse is the most that a proxy may be using when it is offered a rate. What was
 // offered before counts until the proxy reports what it holds by the newest offer,
 // since answers may be lost or overtake each other.
-func mayUse(counted float64, answered time.Duration, offer float64, w Want) float64 {
-	if w.RateOf == answered {
-		return max(offer, min(w.Rate, counted))
+func mostInUse(counted float64, answered time.Duration, offer float64, want Want) float64 {
+	if want.RateOf == answered {
+		return max(offer, min(want.Rate, counted))
 	}
 	return max(offer, counted)
 }
--- a/internal/admission/limiter.go
+++ b/internal/admission/limiter.go
@@ -24,27 +24,27 @@
 	shards         int
 	trackerDown    map[int]bool          // by shard, its tracker does not run
 	trackerHeardAt map[int]time.Duration // by shard, when its tracker last answered
-	period         time.Duration
-	reportAt       map[int]time.Duration // by shard, when shares lent whole are to be told of again, all in one word
-	noLimitsYet    bool                  // no limits yet in this life
-	controlHeardAt time.Duration         // when control last spoke
-	life           uint64                // tells this process's questions from those of an earlier one
-	settles        countChange           // the count before the last ones, while loans of that time stand
+	periodStart    time.Duration
+	loansReportAt  map[int]time.Duration // by shard, when shares lent whole are to be reported again, all in one message
+	awaitingQuotas bool                  // no quotas have come since the process started
+	controlHeardAt time.Duration         // when control last sent a count
+	incarnation    uint64                // distinguishes this process's requests from those of an earlier one
+	countRise      countChange           // the count before the last ones, while loans of that time stand
 }
 
 // countChange is a live proxy count that loans still reckon with.
 type countChange struct {
-	from  int
-	until time.Duration
+	from int
+	ends time.Duration
 }
 
 // New makes the stage; slack is the quota's absolute slack.
 func New(slack float64, shards int, seed uint64) *Limiter {
-	return &Limiter{life: seed, rng: rand.New(rand.NewPCG(seed, 1)), shards: shards, keys: map[string]*keyState{}, reportAt: map[int]time.Duration{}, slack: slack, noLimitsYet: true}
+	return &Limiter{incarnation: seed, rng: rand.New(rand.NewPCG(seed, 1)), shards: shards, keys: map[string]*keyState{}, loansReportAt: map[int]time.Duration{}, slack: slack, awaitingQuotas: true}
 }
 
-// SetProxies takes the live proxy count, as often as control speaks: when it
-// has not for too long, the split shares end.
+// SetProxies takes the live proxy count, as often as control sends it: when none
+// has come for too long, the split shares end.
 func (l *Limiter) SetProxies(now time.Duration, n int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -55,15 +55,15 @@
 	}
 	if n > l.proxies {
 		// What was lent under the smaller count was more of a share than is ours now.
-		if now >= l.settles.until {
-			l.settles.from = l.proxies
+		if now >= l.countRise.ends {
+			l.countRise.from = l.proxies
 		}
-		l.settles.until = now + constants.LendLong
+		l.countRise.ends = now + constants.LendLong
 	}
 	l.proxies = n
-	clear(l.reportAt)
-	for _, b := range l.keys {
-		l.shape(b, now)
+	clear(l.loansReportAt)
+	for _, ks := range l.keys {
+		l.resizeBuckets(ks, now)
 	}
 }
 
@@ -80,35 +80,35 @@
 		if q.Rate <= 0 {
 			continue
 		}
-		b := l.keys[k]
-		if b == nil {
+		ks := l.keys[k]
+		if ks == nil {
 			// All buckets start empty: a restart must not renew a burst. Those
-			// of the first limits of this life fill from its birth, since the
-			// life before had ended by then and spends no more.
-			b = &keyState{shard: Shard(k, l.shards)}
-			b.split.filledAt, b.grant.filledAt, b.fast.filledAt, b.wholeQuota.filledAt = now, now, now, now
-			b.lastAdmitted = now
-			if l.noLimitsYet {
-				b.fillFrom = -constants.RestartTime
-				b.fast.filledAt, b.lastAdmitted = b.fillFrom, b.fillFrom
+			// of the first limits fill from the start of the process, since the
+			// incarnation before had ended by then and spends no more.
+			ks = &keyState{shard: Shard(k, l.shards)}
+			ks.split.filledAt, ks.grant.filledAt, ks.peakRate.filledAt, ks.wholeQuota.filledAt = now, now, now, now
+			ks.lastAdmitted = now
+			if l.awaitingQuotas {
+				ks.fillSince = -constants.RestartTime
+				ks.peakRate.filledAt, ks.lastAdmitted = ks.fillSince, ks.fillSince
 			}
-			l.keys[k] = b
-		} else if b.quota == q {
-			b.shadow = nil
+			l.keys[k] = ks
+		} else if ks.quota == q {
+			ks.shadow = nil
 			continue
 		}
-		if q.Rate < b.quota.Rate {
-			// What is leased shrinks with the limit, so that leases told under the
+		if q.Rate < ks.quota.Rate {
+			// What is leased shrinks with the limit, so that leases granted under the
 			// old one do not add up beyond the new.
-			part := q.Rate / b.quota.Rate
-			b.grant.set(now, b.grant.rate*part, b.grant.depth*part)
-			b.standby *= part
+			part := q.Rate / ks.quota.Rate
+			ks.grant.set(now, ks.grant.rate*part, ks.grant.depth*part)
+			ks.standbyRate *= part
 		}
-		b.quota, b.shadow = q, nil
-		l.shape(b, now)
+		ks.quota, ks.shadow = q, nil
+		l.resizeBuckets(ks, now)
 	}
 	if len(qs) > 0 {
-		l.noLimitsYet = false
+		l.awaitingQuotas = false
 	}
 }
 
@@ -117,16 +117,16 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for k, q := range qs {
-		b := l.keys[k]
-		if b == nil || q == b.quota || q.Rate <= 0 || l.proxies == 0 {
+		ks := l.keys[k]
+		if ks == nil || q == ks.quota || q.Rate <= 0 || l.proxies == 0 {
 			continue
 		}
 		n := float64(l.proxies)
 		s := &shadow{quota: q}
 		s.bucket.filledAt = now
 		s.bucket.set(now, q.Rate/n, max(1, q.Burst/n))
-		s.bucket.tokens = min(s.bucket.depth, max(0, b.split.tokens+b.grant.tokens))
-		b.shadow = s
+		s.bucket.tokens = min(s.bucket.depth, max(0, ks.split.tokens+ks.grant.tokens))
+		ks.shadow = s
 	}
 }
 
@@ -146,10 +146,10 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var out []Report
-	for k, b := range l.keys {
-		l.refresh(b, now)
-		bal := b.split.tokens + b.grant.tokens + b.oneOff
-		out = append(out, Report{k, b.quota.Rate, b.quota.Burst, b.demand, b.split.rate, b.grant.rate, math.Round(bal*100) / 100, b.count})
+	for k, ks := range l.keys {
+		l.refresh(ks, now)
+		bal := ks.split.tokens + ks.grant.tokens + ks.waitingTokens
+		out = append(out, Report{k, ks.quota.Rate, ks.quota.Burst, ks.demand, ks.split.rate, ks.grant.rate, math.Round(bal*100) / 100, ks.count})
 	}
 	sort.Slice(out, func(i, j int) bool { return out[i].Key < out[j].Key })
 	return out
@@ -168,17 +168,18 @@
 func (l *Limiter) Settled(now time.Duration) int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if now >= l.settles.until {
+	if now >= l.countRise.ends {
 		return l.proxies
 	}
-	for _, b := range l.keys {
-		if b.lent > 0 && now < b.lentEnds && b.loanCount < l.proxies {
-			return min(l.settles.from, l.proxies)
+	for _, ks := range l.keys {
+		if ks.lentPart > 0 && now < ks.loanExpires && ks.loanProxies < l.proxies {
+			return min(l.countRise.from, l.proxies)
 		}
 	}
-	l.settles.until = now
+	l.countRise.ends = now
 	return l.proxies
 }
 
-// Life tells this process's questions to a tracker from those of an earlier one.
-func (l *Limiter) Life() uint64 { return l.life }
+// Life is the incarnation of this process, by which a tracker distinguishes its requests
+// from those of an earlier one.
+func (l *Limiter) Life() uint64 { return l.incarnation }
--- a/internal/admission/limiter_test.go
+++ b/internal/admission/limiter_test.go
@@ -557,21 +557,21 @@
 			}
 		}
 		for k, p := range tracker.pools {
-			p.shape(now, tracker)
+			p.resize(now, tracker)
 			var l loan
 			var count, demand, alone float64
 			for _, x := range p.loans {
 				l.rate, l.depth = l.rate+x.rate, l.depth+x.depth
 			}
 			for n, x := range p.standbys {
-				count, demand = count+x.count, demand+x.demand
+				count, demand = count+x.reserved, demand+x.demand
 				if now-tracker.contacts[n].echoedAt > constants.StandbyRoom {
-					alone += x.count
+					alone += x.reserved
 				}
 			}
 			off := func(a, b float64) bool { return math.Abs(a-b) > 1e-6 }
-			if off(l.rate, p.loaned.rate) || off(l.depth, p.loaned.depth) || off(count, p.standbyCount) || off(demand, p.standbyDemand) || p.standbyInUse < alone-1e-6 {
-				t.Fatalf("%v, %s: sums %+v, %v, %v, %v of entries that make %+v, %v, %v, %v", now, k, p.loaned, p.standbyCount, p.standbyDemand, p.standbyInUse, l, count, demand, alone)
+			if off(l.rate, p.loanTotals.rate) || off(l.depth, p.loanTotals.depth) || off(count, p.standbyCount) || off(demand, p.standbyDemand) || p.standbyInUse < alone-1e-6 {
+				t.Fatalf("%v, %s: sums %+v, %v, %v, %v of entries that make %+v, %v, %v, %v", now, k, p.loanTotals, p.standbyCount, p.standbyDemand, p.standbyInUse, l, count, demand, alone)
 			}
 		}
 	}
--- a/internal/admission/messages.go
+++ b/internal/admission/messages.go
@@ -14,7 +14,7 @@
 		Wants   []Want
 		Echo    TrackerTime   // the tracker's latest that has reached the proxy
 		Proxies int           // the live count the proxy reckons with
-		Life    uint64        // of the proxy's process; 0 is not told
+		Life    uint64        // incarnation of the proxy's process; 0 is not stated
 		Sent    time.Duration // by that process's clock
 	}
 	// Grants answers a GrantRequest.
@@ -22,16 +22,16 @@
 		Refused bool // the machine asked does not track, or not yet
 		Given   []Given
 		Stamp   TrackerTime
-		Retell  bool // the word was overtaken by a newer one: shares told here are to be told of again
+		Retell  bool // the request was overtaken by a newer one: its shares are to be reported again
 	}
 	// TrackerTime is a moment on one tracker's clock. A loan is good for a time after
-	// the moment its proxy echoes: the proxy spoke later than that, so it
+	// the moment its proxy echoes: the proxy sent it later than that, so it
 	// still keeps its share lowered when the loan ends here, however long its
-	// word was under way.
+	// message was under way.
 	TrackerTime struct {
 		Life  uint64
 		At    time.Duration
-		Begun uint64 // how often in this life a shard has been begun anew
+		Begun uint64 // how often in this incarnation a shard has been taken over
 	}
 )
 
--- a/internal/admission/standby.go
+++ b/internal/admission/standby.go
@@ -9,8 +9,8 @@
 
 // A key whose split shares are too small to serve anybody is carried by its
 // tracker: every request asks. So that the loss of all trackers does not refuse
-// all its requests, each proxy is told a standby rate, which it uses only while
-// it hears nothing from the tracker. The tracker in turn leaves the standby of
+// all its requests, each proxy is granted a standby rate, which it uses only while
+// nothing comes from the tracker. The tracker in turn leaves the standby of
 // whoever may be using it out of its pool. Both reckon from the tracker's time
 // that last reached the proxy: the tracker from when it gave the tracker's time, the proxy
 // from when the tracker's time came and for longer, so the tracker has always made room
@@ -18,11 +18,11 @@
 
 // standby is one proxy's standby for a key, at its tracker.
 type standby struct {
-	rate   float64 // told last
-	count  float64 // the most it may be using when it stands alone
-	demand float64
-	until  time.Duration
-	sent   time.Duration // when the proxy sent the word that the last offer answers
+	rate        float64 // granted last
+	reserved    float64 // the most it may be using when it has no contact
+	demand      float64
+	expires     time.Duration
+	requestSent time.Duration // when the proxy sent the request that the last offer answers
 }
 
 // standbyTotals sums the standby rates: of those who may be using them now, and of
@@ -31,32 +31,32 @@
 	if now >= p.standbysEnd {
 		p.standbyCount, p.standbyDemand, p.standbysEnd, p.scan = 0, 0, now+constants.GrantLong, 0
 		for k, s := range p.standbys {
-			if now >= s.until {
+			if now >= s.expires {
 				delete(p.standbys, k)
 				continue
 			}
-			p.standbyCount += s.count
+			p.standbyCount += s.reserved
 			p.standbyDemand += s.demand
-			p.standbysEnd = min(p.standbysEnd, s.until)
+			p.standbysEnd = min(p.standbysEnd, s.expires)
 		}
 	}
 	if p.scan != tracker.scan {
 		p.scan, p.standbyInUse = tracker.scan, 0
 		for n := range tracker.outOfContact {
 			if s := p.standbys[n]; s != nil {
-				p.standbyInUse += s.count
+				p.standbyInUse += s.reserved
 			}
 		}
 	}
 	return max(0, p.standbyInUse), max(0, p.standbyCount-p.standbyInUse)
 }
 
-// change alters one proxy's standby and the sums with it.
-func (p *pool) change(tracker *Tracker, proxy string, s *standby, to standby) {
-	p.standbyCount += to.count - s.count
+// setStandby alters one proxy's standby and the sums with it.
+func (p *pool) setStandby(tracker *Tracker, proxy string, s *standby, to standby) {
+	p.standbyCount += to.reserved - s.reserved
 	p.standbyDemand += to.demand - s.demand
 	if p.scan == tracker.scan && tracker.outOfContact[proxy] {
-		p.standbyInUse += to.count - s.count
+		p.standbyInUse += to.reserved - s.reserved
 	}
 	*s = to
 }
@@ -65,53 +65,53 @@
 // proxies have lent: a tracker that begins without knowing any of it may still give
 // its own part and a tenth. Every proxy's basic standby fits into it.
 func (p *pool) standbyMost() float64 {
-	lent := min(p.loaned.long, constants.SplitPart*p.quota.Rate)
+	lent := min(p.loanTotals.whole, constants.SplitPart*p.quota.Rate)
 	return max(lent*constants.StandbyBasic, lent-constants.StandbyReserve*p.quota.Rate)
 }
 
-// giveStandby answers a proxy that the key's tracker carries.
-func (tracker *Tracker) giveStandby(now time.Duration, p *pool, a GrantRequest, w Want) Given {
+// grantStandby answers a proxy that the key's tracker carries.
+func (tracker *Tracker) grantStandby(now time.Duration, p *pool, request GrantRequest, want Want) Given {
 	tracker.Asked++
 	p.standbyTotals(now, tracker) // drops what has ended, so that the sums are of what stands
-	s := p.standbys[a.Proxy]
+	s := p.standbys[request.Proxy]
 	if s == nil {
 		s = &standby{}
-		p.standbys[a.Proxy] = s
+		p.standbys[request.Proxy] = s
 	}
 	to := *s
-	to.until = now + constants.GrantLong
-	p.standbysEnd = min(p.standbysEnd, to.until)
-	basic := p.loans[a.Proxy].rate * constants.StandbyBasic
+	to.expires = now + constants.GrantLong
+	p.standbysEnd = min(p.standbysEnd, to.expires)
+	basic := p.loans[request.Proxy].rate * constants.StandbyBasic
 	switch {
-	case !w.Lend: // a question of a request; what stands, stands
-	case now < p.openUntil:
-		to.rate, to.count, to.demand = w.Rate, max(w.Rate, s.count, basic), w.Demand
-		to.sent = w.RateOf // as if it had been offered here
+	case !want.Lend: // a question of a request; what stands, stands
+	case now < p.recoveryUntil:
+		to.rate, to.reserved, to.demand = want.Rate, max(want.Rate, s.reserved, basic), want.Demand
+		to.requestSent = want.RateOf // as if it had been offered here
 	default:
-		to.demand = w.Demand
+		to.demand = want.Demand
 		total := p.standbyDemand - s.demand + to.demand
-		others := max(0, p.standbyCount-s.count)
+		others := max(0, p.standbyCount-s.reserved)
 		most := p.standbyMost()
 		share := to.demand * constants.StandbyHeadroom
 		if total > 0 {
 			share = min(share, to.demand*most/total)
 		}
 		share = min(share, max(0, most-others))
-		if w.Release {
+		if want.Release {
 			share = 0 // it is about to need none
 		}
-		to.count = max(mayUse(s.count, s.sent, share, w), basic)
-		to.rate, to.sent = share, a.Sent
+		to.reserved = max(mostInUse(s.reserved, s.requestSent, share, want), basic)
+		to.rate, to.requestSent = share, request.Sent
 	}
-	p.change(tracker, a.Proxy, s, to)
-	p.shape(now, tracker)
-	return tracker.oneOff(p, w, Given{Key: w.Key, Rate: s.rate, Long: true, Lent: w.Lend, Loan: w.Lent})
+	p.setStandby(tracker, request.Proxy, s, to)
+	p.resize(now, tracker)
+	return tracker.grantTokens(p, want, Given{Key: want.Key, Rate: s.rate, Long: true, Lent: want.Lend, Loan: want.Lent})
 }
 
 // release gives a share that was lent whole back to its proxy, where the standby
 // of the others and what is leased need it no longer.
 func (p *pool) release(now time.Duration, tracker *Tracker, proxy string) bool {
-	if now < p.openUntil {
+	if now < p.recoveryUntil {
 		return false // unknown standby may rest on it
 	}
 	p.standbyTotals(now, tracker)
@@ -122,16 +122,16 @@
 	s := p.standbys[proxy]
 	others := p.standbyCount
 	if s != nil {
-		others -= s.count
+		others -= s.reserved
 	}
-	p.lend(proxy, loan{})
+	p.setLoan(proxy, loan{})
 	free := p.uncommitted(now, tracker)
 	if s != nil {
-		free += s.count
+		free += s.reserved
 	}
 	if others > p.standbyMost()+rateEpsilon || free < -rateEpsilon {
 		if kept != (loan{}) {
-			p.lend(proxy, kept)
+			p.setLoan(proxy, kept)
 		}
 		return false
 	}
@@ -142,49 +142,49 @@
 // dropStandby forgets the standby of a proxy that holds none.
 func (p *pool) dropStandby(tracker *Tracker, proxy string) {
 	if s := p.standbys[proxy]; s != nil {
-		p.change(tracker, proxy, s, standby{})
+		p.setStandby(tracker, proxy, s, standby{})
 		delete(p.standbys, proxy)
 	}
 }
 
-// shapeStandby sets the standby bucket of a key that its tracker carries: what the
-// tracker told, and without it the basic part of this proxy's own share, which the
+// resizeStandby sets the standby bucket of a key that its tracker carries: what the
+// tracker granted, and without it the basic part of this proxy's own share, which the
 // tracker leaves out of its pool for every proxy that it does not hear.
-func (l *Limiter) shapeStandby(b *keyState, now time.Duration) {
-	l.updateStandby(b, now) // before the bucket fills
+func (l *Limiter) resizeStandby(ks *keyState, now time.Duration) {
+	l.updateStandby(ks, now) // before the bucket fills
 	rate := 0.0
 	if l.proxies > 0 && now-l.controlHeardAt <= constants.SplitHold {
-		rate = constants.SplitPart * constants.StandbyBasic * b.quota.Rate / float64(l.proxies)
+		rate = constants.SplitPart * constants.StandbyBasic * ks.quota.Rate / float64(l.proxies)
 	}
-	rate = max(rate, b.held(now))
-	b.grant.set(now, rate, max(constants.StandbyDepth, rate))
+	rate = max(rate, ks.heldRate(now))
+	ks.grant.set(now, rate, max(constants.StandbyDepth, rate))
 }
 
-// updateStandby lets the standby bucket fill only while the proxy has heard nothing from
+// updateStandby lets the standby bucket fill only while nothing has come to the proxy from
 // the key's tracker for so long that it uses it; what accrues counts from the
-// last word. A bucket begins with a part of a request drawn by lot and keeps such
+// last answer. A bucket begins with a part of a request drawn by lot and keeps such
 // a part while it rests, so that many proxies with a low rate each admit, taken
 // together, just what the rates add up to.
-func (l *Limiter) updateStandby(b *keyState, now time.Duration) {
-	heard, ok := l.trackerHeardAt[b.shard]
+func (l *Limiter) updateStandby(ks *keyState, now time.Duration) {
+	heard, ok := l.trackerHeardAt[ks.shard]
 	if !ok {
-		// The life before may have been heard until it ended, and no later.
+		// The incarnation before may have been in contact until it ended, and no later.
 		heard = -constants.RestartTime
 	}
-	if now-heard < constants.StandbyAfter && !l.trackerDown[b.shard] {
-		if b.onStandby {
-			b.grant.tokens -= math.Floor(b.grant.tokens)
+	if now-heard < constants.StandbyAfter && !l.trackerDown[ks.shard] {
+		if ks.onStandby {
+			ks.grant.tokens -= math.Floor(ks.grant.tokens)
 		}
-		b.onStandby = false
-		b.grant.filledAt = now
-	} else if !b.onStandby {
-		b.onStandby = true
-		b.grant.filledAt = heard
+		ks.onStandby = false
+		ks.grant.filledAt = now
+	} else if !ks.onStandby {
+		ks.onStandby = true
+		ks.grant.filledAt = heard
 	}
 }
 
 // TrackerDown notes that the tracker of a shard is known not to run: nothing listens
-// where it did. A life of it that starts later knows of no standby and gives, to
+// where it did. An incarnation that starts later knows of no standby and gives, to
 // begin with, only what standby leaves over.
 func (l *Limiter) TrackerDown(shard int) {
 	l.mu.Lock()
