Modelcheck: choices are collected in one place, and tests search in one way

The tests' search with its checks stood in each model's test: package modelchecktest has it, with the same bounds and the same assertions.

--- a/internal/modelcheck/admissionmodel/admissionmodel_test.go
+++ b/internal/modelcheck/admissionmodel/admissionmodel_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"slateridge/internal/modelcheck"
+	"slateridge/internal/modelcheck/modelchecktest"
 )
 
 // large is a fleet whose slack covers its floors: no key goes to its tracker alone.
@@ -30,19 +31,7 @@
 		t.Run(s.name, func(t *testing.T) {
 			c := Small()
 			s.change(&c)
-			s.o.Jobs = 2
-			search := modelcheck.Systematic
-			if s.random {
-				search = modelcheck.Random
-			}
-			r := search(func() modelcheck.Model { return New(c) }, s.o)
-			t.Log(r)
-			for _, f := range r.Failures {
-				t.Errorf("%v\n%s", f.Err, f.Source())
-			}
-			if len(r.Failures) == 0 && r.Schedules < s.atLeast {
-				t.Errorf("%d schedules: too few to mean anything", r.Schedules)
-			}
+			modelchecktest.Search(t, func() modelcheck.Model { return New(c) }, s.random, s.o, s.atLeast)
 		})
 	}
 }
--- a/internal/modelcheck/admissionmodel/config.go
+++ b/internal/modelcheck/admissionmodel/config.go
@@ -79,7 +79,7 @@
 	powerVacancy = 2 * time.Second
 	// longAgo is beyond the longest time that anybody here waits for anything.
 	longAgo = constants.ProxyForget + 2*time.Second
-	// grain is the part of a token, or of a rate, that states are not told apart by.
+	// grain is the part of a token, or of a rate, that does not distinguish states.
 	grain = 0.01
 )
 
--- a/internal/modelcheck/admissionmodel/control.go
+++ b/internal/modelcheck/admissionmodel/control.go
@@ -29,7 +29,7 @@
 	}
 }
 
-// controlTick forgets silent proxies, tells trackers the live count and fills the duty.
+// controlTick forgets silent proxies, sends trackers the live count and fills the duty.
 func (m *Model) controlTick() {
 	for n, e := range m.roster {
 		if m.world.Now-e.at > constants.ProxyForget {
--- a/internal/modelcheck/admissionmodel/messages.go
+++ b/internal/modelcheck/admissionmodel/messages.go
@@ -16,7 +16,7 @@
 		ID    uint64
 		Given admission.Grants
 	}
-	// heartbeat is a proxy's word to control, news the answer.
+	// heartbeat is a proxy's report to control, news the answer.
 	heartbeat struct {
 		Sent  time.Duration // by the proxy's clock
 		Count int           // the live count it reckons with
@@ -26,6 +26,6 @@
 		Count   int           // the live count; 0 to one that may not share yet
 		Tracker string
 	}
-	// rosterSize tells a tracker the live count.
+	// rosterSize is the live count, sent to a tracker.
 	rosterSize struct{ Count int }
 )
--- a/internal/modelcheck/admissionmodel/processes.go
+++ b/internal/modelcheck/admissionmodel/processes.go
@@ -25,7 +25,7 @@
 type proxy struct {
 	limiter   *admission.Limiter
 	startedAt time.Duration
-	tracker   string // as control told
+	tracker   string // as control sent it
 	echo      map[string]trackerEcho
 	open      map[uint64]openQuestion
 	pressed   bool // its clients send more than the quota
@@ -34,7 +34,7 @@
 // tracker is one tracker's process.
 type tracker struct {
 	state *admission.Tracker
-	count int // as control told
+	count int // as control sent it
 }
 
 func (m *Model) proxiesUp() (out []string) {
--- a/internal/modelcheck/admissionmodel/proxy.go
+++ b/internal/modelcheck/admissionmodel/proxy.go
@@ -27,7 +27,7 @@
 	}
 }
 
-// renew tells the tracker what is lent and wanted.
+// renew reports to the tracker what is lent and wanted.
 func (m *Model) renew(n string) {
 	p := m.proxies[n]
 	now := m.clock(n)
--- a/internal/modelcheck/admissionmodel/rules.go
+++ b/internal/modelcheck/admissionmodel/rules.go
@@ -64,7 +64,7 @@
 	}
 }
 
-// describe tells what each proxy has.
+// describe says what each proxy has.
 func (m *Model) describe() string {
 	var out []string
 	for _, n := range m.proxiesUp() {
--- a/internal/modelcheck/chainmodel/chainmodel_test.go
+++ b/internal/modelcheck/chainmodel/chainmodel_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"slateridge/internal/modelcheck"
+	"slateridge/internal/modelcheck/modelchecktest"
 )
 
 // found are schedules that broke a rule once, as the model checker printed them.
@@ -56,19 +57,7 @@
 		t.Run(s.name, func(t *testing.T) {
 			c := Small()
 			s.change(&c)
-			s.o.Jobs = 2
-			search := modelcheck.Systematic
-			if s.random {
-				search = modelcheck.Random
-			}
-			r := search(func() modelcheck.Model { return New(c) }, s.o)
-			t.Log(r)
-			for _, f := range r.Failures {
-				t.Errorf("%v\n%s", f.Err, f.Source())
-			}
-			if len(r.Failures) == 0 && r.Schedules < 40 {
-				t.Errorf("%d schedules: too few to mean anything", r.Schedules)
-			}
+			modelchecktest.Search(t, func() modelcheck.Model { return New(c) }, s.random, s.o, 40)
 		})
 	}
 }
--- a/internal/modelcheck/chainmodel/choices.go
+++ b/internal/modelcheck/chainmodel/choices.go
@@ -12,7 +12,7 @@
 	"slateridge/internal/simnet"
 )
 
-// regular are words that machines say all the time and that come again.
+// regular says whether a message is one that machines send all the time.
 func regular(msg any) bool {
 	switch msg.(type) {
 	case controlplane.Heartbeat, lease.Request, lease.Grant:
@@ -74,15 +74,14 @@
 
 // Choices lists what may happen next, as package modelcheck asks.
 func (m *Model) Choices() []string {
-	out := []string{"wait"}
-	add := func(choices ...string) {
-		for _, c := range choices {
-			kind := strings.Fields(c)[0]
-			if modelcheck.Offered(kind, m.Kinds, m.Without) && (m.faults < m.Faults || !slices.Contains(faultKinds, kind)) {
-				out = append(out, c)
-			}
-		}
-	}
+	choices := &modelcheck.Choices{
+		Kinds:    m.Kinds,
+		Without:  m.Without,
+		Faults:   faultKinds,
+		NoFaults: m.faults >= m.Faults,
+		List:     []string{modelcheck.Default},
+	}
+	add := choices.Add
 	if e := m.atMessage(); e != nil {
 		add(m.world.OnHead()...)
 	}
@@ -101,7 +100,7 @@
 	if m.orders < m.Orders {
 		m.operatorChoices(add)
 	}
-	return out
+	return choices.List
 }
 
 // processChoices are the ways in which processes end and start.
@@ -161,10 +160,7 @@
 // Apply has one of the choices happen, as package modelcheck asks.
 func (m *Model) Apply(n int) {
 	if n == 0 {
-		m.world.Run(m.grid, func(*modelcheck.Event) bool { return m.atMessage() != nil }, m.healthy)
-		if m.world.Now >= m.grid {
-			m.grid += m.Step
-		}
+		m.grid = m.world.RunDefault(m.grid, m.Step, func(*modelcheck.Event) bool { return m.atMessage() != nil }, m.healthy)
 		return
 	}
 	choice := m.Choices()[n]
--- a/internal/modelcheck/chainmodel/config.go
+++ b/internal/modelcheck/chainmodel/config.go
@@ -28,7 +28,7 @@
 	Faults    int           // most in a schedule; a repair is not one
 	Orders    int           // most in a schedule, reads and evacuations too
 	Step      time.Duration // of the default, between two places for a choice
-	Messages  bool          // also before each message of the protocol, those of the machines' regular word apart
+	Messages  bool          // also before each message of the protocol, the machines' regular messages excepted
 	Duties    bool          // machines lease a duty, and act at a platform under its fence
 	Kinds     []string      // of choices; empty: all
 	Without   []string      // kinds left out
--- a/internal/modelcheck/chainmodel/machines.go
+++ b/internal/modelcheck/chainmodel/machines.go
@@ -11,7 +11,7 @@
 	"slateridge/internal/simnet"
 )
 
-// start brings a machine's process up: a founder, a newcomer that is told the
+// start brings a machine's process up: a founder, a newcomer that is sent the
 // others, or one that comes back.
 func (m *Model) start(n string, founding bool) {
 	if m.disks[n] == nil {
@@ -58,7 +58,7 @@
 }
 
 // quit stops a machine in order, as its daemon does: its leases are handed over, the
-// others are told, and it waits for a view without it, if they can make one.
+// others are notified, and it waits for a view without it, if they can make one.
 func (m *Model) quit(n string, forGood bool) {
 	well := m.allHealthy() && m.chain[n].CanLeave() && len(m.leaving) == 0
 	m.lose(n, true)
--- a/internal/modelcheck/chainmodel/quiet.go
+++ b/internal/modelcheck/chainmodel/quiet.go
@@ -77,7 +77,7 @@
 	}
 }
 
-// describe tells what each machine knows.
+// describe says what each machine knows.
 func (m *Model) describe() string {
 	var out []string
 	for _, n := range m.world.Names {
--- a/internal/modelcheck/chainmodel/rules.go
+++ b/internal/modelcheck/chainmodel/rules.go
@@ -98,7 +98,7 @@
 	}
 }
 
-// confirm is an operator told that its order is taken.
+// confirm notes that an operator's order is confirmed to it.
 func (m *Model) confirm(n string, o Order) {
 	if was, ok := m.confirmed[o.Version]; ok && was != o.Content {
 		m.broken(RuleOneContent, "%s confirms r%d %q to %s, %q was confirmed", n, o.Version, o.Content, o.Operator, was)
--- /dev/null
+++ b/internal/modelcheck/choices.go
@@ -0,0 +1,49 @@
+package modelcheck
+
+import (
+	"slices"
+	"strings"
+	"time"
+)
+
+// Choices collects what may happen next: the default, and the choices of those kinds that
+// a model's configuration wants. A choice is its kind and its arguments, in a line.
+type Choices struct {
+	Kinds    []string // wanted; empty: all
+	Without  []string // kinds left out
+	Faults   []string // kinds that count as faults
+	NoFaults bool     // no more faults are allowed
+	List     []string // the choices, the default first
+}
+
+// Default is the choice that comes first: time goes on.
+const Default = "wait"
+
+// Add adds choices, unless their kind is not offered.
+func (c *Choices) Add(choices ...string) {
+	for _, choice := range choices {
+		kind := KindOf(choice)
+		if c.offers(kind) && !(c.NoFaults && slices.Contains(c.Faults, kind)) {
+			c.List = append(c.List, choice)
+		}
+	}
+}
+
+// offers says whether a kind of choice is among those wanted, and not left out.
+func (c *Choices) offers(kind string) bool {
+	wanted := len(c.Kinds) == 0 || slices.Contains(c.Kinds, kind)
+	return wanted && !slices.Contains(c.Without, kind)
+}
+
+// KindOf is the kind of a choice.
+func KindOf(choice string) string { return strings.Fields(choice)[0] }
+
+// RunDefault lets time go on to the next place for a choice, and returns the place after
+// it: places are a step apart, and wherever until says so before a message.
+func (w *World) RunDefault(place, step time.Duration, until func(*Event) bool, healthy func() bool) time.Duration {
+	w.Run(place, until, healthy)
+	if w.Now >= place {
+		return place + step
+	}
+	return place
+}
--- a/internal/modelcheck/digest.go
+++ b/internal/modelcheck/digest.go
@@ -10,7 +10,7 @@
 	"time"
 )
 
-// Abstraction is what states are not told apart by: moments longer ago than
+// Abstraction is what does not distinguish states: moments longer ago than
 // LongAgo, which must be longer than any time after which a machine still acts on
 // one, the fields that Skip names as "Type.Field", and differences of fractional
 // numbers below Grain, if it is given.
--- a/internal/modelcheck/leasemodel/leasemodel.go
+++ b/internal/modelcheck/leasemodel/leasemodel.go
@@ -178,14 +178,14 @@
 
 // Choices lists what may happen next, the default first, as package modelcheck asks.
 func (m *Model) Choices() []string {
-	out := []string{"wait"}
-	add := func(ws ...string) {
-		for _, w := range ws {
-			if kind := strings.Fields(w)[0]; modelcheck.Offered(kind, m.Kinds, m.Without) && (m.faults < m.Faults || !slices.Contains(faultKinds, kind)) {
-				out = append(out, w)
-			}
-		}
+	choices := &modelcheck.Choices{
+		Kinds:    m.Kinds,
+		Without:  m.Without,
+		Faults:   faultKinds,
+		NoFaults: m.faults >= m.Faults,
+		List:     []string{modelcheck.Default},
 	}
+	add := choices.Add
 	if m.Messages && m.world.Head() != nil {
 		add(m.world.OnHead()...)
 	}
@@ -204,25 +204,22 @@
 	}
 	add(m.world.Freezes()...)
 	add(m.world.Paths()...)
-	return out
+	return choices.List
 }
 
 // Apply has one of the choices happen, as package modelcheck asks.
 func (m *Model) Apply(n int) {
 	if n == 0 {
-		m.world.Run(m.grid, func(*modelcheck.Event) bool { return m.Messages }, m.healthy)
-		if m.world.Now >= m.grid {
-			m.grid += m.Step
-		}
+		m.grid = m.world.RunDefault(m.grid, m.Step, func(*modelcheck.Event) bool { return m.Messages }, m.healthy)
 		m.healthy()
 		return
 	}
-	word := m.Choices()[n]
-	f := strings.Fields(word)
+	choice := m.Choices()[n]
+	f := strings.Fields(choice)
 	if slices.Contains(faultKinds, f[0]) {
 		m.faults++
 	}
-	if m.world.Do(word) {
+	if m.world.Do(choice) {
 		m.healthy()
 		return
 	}
--- a/internal/modelcheck/leasemodel/leasemodel_test.go
+++ b/internal/modelcheck/leasemodel/leasemodel_test.go
@@ -5,25 +5,16 @@
 	"time"
 
 	"slateridge/internal/modelcheck"
+	"slateridge/internal/modelcheck/modelchecktest"
 )
 
 // A short search in bounds that stay the same; slateridge modelcheck runs long ones.
 func TestLeases(t *testing.T) {
-	report := func(r modelcheck.Report, atLeast int) {
-		t.Helper()
-		t.Log(r)
-		for _, f := range r.Failures {
-			t.Errorf("%v\n%s", f.Err, f.Source())
-		}
-		if len(r.Failures) == 0 && r.Schedules < atLeast {
-			t.Errorf("%d schedules: too few to mean anything", r.Schedules)
-		}
-	}
 	c := Small()
 	mk := func() modelcheck.Model { return New(c) }
-	report(modelcheck.Systematic(mk, modelcheck.Options{Deviations: 1, Depth: 4, Jobs: 2}), 150)
+	modelchecktest.Search(t, mk, false, modelcheck.Options{Deviations: 1, Depth: 4}, 150)
 	c.Messages = true
-	report(modelcheck.Random(mk, modelcheck.Options{Deviations: 5, Depth: 100, Schedules: 150, Seed: 1, Jobs: 2}), 150)
+	modelchecktest.Search(t, mk, true, modelcheck.Options{Deviations: 5, Depth: 100, Schedules: 150, Seed: 1}, 150)
 }
 
 // The search sees what it is there to see: clocks that differ by more than the
--- a/internal/modelcheck/modelcheck.go
+++ b/internal/modelcheck/modelcheck.go
@@ -15,12 +15,12 @@
 type Model interface {
 	// Reset goes back to the start.
 	Reset()
-	// Choices lists what may happen next by its words, the default first. No two
-	// are alike.
+	// Choices lists what may happen next, each as a kind and its arguments, the default
+	// first. No two are alike.
 	Choices() []string
 	// Apply has one of them happen, by its place in the list.
 	Apply(n int)
-	// Hash tells states apart, as far as what comes after depends on them.
+	// Hash distinguishes states, as far as what comes after depends on them.
 	Hash() uint64
 	// Check is the first rule of safety that was broken since the start.
 	Check() error
@@ -34,7 +34,7 @@
 
 func (v Violation) Error() string { return v.Rule + ": " + v.Detail }
 
-// Broken makes one.
+// Broken makes a Violation.
 func Broken(rule, f string, a ...any) error { return Violation{rule, fmt.Sprintf(f, a...)} }
 
 func ruleOf(err error) string {
--- a/internal/modelcheck/random.go
+++ b/internal/modelcheck/random.go
@@ -4,7 +4,6 @@
 	"math/bits"
 	"math/rand/v2"
 	"slices"
-	"strings"
 	"sync"
 )
 
@@ -52,11 +51,11 @@
 				return
 			}
 		}
-		if words := m.Choices()[1:]; len(words) > 0 && dev <= last {
-			i := draw(rng, words)
+		if choices := m.Choices()[1:]; len(choices) > 0 && dev <= last {
+			i := draw(rng, choices)
 			m.Apply(i + 1)
 			steps++
-			sch = append(sch, words[i])
+			sch = append(sch, choices[i])
 			if err := m.Check(); err != nil {
 				s.count(sch.tidy(), steps)
 				s.fail(m, sch, err)
@@ -75,18 +74,17 @@
 }
 
 // draw picks a kind first, so that the many ways of one do not drown the rest.
-func draw(rng *rand.Rand, words []string) int {
+func draw(rng *rand.Rand, choices []string) int {
 	var kinds []string
-	kind := func(w string) string { return strings.Fields(w)[0] }
-	for _, w := range words {
-		if !slices.Contains(kinds, kind(w)) {
-			kinds = append(kinds, kind(w))
+	for _, w := range choices {
+		if !slices.Contains(kinds, KindOf(w)) {
+			kinds = append(kinds, KindOf(w))
 		}
 	}
 	k := kinds[rng.IntN(len(kinds))]
 	var of []int
-	for i, w := range words {
-		if kind(w) == k {
+	for i, w := range choices {
+		if KindOf(w) == k {
 			of = append(of, i)
 		}
 	}
--- a/internal/modelcheck/schedule.go
+++ b/internal/modelcheck/schedule.go
@@ -9,7 +9,7 @@
 )
 
 // Schedule is a plain list that replays: "+3" is the default three times, all
-// else a deviation by its words.
+// else a deviation as Choices lists it.
 type Schedule []string
 
 func (s Schedule) String() string { return strings.Join(s, "; ") }
@@ -63,11 +63,11 @@
 	return out
 }
 
-// ErrNotEnabled tells that a schedule names what can't happen at its place.
+// ErrNotEnabled says that a schedule names what can't happen at its place.
 var ErrNotEnabled = errors.New("not enabled")
 
 // drive resets the model and brings it through a schedule: the steps taken, and
-// the rule broken. What is not enabled is left out, and told.
+// the rule broken. What is not enabled is skipped, and returned.
 func drive(m Model, s Schedule) (steps int, skipped []string, err error) {
 	m.Reset()
 	for _, w := range s {
--- a/internal/modelcheck/search.go
+++ b/internal/modelcheck/search.go
@@ -21,7 +21,7 @@
 	Progress   func(Report)  // called now and then
 }
 
-// Report tells how much was covered.
+// Report is how much was covered.
 type Report struct {
 	Schedules, States  int
 	Steps              int
@@ -91,7 +91,7 @@
 	s.rep.Deepest = max(s.rep.Deepest, steps)
 	for _, w := range sch {
 		if _, ok := defaults(w); !ok {
-			s.rep.Kinds[strings.Fields(w)[0]]++
+			s.rep.Kinds[KindOf(w)]++
 		}
 	}
 }
@@ -146,7 +146,7 @@
 
 // visit runs one schedule with the quiet phase at once after it, and again with
 // its troubles lasting for as many steps as another deviation might wait. It
-// tells where the schedule can be deviated from next.
+// returns where the schedule can be deviated from next.
 func (s *search) visit(m Model, sch Schedule) (places []place) {
 	steps, _, err := drive(m, sch)
 	if err != nil {
--- a/internal/modelcheck/shrink.go
+++ b/internal/modelcheck/shrink.go
@@ -16,7 +16,7 @@
 	if err == nil || ruleOf(err) != rule {
 		return nil, false
 	}
-	if len(skipped) > 0 { // by its words only: the same word may be enabled elsewhere
+	if len(skipped) > 0 { // by its text only: the same choice may be enabled elsewhere
 		var left Schedule
 		for _, w := range s {
 			if i := slices.Index(skipped, w); i >= 0 {
@@ -31,7 +31,7 @@
 }
 
 // Shrink makes a schedule that breaks a rule shorter as long as it breaks the
-// same rule: chunks are left out, then single words, then defaults are made fewer.
+// same rule: chunks are left out, then single choices, then defaults are made fewer.
 func Shrink(m Model, s Schedule, rule string) Schedule {
 	try := func(c Schedule) bool {
 		c = c.tidy()
--- a/internal/modelcheck/world.go
+++ b/internal/modelcheck/world.go
@@ -313,9 +313,3 @@
 	}
 	return a.Digest(w.Now, flight, w.Names, w.cut, on(w.up), on(w.frozen), held)
 }
-
-// Offered says whether a kind of choice is among those wanted, all if none are named,
-// and not among those left out.
-func Offered(kind string, wanted, without []string) bool {
-	return (len(wanted) == 0 || slices.Contains(wanted, kind)) && !slices.Contains(without, kind)
-}
