--- a/internal/admission/limiter.go
+++ b/internal/admission/limiter.go
@@ -40,7 +40,15 @@
 
 // New makes the stage; slack is the quota's absolute slack.
 func New(slack float64, shards int, seed uint64) *Limiter {
-	return &Limiter{incarnation: seed, rng: rand.New(rand.NewPCG(seed, 1)), shards: shards, keys: map[string]*keyState{}, loansReportAt: map[int]time.Duration{}, slack: slack, awaitingQuotas: true}
+	return &Limiter{
+		incarnation:    seed,
+		rng:            rand.New(rand.NewPCG(seed, 1)),
+		shards:         shards,
+		keys:           map[string]*keyState{},
+		loansReportAt:  map[int]time.Duration{},
+		slack:          slack,
+		awaitingQuotas: true,
+	}
 }
 
 // SetProxies takes the live proxy count, as often as control sends it: when none
--- a/internal/admission/pool.go
+++ b/internal/admission/pool.go
@@ -101,7 +101,13 @@
 	if p := tracker.pools[key]; p != nil {
 		return p
 	}
-	p := &pool{quota: q, leases: map[string]*lease{}, loans: map[string]loan{}, standbys: map[string]*standby{}, reported: map[string]float64{}}
+	p := &pool{
+		quota:    q,
+		leases:   map[string]*lease{},
+		loans:    map[string]loan{},
+		standbys: map[string]*standby{},
+		reported: map[string]float64{},
+	}
 	p.bucket.filledAt = min(now, filling)
 	p.bucket.rate, p.bucket.depth = p.tracked()
 	p.recoveryUntil = begun + constants.GrantLong
--- a/internal/admission/tracker.go
+++ b/internal/admission/tracker.go
@@ -32,7 +32,19 @@
 // from all others and from its earlier incarnations, tiny says which keys have split shares that serve
 // nobody.
 func NewTracker(life uint64, shards int, tiny func(proxies int, q Quota) bool) *Tracker {
-	return &Tracker{isTiny: tiny, contacts: map[string]contact{}, outOfContact: map[string]bool{}, carried: map[string]bool{}, carriedChanged: map[string]time.Duration{}, incarnation: life, shards: shards, shardSince: map[int]time.Duration{}, pools: map[string]*pool{}, quotas: map[string]Quota{}, limitSince: map[string]time.Duration{}}
+	return &Tracker{
+		isTiny:         tiny,
+		contacts:       map[string]contact{},
+		outOfContact:   map[string]bool{},
+		carried:        map[string]bool{},
+		carriedChanged: map[string]time.Duration{},
+		incarnation:    life,
+		shards:         shards,
+		shardSince:     map[int]time.Duration{},
+		pools:          map[string]*pool{},
+		quotas:         map[string]Quota{},
+		limitSince:     map[string]time.Duration{},
+	}
 }
 
 // SetQuotas takes the limits in force.
--- a/internal/admission/wants.go
+++ b/internal/admission/wants.go
@@ -103,7 +103,19 @@
 		}
 		ks.loanIncarnation = life
 		ks.loanReported, ks.reportedProxies = now, l.proxies
-		out = append(out, Want{Key: k, Demand: beyond, Rate: ks.heldRate(now), RateOf: ks.grantRequested, Lend: true, Lent: lend * rate, Depth: lend * depth, Long: long, Idle: now - ks.lastSpentAt(life), Stood: ks.standbyUsed, Release: returning})
+		out = append(out, Want{
+			Key:     k,
+			Demand:  beyond,
+			Rate:    ks.heldRate(now),
+			RateOf:  ks.grantRequested,
+			Lend:    true,
+			Lent:    lend * rate,
+			Depth:   lend * depth,
+			Long:    long,
+			Idle:    now - ks.lastSpentAt(life),
+			Stood:   ks.standbyUsed,
+			Release: returning,
+		})
 	}
 	for shard := range told {
 		l.loansReportAt[shard] = now + constants.LendLong/4 + time.Duration(l.rng.Int64N(int64(constants.LendLong/8)))
@@ -135,5 +147,12 @@
 	if ks.carried {
 		need += max(0, -ks.split.tokens) // a share lent whole does not fill: what is owed has to be asked for too
 	}
-	return Want{Key: key, Demand: l.demandBeyondShare(ks), Rate: ks.heldRate(now), RateOf: ks.grantRequested, Need: need, Long: ks.carried}
+	return Want{
+		Key:    key,
+		Demand: l.demandBeyondShare(ks),
+		Rate:   ks.heldRate(now),
+		RateOf: ks.grantRequested,
+		Need:   need,
+		Long:   ks.carried,
+	}
 }
