--- a/internal/usage/meter.go
+++ b/internal/usage/meter.go
@@ -9,24 +9,30 @@
 
 // Meter is a proxy's counts.
 type Meter struct {
-	mu         sync.Mutex
-	life       uint64
-	windows    map[uint64]Counts
-	unreported map[uint64]map[string]bool // changed since the holder's last answer
-	open       map[uint64]int             // requests that may still count, by the window they came in
-	settled    uint64
-	term       uint64
-	reported   uint64 // closed, as last answered
-	seq        uint64 // of the latest report
-	running    map[uint64]Counts
-	changed    uint64 // the first report that says what is running now
-	heard      uint64 // the latest report that was acknowledged
-	Dropped    uint64 // counts of windows that were decided before they came
+	mu              sync.Mutex
+	incarnation     uint64
+	windows         map[uint64]Counts
+	unreported      map[uint64]map[string]bool // changed since the holder's last answer
+	open            map[uint64]int             // requests that may still count, by the window they came in
+	settled         uint64
+	term            uint64
+	closedReported  uint64 // closed, as last answered
+	seq             uint64 // of the latest report
+	running         map[uint64]Counts
+	changedSeq      uint64 // the first report that says what is running now
+	acknowledgedSeq uint64 // the latest report that was acknowledged
+	Dropped         uint64 // counts of windows that were decided before they came
 }
 
 // NewMeter makes an empty meter for one incarnation of a proxy's process.
 func NewMeter(life uint64) *Meter {
-	return &Meter{life: life, windows: map[uint64]Counts{}, unreported: map[uint64]map[string]bool{}, open: map[uint64]int{}, running: map[uint64]Counts{}}
+	return &Meter{
+		incarnation: life,
+		windows:     map[uint64]Counts{},
+		unreported:  map[uint64]map[string]bool{},
+		open:        map[uint64]int{},
+		running:     map[uint64]Counts{},
+	}
 }
 
 // Run is one request's, from when it has first been sent to an upstream until it is known
@@ -51,7 +57,7 @@
 		m.running[w] = Counts{}
 	}
 	m.running[w][tenant]++
-	m.changed = m.seq + 1
+	m.changedSeq = m.seq + 1
 }
 
 // Over ends what Sent began: the request counts from now on, or it never will.
@@ -63,7 +69,7 @@
 		return
 	}
 	r.running = false
-	m.changed = m.seq + 1
+	m.changedSeq = m.seq + 1
 	c := m.running[r.window]
 	if c[r.tenant]--; c[r.tenant] == 0 {
 		delete(c, r.tenant)
@@ -109,7 +115,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.seq++
-	t := Report{Proxy: proxy, Life: m.life, Term: m.term, Windows: map[uint64]Counts{}, Seq: m.seq, Running: map[uint64]Counts{}}
+	t := Report{Proxy: proxy, Life: m.incarnation, Term: m.term, Windows: map[uint64]Counts{}, Seq: m.seq, Running: map[uint64]Counts{}}
 	for w, c := range m.running {
 		t.Running[w] = maps.Clone(c)
 	}
@@ -132,7 +138,7 @@
 			}
 		}
 	}
-	return t, len(t.Windows) > 0 || t.Closed > m.reported || m.changed > m.heard
+	return t, len(t.Windows) > 0 || t.Closed > m.closedReported || m.changedSeq > m.acknowledgedSeq
 }
 
 // Acknowledged takes the holder's answer to a report. Another term means another holder,
@@ -140,7 +146,7 @@
 func (m *Meter) Acknowledged(t Report, h Ack) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.heard = max(m.heard, t.Seq)
+	m.acknowledgedSeq = max(m.acknowledgedSeq, t.Seq)
 	if h.Settled > m.settled {
 		m.settled = h.Settled
 		for w := range m.windows {
@@ -151,7 +157,7 @@
 		}
 	}
 	if h.Term != m.term {
-		m.term, m.reported = h.Term, 0
+		m.term, m.closedReported = h.Term, 0
 		for w, c := range m.windows {
 			for tenant := range c {
 				m.unreported[w][tenant] = true
@@ -159,7 +165,7 @@
 		}
 	}
 	if h.Term == t.Term {
-		m.reported = max(m.reported, t.Closed)
+		m.closedReported = max(m.closedReported, t.Closed)
 	}
 	for w, c := range t.Windows { // acknowledged by this very tally
 		for tenant, n := range c {
--- a/internal/usage/tally.go
+++ b/internal/usage/tally.go
@@ -11,12 +11,12 @@
 
 // reporter is one incarnation of a proxy's process, as a tally knows it.
 type reporter struct {
-	proxy   string
-	closed  uint64
-	heardAt time.Duration
-	windows map[uint64]Counts
-	seq     uint64            // of the latest report
-	running map[uint64]Counts // as of that report
+	proxy      string
+	closed     uint64
+	reportedAt time.Duration
+	windows    map[uint64]Counts
+	seq        uint64            // of the latest report
+	running    map[uint64]Counts // as of that report
 }
 
 // Tally gathers at the duty's holder, as long as the process runs: what a lost one had
@@ -50,7 +50,7 @@
 		r = &reporter{proxy: m.Proxy, windows: map[uint64]Counts{}}
 		t.reporters[m.Life] = r
 	}
-	r.heardAt = at
+	r.reportedAt = at
 	t.dirty = true
 	t.recent = append(t.recent, m)
 	if m.Term == t.term {
@@ -155,15 +155,15 @@
 }
 
 func (t *Tally) allLocked() (out []Report) {
-	for id, l := range t.reporters {
-		if len(l.windows) == 0 && len(l.running) == 0 {
+	for id, r := range t.reporters {
+		if len(r.windows) == 0 && len(r.running) == 0 {
 			continue
 		}
-		m := Report{Proxy: l.proxy, Life: id, Windows: map[uint64]Counts{}, Seq: l.seq, Running: map[uint64]Counts{}}
-		for w, c := range l.running {
+		m := Report{Proxy: r.proxy, Life: id, Windows: map[uint64]Counts{}, Seq: r.seq, Running: map[uint64]Counts{}}
+		for w, c := range r.running {
 			m.Running[w] = maps.Clone(c)
 		}
-		for w, c := range l.windows {
+		for w, c := range r.windows {
 			m.Windows[w] = maps.Clone(c)
 		}
 		out = append(out, m)
@@ -176,18 +176,18 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.settled = max(t.settled, through)
-	for id, l := range t.reporters {
-		for w := range l.windows {
+	for id, r := range t.reporters {
+		for w := range r.windows {
 			if w <= t.settled {
-				delete(l.windows, w)
+				delete(r.windows, w)
 			}
 		}
-		for w := range l.running {
+		for w := range r.running {
 			if w <= t.settled {
-				delete(l.running, w)
+				delete(r.running, w)
 			}
 		}
-		if len(l.windows) == 0 && len(l.running) == 0 && l.closed+constants.UsageKept < t.settled {
+		if len(r.windows) == 0 && len(r.running) == 0 && r.closed+constants.UsageKept < t.settled {
 			delete(t.reporters, id)
 		}
 	}
@@ -199,13 +199,13 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	newest := map[string]*reporter{}
-	for _, l := range t.reporters {
-		if o := newest[l.proxy]; o == nil || o.heardAt < l.heardAt {
-			newest[l.proxy] = l
+	for _, r := range t.reporters {
+		if o := newest[r.proxy]; o == nil || o.reportedAt < r.reportedAt {
+			newest[r.proxy] = r
 		}
 	}
-	for _, l := range newest {
-		if l.closed < w && l.heardAt >= since {
+	for _, r := range newest {
+		if r.closed < w && r.reportedAt >= since {
 			return false
 		}
 	}
@@ -223,8 +223,8 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	out := Counts{}
-	for _, l := range t.reporters {
-		for _, c := range []Counts{l.windows[w], l.running[w]} {
+	for _, r := range t.reporters {
+		for _, c := range []Counts{r.windows[w], r.running[w]} {
 			for tenant, n := range c {
 				out[tenant] += n
 			}
