--- a/cmd/scalerun/platform.go
+++ b/cmd/scalerun/platform.go
@@ -12,14 +12,15 @@
 	"slateridge/internal/constants"
 )
 
-// stand is the platform: a list in pages, and reports taken.
-type stand struct {
+// standInPlatform takes the platform's place: it serves the list of upstreams in pages, and
+// takes reports.
+type standInPlatform struct {
 	mu      sync.Mutex
 	reports int
 	calls   int
 }
 
-func (s *stand) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+func (s *standInPlatform) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if r.Method == http.MethodPost {
@@ -59,12 +60,12 @@
 }
 
 // startPlatform serves the list, and stand-in upstreams.
-func startPlatform() (*stand, error) {
+func startPlatform() (*standInPlatform, error) {
 	l, err := net.Listen("tcp4", platform)
 	if err != nil {
 		return nil, err
 	}
-	pl := &stand{}
+	pl := &standInPlatform{}
 	go http.Serve(l, pl)
 	for i := range echoes {
 		l, err := net.Listen("tcp4", echoAddr(i))
--- a/internal/membership/detector.go
+++ b/internal/membership/detector.go
@@ -246,8 +246,9 @@
 		for len(d.order) > 0 {
 			a := d.order[0]
 			d.order = d.order[1:]
-			if m := d.members[a]; m != nil && m.fact.State != Dead || m == nil && slices.Contains(d.seeds, a) ||
-				m != nil && slices.Contains(d.seeds, a) {
+			m := d.members[a]
+			alive := m != nil && m.fact.State != Dead
+			if alive || slices.Contains(d.seeds, a) {
 				return a
 			}
 		}
--- a/internal/modelcheck/admissionmodel/config.go
+++ b/internal/modelcheck/admissionmodel/config.go
@@ -54,8 +54,19 @@
 // Small is two proxies and one to come, with split shares that serve at two and a
 // key that its tracker alone carries at three.
 func Small() Config {
-	return Config{Proxies: 2, Newcomers: 1, Trackers: 2, Quota: admission.Quota{Rate: 20, Burst: 20}, Slack: 2.5, Faults: 3,
-		Step: 500 * time.Millisecond, Warm: 4 * time.Second, Window: 5 * time.Second, Long: constants.SplitHold + time.Second, Settle: 12 * time.Second}
+	return Config{
+		Proxies:   2,
+		Newcomers: 1,
+		Trackers:  2,
+		Quota:     admission.Quota{Rate: 20, Burst: 20},
+		Slack:     2.5,
+		Faults:    3,
+		Step:      500 * time.Millisecond,
+		Warm:      4 * time.Second,
+		Window:    5 * time.Second,
+		Long:      constants.SplitHold + time.Second,
+		Settle:    12 * time.Second,
+	}
 }
 
 const (
--- a/internal/modelcheck/admissionmodel/processes.go
+++ b/internal/modelcheck/admissionmodel/processes.go
@@ -48,7 +48,12 @@
 
 func (m *Model) startProxy(n string) {
 	m.lives++
-	p := &proxy{limiter: admission.New(m.Slack, shards, m.lives), startedAt: m.world.Now, echo: map[string]trackerEcho{}, open: map[uint64]openQuestion{}}
+	p := &proxy{
+		limiter:   admission.New(m.Slack, shards, m.lives),
+		startedAt: m.world.Now,
+		echo:      map[string]trackerEcho{},
+		open:      map[uint64]openQuestion{},
+	}
 	p.limiter.SetQuotas(0, m.quotas())
 	m.proxies[n] = p
 	m.world.Start(n)
--- a/internal/modelcheck/chainmodel/config.go
+++ b/internal/modelcheck/chainmodel/config.go
@@ -42,8 +42,20 @@
 
 // Small is three founders and two newcomers with up to four faults.
 func Small() Config {
-	return Config{Founders: 3, Newcomers: 2, Tolerate: 1, Operators: 2, Faults: 4, Orders: 4, Step: 2 * time.Second,
-		Warm: 4 * time.Second, CatchUp: 4 * time.Second, Settle: 6 * time.Second, Serve: 3 * time.Second, LongAgo: 5 * time.Second}
+	return Config{
+		Founders:  3,
+		Newcomers: 2,
+		Tolerate:  1,
+		Operators: 2,
+		Faults:    4,
+		Orders:    4,
+		Step:      2 * time.Second,
+		Warm:      4 * time.Second,
+		CatchUp:   4 * time.Second,
+		Settle:    6 * time.Second,
+		Serve:     3 * time.Second,
+		LongAgo:   5 * time.Second,
+	}
 }
 
 // Five is five machines, of which two may be lost at once, with up to four faults.
--- a/internal/modelcheck/search.go
+++ b/internal/modelcheck/search.go
@@ -63,7 +63,13 @@
 
 func newSearch(o Options) *search {
 	o.Jobs = max(1, o.Jobs)
-	return &search{Options: o, began: time.Now(), reportedAt: time.Now(), seen: map[uint64]bool{}, rep: Report{Complete: -1, Kinds: map[string]int{}}}
+	return &search{
+		Options:    o,
+		began:      time.Now(),
+		reportedAt: time.Now(),
+		seen:       map[uint64]bool{},
+		rep:        Report{Complete: -1, Kinds: map[string]int{}},
+	}
 }
 
 // over says whether the search has to end.
@@ -74,7 +80,10 @@
 		s.reportedAt = time.Now()
 		s.Progress(s.report())
 	}
-	return s.Limit > 0 && time.Since(s.began) > s.Limit || s.Schedules > 0 && s.rep.Schedules >= s.Schedules || len(s.rep.Failures) > 0 && !s.KeepGoing
+	outOfTime := s.Limit > 0 && time.Since(s.began) > s.Limit
+	enough := s.Schedules > 0 && s.rep.Schedules >= s.Schedules
+	failed := len(s.rep.Failures) > 0 && !s.KeepGoing
+	return outOfTime || enough || failed
 }
 
 func (s *search) report() Report {
