--- a/internal/admission/limiter.go
+++ b/internal/admission/limiter.go
@@ -14,7 +14,8 @@
 	"slateridge/internal/constants"
 )
 
-// Limiter is a proxy's admission.
+// Limiter is a proxy's admission. Its mutex guards all fields and the state of all keys; it
+// starts no goroutines and has no clock of its own.
 type Limiter struct {
 	mu             sync.Mutex
 	keys           map[string]*keyState
@@ -38,7 +39,8 @@
 	ends time.Duration
 }
 
-// New makes the stage; slack is the quota's absolute slack.
+// New makes a limiter without keys. slack is the quota's absolute slack, shards the number
+// of trackers; seed is this process's incarnation and seeds its random numbers.
 func New(slack float64, shards int, seed uint64) *Limiter {
 	return &Limiter{
 		incarnation:    seed,
--- a/internal/admission/tracker.go
+++ b/internal/admission/tracker.go
@@ -7,7 +7,8 @@
 	"slateridge/internal/constants"
 )
 
-// Tracker is the tracker of its shards' keys.
+// Tracker is the tracker of its shards' keys. Its mutex guards all fields and all pools; it
+// starts no goroutines and has no clock of its own.
 type Tracker struct {
 	incarnation               uint64
 	contacts                  map[string]contact // by proxy
--- a/internal/usage/meter.go
+++ b/internal/usage/meter.go
@@ -7,7 +7,8 @@
 	"slateridge/internal/constants"
 )
 
-// Meter is a proxy's counts.
+// Meter is a proxy's counts. Its mutex guards all fields; requests use it from their own
+// goroutines.
 type Meter struct {
 	mu              sync.Mutex
 	incarnation     uint64
--- a/internal/usage/tally.go
+++ b/internal/usage/tally.go
@@ -20,7 +20,7 @@
 }
 
 // Tally gathers at the duty's holder, as long as the process runs: what a lost one had
-// gathered, the proxies report to its successor.
+// gathered, the proxies report to its successor. Its mutex guards all fields and all reporters.
 type Tally struct {
 	mu           sync.Mutex
 	term         uint64
