--- a/internal/usage/tally.go
+++ b/internal/usage/tally.go
@@ -70,7 +70,7 @@
 			return false
 		}
 		for w, counts := range windows {
-			if w > window+1 || !counts.plausible() {
+			if w > window+1 || !plausibleCounts(counts) {
 				return false
 			}
 		}
@@ -78,8 +78,8 @@
 	return true
 }
 
-// plausible says whether the counts of one window are within their bounds.
-func (c Counts) plausible() bool {
+// plausibleCounts says whether the counts of one window are within their bounds.
+func plausibleCounts(c Counts) bool {
 	if len(c) > constants.UsageTenants {
 		return false
 	}
