--- /dev/null
+++ b/internal/admission/admit.go
@@ -0,0 +1,146 @@
+package admission
+
+import (
+	"time"
+
+	"slateridge/internal/constants"
+)
+
+// tokenEpsilon is a part of a token that counts as nothing.
+const tokenEpsilon = 1e-6
+
+// Verdict is what admission says of a request.
+type Verdict struct {
+	OK    bool
+	Ask   bool          // the tracker may have tokens: ask, then Admit again
+	Retry time.Duration // when a token is due here
+}
+
+// Admit takes a token for a request, or refuses it. The first try counts the
+// arrival; a request that waited for its tracker is tried again with again set.
+func (l *Limiter) Admit(now time.Duration, key string, again bool) Verdict {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	ks := l.keys[key]
+	if ks == nil {
+		return Verdict{OK: true}
+	}
+	l.refresh(ks, now)
+	quotaHasRoom := ks.wholeQuota.tokens >= 1
+	if !again {
+		ks.countArrival(now, quotaHasRoom)
+	}
+	grant := &ks.grant.tokens
+	if ks.carried && !ks.onStandby {
+		grant = new(float64) // the standby is not to be used
+	}
+	available := ks.split.tokens + *grant + ks.waitingTokens
+	if ks.peakRate.tokens >= 1 && available >= 1-1e-9 {
+		ks.spendToken(now, grant)
+		return Verdict{OK: true}
+	}
+	verdict := Verdict{Retry: ks.retryAfter(now, available)}
+	// One question to the tracker costs less than a wrong refusal, unless it
+	// has just said that there is nothing.
+	if !again && now >= ks.noTokensUntil && ks.peakRate.tokens >= 1 {
+		verdict.Ask = true
+		return verdict
+	}
+	ks.count.Refused++
+	if quotaHasRoom {
+		ks.count.FalseRefused++
+	}
+	return verdict
+}
+
+// countArrival counts a request once, in the demand and in the buckets that only audit.
+func (ks *keyState) countArrival(now time.Duration, quotaHasRoom bool) {
+	ks.arrivals++
+	if quotaHasRoom {
+		ks.wholeQuota.tokens--
+	}
+	if ks.shadow == nil {
+		return
+	}
+	ks.shadow.bucket.fill(now)
+	if ks.shadow.bucket.tokens >= 1 {
+		ks.shadow.bucket.tokens--
+	} else {
+		ks.count.ShadowRefused++
+	}
+}
+
+// spendToken takes one token: from what was granted at once, then from the grant, and the
+// rest from the split share.
+func (ks *keyState) spendToken(now time.Duration, grant *float64) {
+	ks.peakRate.tokens--
+	need, before := 1.0, *grant
+	need -= takeUpTo(&ks.waitingTokens, need)
+	if need > 0 {
+		need -= takeUpTo(grant, need)
+	}
+	if need < 1 {
+		ks.count.FromGrant++
+	} else {
+		ks.count.FromSplit++
+	}
+	ks.split.tokens -= need
+	ks.count.Admitted++
+	fromGrant := before - *grant
+	switch {
+	case ks.carried && need < tokenEpsilon && fromGrant > 0:
+		ks.standbyUsed += fromGrant
+	case need > 0 || fromGrant > 0:
+		ks.lastAdmitted, ks.standbyUsed = now, 0
+	}
+	if fromGrant < 1-tokenEpsilon {
+		ks.tokensUsedAt = now
+	}
+}
+
+// takeUpTo takes at most need from a balance, and returns what it took.
+func takeUpTo(balance *float64, need float64) float64 {
+	taken := min(need, max(0, *balance))
+	if taken > 0 {
+		*balance -= taken
+	}
+	return taken
+}
+
+// retryAfter is when a refused client should try again, with so many tokens available now.
+func (ks *keyState) retryAfter(now time.Duration, available float64) time.Duration {
+	retry := time.Second
+	if rate := ks.split.rate + ks.grant.rate; rate > 0 {
+		retry = time.Duration(min(60, (1-available)/rate) * float64(time.Second))
+	}
+	// When the tracker has tokens again, as it answered; without contact, another proxy
+	// may be better off.
+	if due := ks.noTokensUntil - now; due < retry {
+		retry = max(due, constants.RetrySoon)
+	}
+	if ks.unansweredAt > 0 && now-ks.unansweredAt < constants.RetryLost {
+		retry = constants.RetryLost // another proxy finds no tracker either; it takes its time to come back
+	}
+	return retry
+}
+
+// Settle debits the true cost of an admitted request once it is over.
+func (l *Limiter) Settle(now time.Duration, key string, runs int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	ks := l.keys[key]
+	if ks == nil || runs == 1 {
+		return
+	}
+	l.refresh(ks, now)
+	// The true cost is known now: none gives the token back, a further run
+	// costs one more, below zero if need be.
+	if runs == 0 {
+		ks.split.tokens = min(ks.split.depth, ks.split.tokens+1)
+		ks.peakRate.tokens = min(ks.peakRate.depth, ks.peakRate.tokens+1)
+		ks.count.Returned++
+	} else {
+		ks.split.tokens -= float64(runs - 1)
+		ks.count.Debited += uint64(runs - 1)
+	}
+}
--- /dev/null
+++ b/internal/admission/answers.go
@@ -0,0 +1,99 @@
+package admission
+
+import (
+	"time"
+
+	"slateridge/internal/constants"
+)
+
+// Given is a tracker's answer for one key.
+type Given struct {
+	Key         string
+	Rate, Depth float64       // the lease
+	Tokens      float64       // at once
+	Life        uint64        // of the tracker that gives them
+	Keep        bool          // nothing is given yet; what an earlier tracker gave stands to its end
+	Long        bool          // the lease lasts for the longer time
+	Dry         time.Duration // no use asking again before
+	Lent        bool          // what was lent is known to be Loan
+	Loan        float64       // rate
+	Released    bool          // a share lent whole is given back
+}
+
+// Take applies an answer to a question asked at a time; all of it is reckoned
+// from then, which is before the tracker reckoned.
+func (l *Limiter) Take(now, asked time.Duration, given Given) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	ks := l.keys[given.Key]
+	if ks == nil {
+		return
+	}
+	l.refresh(ks, now)
+	if ends := asked + grantLength(given.Long); !given.Keep && given.Long == ks.carried && asked >= ks.modeSince && ends > now && ends > ks.grantExpires {
+		ks.grantExpires, ks.grantRequested = ends, asked
+		if given.Long {
+			ks.standbyRate = min(given.Rate, ks.quota.Rate)
+			l.resizeStandby(ks, now)
+		} else {
+			// Never more than the limit leaves beside the split share: the lease may
+			// have been given under a higher one.
+			ks.grant.set(now, min(given.Rate, max(0, ks.quota.Rate-ks.split.rate)), min(given.Depth, max(0, ks.quota.Burst-ks.split.depth)))
+		}
+	}
+	if given.Lent && asked == ks.loanReported && l.proxies > 0 {
+		l.takeLoan(ks, now, asked, given)
+	}
+	if ends := asked + constants.OneOffLife; given.Tokens > 0 && ends > now {
+		if owed := max(0, -ks.split.tokens); ks.carried && owed > 0 {
+			paid := min(owed, max(0, given.Tokens-1))
+			ks.split.tokens += paid
+			given.Tokens -= paid
+		}
+		if given.Life != ks.tokensIncarnation {
+			ks.lastAdmitted, ks.tokensIncarnation = ks.lastSpentAt(given.Life), given.Life
+		}
+		ks.waitingTokens += given.Tokens
+		ks.waitingTokensExpire = ends
+	}
+	if given.Dry > 0 {
+		ks.noTokensUntil = now + given.Dry
+	}
+}
+
+// takeLoan takes what a tracker answers about the share that was reported as lent. It may
+// keep more of it than was reported, while others hold leases of that part.
+func (l *Limiter) takeLoan(ks *keyState, now, asked time.Duration, given Given) {
+	ks.loanProxies = ks.reportedProxies
+	if ks.carried {
+		if given.Released && ks.releaseDeadline > 0 {
+			l.takeShareBack(ks, now)
+		} else if given.Keep {
+			ks.lentPart = 0 // not noted there yet: the next report has it again
+		}
+		return
+	}
+	part := min(1, given.Loan*float64(l.proxies)/(constants.SplitPart*ks.quota.Rate))
+	if part == ks.lentPart {
+		return
+	}
+	if part > ks.lentPart {
+		ks.loanExpires = max(ks.loanExpires, asked+constants.LendLength)
+	}
+	ks.lentPart = max(0, part)
+	l.resizeBuckets(ks, now)
+}
+
+// Unanswered notes that a key's tracker did not answer: the next requests do
+// not wait for it.
+func (l *Limiter) Unanswered(now time.Duration, key string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if ks := l.keys[key]; ks != nil {
+		ks.noTokensUntil = now + constants.GrantEvery
+		if ks.carried {
+			ks.noTokensUntil = now + constants.AskRetryPause // there is nobody else to ask
+			ks.unansweredAt = now
+		}
+	}
+}
--- a/internal/membership/detector.go
+++ b/internal/membership/detector.go
@@ -1,6 +1,6 @@
 // Package membership finds out which of the system's own processes are alive, in the way of
 // SWIM: each probes one other in turn; one that does not answer is asked for through third
-// parties, then suspected, and removed only if it does not speak up.
+// parties, then suspected, and removed only if it does not refute that.
 //
 // Only the steady clock counts. A process that was itself stopped for a while
 // drops the probes it had out, since their silence says nothing of others.
@@ -19,6 +19,7 @@
 // one of the same number.
 type State int
 
+// The states, in the order of State.
 const (
 	Alive State = iota
 	Suspect
@@ -53,6 +54,7 @@
 // Kind of a message.
 type Kind int
 
+// The kinds of message: a probe, its answer, and the wish that another be probed.
 const (
 	Ping Kind = iota
 	Ack
@@ -65,7 +67,7 @@
 	Msg Msg
 }
 
-// Change tells of a member's new state.
+// Change is a member's new state.
 type Change struct{ Fact Fact }
 
 type member struct {
@@ -154,7 +156,7 @@
 			m.Facts = append(m.Facts, d.members[a].fact)
 		}
 	}
-	// Whoever we doubt hears of it from us, and can speak up.
+	// A member that is suspected here is sent the fact, and can refute it.
 	if x := d.members[to]; x != nil && x.fact.State != Alive {
 		m.Facts = append(m.Facts, x.fact)
 	}
@@ -163,33 +165,61 @@
 
 // Tick advances time; it is to be called a few times in a probe's timeout.
 func (d *Detector) Tick(now time.Duration) []any {
-	stopped := d.tickAt > 0 && now-d.tickAt > constants.ProbeTimeout
+	paused := d.tickAt > 0 && now-d.tickAt > constants.ProbeTimeout
 	d.tickAt = now
-	if stopped {
-		// This process stood still; nobody else need have.
-		d.probe = nil
-		for _, m := range d.members {
-			if m.fact.State == Suspect {
-				m.since = now
-			}
+	if paused {
+		d.resume(now)
+	}
+	d.checkProbe(now)
+	d.expire(now)
+	if now >= d.nextAt && d.probe == nil {
+		d.nextAt = now + constants.ProbeEvery
+		if t := d.next(); t != "" {
+			d.seq++
+			d.probe = &probe{target: t, seq: d.seq, began: now}
+			d.send(t, Msg{Kind: Ping, Seq: d.seq})
 		}
 	}
-	if p := d.probe; p != nil {
-		switch {
-		case !p.helped && now-p.began > constants.ProbeTimeout:
-			p.helped = true
-			for _, h := range d.helpers(p.target) {
-				d.send(h, Msg{Kind: PingRequest, Seq: p.seq, Target: p.target})
-			}
-		case now-p.began > 3*constants.ProbeTimeout:
-			if m := d.members[p.target]; m != nil && m.fact.State == Alive {
-				f := m.fact
-				f.State = Suspect
-				d.learn(now, f)
-			}
-			d.probe = nil
+	return d.flush()
+}
+
+// resume goes on after this process was paused: the others need not have been, so no
+// member is blamed for the time.
+func (d *Detector) resume(now time.Duration) {
+	d.probe = nil
+	for _, m := range d.members {
+		if m.fact.State == Suspect {
+			m.since = now
 		}
 	}
+}
+
+// checkProbe asks others to probe a member that does not answer, and suspects it when
+// they get no answer either.
+func (d *Detector) checkProbe(now time.Duration) {
+	p := d.probe
+	if p == nil {
+		return
+	}
+	switch {
+	case !p.helped && now-p.began > constants.ProbeTimeout:
+		p.helped = true
+		for _, h := range d.helpers(p.target) {
+			d.send(h, Msg{Kind: PingRequest, Seq: p.seq, Target: p.target})
+		}
+	case now-p.began > 3*constants.ProbeTimeout:
+		if m := d.members[p.target]; m != nil && m.fact.State == Alive {
+			f := m.fact
+			f.State = Suspect
+			d.learn(now, f)
+		}
+		d.probe = nil
+	}
+}
+
+// expire takes suspects that did not refute it for dead, and forgets dead members and
+// relayed probes after their time.
+func (d *Detector) expire(now time.Duration) {
 	for _, m := range d.members {
 		if m.fact.State == Suspect && now-m.since > constants.SuspectFor {
 			f := m.fact
@@ -207,15 +237,6 @@
 			delete(d.relayedProbes, q)
 		}
 	}
-	if now >= d.nextAt && d.probe == nil {
-		d.nextAt = now + constants.ProbeEvery
-		if t := d.next(); t != "" {
-			d.seq++
-			d.probe = &probe{target: t, seq: d.seq, began: now}
-			d.send(t, Msg{Kind: Ping, Seq: d.seq})
-		}
-	}
-	return d.flush()
 }
 
 // next is whom to probe: the members in turn, and the seeds that are not known
@@ -225,8 +246,9 @@
 		for len(d.order) > 0 {
 			a := d.order[0]
 			d.order = d.order[1:]
-			if m := d.members[a]; m != nil && m.fact.State != Dead || m == nil && slices.Contains(d.seeds, a) ||
-				m != nil && slices.Contains(d.seeds, a) {
+			m := d.members[a]
+			alive := m != nil && m.fact.State != Dead
+			if alive || slices.Contains(d.seeds, a) {
 				return a
 			}
 		}
@@ -260,7 +282,7 @@
 func (d *Detector) learn(now time.Duration, f Fact) {
 	if f.Addr == d.self.Addr {
 		if f.State != Alive && f.Num >= d.self.Num || f.Num > d.self.Num {
-			d.self.Num = f.Num + 1 // not so: this member speaks up
+			d.self.Num = f.Num + 1 // not so: this member refutes it
 		}
 		return
 	}
@@ -276,7 +298,7 @@
 	}
 	changed := m.fact.Addr == "" || m.fact.State != f.State
 	m.fact, m.since = f, now
-	// Told often enough to reach all: some multiple of the logarithm.
+	// Passed on often enough to reach all: some multiple of the logarithm.
 	m.transmissions = 3
 	for n := len(d.members); n > 0; n /= 2 {
 		m.transmissions++
--- a/internal/modelcheck/admissionmodel/admissionmodel_test.go
+++ b/internal/modelcheck/admissionmodel/admissionmodel_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"slateridge/internal/modelcheck"
+	"slateridge/internal/modelcheck/modelchecktest"
 )
 
 // large is a fleet whose slack covers its floors: no key goes to its tracker alone.
@@ -19,7 +20,7 @@
 		o       modelcheck.Options
 		atLeast int
 	}{
-		{"one deviation", func(c *Config) {}, false, modelcheck.Options{Deviations: 1, Depth: 4}, 140},
+		{"one deviation", func(*Config) {}, false, modelcheck.Options{Deviations: 1, Depth: 4}, 140},
 		{"one deviation, pressed", pressed, false, modelcheck.Options{Deviations: 1, Depth: 4}, 140},
 		{"one deviation, shares only", func(c *Config) { large(c); pressed(c) }, false, modelcheck.Options{Deviations: 1, Depth: 4}, 140},
 		{"cut off", func(c *Config) { c.Kinds = []string{"isolate", "press"} }, false, modelcheck.Options{Deviations: 2, Depth: 2}, 100},
@@ -30,19 +31,7 @@
 		t.Run(s.name, func(t *testing.T) {
 			c := Small()
 			s.change(&c)
-			s.o.Jobs = 2
-			search := modelcheck.Systematic
-			if s.random {
-				search = modelcheck.Random
-			}
-			r := search(func() modelcheck.Model { return New(c) }, s.o)
-			t.Log(r)
-			for _, f := range r.Failures {
-				t.Errorf("%v\n%s", f.Err, f.Source())
-			}
-			if len(r.Failures) == 0 && r.Schedules < s.atLeast {
-				t.Errorf("%d schedules: too few to mean anything", r.Schedules)
-			}
+			modelchecktest.Search(t, func() modelcheck.Model { return New(c) }, s.random, s.o, s.atLeast)
 		})
 	}
 }
--- a/internal/modelcheck/admissionmodel/choices.go
+++ b/internal/modelcheck/admissionmodel/choices.go
@@ -15,15 +15,16 @@
 // ChoiceKinds names all kinds of choices.
 var ChoiceKinds = append(slices.Clone(faultKinds), "join", "thaw", "start", "come", "long", "press", "rest")
 
+// Choices lists what may happen next, the default first, as package modelcheck asks.
 func (m *Model) Choices() []string {
-	out := []string{"wait"}
-	add := func(words ...string) {
-		for _, w := range words {
-			if kind := strings.Fields(w)[0]; modelcheck.Offered(kind, m.Kinds, m.Without) && (m.faults < m.Faults || !slices.Contains(faultKinds, kind)) {
-				out = append(out, w)
-			}
-		}
-	}
+	choices := &modelcheck.Choices{
+		Kinds:    m.Kinds,
+		Without:  m.Without,
+		Faults:   faultKinds,
+		NoFaults: m.faults >= m.Faults,
+		List:     []string{modelcheck.Default},
+	}
+	add := choices.Add
 	if m.Messages && m.world.Head() != nil {
 		add("lose", "late")
 	}
@@ -55,7 +56,7 @@
 		add("join")
 	}
 	add("power", "long")
-	return out
+	return choices.List
 }
 
 // mayStart says whether a stopped process may start: a start takes its time.
@@ -83,20 +84,18 @@
 	}
 }
 
+// Apply has one of the choices happen, as package modelcheck asks.
 func (m *Model) Apply(n int) {
 	if n == 0 {
-		m.world.Run(m.grid, func(*modelcheck.Event) bool { return m.Messages }, m.healthy)
-		if m.world.Now >= m.grid {
-			m.grid += m.Step
-		}
+		m.grid = m.world.RunDefault(m.grid, m.Step, func(*modelcheck.Event) bool { return m.Messages }, m.healthy)
 		return
 	}
-	word := m.Choices()[n]
-	f := strings.Fields(word)
+	choice := m.Choices()[n]
+	f := strings.Fields(choice)
 	if slices.Contains(faultKinds, f[0]) {
 		m.faults++
 	}
-	if m.world.Do(word) {
+	if m.world.Do(choice) {
 		return
 	}
 	switch f[0] {
@@ -139,6 +138,7 @@
 // skip are numbers that only rise, and counts that decide nothing.
 var skip = []string{"keyState.count", "keyState.wholeQuota", "Tracker.Asked", "Tracker.Offered", "Tracker.Exhausted", "Tracker.scan", "pool.scan", "question.ID", "answer.ID", "World.seq"}
 
+// Hash distinguishes states, as package modelcheck asks.
 func (m *Model) Hash() uint64 {
 	m.forgetOld()
 	a := modelcheck.Abstraction{LongAgo: longAgo, Skip: skip, Grain: grain}
