Counters: one mechanism of cumulative, replicated counters

Cause: the accounts of tenants need sums that neither fall nor grow through restarts, partitions, doubled messages and changes of their holder, also once the lives that counted are over. The usage duty's counters have no base and no replicas. Change: internal/counter. A life is the only writer of its cells; a delta brings whole cell states between two versions; replicas keep lives and a base, and the leader brings rounds of deltas to a majority before it publishes totals. Ended lives are folded into a base that is proposed under a ballot and installed once a majority holds it.

--- /dev/null
+++ b/internal/counter/replica.go
@@ -0,0 +1,202 @@
+package counter
+
+import (
+	"errors"
+	"maps"
+)
+
+// Ballot orders the machines that have led a group of replicas; the zero ballot is below
+// all others. Start tells a machine that has lost its disk from what it was before.
+type Ballot struct {
+	Counter uint64
+	Machine string
+	Start   uint64
+}
+
+// Less orders ballots.
+func (b Ballot) Less(other Ballot) bool {
+	if b.Counter != other.Counter {
+		return b.Counter < other.Counter
+	}
+	if b.Machine != other.Machine {
+		return b.Machine < other.Machine
+	}
+	return b.Start < other.Start
+}
+
+// Base is the sum of lives that are over. A leader proposes it under its ballot, numbered
+// in order; of two bases the one with the higher ballot, then number, contains the other
+// if either has been agreed.
+type Base[K comparable, V Value[V]] struct {
+	Ballot Ballot
+	Number uint64
+	Folded map[LifeID]uint64 // final versions of the lives in it
+	Cells  Cells[K, V]
+}
+
+// Less orders bases.
+func (b Base[K, V]) Less(other Base[K, V]) bool {
+	return b.Ballot.Less(other.Ballot) || b.Ballot == other.Ballot && b.Number < other.Number
+}
+
+// Replica is one copy of the counters: an agreed base, a base that may have been agreed,
+// and all lives that are not in the agreed base.
+type Replica[K comparable, V Value[V]] struct {
+	Base     Base[K, V]
+	Proposed Base[K, V] // not less than Base
+	Lives    map[LifeID]*Life[K, V]
+}
+
+// NewReplica makes an empty replica.
+func NewReplica[K comparable, V Value[V]]() *Replica[K, V] {
+	return &Replica[K, V]{Lives: map[LifeID]*Life[K, V]{}}
+}
+
+// Version is what is held of a life, and the final version if it is over.
+func (r *Replica[K, V]) Version(id LifeID) (version, final uint64) {
+	if final, folded := r.Base.Folded[id]; folded {
+		return final, final
+	}
+	if life := r.Lives[id]; life != nil {
+		return life.Version, life.Final
+	}
+	return 0, 0
+}
+
+// Check reports whether a delta can be merged.
+func (r *Replica[K, V]) Check(delta Delta[K, V]) error {
+	if final, folded := r.Base.Folded[delta.Life]; folded {
+		if delta.To > final {
+			return ErrAfterClose
+		}
+		return nil
+	}
+	life := r.Lives[delta.Life]
+	if life == nil {
+		life = &Life[K, V]{}
+	}
+	return life.check(delta)
+}
+
+// Merge takes a delta in; of a life in the base there is nothing to take.
+func (r *Replica[K, V]) Merge(delta Delta[K, V]) error {
+	if err := r.Check(delta); err != nil {
+		return err
+	}
+	if _, folded := r.Base.Folded[delta.Life]; folded {
+		return nil
+	}
+	life := r.Lives[delta.Life]
+	if life == nil {
+		life = &Life[K, V]{Cells: map[K]Versioned[V]{}}
+		r.Lives[delta.Life] = life
+	}
+	life.merge(delta)
+	return nil
+}
+
+// Since is the delta of a life from a version on.
+func (r *Replica[K, V]) Since(id LifeID, from uint64) Delta[K, V] {
+	return r.Lives[id].since(id, from)
+}
+
+// Total is the sum over all lives.
+func (r *Replica[K, V]) Total(key K) V {
+	total := r.Base.Cells[key]
+	for _, life := range r.Lives {
+		if held, ok := life.Cells[key]; ok {
+			total = total.Plus(held.Value)
+		}
+	}
+	return total
+}
+
+// Totals are the sums of all keys.
+func (r *Replica[K, V]) Totals() Cells[K, V] {
+	out := r.Base.Cells.Clone()
+	for _, life := range r.Lives {
+		for key, held := range life.Cells {
+			out[key] = out[key].Plus(held.Value)
+		}
+	}
+	return out
+}
+
+// Candidate is the next base: the present one and some complete lives; false if there are
+// none. The replica itself is unchanged until the base is agreed and installed.
+func (r *Replica[K, V]) Candidate(ballot Ballot, atMost int) (Base[K, V], bool) {
+	next := Base[K, V]{Ballot: ballot, Number: max(r.Base.Number, r.Proposed.Number) + 1, Folded: maps.Clone(r.Base.Folded), Cells: r.Base.Cells.Clone()}
+	if next.Folded == nil {
+		next.Folded = map[LifeID]uint64{}
+	}
+	added := 0
+	for id, life := range r.Lives {
+		if !life.Complete() || added == atMost {
+			continue
+		}
+		added++
+		next.Folded[id] = life.Final
+		for key, held := range life.Cells {
+			next.Cells[key] = next.Cells[key].Plus(held.Value)
+		}
+	}
+	return next, added > 0
+}
+
+// ErrStaleBase is given for a base that is below the one held.
+var ErrStaleBase = errors.New("base is older than the one held")
+
+// Propose notes a base that may come to be agreed.
+func (r *Replica[K, V]) Propose(base Base[K, V]) error {
+	if base.Less(r.Proposed) || base.Less(r.Base) {
+		return ErrStaleBase
+	}
+	r.Proposed = base
+	return nil
+}
+
+// Install makes the proposed base the agreed one if it is the one named, and drops the
+// lives that are in it.
+func (r *Replica[K, V]) Install(ballot Ballot, number uint64) {
+	if r.Proposed.Ballot != ballot || r.Proposed.Number != number || !r.Base.Less(r.Proposed) {
+		return
+	}
+	r.Adopt(r.Proposed)
+}
+
+// Adopt takes over a base that is known to be agreed.
+func (r *Replica[K, V]) Adopt(base Base[K, V]) {
+	if !r.Base.Less(base) {
+		return
+	}
+	r.Base = base
+	if r.Proposed.Less(base) {
+		r.Proposed = base
+	}
+	for id := range base.Folded {
+		delete(r.Lives, id)
+	}
+}
+
+// Absorb merges another replica's copy: the higher of all bases, and every life that is
+// not in it.
+func (r *Replica[K, V]) Absorb(other *Replica[K, V]) error {
+	for _, base := range []Base[K, V]{other.Base, other.Proposed} {
+		if r.Proposed.Less(base) {
+			r.Proposed = base
+		}
+	}
+	for id, life := range other.Lives {
+		if err := r.absorbLife(id, life); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (r *Replica[K, V]) absorbLife(id LifeID, life *Life[K, V]) error {
+	if err := r.Merge(life.since(id, 0)); err != nil && !errors.Is(err, ErrAfterClose) {
+		return err
+	}
+	return nil // a copy that is behind the final version has nothing new
+}
--- /dev/null
+++ b/internal/counter/writer.go
@@ -0,0 +1,113 @@
+package counter
+
+// Writer holds the cells of one life, of which it is the only writer, and tells a receiver
+// what it does not hold yet. It is not safe for concurrent use.
+type Writer[K comparable, V Value[V]] struct {
+	life    LifeID
+	node    string
+	version uint64
+	closed  bool
+	cells   map[K]*Versioned[V]
+	told    uint64
+	term    Ballot // of the receiver that has acknowledged what follows
+	heard   uint64
+	durable uint64
+}
+
+// Ack is a receiver's answer to a delta: what it holds of the life, and what of that
+// a majority holds. The term tells one receiver from its successor.
+type Ack struct {
+	Term    Ballot
+	Heard   uint64
+	Durable uint64
+}
+
+// NewWriter makes the writer of a new life.
+func NewWriter[K comparable, V Value[V]](node string, life LifeID) *Writer[K, V] {
+	return &Writer[K, V]{life: life, node: node, cells: map[K]*Versioned[V]{}}
+}
+
+// RecoverWriter makes the writer that tells of a life which is over. Told is at least the
+// newest version that the life has told anyone; cells are all that is known of it.
+func RecoverWriter[K comparable, V Value[V]](node string, life LifeID, told uint64, cells Cells[K, V]) *Writer[K, V] {
+	w := NewWriter[K, V](node, life)
+	w.version, w.told, w.closed = told+1, told+1, true
+	for key, value := range cells {
+		w.cells[key] = &Versioned[V]{Value: value, Version: w.version}
+	}
+	return w
+}
+
+// Life is the life written here.
+func (w *Writer[K, V]) Life() LifeID { return w.life }
+
+// Update changes a cell. The change must take its state upward.
+func (w *Writer[K, V]) Update(key K, change func(*V)) {
+	cell := w.cells[key]
+	if cell == nil {
+		cell = &Versioned[V]{}
+		w.cells[key] = cell
+	}
+	change(&cell.Value)
+	cell.Version = w.told + 1
+	w.version = w.told + 1
+}
+
+// Close makes the present version the last one.
+func (w *Writer[K, V]) Close() {
+	if !w.closed {
+		w.version, w.closed = w.told+1, true
+	}
+}
+
+// Pending is the delta that the receiver lacks, which has no cells where it holds all but
+// a majority may not; false when a majority holds everything. A receiver that is lost
+// before a majority holds what it has heard is followed by one that has to be told again.
+func (w *Writer[K, V]) Pending() (Delta[K, V], bool) {
+	if w.durable >= w.version {
+		return Delta[K, V]{}, false
+	}
+	w.told = w.version
+	delta := Delta[K, V]{Life: w.life, Node: w.node, From: w.heard, To: w.version, Closed: w.closed, Cells: Cells[K, V]{}}
+	var zero V
+	for key, cell := range w.cells {
+		if cell.Version > w.heard {
+			delta.Cells[key] = zero.Join(cell.Value)
+		}
+	}
+	return delta, true
+}
+
+// Acknowledge takes a receiver's answer. The first one of a new term says from which
+// version on that receiver has to be told; answers of an earlier term are passed over.
+func (w *Writer[K, V]) Acknowledge(ack Ack) {
+	if ack.Term.Less(w.term) || ack.Heard > w.told || ack.Durable > ack.Heard {
+		return
+	}
+	if w.term.Less(ack.Term) {
+		w.term, w.heard = ack.Term, ack.Heard
+	}
+	w.heard = max(w.heard, ack.Heard)
+	w.durable = max(w.durable, ack.Durable)
+}
+
+// Finished reports whether the life is over and a majority holds all of it.
+func (w *Writer[K, V]) Finished() bool { return w.closed && w.durable >= w.version }
+
+// Told is the newest version that a receiver may hold.
+func (w *Writer[K, V]) Told() uint64 { return w.told }
+
+// Durable is the newest version that a majority holds.
+func (w *Writer[K, V]) Durable() uint64 { return w.durable }
+
+// Cell is the present state of a key.
+func (w *Writer[K, V]) Cell(key K) V {
+	if cell := w.cells[key]; cell != nil {
+		return cell.Value
+	}
+	var zero V
+	return zero
+}
+
+// Len is the number of cells.
+func (w *Writer[K, V]) Len() int { return len(w.cells) }
