Accounts: one per tenant, with stand-ins that keep the truth

Cause: nobody could tell a tenant how its requests were served against an objective. Nothing is wired yet.

--- /dev/null
+++ b/internal/accounts/wire.go
@@ -0,0 +1,171 @@
+package accounts
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"hash/fnv"
+
+	"slateridge/internal/counter"
+)
+
+// Delta is what changed of a life's accounts.
+type Delta = counter.Delta[string, Account]
+
+// formatVersion is that of packed accounts; a report of another one is refused.
+const formatVersion = 1
+
+// Limits of a report; what is beyond them is garbled.
+const (
+	nameMax    = 256     // bytes of a tenant's or a node's name
+	tenantsMax = 200_000 // accounts in one report
+	binsMax    = 400     // bins of a sketch: all between the shortest and the longest latency
+	countMax   = 1 << 48 // requests of one tenant in one life
+)
+
+// Report brings a shard's holder what has changed at a proxy.
+type Report struct {
+	Shard  int
+	Format int
+	Node   string
+	Life   uint64
+	From   uint64
+	To     uint64
+	Closed bool
+	Packed []byte // accounts by tenant
+}
+
+// ReportAck answers a report.
+type ReportAck struct {
+	Shard   int
+	Life    uint64
+	Refused string // why the report was not taken; it is kept by its proxy
+	Ack     counter.Ack
+}
+
+// Errors of a report that is refused.
+var (
+	ErrFormat        = errors.New("report of another format")
+	ErrGarbled       = errors.New("report is garbled")
+	ErrUnknownTenant = errors.New("tenant has no objective here")
+	ErrNotHolder     = errors.New("this machine does not hold the shard")
+)
+
+// ShardOf is the shard that a tenant belongs to.
+func ShardOf(tenant string, shards int) int {
+	hash := fnv.New64a()
+	hash.Write([]byte(tenant))
+	return int(hash.Sum64() % uint64(shards))
+}
+
+// packReport makes a report of a delta.
+func packReport(shard int, delta Delta) Report {
+	report := Report{Shard: shard, Format: formatVersion, Node: delta.Node, Life: uint64(delta.Life), From: delta.From, To: delta.To, Closed: delta.Closed}
+	for tenant, account := range delta.Cells {
+		report.Packed = binary.AppendUvarint(report.Packed, uint64(len(tenant)))
+		report.Packed = append(report.Packed, tenant...)
+		report.Packed = appendAccount(report.Packed, account)
+	}
+	return report
+}
+
+func appendAccount(out []byte, a Account) []byte {
+	out = binary.AppendUvarint(out, a.Taken)
+	for _, n := range a.Settled {
+		out = binary.AppendUvarint(out, n)
+	}
+	out = binary.AppendUvarint(out, a.Doubled)
+	out = binary.AppendUvarint(out, uint64(len(a.Latency)))
+	before := int32(0)
+	for _, bin := range a.Latency {
+		out = binary.AppendVarint(out, int64(bin.Index-before))
+		out = binary.AppendUvarint(out, bin.Count)
+		before = bin.Index
+	}
+	return out
+}
+
+// unpackReport reads a report and checks all that can be checked of it alone.
+func unpackReport(report Report, shards int) (Delta, error) {
+	if report.Format != formatVersion {
+		return Delta{}, fmt.Errorf("%w: %d, not %d", ErrFormat, report.Format, formatVersion)
+	}
+	if report.Life == 0 || report.Node == "" || len(report.Node) > nameMax || report.Shard < 0 || report.Shard >= shards || report.To < report.From {
+		return Delta{}, ErrGarbled
+	}
+	delta := Delta{Life: counter.LifeID(report.Life), Node: report.Node, From: report.From, To: report.To, Closed: report.Closed,
+		Cells: counter.Cells[string, Account]{}}
+	r := reader{rest: report.Packed}
+	for len(r.rest) > 0 && !r.bad && len(delta.Cells) < tenantsMax {
+		tenant := r.name()
+		delta.Cells[tenant] = r.account()
+		if tenant == "" || ShardOf(tenant, shards) != report.Shard {
+			r.bad = true
+		}
+	}
+	if r.bad || len(r.rest) > 0 {
+		return Delta{}, ErrGarbled
+	}
+	return delta, nil
+}
+
+// reader takes values from packed bytes; bad says that they are garbled.
+type reader struct {
+	rest []byte
+	bad  bool
+}
+
+func (r *reader) number(most uint64) uint64 {
+	value, n := binary.Uvarint(r.rest)
+	if n <= 0 || value > most {
+		r.bad, r.rest = true, nil
+		return 0
+	}
+	r.rest = r.rest[n:]
+	return value
+}
+
+func (r *reader) signed() int64 {
+	value, n := binary.Varint(r.rest)
+	if n <= 0 {
+		r.bad, r.rest = true, nil
+		return 0
+	}
+	r.rest = r.rest[n:]
+	return value
+}
+
+func (r *reader) name() string {
+	length := int(r.number(nameMax))
+	if length > len(r.rest) {
+		r.bad, r.rest = true, nil
+		return ""
+	}
+	name := string(r.rest[:length])
+	r.rest = r.rest[length:]
+	return name
+}
+
+func (r *reader) account() Account {
+	a := Account{Taken: r.number(countMax)}
+	settled := uint64(0)
+	for i := range a.Settled {
+		a.Settled[i] = r.number(countMax)
+		settled += a.Settled[i]
+	}
+	a.Doubled = r.number(countMax)
+	bins := r.number(binsMax)
+	index := int64(0)
+	for i := range bins {
+		step := r.signed()
+		index += step
+		if i > 0 && step <= 0 || index != int64(int32(index)) {
+			r.bad = true
+		}
+		a.Latency = append(a.Latency, Bin{int32(index), r.number(countMax)})
+	}
+	if settled > a.Taken || a.Doubled > a.Taken {
+		r.bad = true
+	}
+	return a
+}
--- /dev/null
+++ b/internal/emulator/client.go
@@ -0,0 +1,134 @@
+package emulator
+
+import (
+	"fmt"
+	"time"
+)
+
+// RequestID identifies a request: one try of a client.
+type RequestID uint64
+
+// Told is what a client was told of a request.
+type Told int
+
+// What clients are told.
+const (
+	Nothing Told = iota // so far, or for ever
+	Success
+	Failed
+	TurnedAway // by the tenant's quota
+)
+
+// Request is one try of a client, with all that is true of it.
+type Request struct {
+	ID      RequestID
+	Tenant  string
+	Order   bool // may run once
+	SentAt  time.Duration
+	Taken   bool // a proxy took it
+	Proxy   string
+	Life    int // of that proxy
+	TakenAt time.Duration
+	Told    Told
+	Answers map[string]bool // upstreams whose word that they ran it has reached its proxy
+}
+
+// Client sends the requests of one tenant to proxies by turns.
+type Client struct {
+	Name      string
+	Tenant    string
+	Every     time.Duration // between two requests, on average
+	OrderPart float64       // share of requests that may run once
+	Until     time.Duration // when it stops sending
+	world     *World
+	turn      int
+	Requests  []*Request
+}
+
+// NewClient makes a client that begins to send.
+func (w *World) NewClient(tenant string, every, until time.Duration) *Client {
+	c := &Client{Name: fmt.Sprint("client-", len(w.Clients)), Tenant: tenant, Every: every, OrderPart: 0.4, Until: until, world: w}
+	w.Clients = append(w.Clients, c)
+	w.After(time.Duration(w.Rng.Int64N(int64(every))), c.send)
+	return c
+}
+
+func (c *Client) send() {
+	w := c.world
+	if w.Now >= c.Until {
+		return
+	}
+	w.After(time.Duration(w.Rng.Int64N(int64(2*c.Every)))+1, c.send)
+	c.turn++
+	w.lastID++
+	request := &Request{ID: w.lastID, Tenant: c.Tenant, Order: w.Rng.Float64() < c.OrderPart, SentAt: w.Now, Answers: map[string]bool{}}
+	c.Requests = append(c.Requests, request)
+	proxy := w.Proxies[w.proxyNames[c.turn%len(w.proxyNames)]]
+	w.Send(c.Name, proxy.Name, func() { proxy.receive(c, request) })
+}
+
+// hear takes a proxy's answer.
+func (c *Client) hear(request *Request, told Told) {
+	if request.Told == Nothing {
+		request.Told = told
+	}
+}
+
+// Truth is what is true of all requests of one tenant.
+type Truth struct {
+	Sent        int
+	Taken       int
+	Successes   int // as clients were told
+	Failures    int
+	TurnedAway  int
+	Untold      int // taken, and the client was told nothing
+	DoubledRuns int // orders that upstreams ran twice or more
+	DoubledSeen int // of which two upstreams' words reached the proxy
+}
+
+// Truth adds up the facts by tenant.
+func (w *World) Truth() map[string]*Truth {
+	out := map[string]*Truth{}
+	for _, client := range w.Clients {
+		if out[client.Tenant] == nil {
+			out[client.Tenant] = &Truth{}
+		}
+		for _, request := range client.Requests {
+			out[client.Tenant].add(request, w.runs(request.ID))
+		}
+	}
+	return out
+}
+
+func (t *Truth) add(request *Request, runs int) {
+	t.Sent++
+	if !request.Taken {
+		return
+	}
+	t.Taken++
+	switch request.Told {
+	case Success:
+		t.Successes++
+	case Failed:
+		t.Failures++
+	case TurnedAway:
+		t.TurnedAway++
+	default:
+		t.Untold++
+	}
+	if request.Order && runs > 1 {
+		t.DoubledRuns++
+	}
+	if request.Order && len(request.Answers) > 1 {
+		t.DoubledSeen++
+	}
+}
+
+// runs is how often upstreams ran a request.
+func (w *World) runs(id RequestID) int {
+	count := 0
+	for _, upstream := range w.Upstreams {
+		count += upstream.Runs[id]
+	}
+	return count
+}
--- /dev/null
+++ b/internal/emulator/control.go
@@ -0,0 +1,105 @@
+package emulator
+
+import (
+	"time"
+
+	"slateridge/internal/accounts"
+	"slateridge/internal/basin"
+	"slateridge/internal/counter"
+)
+
+// controlTick is the step of a control machine.
+const controlTick = 25 * time.Millisecond
+
+// Control is a control machine: it keeps the accounts with the real code. Its leases are
+// the world's to give.
+type Control struct {
+	Name        string
+	Up          bool
+	Life        int
+	FrozenUntil time.Duration
+	Disk        *basin.Disk
+	Holder      *accounts.Holder
+	world       *World
+	began       time.Duration // its steady clock counts from here
+}
+
+// NewControl makes a control machine and starts it.
+func (w *World) NewControl(name string) *Control {
+	c := &Control{Name: name, Disk: basin.NewDisk(), world: w}
+	w.Controls[name] = c
+	w.controlNames = append(w.controlNames, name)
+	c.start(true)
+	return c
+}
+
+// Start begins a process, on whatever the disk holds.
+func (c *Control) Start() {
+	if !c.Up {
+		c.start(false)
+	}
+}
+
+func (c *Control) start(founding bool) {
+	c.Up = true
+	c.Life++
+	c.began = c.world.Now - time.Duration(c.world.Rng.IntN(1000))*time.Millisecond
+	c.Holder = accounts.NewHolder(c.Name, c.world.Objectives, c.world.Options, c.Disk, founding, uint64(c.Life), func(string, string) {})
+	c.tick(c.Life)
+}
+
+// Kill ends the process; its disk stays.
+func (c *Control) Kill() { c.Up = false }
+
+// Wipe ends the process and loses the disk.
+func (c *Control) Wipe() {
+	c.Up = false
+	c.Disk = basin.NewDisk()
+}
+
+// Freeze has the process stand still for a while.
+func (c *Control) Freeze(span time.Duration) { c.FrozenUntil = c.world.Now + span }
+
+// Now is the process's steady clock.
+func (c *Control) Now() time.Duration { return c.world.Now - c.began }
+
+func (c *Control) when(life int, do func()) {
+	if !c.Up || c.Life != life {
+		return
+	}
+	if wait := c.FrozenUntil - c.world.Now; wait > 0 {
+		c.world.After(wait, func() { c.when(life, do) })
+		return
+	}
+	do()
+}
+
+func (c *Control) tick(life int) {
+	if !c.Up || c.Life != life {
+		return
+	}
+	c.world.After(controlTick, func() { c.tick(life) })
+	if c.FrozenUntil > c.world.Now {
+		return
+	}
+	c.put(c.Holder.Tick(c.Now(), c.leads, c.world.controlNames))
+	c.world.observe(c)
+}
+
+func (c *Control) leads(shard int) bool { return c.world.Leases[shard] == c.Name }
+
+func (c *Control) take(report accounts.Report) accounts.ReportAck {
+	return c.Holder.Take(report, report.Shard >= 0 && report.Shard < len(c.world.Leases) && c.leads(report.Shard))
+}
+
+func (c *Control) put(out []counter.Send) {
+	for _, send := range out {
+		to := c.world.Controls[send.To]
+		c.world.send(c.Name, to.Name, func() {
+			to.when(to.Life, func() {
+				to.put(to.Holder.Receive(to.Now(), c.Name, send.Message))
+				c.world.observe(to)
+			})
+		})
+	}
+}
--- /dev/null
+++ b/internal/emulator/proxy.go
@@ -0,0 +1,252 @@
+package emulator
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"slateridge/internal/accounts"
+	"slateridge/internal/counter"
+)
+
+// Times of the stand-in proxies.
+const (
+	tryTimeout     = 400 * time.Millisecond // an upstream silent so long is given up
+	requestTimeout = 1200 * time.Millisecond
+	hedgeAfter     = 200 * time.Millisecond // a read is sent to a second upstream beside the first
+	mostTries      = 3
+)
+
+// Proxy is a stand-in for a proxy: it takes requests, offers them to upstreams, and
+// accounts for them with the real meter.
+type Proxy struct {
+	Name        string
+	Up          bool
+	Life        int           // rises with each start
+	FrozenUntil time.Duration // until then it does nothing
+	OverQuota   float64       // share of requests it turns away
+	RepeatOrder float64       // share of silent orders that it wrongly offers again
+	world       *World
+	meter       *accounts.Meter
+	journals    map[counter.LifeID]*memoryJournal
+	life        counter.LifeID
+	Wipes       []Wipe
+}
+
+// Wipe is a loss of a proxy's process together with its journals.
+type Wipe struct {
+	Life int
+	At   time.Duration
+}
+
+// memoryJournal outlasts the process, as a mapped file does.
+type memoryJournal struct {
+	told     []uint64
+	accounts map[string]accounts.Account
+}
+
+// Record implements accounts.Journal.
+func (j *memoryJournal) Record(tenant string, account *accounts.Account) {
+	kept := *account
+	kept.Latency = nil
+	j.accounts[tenant] = kept
+}
+
+// Told implements accounts.Journal.
+func (j *memoryJournal) Told(shard int, version uint64) { j.told[shard] = version }
+
+// NewProxy makes a proxy and starts it.
+func (w *World) NewProxy(name string) *Proxy {
+	p := &Proxy{Name: name, OverQuota: 0.03, RepeatOrder: 0.3, world: w, journals: map[counter.LifeID]*memoryJournal{}}
+	w.Proxies[name] = p
+	w.proxyNames = append(w.proxyNames, name)
+	p.Start()
+	return p
+}
+
+// Start begins a process, which takes up the journals of those before.
+func (p *Proxy) Start() {
+	if p.Up {
+		return
+	}
+	p.Up = true
+	p.Life++
+	var ended []accounts.EndedLife
+	for _, life := range slices.Sorted(maps.Keys(p.journals)) {
+		journal := p.journals[life]
+		ended = append(ended, accounts.EndedLife{Life: life, Told: journal.told, Accounts: maps.Clone(journal.accounts)})
+	}
+	p.life = counter.LifeID(p.world.Rng.Uint64() | 1)
+	journal := &memoryJournal{told: make([]uint64, p.world.Objectives.Shards), accounts: map[string]accounts.Account{}}
+	p.journals[p.life] = journal
+	p.meter = accounts.NewMeter(p.Name, p.life, p.world.Objectives, journal, ended)
+	p.tell(p.Life)
+}
+
+// Kill ends the process; its journal stays.
+func (p *Proxy) Kill() {
+	p.Up = false
+}
+
+// Wipe ends the process and loses its journals, as when the machine is replaced.
+func (p *Proxy) Wipe() {
+	if p.Up {
+		p.Wipes = append(p.Wipes, Wipe{p.Life, p.world.Now})
+	}
+	p.Up = false
+	p.journals = map[counter.LifeID]*memoryJournal{}
+}
+
+// Freeze has the process stand still for a while.
+func (p *Proxy) Freeze(span time.Duration) { p.FrozenUntil = p.world.Now + span }
+
+// when runs something in a life of the process: at once, after a freeze, or never if that
+// life is over.
+func (p *Proxy) when(life int, do func()) {
+	if !p.Up || p.Life != life {
+		return
+	}
+	if wait := p.FrozenUntil - p.world.Now; wait > 0 {
+		p.world.After(wait, func() { p.when(life, do) })
+		return
+	}
+	do()
+}
+
+// receive takes a request that has reached this machine; with no process there, it is lost.
+func (p *Proxy) receive(client *Client, request *Request) {
+	p.when(p.Life, func() {
+		w := p.world
+		request.Taken, request.Proxy, request.Life, request.TakenAt = true, p.Name, p.Life, w.Now
+		passage := &passage{proxy: p, life: p.Life, client: client, request: request, account: p.meter.Begin(request.Tenant)}
+		if w.Rng.Float64() < p.OverQuota {
+			passage.answer(TurnedAway)
+			return
+		}
+		w.After(requestTimeout, func() { p.when(passage.life, passage.giveUp) })
+		passage.try()
+		if !request.Order {
+			w.After(hedgeAfter, func() { p.when(passage.life, passage.try) })
+		}
+	})
+}
+
+// passage is a request on its way through a proxy.
+type passage struct {
+	proxy   *Proxy
+	life    int
+	client  *Client
+	request *Request
+	account *accounts.Request
+	tries   int
+	unsure  bool // an upstream was sent it and has not said whether it ran
+	over    bool
+}
+
+// try offers the request to an upstream.
+func (g *passage) try() {
+	w := g.proxy.world
+	names := w.Platform.List()
+	if g.over || g.tries == mostTries || len(names) == 0 {
+		return
+	}
+	g.tries++
+	upstream := w.Upstreams[names[w.Rng.IntN(len(names))]]
+	heard := false
+	g.unsure = true
+	w.Send(g.proxy.Name, upstream.Name, func() {
+		upstream.offer(g.request.ID, func(ran bool) {
+			w.Send(upstream.Name, g.proxy.Name, func() {
+				g.proxy.when(g.life, func() {
+					heard = true
+					g.hear(upstream.Name, ran)
+				})
+			})
+		})
+	})
+	w.After(tryTimeout, func() {
+		g.proxy.when(g.life, func() {
+			if !heard && (!g.request.Order || w.Rng.Float64() < g.proxy.RepeatOrder) {
+				g.try()
+			}
+		})
+	})
+}
+
+// hear takes an upstream's word.
+func (g *passage) hear(upstream string, ran bool) {
+	if !ran {
+		g.unsure = g.tries > 1
+		g.try()
+		return
+	}
+	g.request.Answers[upstream] = true
+	if g.request.Order && len(g.request.Answers) > 1 {
+		g.account.Doubled()
+	}
+	g.answer(Success)
+}
+
+// giveUp ends a request that has taken too long.
+func (g *passage) giveUp() { g.answer(Failed) }
+
+// answer tells the client and settles the account, once. The proxy notices where it could
+// not write to the client.
+func (g *passage) answer(told Told) {
+	if g.over {
+		return
+	}
+	g.over = true
+	w := g.proxy.world
+	written := !w.isCut(g.proxy.Name, g.client.Name)
+	w.Send(g.proxy.Name, g.client.Name, func() { g.client.hear(g.request, told) })
+	switch {
+	case told == TurnedAway:
+		g.account.Failure(accounts.Refused)
+	case !written:
+		g.account.Failure(accounts.Unknown)
+	case told == Success:
+		g.account.Success(w.Now - g.request.TakenAt)
+	case g.request.Order && g.unsure:
+		g.account.Failure(accounts.Unknown)
+	default:
+		g.account.Failure(accounts.Lost)
+	}
+}
+
+// tell brings reports to the holders of all shards, again and again.
+func (p *Proxy) tell(life int) {
+	if !p.Up || p.Life != life {
+		return
+	}
+	p.world.After(p.world.TellEvery, func() { p.tell(life) })
+	if p.FrozenUntil > p.world.Now {
+		return
+	}
+	for shard := range p.world.Objectives.Shards {
+		for _, report := range p.meter.Reports(shard) {
+			p.report(life, report)
+		}
+	}
+}
+
+func (p *Proxy) report(life int, report accounts.Report) {
+	w := p.world
+	holder := w.Controls[w.Known[report.Shard]]
+	if holder == nil {
+		return
+	}
+	w.Bytes += len(report.Packed)
+	w.send(p.Name, holder.Name, func() {
+		holder.when(holder.Life, func() {
+			ack := holder.take(report)
+			w.send(holder.Name, p.Name, func() {
+				p.when(life, func() {
+					for _, finished := range p.meter.Acknowledge(ack) {
+						delete(p.journals, finished)
+					}
+				})
+			})
+		})
+	})
+}
