--- /dev/null
+++ b/cmd/scalerun/accounts.go
@@ -0,0 +1,148 @@
+package main
+
+import (
+	"encoding/gob"
+	"fmt"
+	"io"
+	"math"
+	"math/rand/v2"
+	"runtime"
+	"time"
+
+	"slateridge/internal/accounts"
+	"slateridge/internal/counter"
+)
+
+const (
+	accountRate      = 250 // requests a second of one proxy
+	accountSpread    = 0.5 // standard deviation of the latencies' logarithms
+	accountMedian    = 80 * time.Millisecond
+	accountRoundPart = 0.25 // of all proxies report between two rounds of replication
+	accountReports   = 15   // of a proxy, until bins and totals are as in steady state
+)
+
+// memoryStore is a disk that takes no time, to measure what is not the disk's.
+type memoryStore struct{ bytes int64 }
+
+func (s *memoryStore) Get(string, any) bool { return false }
+
+func (s *memoryStore) Put(_ string, value any) error {
+	s.bytes += gobSize(value)
+	return nil
+}
+
+// countingWriter stands for a held connection.
+type countingWriter struct{ bytes int }
+
+func (w *countingWriter) Write(b []byte) (int, error) {
+	w.bytes += len(b)
+	return len(b), nil
+}
+
+// accountSlopes measures what the accounts cost a proxy, by active tenants, and a control
+// machine, by accounts of proxies.
+func accountSlopes(w io.Writer) {
+	objectives := must(accounts.ParseObjectives([]byte(`{"version":1,"defaultClass":"all","classes":{"all":{"target":0.99,"latency":"250ms","window":"720h"}}}`)))
+	fmt.Fprintln(w, "accounts at a proxy of 250 requests/s: active tenants, bytes/s out, messages/s, microseconds a request, milliseconds a report round, part of a core, heap KB, journal KB")
+	for _, tenants := range []int{30, 300, 3_000} {
+		accountProxySlope(w, objectives, tenants)
+	}
+	fmt.Fprintln(w, "accounts at a shard's holder: proxies of 300 tenants in 16 shards, microseconds a report, heap MB of the shard, MB a round to each replica, ms to fold all lives")
+	for _, proxies := range []int{52, 520, 5_200} {
+		accountHolderSlope(w, objectives, proxies)
+	}
+}
+
+// accountTenant is the name of one of a fleet's tenants.
+func accountTenant(i int) string { return fmt.Sprintf("t%06d", i) }
+
+func accountProxySlope(w io.Writer, objectives *accounts.Objectives, tenants int) {
+	rng := rand.New(rand.NewPCG(1, 1))
+	base := heap()
+	meter := accounts.NewMeter("proxy-0001", 7, objectives, nil, nil)
+	term := counter.Ballot{Counter: 1, Machine: "a", Start: 1}
+	connection := &countingWriter{}
+	encoder := gob.NewEncoder(connection)
+	var messages int
+	var serving, telling time.Duration
+	requests := accountRate * int(accounts.TellEvery.Seconds())
+	for report := range accountReports {
+		names := make([]string, requests)
+		latencies := make([]time.Duration, requests)
+		for i := range names {
+			names[i] = accountTenant(rng.IntN(tenants))
+			latencies[i] = time.Duration(float64(accountMedian) * math.Exp(accountSpread*rng.NormFloat64()))
+		}
+		connection.bytes, messages = 0, 0
+		began := time.Now()
+		for i, name := range names {
+			meter.Begin(name).Success(latencies[i])
+		}
+		served := time.Now()
+		for shard := range objectives.Shards {
+			for _, r := range meter.Reports(shard) {
+				if err := encoder.Encode(r); err != nil {
+					panic(err)
+				}
+				messages++
+				meter.Acknowledge(accounts.ReportAck{Shard: shard, Life: r.Life, Ack: counter.Ack{Term: term, Heard: r.To, Durable: r.From}})
+			}
+		}
+		if report == accountReports-1 {
+			serving, telling = served.Sub(began), time.Since(served)
+		}
+	}
+	span := accounts.TellEvery.Seconds()
+	fmt.Fprintf(w, "  %d, %.0f, %.1f, %.2f, %.2f, %.5f, %.0f, %.0f\n", tenants, float64(connection.bytes)/span, float64(messages)/span,
+		float64(serving.Nanoseconds())/float64(requests)/1e3, telling.Seconds()*1e3, (serving+telling).Seconds()/span, (heap()-base)/1e3, float64(tenants)*0.512+4)
+	runtime.KeepAlive(meter)
+}
+
+func accountHolderSlope(w io.Writer, objectives *accounts.Objectives, proxies int) {
+	rng := rand.New(rand.NewPCG(2, 2))
+	options := accounts.DefaultOptions
+	options.FoldEvery, options.FoldAtMost = time.Hour, proxies
+	base := heap()
+	store := &memoryStore{}
+	group := counter.NewGroup[string, accounts.Account](0, "a", options, store, true, 1)
+	alone := []string{"a"}
+	group.Tick(0, true, alone)
+	group.Tick(time.Second, true, alone)
+	perShard := 300 / objectives.Shards
+	report := func(proxy int, from, to uint64, closed bool) accounts.Delta {
+		delta := accounts.Delta{Life: counter.LifeID(proxy + 1), Node: fmt.Sprint("proxy-", proxy), From: from, To: to, Closed: closed, Cells: counter.Cells[string, accounts.Account]{}}
+		for range perShard {
+			account := accounts.Account{Taken: 1000 * to}
+			account.Settled[accounts.InAim] = 1000 * to
+			for range 20 {
+				account.Latency.Observe(time.Duration(float64(accountMedian) * math.Exp(accountSpread*rng.NormFloat64())))
+			}
+			delta.Cells[accountTenant(rng.IntN(200_000/objectives.Shards))] = account
+		}
+		return delta
+	}
+	var taking time.Duration
+	send := func(version uint64, closed bool) {
+		deltas := make([]accounts.Delta, proxies)
+		for i := range deltas {
+			deltas[i] = report(i, version-1, version, closed)
+		}
+		began := time.Now()
+		for _, delta := range deltas {
+			group.Report(delta)
+		}
+		taking = time.Since(began)
+	}
+	send(1, false)
+	group.Tick(time.Minute, true, alone)
+	held := heap() - base
+	store.bytes = 0
+	send(2, true)
+	group.Tick(2*time.Minute, true, alone)
+	round := float64(store.bytes) * accountRoundPart
+	began := time.Now()
+	group.Tick(3*time.Hour, true, alone)
+	folding := time.Since(began)
+	fmt.Fprintf(w, "  %d, %.1f, %.1f, %.2f, %.0f\n", proxies, float64(taking.Nanoseconds())/float64(proxies)/1e3, held/1e6, round/1e6, folding.Seconds()*1e3)
+	runtime.KeepAlive(group)
+}
--- a/cmd/scalerun/slopes.go
+++ b/cmd/scalerun/slopes.go
@@ -157,6 +157,7 @@
 		fmt.Fprintf(w, "  %d, %.2f, %.1f\n", n, (heap()-base)/1e6, float64(took.Nanoseconds())/1e3)
 		runtime.KeepAlive(s)
 	}
+	accountSlopes(w)
 }
 
 func must[T any](v T, err error) T {
--- a/internal/accounts/wire.go
+++ b/internal/accounts/wire.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"hash/fnv"
+	"math"
 
 	"slateridge/internal/counter"
 )
@@ -69,12 +70,28 @@
 	return report
 }
 
+// counters are an account's numbers as they are packed: mostly zero. What is open stands
+// for what was taken.
+func (a Account) counters() []uint64 {
+	return append(a.Settled[:], a.Doubled, a.Open())
+}
+
+// appendAccount packs an account: a bit for each number that is not zero, those numbers,
+// and the bins as steps from one to the next.
 func appendAccount(out []byte, a Account) []byte {
-	out = binary.AppendUvarint(out, a.Taken)
-	for _, n := range a.Settled {
-		out = binary.AppendUvarint(out, n)
+	present := byte(0)
+	counters := a.counters()
+	for i, n := range counters {
+		if n > 0 {
+			present |= 1 << i
+		}
+	}
+	out = binary.AppendUvarint(out, uint64(present))
+	for _, n := range counters {
+		if n > 0 {
+			out = binary.AppendUvarint(out, n)
+		}
 	}
-	out = binary.AppendUvarint(out, a.Doubled)
 	out = binary.AppendUvarint(out, uint64(len(a.Latency)))
 	before := int32(0)
 	for _, bin := range a.Latency {
@@ -147,13 +164,23 @@
 }
 
 func (r *reader) account() Account {
-	a := Account{Taken: r.number(countMax)}
-	settled := uint64(0)
+	var a Account
+	counters := a.counters()
+	present := r.number(math.MaxUint8)
+	if present >= 1<<len(counters) {
+		r.bad = true
+	}
+	for i := range counters {
+		if present&(1<<i) != 0 {
+			counters[i] = r.number(countMax)
+		}
+	}
+	a.Taken = counters[outcomeCount+1]
 	for i := range a.Settled {
-		a.Settled[i] = r.number(countMax)
-		settled += a.Settled[i]
+		a.Settled[i] = counters[i]
+		a.Taken += counters[i]
 	}
-	a.Doubled = r.number(countMax)
+	a.Doubled = counters[outcomeCount]
 	bins := r.number(binsMax)
 	index := int64(0)
 	for i := range bins {
@@ -164,7 +191,7 @@
 		}
 		a.Latency = append(a.Latency, Bin{int32(index), r.number(countMax)})
 	}
-	if settled > a.Taken || a.Doubled > a.Taken {
+	if a.Doubled > a.Taken {
 		r.bad = true
 	}
 	return a
--- a/internal/counter/group.go
+++ b/internal/counter/group.go
@@ -59,6 +59,7 @@
 	foldAt     time.Duration
 	inbox      []Delta[K, V]
 	arrived    map[LifeID]uint64 // versions with the inbox
+	closing    map[LifeID]uint64 // final versions in the inbox
 	durable    map[LifeID]uint64 // versions that a majority holds
 	totals     Cells[K, V]       // of what a majority holds
 	holders    map[K]map[LifeID]struct{}
@@ -235,7 +236,7 @@
 func (g *Group[K, V]) campaign(now time.Duration, replicas []string) {
 	g.leader = &leader[K, V]{ballot: Ballot{g.promised.Counter + 1, g.machine, g.start}, replicas: slices.Clone(replicas),
 		assemblies: map[string]*assembly[K, V]{}, prepared: map[string]bool{}, durable: map[LifeID]uint64{},
-		arrived: map[LifeID]uint64{}, empty: map[string]emptyReplica{}, foldAt: now}
+		arrived: map[LifeID]uint64{}, closing: map[LifeID]uint64{}, empty: map[string]emptyReplica{}, foldAt: now}
 	g.prepare(now)
 }
 
@@ -322,16 +323,17 @@
 	if _, final := g.replica.Version(delta.Life); final > 0 {
 		arrived.Final = final
 	}
-	for _, waiting := range l.inbox {
-		if waiting.Life == delta.Life && waiting.Closed {
-			arrived.Final = waiting.To
-		}
+	if final, closed := l.closing[delta.Life]; closed {
+		arrived.Final = final
 	}
 	if err := arrived.check(delta); err != nil {
 		return err
 	}
 	l.inbox = append(l.inbox, delta)
 	l.arrived[delta.Life] = max(arrived.Version, delta.To)
+	if delta.Closed {
+		l.closing[delta.Life] = delta.To
+	}
 	return nil
 }
 
@@ -343,6 +345,7 @@
 		return // the inbox is kept; merging it again changes nothing
 	}
 	l.inbox = nil
+	clear(l.closing)
 	l.rounds++
 	l.roundAt = now
 	next := &round[K, V]{number: l.rounds, versions: map[LifeID]uint64{}, acks: map[string]bool{}, sentAt: map[string]time.Duration{}}
