Usage: its counts are the shared counters' cells

Cause: usage joined and added its counts by itself, as internal/counter does. Change: Counts are counter.Cells of counter.Count, joined and added there. On the wire they are the same: maps of strings to unsigned numbers. One test converts a count to the number that it returns. The proxy's list of what is untold, by window, stays usage's own: windows are settled and dropped, which a life's cells never are.

--- a/internal/sluice/stream_test.go
+++ b/internal/sluice/stream_test.go
@@ -395,7 +395,7 @@
 			if h, ok := y.Take(0, 41, told); ok {
 				s.meter.Heard(told, h)
 			}
-			return y.Sum(40)["ten"]
+			return uint64(y.Sum(40)["ten"])
 		}
 		done := make(chan bool)
 		go func() { get(s, "POST", "/once/x", "hi"); close(done) }()
--- a/internal/usage/usage.go
+++ b/internal/usage/usage.go
@@ -6,17 +6,17 @@
 
 import (
 	"encoding/json"
-	"maps"
 	"sync"
 	"time"
 
 	"slateridge/internal/conduit"
+	"slateridge/internal/counter"
 	"slateridge/internal/datum"
 )
 
 type (
 	// Counts are cumulative numbers by tenant.
-	Counts map[string]uint64
+	Counts = counter.Cells[string, counter.Count]
 	// Told is one proxy's word to the duty's holder: of each window what has
 	// changed since that holder last answered, and what is running. All windows up to
 	// Closed are final.
@@ -163,7 +163,7 @@
 	m.seq++
 	t := Told{Proxy: proxy, Life: m.life, Term: m.term, Windows: map[uint64]Counts{}, Seq: m.seq, Running: map[uint64]Counts{}}
 	for w, c := range m.running {
-		t.Running[w] = maps.Clone(c)
+		t.Running[w] = c.Clone()
 	}
 	if now > 0 {
 		t.Closed = now - 1
@@ -293,15 +293,13 @@
 		if l.windows[w] == nil {
 			l.windows[w] = Counts{}
 		}
-		for tenant, n := range c {
-			l.windows[w][tenant] = max(l.windows[w][tenant], n)
-		}
+		l.windows[w].Join(c)
 	}
 	if m.Seq > l.seq {
 		l.seq, l.running = m.Seq, map[uint64]Counts{}
 		for w, c := range m.Running {
 			if w > t.settled {
-				l.running[w] = maps.Clone(c)
+				l.running[w] = c.Clone()
 			}
 		}
 	}
@@ -354,10 +352,10 @@
 		}
 		m := Told{Proxy: l.proxy, Life: id, Windows: map[uint64]Counts{}, Seq: l.seq, Running: map[uint64]Counts{}}
 		for w, c := range l.running {
-			m.Running[w] = maps.Clone(c)
+			m.Running[w] = c.Clone()
 		}
 		for w, c := range l.windows {
-			m.Windows[w] = maps.Clone(c)
+			m.Windows[w] = c.Clone()
 		}
 		out = append(out, m)
 	}
@@ -417,11 +415,8 @@
 	defer t.mu.Unlock()
 	out := Counts{}
 	for _, l := range t.lives {
-		for _, c := range []Counts{l.windows[w], l.running[w]} {
-			for tenant, n := range c {
-				out[tenant] += n
-			}
-		}
+		out.Plus(l.windows[w])
+		out.Plus(l.running[w])
 	}
 	return out
 }
