Accounts: the proxy's agent and the control machine's service

Change: internal/accounts has what the daemons will be wired to: an agent that opens journals, tells each shard's holder and learns from refusals who that is; a service that takes reports and replication messages, answers operators and gives metrics.

--- /dev/null
+++ b/internal/accounts/agent.go
@@ -0,0 +1,138 @@
+package accounts
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"slateridge/internal/counter"
+)
+
+// AgentOptions are what an agent needs of the proxy's process.
+type AgentOptions struct {
+	Node       string
+	Objectives *Objectives
+	Controls   []string                                          // control machines to ask first
+	Ask        func(to string, report Report) (ReportAck, error) // one question, answered or not
+	Note       func(kind, about string)
+}
+
+// Agent is a proxy's part in the accounts: the meter of its process, with its journal, and
+// the reports to the holders of the shards.
+type Agent struct {
+	*Meter
+	options AgentOptions
+	journal *FileJournal
+
+	mu      sync.Mutex
+	holders []string // by shard; empty: not known
+	asked   int      // control machines asked for holders, by turns
+}
+
+// NewAgent begins a new life. Journals of lives before it that cannot be read, and a
+// journal of its own that cannot be made, are noted; accounts are kept all the same.
+func NewAgent(options AgentOptions) *Agent {
+	life := counter.LifeID(rand.Uint64() | 1)
+	a := &Agent{options: options, holders: make([]string, options.Objectives.Shards)}
+	directory := options.Objectives.Journal
+	if directory == "" {
+		a.Meter = NewMeter(options.Node, life, options.Objectives, nil, nil)
+		return a
+	}
+	ended, problems := RecoverJournals(directory)
+	journal, err := CreateJournal(directory, life, options.Objectives.Shards)
+	if err != nil {
+		problems = append(problems, err)
+		a.Meter = NewMeter(options.Node, life, options.Objectives, nil, ended)
+	} else {
+		a.journal = journal
+		a.Meter = NewMeter(options.Node, life, options.Objectives, journal, ended)
+	}
+	for _, problem := range problems {
+		options.Note("account_journal", problem.Error())
+	}
+	return a
+}
+
+// Tell brings every shard's holder what it lacks. It is called every TellEvery, and may
+// take as long as the questions do.
+func (a *Agent) Tell() {
+	for shard := range a.options.Objectives.Shards {
+		for _, report := range a.Reports(shard) {
+			a.tell(report)
+		}
+	}
+}
+
+// tell asks the holder known, and once more the one that the answer names.
+func (a *Agent) tell(report Report) {
+	for range 2 {
+		to := a.holder(report.Shard)
+		if to == "" {
+			return
+		}
+		ack, err := a.options.Ask(to, report)
+		if err != nil {
+			a.setHolder(report.Shard, "")
+			return
+		}
+		if ack.Refused == "" {
+			a.finish(a.Acknowledge(ack))
+			return
+		}
+		if ack.Holder == "" || ack.Holder == to {
+			if ack.Refused != ErrNotHolder.Error() {
+				a.options.Note("account_untold", ack.Refused)
+			}
+			a.setHolder(report.Shard, "")
+			return
+		}
+		a.setHolder(report.Shard, ack.Holder)
+	}
+}
+
+// holder is whom to ask for a shard: its holder, or any control machine by turns.
+func (a *Agent) holder(shard int) string {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.holders[shard] != "" {
+		return a.holders[shard]
+	}
+	if len(a.options.Controls) == 0 {
+		return ""
+	}
+	a.asked++
+	return a.options.Controls[a.asked%len(a.options.Controls)]
+}
+
+func (a *Agent) setHolder(shard int, holder string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.holders[shard] = holder
+}
+
+// finish deletes the journals of lives that majorities hold whole.
+func (a *Agent) finish(lives []counter.LifeID) {
+	for _, life := range lives {
+		if err := RemoveJournal(a.options.Objectives.Journal, life); err != nil {
+			a.options.Note("account_journal", err.Error())
+		}
+	}
+}
+
+// Leave tells what has come since the latest report, before the process ends in order.
+// Without a journal it also closes the life, as no successor can.
+func (a *Agent) Leave(patience time.Duration) {
+	if a.journal == nil {
+		a.Close()
+	}
+	done := make(chan struct{})
+	go func() {
+		a.Tell()
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-time.After(patience):
+	}
+}
--- /dev/null
+++ b/internal/accounts/agent_test.go
@@ -0,0 +1,126 @@
+package accounts
+
+import (
+	"encoding/json"
+	"errors"
+	"net/http/httptest"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"slateridge/internal/basin"
+)
+
+// pair is two control machines of which the second holds the shard, without a network.
+type pair struct {
+	now      time.Duration
+	services map[string]*Service
+	silent   string
+}
+
+func newPair(objectives *Objectives) *pair {
+	p := &pair{services: map[string]*Service{}}
+	for _, name := range []string{"a", "b"} {
+		holder := NewHolder(name, objectives, DefaultOptions, basin.NewDisk(), true, 1, func(string, string) {})
+		p.services[name] = NewService(holder, ServiceOptions{Machine: name, Leads: func(int) bool { return name == "b" },
+			HolderOf: func(int) string { return "b" }, Replicas: func() []string { return []string{"a", "b"} },
+			Send: func(to string, message any) { p.services[to].Message(name, message) }, Now: func() time.Duration { return p.now }})
+	}
+	p.pass(time.Second)
+	return p
+}
+
+// pass lets time go by.
+func (p *pair) pass(span time.Duration) {
+	for end := p.now + span; p.now < end; p.now += TickEvery {
+		p.services["a"].Step()
+		p.services["b"].Step()
+	}
+}
+
+func (p *pair) ask(to string, report Report) (ReportAck, error) {
+	if to == p.silent {
+		return ReportAck{}, errors.New("no answer")
+	}
+	answer, _ := p.services[to].Message("proxy", report)
+	return answer.(ReportAck), nil
+}
+
+// TestAgentOverItsProcesses takes an agent through a process that is killed: its successor
+// settles what was under way as unknown, and removes the journal once a majority has it.
+func TestAgentOverItsProcesses(t *testing.T) {
+	directory := t.TempDir()
+	objectives, err := ParseObjectives([]byte(strings.Replace(goodFile, `"shards":1`, `"shards":1,"journalDirectory":"`+directory+`"`, 1)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := newPair(objectives)
+	start := func() *Agent {
+		return NewAgent(AgentOptions{Node: "proxy", Objectives: objectives, Controls: []string{"a", "b"}, Ask: p.ask,
+			Note: func(kind, about string) { t.Errorf("%s: %s", kind, about) }})
+	}
+	first := start()
+	first.Begin("known").Success(time.Millisecond)
+	first.Begin("known")
+	first.Tell() // by way of a, which names b
+	p.pass(10 * time.Second)
+	first.Begin("known").Failure(Lost) // never told by this process
+	first.journal.Close()              // as the end of the process does
+
+	second := start()
+	second.Begin("known").Success(time.Second)
+	p.silent = "b"
+	second.Tell()
+	p.silent = ""
+	for range 3 {
+		second.Tell()
+		p.pass(10 * time.Second)
+	}
+	response := httptest.NewRecorder()
+	p.services["b"].ServeHTTP(response, httptest.NewRequest("GET", "/accounts?tenant=known", nil))
+	var snapshot Snapshot
+	if err := json.Unmarshal(response.Body.Bytes(), &snapshot); err != nil {
+		t.Fatal(err)
+	}
+	account := snapshot.Standings[0].Account
+	if want := [outcomeCount]uint64{InAim: 1, Late: 1, Lost: 1, Unknown: 1}; account.Taken != 4 || account.Settled != want {
+		t.Errorf("the account is %+v", account)
+	}
+	if left, _ := filepath.Glob(filepath.Join(directory, "*")); len(left) != 1 {
+		t.Errorf("journals left: %v", left)
+	}
+	var metrics strings.Builder
+	p.services["b"].WriteMetrics(&metrics)
+	if !strings.Contains(metrics.String(), "slateridge_accounts_taken_total 4") || !strings.Contains(metrics.String(), `{outcome="unknown"} 1`) {
+		t.Errorf("metrics are\n%s", metrics.String())
+	}
+	for query, status := range map[string]int{"?tenant=stranger": 404, "": 200} {
+		response := httptest.NewRecorder()
+		p.services["a"].ServeHTTP(response, httptest.NewRequest("GET", "/accounts"+query, nil))
+		if response.Code != status {
+			t.Errorf("%q: status %d", query, response.Code)
+		}
+	}
+}
+
+// TestLeavingAgentClosesItsLife ends a process in order that has no journal: its life can
+// be folded.
+func TestLeavingAgentClosesItsLife(t *testing.T) {
+	objectives, err := ParseObjectives([]byte(goodFile))
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := newPair(objectives)
+	agent := NewAgent(AgentOptions{Node: "proxy", Objectives: objectives, Controls: []string{"b"}, Ask: p.ask, Note: func(string, string) {}})
+	agent.Begin("known").Success(time.Millisecond)
+	agent.Leave(time.Second)
+	p.pass(15 * time.Minute)
+	state := p.services["b"].Shards(p.now)[0]
+	if state.FoldedLives != 1 || state.OpenLives+state.EndedLives != 0 {
+		t.Errorf("%+v", state)
+	}
+	if standing, err := p.services["b"].Of(p.now, "known"); err != nil || standing.Account.Settled[InAim] != 1 {
+		t.Errorf("%+v, %v", standing.Account, err)
+	}
+}
--- a/internal/accounts/objectives.go
+++ b/internal/accounts/objectives.go
@@ -20,6 +20,9 @@
 	mostShards     = 256
 )
 
+// EnvFile names the variable that holds the settings file's path.
+const EnvFile = "SLATERIDGE_OBJECTIVES_FILE"
+
 // objectivesVersion is that of the settings file's format.
 const objectivesVersion = 1
 
@@ -33,10 +36,13 @@
 
 // Objectives are those of all tenants, from the settings file.
 type Objectives struct {
-	Shards  int // of all tenants; the same on all machines, and never changed
-	Journal string
-	tenants map[string]Objective
-	other   *Objective // of tenants that are not named; nil: they have none
+	Shards  int    // of all tenants; the same on all machines, and never changed
+	Journal string // directory of the proxies' journals; empty: none are kept
+	// Founding says that the deployment has no accounts yet: control machines begin with
+	// empty disks. Otherwise an empty disk has lost what it held.
+	Founding bool
+	tenants  map[string]Objective
+	other    *Objective // of tenants that are not named; nil: they have none
 }
 
 // Of is a tenant's objective, if it has one.
@@ -55,12 +61,13 @@
 
 // file is the settings file as it is written.
 type file struct {
-	Version int                      `json:"version"`
-	Shards  int                      `json:"shards"`
-	Journal string                   `json:"journalDirectory"`
-	Classes map[string]fileObjective `json:"classes"`
-	Tenants map[string]string        `json:"tenants"`
-	Default string                   `json:"defaultClass"`
+	Version  int                      `json:"version"`
+	Shards   int                      `json:"shards"`
+	Journal  string                   `json:"journalDirectory"`
+	Founding bool                     `json:"founding"`
+	Classes  map[string]fileObjective `json:"classes"`
+	Tenants  map[string]string        `json:"tenants"`
+	Default  string                   `json:"defaultClass"`
 }
 
 type fileObjective struct {
@@ -109,7 +116,7 @@
 }
 
 func (f file) objectives() (*Objectives, error) {
-	out := &Objectives{Shards: f.Shards, Journal: f.Journal, tenants: map[string]Objective{}}
+	out := &Objectives{Shards: f.Shards, Journal: f.Journal, Founding: f.Founding, tenants: map[string]Objective{}}
 	classes := map[string]Objective{}
 	for name, written := range f.Classes {
 		objective, err := written.check()
--- a/internal/accounts/wire.go
+++ b/internal/accounts/wire.go
@@ -41,6 +41,7 @@
 	Shard   int
 	Life    uint64
 	Refused string // why the report was not taken; it is kept by its proxy
+	Holder  string // the machine that holds the shard's lease, as far as is known
 	Ack     counter.Ack
 }
 
