--- /dev/null
+++ b/cmd/slateridge/accounts.go
@@ -0,0 +1,158 @@
+package main
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"os"
+	"strings"
+	"time"
+
+	"slateridge/internal/accountreport"
+	"slateridge/internal/accounts"
+)
+
+// accountsMax bounds the bytes of one machine's answer: 200,000 tenants of 1 KB each.
+const accountsMax = 256 << 20
+
+// errUnheldTenant is given where no machine that answered holds a tenant's shard.
+var errUnheldTenant = errors.New("no machine that answered has the tenant's total: ask the other control machines, or again in a few seconds")
+
+type accountsCmd struct {
+	Address []string      `arg:"" help:"Admin addresses (HOST:PORT) of control machines; name all of them for a whole table."`
+	JSON    bool          `help:"Print a snapshot as JSON; several of them, saved, make a report with --from."`
+	CSV     bool          `help:"Print a record for each tenant."`
+	HTML    string        `help:"Write a page with plots of burn rate and latency to this file, from --from and --watch." placeholder:"FILE"`
+	From    []string      `help:"Snapshots saved earlier with --json." placeholder:"FILE"`
+	Watch   time.Duration `help:"With --html: take snapshots for so long."`
+	Every   time.Duration `default:"30s" help:"With --watch: between two snapshots."`
+	Timeout int           `default:"5000" help:"Milliseconds to wait for each machine."`
+}
+
+// Run prints the accounts of all tenants, or writes a report on a span.
+func (c accountsCmd) Run() error {
+	if c.JSON && c.CSV {
+		return usageError{errors.New("--json and --csv are two formats: choose one")}
+	}
+	if c.HTML == "" && (len(c.From) > 0 || c.Watch > 0) {
+		return usageError{errors.New("--from and --watch go with --html")}
+	}
+	client := &http.Client{Timeout: time.Duration(c.Timeout) * time.Millisecond}
+	if c.HTML != "" {
+		return c.writeHTML(client)
+	}
+	snapshot, err := gatherAccounts(client, c.Address, "")
+	if err != nil {
+		return err
+	}
+	return c.print(os.Stdout, snapshot)
+}
+
+func (c accountsCmd) print(w io.Writer, snapshot accounts.Snapshot) error {
+	switch {
+	case c.JSON:
+		return json.NewEncoder(w).Encode(snapshot)
+	case c.CSV:
+		return accountreport.CSV(w, snapshot)
+	}
+	return accountreport.Table(w, snapshot)
+}
+
+func (c accountsCmd) writeHTML(client *http.Client) error {
+	var snapshots []accounts.Snapshot
+	for _, path := range c.From {
+		snapshot, err := readSnapshot(path)
+		if err != nil {
+			return usageError{err}
+		}
+		snapshots = append(snapshots, snapshot)
+	}
+	for end := time.Now().Add(c.Watch); ; time.Sleep(c.Every) {
+		snapshot, err := gatherAccounts(client, c.Address, "")
+		if err != nil {
+			return err
+		}
+		snapshots = append(snapshots, snapshot)
+		if !time.Now().Add(c.Every).Before(end) {
+			break
+		}
+	}
+	file, err := os.Create(c.HTML)
+	if err != nil {
+		return usageError{err}
+	}
+	return errors.Join(accountreport.HTML(file, snapshots), file.Close())
+}
+
+func readSnapshot(path string) (accounts.Snapshot, error) {
+	var snapshot accounts.Snapshot
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return snapshot, err
+	}
+	if err := json.Unmarshal(raw, &snapshot); err != nil {
+		return snapshot, fmt.Errorf("%s is not a snapshot: %w", path, err)
+	}
+	return snapshot, nil
+}
+
+// gatherAccounts asks control machines and merges their answers. Those that do not answer
+// are named on standard error; it is an error only if none does.
+func gatherAccounts(client *http.Client, addresses []string, tenant string) (accounts.Snapshot, error) {
+	var parts []accounts.Snapshot
+	var failed []string
+	for _, address := range addresses {
+		if _, _, err := net.SplitHostPort(address); err != nil {
+			return accounts.Snapshot{}, usageError{fmt.Errorf("%q is not HOST:PORT", address)}
+		}
+		part, err := fetchAccounts(client, address, tenant)
+		if err != nil {
+			failed = append(failed, fmt.Sprintf("%s: %v", address, err))
+			continue
+		}
+		parts = append(parts, part)
+	}
+	if len(parts) == 0 {
+		return accounts.Snapshot{}, errors.New(strings.Join(failed, "; "))
+	}
+	for _, line := range failed {
+		fmt.Fprintln(os.Stderr, "slateridge:", line)
+	}
+	return accounts.MergeSnapshots(parts), nil
+}
+
+func fetchAccounts(client *http.Client, address, tenant string) (accounts.Snapshot, error) {
+	var snapshot accounts.Snapshot
+	response, err := client.Get("http://" + address + "/accounts?tenant=" + url.QueryEscape(tenant))
+	if err != nil {
+		return snapshot, errors.New("no daemon answers there")
+	}
+	defer response.Body.Close()
+	switch {
+	case response.StatusCode == http.StatusNotFound && tenant != "":
+		return snapshot, fmt.Errorf("tenant %q has no objective there", tenant)
+	case response.StatusCode != http.StatusOK || response.Header.Get("Content-Type") != "application/json":
+		return snapshot, errors.New("no accounts are kept there")
+	}
+	if err := json.NewDecoder(io.LimitReader(response.Body, accountsMax)).Decode(&snapshot); err != nil {
+		return snapshot, fmt.Errorf("the answer cannot be read: %w", err)
+	}
+	return snapshot, nil
+}
+
+// showTenant prints the standing of one tenant.
+func showTenant(w io.Writer, client *http.Client, addresses []string, tenant string) error {
+	snapshot, err := gatherAccounts(client, addresses, tenant)
+	if err != nil {
+		return err
+	}
+	standing, ok := snapshot.Of(tenant)
+	if !ok {
+		return errUnheldTenant
+	}
+	return accountreport.Tenant(w, standing)
+}
--- /dev/null
+++ b/cmd/slateridge/accounts_test.go
@@ -0,0 +1,95 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"slateridge/internal/accounts"
+)
+
+// accountsServer answers with one tenant's accounts, more at each question.
+func accountsServer(t *testing.T, leads bool) string {
+	t.Helper()
+	asked := uint64(0)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		tenant := r.URL.Query().Get("tenant")
+		if tenant == "stranger" {
+			http.Error(w, "no", http.StatusNotFound)
+			return
+		}
+		asked++
+		snapshot := accounts.Snapshot{At: time.Unix(int64(asked), 0), Shards: []accounts.ShardState{{Shard: 0, Leading: leads}}}
+		if leads {
+			account := accounts.Account{Taken: 10 * asked}
+			account.Settled[accounts.InAim] = 10 * asked
+			snapshot.Standings = []accounts.Standing{{Tenant: "acme", Account: account, Objective: accounts.Objective{Target: 0.99, Latency: time.Second, Window: time.Hour}}}
+		}
+		w.Header().Set("Content-Type", "application/json")
+		json.NewEncoder(w).Encode(snapshot)
+	}))
+	t.Cleanup(server.Close)
+	return strings.TrimPrefix(server.URL, "http://")
+}
+
+// TestAccountsCommand gathers from several machines, one of which is away.
+func TestAccountsCommand(t *testing.T) {
+	leader, other := accountsServer(t, true), accountsServer(t, false)
+	client := &http.Client{Timeout: time.Second}
+	addresses := []string{"127.0.0.1:1", other, leader}
+	snapshot, err := gatherAccounts(client, addresses, "")
+	if err != nil || len(snapshot.Standings) != 1 || len(snapshot.Unheld()) != 0 {
+		t.Fatalf("%+v, %v", snapshot, err)
+	}
+	for want, format := range map[string]accountsCmd{"acme    10": {}, `"Tenant":"acme"`: {JSON: true}, "acme,10,10,": {CSV: true}} {
+		var out bytes.Buffer
+		if err := format.print(&out, snapshot); err != nil || !strings.Contains(out.String(), want) {
+			t.Errorf("%+v: %s, %v", format, out.String(), err)
+		}
+	}
+	var out bytes.Buffer
+	if err := showTenant(&out, client, addresses, "acme"); err != nil || !strings.Contains(out.String(), "20 taken") {
+		t.Errorf("%s, %v", out.String(), err)
+	}
+	for _, bad := range []struct {
+		addresses []string
+		tenant    string
+	}{{[]string{other}, "acme"}, {[]string{leader}, "stranger"}, {[]string{"127.0.0.1:1"}, ""}, {[]string{"nowhere"}, ""}} {
+		if err := showTenant(&out, client, bad.addresses, bad.tenant); err == nil {
+			t.Errorf("%+v: no error", bad)
+		}
+	}
+}
+
+// TestAccountsReport writes a page from a saved snapshot and a fresh one.
+func TestAccountsReport(t *testing.T) {
+	leader := accountsServer(t, true)
+	client := &http.Client{Timeout: time.Second}
+	first, err := gatherAccounts(client, []string{leader}, "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	saved, page := filepath.Join(t.TempDir(), "first.json"), filepath.Join(t.TempDir(), "page.html")
+	raw, _ := json.Marshal(first)
+	if err := os.WriteFile(saved, raw, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if err := (accountsCmd{Address: []string{leader}, HTML: page, From: []string{saved}, Timeout: 1000}).Run(); err != nil {
+		t.Fatal(err)
+	}
+	written, err := os.ReadFile(page)
+	if err != nil || !bytes.Contains(written, []byte("<svg")) {
+		t.Errorf("%d bytes, %v", len(written), err)
+	}
+	for _, bad := range []accountsCmd{{JSON: true, CSV: true}, {Watch: time.Second}, {HTML: page, From: []string{page}}, {HTML: page, Address: []string{leader}, Timeout: 1000}} {
+		if bad.Run() == nil {
+			t.Errorf("%+v: no error", bad)
+		}
+	}
+}
