Counters: a leader that has promised a higher ballot leads no longer

Cause: a machine that had promised another's ballot while it campaigned under a lower one could never get its own promise, and waited for ever; one that already led went on counting itself in its majorities, against its promise. Change: a promise of another's ballot ends the leadership; the next tick campaigns above it if the lease still holds.

--- a/internal/counter/group.go
+++ b/internal/counter/group.go
@@ -244,6 +244,9 @@
 	l := g.leader
 	l.askedAt = now
 	if !g.promise(l.ballot) {
+		if l.ballot.Less(g.promised) {
+			g.leader = nil // the next tick campaigns above that ballot
+		}
 		return
 	}
 	l.prepared[g.machine] = !g.fresh
@@ -256,7 +259,8 @@
 	g.tryReady()
 }
 
-// promise notes on disk that no lower ballot is accepted any more.
+// promise notes on disk that no lower ballot is accepted any more; a leader under one
+// leads no longer.
 func (g *Group[K, V]) promise(ballot Ballot) bool {
 	if ballot.Less(g.promised) {
 		return false
@@ -264,6 +268,9 @@
 	if ballot == g.promised && g.failed == nil {
 		return true
 	}
+	if g.leader != nil && g.leader.ballot != ballot {
+		g.leader = nil
+	}
 	g.promised = ballot
 	return g.save(nil)
 }
