Accounts: wired into proxies and control machines

Cause: nothing used the accounts. Rounds of replication go in several messages where one would be too long. Without the variable there are no duties, no messages, and a nil meter. Test: three whole machines serve two tenants through three proxies; one account of each, with every outcome as the upstream had it, from the command and in metrics.

--- a/cmd/slateridge/main.go
+++ b/cmd/slateridge/main.go
@@ -16,6 +16,7 @@
 	"github.com/oklog/run"
 	"github.com/rs/zerolog"
 
+	"slateridge/internal/accounts"
 	"slateridge/internal/datum"
 	"slateridge/internal/headworks"
 	"slateridge/internal/logbook"
@@ -45,6 +46,7 @@
 	Headworks headworksCmd `cmd:"" help:"Run the control plane. Settings are read from the file named by SLATERIDGE_NODE_FILE."`
 	Check     checkCmd     `cmd:"" help:"Validate a configuration file with the errors the API gives."`
 	Status    statusCmd    `cmd:"" help:"Show what running daemons know: view, versions, acknowledgements, duties, upstreams, quotas."`
+	Accounts  accountsCmd  `cmd:"" help:"Show how requests were served against the service objectives, by tenant."`
 	Retire    retireCmd    `cmd:"" help:"Take a control machine that is gone for good out of the electorate, by agreement of the others."`
 	Explore   exploreCmd   `cmd:"" help:"Look for schedules that break the rules of the control plane's machines."`
 	Version   versionCmd   `cmd:"" help:"Print the version."`
@@ -110,7 +112,12 @@
 		return usageError{err}
 	}
 	boundMemory(set)
+	objectives, err := accounts.LoadObjectives(os.Getenv(accounts.EnvFile))
+	if err != nil {
+		return usageError{err}
+	}
 	d := sluice.NewDaemon(set, path, newBook(set, "sluice"))
+	d.KeepAccounts(objectives)
 	var g run.Group
 	if err := d.Add(&g); err != nil {
 		return err
--- a/cmd/slateridge/status.go
+++ b/cmd/slateridge/status.go
@@ -29,6 +29,7 @@
 	Address []string `arg:"" optional:"" help:"Admin addresses (HOST:PORT) of the daemons to ask; without any, those of this machine by its settings file."`
 	JSON    bool     `help:"Print what the daemons answer, unformatted."`
 	All     bool     `help:"List every proxy, upstream and quota, also where there are many."`
+	Tenant  string   `help:"Show the account of this tenant, from the control machines named." placeholder:"NAME"`
 	Timeout int      `default:"2000" help:"Milliseconds to wait for each."`
 }
 
@@ -51,6 +52,9 @@
 		addrs = append(addrs, a)
 	}
 	client := &http.Client{Timeout: time.Duration(c.Timeout) * time.Millisecond}
+	if c.Tenant != "" {
+		return showTenant(os.Stdout, client, addrs, c.Tenant)
+	}
 	var failed []string
 	answered := 0
 	for _, a := range addrs {
--- /dev/null
+++ b/cmd/slateridge/whole_accounts_test.go
@@ -0,0 +1,165 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"slateridge/internal/accounts"
+	"slateridge/internal/headworks"
+	"slateridge/internal/logbook"
+	"slateridge/internal/sluice"
+)
+
+// accountsSite is a site whose tenants have objectives.
+type accountsSite struct {
+	*site
+	proxies []*sluice.Daemon
+	client  *http.Client
+}
+
+func newAccountsSite(t *testing.T) *accountsSite {
+	s := &accountsSite{site: newSite(t), client: &http.Client{Timeout: 2 * time.Second}}
+	path := filepath.Join(s.dir, "objectives.json")
+	content := `{"version":1,"shards":2,"classes":{"all":{"target":0.99,"latency":"300ms","window":"720h"}},"defaultClass":"all"}`
+	if err := os.WriteFile(path, []byte(content), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	t.Setenv(accounts.EnvFile, path)
+	objectives, err := accounts.LoadObjectives(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := range 3 {
+		settings := s.settings(i, true)
+		control, err := headworks.NewDaemon(settings, logbook.New(zerolog.Nop()))
+		if err != nil {
+			t.Fatal(err)
+		}
+		s.launch(fmt.Sprint("headworks", i), control)
+		proxy := sluice.NewDaemon(settings, filepath.Join(s.dir, fmt.Sprint(i), "boot.json"), logbook.New(zerolog.Nop()))
+		proxy.KeepAccounts(objectives)
+		s.launch(fmt.Sprint("sluice", i), proxy)
+		s.proxies = append(s.proxies, proxy)
+	}
+	return s
+}
+
+// request sends one request of a tenant through a proxy.
+func (s *accountsSite) request(proxy int, key, path string) (int, error) {
+	request, err := http.NewRequest(http.MethodGet, fmt.Sprintf("http://%s:%d%s", s.ip(proxy), s.port, path), nil)
+	if err != nil {
+		return 0, err
+	}
+	request.Host = "h.example"
+	request.Header.Set("X-Api-Key", key)
+	request.Header.Set("X-Slateridge-Attempt-Id", fmt.Sprint("id-", time.Now().UnixNano()))
+	response, err := s.client.Do(request)
+	if err != nil {
+		return 0, err
+	}
+	defer response.Body.Close()
+	io.Copy(io.Discard, response.Body)
+	return response.StatusCode, nil
+}
+
+func (s *accountsSite) admins() (out []string) {
+	for i := range 3 {
+		out = append(out, fmt.Sprintf("%s:%d", s.ip(i), s.port+3+1))
+	}
+	return out
+}
+
+// slowUpstream answers late, with an error, or that it did not run, as the path asks.
+func slowUpstream(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("X-Slateridge-Attempt-Id", r.Header.Get("X-Slateridge-Attempt-Id"))
+	w.Header().Set("X-Slateridge-Response-Seal", "s")
+	switch {
+	case strings.Contains(r.URL.Path, "late"):
+		time.Sleep(400 * time.Millisecond)
+	case strings.Contains(r.URL.Path, "wrong"):
+		w.WriteHeader(http.StatusBadRequest)
+	case strings.Contains(r.URL.Path, "broken"):
+		w.WriteHeader(http.StatusInternalServerError)
+	}
+	io.WriteString(w, "hello")
+}
+
+// TestWholeAccounts serves tenants through three proxies, and reads one account of each
+// from the control machines: by the command, and in metrics.
+func TestWholeAccounts(t *testing.T) {
+	s := newAccountsSite(t)
+	upstream := httptest.NewServer(http.HandlerFunc(slowUpstream))
+	defer upstream.Close()
+	s.mu.Lock()
+	s.list = []map[string]any{{"instanceId": "i-1", "targetService": "svc", "address": strings.TrimPrefix(upstream.URL, "http://"), "zone": "z",
+		"capacitySlots": 8, "state": "ready", "warmupLeft": "0ms"}}
+	s.mu.Unlock()
+	tenants := `,{"resourceKind":"tenants","metadata":{"name":"acme"},"spec":{"apiKeys":["key-acme"]}},{"resourceKind":"tenants","metadata":{"name":"other"},"spec":{"apiKeys":["key-other"]}}]}`
+	document := strings.TrimSuffix(config(3, "/a/"), "]}") + tenants
+	s.until("configuration", func() error {
+		code, body, err := s.call(1, "configuration.replace", document)
+		if err != nil || code != http.StatusOK {
+			return fmt.Errorf("%d %s %v", code, body, err)
+		}
+		return nil
+	})
+	for i := range 3 {
+		s.until("the proxy serves", func() error {
+			code, err := s.request(i, "key-other", "/a/x")
+			if err != nil || code != http.StatusOK {
+				return fmt.Errorf("%d %v", code, err)
+			}
+			return nil
+		})
+	}
+	for i, path := range []string{"/a/x", "/a/late", "/a/wrong", "/a/broken", "/a/x", "/a/late"} {
+		if _, err := s.request(i%3, "key-acme", path); err != nil {
+			t.Fatal(err)
+		}
+	}
+	s.until("the account", func() error {
+		for _, proxy := range s.proxies {
+			proxy.ReportAccounts()
+		}
+		snapshot, err := gatherAccounts(s.client, s.admins(), "")
+		if err != nil {
+			return err
+		}
+		standing, _ := snapshot.Of("acme")
+		got := fmt.Sprint(standing.Account.Taken, standing.Account.Settled)
+		if want := "6 [2 2 1 1 0]"; got != want || len(snapshot.Unheld()) > 0 {
+			return fmt.Errorf("the account is %s, should be %s; shards without a holder: %v", got, want, snapshot.Unheld())
+		}
+		return nil
+	})
+	if err := (statusCmd{Address: s.admins(), Tenant: "acme", Timeout: 2000}).Run(); err != nil {
+		t.Error(err)
+	}
+	taken := 0
+	for _, admin := range s.admins() {
+		response, err := http.Get("http://" + admin + "/metrics")
+		if err != nil {
+			t.Fatal(err)
+		}
+		text, _ := io.ReadAll(response.Body)
+		response.Body.Close()
+		for line := range strings.Lines(string(text)) {
+			var n int
+			if _, err := fmt.Sscanf(line, "slateridge_accounts_taken_total %d", &n); err == nil {
+				taken += n
+			}
+		}
+	}
+	if taken < 9 {
+		t.Errorf("%d requests in metrics, at least 9 were taken", taken)
+	}
+}
--- a/internal/counter/group.go
+++ b/internal/counter/group.go
@@ -80,12 +80,37 @@
 type round[K comparable, V Value[V]] struct {
 	number   uint64
 	versions map[LifeID]uint64
-	deltas   []Delta[K, V]
-	base     *Base[K, V]
-	acks     map[string]bool
+	parts    [][]Delta[K, V]
+	base     *Base[K, V]             // goes with the first part
+	acks     map[string]map[int]bool // parts, by replica
 	sentAt   map[string]time.Duration
 }
 
+// holders are the replicas that hold all parts.
+func (r *round[K, V]) holders() map[string]bool {
+	out := map[string]bool{}
+	for replica, parts := range r.acks {
+		out[replica] = len(parts) == len(r.parts)
+	}
+	return out
+}
+
+// splitDeltas divides deltas into parts of a bounded number of cells, at least one.
+func splitDeltas[K comparable, V Value[V]](deltas []Delta[K, V], cellsAtOnce int) [][]Delta[K, V] {
+	parts := make([][]Delta[K, V], 1)
+	cells := 0
+	for _, delta := range deltas {
+		last := len(parts) - 1
+		if cells > 0 && cells+len(delta.Cells) > cellsAtOnce {
+			parts = append(parts, nil)
+			last, cells = last+1, 0
+		}
+		parts[last] = append(parts[last], delta)
+		cells += len(delta.Cells)
+	}
+	return parts
+}
+
 // saved is the whole of a replica on disk.
 type saved[K comparable, V Value[V]] struct {
 	Promised Ballot
@@ -355,23 +380,28 @@
 	clear(l.closing)
 	l.rounds++
 	l.roundAt = now
-	next := &round[K, V]{number: l.rounds, versions: map[LifeID]uint64{}, acks: map[string]bool{}, sentAt: map[string]time.Duration{}}
+	next := &round[K, V]{number: l.rounds, versions: map[LifeID]uint64{}, acks: map[string]map[int]bool{}, sentAt: map[string]time.Duration{}}
+	var deltas []Delta[K, V]
 	for id, life := range g.replica.Lives {
 		if from, known := l.durable[id]; !known || life.Version > from {
 			next.versions[id] = life.Version
-			next.deltas = append(next.deltas, life.since(id, from))
+			deltas = append(deltas, life.since(id, from))
 		}
 	}
+	next.parts = splitDeltas(deltas, g.options.CellsAtOnce)
 	if next.base = g.nextBase(now); next.base != nil {
 		if g.replica.Propose(*next.base) != nil || !g.saveWhole() {
 			return
 		}
 	}
 	l.round = next
-	next.acks[g.machine] = true
+	next.acks[g.machine] = map[int]bool{}
+	for part := range next.parts {
+		next.acks[g.machine][part] = true
+	}
 	for _, to := range l.replicas {
 		if to != g.machine {
-			g.replicate(now, to, next.deltas, next.base)
+			g.replicateAll(now, to)
 		}
 	}
 	g.tryFinish(now)
@@ -395,17 +425,31 @@
 	return nil
 }
 
-func (g *Group[K, V]) replicate(now time.Duration, to string, deltas []Delta[K, V], base *Base[K, V]) {
+// replicateAll sends a replica the parts of the round that it has not acknowledged.
+func (g *Group[K, V]) replicateAll(now time.Duration, to string) {
 	l := g.leader
 	l.round.sentAt[to] = now
-	g.send(to, Replicate[K, V]{Group: g.group, Ballot: l.ballot, Round: l.round.number, Deltas: deltas, Base: base, Agreed: g.replica.Base.ID()})
+	for part, deltas := range l.round.parts {
+		if !l.round.acks[to][part] {
+			g.replicate(to, part, deltas)
+		}
+	}
+}
+
+func (g *Group[K, V]) replicate(to string, part int, deltas []Delta[K, V]) {
+	l := g.leader
+	message := Replicate[K, V]{Group: g.group, Ballot: l.ballot, Round: l.round.number, Part: part, Deltas: deltas, Agreed: g.replica.Base.ID()}
+	if part == 0 {
+		message.Base = l.round.base
+	}
+	g.send(to, message)
 }
 
 func (g *Group[K, V]) resend(now time.Duration) {
 	l := g.leader
 	for _, to := range l.replicas {
-		if !l.round.acks[to] && now-l.round.sentAt[to] >= g.options.ResendAfter {
-			g.replicate(now, to, l.round.deltas, l.round.base)
+		if now-l.round.sentAt[to] >= g.options.ResendAfter {
+			g.replicateAll(now, to)
 		}
 	}
 }
@@ -431,7 +475,7 @@
 // tryFinish ends the round once a majority holds it.
 func (g *Group[K, V]) tryFinish(now time.Duration) {
 	l := g.leader
-	if l.round == nil || !l.majority(l.round.acks) {
+	if l.round == nil || !l.majority(l.round.holders()) {
 		return
 	}
 	finished := l.round
@@ -448,7 +492,9 @@
 	if !l.whole || finished.base != nil {
 		l.recompute(g.replica)
 	} else {
-		l.update(g.replica, finished.deltas)
+		for _, deltas := range finished.parts {
+			l.update(g.replica, deltas)
+		}
 	}
 	g.fill(finished.number)
 }
@@ -542,7 +588,7 @@
 
 // accept takes a round in and answers once the disk holds it.
 func (g *Group[K, V]) accept(from string, m Replicate[K, V]) {
-	answer := Replicated{Group: g.group, Ballot: m.Ballot, Round: m.Round}
+	answer := Replicated{Group: g.group, Ballot: m.Ballot, Round: m.Round, Part: m.Part}
 	if g.fresh && m.Whole != g.start {
 		answer.Fresh = g.start
 		g.send(from, answer)
@@ -589,19 +635,22 @@
 
 func (g *Group[K, V]) onReplicated(now time.Duration, from string, m Replicated) {
 	l := g.leader
-	if l == nil || l.round == nil || m.Ballot != l.ballot || m.Round != l.round.number {
+	if l == nil || l.round == nil || m.Ballot != l.ballot || m.Round != l.round.number || m.Part < 0 || m.Part >= len(l.round.parts) {
 		return
 	}
 	if len(m.Gaps) == 0 && !m.NeedBase && m.Fresh == 0 {
-		l.round.acks[from] = true
+		if l.round.acks[from] == nil {
+			l.round.acks[from] = map[int]bool{}
+		}
+		l.round.acks[from][m.Part] = true
 		g.tryFinish(now)
 		return
 	}
-	g.repair(now, from, m)
+	g.repair(from, m)
 }
 
 // repair sends a replica what it lacks, and then the round again.
-func (g *Group[K, V]) repair(now time.Duration, to string, m Replicated) {
+func (g *Group[K, V]) repair(to string, m Replicated) {
 	l := g.leader
 	if m.Fresh > 0 {
 		if l.empty[to].start != m.Fresh {
@@ -613,13 +662,13 @@
 		agreed := g.replica.Base
 		g.send(to, Replicate[K, V]{Group: g.group, Ballot: l.ballot, Base: &agreed, Agreed: agreed.ID()})
 	}
-	deltas := slices.Clone(l.round.deltas)
+	deltas := slices.Clone(l.round.parts[m.Part])
 	for i, delta := range deltas {
 		if slices.Contains(m.Gaps, delta.Life) {
 			deltas[i] = g.replica.Since(delta.Life, 0)
 		}
 	}
-	g.replicate(now, to, deltas, l.round.base)
+	g.replicate(to, m.Part, deltas)
 }
 
 func (g *Group[K, V]) onReject(m Reject) {
--- a/internal/counter/messages.go
+++ b/internal/counter/messages.go
@@ -43,6 +43,7 @@
 	Group  int
 	Ballot Ballot
 	Round  uint64
+	Part   int // a round's deltas may go in several messages
 	Deltas []Delta[K, V]
 	Base   *Base[K, V]
 	Agreed BaseID
@@ -55,6 +56,7 @@
 	Group    int
 	Ballot   Ballot
 	Round    uint64
+	Part     int
 	Gaps     []LifeID // lives of which earlier versions are missing
 	NeedBase bool     // the agreed base is missing
 	Fresh    uint64   // not 0: the replica's disk has lost its copy; the number of its start
--- /dev/null
+++ b/internal/headworks/accounts.go
@@ -0,0 +1,54 @@
+package headworks
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+
+	"slateridge/internal/accounts"
+	"slateridge/internal/cistern"
+)
+
+// accountsFolder is where a control machine's copy of the accounts stands, in its data
+// directory.
+const accountsFolder = "accounts"
+
+// openAccounts takes up the accounts where tenants have objectives, and gives the duties
+// that their shards are.
+func (d *Daemon) openAccounts() ([]string, error) {
+	objectives, err := accounts.LoadObjectives(os.Getenv(accounts.EnvFile))
+	if err != nil || objectives == nil || d.relay {
+		return nil, err
+	}
+	directory := filepath.Join(d.set.DataDirectory, accountsFolder)
+	if err := os.MkdirAll(directory, 0o700); err != nil {
+		return nil, fmt.Errorf("accounts: %w", err)
+	}
+	store, isNew, err := cistern.Open(directory)
+	if err != nil {
+		return nil, fmt.Errorf("accounts in %s: %w", directory, err)
+	}
+	founding := isNew && (d.set.Bootstrap || objectives.Founding)
+	holder := accounts.NewHolder(d.set.IPAddress, objectives, accounts.DefaultOptions, store, founding, rand.Uint64()|1, d.book.Note)
+	d.accounts = accounts.NewService(holder, accounts.ServiceOptions{Machine: d.set.IPAddress, Leads: d.leadsAccounts,
+		HolderOf: d.accountsHolder, Replicas: d.controls, Send: d.send, Now: d.now})
+	var duties []string
+	for shard := range objectives.Shards {
+		duties = append(duties, accounts.DutyName(shard))
+	}
+	return duties, nil
+}
+
+// leadsAccounts reports whether this machine holds a shard's lease.
+func (d *Daemon) leadsAccounts(shard int) bool {
+	until, _ := d.lease(accounts.DutyName(shard))
+	return until > d.now()
+}
+
+// accountsHolder is the machine that holds a shard's lease, as far as is known here.
+func (d *Daemon) accountsHolder(shard int) string {
+	d.leaseMu.Lock()
+	defer d.leaseMu.Unlock()
+	return d.leases.Holder(d.now(), accounts.DutyName(shard))
+}
--- a/internal/headworks/admin.go
+++ b/internal/headworks/admin.go
@@ -10,6 +10,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"slateridge/internal/accounts"
 	"slateridge/internal/datum"
 	"slateridge/internal/gaugeboard"
 	"slateridge/internal/gazetteer"
@@ -46,6 +47,8 @@
 	Members   []staff.Fact
 	Events    []logbook.Event
 	Tallies   []logbook.Tally
+
+	accounts *accounts.Service // for metrics; nil where tenants have no objectives
 }
 
 func (d *Daemon) electorate() ([]Voter, int) {
@@ -60,6 +63,9 @@
 	m := http.NewServeMux()
 	m.Handle("/", gaugeboard.Handler(d.Report))
 	m.HandleFunc("POST /retire", d.retire)
+	if d.accounts != nil {
+		m.Handle("GET /accounts", d.accounts)
+	}
 	return m
 }
 
@@ -97,7 +103,7 @@
 // Report describes this machine for operators.
 func (d *Daemon) Report() Report {
 	f := d.face()
-	r := Report{Role: "headworks", Node: d.set.NodeName, Chain: *d.status.Load(), Current: f.Current, Duties: map[string]string{},
+	r := Report{accounts: d.accounts, Role: "headworks", Node: d.set.NodeName, Chain: *d.status.Load(), Current: f.Current, Duties: map[string]string{},
 		ListNum: f.ListNum, ListAge: f.ListAge, Live: f.Proxies, Proxies: d.pen.Proxies(), Leased: d.gates.Held(d.now()),
 		Members: d.staff.Members(), Evacuated: f.Evacuated, Events: d.book.Latest(20), Tallies: d.book.Tallies()}
 	r.Contact = -1
@@ -193,6 +199,9 @@
 	}
 	metrics.WriteCounterUint64(w, "slateridge_pushes_total", r.Pushes)
 	metrics.WriteCounterUint64(w, "slateridge_lease_words_dropped_total", r.Dropped+r.Chain.Dropped)
+	if r.accounts != nil {
+		r.accounts.WriteMetrics(w)
+	}
 	gaugeboard.WriteCommon(w, r.Members, r.Tallies)
 }
 
--- a/internal/headworks/daemon.go
+++ b/internal/headworks/daemon.go
@@ -14,6 +14,7 @@
 
 	"github.com/oklog/run"
 
+	"slateridge/internal/accounts"
 	"slateridge/internal/cistern"
 	"slateridge/internal/clock"
 	"slateridge/internal/conduit"
@@ -154,6 +155,8 @@
 	tally  *usage.Tally
 	keeper *usage.Keeper // used by keepUsage only
 
+	accounts *accounts.Service // nil where tenants have no objectives
+
 	scheme  atomic.Pointer[scheme.Scheme] // in force here
 	load    *scaling.Gauge
 	law     *scaling.Law
@@ -230,6 +233,11 @@
 		p.split, p.officer.Latest = scaling.Split, true
 		d.posts = append(d.posts, p)
 	}
+	accountDuties, err := d.openAccounts()
+	if err != nil {
+		return nil, err
+	}
+	duties = append(duties, accountDuties...)
 	d.places = gazetteer.New(0, set.Zones)
 	d.leases = watermaster.New(0, rng.Uint64(), set.IPAddress, duties)
 	d.pen = penstock.New(d.face, d.sharing)
@@ -310,6 +318,9 @@
 		}
 		d.pen.Publish()
 	})
+	if d.accounts != nil {
+		w.Turn(accounts.TickEvery, d.accounts.Step)
+	}
 	if len(d.posts) > 0 {
 		w.Turn(datum.DutyTick, d.officiate)
 		if d.set.Does(sill.DutyUsage) {
@@ -588,6 +599,11 @@
 
 // onMessage takes what other processes send.
 func (d *Daemon) onMessage(p *conduit.Pipe, body any) any {
+	if d.accounts != nil {
+		if answer, mine := d.accounts.Message(p.Remote, body); mine {
+			return answer
+		}
+	}
 	switch m := body.(type) {
 	case penstock.Tap:
 		if d.relay {
--- /dev/null
+++ b/internal/sluice/accounting.go
@@ -0,0 +1,93 @@
+package sluice
+
+import (
+	"net/http"
+	"time"
+
+	"slateridge/internal/accounts"
+	"slateridge/internal/datum"
+)
+
+// KeepAccounts has this proxy account for the requests of tenants with objectives; nil
+// objectives change nothing. It is called before Add.
+func (d *Daemon) KeepAccounts(objectives *accounts.Objectives) {
+	if objectives == nil {
+		return
+	}
+	set := d.set.Load()
+	d.agent = accounts.NewAgent(accounts.AgentOptions{Node: set.NodeName, Objectives: objectives, Controls: set.SeedIPs(),
+		Ask: d.reportAccounts, Note: d.book.Note})
+	d.account = d.agent.Meter
+}
+
+// reportAccounts brings a report to a control machine.
+func (d *Daemon) reportAccounts(to string, report accounts.Report) (accounts.ReportAck, error) {
+	answer, err := d.line.Ask(to, report, datum.CallTimeout)
+	if err != nil {
+		return accounts.ReportAck{}, err
+	}
+	ack, ok := answer.(accounts.ReportAck)
+	if !ok {
+		ack.Refused = "accounts are not kept there"
+	}
+	return ack, nil
+}
+
+// countAnswer notes an upstream's answer to a request that may run once. A second one as
+// having run it shows that it was doubled.
+func (p *passage) countAnswer(r *result) {
+	if p.account == nil || p.route.Idempotent || r.notRun || r.doubt || r.resp == nil || r.resp.Header.Get(hdrSeal) == "" {
+		return
+	}
+	if p.answered++; p.answered == 2 {
+		p.account.Doubled()
+	}
+}
+
+// settleAnswered settles a request whose answer has been relayed to its end. What was
+// wrong with it for the client's part is not held against the objective.
+func (p *passage) settleAnswered(r *result, began time.Duration) {
+	if p.account == nil {
+		return
+	}
+	latency := time.Since(p.arrived)
+	if r.stream != nil {
+		latency = began
+	}
+	switch status := r.resp.StatusCode; {
+	case p.r.Context().Err() != nil:
+		p.account.Failure(accounts.Unknown)
+	case status < http.StatusBadRequest:
+		p.account.Success(latency)
+	case status < http.StatusInternalServerError:
+		p.account.Failure(accounts.Refused)
+	default:
+		p.account.Failure(accounts.Lost)
+	}
+}
+
+// settleFailed settles a request without an answer to give. Where it may run once and may
+// have run, nobody here knows whether it did.
+func (p *passage) settleFailed() {
+	if !p.route.Idempotent && p.runs > 0 {
+		p.account.Failure(accounts.Unknown)
+	}
+}
+
+// settleUnanswered settles what has not been settled when the request's handling ends:
+// the client left, or it was told of a failure.
+func (p *passage) settleUnanswered() {
+	if p.r.Context().Err() != nil {
+		p.account.Failure(accounts.Unknown)
+		return
+	}
+	p.account.Failure(accounts.Lost)
+}
+
+// ReportAccounts tells the shards' holders at once what they lack; for tests, and before
+// a planned end.
+func (d *Daemon) ReportAccounts() {
+	if d.agent != nil {
+		d.agent.Tell()
+	}
+}
--- a/internal/sluice/daemon.go
+++ b/internal/sluice/daemon.go
@@ -17,6 +17,7 @@
 
 	"github.com/oklog/run"
 
+	"slateridge/internal/accounts"
 	"slateridge/internal/clock"
 	"slateridge/internal/conduit"
 	"slateridge/internal/datum"
@@ -54,7 +55,8 @@
 	clock    *clock.Clock          // agreed, as control tells
 	metered  atomic.Pointer[string]
 	scaler   atomic.Pointer[string]
-	telling  sync.Mutex // one word on usage at a time
+	telling  sync.Mutex      // one word on usage at a time
+	agent    *accounts.Agent // nil where tenants have no objectives
 }
 
 // NewDaemon builds the process's parts.
@@ -206,6 +208,9 @@
 	if d.meter != nil {
 		w.TurnFrom(usage.Phase(rand.Uint64()), datum.UsageTell, d.tellUsage)
 	}
+	if d.agent != nil {
+		w.TurnFrom(rand.N(accounts.TellEvery), accounts.TellEvery, d.agent.Tell)
+	}
 	w.Turn(datum.RetireEvery, func() { d.yard.Retire(time.Now()) })
 	w.Turn(staff.TickEvery, d.staff.Tick)
 	return nil
@@ -409,6 +414,7 @@
 		return false
 	}
 	d.weir.Settle(d.now(), tenant, 1)
+	d.account.Begin(tenant).Success(time.Millisecond)
 	if d.meter != nil {
 		d.meter.Count(d.windowAt(time.Now()), tenant)
 	}
@@ -519,5 +525,8 @@
 	ctx, cancel := context.WithDeadline(context.Background(), began.Add(grace))
 	defer cancel()
 	d.gate.drain(ctx)
+	if d.agent != nil {
+		d.agent.Leave(datum.CallTimeout)
+	}
 	d.book.Note("left", "nothing in flight")
 }
--- a/internal/sluice/forward.go
+++ b/internal/sluice/forward.go
@@ -11,6 +11,7 @@
 	"strings"
 	"time"
 
+	"slateridge/internal/accounts"
 	"slateridge/internal/datum"
 	"slateridge/internal/scheme"
 	"slateridge/internal/usage"
@@ -36,6 +37,8 @@
 	stop     func() bool
 	ranAt    time.Time // when the run that counts as usage was sent
 	run      *usage.Run
+	account  *accounts.Request // nil where the tenant has no objective
+	answered int               // upstreams that answered as having run it
 }
 
 // result is what came of one offer.
@@ -333,6 +336,7 @@
 }
 
 func (p *passage) count(r *result) {
+	p.countAnswer(r)
 	if r.sent {
 		p.sends++
 		if !r.notRun {
--- a/internal/sluice/sluice.go
+++ b/internal/sluice/sluice.go
@@ -13,6 +13,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"slateridge/internal/accounts"
 	"slateridge/internal/datum"
 	"slateridge/internal/logbook"
 	"slateridge/internal/scheme"
@@ -29,6 +30,7 @@
 	weir    *weir.Weir
 	meter   *usage.Meter // nil where usage is not reported
 	window  func(at time.Time) uint64
+	account *accounts.Meter // nil where tenants have no objectives
 	allow   *Allowance
 	askFor  func(key string) // one question to a key's tracker, answered or not
 	leaving atomic.Bool
@@ -118,6 +120,9 @@
 	p := &passage{s: s, r: r, arrived: arrived, sch: sch, route: route, tenant: tenant, prio: route.Priority,
 		deadline: arrived.Add(min(budget(r), route.Timeout)), run: &usage.Run{}}
 	if tenant != nil {
+		if p.account = s.account.Begin(tenant.Name); p.account != nil {
+			defer p.settleUnanswered()
+		}
 		if s.strict > 0 && arrived.Sub(s.sure()) > s.strict {
 			// The key may have been taken away, and nobody here would know.
 			s.counts[cUnsure].Add(1)
@@ -134,6 +139,7 @@
 		}
 		if !v.OK {
 			s.counts[cOverQuota].Add(1)
+			p.account.Failure(accounts.Refused)
 			s.refuse(w, r, http.StatusTooManyRequests, v.Retry)
 			return
 		}
@@ -156,6 +162,7 @@
 	}
 	if code := p.readBody(w); code != 0 {
 		settle()
+		p.account.Failure(accounts.Refused)
 		s.refuse(w, r, code, 0)
 		return
 	}
@@ -216,14 +223,18 @@
 			return
 		}
 		s.counts[map[int]int{http.StatusNotFound: cNoRoute, http.StatusUnauthorized: cUnknown}[code]].Add(1)
+		p.account.Failure(accounts.Refused)
 		s.refuse(w, r, code, 0)
 		return
 	}
 	if res.whole() && !(res.notRun && res.resp.StatusCode >= 500) {
+		began := time.Since(p.arrived) // a stream is in time if its first piece is
 		s.relay(w, r, res)
+		p.settleAnswered(res, began)
 		return
 	}
 	res.giveBack()
+	p.settleFailed()
 	switch {
 	case p.runs == 0 && p.sends == 0 || p.runs == 0 && res.notRun:
 		// Nothing ran, and nothing will: the promise can be given.
