--- a/cmd/scalerun/main.go
+++ b/cmd/scalerun/main.go
@@ -52,6 +52,7 @@
 	Kill      bool          `help:"Kill one control process and time until the others have mended the view."`
 	Wait      time.Duration `default:"90s" help:"Longest wait for anything."`
 	Slopes    bool          `help:"Instead of a run, what single operations cost at three sizes each."`
+	Accounts  bool          `help:"Give all tenants an objective, and time until their accounts are whole once the made-up requests end."`
 	CatchUp   bool          `help:"Instead of a run, how long a control process that was killed and started again takes to have the newest state, by the number of changes it missed; then the same with an empty disk. Flat: it takes the newest state, whatever came between."`
 	Missed    []int         `default:"1,3,10,30,100,300" help:"With --catch-up: the numbers of changes missed."`
 	Verbose   bool          `help:"Show what the processes write."`
@@ -332,6 +333,7 @@
 		return nil, err
 	}
 	d := sluice.NewDaemon(set, "", logbook.New(zerolog.Nop()))
+	d.KeepAccounts(accountObjectives)
 	return d, d.AddHollow(g, w)
 }
 
@@ -374,6 +376,9 @@
 		return err
 	}
 	defer os.RemoveAll(dir)
+	if err := useAccounts(dir); err != nil {
+		return err
+	}
 	pl, err := startPlatform()
 	if err != nil {
 		return err
@@ -520,6 +525,9 @@
 	sum, no := 0, 0
 	made.Range(func(_, v any) bool { sum += v.(int); return true })
 	refused.Range(func(_, v any) bool { no += v.(int); return true })
+	if err := awaitAccounts(uint64(sum - no)); err != nil {
+		return err
+	}
 	pl.mu.Lock()
 	defer pl.mu.Unlock()
 	fmt.Printf("  %d made-up requests, %d refused; %d usage reports, %d list pages read\n", sum, no, pl.reports, pl.calls)
