--- a/internal/accounts/messages.go
+++ b/internal/accounts/messages.go
@@ -3,11 +3,11 @@
 import "slateridge/internal/conduit"
 
 func init() {
-	conduit.Register(Report{})
-	conduit.Register(ReportAck{})
-	conduit.Register(Prepare{})
-	conduit.Register(Promise{})
-	conduit.Register(Reject{})
-	conduit.Register(Replicate{})
-	conduit.Register(Replicated{})
+	conduit.Register(conduit.NameAccountReport, Report{})
+	conduit.Register(conduit.NameAccountReportAck, ReportAck{})
+	conduit.Register(conduit.NameAccountPrepare, Prepare{})
+	conduit.Register(conduit.NameAccountPromise, Promise{})
+	conduit.Register(conduit.NameAccountReject, Reject{})
+	conduit.Register(conduit.NameAccountReplicate, Replicate{})
+	conduit.Register(conduit.NameAccountReplicated, Replicated{})
 }
--- /dev/null
+++ b/internal/conduit/compatibility_test.go
@@ -0,0 +1,165 @@
+package conduit_test
+
+import (
+	"bytes"
+	"encoding/gob"
+	"flag"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+
+	"slateridge/internal/accounts"
+	"slateridge/internal/conduit"
+	"slateridge/internal/duty"
+	"slateridge/internal/gobtest"
+	"slateridge/internal/headworks"
+	"slateridge/internal/penstock"
+	"slateridge/internal/scaling"
+	"slateridge/internal/usage"
+	"slateridge/internal/watermaster"
+	"slateridge/internal/weir"
+)
+
+var write = flag.Bool("write-fixtures", false, "write the list of wire names anew")
+
+// messages are all messages between processes, in the order of the fixture.
+func messages() []any {
+	return []any{
+		headworks.Gauge{}, headworks.Prepare{}, headworks.Promise{}, headworks.Nack{}, headworks.Sync{}, headworks.Synced{},
+		headworks.Accept{}, headworks.Accepted{}, headworks.Decide{}, headworks.Pass{}, headworks.Lack{}, headworks.Ack{},
+		headworks.Higher{}, headworks.Retire{}, headworks.Forward{}, headworks.Order{}, headworks.Confirm{}, headworks.Confirmed{},
+		headworks.Read{}, headworks.Answer{}, headworks.Fetch{}, headworks.Fetched{},
+		headworks.Roster{}, headworks.ListNews{}, headworks.ListAsk{},
+		penstock.Tap{}, penstock.News{},
+		duty.Order{}, watermaster.Ask{}, watermaster.Grant{}, watermaster.Release{},
+		usage.Handover{}, usage.Told{}, usage.Heard{}, scaling.Told{}, scaling.Heard{},
+		weir.AskGrants{}, weir.GrantsGiven{},
+		accounts.Report{}, accounts.ReportAck{}, accounts.Prepare{}, accounts.Promise{}, accounts.Reject{}, accounts.Replicate{}, accounts.Replicated{},
+	}
+}
+
+// filled are the messages with content in the fields that the list of a build's
+// messages names.
+func filled(t *testing.T, listed string) []any {
+	var out []any
+	for _, m := range messages() {
+		name := wireName(t, m)
+		_, fields, found := strings.Cut("\n"+listed, "\n"+name+"\n")
+		if !found {
+			continue // a message of later builds
+		}
+		fields, _, _ = strings.Cut(fields, "\nslateridge/")
+		v := reflect.New(reflect.TypeOf(m))
+		gobtest.Fill("message", v.Interface(), fields)
+		out = append(out, v.Elem().Interface())
+	}
+	return out
+}
+
+// received is what a process takes from a connection that carries these bytes.
+func received(t *testing.T, carried []byte, count int) []any {
+	l, err := conduit.Listen("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	bodies := make(chan any, count)
+	go conduit.Serve(l, func(_ *conduit.Pipe, body any) any {
+		bodies <- body
+		return nil
+	})
+	c, err := net.Dial("tcp4", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	if _, err := c.Write(carried); err != nil {
+		t.Fatal(err)
+	}
+	var out []any
+	for range count {
+		select {
+		case b := <-bodies:
+			out = append(out, b)
+		case <-time.After(10 * time.Second):
+			t.Fatalf("%d messages of %d arrived", len(out), count)
+		}
+	}
+	return out
+}
+
+// What the build before the first greeting sent is understood, every message and every
+// field: the fixture holds the bytes that it wrote, and the list what they tell.
+func TestMessagesOfTheBuildBeforeAreUnderstood(t *testing.T) {
+	listed := string(readFixture(t, "protocol-0", "wire-names.txt"))
+	want := filled(t, listed)
+	if len(want) != 38 {
+		t.Fatalf("of 38 messages %d are known", len(want))
+	}
+	for i, got := range received(t, readFixture(t, "protocol-0", "messages.bin"), len(want)) {
+		if !reflect.DeepEqual(got, want[i]) {
+			t.Errorf("%T:\ngot  %+v\nwant %+v", want[i], got, want[i])
+		}
+	}
+}
+
+func readFixture(t *testing.T, path ...string) []byte {
+	content, err := os.ReadFile(filepath.Join("testdata", filepath.Join(path...)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return content
+}
+
+// The names of all messages on the wire and of their fields are pinned: a build before
+// knows none but these. A line may be added to the file, never changed or taken away.
+func TestWireNamesArePinned(t *testing.T) {
+	var got strings.Builder
+	for _, m := range messages() {
+		fmt.Fprintf(&got, "%s\n%s\n", wireName(t, m), gobtest.Describe(m))
+	}
+	if *write {
+		if err := os.WriteFile(filepath.Join("testdata", "wire-names.txt"), []byte(got.String()), 0o644); err != nil {
+			t.Fatal(err)
+		}
+	}
+	want := readFixture(t, "wire-names.txt")
+	gotLines, wantLines := strings.Split(got.String(), "\n"), strings.Split(string(want), "\n")
+	for i := range max(len(gotLines), len(wantLines)) {
+		g, w := lineAt(gotLines, i), lineAt(wantLines, i)
+		if g != w {
+			t.Fatalf("line %d: is %q, was %q", i+1, g, w)
+		}
+	}
+}
+
+func lineAt(lines []string, i int) string {
+	if i < len(lines) {
+		return lines[i]
+	}
+	return "(none)"
+}
+
+// anyBody is a value that gob encodes with its name.
+type anyBody struct{ Body any }
+
+// wireName is the name under which gob sends a message: it stands in the encoding, its
+// length before it.
+func wireName(t *testing.T, message any) string {
+	var out bytes.Buffer
+	if err := gob.NewEncoder(&out).Encode(anyBody{message}); err != nil {
+		t.Fatal(err)
+	}
+	const prefix = "slateridge/"
+	encoded := out.Bytes()
+	at := bytes.Index(encoded, []byte(prefix))
+	if at < 1 {
+		t.Fatalf("%T is sent without a name of ours: %q", message, encoded)
+	}
+	return string(encoded[at : at+int(encoded[at-1])])
+}
--- a/internal/datum/datum.go
+++ b/internal/datum/datum.go
@@ -66,6 +66,7 @@
 	LeaseTick    = 100 * time.Millisecond // the machine's step, a quarter of the renewal
 	LeaseRenew   = 200 * time.Millisecond // four tries inside a lease, each several round trips between regions
 	LeaseStagger = 200 * time.Millisecond // a later machine waits this much longer before it claims
+	LeaseReserve = 400 * time.Millisecond // a duty given up by a machine that stops is kept for its successor so long: two of its asks
 	TrackerDuty  = 3                      // shards of throttle keys for each machine that may be lost
 )
 
@@ -163,8 +164,8 @@
 	IdleSafety      = 1500 * time.Millisecond // retire this long before the upstream would close
 	ConnShare       = 0.8                     // part of maxConnections used by all proxies together
 	FewUpstreams    = 16                      // of a service, near ones first, that a proxy turns to before any other: with few requests over many upstreams every one would cost a new connection, and nothing learned would last
-	OutfallCap      = 2                       // requests one proxy has at one upstream, while it answers at its usual speed
-	OutfallCapSlow  = 1                       // and while it does not
+	OutfallCap      = 2                       // requests one proxy has at one upstream at least, while it answers at its usual speed; twice its share of the places where proxies are few
+	OutfallCapSlow  = 1                       // and while it does not; its share where proxies are few
 	SlowFactor      = 2.5                     // times the usual delay that count as slow
 	FirstDelay      = 80 * time.Millisecond   // assumed delay of an upstream nobody has asked
 	DelayWeight     = 0.2                     // weight of a new answer in the running mean
@@ -181,6 +182,7 @@
 	IdlePerUpstream = 4                       // connections kept by
 	MaxDials        = 4                       // upstreams that could not be reached before a request is given up
 	LeastLeft       = 15 * time.Millisecond   // no use offering a request that has less time
+	LeastShare      = 0.1                     // of the aim: with less time left an upstream's usual delay must fit; a send that has less counts as none
 	AcceptPause     = 20 * time.Millisecond   // after a failed accept
 	SettingsEvery   = time.Second             // a changed settings file is looked for
 	StepEvery       = 100 * time.Millisecond  // a proxy's line and duties are driven
@@ -201,6 +203,8 @@
 	RevokeSpare     = 400 * time.Millisecond  // of the bound on revoked keys kept for clocks that count unevenly and a slow step
 	RetryUnsure     = 400 * time.Millisecond  // told while a proxy does not know whether a key still holds: one word to control
 	IdleTimeout     = 15 * time.Second        // likewise
+	IdleOverlap     = 3 * time.Second         // after an idle bound is lowered, clients that open connections may still go by the one before: over the bound on how long a configuration takes
+	IdleSpare       = 5 * time.Second         // an idle connection is kept so much longer than its bound: a request that is on its way when it is closed is lost
 	HeaderBytes     = 64 << 10                // hard bound before a configuration's own
 	BudgetDefault   = 30 * time.Second        // a client that names no budget
 )
@@ -220,7 +224,8 @@
 	SplitPart       = 0.8                     // of a key's rate split by live proxy count; the rest is granted by trackers
 	GrantLength     = time.Second             // a grant ends so long after it was asked for
 	GrantLong       = 10 * time.Second        // a standby rate ends so long after it was told: longer than all control machines need to come back
-	LongPool        = 0.3                     // part of a tracker-carried key's quota that is never told as standby: it serves while a new tracker does not know what stands
+	StandbyReserve  = 0.1                     // part of a tracker-carried key's quota that is lent whole and never told as standby: with the tracked part it serves while a new tracker does not know what stands
+	StandbyBasic    = 0.25                    // part of a share lent whole that its proxy uses, untold, while it hears no tracker: after a loss of everything demand is not known; at a half, what is left to tell by demand served too little
 	StandbyAfter    = 1200 * time.Millisecond // a proxy that hears nothing from a tracker so long uses its standby
 	StandbyRoom     = 1000 * time.Millisecond // and the tracker has left it out of its pool since this long after the stamp that reached it
 	TouchEvery      = 50 * time.Millisecond   // a tracker looks over whom it may have lost; it counts them as lost so much sooner
@@ -237,7 +242,7 @@
 	LendMost        = 0.8                     // part of the split share lent at most: what stays serves at once when the tracker is lost
 	LendLong        = 9 * time.Second         // likewise for a share that could not serve where it is: it is missed nowhere, and telling of it costs a word a key and proxy
 	TinyShare       = 8.0                     // requests: a split share that holds fewer is lent whole, where floors do not fit the slack; at 2 large tenants of a large fleet were refused 7% of first tries
-	LendLength      = 1500 * time.Millisecond // a loan ends so long after it was last told of; a proxy that is cut off has its share back by then
+	LendLength      = 1750 * time.Millisecond // a loan ends so long after it was last told of; a proxy that is cut off has its share back by then, and what was leased of it has ended, since a loan that ends within GrantLength is leased no more
 	HotRate         = 8.0                     // requests a second at one proxy from which a key is hot and its rate leased
 	GrantEvery      = 250 * time.Millisecond  // proxies report demand and renew
 	GrantWait       = 80 * time.Millisecond   // a request may wait so long for tokens from its tracker: a busy one answers late, and a refusal costs the client more
--- a/internal/headworks/catchup.go
+++ b/internal/headworks/catchup.go
@@ -23,6 +23,9 @@
 
 var rawKeys = [2]string{"raw0", "raw1"}
 
+// Joined says whether the newest view known here names this machine's disk a voter.
+func (c *Chain) Joined() bool { return c.agr.Joined }
+
 // Status describes this machine for operators.
 func (c *Chain) Status() Gauge { return c.gauge() }
 
@@ -114,14 +117,21 @@
 // committed; false while none is known.
 func (c *Chain) FreshAsOf() (time.Duration, bool) { return c.freshAsOf, c.freshAsOf >= 0 }
 
-func (c *Chain) onGauge(from string, g Gauge) {
+// onGauge takes a machine's word about itself. It says whether one of the two cannot know
+// yet that the path works both ways: the sender has just started, or was not heard here
+// lately. An answer at once then proves it in a round trip, where regular words take up to
+// two of their periods; it echoes the sender, so that answers end.
+func (c *Chain) onGauge(from string, g Gauge) (unproven bool) {
 	p := c.seen[from]
 	if p == nil {
-		p = &peerState{}
+		p = &peerState{reached: -1}
 		c.seen[from] = p
 	}
 	if !p.everSeen || c.now-p.heard > datum.MemberSilence || p.gauge.Me != g.Me {
-		p.since = c.now
+		p.since, unproven = c.now, true
+		if p.gauge.Me != g.Me {
+			p.reached = -1
+		}
 		if c.agr.View.index(from) >= 0 {
 			c.passAt = 0 // what was passed while it was not there has been lost
 		}
@@ -130,7 +140,10 @@
 	p.echoed = -1
 	if since := g.Echo - c.stampBase; since <= uint64(c.now) {
 		p.echoed = time.Duration(since)
+	} else {
+		unproven = true
 	}
+	p.reached = max(p.reached, p.echoed)
 	c.heardGoodbye(from, g)
 	c.learn(g.View)
 	if at(c.committed).Less(g.Committed) && !c.Relay {
@@ -139,10 +152,13 @@
 		if at(c.held) == g.Committed {
 			c.commit(*c.held)
 		} else if c.now >= c.fetchAt {
-			c.fetchAt = c.now + datum.GaugeEvery
+			if c.inContact(from) { // the asking of one that may not hear it holds up no other
+				c.fetchAt = c.now + datum.GaugeEvery
+			}
 			c.send(from, Fetch{at(c.committed)})
 		}
 	}
+	return unproven
 }
 
 // keep makes a state durable here if it is newer than what is held. Its
--- a/internal/headworks/chain.go
+++ b/internal/headworks/chain.go
@@ -108,6 +108,7 @@
 type peerState struct {
 	gauge    Gauge
 	echoed   time.Duration // moment here that its last gauge follows; negative: none known
+	reached  time.Duration // latest moment here that any gauge of its disk's life followed; negative: none known
 	heard    time.Duration // last gauge
 	since    time.Duration // first gauge of the present run of them
 	everSeen bool
@@ -320,7 +321,13 @@
 }
 
 // heads says whether orders enter here.
-func (c *Chain) heads() bool { return c.serves() && c.agr.View.Members[0] == c.Me }
+func (c *Chain) heads() bool { return c.serves() && c.leads() }
+
+// leads says whether this machine is the first of its view, sealed or not.
+func (c *Chain) leads() bool {
+	m := c.agr.View.Members
+	return len(m) > 0 && m[0] == c.Me
+}
 
 func (c *Chain) send(to string, m any) {
 	if to == c.Me.Addr {
@@ -374,6 +381,7 @@
 func (c *Chain) Recv(now time.Duration, from string, msg any) []any {
 	c.now = now
 	if g, ok := msg.(Gauge); ok {
+		answer := g.Asks
 		if g.Relay {
 			// It is told what it asks for and else left alone, however many there
 			// are of its kind.
@@ -382,9 +390,10 @@
 			}
 		} else {
 			c.meet(from)
-			c.onGauge(from, g)
+			unproven := c.onGauge(from, g)
+			answer = answer || unproven && !c.Relay
 		}
-		if g.Asks {
+		if answer {
 			c.tell(from)
 		}
 		return c.flush()
@@ -433,8 +442,17 @@
 			}
 		}
 	case Forward:
+		if m.PassOn && !c.leads() {
+			c.sendHead(Forward{Doc: m.Doc})
+			return
+		}
 		c.onForward(m.Doc)
 	case Order:
+		if m.PassOn && !c.leads() {
+			m.PassOn = false
+			c.sendHead(m)
+			return
+		}
 		c.onOrder(m)
 	case Retire:
 		c.wishRetired(m.Voter)
@@ -457,7 +475,7 @@
 	case Read:
 		c.onRead(from, m)
 	case Answer:
-		c.out = append(c.out, ReadDone{m.ID, m.Doc})
+		c.out = append(c.out, ReadDone(m))
 	case Fetch:
 		if m.Have.Less(at(c.committed)) {
 			c.send(from, Fetched{*c.committed})
--- a/internal/headworks/messages.go
+++ b/internal/headworks/messages.go
@@ -91,18 +91,23 @@
 		View uint64
 		Doc  scheme.Doc
 	}
-	// Forward brings an operator's configuration to the head.
-	Forward struct{ Doc scheme.Doc }
+	// Forward brings an operator's configuration to the head. With PassOn a machine
+	// that is not the head sends it on, without: it goes through one other at most.
+	Forward struct {
+		Doc    scheme.Doc
+		PassOn bool
+	}
 	// Retire wants a voter that is gone out of the electorate; its Member decides.
 	Retire struct{ Voter string }
 	// Order starts or stops the evacuation of a zone. It is taken only while
 	// the zone's count of orders is still Base: one that was held up on its way
-	// must not undo what was ordered since.
+	// must not undo what was ordered since. PassOn is as in Forward.
 	Order struct {
-		ID   uint64
-		Zone string
-		On   bool
-		Base uint64
+		ID     uint64
+		Zone   string
+		On     bool
+		Base   uint64
+		PassOn bool
 	}
 	// Confirm asks whether a view still stands unsealed.
 	Confirm struct{ View, Nonce uint64 }
@@ -123,8 +128,26 @@
 )
 
 func init() {
-	for _, m := range []any{Gauge{}, Prepare{}, Promise{}, Nack{}, Sync{}, Synced{}, Accept{}, Accepted{}, Decide{}, Pass{}, Lack{}, Ack{}, Higher{}, Retire{},
-		Forward{}, Order{}, Confirm{}, Confirmed{}, Read{}, Answer{}, Fetch{}, Fetched{}} {
-		conduit.Register(m)
-	}
+	conduit.Register(conduit.NameHeartbeat, Gauge{})
+	conduit.Register(conduit.NamePrepare, Prepare{})
+	conduit.Register(conduit.NamePromise, Promise{})
+	conduit.Register(conduit.NameNack, Nack{})
+	conduit.Register(conduit.NameSync, Sync{})
+	conduit.Register(conduit.NameSynced, Synced{})
+	conduit.Register(conduit.NameAccept, Accept{})
+	conduit.Register(conduit.NameAccepted, Accepted{})
+	conduit.Register(conduit.NameDecide, Decide{})
+	conduit.Register(conduit.NameChainPass, Pass{})
+	conduit.Register(conduit.NameChainLack, Lack{})
+	conduit.Register(conduit.NameChainAck, Ack{})
+	conduit.Register(conduit.NameChainHigher, Higher{})
+	conduit.Register(conduit.NameRetire, Retire{})
+	conduit.Register(conduit.NameForward, Forward{})
+	conduit.Register(conduit.NameEvacuationOrder, Order{})
+	conduit.Register(conduit.NameConfirm, Confirm{})
+	conduit.Register(conduit.NameConfirmed, Confirmed{})
+	conduit.Register(conduit.NameRead, Read{})
+	conduit.Register(conduit.NameReadAnswer, Answer{})
+	conduit.Register(conduit.NameFetch, Fetch{})
+	conduit.Register(conduit.NameFetched, Fetched{})
 }
--- a/internal/headworks/view.go
+++ b/internal/headworks/view.go
@@ -42,20 +42,19 @@
 	c.troubleAt = 0
 	c.passAt = 0
 	c.reads = nil
-	if v.has(c.Me) {
-		c.commitAt(v.From)
-	}
 	c.out = append(c.out, Moved{v})
 }
 
 // inContact says whether a peer was heard lately, and has heard this machine lately:
-// a path one way alone carries no agreement.
+// a path one way alone carries no agreement. A process that was started again has
+// heard nobody when it first speaks, and what the one before it heard still counts:
+// else each restart would change the view, however short.
 func (c *Chain) inContact(addr string) bool {
 	if addr == c.Me.Addr {
 		return true
 	}
 	p := c.seen[addr]
-	return p != nil && c.now-p.heard <= datum.MemberSilence && p.echoed >= 0 && c.now-p.echoed <= datum.ContactFresh
+	return p != nil && c.now-p.heard <= datum.MemberSilence && p.reached >= 0 && c.now-p.reached <= datum.ContactFresh
 }
 
 // alive says whether a machine can be a member: in contact, its disk works, and it
@@ -101,8 +100,8 @@
 	for _, v := range c.agr.View.Voters {
 		if v.Addr == c.Me.Addr {
 			since = append(since, c.now)
-		} else if s := c.seen[v.Addr]; s != nil && s.echoed >= 0 && s.gauge.Me == v {
-			since = append(since, s.echoed)
+		} else if s := c.seen[v.Addr]; s != nil && s.reached >= 0 && s.gauge.Me == v {
+			since = append(since, s.reached)
 		}
 	}
 	return nthLatest(since, c.majority())
--- a/internal/sluice/forward.go
+++ b/internal/sluice/forward.go
@@ -259,9 +259,14 @@
 	var last *result
 	dials := 0
 	for {
-		of := y.Place(p.want(), skip)
-		if of == nil && last == nil {
+		if p.tooLate() {
+			return last, http.StatusServiceUnavailable
+		}
+		var of *offer
+		if last == nil {
 			of = y.Wait(p.r.Context(), p.want(), p.prio, skip, min(time.Until(held), time.Until(p.deadline)))
+		} else {
+			of = y.Place(p.want(), skip)
 		}
 		if of == nil {
 			return last, http.StatusServiceUnavailable
@@ -308,7 +313,7 @@
 		}
 		// Another upstream: always when nothing went out, as the request's kind
 		// and the budget allow when something did.
-		if !time.Now().Add(datum.LeastLeft).Before(p.deadline) || p.r.Context().Err() != nil {
+		if p.tooLate() || p.r.Context().Err() != nil {
 			return last, 0
 		}
 		if !res.sent {
@@ -317,12 +322,39 @@
 			}
 			continue
 		}
-		if !res.notRun && !p.route.Idempotent || p.rest != nil || p.sends >= p.route.MaxAttempts || !p.s.allow.Take(p.s.now(), p.service) {
+		if !res.notRun && !p.route.Idempotent || p.rest != nil || p.sends >= p.maxAttempts() || !p.s.allow.Take(p.s.now(), p.service) {
 			return last, 0
 		}
 	}
 }
 
+// tooLate says that the request has so little time left that it would hardly be served,
+// and that having been sent it could not be refused with a promise any more.
+func (p *passage) tooLate() bool {
+	left := time.Until(p.deadline)
+	if left <= datum.LeastLeft {
+		return true
+	}
+	if left >= time.Duration(float64(p.aim())*datum.LeastShare) {
+		return false
+	}
+	return left < p.usualDelay()
+}
+
+// maxAttempts is how many upstreams the request may be sent to: what its route allowed
+// when it came, and what the newest configuration allows.
+func (p *passage) maxAttempts() int {
+	sch := p.s.scheme.Load()
+	if sch == p.sch {
+		return p.route.MaxAttempts
+	}
+	route, _, code := match(sch, p.r)
+	if code != 0 {
+		return p.route.MaxAttempts // allowed stops it before bytes go out
+	}
+	return min(p.route.MaxAttempts, route.MaxAttempts)
+}
+
 // want is what this request asks of the yard.
 func (p *passage) want() want {
 	w := want{service: p.service, homes: p.homes}
@@ -359,7 +391,10 @@
 // counts. The other is left to finish.
 func (p *passage) hedged(of *offer, skip map[*Outfall]bool) *result {
 	ch := make(chan *result, 2)
-	run := func(of *offer) { go func() { ch <- p.clone().try(of) }() }
+	run := func(of *offer) {
+		c := p.clone() // before the goroutine begins: answers that come meanwhile change p
+		go func() { ch <- c.try(of) }()
+	}
 	run(of)
 	out := 1
 	t := time.NewTimer(p.hedgeAfter())
@@ -386,7 +421,7 @@
 				return best
 			}
 		case <-t.C:
-			if p.sends+out >= p.route.MaxAttempts || !time.Now().Add(datum.LeastLeft).Before(p.deadline) {
+			if p.sends+out >= p.maxAttempts() || p.tooLate() {
 				continue
 			}
 			second := p.s.yard.Place(p.want(), skip)
@@ -415,11 +450,16 @@
 }
 
 func (p *passage) hedgeAfter() time.Duration {
+	usual := float64(p.usualDelay())
+	return time.Duration(max(usual*datum.HedgeFactor, float64(p.aim())*datum.HedgeFloor))
+}
+
+// usualDelay is the time in which upstreams of the service usually answer.
+func (p *passage) usualDelay() time.Duration {
 	y := p.s.yard
 	y.mu.Lock()
-	mean := meanDelay(y.pick(p.want()).few)
-	y.mu.Unlock()
-	return max(time.Duration(mean*datum.HedgeFactor*float64(time.Second)), time.Duration(float64(p.aim())*datum.HedgeFloor))
+	defer y.mu.Unlock()
+	return time.Duration(meanDelay(y.pick(p.want()).few) * float64(time.Second))
 }
 
 // match finds route and tenant, or the status that refuses the request.
--- a/internal/sluice/gate.go
+++ b/internal/sluice/gate.go
@@ -24,11 +24,26 @@
 	now     scheme.Limits
 	feed    *feed
 	servers []*http.Server
+	conns   map[net.Conn]*clientConn
+	bound   time.Duration // idle bound seen last
+	lowered idleBound     // the one before, when that was longer
 	closed  bool
 	ended   chan struct{} // closed when all is over
 	once    sync.Once
 }
 
+// clientConn is an open connection of a client.
+type clientConn struct {
+	bound     time.Duration // the longest idle bound that its client may go by
+	idleSince time.Time     // zero while a request is under way
+}
+
+// idleBound is an idle bound that a shorter one has replaced.
+type idleBound struct {
+	bound    time.Duration
+	replaced time.Time
+}
+
 // feed hands a server the connections it is to serve.
 type feed struct {
 	ch   chan net.Conn
@@ -50,7 +65,7 @@
 func (f *feed) Addr() net.Addr { return f.addr }
 
 func newGate(l net.Listener, h http.Handler, limits func() scheme.Limits) *gate {
-	return &gate{l: l, h: h, limits: limits, ended: make(chan struct{})}
+	return &gate{l: l, h: h, limits: limits, conns: map[net.Conn]*clientConn{}, ended: make(chan struct{})}
 }
 
 func or[T int | time.Duration](v, def T) T {
@@ -89,13 +104,14 @@
 func (g *gate) feedFor(l scheme.Limits) *feed {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	l.BodyBytes = 0 // checked by the handler
+	l.BodyBytes, l.IdleTime = 0, 0 // checked by the handler, and by closeIdle
 	if g.feed != nil && l == g.now {
 		return g.feed
 	}
-	// Connections that are open stay with the bounds they came under.
+	// Connections that are open stay with these bounds, which clients keep within. The
+	// idle bound is not among them: clients rest for as long as the newest one allows.
 	f := &feed{ch: make(chan net.Conn), done: make(chan struct{}), addr: g.l.Addr()}
-	srv := &http.Server{Handler: g.h, ReadHeaderTimeout: or(l.HeaderTimeout, datum.HeaderTimeout), IdleTimeout: or(l.IdleTime, datum.IdleTimeout),
+	srv := &http.Server{Handler: g.h, ReadHeaderTimeout: or(l.HeaderTimeout, datum.HeaderTimeout), ConnState: g.track,
 		MaxHeaderBytes: or(l.HeaderBytes, datum.HeaderBytes), ErrorLog: log.New(io.Discard, "", 0), DisableGeneralOptionsHandler: true}
 	g.feed, g.now = f, l
 	g.servers = append(g.servers, srv)
@@ -103,6 +119,59 @@
 	return f
 }
 
+// track follows a connection's state.
+func (g *gate) track(c net.Conn, state http.ConnState) { g.trackAt(c, state, time.Now()) }
+
+func (g *gate) trackAt(c net.Conn, state http.ConnState, now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	switch state {
+	case http.StateNew:
+		g.seeBoundLocked(now)
+		cc := &clientConn{bound: g.bound}
+		if now.Sub(g.lowered.replaced) < datum.IdleOverlap {
+			cc.bound = max(cc.bound, g.lowered.bound)
+		}
+		g.conns[c] = cc
+	case http.StateActive:
+		if cc := g.conns[c]; cc != nil {
+			cc.idleSince = time.Time{}
+		}
+	case http.StateIdle:
+		if cc := g.conns[c]; cc != nil {
+			cc.idleSince = now
+		}
+	default:
+		delete(g.conns, c)
+	}
+}
+
+// seeBoundLocked looks at the idle bound in force.
+func (g *gate) seeBoundLocked(now time.Time) {
+	current := or(g.limits().IdleTime, datum.IdleTimeout)
+	if current < g.bound {
+		g.lowered = idleBound{bound: g.bound, replaced: now}
+	}
+	g.bound = current
+}
+
+// closeIdle closes connections that have been idle for longer than every bound allows
+// that was in force since they were opened, or shortly before. A bound that is lowered
+// does not reach them: their clients may go by the one that they were opened under. They
+// are kept a little longer still, so that it is the client that ends them.
+func (g *gate) closeIdle(now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.seeBoundLocked(now)
+	for c, cc := range g.conns {
+		cc.bound = max(cc.bound, g.bound)
+		if !cc.idleSince.IsZero() && now.Sub(cc.idleSince) > cc.bound+datum.IdleSpare {
+			delete(g.conns, c)
+			c.Close()
+		}
+	}
+}
+
 // drain stops accepting, and returns when all requests in flight have ended or
 // the time is over.
 func (g *gate) drain(ctx context.Context) {
--- /dev/null
+++ b/internal/sluice/gate_test.go
@@ -0,0 +1,115 @@
+package sluice
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"slateridge/internal/datum"
+	"slateridge/internal/scheme"
+)
+
+// restingClient opens a connection to a gate whose idle bound is read from idle, and
+// returns a function that sends one request over it.
+func restingClient(t *testing.T, idle *atomic.Int64) (*gate, func() error) {
+	u := newRaw(t, func(_ int, r *http.Request) (string, bool) { return ok(r, "x"), false })
+	s := newSluice(t, u.instance("i-1"))
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	g := newGate(l, s, func() scheme.Limits { return scheme.Limits{IdleTime: time.Duration(idle.Load())} })
+	go g.serve()
+	t.Cleanup(g.close)
+	c, err := net.Dial("tcp4", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	br := bufio.NewReader(c)
+	return g, func() error {
+		c.SetDeadline(time.Now().Add(5 * time.Second))
+		if _, err := io.WriteString(c, "GET /open/ HTTP/1.1\r\nHost: h.example\r\nX-Slateridge-Attempt-Id: id-1\r\n\r\n"); err != nil {
+			return err
+		}
+		resp, err := http.ReadResponse(br, nil)
+		if err != nil {
+			return err
+		}
+		defer resp.Body.Close()
+		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+			return err
+		}
+		if resp.StatusCode != http.StatusOK {
+			return fmt.Errorf("status %d", resp.StatusCode)
+		}
+		return nil
+	}
+}
+
+// A connection that was open before the idle bound was raised may rest for up to the
+// new one.
+func TestRaisedIdleBoundReachesOpenConnections(t *testing.T) {
+	var idle atomic.Int64
+	idle.Store(int64(300 * time.Millisecond))
+	_, request := restingClient(t, &idle)
+	if err := request(); err != nil {
+		t.Fatal(err)
+	}
+	idle.Store(int64(5 * time.Second))
+	time.Sleep(700 * time.Millisecond)
+	if err := request(); err != nil {
+		t.Errorf("after a rest inside the raised bound: %v", err)
+	}
+}
+
+// A connection is closed once it has rested longer than the bounds allow that were in
+// force since it was opened; a lowered bound holds for those opened after clients knew it.
+func TestIdleConnectionsAreClosed(t *testing.T) {
+	var bound atomic.Int64
+	g := newGate(nil, nil, func() scheme.Limits { return scheme.Limits{IdleTime: time.Duration(bound.Load())} })
+	began := time.Now()
+	open := func(after time.Duration) net.Conn {
+		ours, theirs := net.Pipe()
+		t.Cleanup(func() { ours.Close(); theirs.Close() })
+		for _, state := range []http.ConnState{http.StateNew, http.StateActive, http.StateIdle} {
+			g.trackAt(ours, state, began.Add(after))
+		}
+		return ours
+	}
+	isOpen := func(c net.Conn, after time.Duration) bool {
+		g.closeIdle(began.Add(after))
+		_, is := g.conns[c]
+		return is
+	}
+	const s, spare = time.Second, datum.IdleSpare
+	bound.Store(int64(10 * s))
+	first, busy := open(0), open(0)
+	g.trackAt(busy, http.StateActive, began)
+	if !isOpen(first, 1*s) {
+		t.Error("closed inside the first bound")
+	}
+	bound.Store(int64(2 * s))
+	if !isOpen(first, 3*s) || !isOpen(first, 10*s) {
+		t.Error("closed by a bound that was lowered after it was opened")
+	}
+	early := open(4 * s) // its client may not know the lowered bound yet
+	if !isOpen(first, 10*s+spare) || isOpen(first, 10*s+spare+1) {
+		t.Error("closed at its bound, or open long beyond every bound")
+	}
+	if !isOpen(early, 14*s+spare) || isOpen(early, 14*s+spare+1) {
+		t.Error("opened soon after the bound was lowered: it should be that before it")
+	}
+	late := open(30 * s)
+	if !isOpen(late, 32*s+spare) || isOpen(late, 32*s+spare+1) {
+		t.Error("the lowered bound never takes hold")
+	}
+	if !isOpen(busy, 60*s) {
+		t.Error("closed with a request under way")
+	}
+}
