--- a/internal/accounts/holder.go
+++ b/internal/accounts/holder.go
@@ -132,22 +132,26 @@
 }
 
 // Receive takes a message of a shard's replication from another control machine.
-func (h *Holder) Receive(now time.Duration, from string, message any) []counter.Send {
+func (h *Holder) Receive(from string, message any) []counter.Send {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	shard, ok := shardOf(message)
 	if !ok || shard < 0 || shard >= len(h.groups) {
 		return nil
 	}
-	return h.groups[shard].Receive(now, from, message)
+	return h.groups[shard].Receive(from, message)
 }
 
-// Messages of a shard's replication.
 type (
-	Prepare    = counter.Prepare
-	Promise    = counter.Promise[string, Account]
-	Reject     = counter.Reject
-	Replicate  = counter.Replicate[string, Account]
+	// Prepare is a message of a shard's replication, as the others here.
+	Prepare = counter.Prepare
+	// Promise answers Prepare.
+	Promise = counter.Promise[string, Account]
+	// Reject answers a message of a leader that has been replaced.
+	Reject = counter.Reject
+	// Replicate brings what has been reported to the other control machines.
+	Replicate = counter.Replicate[string, Account]
+	// Replicated answers Replicate.
 	Replicated = counter.Replicated
 )
 
--- a/internal/accounts/input_test.go
+++ b/internal/accounts/input_test.go
@@ -10,6 +10,9 @@
 	"testing"
 	"time"
 
+	"github.com/DataDog/sketches-go/ddsketch"
+	"github.com/DataDog/sketches-go/ddsketch/store"
+
 	"slateridge/internal/basin"
 	"slateridge/internal/counter"
 )
@@ -55,7 +58,7 @@
 		t.Fatal(err)
 	}
 	var notes []string
-	holder := NewHolder("a", objectives, DefaultOptions, basin.NewDisk(), true, 1, func(kind, about string) { notes = append(notes, about) })
+	holder := NewHolder("a", objectives, DefaultOptions, basin.NewDisk(), true, 1, func(_, about string) { notes = append(notes, about) })
 	leads := func(int) bool { return true }
 	holder.Tick(0, leads, []string{"a"})
 	holder.Tick(time.Second, leads, []string{"a"})
@@ -185,7 +188,17 @@
 	if merged.Count() != uint64(len(all)) {
 		t.Fatalf("%d latencies, there were %d", merged.Count(), len(all))
 	}
-	for _, share := range []float64{0.01, 0.5, 0.9, 0.99, 0.999} {
+	library := ddsketch.NewDDSketchFromStoreProvider(latencyMapping, store.SparseStoreConstructor)
+	for _, bin := range merged {
+		if err := library.AddWithCount(latencyMapping.Value(int(bin.Index)), float64(bin.Count)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for _, share := range []float64{0, 0.01, 0.5, 0.9, 0.99, 0.999, 1} {
+		want, err := library.GetValueAtQuantile(share)
+		if got := merged.Quantile(share).Seconds(); err != nil || math.Abs(got-want) > 1e-8 {
+			t.Errorf("quantile %v is %v, the library's %v, %v", share, got, want, err)
+		}
 		truth := all[int(share*float64(len(all)-1))]
 		if got := merged.Quantile(share).Seconds(); math.Abs(got-truth)/truth > SketchError+1e-6 {
 			t.Errorf("quantile %v is %v, truly %v", share, got, truth)
--- a/internal/accounts/service.go
+++ b/internal/accounts/service.go
@@ -63,7 +63,7 @@
 	if _, ok := shardOf(message); !ok {
 		return nil, false
 	}
-	s.send(s.Receive(s.options.Now(), from, message))
+	s.send(s.Receive(from, message))
 	return nil, true
 }
 
--- a/internal/accounts/sketch.go
+++ b/internal/accounts/sketch.go
@@ -4,9 +4,7 @@
 	"slices"
 	"time"
 
-	"github.com/DataDog/sketches-go/ddsketch"
 	"github.com/DataDog/sketches-go/ddsketch/mapping"
-	"github.com/DataDog/sketches-go/ddsketch/store"
 )
 
 // SketchError is the relative error of a quantile read from a sketch.
@@ -35,8 +33,8 @@
 	Count uint64
 }
 
-// Sketch is a DDSketch as its bins, in the order of their indexes. Other than the
-// library's, it can also be joined with an earlier state of itself.
+// Sketch is a DDSketch as its bins, in the order of their indexes. Unlike the library's,
+// it can also be joined with an earlier state of itself.
 type Sketch []Bin
 
 // Observe adds a latency.
@@ -88,17 +86,18 @@
 }
 
 // Quantile is the latency that a share of all lies under, within SketchError of the true
-// one; 0 where there is none.
+// one; 0 where there is none. It is what the library's sketch of these bins gives.
 func (s Sketch) Quantile(share float64) time.Duration {
-	sketch := ddsketch.NewDDSketchFromStoreProvider(latencyMapping, store.SparseStoreConstructor)
+	count := s.Count()
+	if count == 0 {
+		return 0
+	}
+	rank := share * float64(count-1)
+	below := uint64(0)
 	for _, bin := range s {
-		if err := sketch.AddWithCount(latencyMapping.Value(int(bin.Index)), float64(bin.Count)); err != nil {
-			return 0
+		if below += bin.Count; float64(below) > rank {
+			return time.Duration(latencyMapping.Value(int(bin.Index)) * float64(time.Second))
 		}
 	}
-	value, err := sketch.GetValueAtQuantile(share)
-	if err != nil {
-		return 0
-	}
-	return time.Duration(value * float64(time.Second))
+	return time.Duration(latencyMapping.Value(int(s[len(s)-1].Index)) * float64(time.Second))
 }
--- a/internal/counter/checker_test.go
+++ b/internal/counter/checker_test.go
@@ -99,7 +99,7 @@
 		w.flying = append(w.flying[:i:i], w.flying[i+1:]...)
 	}
 	to := message.send.To
-	w.put(to, w.groups[to].Receive(w.now, message.from, message.send.Message))
+	w.put(to, w.groups[to].Receive(message.from, message.send.Message))
 	w.check()
 }
 
--- a/internal/counter/group_test.go
+++ b/internal/counter/group_test.go
@@ -101,7 +101,7 @@
 		return
 	}
 	s.delivered++
-	s.put(send.To, m.group.Receive(s.Now, from, send.Message))
+	s.put(send.To, m.group.Receive(from, send.Message))
 	s.observe(m)
 	if s.onMessage != nil {
 		s.onMessage(send.Message)
--- a/internal/emulator/control.go
+++ b/internal/emulator/control.go
@@ -97,7 +97,7 @@
 		to := c.world.Controls[send.To]
 		c.world.send(c.Name, to.Name, func() {
 			to.when(to.Life, func() {
-				to.put(to.Holder.Receive(to.Now(), c.Name, send.Message))
+				to.put(to.Holder.Receive(c.Name, send.Message))
 				c.world.observe(to)
 			})
 		})
