Counters: the copy for an emptied disk goes in parts

Cause: as one message it would pass the frame's 4 MB at about 60,000 accounts of a shard, and the replica would never be filled. Change: it goes in parts of a bounded number of cells; the replica counts as one again once all have come.

--- a/internal/counter/group.go
+++ b/internal/counter/group.go
@@ -37,13 +37,30 @@
 	copies   uint64 // sent so far
 	start    uint64 // number of this process's start
 	fresh    bool   // the disk has no copy: this replica promises nothing until it was given one
-	failed   error  // the disk's; nothing is promised or answered until it is mended
+	copying  copying
+	failed   error // the disk's; nothing is promised or answered until it is mended
 	leader   *leader[K, V]
 	out      []Send
 
 	Refused uint64 // deltas that were garbled or went beyond a final version
 }
 
+// copying notes which parts of a copy have come.
+type copying struct {
+	ballot Ballot
+	round  uint64
+	parts  map[int]bool
+}
+
+// add notes a part; true once all are there.
+func (c *copying) add(ballot Ballot, round uint64, part, parts int) bool {
+	if c.parts == nil || c.ballot != ballot || c.round != round {
+		*c = copying{ballot, round, map[int]bool{}}
+	}
+	c.parts[part] = true
+	return len(c.parts) == parts
+}
+
 // saved is the whole of a replica on disk.
 type saved[K comparable, V Value[V]] struct {
 	Promised Ballot
@@ -270,6 +287,9 @@
 			answer.Gaps = append(answer.Gaps, delta.Life)
 		}
 	}
+	if g.fresh && !g.copying.add(m.Ballot, m.Round, m.Part, m.Parts) {
+		return // more of the copy is to come
+	}
 	g.fresh = false
 	saved := false
 	if m.Whole > 0 || m.Base != nil || before != g.replica.Base.ID() {
--- a/internal/counter/leader.go
+++ b/internal/counter/leader.go
@@ -263,12 +263,24 @@
 			continue
 		}
 		delete(l.empty, to)
-		agreed := g.replica.Base
-		copied := Replicate[K, V]{Group: g.group, Ballot: l.ballot, Base: &agreed, Agreed: agreed.ID(), Whole: empty.start}
-		for id := range g.replica.Lives {
-			copied.Deltas = append(copied.Deltas, g.replica.Since(id, 0))
+		g.sendCopy(to, empty.start, finished)
+	}
+}
+
+// sendCopy sends the base with the first part, and all lives.
+func (g *Group[K, V]) sendCopy(to string, start, round uint64) {
+	var deltas []Delta[K, V]
+	for id := range g.replica.Lives {
+		deltas = append(deltas, g.replica.Since(id, 0))
+	}
+	agreed := g.replica.Base
+	parts := splitDeltas(deltas, g.options.CellsAtOnce)
+	for part, deltas := range parts {
+		message := Replicate[K, V]{Group: g.group, Ballot: g.leader.ballot, Round: round, Part: part, Parts: len(parts), Deltas: deltas, Agreed: agreed.ID(), Whole: start}
+		if part == 0 {
+			message.Base = &agreed
 		}
-		g.send(to, copied)
+		g.send(to, message)
 	}
 }
 
--- a/internal/counter/messages.go
+++ b/internal/counter/messages.go
@@ -44,10 +44,11 @@
 	Ballot Ballot
 	Round  uint64
 	Part   int // a round's deltas may go in several messages
+	Parts  int // of a copy: how many there are
 	Deltas []Delta[K, V]
 	Base   *Base[K, V]
 	Agreed BaseID
-	Whole  uint64 // not 0: the base and all lives, for the replica whose disk was empty at that start
+	Whole  uint64 // not 0: part of a copy for the replica whose disk was empty at that start
 }
 
 // Replicated answers Replicate once the replica's store holds what it brought, or with
