--- a/internal/accounts/meter.go
+++ b/internal/accounts/meter.go
@@ -234,3 +234,10 @@
 	}
 	return count
 }
+
+// Of is what this life has counted of a tenant.
+func (m *Meter) Of(tenant string) Account {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.current[ShardOf(tenant, len(m.current))].Cell(tenant).Join(Account{})
+}
