--- /dev/null
+++ b/internal/emulator/example_test.go
@@ -0,0 +1,39 @@
+package emulator_test
+
+import (
+	"fmt"
+	"time"
+
+	"slateridge/internal/accounts"
+	"slateridge/internal/emulator"
+)
+
+// A world of three control machines, two proxies, two upstreams and one tenant's client;
+// a proxy is killed and comes back. In the end the tenant's account has every request.
+func Example() {
+	objectives, err := accounts.ParseObjectives([]byte(`{"version":1,"shards":1,"defaultClass":"all",
+		"classes":{"all":{"target":0.99,"latency":"250ms","window":"720h"}}}`))
+	if err != nil {
+		panic(err)
+	}
+	world := emulator.New(1, objectives)
+	for _, name := range []string{"control-a", "control-b", "control-c"} {
+		world.NewControl(name)
+	}
+	world.MoveShard(0, "control-a")
+	world.NewUpstream("upstream-a")
+	world.NewUpstream("upstream-b")
+	proxy := world.NewProxy("proxy-a")
+	world.NewProxy("proxy-b")
+	world.NewClient("acme", 20*time.Millisecond, 4*time.Second)
+	world.After(2*time.Second, proxy.Kill)
+	world.After(3*time.Second, proxy.Start)
+	world.Run(10*time.Second, nil)
+
+	account, truth := world.Totals()["acme"], world.Truth()["acme"]
+	fmt.Println("every request taken is in the account:", int(account.Taken) == truth.Taken)
+	fmt.Println("none is open:", account.Open() == 0)
+	// Output:
+	// every request taken is in the account: true
+	// none is open: true
+}
