Accounts: a lost holder is asked around at once; counters: runs can be had again

Cause: in a trial with a control process killed, 47,864 of 48,510 requests were in the accounts after 90 s: a proxy whose question to a lost machine failed asked the next one only 25 s later. Change: up to four questions a report; lives and emptied replicas are taken in order.

--- a/internal/accounts/agent.go
+++ b/internal/accounts/agent.go
@@ -8,6 +8,10 @@
 	"slateridge/internal/counter"
 )
 
+// mostQuestions bounds those for one report: a holder that is lost, another machine that
+// is lost with it, one that knows the new holder, and that one.
+const mostQuestions = 4
+
 // AgentOptions are what an agent needs of the proxy's process.
 type AgentOptions struct {
 	Node       string
@@ -64,9 +68,9 @@
 	}
 }
 
-// tell asks the holder known, and once more the one that the answer names.
+// tell asks the holder known, and then those that answers name, or others by turns.
 func (a *Agent) tell(report Report) {
-	for range 2 {
+	for range mostQuestions {
 		to := a.holder(report.Shard)
 		if to == "" {
 			return
@@ -74,7 +78,7 @@
 		ack, err := a.options.Ask(to, report)
 		if err != nil {
 			a.setHolder(report.Shard, "")
-			return
+			continue
 		}
 		if ack.Refused == "" {
 			a.finish(a.Acknowledge(ack))
--- a/internal/counter/leader.go
+++ b/internal/counter/leader.go
@@ -182,7 +182,8 @@
 	l.roundAt = now
 	next := &round[K, V]{number: l.rounds, versions: map[LifeID]uint64{}, acks: map[string]map[int]bool{}, sentAt: map[string]time.Duration{}}
 	var deltas []Delta[K, V]
-	for id, life := range g.replica.Lives {
+	for _, id := range g.replica.ids() {
+		life := g.replica.Lives[id]
 		if from, known := l.durable[id]; !known || life.Version > from {
 			next.versions[id] = life.Version
 			deltas = append(deltas, life.since(id, from))
@@ -258,7 +259,8 @@
 // were heard of has a majority without them.
 func (g *Group[K, V]) fill(finished uint64) {
 	l := g.leader
-	for to, empty := range l.empty {
+	for _, to := range slices.Sorted(maps.Keys(l.empty)) {
+		empty := l.empty[to]
 		if finished <= empty.after {
 			continue
 		}
@@ -270,7 +272,7 @@
 // sendCopy sends the base with the first part, and all lives.
 func (g *Group[K, V]) sendCopy(to string, start, round uint64) {
 	var deltas []Delta[K, V]
-	for id := range g.replica.Lives {
+	for _, id := range g.replica.ids() {
 		deltas = append(deltas, g.replica.Since(id, 0))
 	}
 	agreed := g.replica.Base
--- a/internal/counter/messages.go
+++ b/internal/counter/messages.go
@@ -101,7 +101,8 @@
 		current.Base.Cells[key] = value
 		cells++
 	}
-	for id, life := range r.Lives {
+	for _, id := range r.ids() {
+		life := r.Lives[id]
 		if cells >= cellsAtOnce {
 			flush()
 		}
--- a/internal/counter/replica.go
+++ b/internal/counter/replica.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"maps"
+	"slices"
 )
 
 // Ballot orders the machines that have led a group of replicas; the zero ballot is below
@@ -100,6 +101,10 @@
 	return r.Lives[id].since(id, from)
 }
 
+// ids are the lives, sorted: what is sent must not depend on the order of a map, so that a
+// simulated run can be had again.
+func (r *Replica[K, V]) ids() []LifeID { return slices.Sorted(maps.Keys(r.Lives)) }
+
 // Total is the sum over all lives.
 func (r *Replica[K, V]) Total(key K) V {
 	total := r.Base.Cells[key]
@@ -130,7 +135,8 @@
 		next.Folded = map[LifeID]uint64{}
 	}
 	added := 0
-	for id, life := range r.Lives {
+	for _, id := range r.ids() {
+		life := r.Lives[id]
 		if !life.Complete() || added == atMost {
 			continue
 		}
