--- a/cmd/scalerun/accounts_trial.go
+++ b/cmd/scalerun/accounts_trial.go
@@ -11,7 +11,7 @@
 	"time"
 
 	"slateridge/internal/accounts"
-	"slateridge/internal/datum"
+	"slateridge/internal/constants"
 )
 
 // accountObjectives are those of a trial with accounts; nil in one without.
@@ -59,7 +59,7 @@
 func accountsTaken() uint64 {
 	var parts []accounts.Snapshot
 	for i := range cli.Control {
-		address := net.JoinHostPort(controlIP(i), strconv.Itoa(portInternal+datum.PortHeadworksAdmin))
+		address := net.JoinHostPort(controlIP(i), strconv.Itoa(portInternal+constants.PortControlAdmin))
 		if part, err := accountSnapshot(address); err == nil {
 			parts = append(parts, part)
 		}
--- a/cmd/slateridge/retire.go
+++ b/cmd/slateridge/retire.go
@@ -12,8 +12,8 @@
 	"strings"
 	"time"
 
-	"slateridge/internal/datum"
-	"slateridge/internal/sill"
+	"slateridge/internal/constants"
+	"slateridge/internal/settings"
 )
 
 type retireCmd struct {
@@ -28,11 +28,11 @@
 	}
 	at := c.At
 	if at == "" {
-		set, err := sill.Load(os.Getenv(sill.EnvFile))
+		set, err := settings.Load(os.Getenv(settings.EnvFile))
 		if err != nil {
 			return usageError{fmt.Errorf("no --at given, and %w", err)}
 		}
-		at = set.Internal(datum.PortHeadworksAdmin)
+		at = set.Internal(constants.PortControlAdmin)
 	}
 	if _, _, err := net.SplitHostPort(at); err != nil {
 		return usageError{fmt.Errorf("%q is not HOST:PORT", at)}
--- a/cmd/slateridge/status.go
+++ b/cmd/slateridge/status.go
@@ -15,14 +15,14 @@
 	"text/tabwriter"
 	"time"
 
-	"slateridge/internal/datum"
-	"slateridge/internal/headworks"
-	"slateridge/internal/logbook"
-	"slateridge/internal/penstock"
-	"slateridge/internal/sill"
-	"slateridge/internal/sluice"
-	"slateridge/internal/staff"
-	"slateridge/internal/weir"
+	"slateridge/internal/admission"
+	"slateridge/internal/constants"
+	"slateridge/internal/controlplane"
+	"slateridge/internal/distribution"
+	"slateridge/internal/eventlog"
+	"slateridge/internal/membership"
+	"slateridge/internal/proxy"
+	"slateridge/internal/settings"
 )
 
 type statusCmd struct {
@@ -39,11 +39,11 @@
 	var addrs []string
 	local := len(c.Address) == 0
 	if local {
-		set, err := sill.Load(os.Getenv(sill.EnvFile))
+		set, err := settings.Load(os.Getenv(settings.EnvFile))
 		if err != nil {
 			return usageError{fmt.Errorf("no address given, and %w", err)}
 		}
-		addrs = []string{set.Internal(datum.PortHeadworksAdmin), set.Internal(datum.PortSluiceAdmin)}
+		addrs = []string{set.Internal(constants.PortControlAdmin), set.Internal(constants.PortProxyAdmin)}
 	}
 	for _, a := range c.Address {
 		if _, _, err := net.SplitHostPort(a); err != nil {
@@ -96,7 +96,7 @@
 
 func (c statusCmd) show(w io.Writer, addr string, body []byte) error {
 	var kind struct{ Role string }
-	if json.Unmarshal(body, &kind) != nil || kind.Role != "sluice" && kind.Role != "headworks" {
+	if json.Unmarshal(body, &kind) != nil || kind.Role != "proxy" && kind.Role != "control" {
 		return errors.New("what answers there is not a slateridge admin port")
 	}
 	if c.JSON {
@@ -105,19 +105,19 @@
 	}
 	t := tabwriter.NewWriter(w, 0, 4, 2, ' ', 0)
 	defer t.Flush()
-	if kind.Role == "headworks" {
-		var r headworks.Report
+	if kind.Role == "control" {
+		var r controlplane.Report
 		if err := json.Unmarshal(body, &r); err != nil {
 			return err
 		}
-		showHeadworks(t, addr, r, c.All)
+		showControl(t, addr, r, c.All)
 		return nil
 	}
-	var r sluice.Report
+	var r proxy.Report
 	if err := json.Unmarshal(body, &r); err != nil {
 		return err
 	}
-	showSluice(t, addr, r, c.All)
+	showProxy(t, addr, r, c.All)
 	return nil
 }
 
@@ -156,9 +156,9 @@
 
 func ago(d time.Duration) string { return d.Round(10 * time.Millisecond).String() }
 
-func showHeadworks(t io.Writer, addr string, r headworks.Report, all bool) {
+func showControl(t io.Writer, addr string, r controlplane.Report, all bool) {
 	v := r.Chain.View
-	fmt.Fprintf(t, "headworks %s at %s\n", r.Node, addr)
+	fmt.Fprintf(t, "control %s at %s\n", r.Node, addr)
 	var ms []string
 	for i, m := range v.Members {
 		s := m.Addr
@@ -235,16 +235,16 @@
 		}
 		fmt.Fprintf(t, "    %s\t%s\t%s\tpresent %d\t%s\n", s.Service, s.Zone, ordered, s.Present, s.Why)
 	}
-	rows(t, all, r.Proxies, func(p penstock.ProxyState) bool {
-		return p.Version < r.Chain.Version || p.ListNum < r.ListNum || !p.Ready || p.Silent > datum.TapSilence
-	}, func(p penstock.ProxyState) {
+	rows(t, all, r.Proxies, func(p distribution.ProxyState) bool {
+		return p.Version < r.Chain.Version || p.ListNum < r.ListNum || !p.Ready || p.Silent > constants.SubscriptionSilence
+	}, func(p distribution.ProxyState) {
 		fmt.Fprintf(t, "    %s\tr%d\tlist %d\tready %v\theard %s ago\n", p.Name, p.Version, p.ListNum, p.Ready, ago(p.Silent))
 	})
 	showCommon(t, r.Members, r.Events)
 }
 
 // showVoters tells what the electorate can bear, and by name who is not as should be.
-func showVoters(t io.Writer, r headworks.Report) {
+func showVoters(t io.Writer, r controlplane.Report) {
 	if len(r.Voters) == 0 {
 		return
 	}
@@ -277,7 +277,7 @@
 	}
 }
 
-func showSluice(t io.Writer, addr string, r sluice.Report, all bool) {
+func showProxy(t io.Writer, addr string, r proxy.Report, all bool) {
 	state := "not ready"
 	switch {
 	case r.Leaving:
@@ -285,10 +285,10 @@
 	case r.Ready:
 		state = "ready"
 	}
-	fmt.Fprintf(t, "sluice %s at %s: %s, %d in flight\n", r.Node, addr, state, r.InFlight)
-	fmt.Fprintf(t, "  configuration\tr%d from %s; control heard %s ago\n", r.Version, r.Line.From, ago(r.Line.Silent))
+	fmt.Fprintf(t, "proxy %s at %s: %s, %d in flight\n", r.Node, addr, state, r.InFlight)
+	fmt.Fprintf(t, "  configuration\tr%d from %s; control heard %s ago\n", r.Version, r.Subscriber.From, ago(r.Subscriber.Silent))
 	showEvacuated(t, r.Evacuated)
-	fmt.Fprintf(t, "  upstream list\t%d, known current %s ago\n", r.Line.ListNum, ago(r.Line.ListAge))
+	fmt.Fprintf(t, "  upstream list\t%d, known current %s ago\n", r.Subscriber.ListNum, ago(r.Subscriber.ListAge))
 	var rs []string
 	for k, n := range r.Requests {
 		rs = append(rs, fmt.Sprintf("%s %d", k, n))
@@ -318,11 +318,11 @@
 		}
 		fmt.Fprintf(t, "    %s\t%s\n", svc, strings.Join(n, ", "))
 	}
-	rows(t, all, r.Upstreams, func(u sluice.OutfallState) bool { return u.State != "in" }, func(u sluice.OutfallState) {
+	rows(t, all, r.Upstreams, func(u proxy.UpstreamState) bool { return u.State != "in" }, func(u proxy.UpstreamState) {
 		fmt.Fprintf(t, "    %s\t%s\t%s\t%s\tout %d\tidle %d\t%.1f ms\n", u.Service, u.Instance, u.Zone, u.State, u.Out, u.Idle, u.DelayMs)
 	})
 	fmt.Fprintf(t, "  quotas (split over %d proxies)\n", r.Proxies)
-	rows(t, all, r.Quotas, func(q weir.Report) bool { return q.Refused > 0 }, func(q weir.Report) {
+	rows(t, all, r.Quotas, func(q admission.Report) bool { return q.Refused > 0 }, func(q admission.Report) {
 		fmt.Fprintf(t, "    %s\t%g/s burst %g\tseen here %.1f/s\tsplit %.1f/s lease %.1f/s\tadmitted %d refused %d (%d falsely)\n",
 			q.Key, q.Rate, q.Burst, q.Demand, q.SplitRate, q.GrantRate, q.Admitted, q.Refused, q.FalseRefused)
 	})
@@ -332,16 +332,16 @@
 	showCommon(t, r.Members, r.Events)
 }
 
-func showCommon(t io.Writer, ms []staff.Fact, es []logbook.Event) {
-	n := map[staff.State]int{}
+func showCommon(t io.Writer, ms []membership.Fact, es []eventlog.Event) {
+	n := map[membership.State]int{}
 	var odd []string
 	for _, m := range ms {
 		n[m.State]++
-		if m.State != staff.Alive {
+		if m.State != membership.Alive {
 			odd = append(odd, m.Name+" "+m.State.String())
 		}
 	}
-	fmt.Fprintf(t, "  members\t%d alive, %d suspected, %d dead %s\n", n[staff.Alive], n[staff.Suspect], n[staff.Dead], names(false, odd))
+	fmt.Fprintf(t, "  members\t%d alive, %d suspected, %d dead %s\n", n[membership.Alive], n[membership.Suspect], n[membership.Dead], names(false, odd))
 	for _, e := range es {
 		fmt.Fprintf(t, "    %s\t%s\t%s\n", e.At.Format(time.RFC3339), e.Kind, e.About)
 	}
--- a/cmd/slateridge/whole_accounts_test.go
+++ b/cmd/slateridge/whole_accounts_test.go
@@ -14,15 +14,15 @@
 	"github.com/rs/zerolog"
 
 	"slateridge/internal/accounts"
-	"slateridge/internal/headworks"
-	"slateridge/internal/logbook"
-	"slateridge/internal/sluice"
+	"slateridge/internal/controlplane"
+	"slateridge/internal/eventlog"
+	"slateridge/internal/proxy"
 )
 
 // accountsSite is a site whose tenants have objectives.
 type accountsSite struct {
 	*site
-	proxies []*sluice.Daemon
+	proxies []*proxy.Daemon
 	client  *http.Client
 }
 
@@ -40,14 +40,14 @@
 	}
 	for i := range 3 {
 		settings := s.settings(i, true)
-		control, err := headworks.NewDaemon(settings, logbook.New(zerolog.Nop()))
+		control, err := controlplane.NewDaemon(settings, eventlog.New(zerolog.Nop()))
 		if err != nil {
 			t.Fatal(err)
 		}
-		s.launch(fmt.Sprint("headworks", i), control)
-		proxy := sluice.NewDaemon(settings, filepath.Join(s.dir, fmt.Sprint(i), "boot.json"), logbook.New(zerolog.Nop()))
+		s.launch(fmt.Sprint("control", i), control)
+		proxy := proxy.NewDaemon(settings, filepath.Join(s.dir, fmt.Sprint(i), "boot.json"), eventlog.New(zerolog.Nop()))
 		proxy.KeepAccounts(objectives)
-		s.launch(fmt.Sprint("sluice", i), proxy)
+		s.launch(fmt.Sprint("proxy", i), proxy)
 		s.proxies = append(s.proxies, proxy)
 	}
 	return s
@@ -104,7 +104,7 @@
 		"capacitySlots": 8, "state": "ready", "warmupLeft": "0ms"}}
 	s.mu.Unlock()
 	tenants := `,{"resourceKind":"tenants","metadata":{"name":"acme"},"spec":{"apiKeys":["key-acme"]}},{"resourceKind":"tenants","metadata":{"name":"other"},"spec":{"apiKeys":["key-other"]}}]}`
-	document := strings.TrimSuffix(config(3, "/a/"), "]}") + tenants
+	document := strings.TrimSuffix(cfg(3, "/a/"), "]}") + tenants
 	s.until("configuration", func() error {
 		code, body, err := s.call(1, "configuration.replace", document)
 		if err != nil || code != http.StatusOK {
--- a/internal/accounts/agent_test.go
+++ b/internal/accounts/agent_test.go
@@ -9,7 +9,7 @@
 	"testing"
 	"time"
 
-	"slateridge/internal/basin"
+	"slateridge/internal/simnet"
 )
 
 // pair is two control machines of which the second holds the shard, without a network.
@@ -22,7 +22,7 @@
 func newPair(objectives *Objectives) *pair {
 	p := &pair{services: map[string]*Service{}}
 	for _, name := range []string{"a", "b"} {
-		holder := NewHolder(name, objectives, DefaultOptions, basin.NewDisk(), true, 1, func(string, string) {})
+		holder := NewHolder(name, objectives, DefaultOptions, simnet.NewDisk(), true, 1, func(string, string) {})
 		p.services[name] = NewService(holder, ServiceOptions{Machine: name, Leads: func(int) bool { return name == "b" },
 			HolderOf: func(int) string { return "b" }, Replicas: func() []string { return []string{"a", "b"} },
 			Send: func(to string, message any) { p.services[to].Message(name, message) }, Now: func() time.Duration { return p.now }})
--- a/internal/accounts/input_test.go
+++ b/internal/accounts/input_test.go
@@ -13,8 +13,8 @@
 	"github.com/DataDog/sketches-go/ddsketch"
 	"github.com/DataDog/sketches-go/ddsketch/store"
 
-	"slateridge/internal/basin"
 	"slateridge/internal/counter"
+	"slateridge/internal/simnet"
 )
 
 const goodFile = `{"version":1,"shards":1,"classes":{"gold":{"target":0.999,"latency":"250ms","window":"720h"}},"tenants":{"known":"gold"}}`
@@ -58,7 +58,7 @@
 		t.Fatal(err)
 	}
 	var notes []string
-	holder := NewHolder("a", objectives, DefaultOptions, basin.NewDisk(), true, 1, func(_, about string) { notes = append(notes, about) })
+	holder := NewHolder("a", objectives, DefaultOptions, simnet.NewDisk(), true, 1, func(_, about string) { notes = append(notes, about) })
 	leads := func(int) bool { return true }
 	holder.Tick(0, leads, []string{"a"})
 	holder.Tick(time.Second, leads, []string{"a"})
--- a/internal/accounts/messages.go
+++ b/internal/accounts/messages.go
@@ -1,13 +1,13 @@
 package accounts
 
-import "slateridge/internal/conduit"
+import "slateridge/internal/transport"
 
 func init() {
-	conduit.Register(conduit.NameAccountReport, Report{})
-	conduit.Register(conduit.NameAccountReportAck, ReportAck{})
-	conduit.Register(conduit.NameAccountPrepare, Prepare{})
-	conduit.Register(conduit.NameAccountPromise, Promise{})
-	conduit.Register(conduit.NameAccountReject, Reject{})
-	conduit.Register(conduit.NameAccountReplicate, Replicate{})
-	conduit.Register(conduit.NameAccountReplicated, Replicated{})
+	transport.Register(transport.NameAccountReport, Report{})
+	transport.Register(transport.NameAccountReportAck, ReportAck{})
+	transport.Register(transport.NameAccountPrepare, Prepare{})
+	transport.Register(transport.NameAccountPromise, Promise{})
+	transport.Register(transport.NameAccountReject, Reject{})
+	transport.Register(transport.NameAccountReplicate, Replicate{})
+	transport.Register(transport.NameAccountReplicated, Replicated{})
 }
--- a/internal/gaugeboard/gaugeboard.go
+++ b/internal/adminhttp/adminhttp.go
@@ -1,7 +1,6 @@
-// Package gaugeboard is the board by the water that anyone can read; in the
-// field's terms: the admin interface both roles share, with the metrics they
+// Package adminhttp serves the admin interface that both roles share, with the metrics they
 // have in common.
-package gaugeboard
+package adminhttp
 
 import (
 	"encoding/json"
@@ -11,9 +10,9 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
-	"slateridge/internal/conduit"
-	"slateridge/internal/logbook"
-	"slateridge/internal/staff"
+	"slateridge/internal/eventlog"
+	"slateridge/internal/membership"
+	"slateridge/internal/transport"
 )
 
 // Report is what a role tells of itself.
@@ -36,7 +35,7 @@
 	return m
 }
 
-// Flag is a yes or no as a gauge.
+// Flag is a yes or no as a heartbeat.
 func Flag(b bool) uint64 {
 	if b {
 		return 1
@@ -45,17 +44,17 @@
 }
 
 // WriteCommon gives the metrics that every role has.
-func WriteCommon(w io.Writer, members []staff.Fact, tallies []logbook.Tally) {
-	states := map[staff.State]uint64{}
+func WriteCommon(w io.Writer, members []membership.Fact, tallies []eventlog.Tally) {
+	states := map[membership.State]uint64{}
 	for _, m := range members {
 		states[m.State]++
 	}
-	for _, s := range []staff.State{staff.Alive, staff.Suspect, staff.Dead} {
+	for _, s := range []membership.State{membership.Alive, membership.Suspect, membership.Dead} {
 		metrics.WriteGaugeUint64(w, fmt.Sprintf("slateridge_members{state=%q}", s), states[s])
 	}
-	metrics.WriteCounterUint64(w, "slateridge_internal_garbage_total", conduit.Garbled.Load())
-	metrics.WriteCounterUint64(w, "slateridge_internal_incompatible_total", conduit.IncompatibleEnds.Load())
-	t := &conduit.Traffic
+	metrics.WriteCounterUint64(w, "slateridge_internal_malformed_total", transport.Malformed.Load())
+	metrics.WriteCounterUint64(w, "slateridge_internal_incompatible_total", transport.IncompatibleEnds.Load())
+	t := &transport.Traffic
 	metrics.WriteCounterUint64(w, `slateridge_internal_messages_total{dir="in"}`, t.In.Load())
 	metrics.WriteCounterUint64(w, `slateridge_internal_messages_total{dir="out"}`, t.Out.Load())
 	metrics.WriteCounterUint64(w, `slateridge_internal_bytes_total{dir="in"}`, t.InBytes.Load())
--- a/internal/headworks/accounts.go
+++ b/internal/controlplane/accounts.go
@@ -1,4 +1,4 @@
-package headworks
+package controlplane
 
 import (
 	"fmt"
@@ -7,7 +7,7 @@
 	"path/filepath"
 
 	"slateridge/internal/accounts"
-	"slateridge/internal/cistern"
+	"slateridge/internal/storage"
 )
 
 // accountsFolder is where a control machine's copy of the accounts stands, in its data
@@ -21,17 +21,17 @@
 	if err != nil || objectives == nil || d.relay {
 		return nil, err
 	}
-	directory := filepath.Join(d.set.DataDirectory, accountsFolder)
+	directory := filepath.Join(d.settings.DataDirectory, accountsFolder)
 	if err := os.MkdirAll(directory, 0o700); err != nil {
 		return nil, fmt.Errorf("accounts: %w", err)
 	}
-	store, isNew, err := cistern.Open(directory)
+	store, isNew, err := storage.Open(directory)
 	if err != nil {
 		return nil, fmt.Errorf("accounts in %s: %w", directory, err)
 	}
-	founding := isNew && (d.set.Bootstrap || objectives.Founding)
-	holder := accounts.NewHolder(d.set.IPAddress, objectives, accounts.DefaultOptions, store, founding, rand.Uint64()|1, d.book.Note)
-	d.accounts = accounts.NewService(holder, accounts.ServiceOptions{Machine: d.set.IPAddress, Leads: d.leadsAccounts,
+	founding := isNew && (d.settings.Bootstrap || objectives.Founding)
+	holder := accounts.NewHolder(d.settings.IPAddress, objectives, accounts.DefaultOptions, store, founding, rand.Uint64()|1, d.events.Record)
+	d.accounts = accounts.NewService(holder, accounts.ServiceOptions{Machine: d.settings.IPAddress, Leads: d.leadsAccounts,
 		HolderOf: d.accountsHolder, Replicas: d.controls, Send: d.send, Now: d.now})
 	var duties []string
 	for shard := range objectives.Shards {
--- a/internal/headworks/api_test.go
+++ b/internal/controlplane/api_test.go
@@ -1,4 +1,4 @@
-package headworks
+package controlplane
 
 import (
 	"context"
@@ -11,21 +11,21 @@
 
 	"github.com/rs/zerolog"
 
-	"slateridge/internal/datum"
-	"slateridge/internal/logbook"
-	"slateridge/internal/scheme"
-	"slateridge/internal/sill"
+	"slateridge/internal/config"
+	"slateridge/internal/constants"
+	"slateridge/internal/eventlog"
+	"slateridge/internal/settings"
 )
 
 // desk is a control machine's operator API, without a network: a machine of one, or one
 // of three whose others are not there.
 func desk(t *testing.T, dir string, bootstrap bool, seeds ...string) *Daemon {
-	set := &sill.Settings{NodeName: "one", IPAddress: "127.0.0.1", Zone: "here", Zones: map[string]string{"here": "r", "there": "r"}, InternalPorts: []int{7560, 7575},
+	set := &settings.Settings{NodeName: "one", IPAddress: "127.0.0.1", Zone: "here", Zones: map[string]string{"here": "r", "there": "r"}, InternalPorts: []int{7560, 7575},
 		Bootstrap: bootstrap, QuorumMember: true, DataDirectory: dir}
 	for _, s := range append(seeds, "127.0.0.1") {
 		set.SeedNodes = append(set.SeedNodes, s+":8381")
 	}
-	d, err := NewDaemon(set, logbook.New(zerolog.Nop()))
+	d, err := NewDaemon(set, eventlog.New(zerolog.Nop()))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -72,7 +72,7 @@
 	want("to a later life", plan(5, "one"), 200)
 	want("to a later life, another content", plan(7, "two"), 409)
 	long := *d.inForce.Load() // much later: the list no longer reaches down there
-	long.Stamp.Seq, long.Ledger = long.Stamp.Seq+1, scheme.Ledger{Floor: 1000}.With(1007, long.Sum)
+	long.Stamp.Seq, long.Ledger = long.Stamp.Seq+1, config.Ledger{Floor: 1000}.With(1007, long.Sum)
 	d.committed(long)
 	want("below what is remembered", plan(5, "one"), 503)
 }
@@ -91,7 +91,7 @@
 	if w, _ := call(d, "configuration.replace", strings.Replace(plan(5, "one"), `"host":"one"`, `"host":""`, 1)); w.Code != 400 {
 		t.Errorf("an invalid configuration: %d", w.Code)
 	}
-	if d.current() || d.face().Current {
+	if d.current() || d.snapshot().Current {
 		t.Error("it passes for current")
 	}
 }
@@ -104,7 +104,7 @@
 		t.Fatalf("%d %s", w.Code, w.Body)
 	}
 	d.advance()
-	time.Sleep(datum.ThawGap + 100*time.Millisecond) // it stands still
+	time.Sleep(constants.StallGap + 100*time.Millisecond) // it stands still
 	if w, _ := call(d, "evacuations.stop&of=there", ""); w.Code != 503 {
 		t.Errorf("before its first step after that: %d", w.Code)
 	}
@@ -112,7 +112,7 @@
 	if w, _ := call(d, "evacuations.stop&of=there", ""); w.Code != 503 {
 		t.Errorf("right after: %d", w.Code)
 	}
-	for end := time.Now().Add(datum.ThawQuiet); time.Now().Before(end); time.Sleep(datum.ChainTick) {
+	for end := time.Now().Add(constants.StallQuiet); time.Now().Before(end); time.Sleep(constants.ChainTick) {
 		d.advance()
 	}
 	gone, cancel := context.WithCancel(context.Background())
--- a/internal/headworks/duties.go
+++ b/internal/controlplane/duties.go
@@ -1,4 +1,4 @@
-package headworks
+package controlplane
 
 import (
 	"bytes"
@@ -14,20 +14,20 @@
 	"sync"
 	"time"
 
-	"slateridge/internal/datum"
+	"slateridge/internal/autoscale"
+	"slateridge/internal/constants"
 	"slateridge/internal/duty"
-	"slateridge/internal/scaling"
-	"slateridge/internal/sill"
+	"slateridge/internal/settings"
 	"slateridge/internal/usage"
 )
 
-// post is one duty at this machine: its officer, and the calls it makes.
-type post struct {
+// dutyRunner is one duty at this machine: its holder, and the calls it makes.
+type dutyRunner struct {
 	name    string
 	path    string // at the platform
 	plan    func(now time.Duration, after uint64) (key uint64, body []byte, ok bool)
 	mu      sync.Mutex
-	officer *duty.Officer
+	holder  *duty.Holder
 	client  *http.Client
 	cancel  context.CancelFunc
 	calling uint64
@@ -57,10 +57,10 @@
 	return g.Conn.Write(b)
 }
 
-func (d *Daemon) newPost(name, path string, plan func(time.Duration, uint64) (uint64, []byte, bool)) *post {
-	p := &post{name: name, path: path, plan: plan, officer: duty.NewOfficer(name, d.set.NodeName, d.set.Bounds.Lease.D(), d.set.CloudAPI.DutiesPerS, rand.New(rand.NewPCG(rand.Uint64(), 1)))}
-	dial := net.Dialer{Timeout: datum.DutyTimeout}
-	p.client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, DisableCompression: true, IdleConnTimeout: datum.DutyTimeout,
+func (d *Daemon) newDutyRunner(name, path string, plan func(time.Duration, uint64) (uint64, []byte, bool)) *dutyRunner {
+	p := &dutyRunner{name: name, path: path, plan: plan, holder: duty.NewHolder(name, d.settings.NodeName, d.settings.Bounds.Lease.D(), d.settings.CloudAPI.DutiesPerS, rand.New(rand.NewPCG(rand.Uint64(), 1)))}
+	dial := net.Dialer{Timeout: constants.DutyTimeout}
+	p.client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, DisableCompression: true, IdleConnTimeout: constants.DutyTimeout,
 		DialContext: func(ctx context.Context, _, addr string) (net.Conn, error) {
 			c, err := dial.DialContext(ctx, "tcp4", addr)
 			if err != nil {
@@ -88,43 +88,43 @@
 	return duty.Record{}
 }
 
-// officiate drives the duties.
-func (d *Daemon) officiate() {
-	d.clock.Hear(d.set.IPAddress, time.Now().UnixNano(), d.now())
-	for _, p := range d.posts {
+// stepDuties drives the duties.
+func (d *Daemon) stepDuties() {
+	d.clock.Observe(d.settings.IPAddress, time.Now().UnixNano(), d.now())
+	for _, p := range d.dutyRunners {
 		until, since := d.lease(p.name)
 		p.mu.Lock()
-		was := p.officer.Holding()
+		was := p.holder.Fence()
 		p.since = since
-		out := p.officer.Step(d.now(), until, d.record(p.name), func(after uint64) (uint64, []byte, bool) { return p.plan(d.now(), after) })
-		is := p.officer.Holding()
+		out := p.holder.Step(d.now(), until, d.record(p.name), func(after uint64) (uint64, []byte, bool) { return p.plan(d.now(), after) })
+		is := p.holder.Fence()
 		p.mu.Unlock()
 		if was != is {
-			d.book.Note(map[bool]string{true: "duty_fence_taken", false: "duty_fence_left"}[is > 0], p.name+" "+strconv.FormatUint(max(was, is), 10))
+			d.events.Record(map[bool]string{true: "duty_fence_taken", false: "duty_fence_left"}[is > 0], p.name+" "+strconv.FormatUint(max(was, is), 10))
 		}
 		d.carryOut(p, out)
 	}
 }
 
-func (d *Daemon) carryOut(p *post, out []any) {
+func (d *Daemon) carryOut(p *dutyRunner, out []any) {
 	for _, o := range out {
 		switch o := o.(type) {
 		case duty.Order:
 			d.step(func() []any { return d.chain.Act(d.now(), o) })
-		case duty.Cut:
+		case duty.Cancel:
 			p.mu.Lock()
 			if p.cancel != nil && p.calling == o.ID {
 				p.cancel()
 			}
 			p.mu.Unlock()
 		case duty.Yield:
-			d.book.Note("duty_refused", p.name+": the platform has seen a higher fence")
+			d.events.Record("duty_refused", p.name+": the platform has seen a higher fence")
 			d.leaseMu.Lock()
 			ss := d.leases.Leave(d.now(), p.name)
 			d.leaseMu.Unlock()
 			d.sendLeases(ss)
-		case duty.Post:
-			ctx, cancel := context.WithTimeout(context.Background(), datum.DutyTimeout)
+		case duty.Act:
+			ctx, cancel := context.WithTimeout(context.Background(), constants.DutyTimeout)
 			p.mu.Lock()
 			p.cancel, p.calling = cancel, o.ID
 			p.mu.Unlock()
@@ -132,12 +132,12 @@
 				defer cancel()
 				status := d.act(ctx, p, o)
 				p.mu.Lock()
-				more := p.officer.Answered(d.now(), o.ID, status)
+				more := p.holder.Answered(d.now(), o.ID, status)
 				p.mu.Unlock()
 				if status != http.StatusOK {
-					d.book.Count("duty_call_failed", 1)
+					d.events.Count("duty_call_failed", 1)
 					if status != 0 && status != http.StatusConflict && status != http.StatusTooManyRequests {
-						d.book.Note("duty_answer", p.name+": the platform answered "+strconv.Itoa(status))
+						d.events.Record("duty_answer", p.name+": the platform answered "+strconv.Itoa(status))
 					}
 				}
 				d.carryOut(p, more)
@@ -147,7 +147,7 @@
 }
 
 // act sends what was decided, in as many calls as it takes; status 0 is no answer.
-func (d *Daemon) act(ctx context.Context, p *post, o duty.Post) int {
+func (d *Daemon) act(ctx context.Context, p *dutyRunner, o duty.Act) int {
 	if p.split == nil {
 		return d.call(ctx, p, o.Fence, o.Body)
 	}
@@ -165,58 +165,58 @@
 			return status
 		}
 		p.taken[s] = string(parts[s])
-		time.Sleep(datum.DutySpacing)
+		time.Sleep(constants.DutySpacing)
 	}
 	return http.StatusOK
 }
 
 // call makes one call to the platform.
-func (d *Daemon) call(ctx context.Context, p *post, fence uint64, body []byte) int {
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+d.set.CloudAPI.Address+p.path, bytes.NewReader(body))
+func (d *Daemon) call(ctx context.Context, p *dutyRunner, fence uint64, body []byte) int {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+d.settings.CloudAPI.Address+p.path, bytes.NewReader(body))
 	if err != nil {
 		return 0
 	}
 	req.Header.Set("Content-Type", "application/json")
-	req.Header.Set("X-Slateridge-Duty-Holder", d.set.NodeName)
+	req.Header.Set("X-Slateridge-Duty-Holder", d.settings.NodeName)
 	req.Header.Set("X-Slateridge-Fence-Token", strconv.FormatUint(fence, 10))
 	resp, err := p.client.Do(req)
 	if err != nil {
 		return 0 // counted by the caller, and tried again
 	}
 	defer resp.Body.Close()
-	io.Copy(io.Discard, io.LimitReader(resp.Body, datum.HeaderBytes))
+	io.Copy(io.Discard, io.LimitReader(resp.Body, constants.HeaderBytes))
 	return resp.StatusCode
 }
 
 // ---- usage
 
 // takeUsage merges what a proxy tells, while this machine holds the duty.
-func (d *Daemon) takeUsage(m usage.Told) any {
-	until, _ := d.lease(sill.DutyUsage)
+func (d *Daemon) takeUsage(m usage.Report) any {
+	until, _ := d.lease(settings.DutyUsage)
 	at, ok := d.clock.Now(d.now())
 	if until == 0 || !ok {
-		return usage.Heard{}
+		return usage.Ack{}
 	}
-	h, _ := d.tally.Take(d.now(), usage.Window(at, d.set.Bounds.UsageWindow.D()), m)
+	h, _ := d.tally.Take(d.now(), usage.Window(at, d.settings.Bounds.UsageWindow.D()), m)
 	return h
 }
 
 // keepUsage has what is gathered here outlast this process, and hands on what another
 // holder should know.
 func (d *Daemon) keepUsage() {
-	until, _ := d.lease(sill.DutyUsage)
+	until, _ := d.lease(settings.DutyUsage)
 	d.leaseMu.Lock()
-	holder := d.leases.Holder(d.now(), sill.DutyUsage)
+	holder := d.leases.Holder(d.now(), settings.DutyUsage)
 	d.leaseMu.Unlock()
 	for _, o := range d.keeper.Step(until > 0, holder) {
 		switch o := o.(type) {
 		case usage.HandOn:
-			if o.To == d.set.IPAddress {
+			if o.To == d.settings.IPAddress {
 				d.takeHandover(o.Handover)
 			} else {
 				d.send(o.To, o.Handover)
 			}
-			d.book.Note("usage_handed_on", strconv.Itoa(len(o.Words))+" words to "+o.To)
+			d.events.Record("usage_handed_on", strconv.Itoa(len(o.Words))+" words to "+o.To)
 		case usage.Save:
 			d.chainMu.Lock()
 			d.store.Put(o.Key, o.Words) // one that cannot be kept is told by its proxies while they live
@@ -230,7 +230,7 @@
 		d.takeUsage(t)
 	}
 	if m.Last {
-		d.tally.Handed(d.now())
+		d.tally.HandedOver(d.now())
 	}
 }
 
@@ -240,8 +240,8 @@
 	if !ok {
 		return 0, nil, false
 	}
-	_, since := d.lease(sill.DutyUsage)
-	b := d.set.Bounds
+	_, since := d.lease(settings.DutyUsage)
+	b := d.settings.Bounds
 	return d.tally.Next(usage.Moment{Steady: now, Agreed: at, Held: now - since}, after, b.UsageWindow.D(), b.UsageDelay.D(), d.freshProxies())
 }
 
@@ -251,7 +251,7 @@
 	defer d.mu.Unlock()
 	var out []string
 	for a, e := range d.roster {
-		if time.Since(e.at) < datum.UsageSilent {
+		if time.Since(e.heardAt) < constants.UsageSilent {
 			out = append(out, a)
 		}
 	}
@@ -261,26 +261,26 @@
 // ---- scaling
 
 // takeLoad keeps what a proxy tells, while this machine holds the duty.
-func (d *Daemon) takeLoad(t scaling.Told) any {
-	if until, _ := d.lease(sill.DutyScaling); until == 0 {
-		return scaling.Heard{}
+func (d *Daemon) takeLoad(t autoscale.Report) any {
+	if until, _ := d.lease(settings.DutyScaling); until == 0 {
+		return autoscale.Ack{}
 	}
-	return scaling.Heard{OK: d.load.Take(d.now(), t)}
+	return autoscale.Ack{OK: d.load.Take(d.now(), t)}
 }
 
 // scalable lists what may be ordered: each service with bounds, in each zone where
 // the platform's list has ever shown it here.
-func (d *Daemon) scalable() map[scaling.Subject]scaling.Bound {
-	sch := d.scheme.Load()
+func (d *Daemon) scalable() map[autoscale.Subject]autoscale.Bound {
+	cfg := d.config.Load()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	out := map[scaling.Subject]scaling.Bound{}
-	if sch == nil || d.list == nil {
+	out := map[autoscale.Subject]autoscale.Bound{}
+	if cfg == nil || d.list == nil {
 		return out
 	}
 	for _, i := range d.list.Instances {
-		s := scaling.Subject{Service: i.Service, Zone: i.Zone}
-		if sv := sch.Services[i.Service]; sv != nil && sv.Scaling != nil {
+		s := autoscale.Subject{Service: i.Service, Zone: i.Zone}
+		if sv := cfg.Services[i.Service]; sv != nil && sv.Scaling != nil {
 			if d.zonesOf[s] == 0 {
 				d.zonesOf[s] = i.Slots
 			}
@@ -292,7 +292,7 @@
 		}
 	}
 	for s, slots := range d.zonesOf {
-		sv := sch.Services[s.Service]
+		sv := cfg.Services[s.Service]
 		if sv == nil || sv.Scaling == nil {
 			continue
 		}
@@ -306,14 +306,14 @@
 // planScaling names the next orders, once they differ from those decided before.
 func (d *Daemon) planScaling(now time.Duration, after uint64) (uint64, []byte, bool) {
 	sum, whole := d.load.Sum(now, d.freshProxies())
-	had := scaling.Read(d.record(sill.DutyScaling).Body)
-	wanted, changed := d.law.Step(now, sum, whole, d.scalable(), had)
+	had := autoscale.Read(d.record(settings.DutyScaling).Body)
+	wanted, changed := d.scaler.Step(now, sum, whole, d.scalable(), had)
 	if !changed {
 		return 0, nil, false
 	}
 	for _, o := range wanted {
-		if was, ok := had.Of(scaling.Subject{Service: o.TargetService, Zone: o.Zone}); !ok || was != o.DesiredCount {
-			d.book.Note("scale", o.TargetService+" in "+o.Zone+": "+strconv.Itoa(was)+" -> "+strconv.Itoa(o.DesiredCount)+" ("+d.law.Why(scaling.Subject{Service: o.TargetService, Zone: o.Zone})+")")
+		if was, ok := had.Of(autoscale.Subject{Service: o.TargetService, Zone: o.Zone}); !ok || was != o.DesiredCount {
+			d.events.Record("scale", o.TargetService+" in "+o.Zone+": "+strconv.Itoa(was)+" -> "+strconv.Itoa(o.DesiredCount)+" ("+d.scaler.Why(autoscale.Subject{Service: o.TargetService, Zone: o.Zone})+")")
 		}
 	}
 	return after + 1, wanted.Bytes(), true
@@ -343,19 +343,19 @@
 }
 
 func (d *Daemon) scalingReports() (out []ScalingReport) {
-	if !d.set.Does(sill.DutyScaling) {
+	if !d.settings.HasDuty(settings.DutyScaling) {
 		return nil
 	}
-	orders := scaling.Read(d.record(sill.DutyScaling).Body)
+	orders := autoscale.Read(d.record(settings.DutyScaling).Body)
 	for s, b := range d.scalable() {
 		n, ok := orders.Of(s)
 		if !ok {
 			n = -1
 		}
-		out = append(out, ScalingReport{s.Service, s.Zone, n, b.Present, d.law.Why(s)})
+		out = append(out, ScalingReport{s.Service, s.Zone, n, b.Present, d.scaler.Why(s)})
 	}
 	slices.SortFunc(out, func(a, b ScalingReport) int {
-		return scaling.Subject{Service: a.Service, Zone: a.Zone}.Compare(scaling.Subject{Service: b.Service, Zone: b.Zone})
+		return autoscale.Subject{Service: a.Service, Zone: a.Zone}.Compare(autoscale.Subject{Service: b.Service, Zone: b.Zone})
 	})
 	return out
 }
@@ -363,21 +363,21 @@
 // dutyReports describes the duties at the platform.
 func (d *Daemon) dutyReports() map[string]DutyReport {
 	out := map[string]DutyReport{}
-	for _, p := range d.posts {
+	for _, p := range d.dutyRunners {
 		rec := d.record(p.name)
 		p.mu.Lock()
-		o := p.officer
-		r := DutyReport{Fence: rec.Fence, Holder: rec.Holder, Mine: o.Holding() > 0, Decided: rec.Key, Accepted: o.Accepted,
-			Refused: o.Refused, Failed: o.Failed, LastStatus: o.LastStatus}
+		h := p.holder
+		r := DutyReport{Fence: rec.Fence, Holder: rec.Holder, Mine: h.Fence() > 0, Decided: rec.Key, Accepted: h.Accepted,
+			Refused: h.Refused, Failed: h.Failed, LastStatus: h.LastStatus}
 		if r.Mine {
-			r.Held, r.Backlog = d.now()-p.since, o.Backlog(rec) != 0
+			r.Held, r.Backlog = d.now()-p.since, h.Backlog(rec) != 0
 		}
-		if o.AcceptedAt > 0 {
-			r.SinceOK = d.now() - o.AcceptedAt
+		if h.AcceptedAt > 0 {
+			r.SinceOK = d.now() - h.AcceptedAt
 		}
 		p.mu.Unlock()
-		if p.name == sill.DutyUsage {
-			r.Tellers = d.tally.Tellers()
+		if p.name == settings.DutyUsage {
+			r.Tellers = d.tally.Reporters()
 		}
 		out[p.name] = r
 	}
--- a/internal/headworks/orders.go
+++ b/internal/controlplane/orders.go
@@ -1,4 +1,4 @@
-package headworks
+package controlplane
 
 import (
 	"cmp"
@@ -6,9 +6,9 @@
 	"slices"
 	"time"
 
-	"slateridge/internal/datum"
+	"slateridge/internal/config"
+	"slateridge/internal/constants"
 	"slateridge/internal/duty"
-	"slateridge/internal/scheme"
 )
 
 // Orders: what the operator and the duties want enters at the head, is synced by
@@ -16,30 +16,30 @@
 
 // Submit takes an operator's valid change. What became of it stands in the ledger of
 // a committed state that has settled its number: the content taken, this one or another.
-func (c *Chain) Submit(now time.Duration, d scheme.Doc) []any {
+func (c *Chain) Submit(now time.Duration, d config.Doc) []any {
 	c.now = now
-	d.Sum = scheme.SumOf(d.Raw)
+	d.Sum = config.SumOf(d.Raw)
 	if !settled(c.committed, d.Version) {
-		k := scheme.Taken{Version: d.Version, Sum: d.Sum}
-		c.wanted[k], c.wantAt[k] = d, now
+		k := config.Taken{Version: d.Version, Sum: d.Sum}
+		c.pendingConfigs[k], c.pendingConfigSince[k] = d, now
 		c.forward(d, 0)
 	}
 	return c.flush()
 }
 
 // settled says whether a state has decided what a number stands for.
-func settled(d *scheme.Doc, version uint64) bool { return d != nil && d.Ledger.Settled(version) }
+func settled(d *config.Doc, version uint64) bool { return d != nil && d.Ledger.Settled(version) }
 
 // onForward is an operator's configuration at the head. One content is taken under a
 // number, whichever comes first; one below the number in force is only entered in the
 // ledger, so that it can be acknowledged, and no other under its number ever.
-func (c *Chain) onForward(m scheme.Doc) {
+func (c *Chain) onForward(m config.Doc) {
 	if settled(c.held, m.Version) {
 		c.admit(nil)
 		return
 	}
 	d := c.nextState()
-	sum := scheme.SumOf(m.Raw)
+	sum := config.SumOf(m.Raw)
 	d.Ledger = d.Ledger.With(m.Version, sum)
 	if m.Version > d.Version {
 		d.Version, d.Raw, d.Sum, d.Ordered = m.Version, m.Raw, sum, d.Stamp
@@ -51,8 +51,8 @@
 // comes out whose state names its ID.
 func (c *Chain) Evacuate(now time.Duration, id uint64, zone string, on bool) []any {
 	c.now = now
-	c.orders[id], c.orderAt[id] = Order{ID: id, Zone: zone, On: on}, now
-	c.forwardOrder(c.orders[id], 0)
+	c.pendingEvacuations[id], c.pendingEvacuationSince[id] = EvacuationOrder{ID: id, Zone: zone, On: on}, now
+	c.forwardOrder(c.pendingEvacuations[id], 0)
 	return c.flush()
 }
 
@@ -60,13 +60,13 @@
 // acknowledged, or has gone: it may still be taken, but is not sent again.
 func (c *Chain) Abandon(now time.Duration, id uint64) []any {
 	c.now = now
-	delete(c.orders, id)
-	delete(c.orderAt, id)
+	delete(c.pendingEvacuations, id)
+	delete(c.pendingEvacuationSince, id)
 	return c.flush()
 }
 
 // forwardOrder sends an evacuation to the head; since is as for otherWay.
-func (c *Chain) forwardOrder(o Order, since time.Duration) {
+func (c *Chain) forwardOrder(o EvacuationOrder, since time.Duration) {
 	if c.committed != nil {
 		o.Base = c.committed.Evac[o.Zone].Num
 	}
@@ -79,22 +79,22 @@
 
 // Give up on forwarding changes whose caller has been answered.
 func (c *Chain) expire() {
-	for k, at := range c.wantAt {
-		if settled(c.committed, k.Version) || c.now-at > datum.SubmitWait {
-			delete(c.wanted, k)
-			delete(c.wantAt, k)
+	for k, at := range c.pendingConfigSince {
+		if settled(c.committed, k.Version) || c.now-at > constants.SubmitWait {
+			delete(c.pendingConfigs, k)
+			delete(c.pendingConfigSince, k)
 		}
 	}
-	for id, since := range c.orderAt {
-		if c.now-since > datum.SubmitWait || c.committed != nil && slices.Contains(c.committed.Evac[c.orders[id].Zone].IDs, id) {
-			delete(c.orders, id)
-			delete(c.orderAt, id)
+	for id, since := range c.pendingEvacuationSince {
+		if c.now-since > constants.SubmitWait || c.committed != nil && slices.Contains(c.committed.Evac[c.pendingEvacuations[id].Zone].IDs, id) {
+			delete(c.pendingEvacuations, id)
+			delete(c.pendingEvacuationSince, id)
 		}
 	}
 }
 
 // forward sends a configuration to the head; since is as for otherWay.
-func (c *Chain) forward(d scheme.Doc, since time.Duration) {
+func (c *Chain) forward(d config.Doc, since time.Duration) {
 	c.sendHead(Forward{Doc: d})
 	if via, ok := c.otherWay(since); ok {
 		c.send(via, Forward{Doc: d, PassOn: true})
@@ -102,7 +102,7 @@
 }
 
 func (c *Chain) sendHead(m any) {
-	if members := c.agr.View.Members; len(members) > 0 {
+	if members := c.agreement.View.Members; len(members) > 0 {
 		c.send(members[0].Addr, m)
 	}
 }
@@ -112,16 +112,16 @@
 // will do that is in contact and does not miss the head itself; it is drawn, so that the
 // next try goes another way. An order that comes twice changes nothing.
 func (c *Chain) otherWay(since time.Duration) (addr string, ok bool) {
-	if len(c.agr.View.Members) == 0 {
+	if len(c.agreement.View.Members) == 0 {
 		return "", false
 	}
-	head := c.agr.View.Members[0].Addr
-	if head == c.Me.Addr || c.inContact(head) && c.seen[head].reached >= since {
+	head := c.agreement.View.Members[0].Addr
+	if head == c.Me.Addr || c.inContact(head) && c.peerStates[head].reached >= since {
 		return "", false
 	}
 	var ways []string
-	for _, v := range c.agr.View.Voters {
-		if v.Addr != c.Me.Addr && v.Addr != head && c.alive(v.Addr) && !slices.Contains(c.seen[v.Addr].gauge.Unheard, head) {
+	for _, v := range c.agreement.View.Voters {
+		if v.Addr != c.Me.Addr && v.Addr != head && c.alive(v.Addr) && !slices.Contains(c.peerStates[v.Addr].heartbeat.Unheard, head) {
 			ways = append(ways, v.Addr)
 		}
 	}
@@ -131,22 +131,22 @@
 	return ways[c.rng.IntN(len(ways))], true
 }
 
-// nextStamp is the place of the head's next state.
-func (c *Chain) nextStamp() scheme.Stamp {
-	s := at(c.held)
-	if s.View < c.agr.View.Num {
-		return scheme.Stamp{View: c.agr.View.Num, Seq: 1}
+// nextRevision is the place of the head's next state.
+func (c *Chain) nextRevision() config.Revision {
+	s := revisionOf(c.held)
+	if s.View < c.agreement.View.Num {
+		return config.Revision{View: c.agreement.View.Num, Seq: 1}
 	}
-	return scheme.Stamp{View: s.View, Seq: s.Seq + 1}
+	return config.Revision{View: s.View, Seq: s.Seq + 1}
 }
 
-// nextState is what is held, under the head's next stamp.
-func (c *Chain) nextState() scheme.Doc {
-	var d scheme.Doc
+// nextState is what is held, under the head's next revision.
+func (c *Chain) nextState() config.Doc {
+	var d config.Doc
 	if c.held != nil {
 		d = *c.held
 	}
-	d.Stamp = c.nextStamp()
+	d.Stamp = c.nextRevision()
 	return d
 }
 
@@ -154,13 +154,13 @@
 // committed.
 func (c *Chain) Act(now time.Duration, o duty.Order) []any {
 	c.now = now
-	if m := c.agr.View.Members; len(m) > 0 {
+	if m := c.agreement.View.Members; len(m) > 0 {
 		c.send(m[0].Addr, o)
 	}
 	return c.flush()
 }
 
-func (c *Chain) evacs() map[string]scheme.Evac {
+func (c *Chain) evacuations() map[string]config.Evacuation {
 	if c.held == nil {
 		return nil
 	}
@@ -170,26 +170,26 @@
 // onOrder is an evacuation order at the head. Orders on a zone take effect in
 // the order in which the head takes them; one it has taken before, or that was
 // made knowing less than the head holds, changes nothing.
-func (c *Chain) onOrder(o Order) {
-	cur := c.evacs()[o.Zone]
+func (c *Chain) onOrder(o EvacuationOrder) {
+	cur := c.evacuations()[o.Zone]
 	if slices.Contains(cur.IDs, o.ID) || cur.Num != o.Base {
 		c.admit(nil)
 		return
 	}
-	evac := map[string]scheme.Evac{}
-	for z, e := range c.evacs() {
+	evac := map[string]config.Evacuation{}
+	for z, e := range c.evacuations() {
 		evac[z] = e
 	}
 	ids := append(slices.Clone(cur.IDs), o.ID)
-	evac[o.Zone] = scheme.Evac{On: o.On, Num: cur.Num + 1, IDs: ids[max(0, len(ids)-datum.OrderIDs):]}
+	evac[o.Zone] = config.Evacuation{On: o.On, Num: cur.Num + 1, IDs: ids[max(0, len(ids)-constants.OrderIDs):]}
 	d := c.nextState()
 	d.Evac, d.Ordered = evac, d.Stamp
 	c.admit(&d)
 }
 
 // admit is the head's entry: a newer state, or nil to pass on what it holds.
-func (c *Chain) admit(d *scheme.Doc) {
-	if !c.heads() || d != nil && !c.keep(*d) {
+func (c *Chain) admit(d *config.Doc) {
+	if !c.heads() || d != nil && !c.persistState(*d) {
 		return
 	}
 	if d == nil && c.now < c.passAt {
@@ -206,62 +206,62 @@
 	if c.now < c.passAt {
 		return
 	}
-	c.passAt = c.now + datum.PassAgain
+	c.passAt = c.now + constants.PassRetry
 	if c.held != nil {
 		// A large state is under way longer.
 		if !c.held.SameBulk(c.committed) {
-			c.passAt += time.Duration(len(c.held.Raw)*len(c.agr.View.Members)) * time.Second / datum.PassBytes
+			c.passAt += time.Duration(len(c.held.Raw)*len(c.agreement.View.Members)) * time.Second / constants.PassBytes
 		}
 	}
-	if c.serves() && at(c.committed).Less(at(c.held)) {
-		head := c.agr.View.Members[0]
+	if c.serves() && revisionOf(c.committed).Less(revisionOf(c.held)) {
+		head := c.agreement.View.Members[0]
 		if head == c.Me {
 			c.lead()
-		} else if s := c.seen[head.Addr]; s != nil && s.gauge.Held.Less(at(c.held)) {
-			c.send(head.Addr, Higher{c.agr.View.Num, *c.held})
+		} else if s := c.peerStates[head.Addr]; s != nil && s.heartbeat.Held.Less(revisionOf(c.held)) {
+			c.send(head.Addr, Higher{c.agreement.View.Num, *c.held})
 		}
 	}
-	ks := slices.SortedFunc(maps.Keys(c.wanted), func(a, b scheme.Taken) int {
+	ks := slices.SortedFunc(maps.Keys(c.pendingConfigs), func(a, b config.Taken) int {
 		return cmp.Or(cmp.Compare(a.Version, b.Version), cmp.Compare(a.Sum, b.Sum))
 	})
 	for _, k := range ks {
-		if at, ok := c.wantAt[k]; ok && c.now > at && !settled(c.held, k.Version) {
-			c.forward(c.wanted[k], at)
+		if at, ok := c.pendingConfigSince[k]; ok && c.now > at && !settled(c.held, k.Version) {
+			c.forward(c.pendingConfigs[k], at)
 		}
 	}
 	var ids []uint64
-	for id := range c.orders {
+	for id := range c.pendingEvacuations {
 		ids = append(ids, id)
 	}
 	slices.Sort(ids)
 	for _, id := range ids {
-		if since, ok := c.orderAt[id]; ok && c.now > since {
-			c.forwardOrder(c.orders[id], since)
+		if since, ok := c.pendingEvacuationSince[id]; ok && c.now > since {
+			c.forwardOrder(c.pendingEvacuations[id], since)
 		}
 	}
 	for _, r := range c.reads {
-		if len(r.yes) < c.majority() && c.now-r.sent >= datum.PassAgain {
+		if len(r.confirmed) < c.majority() && c.now-r.sent >= constants.PassRetry {
 			r.sent = c.now
-			c.others(func(p string) { c.send(p, Confirm{c.agr.View.Num, r.nonce}) })
+			c.others(func(p string) { c.send(p, Confirm{c.agreement.View.Num, r.nonce}) })
 		}
 	}
-	c.reads = slices.DeleteFunc(c.reads, func(r *reading) bool { return c.now-r.began > datum.SubmitWait })
+	c.reads = slices.DeleteFunc(c.reads, func(r *reading) bool { return c.now-r.began > constants.SubmitWait })
 	c.answerReads()
 }
 
 // lead has the chain take up what the head holds. What it was left by an earlier view
-// gets a stamp of this one first: another state of a view between the two may have been
+// gets a revision of this one first: another state of a view between the two may have been
 // left elsewhere, by a head that was alone, and must not outrank what is committed now.
 func (c *Chain) lead() {
-	if at(c.held).View < c.agr.View.Num && !c.keep(c.nextState()) {
+	if revisionOf(c.held).View < c.agreement.View.Num && !c.persistState(c.nextState()) {
 		return
 	}
 	c.pass(*c.held)
 }
 
 // pass hands a version to the next member; the last one commits it.
-func (c *Chain) pass(d scheme.Doc) {
-	v := c.agr.View
+func (c *Chain) pass(d config.Doc) {
+	v := c.agreement.View
 	i := v.index(c.Me.Addr)
 	if i+1 < len(v.Members) {
 		p := Pass{View: v.Num, Doc: d, Bare: d.SameBulk(c.committed)}
@@ -277,7 +277,7 @@
 }
 
 func (c *Chain) onPass(from string, m Pass) {
-	v := c.agr.View
+	v := c.agreement.View
 	if m.View != v.Num || !c.serves() {
 		return
 	}
@@ -287,22 +287,22 @@
 	if m.Bare && m.Doc.Version > 0 {
 		if m.Doc.SameBulk(c.held) {
 			m.Doc.Fill(c.held)
-		} else if at(c.held).Less(m.Doc.Stamp) {
+		} else if revisionOf(c.held).Less(m.Doc.Stamp) {
 			c.send(from, Lack{m.View, m.Doc.Stamp})
 			return
 		}
 	}
-	if !c.keep(m.Doc) {
+	if !c.persistState(m.Doc) {
 		return
 	}
-	if m.Doc.Stamp.Less(at(c.held)) && at(c.committed).Less(m.Doc.Stamp) {
+	if m.Doc.Stamp.Less(revisionOf(c.held)) && revisionOf(c.committed).Less(m.Doc.Stamp) {
 		// Something newer, never committed, was left here by a change of view:
 		// the chain takes it up from the head, since the highest version holds.
 		c.send(v.Members[0].Addr, Higher{v.Num, *c.held})
 		return
 	}
-	if !at(c.committed).Less(m.Doc.Stamp) {
-		c.others(func(p string) { c.send(p, Ack{v.Num, at(c.committed)}) })
+	if !revisionOf(c.committed).Less(m.Doc.Stamp) {
+		c.others(func(p string) { c.send(p, Ack{v.Num, revisionOf(c.committed)}) })
 		c.send(from, Fetched{*c.committed})
 		return
 	}
--- a/internal/headworks/step_bench_test.go
+++ b/internal/controlplane/step_bench_test.go
@@ -1,4 +1,4 @@
-package headworks
+package controlplane
 
 import (
 	"math/rand/v2"
@@ -6,9 +6,9 @@
 	"testing"
 	"time"
 
-	"slateridge/internal/basin"
-	"slateridge/internal/datum"
-	"slateridge/internal/watermaster"
+	"slateridge/internal/constants"
+	"slateridge/internal/lease"
+	"slateridge/internal/simnet"
 )
 
 // BenchmarkStep is the regular step of a control machine among eight, all in contact,
@@ -19,24 +19,24 @@
 	for range 8 {
 		names, addr = append(names, addr.String()), addr.Next()
 	}
-	c, err := NewChain(0, names[0], names, true, basin.NewDisk(), rand.New(rand.NewPCG(1, 1)))
+	c, err := NewChain(0, names[0], names, true, simnet.NewDisk(), rand.New(rand.NewPCG(1, 1)))
 	if err != nil {
 		b.Fatal(err)
 	}
-	d := &Daemon{chain: c, leases: watermaster.New(0, 1, names[0], []string{dutyPoll})}
+	d := &Daemon{chain: c, leases: lease.New(0, 1, names[0], []string{dutyPoll})}
 	heard := func(now time.Duration) {
 		for _, n := range names[1:] {
 			g := c.Status()
 			g.Me = Member{n, 1}
-			g.Echo = c.stampBase + uint64(now)
+			g.Echo = c.clockBase + uint64(now)
 			d.step(func() []any { c.Recv(now, n, g); return nil })
 		}
 	}
 	b.ReportAllocs()
 	now := time.Duration(0)
 	for i := 0; b.Loop(); i++ {
-		now += datum.ChainTick
-		if i%int(datum.GaugeEvery/datum.ChainTick) == 0 {
+		now += constants.ChainTick
+		if i%int(constants.HeartbeatEvery/constants.ChainTick) == 0 {
 			b.StopTimer()
 			heard(now)
 			b.StartTimer()
--- a/internal/headworks/store_before_test.go
+++ b/internal/controlplane/store_before_test.go
@@ -1,4 +1,4 @@
-package headworks
+package controlplane
 
 import (
 	"math/rand/v2"
@@ -8,9 +8,9 @@
 	"strings"
 	"testing"
 
-	"slateridge/internal/cistern"
+	"slateridge/internal/config"
 	"slateridge/internal/gobtest"
-	"slateridge/internal/scheme"
+	"slateridge/internal/storage"
 	"slateridge/internal/usage"
 )
 
@@ -21,14 +21,14 @@
 	var (
 		incarnation  uint64
 		agreed       agreement
-		held         scheme.Doc
-		bulks        [len(rawKeys)]rawRef
+		held         config.Doc
+		bulks        [len(bulkKeys)]bulk
 		roster       []string
-		usageWindows []usage.Told
+		usageWindows []usage.Report
 		peers        []string // of stores from before views named their voters
 	)
 	records := map[string]any{"incarnation": &incarnation, "agreement": &agreed, "held": &held,
-		rawKeys[0]: &bulks[0], rawKeys[1]: &bulks[1], "roster": &roster, usage.StoreKey: &usageWindows, "peers": &peers}
+		bulkKeys[0]: &bulks[0], bulkKeys[1]: &bulks[1], "roster": &roster, usage.StoreKey: &usageWindows, "peers": &peers}
 	for key, pointer := range records {
 		_, fields, _ := strings.Cut("\n"+listed, "\n"+key+"\n")
 		fields, _, _ = strings.Cut(fields, "\n\n")
@@ -54,7 +54,7 @@
 	if err := os.CopyFS(folder, os.DirFS(fixture)); err != nil {
 		t.Fatal(err)
 	}
-	store, isNew, err := cistern.Open(folder)
+	store, isNew, err := storage.Open(folder)
 	if err != nil || isNew {
 		t.Fatalf("the store does not open: new %v, error %v", isNew, err)
 	}
@@ -71,9 +71,9 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	held, bulk := want["held"].(*scheme.Doc), want[rawKeys[0]].(*rawRef)
-	if c.Me.Incarnation != *want["incarnation"].(*uint64) || !reflect.DeepEqual(c.agr, *want["agreement"].(*agreement)) {
-		t.Errorf("the chain took up %v with %+v", c.Me, c.agr)
+	held, bulk := want["held"].(*config.Doc), want[bulkKeys[0]].(*bulk)
+	if c.Me.Incarnation != *want["incarnation"].(*uint64) || !reflect.DeepEqual(c.agreement, *want["agreement"].(*agreement)) {
+		t.Errorf("the chain took up %v with %+v", c.Me, c.agreement)
 	}
 	if c.held == nil || c.held.Stamp != held.Stamp || !reflect.DeepEqual(c.held.Raw, bulk.Raw) {
 		t.Errorf("the chain holds %+v", c.held)
--- a/internal/counter/group_test.go
+++ b/internal/counter/group_test.go
@@ -6,7 +6,7 @@
 	"testing"
 	"time"
 
-	"slateridge/internal/basin"
+	"slateridge/internal/simnet"
 )
 
 var testOptions = Options{RoundEvery: 100 * time.Millisecond, ResendAfter: 120 * time.Millisecond, FoldEvery: 400 * time.Millisecond,
@@ -15,7 +15,7 @@
 // replicaMachine is one machine of the simulated group.
 type replicaMachine struct {
 	name  string
-	disk  *basin.Disk
+	disk  *simnet.Disk
 	group *Group[string, Count]
 	life  int
 	up    bool
@@ -32,7 +32,7 @@
 
 // simulation is a group of replicas, an oracle that elects, and writers.
 type simulation struct {
-	*basin.Basin
+	*simnet.Network
 	t         *testing.T
 	label     string
 	machines  map[string]*replicaMachine
@@ -46,11 +46,11 @@
 }
 
 func newSimulation(t *testing.T, label string, seed uint64, size int) *simulation {
-	s := &simulation{Basin: basin.New(seed), t: t, label: label, machines: map[string]*replicaMachine{}, truth: Cells[string, Count]{}, published: Cells[string, Count]{}}
+	s := &simulation{Network: simnet.New(seed), t: t, label: label, machines: map[string]*replicaMachine{}, truth: Cells[string, Count]{}, published: Cells[string, Count]{}}
 	for i := range size {
 		name := fmt.Sprint("control-", i)
 		s.names = append(s.names, name)
-		s.machines[name] = &replicaMachine{name: name, disk: basin.NewDisk()}
+		s.machines[name] = &replicaMachine{name: name, disk: simnet.NewDisk()}
 		s.start(name, true)
 	}
 	s.leader = s.names[0]
@@ -187,7 +187,7 @@
 	for _, a := range s.names {
 		s.machines[a].until = 0
 		s.machines[a].disk.Refuse = false
-		s.machines[a].disk.Mend()
+		s.machines[a].disk.Recover()
 		if !s.machines[a].up {
 			s.start(a, false)
 		}
@@ -231,7 +231,7 @@
 				return
 			}
 			if wipe {
-				m.disk = basin.NewDisk()
+				m.disk = simnet.NewDisk()
 			}
 			s.start(victim, false)
 		})
@@ -244,7 +244,7 @@
 		m.disk.Refuse = true
 		s.After(300*time.Millisecond, func() {
 			m.disk.Refuse = false
-			m.disk.Mend()
+			m.disk.Recover()
 		})
 	case 5:
 		s.leader = ""
--- a/internal/duty/record.go
+++ b/internal/duty/record.go
@@ -1,14 +1,14 @@
-// Package duty carries the single duties at the platform; in the field's terms:
-// fencing tokens, and acts that are decided durably before they are sent. Who may
-// act is a lease's business (package watermaster); what stands here is kept in the
-// chain's state, so it outlasts every process and as many disks as may be lost.
+// Package duty carries out the single duties at the platform, with fencing tokens, and acts
+// that are decided durably before they are sent. Who may act is a lease's business (package
+// lease); what stands here is kept in the chain's state, so it outlasts every process and
+// as many disks as may be lost.
 package duty
 
 import (
 	"slices"
 
-	"slateridge/internal/conduit"
-	"slateridge/internal/datum"
+	"slateridge/internal/constants"
+	"slateridge/internal/transport"
 )
 
 // Record is one duty as the chain holds it.
@@ -37,19 +37,19 @@
 	Body   []byte
 }
 
-func init() { conduit.Register(conduit.NameDutyOrder, Order{}) }
+func init() { transport.Register(transport.NameDutyOrder, Order{}) }
 
 // Apply gives the records after an order, and whether it changed any.
 func (rs Records) Apply(o Order) (Records, bool) {
 	r := rs[o.Duty]
-	if o.Base != r.Fence || o.Duty == "" || len(o.Body) > datum.DutyBodyMax {
+	if o.Base != r.Fence || o.Duty == "" || len(o.Body) > constants.DutyBodyMax {
 		return rs, false
 	}
 	switch {
 	case o.Holder != "":
 		if r.Holder != "" && r.Holder != o.Holder {
 			r.Recent = append(slices.Clone(r.Recent), r.Holder)
-			r.Recent = r.Recent[max(0, len(r.Recent)-datum.DutyRecent):]
+			r.Recent = r.Recent[max(0, len(r.Recent)-constants.DutyRecent):]
 		}
 		r.Back = slices.Contains(r.Recent, o.Holder)
 		if r.Back {
--- a/internal/emulator/control.go
+++ b/internal/emulator/control.go
@@ -4,8 +4,8 @@
 	"time"
 
 	"slateridge/internal/accounts"
-	"slateridge/internal/basin"
 	"slateridge/internal/counter"
+	"slateridge/internal/simnet"
 )
 
 // controlTick is the step of a control machine.
@@ -18,7 +18,7 @@
 	Up          bool
 	Life        int
 	FrozenUntil time.Duration
-	Disk        *basin.Disk
+	Disk        *simnet.Disk
 	Holder      *accounts.Holder
 	world       *World
 	began       time.Duration // its steady clock counts from here
@@ -26,7 +26,7 @@
 
 // NewControl makes a control machine and starts it.
 func (w *World) NewControl(name string) *Control {
-	c := &Control{Name: name, Disk: basin.NewDisk(), world: w}
+	c := &Control{Name: name, Disk: simnet.NewDisk(), world: w}
 	w.Controls[name] = c
 	w.controlNames = append(w.controlNames, name)
 	c.start(true)
@@ -54,7 +54,7 @@
 // Wipe ends the process and loses the disk.
 func (c *Control) Wipe() {
 	c.Up = false
-	c.Disk = basin.NewDisk()
+	c.Disk = simnet.NewDisk()
 }
 
 // Freeze has the process stand still for a while.
--- a/internal/emulator/world.go
+++ b/internal/emulator/world.go
@@ -6,14 +6,14 @@
 	"time"
 
 	"slateridge/internal/accounts"
-	"slateridge/internal/basin"
 	"slateridge/internal/counter"
+	"slateridge/internal/simnet"
 )
 
 // World is everything that there is, on one simulated network. Its run is decided by its
 // seed.
 type World struct {
-	*basin.Basin
+	*simnet.Network
 	Platform   *Platform
 	Upstreams  map[string]*Upstream
 	Clients    []*Client
@@ -40,7 +40,7 @@
 
 // New makes an empty world for some objectives.
 func New(seed uint64, objectives *accounts.Objectives) *World {
-	return &World{Basin: basin.New(seed), Platform: &Platform{upstreams: map[string]*Upstream{}}, Upstreams: map[string]*Upstream{},
+	return &World{Network: simnet.New(seed), Platform: &Platform{upstreams: map[string]*Upstream{}}, Upstreams: map[string]*Upstream{},
 		Proxies: map[string]*Proxy{}, Controls: map[string]*Control{}, Objectives: objectives, Options: fastOptions,
 		TellEvery: 250 * time.Millisecond, Leases: make([]string, objectives.Shards), Known: make([]string, objectives.Shards), cuts: map[[2]string]bool{}}
 }
--- a/internal/staff/staff_test.go
+++ b/internal/membership/detector_test.go
@@ -1,4 +1,4 @@
-package staff
+package membership
 
 import (
 	"fmt"
@@ -6,44 +6,44 @@
 	"testing"
 	"time"
 
-	"slateridge/internal/basin"
-	"slateridge/internal/datum"
+	"slateridge/internal/constants"
+	"slateridge/internal/simnet"
 )
 
-type crew struct {
-	b      *basin.Basin
-	all    map[string]*Staff // nil while down
-	frozen map[string]bool
-	life   map[string]int
-	deaths map[string]int // how often a member was declared dead by anyone
+type cluster struct {
+	network *simnet.Network
+	all     map[string]*Detector // nil while down
+	frozen  map[string]bool
+	life    map[string]int
+	deaths  map[string]int // how often a member was declared dead by anyone
 }
 
-func newCrew(seed uint64, n int) *crew {
-	c := &crew{b: basin.New(seed), all: map[string]*Staff{}, frozen: map[string]bool{}, life: map[string]int{}, deaths: map[string]int{}}
-	c.b.Loss = 0.02
+func newCluster(seed uint64, n int) *cluster {
+	c := &cluster{network: simnet.New(seed), all: map[string]*Detector{}, frozen: map[string]bool{}, life: map[string]int{}, deaths: map[string]int{}}
+	c.network.Loss = 0.02
 	for i := range n {
 		c.start(fmt.Sprint("m", i))
 	}
 	return c
 }
 
-func (c *crew) start(n string) {
+func (c *cluster) start(n string) {
 	c.life[n]++
-	c.all[n] = New(c.b.Now, n, n, []string{"m0", "m1", "m2"}, rand.New(rand.NewPCG(uint64(c.life[n]), uint64(len(n))+uint64(n[1])*7+uint64(n[len(n)-1]))))
+	c.all[n] = New(c.network.Now, n, n, []string{"m0", "m1", "m2"}, rand.New(rand.NewPCG(uint64(c.life[n]), uint64(len(n))+uint64(n[1])*7+uint64(n[len(n)-1]))))
 	c.tick(n, c.life[n])
 }
 
-func (c *crew) tick(n string, l int) {
+func (c *cluster) tick(n string, l int) {
 	if c.life[n] != l || c.all[n] == nil {
 		return
 	}
 	if !c.frozen[n] {
-		c.put(n, c.all[n].Tick(c.b.Now))
+		c.put(n, c.all[n].Tick(c.network.Now))
 	}
-	c.b.After(TickEvery, func() { c.tick(n, l) })
+	c.network.After(TickEvery, func() { c.tick(n, l) })
 }
 
-func (c *crew) put(n string, out []any) {
+func (c *cluster) put(n string, out []any) {
 	for _, o := range out {
 		switch o := o.(type) {
 		case Change:
@@ -51,9 +51,9 @@
 				c.deaths[o.Fact.Addr]++
 			}
 		case Send:
-			c.b.Send(n, o.To, func() {
-				if s := c.all[o.To]; s != nil && !c.frozen[o.To] {
-					c.put(o.To, s.Recv(c.b.Now, n, o.Msg))
+			c.network.Send(n, o.To, func() {
+				if d := c.all[o.To]; d != nil && !c.frozen[o.To] {
+					c.put(o.To, d.Recv(c.network.Now, n, o.Msg))
 				}
 			})
 		}
@@ -61,13 +61,13 @@
 }
 
 // seen counts, over all running members, how a member is seen.
-func (c *crew) seen(n string) map[State]int {
+func (c *cluster) seen(n string) map[State]int {
 	out := map[State]int{}
-	for o, s := range c.all {
-		if s == nil || o == n {
+	for o, d := range c.all {
+		if d == nil || o == n {
 			continue
 		}
-		for _, f := range s.Members() {
+		for _, f := range d.Members() {
 			if f.Addr == n {
 				out[f.State]++
 			}
@@ -76,11 +76,11 @@
 	return out
 }
 
-func (c *crew) run(d time.Duration) { c.b.Run(c.b.Now+d, nil) }
+func (c *cluster) run(d time.Duration) { c.network.Run(c.network.Now+d, nil) }
 
 func TestMembership(t *testing.T) {
 	for seed := uint64(1); seed <= 20; seed++ {
-		c := newCrew(seed, 14)
+		c := newCluster(seed, 14)
 		c.run(25 * time.Second)
 		for n := range c.all {
 			// With lost datagrams one may be suspected at the moment.
@@ -89,11 +89,11 @@
 			}
 		}
 		// One that is cut off from a single other is vouched for by the rest.
-		c.b.Cut("m3", "m4", true)
-		c.b.Cut("m4", "m3", true)
+		c.network.Cut("m3", "m4", true)
+		c.network.Cut("m4", "m3", true)
 		// One that stands still a moment is not removed, and accuses nobody.
 		c.frozen["m5"] = true
-		c.b.After(1500*time.Millisecond, func() { c.frozen["m5"] = false })
+		c.network.After(1500*time.Millisecond, func() { c.frozen["m5"] = false })
 		c.run(60 * time.Second)
 		if len(c.deaths) != 0 {
 			t.Fatalf("seed %d: declared dead though they ran: %v", seed, c.deaths)
@@ -101,7 +101,7 @@
 		// One that is gone is found out by all.
 		c.all["m6"] = nil
 		c.life["m6"]++
-		c.run(20*time.Second + datum.SuspectFor)
+		c.run(20*time.Second + constants.SuspectFor)
 		if got := c.seen("m6"); got[Alive] != 0 || got[Suspect] != 0 {
 			t.Fatalf("seed %d: m6 is gone, but seen as %v", seed, got)
 		}
--- a/internal/sluice/accounting.go
+++ b/internal/proxy/accounting.go
@@ -1,11 +1,11 @@
-package sluice
+package proxy
 
 import (
 	"net/http"
 	"time"
 
 	"slateridge/internal/accounts"
-	"slateridge/internal/datum"
+	"slateridge/internal/constants"
 )
 
 // KeepAccounts has this proxy account for the requests of tenants with objectives; nil
@@ -15,14 +15,14 @@
 		return
 	}
 	set := d.set.Load()
-	d.agent = accounts.NewAgent(accounts.AgentOptions{Node: set.NodeName, Objectives: objectives, Controls: set.SeedIPs(),
-		Ask: d.reportAccounts, Note: d.book.Note})
-	d.account = d.agent.Meter
+	d.accountsAgent = accounts.NewAgent(accounts.AgentOptions{Node: set.NodeName, Objectives: objectives, Controls: set.SeedIPs(),
+		Ask: d.reportAccounts, Note: d.events.Record})
+	d.accounts = d.accountsAgent.Meter
 }
 
 // reportAccounts brings a report to a control machine.
 func (d *Daemon) reportAccounts(to string, report accounts.Report) (accounts.ReportAck, error) {
-	answer, err := d.line.Ask(to, report, datum.CallTimeout)
+	answer, err := d.subscriber.Ask(to, report, constants.CallTimeout)
 	if err != nil {
 		return accounts.ReportAck{}, err
 	}
@@ -35,8 +35,8 @@
 
 // countAnswer notes an upstream's answer to a request that may run once. A second one as
 // having run it shows that it was doubled.
-func (p *passage) countAnswer(r *result) {
-	if p.account == nil || p.route.Idempotent || r.notRun || r.doubt || r.resp == nil || r.resp.Header.Get(hdrSeal) == "" {
+func (p *exchange) countAnswer(r *result) {
+	if p.account == nil || p.route.Idempotent || r.notRun || r.doubtful || r.resp == nil || r.resp.Header.Get(headerSeal) == "" {
 		return
 	}
 	if p.answered++; p.answered == 2 {
@@ -46,7 +46,7 @@
 
 // settleAnswered settles a request whose answer has been relayed to its end. What was
 // wrong with it for the client's part is not held against the objective.
-func (p *passage) settleAnswered(r *result, began time.Duration) {
+func (p *exchange) settleAnswered(r *result, began time.Duration) {
 	if p.account == nil {
 		return
 	}
@@ -55,7 +55,7 @@
 		latency = began
 	}
 	switch status := r.resp.StatusCode; {
-	case p.r.Context().Err() != nil:
+	case p.request.Context().Err() != nil:
 		p.account.Failure(accounts.Unknown)
 	case status < http.StatusBadRequest:
 		p.account.Success(latency)
@@ -68,7 +68,7 @@
 
 // settleFailed settles a request without an answer to give. Where it may run once and may
 // have run, nobody here knows whether it did.
-func (p *passage) settleFailed() {
+func (p *exchange) settleFailed() {
 	if !p.route.Idempotent && p.runs > 0 {
 		p.account.Failure(accounts.Unknown)
 	}
@@ -76,8 +76,8 @@
 
 // settleUnanswered settles what has not been settled when the request's handling ends:
 // the client left, or it was told of a failure.
-func (p *passage) settleUnanswered() {
-	if p.r.Context().Err() != nil {
+func (p *exchange) settleUnanswered() {
+	if p.request.Context().Err() != nil {
 		p.account.Failure(accounts.Unknown)
 		return
 	}
@@ -87,7 +87,7 @@
 // ReportAccounts tells the shards' holders at once what they lack; for tests, and before
 // a planned end.
 func (d *Daemon) ReportAccounts() {
-	if d.agent != nil {
-		d.agent.Tell()
+	if d.accountsAgent != nil {
+		d.accountsAgent.Tell()
 	}
 }
--- a/internal/sluice/accounting_test.go
+++ b/internal/proxy/accounting_test.go
@@ -1,4 +1,4 @@
-package sluice
+package proxy
 
 import (
 	"context"
@@ -13,7 +13,7 @@
 )
 
 // accounted is a proxy of one upstream whose tenants have an objective.
-func accounted(t *testing.T, answer func(c net.Conn, r *http.Request)) *Sluice {
+func accounted(t *testing.T, answer func(c net.Conn, r *http.Request)) *Proxy {
 	t.Helper()
 	objectives, err := accounts.ParseObjectives([]byte(`{"version":1,"shards":1,"defaultClass":"all",
 		"classes":{"all":{"target":0.99,"latency":"250ms","window":"720h"}}}`))
@@ -21,8 +21,8 @@
 		t.Fatal(err)
 	}
 	instance, _ := source(t, answer)
-	s := newSluice(t, instance)
-	s.account = accounts.NewMeter("p", 1, objectives, nil, nil)
+	s := newProxy(t, instance)
+	s.accounts = accounts.NewMeter("p", 1, objectives, nil, nil)
 	return s
 }
 
@@ -61,7 +61,7 @@
 	for _, c := range cases {
 		s := accounted(t, answers[c.upstream])
 		get(s, c.method, c.path, "")
-		account := s.account.Of("ten")
+		account := s.accounts.Of("ten")
 		if account.Taken != 1 || account.Open() != 0 || account.Settled[c.want] != 1 || account.Doubled != 0 {
 			t.Errorf("%s %s, upstream %s: %+v, should be one %v", c.method, c.path, c.upstream, account, c.want)
 		}
@@ -72,15 +72,15 @@
 func TestOutcomesWithoutUpstream(t *testing.T) {
 	s := accounted(t, answers["fine"])
 	for range 3 {
-		get(s, "GET", "/safe/x", "", hdrKey, "k2")
+		get(s, "GET", "/safe/x", "", headerAPIKey, "k2")
 	}
-	account := s.account.Of("tight")
+	account := s.accounts.Of("tight")
 	if account.Taken != 3 || account.Settled[accounts.Refused] == 0 || account.Settled[accounts.Refused]+account.Settled[accounts.InAim] != 3 {
 		t.Errorf("over the quota: %+v", account)
 	}
-	get(s, "GET", "/safe/x", "", hdrKey, "no key of anyone")
+	get(s, "GET", "/safe/x", "", headerAPIKey, "no key of anyone")
 	get(s, "GET", "/open/x", "")
-	if account := s.account.Of("ten"); account.Taken != 0 {
+	if account := s.accounts.Of("ten"); account.Taken != 0 {
 		t.Errorf("requests of no tenant: %+v", account)
 	}
 	s = accounted(t, answers["late"])
@@ -88,9 +88,9 @@
 	defer leave()
 	request := httptest.NewRequestWithContext(left, "GET", "/safe/x", nil)
 	request.RequestURI, request.Host = "/safe/x", "h.example"
-	request.Header.Set(hdrKey, "k1")
+	request.Header.Set(headerAPIKey, "k1")
 	s.ServeHTTP(httptest.NewRecorder(), request)
-	if account := s.account.Of("ten"); account.Taken != 1 || account.Settled[accounts.Unknown] != 1 {
+	if account := s.accounts.Of("ten"); account.Taken != 1 || account.Settled[accounts.Unknown] != 1 {
 		t.Errorf("a client that left: %+v", account)
 	}
 }
@@ -102,16 +102,16 @@
 	for _, path := range []string{"/once/x", "/safe/x"} {
 		request := httptest.NewRequest("POST", path, nil)
 		request.RequestURI, request.Host = path, "h.example"
-		request.Header.Set(hdrKey, "k1")
-		route, _, _ := match(s.scheme.Load(), request)
-		p := &passage{s: s, r: request, route: route, account: s.account.Begin("ten")}
-		ran := &result{sent: true, resp: &http.Response{StatusCode: http.StatusOK, Header: http.Header{hdrSeal: {"s"}}}}
+		request.Header.Set(headerAPIKey, "k1")
+		route, _, _ := match(s.config.Load(), request)
+		p := &exchange{proxy: s, request: request, route: route, account: s.accounts.Begin("ten")}
+		ran := &result{sent: true, resp: &http.Response{StatusCode: http.StatusOK, Header: http.Header{headerSeal: {"s"}}}}
 		for range 3 {
 			p.count(ran)
 		}
 		p.count(&result{sent: true, notRun: true, resp: ran.resp})
 	}
-	if account := s.account.Of("ten"); account.Taken != 2 || account.Doubled != 1 {
+	if account := s.accounts.Of("ten"); account.Taken != 2 || account.Doubled != 1 {
 		t.Errorf("%+v, should be one doubled", account)
 	}
 }
--- a/internal/sluice/admin.go
+++ b/internal/proxy/admin.go
@@ -1,4 +1,4 @@
-package sluice
+package proxy
 
 import (
 	"fmt"
@@ -7,43 +7,43 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
-	"slateridge/internal/gaugeboard"
-	"slateridge/internal/logbook"
-	"slateridge/internal/penstock"
-	"slateridge/internal/staff"
-	"slateridge/internal/weir"
+	"slateridge/internal/adminhttp"
+	"slateridge/internal/admission"
+	"slateridge/internal/distribution"
+	"slateridge/internal/eventlog"
+	"slateridge/internal/membership"
 )
 
 // Report is what `slateridge status` shows of a proxy.
 type Report struct {
-	Role      string
-	Node      string
-	Ready     bool
-	Leaving   bool
-	InFlight  int64
-	Version   uint64
-	Line      penstock.State
-	Proxies   int
-	Zone      string
-	Region    string
-	Evacuated []string
-	Requests  map[string]uint64
-	Upstreams []OutfallState
-	NewConns  uint64
-	Ejections uint64
-	Waited    uint64
-	Full      uint64
-	Retries   uint64
-	Denied    uint64
-	Hedges    uint64
-	Streams   Streams
-	Usage     Usage
-	Quotas    []weir.Report
-	Audit     []AuditEntry
-	Members   []staff.Fact
-	Events    []logbook.Event
-	Tallies   []logbook.Tally
-	marks     *marks
+	Role       string
+	Node       string
+	Ready      bool
+	Leaving    bool
+	InFlight   int64
+	Version    uint64
+	Subscriber distribution.State
+	Proxies    int
+	Zone       string
+	Region     string
+	Evacuated  []string
+	Requests   map[string]uint64
+	Upstreams  []UpstreamState
+	NewConns   uint64
+	Ejections  uint64
+	Waited     uint64
+	Full       uint64
+	Retries    uint64
+	Denied     uint64
+	Hedges     uint64
+	Streams    Streams
+	Usage      Usage
+	Quotas     []admission.Report
+	Audit      []AuditEntry
+	Members    []membership.Fact
+	Events     []eventlog.Event
+	Tallies    []eventlog.Tally
+	histograms *histograms
 }
 
 // Streams is what a proxy passes on piece by piece.
@@ -63,32 +63,32 @@
 // Report describes this proxy for operators.
 func (d *Daemon) Report() Report {
 	now := time.Now()
-	r := Report{Role: "sluice", Node: d.set.Load().NodeName, Ready: d.ready.Load(), Leaving: d.leaving.Load(), InFlight: d.open.Load(),
-		Line: d.line.State(now), Proxies: d.weir.Proxies(), Requests: map[string]uint64{}, Upstreams: d.yard.States(now),
-		Hedges: d.hedges.Load(), Quotas: d.weir.Reports(d.now()), Audit: d.audit.list(), Members: d.staff.Members(),
-		Events: d.book.Latest(20), Tallies: d.book.Tallies()}
-	if s := d.scheme.Load(); s != nil {
+	r := Report{Role: "proxy", Node: d.set.Load().NodeName, Ready: d.ready.Load(), Leaving: d.leaving.Load(), InFlight: d.open.Load(),
+		Subscriber: d.subscriber.State(now), Proxies: d.limiter.Proxies(), Requests: map[string]uint64{}, Upstreams: d.pool.States(now),
+		Hedges: d.hedges.Load(), Quotas: d.limiter.Reports(d.now()), Audit: d.audit.list(), Members: d.members.Members(),
+		Events: d.events.Latest(20), Tallies: d.events.Tallies()}
+	if s := d.config.Load(); s != nil {
 		r.Version = s.Version
 	}
-	r.Zone, r.Region, r.Evacuated = d.set.Load().Zone, d.set.Load().Region, d.yard.Evacuated()
+	r.Zone, r.Region, r.Evacuated = d.set.Load().Zone, d.set.Load().Region, d.pool.Evacuated()
 	for i, n := range countNames {
 		r.Requests[n] = d.counts[i].Load()
 	}
 	r.Streams.Open, r.Streams.Cut, r.Streams.Left = d.streams.Load(), d.streamsCut.Load(), d.streamsLeft.Load()
 	if d.meter != nil {
 		r.Usage.Windows, r.Usage.Dropped = d.meter.Held()
-		if to := d.metered.Load(); to != nil {
+		if to := d.usageHolder.Load(); to != nil {
 			r.Usage.Told = *to
 		}
 	}
-	r.marks = d.marks
-	d.yard.mu.Lock()
-	r.Streams.First, r.Streams.Next, r.Streams.Elsewhere = d.yard.Kept[0], d.yard.Kept[1], d.yard.Kept[2]
-	r.NewConns, r.Ejections, r.Waited, r.Full = d.yard.News, d.yard.Ejected, d.yard.Waited, d.yard.Full
-	d.yard.mu.Unlock()
-	d.allow.mu.Lock()
-	r.Retries, r.Denied = d.allow.Spent, d.allow.Denied
-	d.allow.mu.Unlock()
+	r.histograms = d.histograms
+	d.pool.mu.Lock()
+	r.Streams.First, r.Streams.Next, r.Streams.Elsewhere = d.pool.Kept[0], d.pool.Kept[1], d.pool.Kept[2]
+	r.NewConns, r.Ejections, r.Waited, r.Full = d.pool.NewConns, d.pool.Ejected, d.pool.Waited, d.pool.Full
+	d.pool.mu.Unlock()
+	d.retryBudget.mu.Lock()
+	r.Retries, r.Denied = d.retryBudget.Spent, d.retryBudget.Denied
+	d.retryBudget.mu.Unlock()
 	return r
 }
 
@@ -97,12 +97,12 @@
 	for _, n := range countNames {
 		metrics.WriteCounterUint64(w, fmt.Sprintf("slateridge_requests_total{outcome=%q}", n), r.Requests[n])
 	}
-	metrics.WriteGaugeUint64(w, "slateridge_ready", gaugeboard.Flag(r.Ready && !r.Leaving))
+	metrics.WriteGaugeUint64(w, "slateridge_ready", adminhttp.Flag(r.Ready && !r.Leaving))
 	metrics.WriteGaugeUint64(w, "slateridge_requests_in_flight", uint64(max(0, r.InFlight)))
 	metrics.WriteGaugeUint64(w, "slateridge_config_version", r.Version)
-	metrics.WriteGaugeUint64(w, "slateridge_upstream_list_number", r.Line.ListNum)
-	metrics.WriteGaugeFloat64(w, "slateridge_upstream_list_age_seconds", r.Line.ListAge.Seconds())
-	metrics.WriteGaugeFloat64(w, "slateridge_control_silence_seconds", r.Line.Silent.Seconds())
+	metrics.WriteGaugeUint64(w, "slateridge_upstream_list_number", r.Subscriber.ListNum)
+	metrics.WriteGaugeFloat64(w, "slateridge_upstream_list_age_seconds", r.Subscriber.ListAge.Seconds())
+	metrics.WriteGaugeFloat64(w, "slateridge_control_silence_seconds", r.Subscriber.Silent.Seconds())
 	metrics.WriteGaugeUint64(w, "slateridge_zones_evacuated", uint64(len(r.Evacuated)))
 	metrics.WriteGaugeUint64(w, "slateridge_live_proxies", uint64(r.Proxies))
 	metrics.WriteCounterUint64(w, "slateridge_upstream_connections_total", r.NewConns)
@@ -120,8 +120,8 @@
 	}
 	metrics.WriteGaugeUint64(w, "slateridge_usage_windows_open", uint64(r.Usage.Windows))
 	metrics.WriteCounterUint64(w, "slateridge_usage_dropped_total", r.Usage.Dropped)
-	if r.marks != nil {
-		r.marks.set.WritePrometheus(w)
+	if r.histograms != nil {
+		r.histograms.set.WritePrometheus(w)
 	}
 	type group struct{ service, zone, state string }
 	ups := map[group]uint64{}
@@ -143,5 +143,5 @@
 		metrics.WriteGaugeFloat64(w, "slateridge_quota_demand"+l, q.Demand)
 		metrics.WriteGaugeFloat64(w, "slateridge_quota_balance"+l, q.Balance)
 	}
-	gaugeboard.WriteCommon(w, r.Members, r.Tallies)
+	adminhttp.WriteCommon(w, r.Members, r.Tallies)
 }
--- /dev/null
+++ b/internal/proxy/daemon.go
@@ -0,0 +1,546 @@
+package proxy
+
+import (
+	"context"
+	"errors"
+	"maps"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/oklog/run"
+
+	"slateridge/internal/accounts"
+	"slateridge/internal/adminhttp"
+	"slateridge/internal/admission"
+	"slateridge/internal/autoscale"
+	"slateridge/internal/clock"
+	"slateridge/internal/config"
+	"slateridge/internal/constants"
+	"slateridge/internal/discovery"
+	"slateridge/internal/distribution"
+	"slateridge/internal/eventlog"
+	"slateridge/internal/membership"
+	"slateridge/internal/rungroup"
+	"slateridge/internal/settings"
+	"slateridge/internal/transport"
+	"slateridge/internal/usage"
+)
+
+// Daemon is the proxy process: the request path, and what keeps it informed.
+type Daemon struct {
+	*Proxy
+	set               atomic.Pointer[settings.Settings]
+	path              string
+	subscriber        *distribution.Subscriber
+	reader            config.Reader // used by apply only, one call at a time
+	trackers          atomic.Pointer[[]string]
+	ready             atomic.Bool
+	frontend          *frontend
+	source            *discovery.Source
+	selfPollAt        time.Time
+	haveList          atomic.Bool
+	settingsChangedAt atomic.Int64
+	audit             audit
+	members           *membership.Agent
+	trackerEchoesMu   sync.Mutex
+	trackerEchoes     map[string]trackerEcho // by tracker
+	clock             *clock.Clock           // agreed, as control tells
+	usageHolder       atomic.Pointer[string]
+	scalingHolder     atomic.Pointer[string]
+	telling           sync.Mutex      // one word on usage at a time
+	accountsAgent     *accounts.Agent // nil where tenants have no objectives
+}
+
+// NewDaemon builds the process's parts.
+func NewDaemon(set *settings.Settings, path string, events *eventlog.Log) *Daemon {
+	d := &Daemon{path: path, trackerEchoes: map[string]trackerEcho{}, source: discovery.NewSource(set.CloudAPI.Address)}
+	d.set.Store(set)
+	d.settingsChangedAt.Store(d.settingsModTime()) // what changes from now on is read
+	b := set.Bounds
+	s := &Proxy{events: events, histograms: newHistograms(), began: time.Now(), limiter: admission.New(b.QuotaSlack, set.Trackers(), rand.Uint64())}
+	d.Proxy = s
+	s.retryBudget = NewRetryBudget(0, b.RetryWindow.D(), b.RetryBudgetRatio, b.RetryBudgetSlack)
+	s.pool = NewPool(set.IPAddress, set.Zone, set.Zones, d.connCap, d.warmup)
+	s.askFor = d.askTracker
+	d.clock = clock.New()
+	if set.HasDuty(settings.DutyUsage) {
+		s.meter, s.window = usage.NewMeter(rand.Uint64()), d.windowAt
+	}
+	d.trackers.Store(&[]string{})
+	// Each proxy tries the control machines in an order of its own, so that
+	// proxies spread.
+	ips := set.SeedIPs()
+	rand.Shuffle(len(ips), func(i, j int) { ips[i], ips[j] = ips[j], ips[i] })
+	me := distribution.Subscription{Node: set.IPAddress, Name: set.NodeName, Zone: set.Zone, Region: set.Region,
+		Front: set.ListenAddresses.Frontend}
+	d.subscriber = distribution.NewSubscriber(me, ips, func(ip string, h transport.Handler) *transport.Peer {
+		return transport.NewPeer(set.PeerInternal(ip, constants.PortControl), set.IPAddress, func(conn *transport.Conn, body any) any {
+			if other, ok := body.(transport.Incompatible); ok {
+				d.events.Record("protocol_incompatible", other.String())
+				return nil
+			}
+			return h(conn, body)
+		})
+	}, d.apply)
+	d.subscriber.ReckonBy(func() int { return d.limiter.Settled(d.now()) })
+	if b.RevocationStrict {
+		s.trustFor, s.readIndexAt = b.Revoke.D()-constants.RevokeReserve, d.subscriber.ReadIndexAt
+	}
+	return d
+}
+
+// connCap is this proxy's part of an upstream's connections.
+func (d *Daemon) connCap(service string) int {
+	cfg := d.config.Load()
+	if cfg == nil || cfg.Services[service] == nil || cfg.Services[service].MaxConnections == 0 {
+		return constants.UpstreamCap * 2
+	}
+	n := max(1, d.limiter.Proxies())
+	return max(1, int(constants.ConnShare*float64(cfg.Services[service].MaxConnections))/n)
+}
+
+// warmup is how long a service's upstreams stay cold, where they may only be
+// sent so much.
+func (d *Daemon) warmup(service string) time.Duration {
+	if cfg := d.config.Load(); cfg != nil && cfg.Services[service] != nil && cfg.Services[service].WarmupPerS > 0 {
+		return cfg.Services[service].Warmup
+	}
+	return 0
+}
+
+// apply puts what control sent in force.
+func (d *Daemon) apply(f distribution.Changes) {
+	now := d.now()
+	if f.Config != nil {
+		cfg, err := d.reader.Read(f.Config.Raw)
+		if err != nil {
+			d.events.Record("config_unreadable", err.Error()) // control checks before; never expected
+		} else {
+			old := d.config.Load()
+			if old == nil || cfg.Version > old.Version {
+				d.audit.add(old, cfg)
+				d.limiter.SetQuotas(now, admission.Quotas(cfg))
+				d.config.Store(cfg)
+				d.events.Record("config", "r"+strconv.FormatUint(cfg.Version, 10)+" in force")
+			}
+		}
+	}
+	if f.List != nil {
+		d.pool.Apply(time.Now(), f.List.Instances)
+		d.haveList.Store(true)
+		d.events.Count("list_applied", 1)
+	}
+	if f.State > 0 {
+		if d.pool.Evacuate(time.Now(), f.Evacuated) {
+			d.events.Record("evacuations", strings.Join(f.Evacuated, " "))
+		}
+	}
+	if f.Proxies > 0 {
+		d.limiter.SetProxies(now, f.Proxies)
+		d.retryBudget.SetProxies(f.Proxies)
+		d.pool.SetProxies(f.Proxies)
+	}
+	d.clock.Observe(f.From, f.Wall, now)
+	d.scalingHolder.Store(&f.Scaler)
+	if old := d.usageHolder.Swap(&f.Metered); d.meter != nil && (old == nil || *old != f.Metered) {
+		go d.tellUsage() // a successor gathers anew
+	}
+	if f.Coming != nil {
+		d.limiter.Evaluate(now, f.Coming)
+	}
+	if old := d.trackers.Swap(&f.Trackers); !slices.Equal(*old, f.Trackers) {
+		go d.renewGrants() // a new one should know soon what is held here
+	}
+}
+
+// Add puts the process's actors into its group.
+func (d *Daemon) Add(g *run.Group) error {
+	set := d.set.Load()
+	front, err := net.Listen("tcp4", set.ListenAddresses.Frontend)
+	if err != nil {
+		return err
+	}
+	rl, err := net.Listen("tcp4", set.ListenAddresses.Readiness)
+	if err != nil {
+		return err
+	}
+	adm, err := net.Listen("tcp4", set.Internal(constants.PortProxyAdmin))
+	if err != nil {
+		return err
+	}
+	d.frontend = newFrontend(front, d.Proxy, func() config.Limits {
+		if s := d.config.Load(); s != nil {
+			return s.Limits
+		}
+		return config.Limits{}
+	})
+	g.Add(d.frontend.serve, func(error) { d.frontend.close() })
+	group := rungroup.New(g)
+	group.Serve(rl, http.HandlerFunc(d.readiness))
+	group.Serve(adm, adminhttp.Handler(d.Report))
+	group.Every(constants.SettingsEvery, d.lookAtSettings)
+	group.Every(constants.RetireEvery, func() { d.frontend.closeIdle(time.Now()) })
+	return d.AddHollow(g, group)
+}
+
+// AddHollow puts in what keeps a proxy informed and is said to others, without the
+// path of requests: many such proxies can share one process, to try control's size.
+func (d *Daemon) AddHollow(g *run.Group, group *rungroup.Group) error {
+	set := d.set.Load()
+	var err error
+	var seeds []string
+	for _, ip := range set.SeedIPs() {
+		seeds = append(seeds, set.PeerInternal(ip, constants.PortControlMembership))
+	}
+	d.members, err = membership.Listen(set.Internal(constants.PortProxyMembership), set.NodeName+"/proxy", seeds, func(f membership.Fact) {
+		d.events.Count("member_"+f.State.String(), 1)
+	})
+	if err != nil {
+		return err
+	}
+	g.Add(d.members.Serve, func(error) { d.members.Close() })
+	go d.step()
+	group.Every(constants.StepEvery, d.step)
+	group.Every(constants.GrantEvery, d.renewGrants)
+	if set.HasDuty(settings.DutyScaling) {
+		group.Every(constants.ScaleEvery, d.tellLoad)
+	}
+	if d.meter != nil {
+		group.EveryAfter(usage.Phase(rand.Uint64()), constants.UsageReportEvery, d.tellUsage)
+	}
+	if d.accountsAgent != nil {
+		group.EveryAfter(rand.N(accounts.TellEvery), accounts.TellEvery, d.accountsAgent.Tell)
+	}
+	group.Every(constants.RetireEvery, func() { d.pool.Retire(time.Now()) })
+	group.Every(membership.TickEvery, d.members.Tick)
+	return nil
+}
+
+func (d *Daemon) readiness(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path != "/api/readiness" {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	if d.ready.Load() && !d.leaving.Load() {
+		w.WriteHeader(http.StatusOK)
+		return
+	}
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+// step drives the line, decides readiness, and reads the platform's list here
+// when no control machine in contact has spoken for long.
+func (d *Daemon) step() {
+	now := time.Now()
+	d.subscriber.Step(now, d.ready.Load() && !d.leaving.Load())
+	st := d.subscriber.State(now)
+	if !d.ready.Load() && d.config.Load() != nil && d.haveList.Load() && st.ListAge < constants.UpdateCurrent && st.Current < constants.UpdateCurrent {
+		d.ready.Store(true)
+		d.events.Record("ready", "configuration and upstreams known")
+	}
+	if d.outOfContact(st, now) && now.After(d.selfPollAt) && d.config.Load() != nil {
+		every := selfPollEvery(d.pool.Len(), d.limiter.Proxies(), d.set.Load().CloudAPI.RatePerS)
+		first := d.selfPollAt.IsZero()
+		if d.selfPollAt = now.Add(every/2 + rand.N(every)); first && rand.Float64() > float64(constants.SelfPollEvery)/float64(every) {
+			return // most of a large fleet have to wait for their turn from the beginning
+		}
+		go func() {
+			is, err := d.source.Read(context.Background())
+			if err != nil {
+				d.events.Count("self_poll_failed", 1)
+				return
+			}
+			if now := time.Now(); d.outOfContact(d.subscriber.State(now), now) {
+				d.pool.Apply(time.Now(), is)
+				d.haveList.Store(true)
+				d.events.Count("self_poll", 1)
+			}
+		}()
+	}
+}
+
+// outOfContact says that the list has to be read here: what control machines without
+// contact say of it is what they knew before they lost it.
+func (d *Daemon) outOfContact(st distribution.State, now time.Time) bool {
+	return min(st.Current, now.Sub(d.began)) > constants.SelfPollAfter
+}
+
+// selfPollEvery is how often a proxy out of touch reads the list, so that all of
+// them together leave the platform's rate to whoever reads for everybody.
+func selfPollEvery(upstreams, proxies int, rate float64) time.Duration {
+	calls := float64(upstreams/constants.PollPage+1) * float64(max(1, proxies))
+	if rate <= 0 {
+		return constants.SelfPollEvery
+	}
+	return max(constants.SelfPollEvery, time.Duration(calls/(rate*constants.SelfPollPart)*float64(time.Second)))
+}
+
+// tracker is where a key's questions go.
+func (d *Daemon) tracker(shard int) string {
+	if t := *d.trackers.Load(); shard < len(t) {
+		return t[shard]
+	}
+	return ""
+}
+
+// shardsOf are those that a machine tracks.
+func (d *Daemon) shardsOf(tracker string) []int {
+	var out []int
+	for i, t := range *d.trackers.Load() {
+		if t == tracker {
+			out = append(out, i)
+		}
+	}
+	return out
+}
+
+func (d *Daemon) shard(key string) int { return admission.Shard(key, d.set.Load().Trackers()) }
+
+func (d *Daemon) askTracker(key string) {
+	asked := d.now()
+	to := d.tracker(d.shard(key))
+	if to != "" {
+		d.trackerEchoesMu.Lock()
+		echo := d.trackerEchoes[to].time
+		d.trackerEchoesMu.Unlock()
+		v, err := d.subscriber.Ask(to, admission.GrantRequest{Proxy: d.set.Load().IPAddress, Wants: []admission.Want{d.limiter.Need(asked, key)}, Echo: echo, Proxies: d.limiter.Proxies(), Life: d.limiter.Life(), Sent: asked}, constants.GrantWait)
+		if g, ok := v.(admission.Grants); err == nil && ok && !g.Refused {
+			d.heardTracker(to, g.Stamp, d.shard(key))
+			for _, x := range g.Given {
+				d.limiter.Take(d.now(), asked, x)
+			}
+			return
+		}
+		if errors.Is(err, transport.ErrRefused) {
+			for _, i := range d.shardsOf(to) {
+				d.limiter.TrackerDown(i)
+			}
+		}
+	}
+	d.limiter.Unanswered(d.now(), key)
+}
+
+// heardTracker notes a tracker's answer for some shards.
+func (d *Daemon) heardTracker(to string, s admission.TrackerTime, shards ...int) {
+	now := d.now()
+	d.trackerEchoesMu.Lock()
+	o := d.trackerEchoes[to]
+	if o.time.Life != s.Life || o.time.At < s.At {
+		d.trackerEchoes[to] = trackerEcho{s, now}
+	}
+	d.trackerEchoesMu.Unlock()
+	if o.time.Life != s.Life || o.time.Begun < s.Begun {
+		d.untold(d.shardsOf(to))
+		go d.renewGrants()
+	}
+	for _, i := range shards {
+		d.limiter.TrackerAnswered(now, i)
+	}
+}
+
+// trackerEcho is a tracker's latest time, and when it came here.
+type trackerEcho struct {
+	time admission.TrackerTime
+	at   time.Duration
+}
+
+// renewGrants tells the trackers this proxy's demand and loans, and takes their
+// leases.
+func (d *Daemon) renewGrants() {
+	asked := d.now()
+	d.trackerEchoesMu.Lock()
+	echo := maps.Clone(d.trackerEchoes)
+	d.trackerEchoesMu.Unlock()
+	by := map[string][]admission.Want{}
+	for _, w := range d.limiter.Wants(asked, func(key string) (time.Duration, uint64, bool) {
+		h, ok := echo[d.tracker(d.shard(key))]
+		return h.at, h.time.Life, ok
+	}) {
+		if to := d.tracker(d.shard(w.Key)); to != "" {
+			by[to] = append(by[to], w)
+		}
+	}
+	shards := map[string][]int{}
+	for i, to := range *d.trackers.Load() {
+		if to != "" {
+			shards[to] = append(shards[to], i)
+			if _, ok := by[to]; !ok && asked-echo[to].at > constants.ContactEvery {
+				by[to] = nil // nothing to say but that it is heard
+			}
+		}
+	}
+	for to, ws := range by {
+		go func() {
+			q := admission.GrantRequest{Proxy: d.set.Load().IPAddress, Wants: ws, Echo: echo[to].time, Proxies: d.limiter.Proxies(), Life: d.limiter.Life(), Sent: asked}
+			v, err := d.subscriber.Ask(to, q, constants.CallTimeout)
+			if g, ok := v.(admission.Grants); err == nil && ok {
+				if !g.Refused { // what does not track borrows nothing
+					d.heardTracker(to, g.Stamp, shards[to]...)
+				}
+				for _, x := range g.Given {
+					d.limiter.Take(d.now(), asked, x)
+				}
+				if g.Retell {
+					d.untold(shards[to])
+				}
+			} else {
+				d.untold(shards[to])
+			}
+		}()
+	}
+}
+
+// untold notes that the tracker of some shards does not know what it was told.
+func (d *Daemon) untold(shards []int) {
+	for _, i := range shards {
+		d.limiter.ReportAgain(i)
+	}
+}
+
+// Version is the configuration in force here, and Upstreams how many are known.
+func (d *Daemon) Version() uint64 {
+	if s := d.config.Load(); s != nil {
+		return s.Version
+	}
+	return 0
+}
+
+// Upstreams is how many are known here.
+func (d *Daemon) Upstreams() int { return d.pool.Len() }
+
+// Rehearse takes one made-up request through admission and metering as the path of
+// requests does, and sends it nowhere; false when it was refused.
+func (d *Daemon) Rehearse(tenant string) bool {
+	v := d.limiter.Admit(d.now(), tenant, false)
+	if v.Ask {
+		d.askTracker(tenant)
+		v = d.limiter.Admit(d.now(), tenant, true)
+	}
+	if !v.OK {
+		return false
+	}
+	d.limiter.Settle(d.now(), tenant, 1)
+	d.accounts.Begin(tenant).Success(time.Millisecond)
+	if d.meter != nil {
+		d.meter.Count(d.windowAt(time.Now()), tenant)
+	}
+	return true
+}
+
+// windowAt is the usage window that a moment lies in, by the agreed time.
+func (d *Daemon) windowAt(at time.Time) uint64 {
+	agreed, ok := d.clock.Now(d.now())
+	if !ok {
+		agreed = time.Now()
+	}
+	return usage.Window(agreed.Add(-time.Since(at)), d.set.Load().Bounds.UsageWindow.D())
+}
+
+// tellLoad says what runs and waits here of the services that are scaled.
+func (d *Daemon) tellLoad() {
+	to, cfg := d.scalingHolder.Load(), d.config.Load()
+	if to == nil || *to == "" || cfg == nil {
+		return
+	}
+	set := d.set.Load()
+	t := autoscale.Report{Proxy: set.IPAddress, Zone: set.Zone, Running: map[string]int{}}
+	for name, s := range cfg.Services {
+		if s.Scaling != nil {
+			t.Running[name] = d.pool.Busy(name)
+		}
+	}
+	v, err := d.subscriber.Ask(*to, t, constants.UsageWait)
+	if h, ok := v.(autoscale.Ack); err != nil || !ok || !h.OK {
+		d.events.Count("load_untold", 1)
+	}
+}
+
+// tellUsage brings what has been counted to the duty's holder, until it has heard
+// all.
+func (d *Daemon) tellUsage() {
+	if !d.telling.TryLock() {
+		return
+	}
+	defer d.telling.Unlock()
+	to := d.usageHolder.Load()
+	if to == nil || *to == "" || d.config.Load() == nil {
+		return
+	}
+	for range 2 { // a new holder's first answer asks for the rest
+		t, some := d.meter.Report(d.set.Load().IPAddress, d.windowAt(time.Now()))
+		if !some {
+			return
+		}
+		v, err := d.subscriber.Ask(*to, t, constants.UsageWait)
+		h, ok := v.(usage.Ack)
+		if err != nil || !ok || h.Term == 0 {
+			d.events.Count("usage_untold", 1)
+			return
+		}
+		d.meter.Acknowledged(t, h)
+		if h.Term == t.Term {
+			return
+		}
+	}
+}
+
+// settingsModTime tells one state of the settings file from another; 0 if there is none.
+func (d *Daemon) settingsModTime() int64 {
+	fi, err := os.Stat(d.path)
+	if err != nil {
+		return 0
+	}
+	return fi.ModTime().UnixNano() ^ fi.Size()
+}
+
+// lookAtSettings reloads a settings file that has changed.
+func (d *Daemon) lookAtSettings() {
+	if is := d.settingsModTime(); is != 0 && d.settingsChangedAt.Swap(is) != is {
+		d.Reload()
+	}
+}
+
+// Reload reads the settings again; a file that cannot be used changes nothing.
+func (d *Daemon) Reload() {
+	set, err := settings.Load(d.path, "frontend", "readiness")
+	if err != nil {
+		d.events.Record("settings_refused", err.Error())
+		return
+	}
+	d.set.Store(set)
+	d.subscriber.Add(set.SeedIPs())
+	d.events.Record("settings", "read again")
+}
+
+// Leave answers the last requests: readiness fails at once, connections are
+// still accepted until the platform has noticed, answers ask clients to close,
+// and what is in flight finishes within grace.
+func (d *Daemon) Leave() {
+	began := time.Now()
+	d.leaving.Store(true)
+	d.events.Record("leaving", "readiness fails from now on")
+	d.subscriber.Announce()
+	set := d.set.Load()
+	grace := set.Bounds.Grace.D() - constants.TermReserve
+	// Where clients ask a directory, old answers name this proxy for some time.
+	accept := min(constants.TermAccept, grace/2)
+	if set.EntryMode == "directory" {
+		accept = min(2*constants.LookupTTL, grace/2)
+	}
+	time.Sleep(accept)
+	ctx, cancel := context.WithDeadline(context.Background(), began.Add(grace))
+	defer cancel()
+	d.frontend.drain(ctx)
+	if d.accountsAgent != nil {
+		d.accountsAgent.Leave(constants.CallTimeout)
+	}
+	d.events.Record("left", "nothing in flight")
+}
--- a/internal/sluice/settings_test.go
+++ b/internal/proxy/settings_test.go
@@ -1,4 +1,4 @@
-package sluice
+package proxy
 
 import (
 	"encoding/json"
@@ -9,9 +9,9 @@
 
 	"github.com/rs/zerolog"
 
-	"slateridge/internal/logbook"
-	"slateridge/internal/penstock"
-	"slateridge/internal/sill"
+	"slateridge/internal/distribution"
+	"slateridge/internal/eventlog"
+	"slateridge/internal/settings"
 )
 
 // A settings file that changes while a proxy runs names further control machines, from
@@ -40,12 +40,12 @@
 	}
 	at := time.Now()
 	write(at, "127.0.0.62:39191")
-	set, err := sill.Load(path, "frontend", "readiness")
+	set, err := settings.Load(path, "frontend", "readiness")
 	if err != nil {
 		t.Fatal(err)
 	}
-	d := NewDaemon(set, path, logbook.New(zerolog.Nop()))
-	knows := func(ip string) bool { _, ok := d.line.State(time.Now()).Ends[ip]; return ok }
+	d := NewDaemon(set, path, eventlog.New(zerolog.Nop()))
+	knows := func(ip string) bool { _, ok := d.subscriber.State(time.Now()).Ends[ip]; return ok }
 	write(at.Add(time.Millisecond), "127.0.0.63:39191") // before it is looked for the first time
 	d.lookAtSettings()
 	if !knows("127.0.0.62") || !knows("127.0.0.63") {
@@ -64,10 +64,10 @@
 // also when others do, but not in its first seconds, in which none can have spoken.
 func TestListIsReadHereOutOfContact(t *testing.T) {
 	now := time.Now()
-	d := &Daemon{Sluice: &Sluice{began: now.Add(-time.Minute)}}
+	d := &Daemon{Proxy: &Proxy{began: now.Add(-time.Minute)}}
 	is := func(current, silent, age time.Duration) bool {
 		d.began = now.Add(-age)
-		return d.outOfContact(penstock.State{Current: current, Silent: silent}, now)
+		return d.outOfContact(distribution.State{Current: current, Silent: silent}, now)
 	}
 	never := now.Sub(time.Time{})
 	for _, c := range []struct {
--- a/internal/sluice/unbroken_test.go
+++ b/internal/proxy/unbroken_test.go
@@ -1,4 +1,4 @@
-package sluice
+package proxy
 
 import (
 	"encoding/json"
@@ -14,15 +14,15 @@
 
 	"github.com/rs/zerolog"
 
-	"slateridge/internal/intake"
-	"slateridge/internal/logbook"
-	"slateridge/internal/penstock"
-	"slateridge/internal/scheme"
-	"slateridge/internal/sill"
+	"slateridge/internal/config"
+	"slateridge/internal/discovery"
+	"slateridge/internal/distribution"
+	"slateridge/internal/eventlog"
+	"slateridge/internal/settings"
 )
 
 // daemonAt is a proxy whose settings lie in a file, with a gate of its own in front.
-func daemonAt(t *testing.T, ups ...intake.Instance) (d *Daemon, front string) {
+func daemonAt(t *testing.T, ups ...discovery.Instance) (d *Daemon, front string) {
 	path := filepath.Join(t.TempDir(), "boot.json")
 	raw, _ := json.Marshal(map[string]any{
 		"nodeName": "machine-1", "ipAddress": "127.0.0.61", "zone": "z",
@@ -34,25 +34,25 @@
 	if err := os.WriteFile(path, raw, 0o644); err != nil {
 		t.Fatal(err)
 	}
-	set, err := sill.Load(path, "frontend", "readiness")
+	set, err := settings.Load(path, "frontend", "readiness")
 	if err != nil {
 		t.Fatal(err)
 	}
-	d = NewDaemon(set, path, logbook.New(zerolog.Nop()))
+	d = NewDaemon(set, path, eventlog.New(zerolog.Nop()))
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	d.gate = newGate(l, d.Sluice, func() scheme.Limits { return d.scheme.Load().Limits })
-	t.Cleanup(d.gate.close)
+	d.frontend = newFrontend(l, d.Proxy, func() config.Limits { return d.config.Load().Limits })
+	t.Cleanup(d.frontend.close)
 	d.inForce(fmt.Sprintf(testConfig, 1), 1, ups)
-	go d.gate.serve()
+	go d.frontend.serve()
 	return d, l.Addr().String()
 }
 
 // inForce puts a configuration and a list in force as control's news does.
-func (d *Daemon) inForce(config string, version uint64, ups []intake.Instance) {
-	d.apply(penstock.Fresh{Config: &scheme.Doc{Raw: []byte(config), Version: version}, List: &intake.List{Instances: ups}, Proxies: 1})
+func (d *Daemon) inForce(cfg string, version uint64, ups []discovery.Instance) {
+	d.apply(distribution.Changes{Config: &config.Doc{Raw: []byte(cfg), Version: version}, List: &discovery.List{Instances: ups}, Proxies: 1})
 }
 
 // fetch sends a request over a connection of its own and gives the whole answer.
@@ -62,9 +62,9 @@
 		return 0, "", err
 	}
 	r.Host = "h.example"
-	r.Header.Set(hdrAttempt, "id-1")
-	r.Header.Set(hdrBudget, "4000")
-	r.Header.Set(hdrKey, "k1")
+	r.Header.Set(headerAttemptID, "id-1")
+	r.Header.Set(headerBudget, "4000")
+	r.Header.Set(headerAPIKey, "k1")
 	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 	resp, err := client.Do(r)
 	if err != nil {
@@ -79,12 +79,12 @@
 // come that change the clients' bounds, the time-outs and the list of upstreams.
 func TestChangesCutNothingUnderWay(t *testing.T) {
 	begun, release := make(chan struct{}, 8), make(chan struct{})
-	u := newRaw(t, func(_ int, r *http.Request) (string, bool) {
+	u := newRawUpstream(t, func(_ int, r *http.Request) (string, bool) {
 		begun <- struct{}{}
 		<-release
 		return ok(r, strings.Repeat("x", 300000)), false // longer than what is held
 	})
-	others := newRaw(t, func(_ int, r *http.Request) (string, bool) { return ok(r, "other"), false })
+	others := newRawUpstream(t, func(_ int, r *http.Request) (string, bool) { return ok(r, "other"), false })
 	d, front := daemonAt(t, u.instance("i-1"))
 	type answer struct {
 		status int
@@ -103,13 +103,13 @@
 	draining := u.instance("i-1")
 	draining.Draining = true
 	changed := strings.NewReplacer(`"idleTimeout":"15000ms"`, `"idleTimeout":"900ms"`, `"headerTimeout":"3000ms"`, `"headerTimeout":"1000ms"`, `"timeout":"2s"`, `"timeout":"1s"`).Replace(testConfig)
-	d.inForce(fmt.Sprintf(changed, 2), 2, []intake.Instance{draining, others.instance("i-2")})
+	d.inForce(fmt.Sprintf(changed, 2), 2, []discovery.Instance{draining, others.instance("i-2")})
 	if status, body, err := fetch(front, "POST", "/once/"); status != http.StatusOK || body != "other" || err != nil {
 		t.Errorf("a new request after the changes: %d %q %v", status, body, err)
 	}
-	d.inForce(fmt.Sprintf(testConfig, 3), 3, []intake.Instance{others.instance("i-2")})
+	d.inForce(fmt.Sprintf(testConfig, 3), 3, []discovery.Instance{others.instance("i-2")})
 	d.Reload()
-	d.gate.closeIdle(time.Now().Add(time.Hour))
+	d.frontend.closeIdle(time.Now().Add(time.Hour))
 	close(release)
 	for range 2 {
 		if a := <-answers; a.status != http.StatusOK || a.length != 300000 || a.err != nil {
@@ -131,7 +131,7 @@
 					io.WriteString(c, whole[before:])
 					return true
 				})
-				_, front := daemonAt(t, intake.Instance{ID: "i-1", Service: "svc", Address: l.Addr().String(), Zone: "z", Slots: 2})
+				_, front := daemonAt(t, discovery.Instance{ID: "i-1", Service: "svc", Address: l.Addr().String(), Zone: "z", Slots: 2})
 				if status, body, err := fetch(front, "POST", "/once/"); status != http.StatusOK || len(body) != size || err != nil {
 					t.Errorf("%d, %d bytes of %d, %v", status, len(body), size, err)
 				}
@@ -142,14 +142,14 @@
 
 // Routes that later configurations add are served as the first ones are.
 func TestRoutesAddedLaterAreServed(t *testing.T) {
-	u := newRaw(t, func(_ int, r *http.Request) (string, bool) { return ok(r, "x"), false })
+	u := newRawUpstream(t, func(_ int, r *http.Request) (string, bool) { return ok(r, "x"), false })
 	d, front := daemonAt(t, u.instance("i-1"))
 	const added = `{"resourceKind":"routes","metadata":{"name":"added-%d"},"spec":{"host":"h.example","pathPrefix":"/added-%d/","routeType":"non_idempotent","timeout":"2s","targetLatency":"400ms","priority":1,"targetService":"svc","maxAttempts":3}},
 {"resourceKind":"services"`
 	config := testConfig
 	for version := uint64(2); version <= 6; version++ {
 		config = strings.Replace(config, `{"resourceKind":"services"`, fmt.Sprintf(added, version, version), 1)
-		d.inForce(fmt.Sprintf(config, version), version, []intake.Instance{u.instance("i-1")})
+		d.inForce(fmt.Sprintf(config, version), version, []discovery.Instance{u.instance("i-1")})
 		for v := uint64(2); v <= version; v++ {
 			for range 5 {
 				if status, _, err := fetch(front, "POST", fmt.Sprintf("/added-%d/x", v)); status != http.StatusOK || err != nil {
--- a/internal/conduit/compatibility_test.go
+++ b/internal/transport/compatibility_test.go
@@ -1,4 +1,4 @@
-package conduit_test
+package transport_test
 
 import (
 	"bytes"
@@ -14,15 +14,15 @@
 	"time"
 
 	"slateridge/internal/accounts"
-	"slateridge/internal/conduit"
+	"slateridge/internal/admission"
+	"slateridge/internal/autoscale"
+	"slateridge/internal/controlplane"
+	"slateridge/internal/distribution"
 	"slateridge/internal/duty"
 	"slateridge/internal/gobtest"
-	"slateridge/internal/headworks"
-	"slateridge/internal/penstock"
-	"slateridge/internal/scaling"
+	"slateridge/internal/lease"
+	"slateridge/internal/transport"
 	"slateridge/internal/usage"
-	"slateridge/internal/watermaster"
-	"slateridge/internal/weir"
 )
 
 var write = flag.Bool("write-fixtures", false, "write the list of wire names anew")
@@ -30,15 +30,15 @@
 // messages are all messages between processes, in the order of the fixture.
 func messages() []any {
 	return []any{
-		headworks.Gauge{}, headworks.Prepare{}, headworks.Promise{}, headworks.Nack{}, headworks.Sync{}, headworks.Synced{},
-		headworks.Accept{}, headworks.Accepted{}, headworks.Decide{}, headworks.Pass{}, headworks.Lack{}, headworks.Ack{},
-		headworks.Higher{}, headworks.Retire{}, headworks.Forward{}, headworks.Order{}, headworks.Confirm{}, headworks.Confirmed{},
-		headworks.Read{}, headworks.Answer{}, headworks.Fetch{}, headworks.Fetched{},
-		headworks.Roster{}, headworks.ListNews{}, headworks.ListAsk{},
-		penstock.Tap{}, penstock.News{},
-		duty.Order{}, watermaster.Ask{}, watermaster.Grant{}, watermaster.Release{},
-		usage.Handover{}, usage.Told{}, usage.Heard{}, scaling.Told{}, scaling.Heard{},
-		weir.AskGrants{}, weir.GrantsGiven{},
+		controlplane.Heartbeat{}, controlplane.Prepare{}, controlplane.Promise{}, controlplane.Nack{}, controlplane.Sync{}, controlplane.Synced{},
+		controlplane.Accept{}, controlplane.Accepted{}, controlplane.Decide{}, controlplane.Pass{}, controlplane.Lack{}, controlplane.Ack{},
+		controlplane.Higher{}, controlplane.Retire{}, controlplane.Forward{}, controlplane.EvacuationOrder{}, controlplane.Confirm{}, controlplane.Confirmed{},
+		controlplane.Read{}, controlplane.ReadAnswer{}, controlplane.Fetch{}, controlplane.Fetched{},
+		controlplane.Roster{}, controlplane.ListUpdate{}, controlplane.ListRequest{},
+		distribution.Subscription{}, distribution.Update{},
+		duty.Order{}, lease.Request{}, lease.Grant{}, lease.Release{},
+		usage.Handover{}, usage.Report{}, usage.Ack{}, autoscale.Report{}, autoscale.Ack{},
+		admission.GrantRequest{}, admission.Grants{},
 		accounts.Report{}, accounts.ReportAck{}, accounts.Prepare{}, accounts.Promise{}, accounts.Reject{}, accounts.Replicate{}, accounts.Replicated{},
 	}
 }
@@ -63,13 +63,13 @@
 
 // received is what a process takes from a connection that carries these bytes.
 func received(t *testing.T, carried []byte, count int) []any {
-	l, err := conduit.Listen("127.0.0.1:0")
+	l, err := transport.Listen("127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer l.Close()
 	bodies := make(chan any, count)
-	go conduit.Serve(l, func(_ *conduit.Pipe, body any) any {
+	go transport.Serve(l, func(_ *transport.Conn, body any) any {
 		bodies <- body
 		return nil
 	})
