Accounts: a report that no holder took is tried again after three seconds

Cause: it waited for the next one, 25 s later. Change: the agent notes shards whose holder did not take the latest report, and tries these again every three seconds. Test: the agent's test has a silent holder and one retry; without it, it lacks the report until the next tell.

--- a/internal/accounts/agent.go
+++ b/internal/accounts/agent.go
@@ -8,6 +8,10 @@
 	"slateridge/internal/counter"
 )
 
+// RetryEvery is the time between attempts at a report that was not taken: long enough for
+// a lease to pass on.
+const RetryEvery = 3 * time.Second
+
 // mostQuestions bounds those for one report: a holder that is lost, another machine that
 // is lost with it, one that knows the new holder, and that one.
 const mostQuestions = 4
@@ -31,13 +35,14 @@
 	mu      sync.Mutex
 	holders []string // by shard; empty: not known
 	asked   int      // control machines asked for holders, by turns
+	untold  []bool   // by shard: the latest report was not taken
 }
 
 // NewAgent begins a new life. Journals of lives before it that cannot be read, and a
 // journal of its own that cannot be made, are noted; accounts are kept all the same.
 func NewAgent(options AgentOptions) *Agent {
 	life := counter.LifeID(rand.Uint64() | 1)
-	a := &Agent{options: options, holders: make([]string, options.Objectives.Shards)}
+	a := &Agent{options: options, holders: make([]string, options.Objectives.Shards), untold: make([]bool, options.Objectives.Shards)}
 	directory := options.Objectives.Journal
 	if directory == "" {
 		a.Meter = NewMeter(options.Node, life, options.Objectives, nil, nil)
@@ -62,18 +67,40 @@
 // take as long as the questions do.
 func (a *Agent) Tell() {
 	for shard := range a.options.Objectives.Shards {
-		for _, report := range a.Reports(shard) {
-			a.tell(report)
+		a.tellShard(shard)
+	}
+}
+
+// Retry does the same for the shards whose holders did not take the latest report. It is
+// called every RetryEvery.
+func (a *Agent) Retry() {
+	for shard := range a.options.Objectives.Shards {
+		a.mu.Lock()
+		untold := a.untold[shard]
+		a.mu.Unlock()
+		if untold {
+			a.tellShard(shard)
 		}
 	}
 }
 
-// tell asks the holder known, and then those that answers name, or others by turns.
-func (a *Agent) tell(report Report) {
+func (a *Agent) tellShard(shard int) {
+	told := true
+	for _, report := range a.Reports(shard) {
+		told = a.tell(report) && told
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.untold[shard] = !told
+}
+
+// tell asks the holder known, and then those that answers name, or others by turns; false
+// if none took the report.
+func (a *Agent) tell(report Report) bool {
 	for range mostQuestions {
 		to := a.holder(report.Shard)
 		if to == "" {
-			return
+			return false
 		}
 		ack, err := a.options.Ask(to, report)
 		if err != nil {
@@ -82,17 +109,18 @@
 		}
 		if ack.Refused == "" {
 			a.finish(a.Acknowledge(ack))
-			return
+			return true
 		}
 		if ack.Holder == "" || ack.Holder == to {
 			if ack.Refused != ErrNotHolder.Error() {
 				a.options.Note("account_untold", ack.Refused)
 			}
 			a.setHolder(report.Shard, "")
-			return
+			return false
 		}
 		a.setHolder(report.Shard, ack.Holder)
 	}
+	return false
 }
 
 // holder is whom to ask for a shard: its holder, or any control machine by turns.
--- a/internal/accounts/agent_test.go
+++ b/internal/accounts/agent_test.go
@@ -73,7 +73,13 @@
 	p.silent = "b"
 	second.Tell()
 	p.silent = ""
-	for range 3 {
+	second.Retry() // what the silent holder did not take
+	p.pass(10 * time.Second)
+	second.Retry() // nothing: all was taken
+	if standing, err := p.services["b"].Of(p.now, "known"); err != nil || standing.Account.Taken != 4 {
+		t.Errorf("after the retry: %+v, %v", standing.Account, err)
+	}
+	for range 2 {
 		second.Tell()
 		p.pass(10 * time.Second)
 	}
--- a/internal/proxy/daemon.go
+++ b/internal/proxy/daemon.go
@@ -218,6 +218,7 @@
 	}
 	if d.accountsAgent != nil {
 		group.EveryAfter(rand.N(accounts.TellEvery), accounts.TellEvery, d.accountsAgent.Tell)
+		group.Every(accounts.RetryEvery, d.accountsAgent.Retry)
 	}
 	group.Every(constants.RetireEvery, func() { d.pool.Retire(time.Now()) })
 	group.Every(membership.TickEvery, d.members.Tick)
