Counters: a leader whose lease lapses pauses and goes on under its ballot

Cause: a lease that lapsed for a moment dropped all of the leader's state. The next tick began a new ballot, asked for whole copies and replicated everything anew, which on a slow network or a loaded machine takes longer than the lease lasts until it lapses again. Change: the leader pauses: it proposes, takes and publishes nothing. With the lease back it goes on under its ballot, and publishes once a round that began since has ended; that no round can end if a majority has promised another leader a higher ballot. Prepare and rounds are sent again at growing distances, and parts of a copy are kept meanwhile.

--- a/internal/counter/group.go
+++ b/internal/counter/group.go
@@ -160,12 +160,14 @@
 }
 
 // Leading reports whether this machine leads and a majority has answered it.
-func (g *Group[K, V]) Leading() bool { return g.leader != nil && g.leader.ready }
+func (g *Group[K, V]) Leading() bool {
+	return g.leader != nil && g.leader.ready && !g.leader.paused
+}
 
 // Totals are the sums of what a majority holds, and how old that knowledge is; false
 // unless this machine leads. The cells must not be changed.
 func (g *Group[K, V]) Totals(now time.Duration) (Cells[K, V], time.Duration, bool) {
-	if !g.Leading() || !g.leader.whole {
+	if !g.Leading() || !g.leader.whole || g.leader.unproven {
 		return nil, 0, false
 	}
 	return g.leader.totals, now - g.leader.totalsAt, true
@@ -188,20 +190,26 @@
 }
 
 // Tick advances the group. Leads says that this machine holds the lease, and replicas are
-// all machines that keep a copy.
+// all machines that keep a copy. A leader whose lease lapses pauses, and goes on under its
+// ballot if it holds the lease again before another machine has led.
 func (g *Group[K, V]) Tick(now time.Duration, leads bool, replicas []string) []Send {
+	if g.leader != nil && leads && g.leader.paused {
+		g.resume()
+	}
 	switch {
 	case !leads:
-		g.leader = nil
+		if g.leader != nil {
+			g.leader.pause()
+		}
 	case g.leader == nil || !slices.Equal(g.leader.replicas, replicas):
 		g.campaign(now, replicas)
 	case !g.leader.ready:
-		if now-g.leader.askedAt >= g.options.ResendAfter {
+		if now-g.leader.askedAt >= backoff(g.options.ResendAfter, g.leader.asks) {
 			g.prepare(now)
 		}
 	case g.leader.round != nil:
 		g.resend(now)
-	case now-g.leader.roundAt >= g.options.RoundEvery || !g.leader.whole:
+	case now-g.leader.roundAt >= g.options.RoundEvery || !g.leader.whole || g.leader.unproven:
 		g.begin(now)
 	}
 	return g.flush()
--- a/internal/counter/group_test.go
+++ b/internal/counter/group_test.go
@@ -43,10 +43,11 @@
 	published Cells[string, Count]
 	delivered int
 	onMessage func(message any)
+	turn      time.Duration // between two ticks of a machine
 }
 
 func newSimulation(t *testing.T, label string, seed uint64, size int) *simulation {
-	s := &simulation{Network: simnet.New(seed), t: t, label: label, machines: map[string]*replicaMachine{}, truth: Cells[string, Count]{}, published: Cells[string, Count]{}}
+	s := &simulation{Network: simnet.New(seed), t: t, label: label, machines: map[string]*replicaMachine{}, truth: Cells[string, Count]{}, published: Cells[string, Count]{}, turn: 20 * time.Millisecond}
 	for i := range size {
 		name := fmt.Sprint("control-", i)
 		s.names = append(s.names, name)
@@ -75,7 +76,7 @@
 	if m.life != life {
 		return
 	}
-	s.After(20*time.Millisecond, func() { s.tick(m, life) })
+	s.After(s.turn, func() { s.tick(m, life) })
 	if s.Now >= m.until {
 		s.put(m.name, m.group.Tick(s.Now, s.leader == m.name, s.names))
 		s.observe(m)
--- a/internal/counter/leader.go
+++ b/internal/counter/leader.go
@@ -7,6 +7,9 @@
 	"time"
 )
 
+// mostDoublings bounds the time between two sendings: eight times the first.
+const mostDoublings = 3
+
 // leader is what a machine knows while it leads.
 type leader[K comparable, V Value[V]] struct {
 	ballot     Ballot
@@ -14,7 +17,9 @@
 	assemblies map[string]*assembly[K, V]
 	prepared   map[string]bool
 	askedAt    time.Duration
+	asks       int  // times that replicas were asked to prepare
 	ready      bool // a majority has answered
+	paused     bool // the lease has lapsed: nothing is proposed or published, the ballot stays
 	round      *round[K, V]
 	rounds     uint64
 	roundAt    time.Duration
@@ -26,7 +31,9 @@
 	totals     Cells[K, V]       // of what a majority holds
 	holders    map[K]map[LifeID]struct{}
 	totalsAt   time.Duration
-	whole      bool // totals have been computed
+	whole      bool   // totals have been computed
+	unproven   bool   // another machine may have led in a pause: nothing is published
+	proof      uint64 // the first round whose end shows that none has
 	empty      map[string]emptyReplica
 }
 
@@ -46,6 +53,7 @@
 	base     *Base[K, V]             // goes with the first part
 	acks     map[string]map[int]bool // parts, by replica
 	sentAt   map[string]time.Duration
+	sends    map[string]int // by replica
 }
 
 // holders are the replicas that hold all parts.
@@ -84,6 +92,7 @@
 func (g *Group[K, V]) prepare(now time.Duration) {
 	l := g.leader
 	l.askedAt = now
+	l.asks++
 	if !g.promise(l.ballot) {
 		if l.ballot.Less(g.promised) {
 			g.leader = nil // the next tick campaigns above that ballot
@@ -93,7 +102,9 @@
 	l.prepared[g.machine] = !g.fresh
 	for _, to := range l.replicas {
 		if to != g.machine && !l.prepared[to] {
-			l.assemblies[to] = &assembly[K, V]{parts: map[int]Promise[K, V]{}}
+			if l.assemblies[to] == nil {
+				l.assemblies[to] = &assembly[K, V]{parts: map[int]Promise[K, V]{}}
+			}
 			g.send(to, Prepare{g.group, l.ballot})
 		}
 	}
@@ -110,11 +121,26 @@
 	return count > len(l.replicas)/2
 }
 
+// pause stops proposing and publishing while the machine has no lease. What is known
+// under the ballot stays: a replica that has promised a higher one rejects it.
+func (l *leader[K, V]) pause() { l.paused = true }
+
+// resume goes on under the ballot once the lease is held again. Another machine may have
+// led meanwhile and published more than this one holds. If so, a majority has promised it
+// a higher ballot, and no round that begins now can end.
+func (g *Group[K, V]) resume() {
+	l := g.leader
+	l.paused = false
+	l.unproven, l.proof = true, l.rounds+1
+	g.tryReady()
+	g.tryFinish()
+}
+
 // tryReady begins to lead once a majority has answered. The highest base that any of them
 // holds is proposed anew, as it may have been agreed.
 func (g *Group[K, V]) tryReady() {
 	l := g.leader
-	if l.ready || !l.majority(l.prepared) {
+	if l.ready || l.paused || !l.majority(l.prepared) {
 		return
 	}
 	g.fresh = false // a majority's copies are in this one
@@ -180,7 +206,7 @@
 	clear(l.closing)
 	l.rounds++
 	l.roundAt = now
-	next := &round[K, V]{number: l.rounds, versions: map[LifeID]uint64{}, acks: map[string]map[int]bool{}, sentAt: map[string]time.Duration{}}
+	next := &round[K, V]{number: l.rounds, versions: map[LifeID]uint64{}, acks: map[string]map[int]bool{}, sentAt: map[string]time.Duration{}, sends: map[string]int{}}
 	var deltas []Delta[K, V]
 	for _, id := range g.replica.ids() {
 		life := g.replica.Lives[id]
@@ -230,6 +256,7 @@
 func (g *Group[K, V]) replicateAll(now time.Duration, to string) {
 	l := g.leader
 	l.round.sentAt[to] = now
+	l.round.sends[to]++
 	for part, deltas := range l.round.parts {
 		if !l.round.acks[to][part] {
 			g.replicate(to, part, deltas)
@@ -246,10 +273,16 @@
 	g.send(to, message)
 }
 
+// backoff is the time until a message that was sent so many times is sent again. Sending
+// it sooner would load machines that are slow to answer because of their load.
+func backoff(first time.Duration, sends int) time.Duration {
+	return first << min(max(sends-1, 0), mostDoublings)
+}
+
 func (g *Group[K, V]) resend(now time.Duration) {
 	l := g.leader
 	for _, to := range l.replicas {
-		if now-l.round.sentAt[to] >= g.options.ResendAfter {
+		if now-l.round.sentAt[to] >= backoff(g.options.ResendAfter, l.round.sends[to]) {
 			g.replicateAll(now, to)
 		}
 	}
@@ -289,11 +322,12 @@
 // tryFinish ends the round once a majority holds it.
 func (g *Group[K, V]) tryFinish() {
 	l := g.leader
-	if l.round == nil || !l.majority(l.round.holders()) {
+	if l.round == nil || l.paused || !l.majority(l.round.holders()) {
 		return
 	}
 	finished := l.round
 	l.round = nil
+	l.unproven = l.unproven && finished.number < l.proof
 	maps.Copy(l.durable, finished.versions)
 	l.totalsAt = l.roundAt
 	if finished.base != nil {
