Accounts: a proxy tells a new holder at once, and retries at growing distances

A machine that did not answer was asked, and waited for, once for each of its shards. Retries came each 3 s, also to a holder that pauses for a moment, and also to an overloaded one. Change: a report that was not heard whole is told again from what the holder has, at once; a silent machine is forgotten for all shards; retries after 1 s, then up to 8 s apart. TestAgentRetries and TestAgentForgetsSilentHolder failed before.

--- a/internal/accounts/agent.go
+++ b/internal/accounts/agent.go
@@ -8,9 +8,13 @@
 	"slateridge/internal/counter"
 )
 
-// RetryEvery is the time between attempts at a report that was not taken: long enough for
-// a lease to pass on.
-const RetryEvery = 3 * time.Second
+// RetryEvery is the time until the first new attempt at a report that was not taken: a
+// lease that has lapsed for a moment is held again by then.
+const RetryEvery = time.Second
+
+// mostRetryTurns bounds the time between attempts, in units of RetryEvery: a control plane
+// that is slow because of its load is asked less often.
+const mostRetryTurns = 8
 
 // mostQuestions bounds those for one report: a holder that is lost, another machine that
 // is lost with it, one that knows the new holder, and that one.
@@ -35,14 +39,20 @@
 	mu      sync.Mutex
 	holders []string // by shard; empty: not known
 	asked   int      // control machines asked for holders, by turns
-	untold  []bool   // by shard: the latest report was not taken
+	untold  []untold // by shard
+}
+
+// untold is what is known of reports that were not taken.
+type untold struct {
+	failures int // in a row
+	wait     int // calls of Retry until the next attempt
 }
 
 // NewAgent begins a new life. Journals of lives before it that cannot be read, and a
 // journal of its own that cannot be made, are noted; accounts are kept all the same.
 func NewAgent(options AgentOptions) *Agent {
 	life := counter.LifeID(rand.Uint64() | 1)
-	a := &Agent{options: options, holders: make([]string, options.Objectives.Shards), untold: make([]bool, options.Objectives.Shards)}
+	a := &Agent{options: options, holders: make([]string, options.Objectives.Shards), untold: make([]untold, options.Objectives.Shards)}
 	directory := options.Objectives.Journal
 	if directory == "" {
 		a.Meter = NewMeter(options.Node, life, options.Objectives, nil, nil)
@@ -71,31 +81,53 @@
 	}
 }
 
-// Retry does the same for the shards whose holders did not take the latest report. It is
-// called every RetryEvery.
+// Retry does the same for the shards whose holders did not take the latest report, at
+// growing distances. It is called every RetryEvery.
 func (a *Agent) Retry() {
 	for shard := range a.options.Objectives.Shards {
-		a.mu.Lock()
-		untold := a.untold[shard]
-		a.mu.Unlock()
-		if untold {
+		if a.retryDue(shard) {
 			a.tellShard(shard)
 		}
 	}
 }
 
+// retryDue counts one call of Retry.
+func (a *Agent) retryDue(shard int) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	state := &a.untold[shard]
+	if state.failures == 0 {
+		return false
+	}
+	state.wait--
+	return state.wait <= 0
+}
+
+// tellShard tells all that the shard's holder lacks. A new holder that lacks what its
+// predecessor had heard says so in its answer, and is told from there at once.
 func (a *Agent) tellShard(shard int) {
+	told := a.tellAll(shard) || a.tellAll(shard)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	state := &a.untold[shard]
+	if told {
+		*state = untold{}
+		return
+	}
+	state.failures++
+	state.wait = min(1<<min(state.failures-1, mostRetryTurns), mostRetryTurns)
+}
+
+func (a *Agent) tellAll(shard int) bool {
 	told := true
 	for _, report := range a.Reports(shard) {
 		told = a.tell(report) && told
 	}
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.untold[shard] = !told
+	return told
 }
 
 // tell asks the holder known, and then those that answers name, or others by turns; false
-// if none took the report.
+// if none has heard all of the report.
 func (a *Agent) tell(report Report) bool {
 	for range mostQuestions {
 		to := a.holder(report.Shard)
@@ -104,12 +136,12 @@
 		}
 		ack, err := a.options.Ask(to, report)
 		if err != nil {
-			a.setHolder(report.Shard, "")
+			a.forget(to)
 			continue
 		}
 		if ack.Refused == "" {
 			a.finish(a.Acknowledge(ack))
-			return true
+			return ack.Ack.Heard >= report.To
 		}
 		if ack.Holder == "" || ack.Holder == to {
 			if ack.Refused != ErrNotHolder.Error() {
@@ -143,6 +175,18 @@
 	a.holders[shard] = holder
 }
 
+// forget takes a machine that did not answer for the holder of no shard any more, so that
+// not each shard's report has to wait for it anew.
+func (a *Agent) forget(machine string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for shard, holder := range a.holders {
+		if holder == machine {
+			a.holders[shard] = ""
+		}
+	}
+}
+
 // finish deletes the journals of lives that majorities hold whole.
 func (a *Agent) finish(lives []counter.LifeID) {
 	for _, life := range lives {
--- a/internal/accounts/agent_test.go
+++ b/internal/accounts/agent_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"errors"
+	"fmt"
 	"net/http/httptest"
 	"path/filepath"
 	"strings"
@@ -130,3 +131,91 @@
 		t.Errorf("%+v, %v", standing.Account, err)
 	}
 }
+
+// TestAgentRetries has an agent's holder lapse for a moment, change, and stay away: what
+// was not taken is told again soon, a new holder is told at once what it lacks, and the
+// distance between attempts grows.
+func TestAgentRetries(t *testing.T) {
+	objectives, err := ParseObjectives([]byte(goodFile))
+	if err != nil {
+		t.Fatal(err)
+	}
+	asked := 0
+	heard, refused := uint64(0), ErrNotHolder.Error()
+	ask := func(_ string, report Report) (ReportAck, error) {
+		asked++
+		ack := ReportAck{Shard: report.Shard, Life: report.Life, Refused: refused, Holder: "a"}
+		if refused == "" {
+			if report.From <= heard {
+				heard = max(heard, report.To)
+			}
+			ack.Ack.Term.Counter, ack.Ack.Heard = 1, heard
+		}
+		return ack, nil
+	}
+	agent := NewAgent(AgentOptions{Node: "proxy", Objectives: objectives, Controls: []string{"a"}, Ask: ask, Note: func(string, string) {}})
+	agent.Begin("known")
+	agent.Tell()
+	refused = ""
+	if agent.Retry(); heard != 1 {
+		t.Errorf("after %v, the holder has heard %d", RetryEvery, heard)
+	}
+	agent.Begin("known")
+	agent.Tell()
+	heard = 0 // a new holder, which has nothing
+	agent.Begin("known")
+	ask2 := ask
+	agent.options.Ask = func(to string, report Report) (ReportAck, error) {
+		ack, err := ask2(to, report)
+		ack.Ack.Term.Counter = 2
+		return ack, err
+	}
+	if agent.Tell(); heard != 3 {
+		t.Errorf("a new holder has heard %d of 3 after one report", heard)
+	}
+	agent.Begin("known")
+	refused, asked = ErrNotHolder.Error(), 0
+	for range 100 {
+		agent.Retry()
+	}
+	if asked != 0 {
+		t.Errorf("%d attempts before the next report is due", asked)
+	}
+	agent.Tell()
+	asked = 0
+	for range 100 {
+		agent.Retry()
+	}
+	if asked < 10 || asked > 40 {
+		t.Errorf("%d attempts in 100 turns", asked)
+	}
+}
+
+// TestAgentForgetsSilentHolder has a machine that held all shards not answer any more: it
+// is asked for the first shard, not for each.
+func TestAgentForgetsSilentHolder(t *testing.T) {
+	objectives, err := ParseObjectives([]byte(strings.Replace(goodFile, `"shards":1`, `"shards":16,"defaultClass":"gold"`, 1)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	dead, silent := "a", 0
+	ask := func(to string, report Report) (ReportAck, error) {
+		if to == dead {
+			silent++
+			return ReportAck{}, errors.New("no answer")
+		}
+		ack := ReportAck{Shard: report.Shard, Life: report.Life}
+		ack.Ack.Term.Counter, ack.Ack.Heard = 1, report.To
+		return ack, nil
+	}
+	agent := NewAgent(AgentOptions{Node: "proxy", Objectives: objectives, Controls: []string{"b"}, Ask: ask, Note: func(string, string) {}})
+	for shard := range agent.holders {
+		agent.holders[shard] = "a"
+	}
+	for i := range 200 {
+		agent.Begin(fmt.Sprint("tenant-", i))
+	}
+	if agent.Tell(); silent != 1 {
+		t.Errorf("the silent machine was asked %d times", silent)
+	}
+}
