--- a/cmd/scalerun/accounts.go
+++ b/cmd/scalerun/accounts.go
@@ -6,6 +6,7 @@
 	"io"
 	"math"
 	"math/rand/v2"
+	"os"
 	"runtime"
 	"time"
 
@@ -43,7 +44,7 @@
 // machine, by accounts of proxies.
 func accountSlopes(w io.Writer) {
 	objectives := must(accounts.ParseObjectives([]byte(`{"version":1,"defaultClass":"all","classes":{"all":{"target":0.99,"latency":"250ms","window":"720h"}}}`)))
-	fmt.Fprintln(w, "accounts at a proxy of 250 requests/s: active tenants, bytes/s out, messages/s, microseconds a request, milliseconds a report round, part of a core, heap KB, journal KB")
+	fmt.Fprintln(w, "accounts at a proxy of 250 requests/s with a journal: active tenants, bytes/s out, messages/s, microseconds a request, milliseconds a report round, part of a core, heap KB, journal KB")
 	for _, tenants := range []int{30, 300, 3_000} {
 		accountProxySlope(w, objectives, tenants)
 	}
@@ -59,7 +60,11 @@
 func accountProxySlope(w io.Writer, objectives *accounts.Objectives, tenants int) {
 	rng := rand.New(rand.NewPCG(1, 1))
 	base := heap()
-	meter := accounts.NewMeter("proxy-0001", 7, objectives, nil, nil)
+	directory := must(os.MkdirTemp("", "accounts"))
+	defer os.RemoveAll(directory)
+	journal := must(accounts.CreateJournal(directory, 7, objectives.Shards, func(err error) { panic(err) }))
+	defer journal.Close()
+	meter := accounts.NewMeter("proxy-0001", 7, objectives, journal, nil)
 	term := counter.Ballot{Counter: 1, Machine: "a", Start: 1}
 	connection := &countingWriter{}
 	encoder := gob.NewEncoder(connection)
--- a/internal/accounts/agent.go
+++ b/internal/accounts/agent.go
@@ -59,7 +59,7 @@
 		return a
 	}
 	ended, problems := RecoverJournals(directory)
-	journal, err := CreateJournal(directory, life, options.Objectives.Shards)
+	journal, err := CreateJournal(directory, life, options.Objectives.Shards, func(err error) { options.Note("account_journal", err.Error()) })
 	if err != nil {
 		problems = append(problems, err)
 		a.Meter = NewMeter(options.Node, life, options.Objectives, nil, ended)
--- a/internal/emulator/proxy.go
+++ b/internal/emulator/proxy.go
@@ -53,7 +53,10 @@
 }
 
 // Told implements accounts.Journal.
-func (j *memoryJournal) Told(shard int, version uint64) { j.told[shard] = version }
+func (j *memoryJournal) Told(shard int, version uint64) bool {
+	j.told[shard] = version
+	return true
+}
 
 // NewProxy makes a proxy and starts it.
 func (w *World) NewProxy(name string) *Proxy {
