--- a/cmd/scalerun/main.go
+++ b/cmd/scalerun/main.go
@@ -27,6 +27,7 @@
 	Kill      bool          `help:"Kill one control process and time until the others have mended the view."`
 	Wait      time.Duration `default:"90s" help:"Longest wait for anything."`
 	Slopes    bool          `help:"Instead of a run, what single operations cost at three sizes each."`
+	Accounts  bool          `help:"Give all tenants an objective, and time until their accounts are whole once the made-up requests end."`
 	CatchUp   bool          `help:"Instead of a run, how long a control process that was killed and started again takes to have the newest state, by the number of changes it missed; then the same with an empty disk. Flat: it takes the newest state, whatever came between."`
 	Missed    []int         `default:"1,3,10,30,100,300" help:"With --catch-up: the numbers of changes missed."`
 	Verbose   bool          `help:"Show what the processes write."`
--- a/cmd/scalerun/trial.go
+++ b/cmd/scalerun/trial.go
@@ -42,6 +42,7 @@
 		return nil, err
 	}
 	d := proxy.NewDaemon(set, "", eventlog.New(zerolog.Nop()))
+	d.KeepAccounts(accountObjectives)
 	return d, d.AddHollow(g, group)
 }
 
@@ -52,6 +53,9 @@
 		return err
 	}
 	defer os.RemoveAll(dir)
+	if err := useAccounts(dir); err != nil {
+		return err
+	}
 	platform, err := startPlatform()
 	if err != nil {
 		return err
@@ -74,6 +78,9 @@
 		return err
 	}
 	made, refused := requests.end()
+	if err := awaitAccounts(uint64(made - refused)); err != nil {
+		return err
+	}
 	platform.mu.Lock()
 	defer platform.mu.Unlock()
 	fmt.Printf("  %d made-up requests, %d refused; %d usage reports, %d list pages read\n", made, refused, platform.reports, platform.calls)
--- /dev/null
+++ b/internal/controlplane/accounts.go
@@ -0,0 +1,52 @@
+package controlplane
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+
+	"slateridge/internal/accounts"
+	"slateridge/internal/storage"
+)
+
+// accountsFolder is where a control machine's copy of the accounts stands, in its data
+// directory.
+const accountsFolder = "accounts"
+
+// openAccounts takes up the accounts where tenants have objectives, and gives the duties
+// that their shards are.
+func (d *Daemon) openAccounts() ([]string, error) {
+	objectives, err := accounts.LoadObjectives(os.Getenv(accounts.EnvFile))
+	if err != nil || objectives == nil || d.replica.relay {
+		return nil, err
+	}
+	directory := filepath.Join(d.settings.DataDirectory, accountsFolder)
+	if err := os.MkdirAll(directory, 0o700); err != nil {
+		return nil, fmt.Errorf("accounts: %w", err)
+	}
+	store, isNew, err := storage.Open(directory)
+	if err != nil {
+		return nil, fmt.Errorf("accounts in %s: %w", directory, err)
+	}
+	founding := isNew && (d.settings.Bootstrap || objectives.Founding)
+	holder := accounts.NewHolder(d.settings.IPAddress, objectives, accounts.DefaultOptions, store, founding, rand.Uint64()|1, d.events.Record)
+	d.accounts = accounts.NewService(holder, accounts.ServiceOptions{Machine: d.settings.IPAddress, Leads: d.leadsAccounts,
+		HolderOf: d.accountsHolder, Replicas: d.replica.controls, Send: d.connections.send, Now: d.now})
+	var duties []string
+	for shard := range objectives.Shards {
+		duties = append(duties, accounts.DutyName(shard))
+	}
+	return duties, nil
+}
+
+// leadsAccounts reports whether this machine holds a shard's lease.
+func (d *Daemon) leadsAccounts(shard int) bool {
+	until, _ := d.leases.term(accounts.DutyName(shard))
+	return until > d.now()
+}
+
+// accountsHolder is the machine that holds a shard's lease, as far as is known here.
+func (d *Daemon) accountsHolder(shard int) string {
+	return d.leases.holder(accounts.DutyName(shard))
+}
--- a/internal/controlplane/admin.go
+++ b/internal/controlplane/admin.go
@@ -10,6 +10,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"slateridge/internal/accounts"
 	"slateridge/internal/adminhttp"
 	"slateridge/internal/constants"
 	"slateridge/internal/controlplane/chain"
@@ -47,6 +48,8 @@
 	Members   []membership.Fact
 	Events    []eventlog.Event
 	Tallies   []eventlog.Tally
+
+	accounts *accounts.Service // for metrics; nil where tenants have no objectives
 }
 
 // adminAPI is the admin interface of a control machine: the report, and the operator's
@@ -55,6 +58,9 @@
 	m := http.NewServeMux()
 	m.Handle("/", adminhttp.Handler(d.Report))
 	m.HandleFunc("POST /retire", d.retire)
+	if d.accounts != nil {
+		m.Handle("GET /accounts", d.accounts)
+	}
 	return m
 }
 
@@ -92,7 +98,7 @@
 // Report describes this machine for operators.
 func (d *Daemon) Report() Report {
 	f := d.pushes.snapshot()
-	r := Report{Role: "control", Node: d.settings.NodeName, Chain: d.replica.status(), Current: f.Current,
+	r := Report{accounts: d.accounts, Role: "control", Node: d.settings.NodeName, Chain: d.replica.status(), Current: f.Current,
 		ListNum: f.ListNum, ListAge: f.ListAge, Live: f.Proxies, Proxies: d.pushes.publisher.Proxies(), Leased: d.quotaTracker.Held(d.now()),
 		Members: d.members.Members(), Evacuated: f.Evacuated, Events: d.events.Latest(20), Tallies: d.events.Tallies()}
 	r.Contact = d.replica.contactAge()
@@ -170,6 +176,9 @@
 	}
 	metrics.WriteCounterUint64(w, "slateridge_pushes_total", r.Pushes)
 	metrics.WriteCounterUint64(w, "slateridge_lease_messages_dropped_total", r.Dropped+r.Chain.Dropped)
+	if r.accounts != nil {
+		r.accounts.WriteMetrics(w)
+	}
 	adminhttp.WriteCommon(w, r.Members, r.Tallies)
 }
 
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -14,6 +14,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"slateridge/internal/accounts"
 	"slateridge/internal/admission"
 	"slateridge/internal/config"
 	"slateridge/internal/constants"
@@ -30,6 +31,7 @@
 	limiter     *admission.Limiter
 	meter       *usage.Meter // nil where usage is not reported
 	window      func(at time.Time) uint64
+	accounts    *accounts.Meter // nil where tenants have no objectives
 	retryBudget *RetryBudget
 	askFor      func(key string) // one question to a key's tracker, answered or not
 	leaving     atomic.Bool
@@ -115,6 +117,9 @@
 	p := &exchange{proxy: s, request: r, arrived: arrived, config: cfg, route: route, tenant: tenant, priority: route.Priority,
 		deadline: arrived.Add(min(budget(r), route.Timeout)), usageRun: &usage.Run{}}
 	if tenant != nil {
+		if p.account = s.accounts.Begin(tenant.Name); p.account != nil {
+			defer p.settleUnanswered()
+		}
 		if tenant.HasPriority {
 			p.priority = tenant.Priority
 		}
@@ -140,6 +145,7 @@
 	}
 	if code := p.readBody(w); code != 0 {
 		settle()
+		p.account.Failure(accounts.Refused)
 		s.refuse(w, r, code, 0)
 		return
 	}
@@ -176,6 +182,7 @@
 	}
 	if !v.OK {
 		s.counts[countOverQuota].Add(1)
+		p.account.Failure(accounts.Refused)
 		s.refuse(w, p.request, http.StatusTooManyRequests, v.Retry)
 		return false
 	}
@@ -259,14 +266,18 @@
 			return
 		}
 		s.counts[map[int]int{http.StatusNotFound: countNoRoute, http.StatusUnauthorized: countKeyUnknown}[code]].Add(1)
+		p.account.Failure(accounts.Refused)
 		s.refuse(w, r, code, 0)
 		return
 	}
 	if res.deliverable() && !(res.notRun && res.resp.StatusCode >= 500) {
+		began := time.Since(p.arrived) // a stream is in time if its first piece is
 		s.relay(w, r, res)
+		p.settleAnswered(res, began)
 		return
 	}
 	res.release()
+	p.settleFailed()
 	switch {
 	case p.runs == 0 && p.sends == 0 || p.runs == 0 && res.notRun:
 		// Nothing ran, and nothing will: the promise can be given.
--- a/internal/usage/meter.go
+++ b/internal/usage/meter.go
@@ -1,7 +1,6 @@
 package usage
 
 import (
-	"maps"
 	"sync"
 
 	"slateridge/internal/constants"
@@ -118,7 +117,7 @@
 	m.seq++
 	t := Report{Proxy: proxy, Life: m.incarnation, Term: m.term, Windows: map[uint64]Counts{}, Seq: m.seq, Running: map[uint64]Counts{}}
 	for w, c := range m.running {
-		t.Running[w] = maps.Clone(c)
+		t.Running[w] = c.Clone()
 	}
 	if now > 0 {
 		t.Closed = now - 1
--- a/internal/usage/tally.go
+++ b/internal/usage/tally.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"maps"
 	"sync"
 	"time"
 
@@ -100,9 +99,7 @@
 		if r.windows[w] == nil {
 			r.windows[w] = Counts{}
 		}
-		for tenant, n := range counts {
-			r.windows[w][tenant] = max(r.windows[w][tenant], n)
-		}
+		r.windows[w].Join(counts)
 	}
 	if m.Seq <= r.seq {
 		return
@@ -110,7 +107,7 @@
 	r.seq, r.running = m.Seq, map[uint64]Counts{}
 	for w, counts := range m.Running {
 		if w > settled {
-			r.running[w] = maps.Clone(counts)
+			r.running[w] = counts.Clone()
 		}
 	}
 }
@@ -161,10 +158,10 @@
 		}
 		m := Report{Proxy: r.proxy, Life: id, Windows: map[uint64]Counts{}, Seq: r.seq, Running: map[uint64]Counts{}}
 		for w, c := range r.running {
-			m.Running[w] = maps.Clone(c)
+			m.Running[w] = c.Clone()
 		}
 		for w, c := range r.windows {
-			m.Windows[w] = maps.Clone(c)
+			m.Windows[w] = c.Clone()
 		}
 		out = append(out, m)
 	}
@@ -224,11 +221,8 @@
 	defer t.mu.Unlock()
 	out := Counts{}
 	for _, r := range t.reporters {
-		for _, c := range []Counts{r.windows[w], r.running[w]} {
-			for tenant, n := range c {
-				out[tenant] += n
-			}
-		}
+		out.Plus(r.windows[w])
+		out.Plus(r.running[w])
 	}
 	return out
 }
