--- a/internal/accounts/agent.go
+++ b/internal/accounts/agent.go
@@ -106,7 +106,10 @@
 // tellShard tells all that the shard's holder lacks. A new holder that lacks what its
 // predecessor had heard says so in its answer, and is told from there at once.
 func (a *Agent) tellShard(shard int) {
-	told := a.tellAll(shard) || a.tellAll(shard)
+	told := a.tellAll(shard)
+	if !told {
+		told = a.tellAll(shard)
+	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	state := &a.untold[shard]
