Counters: a ballot learned from a rejection is kept on disk

Cause: a leader that was rejected noted the higher ballot in memory only. The Prepare under that ballot which came next found it noted already, and was answered without a write. Had the process been killed before its next write, it would have accepted a lower ballot: two leaders could both have had a majority, and a total could have fallen. Change: the ballot is written as it is noted. TestPromiseAfterRejectLasts failed before.

--- a/internal/counter/leader.go
+++ b/internal/counter/leader.go
@@ -434,8 +434,6 @@
 	if g.leader == nil || !g.leader.ballot.Less(m.Promised) {
 		return
 	}
-	g.leader = nil // the next tick campaigns above the ballot, if the lease still holds
-	if g.promised.Less(m.Promised) {
-		g.promised = m.Promised
-	}
+	g.leader = nil        // the next tick campaigns above the ballot, if the lease still holds
+	g.promise(m.Promised) // on the disk too: a Prepare under this ballot is answered without another write
 }
--- a/internal/counter/resume_test.go
+++ b/internal/counter/resume_test.go
@@ -145,3 +145,25 @@
 		}
 	}
 }
+
+// TestPromiseAfterRejectLasts has a leader learn of a higher ballot by a rejection, and then
+// promise that ballot to its leader. The promise outlasts the process.
+func TestPromiseAfterRejectLasts(t *testing.T) {
+	store := mapStore{}
+	group := NewGroup[string, Count](0, "a", testOptions, store, true, 1)
+	group.Tick(0, true, []string{"a", "b", "c"})
+	higher := Ballot{Counter: 4, Machine: "b", Start: 2}
+	group.Receive("c", Reject{Promised: higher})
+	out := group.Receive("b", Prepare{Ballot: higher})
+	if len(out) != 1 {
+		t.Fatalf("the answer to the higher ballot is %+v", out)
+	}
+	again := NewGroup[string, Count](0, "a", testOptions, store, false, 3)
+	out = again.Receive("c", Prepare{Ballot: Ballot{Counter: 3, Machine: "c", Start: 1}})
+	if len(out) != 1 {
+		t.Fatalf("the answer to the lower ballot is %+v", out)
+	}
+	if reject, ok := out[0].Message.(Reject); !ok || reject.Promised != higher {
+		t.Errorf("after a restart a lower ballot is answered with %+v", out[0].Message)
+	}
+}
