--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -132,29 +132,34 @@
 		s.meter.Begin(w)
 		defer s.meter.End(w)
 	}
-	settle := func() {
-		if tenant != nil {
-			s.limiter.Settle(s.now(), tenant.Name, p.runs)
-			if s.meter != nil {
-				s.meter.Over(p.usageRun)
-			}
-			if s.meter != nil && p.runs > 0 && !p.route.Stream { // streams count with their first piece
-				s.meter.Count(s.window(p.ranAt), tenant.Name)
-			}
-		}
-	}
 	if code := p.readBody(w); code != 0 {
-		settle()
+		p.settleCost()
 		p.account.Failure(accounts.Refused)
 		s.refuse(w, r, code, 0)
 		return
 	}
 	defer p.unwatch()
 	res, code := p.forward()
-	settle()
+	p.settleCost()
 	s.reply(w, p, res, code)
 }
 
+// settleCost debits the tenant's quota by what the request has cost, and counts its usage.
+func (p *exchange) settleCost() {
+	if p.tenant == nil {
+		return
+	}
+	p.proxy.limiter.Settle(p.proxy.now(), p.tenant.Name, p.runs)
+	meter := p.proxy.meter
+	if meter == nil {
+		return
+	}
+	meter.Over(p.usageRun)
+	if p.runs > 0 && !p.route.Stream { // streams count with their first piece
+		meter.Count(p.proxy.window(p.ranAt), p.tenant.Name)
+	}
+}
+
 // tooLarge is the status that refuses a request over the client bounds, or 0.
 func tooLarge(cfg *config.Config, r *http.Request) int {
 	if cfg.Limits.BodyBytes > 0 && r.ContentLength > cfg.Limits.BodyBytes {
