--- a/cmd/scalerun/slopes.go
+++ b/cmd/scalerun/slopes.go
@@ -187,6 +187,7 @@
 		fmt.Fprintf(w, "  %d, %.2f, %.1f\n", n, (heap()-base)/1e6, float64(took.Nanoseconds())/1e3)
 		runtime.KeepAlive(d)
 	}
+	accountSlopes(w)
 }
 
 func must[T any](v T, err error) T {
--- /dev/null
+++ b/internal/accounts/agent.go
@@ -0,0 +1,217 @@
+package accounts
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"slateridge/internal/counter"
+)
+
+// RetryEvery is the time until the first new attempt at a report that was not taken: a
+// lease that has lapsed for a moment is held again by then.
+const RetryEvery = time.Second
+
+// mostRetryTurns bounds the time between attempts, in units of RetryEvery: a control plane
+// that is slow because of its load is asked less often.
+const mostRetryTurns = 8
+
+// mostQuestions bounds those for one report: a holder that is lost, another machine that
+// is lost with it, one that knows the new holder, and that one.
+const mostQuestions = 4
+
+// AgentOptions are what an agent needs of the proxy's process.
+type AgentOptions struct {
+	Node       string
+	Objectives *Objectives
+	Controls   []string                                          // control machines to ask first
+	Ask        func(to string, report Report) (ReportAck, error) // one question, answered or not
+	Note       func(kind, about string)
+}
+
+// Agent is a proxy's part in the accounts: the meter of its process, with its journal, and
+// the reports to the holders of the shards.
+type Agent struct {
+	*Meter
+	options AgentOptions
+	journal *FileJournal
+
+	mu      sync.Mutex
+	holders []string // by shard; empty: not known
+	asked   int      // control machines asked for holders, by turns
+	untold  []untold // by shard
+}
+
+// untold is what is known of reports that were not taken.
+type untold struct {
+	failures int // in a row
+	wait     int // calls of Retry until the next attempt
+}
+
+// NewAgent begins a new life. Journals of lives before it that cannot be read, and a
+// journal of its own that cannot be made, are noted; accounts are kept all the same.
+func NewAgent(options AgentOptions) *Agent {
+	life := counter.LifeID(rand.Uint64() | 1)
+	a := &Agent{options: options, holders: make([]string, options.Objectives.Shards), untold: make([]untold, options.Objectives.Shards)}
+	directory := options.Objectives.Journal
+	if directory == "" {
+		a.Meter = NewMeter(options.Node, life, options.Objectives, nil, nil)
+		return a
+	}
+	ended, problems := RecoverJournals(directory)
+	journal, err := CreateJournal(directory, life, options.Objectives.Shards, func(err error) { options.Note("account_journal", err.Error()) })
+	if err != nil {
+		problems = append(problems, err)
+		a.Meter = NewMeter(options.Node, life, options.Objectives, nil, ended)
+	} else {
+		a.journal = journal
+		a.Meter = NewMeter(options.Node, life, options.Objectives, journal, ended)
+	}
+	for _, problem := range problems {
+		options.Note("account_journal", problem.Error())
+	}
+	return a
+}
+
+// Tell brings every shard's holder what it lacks. It is called every TellEvery, and may
+// take as long as the questions do.
+func (a *Agent) Tell() {
+	for shard := range a.options.Objectives.Shards {
+		a.tellShard(shard)
+	}
+}
+
+// Retry does the same for the shards whose holders did not take the latest report, at
+// growing distances. It is called every RetryEvery.
+func (a *Agent) Retry() {
+	for shard := range a.options.Objectives.Shards {
+		if a.retryDue(shard) {
+			a.tellShard(shard)
+		}
+	}
+}
+
+// retryDue counts one call of Retry.
+func (a *Agent) retryDue(shard int) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	state := &a.untold[shard]
+	if state.failures == 0 {
+		return false
+	}
+	state.wait--
+	return state.wait <= 0
+}
+
+// tellShard tells all that the shard's holder lacks. A new holder that lacks what its
+// predecessor had heard says so in its answer, and is told from there at once.
+func (a *Agent) tellShard(shard int) {
+	told := a.tellAll(shard)
+	if !told {
+		told = a.tellAll(shard)
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	state := &a.untold[shard]
+	if told {
+		*state = untold{}
+		return
+	}
+	state.failures++
+	state.wait = min(1<<min(state.failures-1, mostRetryTurns), mostRetryTurns)
+}
+
+func (a *Agent) tellAll(shard int) bool {
+	told := true
+	for _, report := range a.Reports(shard) {
+		told = a.tell(report) && told
+	}
+	return told
+}
+
+// tell asks the holder known, and then those that answers name, or others by turns; false
+// if none has heard all of the report.
+func (a *Agent) tell(report Report) bool {
+	for range mostQuestions {
+		to := a.holder(report.Shard)
+		if to == "" {
+			return false
+		}
+		ack, err := a.options.Ask(to, report)
+		if err != nil {
+			a.forget(to)
+			continue
+		}
+		if ack.Refused == "" {
+			a.finish(a.Acknowledge(ack))
+			return ack.Ack.Heard >= report.To
+		}
+		if ack.Holder == "" || ack.Holder == to {
+			if ack.Refused != ErrNotHolder.Error() {
+				a.options.Note("account_untold", ack.Refused)
+			}
+			a.setHolder(report.Shard, "")
+			return false
+		}
+		a.setHolder(report.Shard, ack.Holder)
+	}
+	return false
+}
+
+// holder is whom to ask for a shard: its holder, or any control machine by turns.
+func (a *Agent) holder(shard int) string {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.holders[shard] != "" {
+		return a.holders[shard]
+	}
+	if len(a.options.Controls) == 0 {
+		return ""
+	}
+	a.asked++
+	return a.options.Controls[a.asked%len(a.options.Controls)]
+}
+
+func (a *Agent) setHolder(shard int, holder string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.holders[shard] = holder
+}
+
+// forget takes a machine that did not answer for the holder of no shard any more, so that
+// not each shard's report has to wait for it anew.
+func (a *Agent) forget(machine string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for shard, holder := range a.holders {
+		if holder == machine {
+			a.holders[shard] = ""
+		}
+	}
+}
+
+// finish deletes the journals of lives that majorities hold whole.
+func (a *Agent) finish(lives []counter.LifeID) {
+	for _, life := range lives {
+		if err := RemoveJournal(a.options.Objectives.Journal, life); err != nil {
+			a.options.Note("account_journal", err.Error())
+		}
+	}
+}
+
+// Leave tells what has come since the latest report, before the process ends in order.
+// Without a journal it also closes the life, as no successor can.
+func (a *Agent) Leave(patience time.Duration) {
+	if a.journal == nil {
+		a.Close()
+	}
+	done := make(chan struct{})
+	go func() {
+		a.Tell()
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-time.After(patience):
+	}
+}
--- /dev/null
+++ b/internal/accounts/journal.go
@@ -0,0 +1,218 @@
+package accounts
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"syscall"
+
+	"slateridge/internal/counter"
+)
+
+// Layout of a journal file, in bytes. What a process has written there outlasts its end in
+// the page cache, though not the loss of the machine: nothing is synced.
+const (
+	journalMagic   = "SLTACC01"
+	headerSize     = 4096
+	lifeOffset     = 8
+	shardsOffset   = 16
+	toldOffset     = 1024 // versions told, by shard
+	recordSize     = 512
+	nameOffset     = 2 // after the length of the name
+	countersOffset = 264
+	countersSize   = 8 * (1 + int(outcomeCount) + 1)
+)
+
+const (
+	journalPattern = "accounts-*.journal"
+	garbledSuffix  = ".garbled"
+)
+
+// FileJournal is the journal of the running process. Each change is one positioned write
+// of the part that changed. A tenant's record is valid once its whole has been written:
+// it is one write, and a file that ends within a record ends before it.
+type FileJournal struct {
+	file    positionedFile
+	records map[string]int // offsets by tenant
+	used    int
+	scratch [recordSize]byte // of the write under way
+	failed  bool
+	note    func(error) // told of the first of writes that fail in a row
+}
+
+// positionedFile is what a journal needs of its file.
+type positionedFile interface {
+	io.WriterAt
+	io.Closer
+}
+
+// CreateJournal makes the journal of a new life in a directory. Note is told of writes
+// that fail.
+func CreateJournal(directory string, life counter.LifeID, shards int, note func(error)) (*FileJournal, error) {
+	if shards > mostShards {
+		return nil, fmt.Errorf("journal: %d shards, at most %d", shards, mostShards)
+	}
+	file, err := os.OpenFile(journalPath(directory, life), os.O_RDWR|os.O_CREATE|os.O_EXCL, 0o600)
+	if err != nil {
+		return nil, fmt.Errorf("journal: %w", err)
+	}
+	header := make([]byte, headerSize)
+	copy(header, journalMagic)
+	binary.LittleEndian.PutUint64(header[lifeOffset:], uint64(life))
+	binary.LittleEndian.PutUint64(header[shardsOffset:], uint64(shards))
+	err = lock(file)
+	if err == nil {
+		_, err = file.WriteAt(header, 0)
+	}
+	if err != nil {
+		return nil, errors.Join(fmt.Errorf("journal: %w", err), file.Close(), os.Remove(file.Name()))
+	}
+	return &FileJournal{file: file, records: map[string]int{}, note: note}, nil
+}
+
+func journalPath(directory string, life counter.LifeID) string {
+	return filepath.Join(directory, fmt.Sprintf("accounts-%016x.journal", uint64(life)))
+}
+
+// lock marks a file as one that a process is writing; it ends with the process.
+func lock(file *os.File) error {
+	return syscall.Flock(int(file.Fd()), syscall.LOCK_EX|syscall.LOCK_NB)
+}
+
+// Record implements Journal: one write of the tenant's counters, or of its whole record
+// the first time. A change that could not be written is in the record's next write, as all
+// counters are cumulative.
+func (j *FileJournal) Record(tenant string, a *Account) {
+	offset, known := j.records[tenant]
+	if known {
+		j.write(appendCounters(j.scratch[:0], a), offset+countersOffset)
+		return
+	}
+	record := j.scratch[:]
+	clear(record)
+	binary.LittleEndian.PutUint16(record, uint16(len(tenant)))
+	copy(record[nameOffset:countersOffset], tenant)
+	appendCounters(record[countersOffset:countersOffset], a)
+	offset = headerSize + j.used*recordSize
+	if j.write(record, offset) {
+		j.records[tenant] = offset
+		j.used++
+	}
+}
+
+// appendCounters gives an account's counters as they stand in a record.
+func appendCounters(out []byte, a *Account) []byte {
+	out = binary.LittleEndian.AppendUint64(out, a.Taken)
+	for _, n := range a.Settled {
+		out = binary.LittleEndian.AppendUint64(out, n)
+	}
+	return binary.LittleEndian.AppendUint64(out, a.Doubled)
+}
+
+// write writes at an offset; false if that failed.
+func (j *FileJournal) write(content []byte, offset int) bool {
+	_, err := j.file.WriteAt(content, int64(offset))
+	if err != nil && !j.failed {
+		j.note(fmt.Errorf("journal: %w", err))
+	}
+	j.failed = err != nil
+	return err == nil
+}
+
+// Told implements Journal.
+func (j *FileJournal) Told(shard int, version uint64) bool {
+	return j.write(binary.LittleEndian.AppendUint64(j.scratch[:0], version), toldOffset+8*shard)
+}
+
+// Close ends the use of the journal; the file stays for the next process.
+func (j *FileJournal) Close() error { return j.file.Close() }
+
+// RecoverJournals reads what ended processes have left in a directory. Files of running
+// processes are passed over. A garbled file is set aside under another name and reported;
+// it does not keep the others from being read.
+func RecoverJournals(directory string) (ended []EndedLife, problems []error) {
+	paths, err := filepath.Glob(filepath.Join(directory, journalPattern))
+	if err != nil {
+		return nil, []error{err}
+	}
+	for _, path := range paths {
+		life, running, err := recoverJournal(path)
+		switch {
+		case running:
+		case err != nil:
+			problems = append(problems, errors.Join(fmt.Errorf("journal %s: %w", path, err), os.Rename(path, path+garbledSuffix)))
+		default:
+			ended = append(ended, life)
+		}
+	}
+	return ended, problems
+}
+
+func recoverJournal(path string) (life EndedLife, running bool, err error) {
+	file, err := os.Open(path)
+	if err != nil {
+		return EndedLife{}, false, err
+	}
+	defer file.Close()
+	if lock(file) != nil {
+		return EndedLife{}, true, nil
+	}
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return EndedLife{}, false, err
+	}
+	life, err = parseJournal(raw)
+	return life, false, err
+}
+
+// parseJournal reads and checks the content of a journal file.
+func parseJournal(raw []byte) (EndedLife, error) {
+	if len(raw) < headerSize || string(raw[:len(journalMagic)]) != journalMagic {
+		return EndedLife{}, ErrFormat
+	}
+	life := EndedLife{Life: counter.LifeID(binary.LittleEndian.Uint64(raw[lifeOffset:])), Accounts: map[string]Account{}}
+	shards := binary.LittleEndian.Uint64(raw[shardsOffset:])
+	if life.Life == 0 || shards == 0 || shards > mostShards {
+		return EndedLife{}, ErrGarbled
+	}
+	for shard := range int(shards) {
+		life.Told = append(life.Told, binary.LittleEndian.Uint64(raw[toldOffset+8*shard:]))
+	}
+	for record := raw[headerSize:]; len(record) >= recordSize; record = record[recordSize:] {
+		length := int(binary.LittleEndian.Uint16(record))
+		if length == 0 {
+			break
+		}
+		if length > nameMax {
+			return EndedLife{}, ErrGarbled
+		}
+		account, err := parseCounters(record[countersOffset:])
+		if err != nil {
+			return EndedLife{}, err
+		}
+		life.Accounts[string(record[nameOffset:nameOffset+length])] = account
+	}
+	return life, nil
+}
+
+func parseCounters(raw []byte) (Account, error) {
+	a := Account{Taken: binary.LittleEndian.Uint64(raw)}
+	settled := uint64(0)
+	for i := range a.Settled {
+		a.Settled[i] = binary.LittleEndian.Uint64(raw[8*(i+1):])
+		settled += min(a.Settled[i], countMax+1)
+	}
+	a.Doubled = binary.LittleEndian.Uint64(raw[8*(len(a.Settled)+1):])
+	if a.Taken > countMax || settled > a.Taken || a.Doubled > a.Taken {
+		return Account{}, ErrGarbled
+	}
+	return a, nil
+}
+
+// RemoveJournal deletes the journal of a life of which a majority holds everything.
+func RemoveJournal(directory string, life counter.LifeID) error {
+	return os.Remove(journalPath(directory, life))
+}
--- a/internal/controlplane/daemon.go
+++ b/internal/controlplane/daemon.go
@@ -13,6 +13,7 @@
 
 	"github.com/oklog/run"
 
+	"slateridge/internal/accounts"
 	"slateridge/internal/admission"
 	"slateridge/internal/autoscale"
 	"slateridge/internal/clock"
@@ -61,6 +62,8 @@
 	scaler    *autoscale.Controller
 	zonesOfMu sync.Mutex
 	zonesOf   map[autoscale.Subject]int // slots of an upstream, where any was seen; under zonesOfMu
+
+	accounts *accounts.Service // nil where tenants have no objectives
 }
 
 // NewDaemon opens the store and builds the machines.
@@ -105,7 +108,11 @@
 		broadcast: func(m any) { d.connections.sendAll(d.replica.peers(), m) },
 		publish:   d.publish,
 	}
-	duties := d.buildDuties()
+	accountDuties, err := d.openAccounts()
+	if err != nil {
+		return nil, err
+	}
+	duties := append(d.buildDuties(), accountDuties...)
 	d.leases = newLeases(lease.New(0, rng.Uint64(), set.IPAddress, duties), d.now, d.connections.send, events)
 	d.replica.leases = d.leases
 	d.buildPushes()
@@ -300,6 +307,9 @@
 		d.leases.tick()
 		d.publish()
 	})
+	if d.accounts != nil {
+		group.Every(accounts.TickEvery, d.accounts.Step)
+	}
 	if len(d.dutyRunners) > 0 {
 		group.Every(constants.DutyTick, d.stepDuties)
 		if d.settings.HasDuty(settings.DutyUsage) {
@@ -326,6 +336,11 @@
 
 // onMessage takes what other processes send.
 func (d *Daemon) onMessage(conn *transport.Conn, body any) any {
+	if d.accounts != nil {
+		if answer, mine := d.accounts.Message(conn.Remote, body); mine {
+			return answer
+		}
+	}
 	switch m := body.(type) {
 	case transport.Incompatible:
 		d.events.Record("protocol_incompatible", m.String())
--- /dev/null
+++ b/internal/counter/group.go
@@ -0,0 +1,324 @@
+package counter
+
+import (
+	"errors"
+	"slices"
+	"strconv"
+	"time"
+)
+
+// Store keeps values on the machine's disk; Put returns once the value will last.
+type Store interface {
+	Get(key string, value any) bool
+	Put(key string, value any) error
+}
+
+// Options are the times and sizes of a group.
+type Options struct {
+	RoundEvery  time.Duration // between two rounds of replication
+	ResendAfter time.Duration // an answer that has not come by then is asked for again
+	FoldEvery   time.Duration // between two proposals of a base
+	FoldAtMost  int           // lives folded at once
+	CellsAtOnce int           // cells in one message
+	SavesAtOnce int           // rounds kept on disk by themselves before the whole is written
+}
+
+// Group is one machine's part in keeping a group of counters: a replica on its disk and,
+// while the machine is the leader, the rounds that bring deltas to a majority of replicas.
+// It has no clock, network or lease of its own and is not safe for concurrent use.
+type Group[K comparable, V Value[V]] struct {
+	group    int
+	machine  string
+	options  Options
+	store    Store
+	replica  *Replica[K, V]
+	promised Ballot
+	saves    int
+	copies   uint64 // sent so far
+	start    uint64 // number of this process's start
+	fresh    bool   // the disk has no copy: this replica promises nothing until it was given one
+	copying  copying
+	failed   error // the disk's; nothing is promised or answered until it is mended
+	leader   *leader[K, V]
+	out      []Send
+
+	Refused uint64 // deltas that were garbled or went beyond a final version
+}
+
+// copying notes which parts of a copy have come.
+type copying struct {
+	ballot Ballot
+	round  uint64
+	parts  map[int]bool
+}
+
+// add notes a part; true once all are there.
+func (c *copying) add(ballot Ballot, round uint64, part, parts int) bool {
+	if c.parts == nil || c.ballot != ballot || c.round != round {
+		*c = copying{ballot, round, map[int]bool{}}
+	}
+	c.parts[part] = true
+	return len(c.parts) == parts
+}
+
+// saved is the whole of a replica on disk.
+type saved[K comparable, V Value[V]] struct {
+	Promised Ballot
+	Base     Base[K, V]
+	Proposed Base[K, V]
+	Deltas   []Delta[K, V]
+}
+
+// savedRound is what has come since the whole was written.
+type savedRound[K comparable, V Value[V]] struct {
+	Promised Ballot
+	Deltas   []Delta[K, V]
+}
+
+// NewGroup takes up what the machine's disk holds of a group. Founding says that the
+// deployment starts for the first time; else an empty disk has lost what it held. Start
+// is a number that no other start of the process has, and not zero.
+func NewGroup[K comparable, V Value[V]](group int, machine string, options Options, store Store, founding bool, start uint64) *Group[K, V] {
+	g := &Group[K, V]{group: group, machine: machine, options: options, store: store, replica: NewReplica[K, V](), start: start, fresh: true}
+	g.load()
+	if g.fresh && founding {
+		g.fresh = false
+		g.saveWhole()
+	}
+	return g
+}
+
+func (g *Group[K, V]) wholeKey() string { return "counters-" + strconv.Itoa(g.group) }
+
+func (g *Group[K, V]) roundKey(i int) string { return g.wholeKey() + "-" + strconv.Itoa(i) }
+
+// load merges the whole and the rounds after it. Rounds before it may still stand there;
+// merging them changes nothing.
+func (g *Group[K, V]) load() {
+	var whole saved[K, V]
+	if g.store.Get(g.wholeKey(), &whole) {
+		g.fresh, g.promised = false, whole.Promised
+		g.replica.Base, g.replica.Proposed = whole.Base, whole.Proposed
+		g.mergeAll(whole.Deltas)
+	}
+	for i := 0; i < g.options.SavesAtOnce && !g.fresh; i++ {
+		var next savedRound[K, V]
+		if g.store.Get(g.roundKey(i), &next) {
+			if g.promised.Less(next.Promised) {
+				g.promised = next.Promised
+			}
+			g.mergeAll(next.Deltas)
+		}
+	}
+	g.saves = g.options.SavesAtOnce // the rounds are needed until the whole has been written
+}
+
+func (g *Group[K, V]) mergeAll(deltas []Delta[K, V]) {
+	for _, delta := range deltas {
+		if err := g.replica.Merge(delta); err != nil && !errors.Is(err, ErrAfterClose) {
+			g.Refused++
+		}
+	}
+}
+
+// save makes deltas last; true if they do.
+func (g *Group[K, V]) save(deltas []Delta[K, V]) bool {
+	if g.fresh || g.failed != nil || g.saves == g.options.SavesAtOnce {
+		return g.saveWhole()
+	}
+	g.failed = g.store.Put(g.roundKey(g.saves), savedRound[K, V]{g.promised, deltas})
+	if g.failed == nil {
+		g.saves++
+	}
+	return g.failed == nil
+}
+
+// saveWhole writes the whole copy; a replica without one has nothing to write.
+func (g *Group[K, V]) saveWhole() bool {
+	if g.fresh {
+		return true
+	}
+	whole := saved[K, V]{Promised: g.promised, Base: g.replica.Base, Proposed: g.replica.Proposed}
+	for id, life := range g.replica.Lives {
+		whole.Deltas = append(whole.Deltas, life.since(id, 0))
+	}
+	if g.failed = g.store.Put(g.wholeKey(), whole); g.failed != nil {
+		return false
+	}
+	g.saves = 0
+	return true
+}
+
+func (g *Group[K, V]) send(to string, message any) {
+	g.out = append(g.out, Send{to, message})
+}
+
+func (g *Group[K, V]) flush() []Send {
+	out := g.out
+	g.out = nil
+	return out
+}
+
+// Leading reports whether this machine leads and a majority has answered it.
+func (g *Group[K, V]) Leading() bool {
+	return g.leader != nil && g.leader.ready && !g.leader.paused
+}
+
+// Totals are the sums of what a majority holds, and how old that knowledge is; false
+// unless this machine leads. The cells must not be changed.
+func (g *Group[K, V]) Totals(now time.Duration) (Cells[K, V], time.Duration, bool) {
+	if !g.Leading() || !g.leader.whole || g.leader.unproven {
+		return nil, 0, false
+	}
+	return g.leader.totals, now - g.leader.totalsAt, true
+}
+
+// Lives is the number of lives that are not in the base, and of those in it.
+func (g *Group[K, V]) Lives() (open, folded int) {
+	return len(g.replica.Lives), len(g.replica.Base.Folded)
+}
+
+// OpenLives are the lives that have not ended, by id, with their nodes.
+func (g *Group[K, V]) OpenLives() map[LifeID]string {
+	out := map[LifeID]string{}
+	for id, life := range g.replica.Lives {
+		if life.Final == 0 {
+			out[id] = life.Node
+		}
+	}
+	return out
+}
+
+// Tick advances the group. Leads says that this machine holds the lease, and replicas are
+// all machines that keep a copy. A leader whose lease lapses pauses, and goes on under its
+// ballot if it holds the lease again before another machine has led.
+func (g *Group[K, V]) Tick(now time.Duration, leads bool, replicas []string) []Send {
+	if g.leader != nil && leads && g.leader.paused {
+		g.resume()
+	}
+	switch {
+	case !leads:
+		if g.leader != nil {
+			g.leader.pause()
+		}
+	case g.leader == nil || !slices.Equal(g.leader.replicas, replicas):
+		g.campaign(now, replicas)
+	case !g.leader.ready:
+		if now-g.leader.askedAt >= backoff(g.options.ResendAfter, g.leader.asks) {
+			g.prepare(now)
+		}
+	case g.leader.round != nil:
+		g.resend(now)
+	case now-g.leader.roundAt >= g.options.RoundEvery || !g.leader.whole || g.leader.unproven:
+		g.begin(now)
+	}
+	return g.flush()
+}
+
+// promise notes on disk that no lower ballot is accepted any more; a leader under one
+// leads no longer.
+func (g *Group[K, V]) promise(ballot Ballot) bool {
+	if ballot.Less(g.promised) {
+		return false
+	}
+	if ballot == g.promised && g.failed == nil {
+		return true
+	}
+	if g.leader != nil && g.leader.ballot != ballot {
+		g.leader = nil
+	}
+	g.promised = ballot
+	return g.save(nil)
+}
+
+// Receive takes a message from another machine of the group.
+func (g *Group[K, V]) Receive(from string, message any) []Send {
+	switch m := message.(type) {
+	case Prepare:
+		g.onPrepare(from, m)
+	case Promise[K, V]:
+		g.onPromise(from, m)
+	case Replicate[K, V]:
+		g.onReplicate(from, m)
+	case Replicated:
+		g.onReplicated(from, m)
+	case Reject:
+		g.onReject(m)
+	}
+	return g.flush()
+}
+
+func (g *Group[K, V]) onPrepare(from string, m Prepare) {
+	if m.Ballot.Less(g.promised) {
+		g.send(from, Reject{g.group, g.promised})
+		return
+	}
+	if g.fresh || !g.promise(m.Ballot) {
+		return
+	}
+	g.copies++
+	for _, part := range promises(g.group, m.Ballot, SnapshotID{g.start, g.copies}, g.replica, g.options.CellsAtOnce) {
+		g.send(from, part)
+	}
+}
+
+func (g *Group[K, V]) onReplicate(from string, m Replicate[K, V]) {
+	if m.Ballot.Less(g.promised) {
+		g.send(from, Reject{g.group, g.promised})
+		return
+	}
+	if g.promised.Less(m.Ballot) && !g.promise(m.Ballot) {
+		return
+	}
+	g.accept(from, m)
+}
+
+// accept takes a round in and answers once the disk holds it.
+func (g *Group[K, V]) accept(from string, m Replicate[K, V]) {
+	answer := Replicated{Group: g.group, Ballot: m.Ballot, Round: m.Round, Part: m.Part}
+	if g.fresh && m.Whole != g.start {
+		answer.Fresh = g.start
+		g.send(from, answer)
+		return
+	}
+	before := g.replica.Base.ID()
+	if !g.takeBase(m) {
+		return
+	}
+	answer.NeedBase = g.replica.Base.ID().Less(m.Agreed)
+	var merged []Delta[K, V]
+	for _, delta := range m.Deltas {
+		switch err := g.replica.Merge(delta); {
+		case err == nil:
+			merged = append(merged, delta)
+		case errors.Is(err, ErrGap):
+			answer.Gaps = append(answer.Gaps, delta.Life)
+		}
+	}
+	if g.fresh && !g.copying.add(m.Ballot, m.Round, m.Part, m.Parts) {
+		return // more of the copy is to come
+	}
+	g.fresh = false
+	saved := false
+	if m.Whole > 0 || m.Base != nil || before != g.replica.Base.ID() {
+		saved = g.saveWhole()
+	} else {
+		saved = g.save(merged)
+	}
+	if saved {
+		g.send(from, answer)
+	}
+}
+
+// takeBase notes the base of a round; false if it is an old one.
+func (g *Group[K, V]) takeBase(m Replicate[K, V]) bool {
+	switch {
+	case m.Base == nil:
+	case m.Base.ID() == m.Agreed:
+		g.replica.Adopt(*m.Base)
+	case g.replica.Propose(*m.Base) != nil:
+		return false
+	}
+	g.replica.Install(m.Agreed.Ballot, m.Agreed.Number)
+	return true
+}
--- a/internal/proxy/daemon.go
+++ b/internal/proxy/daemon.go
@@ -14,6 +14,7 @@
 
 	"github.com/oklog/run"
 
+	"slateridge/internal/accounts"
 	"slateridge/internal/adminhttp"
 	"slateridge/internal/admission"
 	"slateridge/internal/clock"
@@ -50,7 +51,8 @@
 	clock             *clock.Clock           // agreed, as control tells
 	usageHolder       atomic.Pointer[string]
 	scalingHolder     atomic.Pointer[string]
-	telling           sync.Mutex // one word on usage at a time
+	telling           sync.Mutex      // one word on usage at a time
+	accountsAgent     *accounts.Agent // nil where tenants have no objectives
 }
 
 // NewDaemon builds the process's parts.
@@ -210,6 +212,10 @@
 	if d.meter != nil {
 		group.EveryAfter(usage.Phase(rand.Uint64()), constants.UsageReportEvery, d.tellUsage)
 	}
+	if d.accountsAgent != nil {
+		group.EveryAfter(rand.N(accounts.TellEvery), accounts.TellEvery, d.accountsAgent.Tell)
+		group.Every(accounts.RetryEvery, d.accountsAgent.Retry)
+	}
 	group.Every(constants.RetireEvery, func() { d.pool.Retire(time.Now()) })
 	group.Every(membership.TickEvery, d.members.Tick)
 	return nil
@@ -250,6 +256,7 @@
 		return false
 	}
 	d.limiter.Settle(d.now(), tenant, 1)
+	d.accounts.Begin(tenant).Success(time.Millisecond)
 	if d.meter != nil {
 		d.meter.Count(d.windowAt(time.Now()), tenant)
 	}
@@ -275,5 +282,8 @@
 	ctx, cancel := context.WithDeadline(context.Background(), began.Add(grace))
 	defer cancel()
 	d.frontend.drain(ctx)
+	if d.accountsAgent != nil {
+		d.accountsAgent.Leave(constants.CallTimeout)
+	}
 	d.events.Record("left", "nothing in flight")
 }
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"slateridge/internal/accounts"
 	"slateridge/internal/config"
 	"slateridge/internal/constants"
 	"slateridge/internal/usage"
@@ -31,6 +32,8 @@
 	stop      func() bool
 	ranAt     time.Time // when the run that counts as usage was sent
 	usageRun  *usage.Run
+	account   *accounts.Request // nil where the tenant has no objective
+	answered  int               // upstreams that answered as having run it
 }
 
 // forward offers the request until it is served or nothing more may be done,
@@ -183,6 +186,7 @@
 }
 
 func (p *exchange) count(r *result) {
+	p.countAnswer(r)
 	if r.sent {
 		p.sends++
 		if !r.notRun {
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -14,6 +14,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"slateridge/internal/accounts"
 	"slateridge/internal/admission"
 	"slateridge/internal/config"
 	"slateridge/internal/constants"
@@ -30,6 +31,7 @@
 	limiter     *admission.Limiter
 	meter       *usage.Meter // nil where usage is not reported
 	window      func(at time.Time) uint64
+	accounts    *accounts.Meter // nil where tenants have no objectives
 	retryBudget *RetryBudget
 	askFor      func(key string) // one question to a key's tracker, answered or not
 	leaving     atomic.Bool
@@ -115,6 +117,9 @@
 	p := &exchange{proxy: s, request: r, arrived: arrived, config: cfg, route: route, tenant: tenant, priority: route.Priority,
 		deadline: arrived.Add(min(budget(r), route.Timeout)), usageRun: &usage.Run{}}
 	if tenant != nil {
+		if p.account = s.accounts.Begin(tenant.Name); p.account != nil {
+			defer p.settleUnanswered()
+		}
 		if tenant.HasPriority {
 			p.priority = tenant.Priority
 		}
@@ -127,28 +132,34 @@
 		s.meter.Begin(w)
 		defer s.meter.End(w)
 	}
-	settle := func() {
-		if tenant != nil {
-			s.limiter.Settle(s.now(), tenant.Name, p.runs)
-			if s.meter != nil {
-				s.meter.Over(p.usageRun)
-			}
-			if s.meter != nil && p.runs > 0 && !p.route.Stream { // streams count with their first piece
-				s.meter.Count(s.window(p.ranAt), tenant.Name)
-			}
-		}
-	}
 	if code := p.readBody(w); code != 0 {
-		settle()
+		p.settleCost()
+		p.account.Failure(accounts.Refused)
 		s.refuse(w, r, code, 0)
 		return
 	}
 	defer p.unwatch()
 	res, code := p.forward()
-	settle()
+	p.settleCost()
 	s.reply(w, p, res, code)
 }
 
+// settleCost debits the tenant's quota by what the request has cost, and counts its usage.
+func (p *exchange) settleCost() {
+	if p.tenant == nil {
+		return
+	}
+	p.proxy.limiter.Settle(p.proxy.now(), p.tenant.Name, p.runs)
+	meter := p.proxy.meter
+	if meter == nil {
+		return
+	}
+	meter.Over(p.usageRun)
+	if p.runs > 0 && !p.route.Stream { // streams count with their first piece
+		meter.Count(p.proxy.window(p.ranAt), p.tenant.Name)
+	}
+}
+
 // tooLarge is the status that refuses a request over the client bounds, or 0.
 func tooLarge(cfg *config.Config, r *http.Request) int {
 	if cfg.Limits.BodyBytes > 0 && r.ContentLength > cfg.Limits.BodyBytes {
@@ -176,6 +187,7 @@
 	}
 	if !v.OK {
 		s.counts[countOverQuota].Add(1)
+		p.account.Failure(accounts.Refused)
 		s.refuse(w, p.request, http.StatusTooManyRequests, v.Retry)
 		return false
 	}
@@ -259,14 +271,18 @@
 			return
 		}
 		s.counts[map[int]int{http.StatusNotFound: countNoRoute, http.StatusUnauthorized: countKeyUnknown}[code]].Add(1)
+		p.account.Failure(accounts.Refused)
 		s.refuse(w, r, code, 0)
 		return
 	}
 	if res.deliverable() && !(res.notRun && res.resp.StatusCode >= 500) {
+		began := time.Since(p.arrived) // a stream is in time if its first piece is
 		s.relay(w, r, res)
+		p.settleAnswered(res, began)
 		return
 	}
 	res.release()
+	p.settleFailed()
 	switch {
 	case p.runs == 0 && p.sends == 0 || p.runs == 0 && res.notRun:
 		// Nothing ran, and nothing will: the promise can be given.
--- a/internal/transport/compatibility_test.go
+++ b/internal/transport/compatibility_test.go
@@ -13,6 +13,7 @@
 	"testing"
 	"time"
 
+	"slateridge/internal/accounts"
 	"slateridge/internal/admission"
 	"slateridge/internal/autoscale"
 	"slateridge/internal/controlplane"
@@ -39,6 +40,7 @@
 		duty.Order{}, lease.Request{}, lease.Grant{}, lease.Release{},
 		usage.Handover{}, usage.Report{}, usage.Ack{}, autoscale.Report{}, autoscale.Ack{},
 		admission.GrantRequest{}, admission.Grants{},
+		accounts.Report{}, accounts.ReportAck{}, accounts.Prepare{}, accounts.Promise{}, accounts.Reject{}, accounts.Replicate{}, accounts.Replicated{},
 	}
 }
 
--- a/internal/transport/names.go
+++ b/internal/transport/names.go
@@ -45,6 +45,13 @@
 	NameLoadAck             = "slateridge/internal/scaling.Heard"
 	NameQuotaRequest        = "slateridge/internal/weir.AskGrants"
 	NameQuotaGrants         = "slateridge/internal/weir.GrantsGiven"
+	NameAccountReport       = "slateridge/accounts.Report"
+	NameAccountReportAck    = "slateridge/accounts.ReportAck"
+	NameAccountPrepare      = "slateridge/accounts.Prepare"
+	NameAccountPromise      = "slateridge/accounts.Promise"
+	NameAccountReject       = "slateridge/accounts.Reject"
+	NameAccountReplicate    = "slateridge/accounts.Replicate"
+	NameAccountReplicated   = "slateridge/accounts.Replicated"
 )
 
 // Register makes a message type known under its name on the wire; each package
--- a/internal/usage/usage.go
+++ b/internal/usage/usage.go
@@ -8,12 +8,13 @@
 	"time"
 
 	"slateridge/internal/constants"
+	"slateridge/internal/counter"
 	"slateridge/internal/transport"
 )
 
 type (
 	// Counts are cumulative numbers by tenant.
-	Counts map[string]uint64
+	Counts = counter.Cells[string, counter.Count]
 	// Report is one proxy's report to the duty's holder: of each window what has
 	// changed since that holder last answered, and what is running. All windows up to
 	// Closed are final.
