Admission: giving a share back needs no case for a proxy without a loan

A missing loan is the empty one, and setting an empty loan is deleting it. No change of behaviour; the tests of admission and of its model checker pass.

--- a/internal/admission/standby.go
+++ b/internal/admission/standby.go
@@ -115,10 +115,7 @@
 		return false // unknown standby may rest on it
 	}
 	p.standbyTotals(now, tracker)
-	kept := loan{}
-	if l, ok := p.loans[proxy]; ok {
-		kept = l
-	}
+	kept := p.loans[proxy] // an empty loan is none
 	s := p.standbys[proxy]
 	others := p.standbyCount
 	if s != nil {
@@ -130,9 +127,7 @@
 		free += s.reserved
 	}
 	if others > p.standbyMost()+rateEpsilon || free < -rateEpsilon {
-		if kept != (loan{}) {
-			p.setLoan(proxy, kept)
-		}
+		p.setLoan(proxy, kept)
 		return false
 	}
 	p.dropStandby(tracker, proxy)
