--- a/internal/proxy/admin.go
+++ b/internal/proxy/admin.go
@@ -31,6 +31,7 @@
 	Upstreams  []UpstreamState
 	NewConns   uint64
 	Ejections  uint64
+	Cancelled  uint64 // offers ended here, since nobody waited for them
 	Waited     uint64
 	Full       uint64
 	Retries    uint64
@@ -84,7 +85,7 @@
 	r.histograms = d.histograms
 	counts := d.pool.counters()
 	r.Streams.First, r.Streams.Next, r.Streams.Elsewhere = counts.kept[0], counts.kept[1], counts.kept[2]
-	r.NewConns, r.Ejections = counts.newConns, counts.ejected
+	r.NewConns, r.Ejections, r.Cancelled = counts.newConns, counts.ejected, counts.cancelled
 	r.Waited, r.Full = counts.waited, counts.full
 	d.retryBudget.mu.Lock()
 	r.Retries, r.Denied = d.retryBudget.Spent, d.retryBudget.Denied
@@ -107,6 +108,7 @@
 	metrics.WriteGaugeUint64(w, "slateridge_live_proxies", uint64(r.Proxies))
 	metrics.WriteCounterUint64(w, "slateridge_upstream_connections_total", r.NewConns)
 	metrics.WriteCounterUint64(w, "slateridge_upstream_ejections_total", r.Ejections)
+	metrics.WriteCounterUint64(w, "slateridge_upstream_requests_cancelled_total", r.Cancelled)
 	metrics.WriteCounterUint64(w, "slateridge_requests_waited_total", r.Waited)
 	metrics.WriteCounterUint64(w, "slateridge_requests_without_room_total", r.Full)
 	metrics.WriteCounterUint64(w, "slateridge_retries_total", r.Retries)
--- a/internal/proxy/clientconn.go
+++ b/internal/proxy/clientconn.go
@@ -78,6 +78,16 @@
 	c.scheduleLocked()
 }
 
+// busy says whether a request is being handled. On nil it is false.
+func (c *clientConn) busy() bool {
+	if c == nil {
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.handling
+}
+
 // scheduleLocked sets the timer to the next look, or stops it where none is needed.
 func (c *clientConn) scheduleLocked() {
 	switch {
--- a/internal/proxy/disconnect_test.go
+++ b/internal/proxy/disconnect_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"slateridge/internal/constants"
 	"slateridge/internal/discovery"
 )
 
@@ -488,3 +489,45 @@
 		}
 	}
 }
+
+// An answer that its client takes nothing of is given up some time after its deadline.
+func TestAnswerThatIsNotTakenIsGivenUp(t *testing.T) {
+	t.Parallel()
+	whole := strings.Repeat("x", 32<<20)
+	u := newRawUpstream(t, func(_ int, r *http.Request) (string, bool) { return ok(r, whole), false })
+	d, front := daemonAt(t, u.instance("i-1"))
+	client := connectTo(t, front)
+	client.(*net.TCPConn).SetReadBuffer(4 << 10)
+	io.WriteString(client, strings.Replace(clientRequest("GET", "/safe/x", "a", 0), "9000", "300", 1))
+	for end := time.Now().Add(5 * time.Second); u.count() == 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("not sent on")
+		}
+	}
+	for end := time.Now().Add(constants.AnswerWriteGrace + 2*time.Second); d.open.Load() > 0; time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("held for a client that takes nothing")
+		}
+	}
+}
+
+// A connection whose request was sent ahead of the answer before it is not idle.
+func TestConnectionWithARequestSentAheadIsNotIdle(t *testing.T) {
+	u := newWorkingUpstream(t, "", "")
+	d, front := daemonAt(t, u.instance("i-1", 2))
+	client := connectTo(t, front)
+	io.WriteString(client, clientRequest("POST", "/once/1ms", "a", 0)+clientRequest("POST", "/once/300ms", "b", 0))
+	awaitArrivals(t, 2, u)
+	d.frontend.closeIdle(time.Now().Add(time.Hour))
+	answers := bufio.NewReader(client)
+	for _, id := range []string{"a", "b"} {
+		resp, err := http.ReadResponse(answers, nil)
+		if err != nil {
+			t.Fatalf("request %s: %v", id, err)
+		}
+		io.Copy(io.Discard, resp.Body)
+		if resp.StatusCode != http.StatusOK || resp.Header.Get(headerAttemptID) != id {
+			t.Errorf("request %s: %d for %s", id, resp.StatusCode, resp.Header.Get(headerAttemptID))
+		}
+	}
+}
--- a/internal/proxy/ejection.go
+++ b/internal/proxy/ejection.go
@@ -79,6 +79,7 @@
 		learn(max(2*meanDelay(pool.candidates(target{service: u.instance.Service, homes: anywhere}).preferred), took))
 		u.ejectedUntil = now.Add(constants.FullPause)
 	case cancelled:
+		pool.Cancelled++
 		// No failure; but an answer would have taken longer still.
 		if took > u.expect(now, meanDelay(pool.candidates(target{service: u.instance.Service, homes: anywhere}).preferred)) {
 			learn(took)
--- a/internal/proxy/frontend.go
+++ b/internal/proxy/frontend.go
@@ -167,6 +167,9 @@
 	g.seeBoundLocked(now)
 	for c, idle := range g.conns {
 		idle.bound = max(idle.bound, g.bound)
+		if conn, ok := c.(*clientConn); ok && conn.busy() {
+			continue // a request that was sent ahead changes no state of the server's
+		}
 		if !idle.idleSince.IsZero() && now.Sub(idle.idleSince) > idle.bound+constants.IdleSpare {
 			delete(g.conns, c)
 			c.Close()
--- a/internal/proxy/pool.go
+++ b/internal/proxy/pool.go
@@ -31,6 +31,7 @@
 	Kept          [3]uint64 // streams at their prefix's first upstream, at one of the next, elsewhere
 	Waited        uint64
 	Full          uint64
+	Cancelled     uint64 // offers ended here, since nobody waited for them
 }
 
 // Len is how many upstreams are known.
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -37,7 +37,7 @@
 	leaving     atomic.Bool
 	hedges      atomic.Uint64
 	open        atomic.Int64
-	counts      [7]atomic.Uint64
+	counts      [len(countNames)]atomic.Uint64
 	trustFor    time.Duration    // how long a key may be trusted unheard; 0: for ever
 	readIndexAt func() time.Time // when what is in force here was last known to be the newest
 
@@ -69,9 +69,10 @@
 	countNoCapacity
 	countFailed
 	countKeyUnsure
+	countClientLeft
 )
 
-var countNames = [...]string{"served", "key_unknown", "no_route", "over_quota", "no_capacity", "failed", "key_unsure"}
+var countNames = [...]string{"served", "key_unknown", "no_route", "over_quota", "no_capacity", "failed", "key_unsure", "client_left"}
 
 func (s *Proxy) now() time.Duration { return time.Since(s.began) }
 
@@ -268,7 +269,7 @@
 	r := p.request
 	if res == nil {
 		if code == http.StatusServiceUnavailable {
-			s.counts[countNoCapacity].Add(1)
+			p.countUnserved(countNoCapacity)
 			s.refuse(w, r, code, constants.RetryAfterFull)
 			return
 		}
@@ -279,7 +280,7 @@
 	}
 	if res.deliverable() && !(res.notRun && res.resp.StatusCode >= 500) {
 		began := time.Since(p.arrived) // a stream is in time if its first piece is
-		s.relay(w, r, res)
+		s.relay(w, p, res)
 		p.settleAnswered(res, began)
 		return
 	}
@@ -288,20 +289,28 @@
 	switch {
 	case p.runs == 0 && p.sends == 0 || p.runs == 0 && res.notRun:
 		// Nothing ran, and nothing will: the promise can be given.
-		s.counts[countNoCapacity].Add(1)
+		p.countUnserved(countNoCapacity)
 		s.refuse(w, r, http.StatusServiceUnavailable, constants.RetryAfterFull)
 	case res.outcome == silent || !time.Now().Before(p.deadline):
-		s.counts[countFailed].Add(1)
+		p.countUnserved(countFailed)
 		s.refuse(w, r, http.StatusGatewayTimeout, 0)
 	default:
-		s.counts[countFailed].Add(1)
+		p.countUnserved(countFailed)
 		s.refuse(w, r, http.StatusBadGateway, 0)
 	}
 }
 
+// countUnserved counts a request that was not served, apart where its client had left.
+func (p *exchange) countUnserved(outcome int) {
+	if p.request.Context().Err() != nil {
+		outcome = countClientLeft
+	}
+	p.proxy.counts[outcome].Add(1)
+}
+
 // relay gives the upstream's answer to the client unchanged. An answer that
 // breaks off is broken off here too, so that it cannot look complete.
-func (s *Proxy) relay(w http.ResponseWriter, r *http.Request, res *result) {
+func (s *Proxy) relay(w http.ResponseWriter, p *exchange, res *result) {
 	h := w.Header()
 	drop := connectionHeaders(res.resp.Header)
 	for k, vs := range res.resp.Header {
@@ -338,16 +347,32 @@
 	}
 	w.WriteHeader(res.resp.StatusCode)
 	if res.stream != nil {
-		s.stream(w, r, res)
+		s.stream(w, p.request, res)
 		return
 	}
-	w.Write(res.body)
-	if res.conn == nil {
+	if len(res.body) <= constants.WriteUnbounded && res.conn == nil {
+		w.Write(res.body)
 		return
 	}
-	if _, err := io.Copy(w, res.resp.Body); err != nil {
-		res.conn.drop()
+	// A client that takes nothing any more doesn't hold the answer for ever.
+	control := http.NewResponseController(w)
+	control.SetWriteDeadline(p.deadline.Add(constants.AnswerWriteGrace))
+	defer control.SetWriteDeadline(time.Time{})
+	p.writeLong(w, res)
+}
+
+// writeLong writes an answer that may not fit the connection's buffers, and breaks it off
+// where its rest doesn't come or isn't taken.
+func (p *exchange) writeLong(w http.ResponseWriter, res *result) {
+	_, err := w.Write(res.body)
+	if err == nil && res.conn != nil {
+		_, err = io.Copy(w, res.resp.Body)
+	}
+	if err != nil {
+		res.release()
 		panic(http.ErrAbortHandler)
 	}
-	res.conn.exhausted(res.resp)
+	if res.conn != nil {
+		res.conn.exhausted(res.resp)
+	}
 }
--- a/internal/proxy/states.go
+++ b/internal/proxy/states.go
@@ -57,6 +57,7 @@
 // poolCounters is what a pool has counted since its start.
 type poolCounters struct {
 	newConns, ejected uint64
+	cancelled         uint64
 	waited, full      uint64    // requests that waited for room, and that found none
 	kept              [3]uint64 // streams by where they were placed, as Pool.Kept
 }
@@ -66,10 +67,11 @@
 	pool.mu.Lock()
 	defer pool.mu.Unlock()
 	return poolCounters{
-		newConns: pool.NewConns,
-		ejected:  pool.Ejected,
-		waited:   pool.Waited,
-		full:     pool.Full,
-		kept:     pool.Kept,
+		newConns:  pool.NewConns,
+		ejected:   pool.Ejected,
+		cancelled: pool.Cancelled,
+		waited:    pool.Waited,
+		full:      pool.Full,
+		kept:      pool.Kept,
 	}
 }
--- a/internal/rungroup/rungroup.go
+++ b/internal/rungroup/rungroup.go
@@ -57,7 +57,20 @@
 
 // Serve adds an HTTP server with the bounds of our own interfaces.
 func (group *Group) Serve(l net.Listener, h http.Handler) {
-	srv := &http.Server{Handler: h, ReadHeaderTimeout: constants.HeaderTimeout, IdleTimeout: constants.IdleTimeout, MaxHeaderBytes: constants.HeaderBytes}
+	group.serveWithin(l, h, constants.InterfaceTimeout)
+}
+
+// serveWithin adds an HTTP server that takes a request, and has its answer taken, each
+// within a time: a caller that is gone or stands still holds neither body nor answer longer.
+func (group *Group) serveWithin(l net.Listener, h http.Handler, timeout time.Duration) {
+	srv := &http.Server{
+		Handler:           h,
+		ReadHeaderTimeout: min(constants.HeaderTimeout, timeout),
+		ReadTimeout:       timeout,
+		WriteTimeout:      timeout,
+		IdleTimeout:       constants.IdleTimeout,
+		MaxHeaderBytes:    constants.HeaderBytes,
+	}
 	group.group.Add(func() error {
 		if err := srv.Serve(l); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 			return err
