Proxy: the client's socket is asked right before a request goes out

Cause: what a process that stood still reads late may come from clients that have left; the request goes on before the goroutine that reads the connection has seen its end. Change: allowed polls the client's socket each time. Tests: TestRequestsReadLateAreNotSentForClientsThatLeft (failed before), TestSlowDialSendsNothingForAClientThatLeft, TestCutRunShortensNoDelay.

--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -12,9 +12,10 @@
 )
 
 // allowed checks once more, right before bytes go out, that the request may
-// still go there: the process may just have woken from a freeze.
+// still go there: the process may just have woken from a freeze. The client's socket is
+// asked each time: how long a request has waited there to be read is not known here.
 func (p *exchange) allowed(u *Upstream) bool {
-	if !time.Now().Before(p.deadline) || p.clientLeft() || !u.usable(p.homes) {
+	if !time.Now().Before(p.deadline) || p.clientLeft() || p.client.hungUp() || !u.usable(p.homes) {
 		return false
 	}
 	cfg := p.proxy.config.Load()
@@ -34,8 +35,9 @@
 	return true
 }
 
-// clientLeft says whether the client has closed its connection. Where the request has been
-// here for long, the socket is asked: the goroutine that reads it may not have run since.
+// clientLeft says whether the client is known to have closed its connection. Where the
+// request has been here for long, the socket is asked: the goroutine that reads it may not
+// have run since.
 func (p *exchange) clientLeft() bool {
 	if p.request.Context().Err() != nil {
 		return true
--- a/internal/proxy/disconnect_test.go
+++ b/internal/proxy/disconnect_test.go
@@ -9,9 +9,11 @@
 	"net/http"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
+	"slateridge/internal/config"
 	"slateridge/internal/constants"
 	"slateridge/internal/discovery"
 )
@@ -531,3 +533,90 @@
 		}
 	}
 }
+
+// Requests that were read late, by a process that stood still, don't go on when their
+// clients have left meanwhile.
+func TestRequestsReadLateAreNotSentForClientsThatLeft(t *testing.T) {
+	u := newWorkingUpstream(t, "", "")
+	d, _ := daemonAt(t, u.instance("i-1", 20))
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	late := newFrontend(listener, d.Proxy, func() config.Limits { return config.Limits{} })
+	t.Cleanup(late.close)
+	for i := range 30 {
+		client := connectTo(t, listener.Addr().String())
+		io.WriteString(client, clientRequest([]string{"GET", "POST"}[i%2], []string{"/safe/1ms", "/once/1ms", "/flow/1ms"}[i%3], fmt.Sprint("c", i), 0))
+		client.Close()
+	}
+	stays := connectTo(t, listener.Addr().String())
+	io.WriteString(stays, clientRequest("GET", "/safe/1ms", "stays", 0))
+	go late.serve()
+	if resp, err := http.ReadResponse(bufio.NewReader(stays), nil); err != nil || resp.StatusCode != http.StatusOK {
+		t.Fatal(resp, err)
+	}
+	for end := time.Now().Add(3 * time.Second); d.open.Load() > 0 && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	for _, run := range u.seen() {
+		if run.id != "stays" {
+			t.Errorf("%s of %s was sent on", run.path, run.id)
+		}
+	}
+}
+
+// A dial that takes long ends with a connection for others when the client has left.
+func TestSlowDialSendsNothingForAClientThatLeft(t *testing.T) {
+	u := newWorkingUpstream(t, "", "")
+	d, front := daemonAt(t, u.instance("i-1", 2))
+	dialling := make(chan struct{}, 1)
+	d.pool.dialer.Control = func(string, string, syscall.RawConn) error {
+		dialling <- struct{}{}
+		time.Sleep(120 * time.Millisecond)
+		return nil
+	}
+	client := connectTo(t, front)
+	io.WriteString(client, clientRequest("POST", "/once/1ms", "a", 0))
+	<-dialling
+	client.Close()
+	for end := time.Now().Add(3 * time.Second); d.open.Load() > 0 && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	if n := len(u.seen()); n != 0 {
+		t.Errorf("%d requests arrived", n)
+	}
+	if open, idle := connsOpen(d.Proxy); open != 1 || idle != 1 {
+		t.Errorf("%d connections are reckoned as open, %d are at rest; want the new one at rest", open, idle)
+	}
+}
+
+// A cut run teaches that its upstream is slow, though not how slow.
+func TestCutRunShortensNoDelay(t *testing.T) {
+	u := newWorkingUpstream(t, "", "")
+	d, front := daemonAt(t, u.instance("i-1", 2))
+	delay := func() float64 {
+		d.pool.mu.Lock()
+		defer d.pool.mu.Unlock()
+		return d.pool.upstreams["i-1"].delay
+	}
+	for n, path := range []string{"/safe/400ms", "/safe/1900ms"} {
+		before := delay()
+		client := connectTo(t, front)
+		io.WriteString(client, clientRequest("GET", path, "a", 0))
+		awaitArrivals(t, n+1, u)
+		if n > 0 {
+			client.Close()
+		}
+		awaitEnds(t, u)
+		for d.pool.Busy("svc") > 0 {
+			time.Sleep(time.Millisecond)
+		}
+		if after := delay(); after < before {
+			t.Errorf("after %s the delay to expect is %v, was %v", path, after, before)
+		}
+	}
+	if n := d.pool.counters().cancelled; n != 1 {
+		t.Errorf("%d offers counted as cancelled, want 1", n)
+	}
+}
