--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -67,3 +67,16 @@
 		}
 	}
 }
+
+// Each part of a split route gets the share that its weight says.
+func TestWeightsAreKept(t *testing.T) {
+	route := &Route{Targets: []Target{{Service: "a", upTo: 70}, {Service: "b", upTo: 90}, {Service: "c", upTo: 100}}}
+	share := map[string]int{}
+	const draws = 10000
+	for n := range draws {
+		share[route.Pick((float64(n)+0.5)/draws)]++
+	}
+	if share["a"] != 7000 || share["b"] != 2000 || share["c"] != 1000 {
+		t.Errorf("of %d draws: %v", draws, share)
+	}
+}
