Readability: frontend, waiting, answers' lengths, choices of models, ballots

No change of behaviour. The frontend's receivers and its test bear its name; the parameters of waiting are whole words; the length an answer is told to have is one method of result; modelcheck has one constructor of choices in place of three literals; the chain's two checks of a ballot are one. Tests share listenEach and connectTo, their assertions are as before.

--- a/internal/controlplane/chain/view.go
+++ b/internal/controlplane/chain/view.go
@@ -275,16 +275,25 @@
 	}
 }
 
+// mayTakePart says whether this machine takes part in a ballot for the next view. A
+// proposer whose ballot is lower than what was promised here is told so.
+func (c *Chain) mayTakePart(from string, slot uint64, ballot Ballot) bool {
+	if slot != c.agreement.View.Num+1 || !c.participant() {
+		return false
+	}
+	if ballot.less(c.agreement.Promised) {
+		c.send(from, Nack{slot, c.agreement.Promised})
+		return false
+	}
+	return true
+}
+
 func (c *Chain) onPrepare(from string, m Prepare) {
 	if m.Slot <= c.agreement.View.Num {
 		c.send(from, Decide{c.agreement.View})
 		return
 	}
-	if m.Slot != c.agreement.View.Num+1 || !c.participant() {
-		return
-	}
-	if m.Ballot.less(c.agreement.Promised) {
-		c.send(from, Nack{m.Slot, c.agreement.Promised})
+	if !c.mayTakePart(from, m.Slot, m.Ballot) {
 		return
 	}
 	a := c.agreement
@@ -401,11 +410,7 @@
 }
 
 func (c *Chain) onAccept(from string, m Accept) {
-	if m.Slot != c.agreement.View.Num+1 || !c.participant() {
-		return
-	}
-	if m.Ballot.less(c.agreement.Promised) {
-		c.send(from, Nack{m.Slot, c.agreement.Promised})
+	if !c.mayTakePart(from, m.Slot, m.Ballot) {
 		return
 	}
 	a := c.agreement
--- a/internal/modelcheck/chainmodel/choices.go
+++ b/internal/modelcheck/chainmodel/choices.go
@@ -74,12 +74,9 @@
 
 // Choices lists what may happen next, as package modelcheck asks.
 func (m *Model) Choices() []string {
-	choices := &modelcheck.Choices{
-		Kinds:    m.Kinds,
-		Without:  m.Without,
-		Faults:   faultKinds,
-		NoFaults: m.faults >= m.Faults,
-		List:     []string{modelcheck.Default},
+	choices := modelcheck.NewChoices(m.Kinds, m.Without)
+	if m.faults >= m.Faults {
+		choices.LeaveOut(faultKinds)
 	}
 	add := choices.Add
 	if e := m.atMessage(); e != nil {
--- a/internal/modelcheck/choices.go
+++ b/internal/modelcheck/choices.go
@@ -9,21 +9,27 @@
 // Choices collects what may happen next: the default, and the choices of those kinds that
 // a model's configuration wants. A choice is its kind and its arguments, in a line.
 type Choices struct {
-	Kinds    []string // wanted; empty: all
-	Without  []string // kinds left out
-	Faults   []string // kinds that count as faults
-	NoFaults bool     // no more faults are allowed
-	List     []string // the choices, the default first
+	List    []string // the choices, the default first
+	kinds   []string // wanted; empty: all
+	without []string // kinds left out
 }
 
+// NewChoices begins with the default choice, and takes those of the kinds wanted (none
+// named means all) that are not among those left out.
+func NewChoices(kinds, without []string) *Choices {
+	return &Choices{List: []string{Default}, kinds: kinds, without: slices.Clip(without)}
+}
+
+// LeaveOut leaves further kinds out, as faults where no more are allowed.
+func (c *Choices) LeaveOut(kinds []string) { c.without = append(c.without, kinds...) }
+
 // Default is the choice that comes first: time goes on.
 const Default = "wait"
 
 // Add adds choices, unless their kind is not offered.
 func (c *Choices) Add(choices ...string) {
 	for _, choice := range choices {
-		kind := KindOf(choice)
-		if c.offers(kind) && !(c.NoFaults && slices.Contains(c.Faults, kind)) {
+		if c.offers(KindOf(choice)) {
 			c.List = append(c.List, choice)
 		}
 	}
@@ -31,8 +37,8 @@
 
 // offers says whether a kind of choice is among those wanted, and not left out.
 func (c *Choices) offers(kind string) bool {
-	wanted := len(c.Kinds) == 0 || slices.Contains(c.Kinds, kind)
-	return wanted && !slices.Contains(c.Without, kind)
+	wanted := len(c.kinds) == 0 || slices.Contains(c.kinds, kind)
+	return wanted && !slices.Contains(c.without, kind)
 }
 
 // KindOf is the kind of a choice.
--- a/internal/modelcheck/leasemodel/leasemodel.go
+++ b/internal/modelcheck/leasemodel/leasemodel.go
@@ -178,12 +178,9 @@
 
 // Choices lists what may happen next, the default first, as package modelcheck asks.
 func (m *Model) Choices() []string {
-	choices := &modelcheck.Choices{
-		Kinds:    m.Kinds,
-		Without:  m.Without,
-		Faults:   faultKinds,
-		NoFaults: m.faults >= m.Faults,
-		List:     []string{modelcheck.Default},
+	choices := modelcheck.NewChoices(m.Kinds, m.Without)
+	if m.faults >= m.Faults {
+		choices.LeaveOut(faultKinds)
 	}
 	add := choices.Add
 	if m.Messages && m.world.Head() != nil {
--- a/internal/proxy/contract_test.go
+++ b/internal/proxy/contract_test.go
@@ -84,35 +84,21 @@
 func TestEarlyAnswerIsFollowedByTheWholeBody(t *testing.T) {
 	const length = 600000
 	bodies := make(chan error, 4)
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { listener.Close() })
-	go func() {
-		for {
-			c, err := listener.Accept()
+	listener := listenEach(t, func(c net.Conn) {
+		for br := bufio.NewReader(c); ; {
+			r, err := http.ReadRequest(br)
 			if err != nil {
 				return
 			}
-			go func() {
-				defer c.Close()
-				for br := bufio.NewReader(c); ; {
-					r, err := http.ReadRequest(br)
-					if err != nil {
-						return
-					}
-					io.WriteString(c, ok(r, "early"))
-					time.Sleep(100 * time.Millisecond)
-					b, err := io.ReadAll(r.Body)
-					if err == nil && string(b) != strings.Repeat("x", length) {
-						err = fmt.Errorf("%d bytes that differ", len(b))
-					}
-					bodies <- err
-				}
-			}()
+			io.WriteString(c, ok(r, "early"))
+			time.Sleep(100 * time.Millisecond)
+			b, err := io.ReadAll(r.Body)
+			if err == nil && string(b) != strings.Repeat("x", length) {
+				err = fmt.Errorf("%d bytes that differ", len(b))
+			}
+			bodies <- err
 		}
-	}()
+	})
 	s := newProxy(t, discovery.Instance{ID: "i-1", Service: "svc", Address: listener.Addr().String(), Zone: "z", Slots: 2})
 	for range 2 {
 		if w := get(s, "POST", "/once/x", strings.Repeat("x", length)); w.Code != http.StatusOK || w.Body.String() != "early" {
--- a/internal/proxy/frontend.go
+++ b/internal/proxy/frontend.go
@@ -52,17 +52,17 @@
 	addr net.Addr
 }
 
-func (f *connQueue) Accept() (net.Conn, error) {
+func (q *connQueue) Accept() (net.Conn, error) {
 	select {
-	case c := <-f.ch:
+	case c := <-q.ch:
 		return c, nil
-	case <-f.done:
+	case <-q.done:
 		return nil, net.ErrClosed
 	}
 }
 
-func (f *connQueue) Close() error   { f.once.Do(func() { close(f.done) }); return nil }
-func (f *connQueue) Addr() net.Addr { return f.addr }
+func (q *connQueue) Close() error   { q.once.Do(func() { close(q.done) }); return nil }
+func (q *connQueue) Addr() net.Addr { return q.addr }
 
 func newFrontend(l net.Listener, h http.Handler, limits func() config.Limits) *frontend {
 	return &frontend{listener: l, handler: h, limits: limits, conns: map[net.Conn]*idleState{}, ended: make(chan struct{})}
@@ -75,103 +75,103 @@
 	return def
 }
 
-// serve accepts until the listener is closed, and returns only when the gate
+// serve accepts until the listener is closed, and returns only when the frontend
 // is: were it to return while requests are in flight, the process's group
 // would end and cut them.
-func (g *frontend) serve() error {
+func (f *frontend) serve() error {
 	for {
-		accepted, err := g.listener.Accept()
+		accepted, err := f.listener.Accept()
 		if err != nil {
-			g.mu.Lock()
-			done := g.closed
-			g.mu.Unlock()
+			f.mu.Lock()
+			done := f.closed
+			f.mu.Unlock()
 			if done {
-				<-g.ended
+				<-f.ended
 				return nil
 			}
 			time.Sleep(constants.AcceptPause) // out of descriptors, or a connection that ended early
 			continue
 		}
 		c := wrapClientConn(accepted)
-		f := g.queueFor(g.limits())
+		queue := f.queueFor(f.limits())
 		select {
-		case f.ch <- c:
-		case <-f.done:
+		case queue.ch <- c:
+		case <-queue.done:
 			c.Close()
 		}
 	}
 }
 
-func (g *frontend) queueFor(l config.Limits) *connQueue {
-	g.mu.Lock()
-	defer g.mu.Unlock()
+func (f *frontend) queueFor(l config.Limits) *connQueue {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	l.BodyBytes, l.IdleTime = 0, 0 // checked by the handler, and by closeIdle
-	if g.queue != nil && l == g.now {
-		return g.queue
+	if f.queue != nil && l == f.now {
+		return f.queue
 	}
 	// Connections that are open stay with these bounds, which clients keep within. The
 	// idle bound is not among them: clients rest for as long as the newest one allows.
-	f := &connQueue{ch: make(chan net.Conn), done: make(chan struct{}), addr: g.listener.Addr()}
-	srv := &http.Server{Handler: g.handler, ReadHeaderTimeout: orDefault(l.HeaderTimeout, constants.HeaderTimeout), ConnState: g.track,
+	queue := &connQueue{ch: make(chan net.Conn), done: make(chan struct{}), addr: f.listener.Addr()}
+	srv := &http.Server{Handler: f.handler, ReadHeaderTimeout: orDefault(l.HeaderTimeout, constants.HeaderTimeout), ConnState: f.track,
 		ConnContext:    clientContext,
 		MaxHeaderBytes: orDefault(l.HeaderBytes, constants.HeaderBytes), ErrorLog: log.New(io.Discard, "", 0), DisableGeneralOptionsHandler: true}
-	g.queue, g.now = f, l
-	g.servers = append(g.servers, srv)
-	go srv.Serve(f)
-	return f
+	f.queue, f.now = queue, l
+	f.servers = append(f.servers, srv)
+	go srv.Serve(queue)
+	return queue
 }
 
 // track follows a connection's state.
-func (g *frontend) track(c net.Conn, state http.ConnState) { g.trackAt(c, state, time.Now()) }
+func (f *frontend) track(c net.Conn, state http.ConnState) { f.trackAt(c, state, time.Now()) }
 
-func (g *frontend) trackAt(c net.Conn, state http.ConnState, now time.Time) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
+func (f *frontend) trackAt(c net.Conn, state http.ConnState, now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	switch state {
 	case http.StateNew:
-		g.seeBoundLocked(now)
-		idle := &idleState{bound: g.bound}
-		if now.Sub(g.lowered.replaced) < constants.IdleOverlap {
-			idle.bound = max(idle.bound, g.lowered.bound)
+		f.seeBoundLocked(now)
+		idle := &idleState{bound: f.bound}
+		if now.Sub(f.lowered.replaced) < constants.IdleOverlap {
+			idle.bound = max(idle.bound, f.lowered.bound)
 		}
-		g.conns[c] = idle
+		f.conns[c] = idle
 	case http.StateActive:
-		if idle := g.conns[c]; idle != nil {
+		if idle := f.conns[c]; idle != nil {
 			idle.idleSince = time.Time{}
 		}
 	case http.StateIdle:
-		if idle := g.conns[c]; idle != nil {
+		if idle := f.conns[c]; idle != nil {
 			idle.idleSince = now
 		}
 	default:
-		delete(g.conns, c)
+		delete(f.conns, c)
 	}
 }
 
 // seeBoundLocked looks at the idle bound in force.
-func (g *frontend) seeBoundLocked(now time.Time) {
-	current := orDefault(g.limits().IdleTime, constants.IdleTimeout)
-	if current < g.bound {
-		g.lowered = idleBound{bound: g.bound, replaced: now}
+func (f *frontend) seeBoundLocked(now time.Time) {
+	current := orDefault(f.limits().IdleTime, constants.IdleTimeout)
+	if current < f.bound {
+		f.lowered = idleBound{bound: f.bound, replaced: now}
 	}
-	g.bound = current
+	f.bound = current
 }
 
 // closeIdle closes connections that have been idle for longer than every bound allows
 // that was in force since they were opened, or shortly before. A bound that is lowered
 // does not reach them: their clients may go by the one that they were opened under. They
 // are kept a little longer still, so that it is the client that ends them.
-func (g *frontend) closeIdle(now time.Time) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.seeBoundLocked(now)
-	for c, idle := range g.conns {
-		idle.bound = max(idle.bound, g.bound)
+func (f *frontend) closeIdle(now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.seeBoundLocked(now)
+	for c, idle := range f.conns {
+		idle.bound = max(idle.bound, f.bound)
 		if conn, ok := c.(*clientConn); ok && conn.busy() {
 			continue // a request that was sent ahead changes no state of the server's
 		}
 		if !idle.idleSince.IsZero() && now.Sub(idle.idleSince) > idle.bound+constants.IdleSpare {
-			delete(g.conns, c)
+			delete(f.conns, c)
 			c.Close()
 		}
 	}
@@ -179,12 +179,12 @@
 
 // drain stops accepting, and returns when all requests in flight have ended or
 // the time is over.
-func (g *frontend) drain(ctx context.Context) {
-	g.mu.Lock()
-	g.closed = true
-	ss := g.servers
-	g.mu.Unlock()
-	g.listener.Close()
+func (f *frontend) drain(ctx context.Context) {
+	f.mu.Lock()
+	f.closed = true
+	ss := f.servers
+	f.mu.Unlock()
+	f.listener.Close()
 	var wg sync.WaitGroup
 	for _, s := range ss {
 		wg.Go(func() { s.Shutdown(ctx) })
@@ -193,13 +193,13 @@
 }
 
 // close ends all at once.
-func (g *frontend) close() {
-	defer g.once.Do(func() { close(g.ended) })
-	g.mu.Lock()
-	g.closed = true
-	ss := g.servers
-	g.mu.Unlock()
-	g.listener.Close()
+func (f *frontend) close() {
+	defer f.once.Do(func() { close(f.ended) })
+	f.mu.Lock()
+	f.closed = true
+	ss := f.servers
+	f.mu.Unlock()
+	f.listener.Close()
 	for _, s := range ss {
 		s.Close()
 	}
--- a/internal/proxy/gate_test.go
+++ b/internal/proxy/frontend_test.go
@@ -14,7 +14,7 @@
 	"slateridge/internal/constants"
 )
 
-// restingClient opens a connection to a gate whose idle bound is read from idle, and
+// restingClient opens a connection to a frontend whose idle bound is read from idle, and
 // returns a function that sends one request over it.
 func restingClient(t *testing.T, idle *atomic.Int64) (*frontend, func() error) {
 	u := newRawUpstream(t, func(_ int, r *http.Request) (string, bool) { return ok(r, "x"), false })
--- a/internal/proxy/hold_test.go
+++ b/internal/proxy/hold_test.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -23,11 +22,7 @@
 			u := newRawUpstream(t, func(_ int, r *http.Request) (string, bool) { return ok(r, "x"), false })
 			srv := httptest.NewServer(newProxy(t, u.instance("i-1")))
 			defer srv.Close()
-			conn, err := net.Dial("tcp4", srv.Listener.Addr().String())
-			if err != nil {
-				t.Fatal(err)
-			}
-			defer conn.Close()
+			conn := connectTo(t, srv.Listener.Addr().String())
 			conn.SetDeadline(time.Now().Add(3 * time.Second))
 			began := time.Now()
 			fmt.Fprintf(conn, "POST /once/ HTTP/1.1\r\nHost: h.example\r\nX-Slateridge-Attempt-Id: id-1\r\nX-Slateridge-Time-Budget-Ms: 300\r\nX-Api-Key: k1\r\nContent-Length: %d\r\n\r\n%s",
@@ -55,11 +50,7 @@
 			})
 			srv := httptest.NewServer(newProxy(t, u.instance("i-1")))
 			defer srv.Close()
-			conn, err := net.Dial("tcp4", srv.Listener.Addr().String())
-			if err != nil {
-				t.Fatal(err)
-			}
-			defer conn.Close()
+			conn := connectTo(t, srv.Listener.Addr().String())
 			conn.SetDeadline(time.Now().Add(10 * time.Second))
 			br := bufio.NewReader(conn)
 			for n := range 2 {
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -326,20 +326,8 @@
 	if _, ok := h["Content-Type"]; !ok {
 		h["Content-Type"] = nil
 	}
-	if res.stream != nil {
-		if res.resp.ContentLength >= 0 {
-			h.Set("Content-Length", strconv.FormatInt(res.resp.ContentLength, 10))
-		}
-	} else if res.conn == nil {
-		h.Set("Content-Length", strconv.Itoa(len(res.body)))
-		if res.resp.Request.Method == http.MethodHead {
-			h.Del("Content-Length")
-			if res.resp.ContentLength >= 0 {
-				h.Set("Content-Length", strconv.FormatInt(res.resp.ContentLength, 10))
-			}
-		}
-	} else if res.resp.ContentLength >= 0 {
-		h.Set("Content-Length", strconv.FormatInt(res.resp.ContentLength, 10))
+	if length := res.length(); length >= 0 {
+		h.Set("Content-Length", strconv.FormatInt(length, 10))
 	}
 	if res.resp.StatusCode/100 == 2 {
 		s.counts[countServed].Add(1)
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -35,9 +35,8 @@
 
 type script func(n int, r *http.Request) (answer string, close bool)
 
-// upstream listens and has each request answered on its connection, until answer
-// says that the connection ends.
-func upstream(t *testing.T, answer func(c net.Conn, r *http.Request, body string) (more bool)) net.Listener {
+// listenEach listens until the test's end, and has each connection served and then closed.
+func listenEach(t *testing.T, serve func(c net.Conn)) net.Listener {
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -51,21 +50,29 @@
 			}
 			go func() {
 				defer c.Close()
-				br := bufio.NewReader(c)
-				for more := true; more; {
-					r, err := http.ReadRequest(br)
-					if err != nil {
-						return
-					}
-					b, _ := io.ReadAll(r.Body)
-					more = answer(c, r, string(b))
-				}
+				serve(c)
 			}()
 		}
 	}()
 	return l
 }
 
+// upstream listens and has each request answered on its connection, until answer
+// says that the connection ends.
+func upstream(t *testing.T, answer func(c net.Conn, r *http.Request, body string) (more bool)) net.Listener {
+	return listenEach(t, func(c net.Conn) {
+		br := bufio.NewReader(c)
+		for more := true; more; {
+			r, err := http.ReadRequest(br)
+			if err != nil {
+				return
+			}
+			b, _ := io.ReadAll(r.Body)
+			more = answer(c, r, string(b))
+		}
+	})
+}
+
 func newRawUpstream(t *testing.T, s script) *rawUpstream {
 	u := &rawUpstream{}
 	u.l = upstream(t, func(c net.Conn, r *http.Request, body string) bool {
@@ -359,7 +366,7 @@
 	}
 	select {
 	case <-served:
-		t.Fatal("the gate ended with a request in flight")
+		t.Fatal("the frontend ended with a request in flight")
 	default:
 	}
 	close(release)
--- a/internal/proxy/result.go
+++ b/internal/proxy/result.go
@@ -34,6 +34,15 @@
 	return true
 }
 
+// length is that of the answer's body as its client is told it, or -1 where it isn't known.
+func (r *result) length() int64 {
+	held := r.stream == nil && r.conn == nil
+	if held && r.resp.Request.Method != http.MethodHead {
+		return int64(len(r.body))
+	}
+	return r.resp.ContentLength
+}
+
 // release ends the connection of an answer that nobody is to read to its end.
 func (r *result) release() {
 	if r != nil && r.conn != nil {
--- a/internal/proxy/stream_test.go
+++ b/internal/proxy/stream_test.go
@@ -195,17 +195,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			began := make(chan bool, 1)
-			l, err := net.Listen("tcp4", "127.0.0.1:0")
-			if err != nil {
-				t.Fatal(err)
-			}
-			t.Cleanup(func() { l.Close() })
-			go func() {
-				c1, err := l.Accept()
-				if err != nil {
-					return
-				}
-				defer c1.Close()
+			l := listenEach(t, func(c1 net.Conn) {
 				if _, err := http.ReadRequest(bufio.NewReader(c1)); err != nil {
 					return
 				}
@@ -213,7 +203,7 @@
 				began <- true
 				c1.SetReadDeadline(time.Now().Add(10 * time.Second))
 				io.Copy(io.Discard, c1)
-			}()
+			})
 			s := newProxy(t, discovery.Instance{ID: "i-1", Service: "svc", Address: l.Addr().String(), Zone: "z", Slots: 4})
 			conn, br := flow(t, s)
 			line, rest, _ := strings.Cut(c.request, "\r\n")
--- a/internal/proxy/unbroken_test.go
+++ b/internal/proxy/unbroken_test.go
@@ -21,7 +21,7 @@
 	"slateridge/internal/settings"
 )
 
-// daemonAt is a proxy whose settings lie in a file, with a gate of its own in front.
+// daemonAt is a proxy whose settings lie in a file, with a frontend of its own.
 func daemonAt(t *testing.T, ups ...discovery.Instance) (d *Daemon, front string) {
 	path := filepath.Join(t.TempDir(), "boot.json")
 	raw, _ := json.Marshal(map[string]any{
--- a/internal/proxy/waiting.go
+++ b/internal/proxy/waiting.go
@@ -17,21 +17,21 @@
 
 // Wait finds room, at once or within a time. Requests get it by priority (the lowest
 // number first) and then as they came, those that wait already among them.
-func (pool *Pool) Wait(ctx context.Context, wn target, prio int, skip map[*Upstream]bool, hold time.Duration) *placement {
+func (pool *Pool) Wait(ctx context.Context, want target, priority int, skip map[*Upstream]bool, hold time.Duration) *placement {
 	pool.mu.Lock()
-	if len(pool.waiting[wn.service]) == 0 {
-		if p := pool.placeLocked(wn, skip); p != nil {
+	if len(pool.waiting[want.service]) == 0 {
+		if p := pool.placeLocked(want, skip); p != nil {
 			pool.mu.Unlock()
 			return p
 		}
 	}
-	if len(pool.candidates(wn).all) == 0 {
+	if len(pool.candidates(want).all) == 0 {
 		pool.Full++
 		pool.mu.Unlock()
 		return nil
 	}
-	w := pool.queueLocked(wn, prio, skip)
-	pool.wakeLocked(wn.service) // room may have come by itself
+	w := pool.queueLocked(want, priority, skip)
+	pool.wakeLocked(want.service) // room may have come by itself
 	if len(w.granted) == 0 {
 		pool.Waited++
 	}
@@ -46,9 +46,9 @@
 	}
 	pool.mu.Lock()
 	defer pool.mu.Unlock()
-	ws := pool.waiting[wn.service]
+	ws := pool.waiting[want.service]
 	if i := slices.Index(ws, w); i >= 0 {
-		pool.waiting[wn.service] = slices.Concat(ws[:i], ws[i+1:])
+		pool.waiting[want.service] = slices.Concat(ws[:i], ws[i+1:])
 		pool.Full++
 		return nil
 	}
@@ -56,14 +56,14 @@
 }
 
 // queueLocked puts a request among those that wait.
-func (pool *Pool) queueLocked(wn target, prio int, skip map[*Upstream]bool) *waiter {
+func (pool *Pool) queueLocked(want target, priority int, skip map[*Upstream]bool) *waiter {
 	pool.queued++
-	w := &waiter{target: wn, priority: prio, seq: pool.queued, granted: make(chan *placement, 1), skip: skip}
-	ws := append(pool.waiting[wn.service], w)
+	w := &waiter{target: want, priority: priority, seq: pool.queued, granted: make(chan *placement, 1), skip: skip}
+	ws := append(pool.waiting[want.service], w)
 	sort.Slice(ws, func(a, b int) bool {
 		return ws[a].priority < ws[b].priority || ws[a].priority == ws[b].priority && ws[a].seq < ws[b].seq
 	})
-	pool.waiting[wn.service] = ws
+	pool.waiting[want.service] = ws
 	return w
 }
 
