--- a/internal/proxy/ejection.go
+++ b/internal/proxy/ejection.go
@@ -55,11 +55,14 @@
 	if p.first > 0 {
 		took = p.first
 	}
+	mean := func() float64 {
+		return meanDelay(pool.candidates(target{service: u.instance.Service, homes: anywhere}).preferred)
+	}
 	learn := func(s float64) {
 		if u.delay == 0 {
 			u.delay = s
 		} else {
-			u.delay = u.expect(now, meanDelay(pool.candidates(target{service: u.instance.Service, homes: anywhere}).preferred))
+			u.delay = u.expect(now, mean())
 			u.delay += constants.DelayWeight * (s - u.delay)
 		}
 		u.delayAt = now
@@ -76,12 +79,12 @@
 		learn(max(took, constants.FirstDelay.Seconds()))
 		u.eject(now)
 	case atCapacity:
-		learn(max(2*meanDelay(pool.candidates(target{service: u.instance.Service, homes: anywhere}).preferred), took))
+		learn(max(2*mean(), took))
 		u.ejectedUntil = now.Add(constants.FullPause)
 	case cancelled:
 		pool.Cancelled++
 		// No failure; but an answer would have taken longer still.
-		if took > u.expect(now, meanDelay(pool.candidates(target{service: u.instance.Service, homes: anywhere}).preferred)) {
+		if took > u.expect(now, mean()) {
 			learn(took)
 		}
 	case broken, silent:
