--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -46,6 +46,12 @@
 	return mayBeOld && p.client.hungUp()
 }
 
+// abandon gives a place back to which nothing is sent any more.
+func (pool *Pool) abandon(of *placement) *result {
+	pool.done(of, unused)
+	return &result{outcome: unused, notRun: true, abandoned: true, err: errStale}
+}
+
 // try offers the request to one upstream and reads its answer.
 func (p *exchange) try(of *placement) *result {
 	u := of.upstream
@@ -56,8 +62,7 @@
 	var conn *Conn
 	for again := true; again; {
 		if p.clientLeft() { // before a connection is made for it
-			pool.done(of, unused)
-			return &result{outcome: unused, notRun: true, abandoned: true, err: errStale}
+			return pool.abandon(of)
 		}
 		var reused bool
 		var err error
@@ -72,8 +77,7 @@
 		}
 		if !p.allowed(u) {
 			u.keep(conn, false)
-			pool.done(of, unused)
-			return &result{outcome: unused, notRun: true, abandoned: true, err: errStale}
+			return pool.abandon(of)
 		}
 		left := time.Until(p.deadline)
 		name := ""
--- a/internal/proxy/clientconn.go
+++ b/internal/proxy/clientconn.go
@@ -78,11 +78,8 @@
 	c.scheduleLocked()
 }
 
-// busy says whether a request is being handled. On nil it is false.
+// busy says whether a request is being handled.
 func (c *clientConn) busy() bool {
-	if c == nil {
-		return false
-	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.handling
