--- a/review/standin/cluster.go
+++ b/review/standin/cluster.go
@@ -62,6 +62,7 @@
 	ready        func(n *Node) // told of a machine's address before its settings are written
 	upstreamIP   string
 	nextUpstream int
+	cores        int
 	duties       bool // the usage duty is the system's
 }
 
@@ -94,7 +95,7 @@
 	if bin, err = filepath.Abs(bin); err != nil {
 		cannotRun(err.Error())
 	}
-	c := &Cluster{dir: dir, bin: bin, rec: rec, bootstrap: true}
+	c := &Cluster{dir: dir, bin: bin, rec: rec, cores: cores, bootstrap: true}
 	clusters = append(clusters, c)
 	c.net = fmt.Sprintf("127.%d.%d.", 20+rand.IntN(200), len(clusters)*60+rand.IntN(60))
 	c.base = 21000 + 20*rand.IntN(500)
@@ -128,6 +129,9 @@
 	if len(seeds) >= 3 {
 		tolerate = 1
 	}
+	if c.cores >= 5 {
+		tolerate = 2
+	}
 	data := ""
 	if n.disk {
 		data = filepath.Join(c.dir, n.name, "data")
--- a/review/standin/quota.go
+++ b/review/standin/quota.go
@@ -34,8 +34,8 @@
 	cores, deployments := envInt("CORES", 1), envInt("DEPLOYMENTS", 3)
 	var all []*quotaDeployment
 	for i := range deployments {
-		d := &quotaDeployment{name: fmt.Sprintf("deployment %d", i+1), rec: rec, c: newCluster(rec, 3, cores), truth: newTruth(),
-			routes: envInt("ROUTES", 1400), gap: time.Duration(envInt("GAP", 40)) * time.Millisecond}
+		d := &quotaDeployment{name: fmt.Sprintf("deployment %d", i+1), rec: rec, c: newCluster(rec, max(3, cores), cores), truth: newTruth(), grown: envInt("GROWN", 1),
+			routes: envInt("ROUTES", 1390), gap: time.Duration(envInt("GAP", 40)) * time.Millisecond}
 		all = append(all, d)
 	}
 	var broken atomic.Bool
@@ -67,12 +67,14 @@
 	c       *Cluster
 	truth   *Truth
 	routes  int           // that the larger configuration adds
-	gap     time.Duration // between the two orders
+	gap     time.Duration // between the last two orders
+	grown   int           // how many of the larger ones are sent, the next 20 ms after the one before
 	stop    atomic.Bool
 	clients sync.WaitGroup
 }
 
-var quotaTenants = []string{"ten-a", "ten-b", "ten-c", "ten-d"} // the keys of several trackers' shards
+// quotaTenants are the keys of several trackers' shards.
+var quotaTenants = []string{"ten-a", "ten-b", "ten-c", "ten-d", "ten-e", "ten-f", "ten-g", "ten-h"}
 
 func quotaItems(rate float64) []obj {
 	items := []obj{routeItem("r-a", "a.example", "/read/", "idempotent", "svc-a", "1000ms", 2), serviceItem("svc-a"), serviceItem("svc-b"), limitsItem(16384)}
@@ -95,7 +97,7 @@
 	d.c.noBootstrap()
 	for w := range 3 * len(quotaTenants) {
 		d.clients.Go(func() {
-			cl := &Client{addr: d.c.front(d.c.nodes[w%3])}
+			cl := &Client{addr: d.c.front(d.c.nodes[w%len(d.c.nodes)])}
 			for !d.stop.Load() {
 				t := &Try{id: newID(), host: "a.example", method: "GET", uri: "/read/" + newID(), key: "key-" + quotaTenants[w/3], budget: time.Second}
 				a := cl.do(t)
@@ -106,20 +108,29 @@
 	}
 }
 
-// round sends two orders at once: one adds routes and leaves the tenants' limits, the other,
-// with the higher number, lowers them. Without trouble the second is sent when the first has
+// round sends orders at once: the first add routes and leave the tenants' limits, the last,
+// with the highest number, lowers them. Without trouble each is sent when the one before has
 // been acknowledged. It says whether more ran than the lower limit allows.
 func (d *quotaDeployment) round(k int, trouble bool) (broken bool) {
-	grown := document(2*k, append(quotaItems(quotaHigh), manyRoutes(d.routes)...))
-	lowered := document(2*k+1, quotaItems(quotaLow))
+	version := k * (d.grown + 1)
 	var orders sync.WaitGroup
-	orders.Go(func() { d.c.replace(2*k, grown, k) })
-	if trouble {
-		time.Sleep(d.gap)
-	} else {
-		orders.Wait()
+	var documents [][]byte
+	for i := range d.grown {
+		documents = append(documents, document(version+i, append(quotaItems(quotaHigh), manyRoutes(d.routes+i)...)))
 	}
-	d.c.replace(2*k+1, lowered, k+1)
+	lowered := document(version+d.grown, quotaItems(quotaLow))
+	for i, grown := range documents {
+		orders.Go(func() { d.c.replace(version+i, grown, k+i) })
+		switch {
+		case !trouble:
+			orders.Wait()
+		case i+1 < d.grown:
+			time.Sleep(20 * time.Millisecond)
+		default:
+			time.Sleep(d.gap)
+		}
+	}
+	d.c.replace(version+d.grown, lowered, k+1)
 	orders.Wait()
 	binds := time.Now().Add(configApply + quotaWindow)
 	time.Sleep(time.Until(binds.Add(3 * time.Second)))
