--- a/review/standin/upstream.go
+++ b/review/standin/upstream.go
@@ -34,12 +34,6 @@
 	t.mu.Unlock()
 }
 
-func (t *Truth) of(id string) []Run {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return append([]Run(nil), t.runs[id]...)
-}
-
 // Upstream is one life of an upstream.
 type Upstream struct {
 	id, service, zone, addr, state string
