Control: limits, keys and routes take effect in the order of versions

Cause: inForce.commit replaced the state under its lock, released it, and read the configuration (tens of milliseconds) and handed the limits on after that; commits come by several goroutines, so the older one could be last. In the same way the configuration that scaling reads could go back, and the limits under evaluation (announce checked and stored in two steps).

Change: state and configuration are one value, replaced as a whole by compare and swap and only by a newer one; the configuration is read before that. Whoever hands limits on hands on those of the newest version there is, one hand-over after the other, and none twice; nothing is read or sent under that lock. A commit returns, and its caller is acknowledged, after its limits or newer ones are at the tracker.

--- a/internal/controlplane/duties.go
+++ b/internal/controlplane/duties.go
@@ -243,7 +243,7 @@
 // scalable lists what may be ordered: each service with bounds, in each zone where
 // the platform's list has ever shown it here.
 func (d *Daemon) scalable() map[autoscale.Subject]autoscale.Bound {
-	cfg := d.inForce.config.Load()
+	cfg := d.inForce.Config()
 	list, _ := d.list.current()
 	d.zonesOfMu.Lock()
 	defer d.zonesOfMu.Unlock()
--- a/internal/controlplane/inforce.go
+++ b/internal/controlplane/inforce.go
@@ -18,56 +18,119 @@
 	quotas  map[string]admission.Quota
 }
 
-// inForce is the newest committed state known here and the configuration it holds. mu is
-// held to compare and replace the state, so that it only moves forward; readers need no
-// lock.
+// committedState is a committed state with the configuration that it holds, read. It is
+// never written after it was made.
+type committedState struct {
+	doc    config.Doc
+	config *config.Config // nil while no configuration has been committed
+}
+
+// inForce is the newest committed state known here. Commits come by several goroutines in
+// any order: the state is replaced as a whole and only by a newer one, and whoever hands
+// it on hands on the newest there is.
 type inForce struct {
 	events  *eventlog.Log
 	quotas  func(map[string]admission.Quota) // takes the limits of a new configuration
 	publish func()                           // has the proxies told
 
-	mu      sync.Mutex
-	doc     atomic.Pointer[config.Doc]
-	config  atomic.Pointer[config.Config]
-	pending atomic.Pointer[pendingLimits] // arrived here last, perhaps not in force
+	state   atomic.Pointer[committedState]
+	pending atomic.Pointer[pendingLimits] // the newest that arrived here, perhaps not in force
+
+	handOver     sync.Mutex // one hand-over of limits after the other; no I/O under it
+	limitVersion uint64     // of the limits handed over last; under handOver
 }
 
 // Load is the newest committed state; nil while there is none. It is not written after.
-func (f *inForce) Load() *config.Doc { return f.doc.Load() }
+func (f *inForce) Load() *config.Doc {
+	if state := f.state.Load(); state != nil {
+		return &state.doc
+	}
+	return nil
+}
+
+// Config is the configuration in force; nil while there is none.
+func (f *inForce) Config() *config.Config {
+	if state := f.state.Load(); state != nil {
+		return state.config
+	}
+	return nil
+}
 
 // commit puts a state in force here, for the proxies and for the trackers; false when it
 // is not newer than what is.
 func (f *inForce) commit(doc config.Doc) bool {
-	f.mu.Lock()
-	old := f.doc.Load()
-	if old != nil && !old.Stamp.Less(doc.Stamp) {
-		f.mu.Unlock()
+	before, replaced := f.replace(doc)
+	if !replaced {
 		return false
 	}
-	f.doc.Store(&doc)
-	f.mu.Unlock()
-	if doc.Raw != nil && (old == nil || old.Version < doc.Version) {
-		cfg, err := config.Read(doc.Raw)
-		if err != nil {
-			panic("controlplane: an invalid configuration was committed: " + err.Error())
-		}
-		f.config.Store(cfg)
-		f.quotas(admission.Quotas(cfg))
-		f.events.Record("config", fmt.Sprintf("r%d in force", doc.Version))
-	}
-	if was, is := fmt.Sprint(old.Evacuated()), fmt.Sprint(doc.Evacuated()); was != is {
+	f.handOverLimits()
+	if was, is := fmt.Sprint(before.Evacuated()), fmt.Sprint(doc.Evacuated()); was != is {
 		f.events.Record("evacuations", is)
 	}
 	f.publish()
 	return true
 }
 
-// announce takes the limits of a configuration that may come into force.
-func (f *inForce) announce(cfg *config.Config) {
-	pending := f.pending.Load()
-	if pending != nil && pending.version >= cfg.Version || chain.VersionOf(f.doc.Load()) >= cfg.Version {
+// replace makes a state the newest if it is, and tells the one before.
+func (f *inForce) replace(doc config.Doc) (before *config.Doc, replaced bool) {
+	var read *config.Config
+	for {
+		old := f.state.Load()
+		next := &committedState{doc: doc}
+		before = nil
+		if old != nil {
+			if !old.doc.Stamp.Less(doc.Stamp) {
+				return nil, false
+			}
+			before, next.config = &old.doc, old.config
+		}
+		if doc.Raw != nil && (old == nil || old.doc.Version < doc.Version) {
+			if read == nil {
+				read = readCommitted(doc.Raw)
+			}
+			next.config = read
+		}
+		if f.state.CompareAndSwap(old, next) {
+			return before, true
+		}
+	}
+}
+
+// readCommitted reads a configuration that was checked before it was committed.
+func readCommitted(raw []byte) *config.Config {
+	cfg, err := config.Read(raw)
+	if err != nil {
+		panic("controlplane: an invalid configuration was committed: " + err.Error())
+	}
+	return cfg
+}
+
+// handOverLimits hands on the limits of the configuration in force, unless they have been.
+// On its return they have, or newer ones.
+func (f *inForce) handOverLimits() {
+	f.handOver.Lock()
+	defer f.handOver.Unlock()
+	cfg := f.Config()
+	if cfg == nil || cfg.Version <= f.limitVersion {
 		return
 	}
-	f.pending.Store(&pendingLimits{cfg.Version, admission.Quotas(cfg)})
+	f.limitVersion = cfg.Version
+	f.quotas(admission.Quotas(cfg))
+	f.events.Record("config", fmt.Sprintf("r%d in force", cfg.Version))
+}
+
+// announce takes the limits of a configuration that may come into force, unless a newer
+// one has come or is in force.
+func (f *inForce) announce(cfg *config.Config) {
+	next := &pendingLimits{cfg.Version, admission.Quotas(cfg)}
+	for {
+		old := f.pending.Load()
+		if old != nil && old.version >= cfg.Version || chain.VersionOf(f.Load()) >= cfg.Version {
+			return
+		}
+		if f.pending.CompareAndSwap(old, next) {
+			break
+		}
+	}
 	f.publish()
 }
