Distribution: what is told down a connection never goes back

Numbered contents were kept in order by the proxy; the trackers' addresses, the live count, the peers and the limits under evaluation were not, until the next heartbeat.

A proxy drops limits for evaluation that a newer version has overtaken, whichever control machine tells of them.

--- /dev/null
+++ b/internal/distribution/order_test.go
@@ -0,0 +1,83 @@
+package distribution
+
+import (
+	"fmt"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"slateridge/internal/admission"
+	"slateridge/internal/constants"
+	"slateridge/internal/transport"
+)
+
+// Changes published at once reach a proxy in the order in which they came about, however
+// long the gathering of one of them takes.
+func TestPublishedAtOnceIsToldInOrder(t *testing.T) {
+	const port, changes = 39163, 20
+	var state atomic.Uint64
+	state.Store(1)
+	var publisher *Publisher
+	publisher = New(func() Snapshot {
+		num := state.Load()
+		time.Sleep(time.Duration(num%2) * 5 * time.Millisecond)
+		return Snapshot{Update: Update{Current: true, StateNum: num}}
+	}, func(string) bool { return true })
+	listener, err := transport.Listen(fmt.Sprintf("127.0.0.24:%d", port))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { listener.Close() })
+	go transport.Serve(listener, func(conn *transport.Conn, body any) any {
+		return publisher.Subscribed(conn, body.(Subscription))
+	})
+	var mu sync.Mutex
+	var told []uint64
+	peer := transport.NewPeer(fmt.Sprintf("127.0.0.24:%d", port), "127.0.0.25", func(_ *transport.Conn, body any) any {
+		mu.Lock()
+		defer mu.Unlock()
+		told = append(told, body.(Update).StateNum)
+		return nil
+	})
+	for range 50 {
+		if _, err = peer.Call(Subscription{Node: "p", Full: true}, constants.CallTimeout); err == nil {
+			break
+		}
+		time.Sleep(constants.RedialPause)
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	var group sync.WaitGroup
+	for range changes {
+		state.Add(1)
+		group.Go(publisher.Publish)
+		time.Sleep(time.Millisecond)
+	}
+	group.Wait()
+	time.Sleep(100 * time.Millisecond)
+	mu.Lock()
+	defer mu.Unlock()
+	if !slices.IsSorted(told) || len(told) == 0 || told[len(told)-1] != state.Load() {
+		t.Fatalf("told %v, want rising numbers up to %d", told, state.Load())
+	}
+}
+
+// Limits that a newer version has overtaken are not evaluated, whoever tells of them late.
+func TestOvertakenLimitsAreNotEvaluated(t *testing.T) {
+	var evaluated []float64
+	subscriber := NewSubscriber(Subscription{Node: "p"}, []string{"a", "b"}, func(string, transport.Handler) *transport.Peer { return nil }, func(f Changes) {
+		if f.Coming != nil {
+			evaluated = append(evaluated, f.Coming["t"].Rate)
+		}
+	})
+	for _, version := range []uint64{5, 4, 7, 5, 7, 8} {
+		coming := map[string]admission.Quota{"t": {Rate: float64(version)}}
+		subscriber.receive([]string{"a", "b"}[version%2], Update{Current: true, ComingVer: version, Coming: coming}, time.Now())
+	}
+	if want := []float64{5, 7, 8}; !slices.Equal(evaluated, want) {
+		t.Fatalf("evaluated the limits of %v, want %v", evaluated, want)
+	}
+}
--- a/internal/distribution/publisher.go
+++ b/internal/distribution/publisher.go
@@ -100,7 +100,8 @@
 	return out
 }
 
-// Publisher is the control side.
+// Publisher is the control side. A snapshot is taken under mu, so that what is told down a
+// connection never goes back to an earlier one; taking it does no I/O.
 type Publisher struct {
 	mu       sync.Mutex
 	conns    map[*transport.Conn]*subscriberConn
@@ -156,9 +157,9 @@
 
 // Subscribed takes a proxy's word and answers it.
 func (p *Publisher) Subscribed(conn *transport.Conn, subscription Subscription) Update {
-	f := p.snapshot()
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	f := p.snapshot()
 	c := p.conns[conn]
 	if c == nil {
 		c = &subscriberConn{}
@@ -249,9 +250,9 @@
 
 // Publish pushes what has changed down every held connection.
 func (p *Publisher) Publish() {
-	f := p.snapshot()
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	f := p.snapshot()
 	for conn, c := range p.conns {
 		if time.Since(c.heardAt) > constants.SubscriptionSilence {
 			continue // it takes its news elsewhere, or is gone; its next word is answered
--- a/internal/distribution/receive.go
+++ b/internal/distribution/receive.go
@@ -83,8 +83,11 @@
 	e := subscriber.conns[a]
 	subscriber.addPeersLocked(update.Peers, update.Current)
 	subscriber.noteHeardLocked(e, update, late, now)
-	f := Changes{From: a, Coming: update.Coming}
+	f := Changes{From: a}
 	subscriber.holdLocked(&f, doc, list, misfit)
+	if update.ComingVer > max(subscriber.version, subscriber.comingVersion) && update.Coming != nil {
+		subscriber.comingVersion, f.Coming = update.ComingVer, update.Coming
+	}
 	if update.StateNum > subscriber.state {
 		subscriber.state, subscriber.evacuated = update.StateNum, update.Evacuated
 	}
--- a/internal/distribution/subscriber.go
+++ b/internal/distribution/subscriber.go
@@ -32,6 +32,7 @@
 	apply         func(Changes)
 	version       uint64
 	inForce       uint64 // the version, once it is in force here
+	comingVersion uint64 // of the limits evaluated last
 	listNum       uint64
 	listCurrentAt time.Time // when the held list was last known to be current
 	readIndexAt   time.Time
