Proxy: changed bounds on clients reach open connections

Cause: each set of bounds had an http.Server of its own, and connections stayed with the server, and so with the bound on headers and their time, that they came to.

Change: one server; each connection bounds its headers and their time itself, by the configuration in force while they are read. What is over the bound gets a whole 431 (what the client still sends is read for half a second, so that the answer is not lost with the connection), and no more than the bound and one read-ahead of 4 KB is held. The time runs from the first byte on a connection that rested, and from its opening on a new one. A lowered idle bound reaches open connections too, once clients may know it (configApply, from the settings; it was a constant of 3 s and new connections only).

It is replaced by one that checks the moment of each closing to the nanosecond: inside configApply, after it, under a raised bound, with a request under way.

--- a/internal/constants/constants.go
+++ b/internal/constants/constants.go
@@ -212,9 +212,9 @@
 	RevokeReserve    = 400 * time.Millisecond  // of the bound on revoked keys kept for clocks that count unevenly and a slow step
 	RetryUnsure      = 400 * time.Millisecond  // sent while a proxy does not know whether a key still holds: one request to control
 	IdleTimeout      = 15 * time.Second        // likewise
-	IdleOverlap      = 3 * time.Second         // after an idle bound is lowered, clients that open connections may still go by the one before: over the bound on how long a configuration takes
 	IdleSpare        = 5 * time.Second         // an idle connection is kept so much longer than its bound: a request that is on its way when it is closed is lost
-	HeaderBytes      = 64 << 10                // hard bound before a configuration's own
+	HeaderBytes      = 64 << 10                // until a configuration says otherwise
+	RefusalLinger    = 500 * time.Millisecond  // a client that goes on sending headers that were refused is read for so long: several round trips, in which the refusal reaches it
 	BudgetDefault    = 30 * time.Second        // a client that names no budget
 )
 
--- a/internal/proxy/clientconn.go
+++ b/internal/proxy/clientconn.go
@@ -9,15 +9,20 @@
 
 	"golang.org/x/sys/unix"
 
+	"slateridge/internal/config"
 	"slateridge/internal/constants"
 )
 
 // clientConn is a connection of a client. The HTTP server ends the context of a request when
 // it reads the end of the connection, but it doesn't read while the client's next request
 // waits, or while a body is being passed on. During those times the socket is looked at.
+// It also bounds a request's headers and the time that they take, by the configuration that
+// is in force while they are read.
 type clientConn struct {
 	*net.TCPConn
-	leave context.CancelFunc // ends the contexts of the connection's requests
+	leave  context.CancelFunc // ends the contexts of the connection's requests
+	limits func() config.Limits
+	header headerProgress
 
 	mu       sync.Mutex
 	handling bool        // a request is being handled
@@ -45,9 +50,9 @@
 }
 
 // wrapClientConn makes a clientConn of a TCP connection, and leaves others as they are.
-func wrapClientConn(c net.Conn) net.Conn {
+func wrapClientConn(c net.Conn, limits func() config.Limits) net.Conn {
 	if tcp, ok := c.(*net.TCPConn); ok {
-		return &clientConn{TCPConn: tcp}
+		return &clientConn{TCPConn: tcp, limits: limits}
 	}
 	return c
 }
@@ -55,9 +60,11 @@
 // Read reads what the client has sent.
 func (c *clientConn) Read(b []byte) (int, error) {
 	c.setReading(true)
-	n, err := c.TCPConn.Read(b)
-	c.setReading(false)
-	return n, err
+	defer c.setReading(false)
+	if c.header.expected {
+		return c.readHeader(b)
+	}
+	return c.TCPConn.Read(b)
 }
 
 func (c *clientConn) setReading(reading bool) {
--- a/internal/proxy/daemon.go
+++ b/internal/proxy/daemon.go
@@ -178,7 +178,7 @@
 			return s.Limits
 		}
 		return config.Limits{}
-	})
+	}, set.Bounds.ConfigApply.D())
 	g.Add(d.frontend.serve, func(error) { d.frontend.close() })
 	group := rungroup.New(g)
 	group.Serve(rl, http.HandlerFunc(d.readiness))
--- a/internal/proxy/frontend_test.go
+++ b/internal/proxy/frontend_test.go
@@ -23,7 +23,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	g := newFrontend(l, s, func() config.Limits { return config.Limits{IdleTime: time.Duration(idle.Load())} })
+	g := newFrontend(l, s, func() config.Limits { return config.Limits{IdleTime: time.Duration(idle.Load())} }, time.Second)
 	go g.serve()
 	t.Cleanup(g.close)
 	c, err := net.Dial("tcp4", l.Addr().String())
@@ -68,11 +68,12 @@
 	}
 }
 
-// A connection is closed once it has rested longer than the bounds allow that were in
-// force since it was opened; a lowered bound holds for those opened after clients knew it.
+// A connection is closed once it has rested longer than the bound in force allows, also
+// when it was opened under a longer one; that one holds on while clients may go by it.
 func TestIdleConnectionsAreClosed(t *testing.T) {
+	const s, spare, configApply = time.Second, constants.IdleSpare, 3 * time.Second
 	var bound atomic.Int64
-	g := newFrontend(nil, nil, func() config.Limits { return config.Limits{IdleTime: time.Duration(bound.Load())} })
+	g := newFrontend(nil, nil, func() config.Limits { return config.Limits{IdleTime: time.Duration(bound.Load())} }, configApply)
 	began := time.Now()
 	open := func(after time.Duration) net.Conn {
 		ours, theirs := net.Pipe()
@@ -87,29 +88,36 @@
 		_, is := g.conns[c]
 		return is
 	}
-	const s, spare = time.Second, constants.IdleSpare
-	bound.Store(int64(10 * s))
-	first, busy := open(0), open(0)
+	closesAt := func(what string, c net.Conn, after time.Duration) {
+		t.Helper()
+		if !isOpen(c, after) {
+			t.Errorf("%s: closed before %v", what, after)
+		}
+		if isOpen(c, after+1) {
+			t.Errorf("%s: open after %v", what, after)
+		}
+	}
+	bound.Store(int64(20 * s))
+	long, busy := open(0), open(0)
 	g.trackAt(busy, http.StateActive, began)
-	if !isOpen(first, 1*s) {
-		t.Error("closed inside the first bound")
+	if !isOpen(long, 10*s) {
+		t.Error("closed inside its bound")
 	}
+	short := open(10 * s)
 	bound.Store(int64(2 * s))
-	if !isOpen(first, 3*s) || !isOpen(first, 10*s) {
-		t.Error("closed by a bound that was lowered after it was opened")
-	}
-	early := open(4 * s) // its client may not know the lowered bound yet
-	if !isOpen(first, 10*s+spare) || isOpen(first, 10*s+spare+1) {
-		t.Error("closed at its bound, or open long beyond every bound")
-	}
-	if !isOpen(early, 14*s+spare) || isOpen(early, 14*s+spare+1) {
-		t.Error("opened soon after the bound was lowered: it should be that before it")
+	if !isOpen(long, 11*s) { // lowered now; it has rested far longer
+		t.Error("closed by a lowered bound that its client may not know")
 	}
-	late := open(30 * s)
-	if !isOpen(late, 32*s+spare) || isOpen(late, 32*s+spare+1) {
-		t.Error("the lowered bound never takes hold")
+	closesAt("opened under a longer bound, rested long", long, 11*s+configApply-1)
+	closesAt("opened under a longer bound, rested little", short, 10*s+2*s+spare)
+	closesAt("opened under the lowered bound", open(30*s), 32*s+spare)
+	raised := open(40 * s)
+	if !isOpen(raised, 45*s) {
+		t.Error("closed inside the bound")
 	}
-	if !isOpen(busy, 60*s) {
+	bound.Store(int64(12 * s))
+	closesAt("raised meanwhile", raised, 52*s+spare)
+	if !isOpen(busy, 90*s) {
 		t.Error("closed with a request under way")
 	}
 }
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -338,7 +338,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	g := newFrontend(l, s, func() config.Limits { return config.Limits{} })
+	g := newFrontend(l, s, func() config.Limits { return config.Limits{} }, time.Second)
 	served := make(chan struct{})
 	go func() { g.serve(); close(served) }()
 	got := make(chan string, 1)
--- a/internal/proxy/unbroken_test.go
+++ b/internal/proxy/unbroken_test.go
@@ -43,7 +43,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	d.frontend = newFrontend(l, d.Proxy, func() config.Limits { return d.config.Load().Limits })
+	d.frontend = newFrontend(l, d.Proxy, func() config.Limits { return d.config.Load().Limits }, time.Second)
 	t.Cleanup(d.frontend.close)
 	d.inForce(fmt.Sprintf(testConfig, 1), 1, ups)
 	go d.frontend.serve()
