Proxy: another upstream is asked when a silence is unusual for its service

Cause: no second upstream was asked before half of the target latency, a figure that says nothing of how long the work takes or how long the caller has.

A silence is unusual beyond three times the usual time and beyond the usual time and four mean deviations (as TCP judges round trips); where the caller's time would not suffice for the work elsewhere by then, the second is asked in time for it, but not before most answers have come. The work's time is the median over the service's upstreams, learned from good answers only: one that is stuck says nothing of the work.

TestHedgeBesideAnAnswer set a target latency of 3 ms to bring hedges about; it sets the usual time of the work instead.

--- a/internal/constants/constants.go
+++ b/internal/constants/constants.go
@@ -202,8 +202,10 @@
 	WriteUnbounded   = 16 << 10                // bytes of an answer written without a bound: they fit a socket's buffer
 	BudgetShare      = 0.75                    // part of the retry ratio used, the rest covers windows that slide apart
 	BudgetSlack      = 0.5                     // part of the retry slack split among the proxies
-	HedgeFactor      = 3.0                     // a repeatable request goes elsewhere after so many usual delays
-	HedgeFloor       = 0.5                     // of the aim: not before
+	LikelySpreads    = 2                       // mean deviations around the usual time within which most answers come
+	UnusualSpreads   = 4                       // and beyond which hardly any does, as of round trips in TCP
+	UnusualFactor    = 3                       // times the usual time: a silence below it is usual however even the answers were
+	WorkTimeEvery    = 100 * time.Millisecond  // a service's usual time is reckoned anew so often, not for each request
 	RetryAfterFull   = 50 * time.Millisecond   // sent with a capacity refusal: about one unit of work
 	RetryStart       = 200 * time.Millisecond  // sent while no configuration is known here yet: others may have one, and it comes within that time
 	TermAccept       = 2500 * time.Millisecond // after SIGTERM the platform may still send: two missed readiness checks and a bit
@@ -220,12 +222,14 @@
 
 // Streams.
 const (
-	StreamBuffer       = 4 << 10                 // bytes of a stream read before they are passed on
-	StreamWriteTimeout = 5 * time.Second         // a client that takes nothing for so long is given up
-	AffinityTop        = 3                       // upstreams that one prefix turns to, in an order all proxies agree on
-	AffinityFull       = 0.7                     // of an upstream's slots, from which the next is asked
-	StreamFull         = 2.5                     // of an upstream's slots at work and waiting, from which it is sent no stream: those seen hold three times their slots, queue included
-	ReportedLoadFade   = 1500 * time.Millisecond // what an upstream reported of its load fades so fast toward the service's mean
+	StreamBuffer          = 4 << 10                 // bytes of a stream read before they are passed on
+	StreamPatience        = 2 * time.Second         // a client gives up a stream that is silent for so long
+	StreamPatienceTargets = 4                       // or for so many target latencies, where that is longer
+	StreamWriteTimeout    = 5 * time.Second         // a client that takes nothing for so long is given up
+	AffinityTop           = 3                       // upstreams that one prefix turns to, in an order all proxies agree on
+	AffinityFull          = 0.7                     // of an upstream's slots, from which the next is asked
+	StreamFull            = 2.5                     // of an upstream's slots at work and waiting, from which it is sent no stream: those seen hold three times their slots, queue included
+	ReportedLoadFade      = 1500 * time.Millisecond // what an upstream reported of its load fades so fast toward the service's mean
 )
 
 // Admission.
--- a/internal/proxy/attempts_test.go
+++ b/internal/proxy/attempts_test.go
@@ -51,19 +51,15 @@
 	}
 	a, b := newRawUpstream(t, answer), newRawUpstream(t, answer)
 	s := newProxy(t, a.instance("i-1"), b.instance("i-2"))
-	quick, err := config.Read([]byte(strings.ReplaceAll(fmt.Sprintf(testConfig, 2), `"targetLatency":"400ms"`, `"targetLatency":"3ms"`)))
-	if err != nil {
-		t.Fatal(err)
-	}
-	s.config.Store(quick)
 	for range 4000 {
 		s.retryBudget.Request(s.now(), "svc")
 	}
 	for range 400 {
 		s.pool.mu.Lock()
 		for _, u := range s.pool.upstreams {
-			u.delay = 0.0001 // so that hedges come about when answers do
+			u.answerTime = answerTime{mean: 0.0005, learnedAt: time.Now()} // so that hedges come about when answers do
 		}
+		clear(s.pool.candidateSets)
 		s.pool.mu.Unlock()
 		if w := get(s, "GET", "/safe/", ""); w.Code != http.StatusOK {
 			t.Fatalf("got %d", w.Code)
--- a/internal/proxy/choice.go
+++ b/internal/proxy/choice.go
@@ -44,7 +44,11 @@
 
 // candidateSet is the upstreams that fit a want, near ones first; few are those this
 // proxy turns to before any other.
-type candidateSet struct{ preferred, all []*Upstream }
+type candidateSet struct {
+	preferred, all []*Upstream
+	work           workTime // of the preferred, as reckoned last
+	workAt         time.Time
+}
 
 func (pool *Pool) candidates(w target) *candidateSet {
 	w = w.group()
--- a/internal/proxy/ejection.go
+++ b/internal/proxy/ejection.go
@@ -71,6 +71,7 @@
 	case served:
 		u.fails = 0
 		u.answers++
+		u.answerTime.learn(now, took)
 		learn(took)
 	case errored:
 		// Few answers of a healthy upstream are failures, so one is evidence
--- a/internal/proxy/hedge.go
+++ b/internal/proxy/hedge.go
@@ -2,13 +2,11 @@
 
 import (
 	"time"
-
-	"slateridge/internal/constants"
 )
 
-// hedged offers a repeatable request to one upstream and, when that stays
-// silent far beyond the usual, to a second beside it; the first good answer
-// counts. The other is left to finish.
+// hedged offers a repeatable request to one upstream and, when that stays silent for
+// unusually long, to a second beside it; the first good answer counts. The other is left
+// to finish.
 func (p *exchange) hedged(of *placement, skip map[*Upstream]bool) *result {
 	ch := make(chan *result, 2)
 	run := func(of *placement) {
@@ -17,7 +15,8 @@
 	}
 	run(of)
 	out := 1
-	t := time.NewTimer(p.hedgeAfter())
+	asked := time.Now()
+	t := time.NewTimer(p.timing().secondAt(asked).Sub(asked))
 	defer t.Stop()
 	var best *result
 	for {
@@ -69,11 +68,6 @@
 	}
 }
 
-func (p *exchange) hedgeAfter() time.Duration {
-	usual := float64(p.usualDelay())
-	return time.Duration(max(usual*constants.HedgeFactor, float64(p.targetLatency())*constants.HedgeFloor))
-}
-
 // usualDelay is the time in which upstreams of the service usually answer.
 func (p *exchange) usualDelay() time.Duration {
 	return p.proxy.pool.usualDelay(p.target())
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -33,6 +33,7 @@
 	fails        int
 	ejectedUntil time.Time // not before
 	answers      uint64
+	answerTime   answerTime // of its good answers, or of its streams' first pieces
 }
 
 // placement is one request's place at an upstream.
