Proxy: whether a request is still sent follows from its work

Cause: the share of the target latency decided, which says nothing of the work.

Change: a request is not sent when hardly any answer of its service comes in the time left (the usual time less two mean deviations), whatever its route. What was learned long ago counts less and less, and where nothing is known nobody is refused: nobody would be sent who could show that it is wrong. 15 ms stay for the answer's way back.

TestTooLateToBeSent lets the upstream show how long it takes before it asks the same of the same budgets; nothing is known of an upstream that nobody has asked.

Test: TestOldKnowledgeRefusesNobody.

--- a/internal/constants/constants.go
+++ b/internal/constants/constants.go
@@ -184,8 +184,7 @@
 	FullPause        = 80 * time.Millisecond   // an upstream that turned a request away is left alone so long
 	IdlePerUpstream  = 4                       // connections kept by
 	MaxDials         = 4                       // upstreams that could not be reached before a request is given up
-	MinTimeLeft      = 15 * time.Millisecond   // no use offering a request that has less time
-	LeastShare       = 0.1                     // of the aim: with less time left an upstream's usual delay must fit; a send that has less counts as none
+	AnswerReturn     = 15 * time.Millisecond   // an answer needs so long to reach its client: a link between zones, and a busy processor
 	AcceptPause      = 20 * time.Millisecond   // after a failed accept
 	SettingsEvery    = time.Second             // a changed settings file is looked for
 	StepEvery        = 100 * time.Millisecond  // a proxy's line and duties are driven
--- a/internal/proxy/answertime.go
+++ b/internal/proxy/answertime.go
@@ -51,6 +51,16 @@
 // likely is the time within which most answers come.
 func (w workTime) likely() time.Duration { return w.usual + constants.LikelySpreads*w.spread }
 
+// least is the time in which hardly any answer comes. What was learned long ago rules
+// nothing out: were it to, nobody would be sent who could show that it is wrong.
+func (w workTime) least(now time.Time) time.Duration {
+	if w.learnedAt.IsZero() {
+		return 0
+	}
+	age := now.Sub(w.learnedAt).Seconds() / constants.DelayFade.Seconds()
+	return time.Duration(float64(max(0, w.usual-constants.LikelySpreads*w.spread)) * math.Exp(-age))
+}
+
 // unusual is a silence that is out of the ordinary, for answers as even or uneven as these.
 func (w workTime) unusual() time.Duration {
 	return max(constants.UnusualFactor*w.usual, w.usual+constants.UnusualSpreads*w.spread)
--- a/internal/proxy/delay.go
+++ b/internal/proxy/delay.go
@@ -30,10 +30,3 @@
 	}
 	return sum / float64(n)
 }
-
-// usualDelay is the mean time to an answer of the upstreams preferred for a target.
-func (pool *Pool) usualDelay(w target) time.Duration {
-	pool.mu.Lock()
-	defer pool.mu.Unlock()
-	return time.Duration(meanDelay(pool.candidates(w).preferred) * float64(time.Second))
-}
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -146,18 +146,7 @@
 	return p.proxy.retryBudget.Take(p.proxy.now(), p.service)
 }
 
-// tooLate says that the request has so little time left that it would hardly be served,
-// and that having been sent it could not be refused with a promise any more.
-func (p *exchange) tooLate() bool {
-	left := time.Until(p.deadline)
-	if left <= constants.MinTimeLeft {
-		return true
-	}
-	if left >= time.Duration(float64(p.targetLatency())*constants.LeastShare) {
-		return false
-	}
-	return left < p.usualDelay()
-}
+func (p *exchange) tooLate() bool { return p.timing().tooLate(time.Now()) }
 
 // maxAttempts is how many upstreams the request may be sent to: what its route allowed
 // when it came, and what the newest configuration allows.
--- a/internal/proxy/hedge.go
+++ b/internal/proxy/hedge.go
@@ -67,8 +67,3 @@
 		(<-ch).release()
 	}
 }
-
-// usualDelay is the time in which upstreams of the service usually answer.
-func (p *exchange) usualDelay() time.Duration {
-	return p.proxy.pool.usualDelay(p.target())
-}
--- a/internal/proxy/hold_test.go
+++ b/internal/proxy/hold_test.go
@@ -67,20 +67,24 @@
 	}
 }
 
-// A request with less than a tenth of its aim left is not sent: it would hardly be
-// served, and having been sent it could not be refused with a promise.
+// A request with less time left than its upstreams ever take is not sent: it would hardly
+// be served, and having been sent it could not be refused with a promise.
 func TestTooLateToBeSent(t *testing.T) {
 	u := newRawUpstream(t, func(_ int, r *http.Request) (string, bool) {
 		time.Sleep(60 * time.Millisecond)
 		return ok(r, "x"), false
 	})
 	s := newProxy(t, u.instance("i-1"))
-	for _, path := range []string{"/once/", "/safe/", "/flow/"} { // their aim is 400 ms
-		if w := get(s, "POST", path, "", headerBudget, "35"); w.Code != http.StatusServiceUnavailable || u.count() != 0 {
-			t.Errorf("%s with 35 ms left: got %d after %d arrivals, want 503 after none", path, w.Code, u.count())
+	const learned = 10
+	for range learned {
+		get(s, "POST", "/once/", "")
+	}
+	for _, path := range []string{"/once/", "/safe/", "/flow/"} {
+		if w := get(s, "POST", path, "", headerBudget, "35"); w.Code != http.StatusServiceUnavailable || u.count() != learned {
+			t.Errorf("%s with 35 ms left: got %d after %d arrivals, want 503 after none", path, w.Code, u.count()-learned)
 		}
 	}
-	if w := get(s, "POST", "/once/", "", headerBudget, "90"); w.Code != http.StatusOK || u.count() != 1 {
-		t.Errorf("with 90 ms left: got %d after %d arrivals, want 200 after one", w.Code, u.count())
+	if w := get(s, "POST", "/once/", "", headerBudget, "90"); w.Code != http.StatusOK || u.count() != learned+1 {
+		t.Errorf("with 90 ms left: got %d after %d arrivals, want 200 after one", w.Code, u.count()-learned)
 	}
 }
--- a/internal/proxy/timing.go
+++ b/internal/proxy/timing.go
@@ -6,7 +6,8 @@
 	"slateridge/internal/constants"
 )
 
-// timing decides when another upstream is asked beside a silent one. It goes by the time that the caller has and by the time that the work
+// timing decides whether a request is still sent, and when another upstream is asked
+// beside a silent one. It goes by the time that the caller has and by the time that the work
 // takes, and by nothing else: whether the request was offered before, and what else its
 // route says, changes none of it.
 type timing struct {
@@ -32,6 +33,13 @@
 	return p.deadline
 }
 
+// tooLate says that the request would hardly be answered in time if it were sent now, while
+// a promise that it has not run could not be given any more.
+func (t timing) tooLate(now time.Time) bool {
+	left := t.answerBy.Sub(now)
+	return left <= constants.AnswerReturn || left < t.work.least(now)
+}
+
 // secondAt is when another upstream is asked beside one that was asked at a moment and
 // stays silent: when that is unusual, or sooner if there would be no time left elsewhere,
 // but not before most answers have come.
--- a/internal/proxy/timing_test.go
+++ b/internal/proxy/timing_test.go
@@ -87,3 +87,22 @@
 	// 300 ms of a budget of 500 would be over; most answers take no more than 180 ms.
 	tookWithin(t, "with little time: the second is asked after", second("/a/", 150*time.Millisecond, 500*time.Millisecond), 280*time.Millisecond, 320*time.Millisecond+slack)
 }
+
+// What was learned long ago keeps nobody from being sent: if it did, nobody could show that
+// the work has become shorter.
+func TestOldKnowledgeRefusesNobody(t *testing.T) {
+	now := time.Now()
+	work := workTime{usual: time.Second, spread: 10 * time.Millisecond, learnedAt: now}
+	late := timing{answerBy: now.Add(500 * time.Millisecond), work: work}
+	if !late.tooLate(now) {
+		t.Error("sent with half of the time that the work takes")
+	}
+	late.work.learnedAt = now.Add(-10 * time.Second)
+	if late.tooLate(now) {
+		t.Error("refused for what was learned ten seconds ago")
+	}
+	late.work = unknownWork
+	if late.tooLate(now) {
+		t.Error("refused for what nobody knows")
+	}
+}
