Proxy: a request waits for room for as long as that is of use to its caller

A request that an upstream turned away was refused where there was no room at that instant, however much of its time was left. Room that came by the end of an upstream's pause was given to nobody until another request came or ended.

Cause: the wait was 0.22 of the target latency, only the first offer was let wait, and those that wait were in the order of coming.

Every offer waits alike. Among requests of one priority the one that has to start soonest is first. As soon as those ahead take all the room that opens by then, at the pace at which places are given back, it is refused: it hears so at once. The end of an upstream's pause wakes those that wait (a timer a service, while any do). One that may not go everywhere no longer hides room from those behind it. A process that leaves answers those that wait while it is still there, also those that have waited for long.

TestPlacesOfUpstreamsAreUsed and TestRoomGoesToTheMostUrgent gave requests 1.5 s and reckoned with the short wait; they give budgets now in which there is no second turn, and ask for the same.

--- a/internal/constants/constants.go
+++ b/internal/constants/constants.go
@@ -191,7 +191,6 @@
 	RetireEvery      = 500 * time.Millisecond  // idle connections are looked through
 	EjectFirst       = 500 * time.Millisecond  // out after a failure; doubles
 	EjectMax         = 8 * time.Second         // longest time out before another trial
-	HoldShare        = 0.22                    // of the aim: how long a request may wait for room; a quarter is priced
 	CancelGrace      = 200 * time.Millisecond  // a repeatable request runs on so long when its client has left: most end by then and give their connection back; with HangupLook inside the half second that is allowed
 	LagLong          = 250 * time.Millisecond  // without a step: the process runs late; two steps and a bit
 	LagMemory        = time.Second             // after it ran late: what had come by then has been read
@@ -205,6 +204,7 @@
 	UnusualSpreads   = 4                       // and beyond which hardly any does, as of round trips in TCP
 	UnusualFactor    = 3                       // times the usual time: a silence below it is usual however even the answers were
 	WorkTimeEvery    = 100 * time.Millisecond  // a service's usual time is reckoned anew so often, not for each request
+	RetryAfterPart   = 1.0 / 3                 // of the time that a client has left it waits as Retry-After asks
 	RetryAfterFull   = 50 * time.Millisecond   // sent with a capacity refusal: about one unit of work
 	RetryStart       = 200 * time.Millisecond  // sent while no configuration is known here yet: others may have one, and it comes within that time
 	TermAccept       = 2500 * time.Millisecond // after SIGTERM the platform may still send: two missed readiness checks and a bit
--- a/internal/proxy/choice.go
+++ b/internal/proxy/choice.go
@@ -181,8 +181,7 @@
 	return score * (1 + constants.ChoiceNoise*rand.Float64())
 }
 
-// Place finds room at an upstream at once, or nil, for a request that has been offered
-// before: what others wait for is theirs.
+// Place finds room at an upstream at once, or nil; what others wait for is theirs.
 func (pool *Pool) Place(w target, skip map[*Upstream]bool) *placement {
 	pool.mu.Lock()
 	defer pool.mu.Unlock()
--- a/internal/proxy/ejection.go
+++ b/internal/proxy/ejection.go
@@ -67,6 +67,9 @@
 		}
 		u.delayAt = now
 	}
+	if how != atCapacity && how != unused {
+		u.heldTime.learn(now, now.Sub(began).Seconds())
+	}
 	switch how {
 	case served:
 		u.fails = 0
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -14,45 +14,68 @@
 
 // exchange is one client request on its way.
 type exchange struct {
-	proxy     *Proxy
-	request   *http.Request
-	client    *clientConn // that the request came on; nil where it isn't known
-	arrived   time.Time
-	deadline  time.Time
-	config    *config.Config
-	route     *config.Route
-	tenant    *config.Tenant
-	priority  int
-	service   string
-	homes     string    // regions it may be served in
-	bodyStart []byte    // body held for another offer
-	bodyRest  io.Reader // what follows it, offered once
-	length    int64     // of the body; -1 unknown
-	runs      int       // upstream runs this request may have caused
-	sends     int       // upstreams it was sent to
-	ranAt     time.Time // when the run that counts as usage was sent
-	usageRun  *usage.Run
-	account   *accounts.Request // nil where the tenant has no objective
-	answered  int               // upstreams that answered as having run it
+	proxy    *Proxy
+	request  *http.Request
+	client   *clientConn // that the request came on; nil where it isn't known
+	arrived  time.Time
+	deadline time.Time // the end of the caller's budget or of the route's timeout
+	// The caller's budget may last beyond the timeout: it can be served elsewhere until then.
+	callerUntil time.Time
+	config      *config.Config
+	route       *config.Route
+	tenant      *config.Tenant
+	priority    int
+	service     string
+	homes       string    // regions it may be served in
+	bodyStart   []byte    // body held for another offer
+	bodyRest    io.Reader // what follows it, offered once
+	length      int64     // of the body; -1 unknown
+	runs        int       // upstream runs this request may have caused
+	sends       int       // upstreams it was sent to
+	ranAt       time.Time // when the run that counts as usage was sent
+	usageRun    *usage.Run
+	account     *accounts.Request // nil where the tenant has no objective
+	answered    int               // upstreams that answered as having run it
+}
+
+// newExchange is a request that came at a moment and matches a route, and a tenant where
+// there are any.
+func (s *Proxy) newExchange(r *http.Request, arrived time.Time, cfg *config.Config, route *config.Route, tenant *config.Tenant) *exchange {
+	callerUntil := arrived.Add(budget(r))
+	p := &exchange{
+		proxy:       s,
+		request:     r,
+		client:      clientConnOf(r),
+		arrived:     arrived,
+		deadline:    earlier(callerUntil, arrived.Add(route.Timeout)),
+		callerUntil: callerUntil,
+		config:      cfg,
+		route:       route,
+		tenant:      tenant,
+		priority:    route.Priority,
+		service:     route.Pick(rand.Float64()),
+		homes:       homesOf(config.Homes(route, tenant)),
+		usageRun:    &usage.Run{},
+	}
+	if tenant != nil && tenant.HasPriority {
+		p.priority = tenant.Priority
+	}
+	return p
 }
 
 // forward offers the request until it is served or nothing more may be done,
 // and gives the result to hand to the client; nil with a status means refusal.
 func (p *exchange) forward() (*result, int) {
 	now := p.proxy.now()
-	p.service = p.route.Pick(rand.Float64())
-	p.homes = homesOf(config.Homes(p.route, p.tenant))
 	p.proxy.retryBudget.Request(now, p.service)
 	skip := map[*Upstream]bool{}
-	hold := time.Duration(float64(p.targetLatency()) * constants.HoldShare)
-	held := p.arrived.Add(hold)
 	var last *result
 	dials := 0
 	for {
 		if p.tooLate() {
 			return last, http.StatusServiceUnavailable
 		}
-		of := p.place(last == nil, held, skip)
+		of := p.place(skip)
 		if of == nil {
 			return last, http.StatusServiceUnavailable
 		}
@@ -95,13 +118,9 @@
 	}
 }
 
-// place finds room for an offer, or nil: the first may wait for it until held.
-func (p *exchange) place(first bool, held time.Time, skip map[*Upstream]bool) *placement {
-	if !first {
-		return p.proxy.pool.Place(p.target(), skip)
-	}
-	patience := min(time.Until(held), time.Until(p.deadline))
-	return p.proxy.pool.Wait(p.request.Context(), p.target(), p.priority, skip, patience)
+// place finds room for an offer, or nil; it waits for it while that is of use.
+func (p *exchange) place(skip map[*Upstream]bool) *placement {
+	return p.proxy.pool.Wait(p.request.Context(), p.target(), p.priority, p.timing().latestStart(), skip)
 }
 
 // offer makes one offer of the request, and a second beside it where it may be repeated.
@@ -185,10 +204,3 @@
 		}
 	}
 }
-
-func (p *exchange) targetLatency() time.Duration {
-	if p.route.TargetLatency > 0 {
-		return p.route.TargetLatency
-	}
-	return p.route.Timeout / 4
-}
--- a/internal/proxy/pool.go
+++ b/internal/proxy/pool.go
@@ -25,6 +25,8 @@
 	self          string
 	waiting       map[string][]*waiter     // by service, the most urgent first
 	queued        uint64                   // how many ever waited: the order in which they came
+	wakeAt        map[string]time.Time     // by service, when those that wait are looked after next
+	leaveBy       time.Time                // when this process ends; zero: not known to
 	connCap       func(service string) int // this proxy's share of connections to one upstream
 	NewConns      uint64                   // new connections
 	Ejected       uint64
@@ -61,6 +63,7 @@
 		candidateSets: map[target]*candidateSet{},
 		evacuated:     map[string]bool{},
 		waiting:       map[string][]*waiter{},
+		wakeAt:        map[string]time.Time{},
 		dialer:        net.Dialer{Timeout: constants.ConnectTimeout, KeepAlive: -1},
 	}
 }
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -116,18 +116,13 @@
 		s.refuse(w, r, code, 0)
 		return
 	}
-	client := clientConnOf(r)
-	client.handle(true)
-	defer client.handle(false)
-	p := &exchange{proxy: s, request: r, client: client, arrived: arrived, config: cfg, route: route, tenant: tenant, priority: route.Priority,
-		deadline: arrived.Add(min(budget(r), route.Timeout)), usageRun: &usage.Run{}}
+	p := s.newExchange(r, arrived, cfg, route, tenant)
+	p.client.handle(true)
+	defer p.client.handle(false)
 	if tenant != nil {
 		if p.account = s.accounts.Begin(tenant.Name); p.account != nil {
 			defer p.settleUnanswered()
 		}
-		if tenant.HasPriority {
-			p.priority = tenant.Priority
-		}
 		if !s.admit(w, p) {
 			return
 		}
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -389,7 +389,7 @@
 	r.Header.Set(headerAPIKey, "k1")
 	cfg := s.config.Load()
 	route, tenant, _ := match(cfg, r)
-	p := &exchange{proxy: s, request: r, arrived: time.Now(), deadline: time.Now().Add(time.Second), config: cfg, route: route, tenant: tenant}
+	p := s.newExchange(r, time.Now(), cfg, route, tenant)
 	gone, err := config.Read([]byte(strings.Replace(fmt.Sprintf(testConfig, 2), `"/once/"`, `"/elsewhere/"`, 1)))
 	if err != nil {
 		t.Fatal(err)
@@ -594,7 +594,8 @@
 	r := httptest.NewRequest("POST", "/once/", nil)
 	r.RequestURI, r.Host = "/once/", "h.example"
 	cfg := s.config.Load()
-	p := &exchange{proxy: s, request: r, arrived: time.Now(), deadline: time.Now().Add(time.Second), config: cfg, route: cfg.Match("h.example", "/once/"), homes: "none"}
+	p := s.newExchange(r, time.Now(), cfg, cfg.Match("h.example", "/once/"), nil)
+	p.homes = "none"
 	r.Header.Set(headerAttemptID, "id-2")
 	if res := p.try(of); !res.abandoned || u.count() != 1 {
 		t.Fatalf("sent where it may not be: %+v", res)
--- a/internal/proxy/room_test.go
+++ b/internal/proxy/room_test.go
@@ -21,7 +21,7 @@
 			n := atWork.Add(1)
 			for m := most.Load(); n > m && !most.CompareAndSwap(m, n); m = most.Load() {
 			}
-			time.Sleep(500 * time.Millisecond) // all ten have come, and longer than a request waits here for room
+			time.Sleep(500 * time.Millisecond) // all ten have come by then
 			atWork.Add(-1)
 			return ok(r, "x"), false
 		})
@@ -33,7 +33,8 @@
 		var wg sync.WaitGroup
 		for range 10 {
 			wg.Go(func() {
-				if get(s, "POST", "/once/", "").Code == http.StatusOK {
+				// A second one after 500 ms would not be in time.
+				if get(s, "POST", "/once/", "", headerBudget, "700").Code == http.StatusOK {
 					served.Add(1)
 				}
 			})
--- a/internal/proxy/timing.go
+++ b/internal/proxy/timing.go
@@ -6,18 +6,19 @@
 	"slateridge/internal/constants"
 )
 
-// timing decides whether a request is still sent, and when another upstream is asked
-// beside a silent one. It goes by the time that the caller has and by the time that the work
+// timing decides how long a request waits, whether it is still sent, and when another upstream
+// is asked. It goes by the time that the caller has and by the time that the work
 // takes, and by nothing else: whether the request was offered before, and what else its
 // route says, changes none of it.
 type timing struct {
-	answerBy time.Time // the answer, or a stream's first piece, is of use until then
-	work     workTime
+	answerBy    time.Time // the answer, or a stream's first piece, is of use until then
+	callerUntil time.Time // the caller tries again elsewhere until then
+	work        workTime
 }
 
 // timing is that of this request, as of now.
 func (p *exchange) timing() timing {
-	return timing{answerBy: p.answerBy(), work: p.proxy.pool.workTime(p.target())}
+	return timing{answerBy: p.answerBy(), callerUntil: p.callerUntil, work: p.proxy.pool.workTime(p.target())}
 }
 
 // answerBy is until when the caller waits for the answer or for a stream's first piece:
@@ -33,6 +34,15 @@
 	return p.deadline
 }
 
+// latestStart is until when it is of use to wait for room here: the work is likely to be
+// done in time, and a caller that is refused instead can still be served elsewhere, though
+// it may first wait for a part of its time.
+func (t timing) latestStart() time.Time {
+	here := t.answerBy.Add(-t.work.likely())
+	elsewhere := t.callerUntil.Add(-time.Duration(float64(t.work.likely()) / (1 - constants.RetryAfterPart)))
+	return earlier(here, elsewhere)
+}
+
 // tooLate says that the request would hardly be answered in time if it were sent now, while
 // a promise that it has not run could not be given any more.
 func (t timing) tooLate(now time.Time) bool {
@@ -54,3 +64,10 @@
 	}
 	return last
 }
+
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
--- a/internal/proxy/timing_test.go
+++ b/internal/proxy/timing_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strconv"
+	"sync"
 	"testing"
 	"time"
 
@@ -34,7 +35,7 @@
 	s.pool.mu.Lock()
 	for _, u := range s.pool.upstreams {
 		u.answerTime = answerTime{mean: usual.Seconds(), deviation: usual.Seconds() / 10, learnedAt: time.Now()}
-		u.delay, u.delayAt = usual.Seconds(), time.Now()
+		u.heldTime, u.delay, u.delayAt = u.answerTime, usual.Seconds(), time.Now()
 	}
 	s.pool.mu.Unlock()
 	for range 1000 {
@@ -43,12 +44,32 @@
 	return s
 }
 
+// takeAll takes all places there are, and gives them back one by one.
+func takeAll(s *Proxy) (giveBack func() bool) {
+	var taken []*placement
+	for of := s.pool.Place(target{service: "svc", homes: anywhere}, nil); of != nil; of = s.pool.Place(target{service: "svc", homes: anywhere}, nil) {
+		taken = append(taken, of)
+	}
+	return func() bool {
+		if len(taken) == 0 {
+			return false
+		}
+		s.pool.done(taken[0], unused)
+		taken = taken[1:]
+		return true
+	}
+}
+
 func request(s *Proxy, path string, budget time.Duration) (w *httptest.ResponseRecorder, took time.Duration) {
 	began := time.Now()
 	w = get(s, "GET", path, "", headerBudget, strconv.FormatInt(budget.Milliseconds(), 10))
 	return w, time.Since(began)
 }
 
+func quick(t *testing.T) discovery.Instance {
+	return newRawUpstream(t, func(_ int, r *http.Request) (string, bool) { return ok(r, "x"), false }).instance("i-1")
+}
+
 func tookWithin(t *testing.T, what string, got, least, most time.Duration) {
 	t.Helper()
 	if got < least || got > most {
@@ -56,6 +77,68 @@
 	}
 }
 
+// A request waits for room for as long as its caller can still be served, here or, after
+// the wait that a refusal asks for, elsewhere; its route's target latency changes nothing.
+func TestWaitForRoomFollowsTheCallersTime(t *testing.T) {
+	const usual, slack = 40 * time.Millisecond, 150 * time.Millisecond
+	for _, budget := range []time.Duration{300 * time.Millisecond, 900 * time.Millisecond} {
+		for _, path := range sameTimePaths {
+			s := timedProxy(t, usual, quick(t))
+			takeAll(s)
+			w, took := request(s, path, budget)
+			if w.Code != http.StatusServiceUnavailable {
+				t.Errorf("%s with %v: got %d", path, budget, w.Code)
+			}
+			tookWithin(t, fmt.Sprint(path, " with ", budget, " is refused after"), took, budget-2*usual-slack/2, budget-usual*5/4+slack/2)
+		}
+	}
+}
+
+// The longer the work, the sooner a caller hears that there was no room in time for it.
+func TestWaitForRoomFollowsTheWork(t *testing.T) {
+	const budget = 900 * time.Millisecond
+	var waits []time.Duration
+	for _, usual := range []time.Duration{20 * time.Millisecond, 300 * time.Millisecond} {
+		s := timedProxy(t, usual, quick(t))
+		takeAll(s)
+		_, took := request(s, "/a/", budget)
+		waits = append(waits, took)
+	}
+	if waits[0]-waits[1] < 250*time.Millisecond {
+		t.Errorf("waits of %v, the second should be shorter by the work and a half", waits)
+	}
+}
+
+// When those ahead take all the room that opens in a caller's time, it hears so at once.
+func TestNoRoomInTimeIsSaidAtOnce(t *testing.T) {
+	const usual, budget, most = 200 * time.Millisecond, time.Second, 60
+	s := timedProxy(t, usual, quick(t))
+	takeAll(s) // two places: ten requests a second
+	var mu sync.Mutex
+	atOnce, waited := 0, 0
+	var group sync.WaitGroup
+	for range most {
+		time.Sleep(time.Millisecond)
+		group.Go(func() {
+			w, took := request(s, "/a/", budget)
+			mu.Lock()
+			defer mu.Unlock()
+			switch {
+			case w.Code != http.StatusServiceUnavailable:
+				t.Errorf("got %d", w.Code)
+			case took < 50*time.Millisecond:
+				atOnce++
+			default:
+				waited++
+			}
+		})
+	}
+	group.Wait()
+	if waited < 5 || waited > 9 || atOnce != most-waited {
+		t.Errorf("%d of %d waited, and %d heard at once: about seven places open in the time that is of use", waited, most, atOnce)
+	}
+}
+
 // Another upstream is asked once a silence is unusual for the service, or sooner where the
 // caller's time would not suffice; the target latency changes nothing.
 func TestSilenceIsJudgedByTheUsual(t *testing.T) {
@@ -88,12 +171,102 @@
 	tookWithin(t, "with little time: the second is asked after", second("/a/", 150*time.Millisecond, 500*time.Millisecond), 280*time.Millisecond, 320*time.Millisecond+slack)
 }
 
+// A request that an upstream turned away waits for room as one that comes for the first
+// time does: the time that is left counts the same.
+func TestTurnedAwayRequestsWaitToo(t *testing.T) {
+	full := newRawUpstream(t, func(_ int, r *http.Request) (string, bool) {
+		return answerOf("503 Full", "id-1", "X-Slateridge-Not-Executed: 1\r\n", ""), false
+	})
+	free := newRawUpstream(t, func(_ int, r *http.Request) (string, bool) { return ok(r, "x"), false })
+	for _, path := range []string{"/a/", "/b/", "/once/"} {
+		s := timedProxy(t, 30*time.Millisecond, free.instance("i-free"))
+		giveBack := takeAll(s)
+		s.pool.Apply(time.Now(), []discovery.Instance{free.instance("i-free"), full.instance("i-full")})
+		time.AfterFunc(200*time.Millisecond, func() {
+			for giveBack() {
+			}
+		})
+		before := full.count()
+		w, took := request(s, path, time.Second)
+		if w.Code != http.StatusOK || full.count() != before+1 {
+			t.Errorf("%s: got %d after %v and %d arrivals at the upstream that is full", path, w.Code, took, full.count()-before)
+		}
+	}
+}
+
+// Of requests of one priority the one that has to start soonest gets the room, whichever
+// came first.
+func TestRoomGoesToWhoHasLeastTime(t *testing.T) {
+	const caller = "X-Caller"
+	var mu sync.Mutex
+	var order []string
+	u := newRawUpstream(t, func(_ int, r *http.Request) (string, bool) {
+		mu.Lock()
+		order = append(order, r.Header.Get(caller))
+		mu.Unlock()
+		time.Sleep(30 * time.Millisecond)
+		return ok(r, "x"), false
+	})
+	s := timedProxy(t, 30*time.Millisecond, u.instance("i-1"))
+	giveBack := takeAll(s)
+	var group sync.WaitGroup
+	for _, budget := range []string{"3000", "2000", "1000"} {
+		group.Go(func() {
+			if w := get(s, "GET", "/a/", "", headerBudget, budget, caller, budget); w.Code != http.StatusOK {
+				t.Errorf("with %s ms: got %d", budget, w.Code)
+			}
+		})
+		time.Sleep(30 * time.Millisecond)
+	}
+	s.pool.mu.Lock()
+	for of := range s.pool.upstreams["i-1"].active {
+		s.pool.upstreams["i-1"].active[of] = time.Now().Add(time.Hour) // one place stays taken, and does not grow old
+	}
+	s.pool.mu.Unlock()
+	giveBack()
+	group.Wait()
+	if want := "[1000 2000 3000]"; fmt.Sprint(order) != want {
+		t.Errorf("served %v, want %v", order, want)
+	}
+}
+
+// Room that comes by the end of an upstream's pause is given to those that wait then,
+// though no request ends or comes.
+func TestEndOfAPauseWakesWhoWaits(t *testing.T) {
+	s := timedProxy(t, 20*time.Millisecond, quick(t))
+	s.pool.mu.Lock()
+	for _, u := range s.pool.upstreams {
+		u.ejectedUntil = time.Now().Add(200 * time.Millisecond)
+	}
+	s.pool.mu.Unlock()
+	busy := newRawUpstream(t, func(_ int, r *http.Request) (string, bool) { return ok(r, "x"), false })
+	s.pool.Apply(time.Now(), append([]discovery.Instance{busy.instance("i-2"), busy.instance("i-3")}, s.pool.upstreams["i-1"].instance))
+	takeAll(s)
+	w, took := request(s, "/a/", 3*time.Second)
+	if w.Code != http.StatusOK {
+		t.Errorf("got %d", w.Code)
+	}
+	tookWithin(t, "served after", took, 150*time.Millisecond, 500*time.Millisecond)
+}
+
+// A process that is about to end answers those that wait while it is still there.
+func TestLeavingAnswersWhoWaits(t *testing.T) {
+	s := timedProxy(t, 20*time.Millisecond, quick(t))
+	takeAll(s)
+	time.AfterFunc(100*time.Millisecond, func() { s.pool.Leave(time.Now().Add(400 * time.Millisecond)) })
+	w, took := request(s, "/a/", 4*time.Second)
+	if w.Code != http.StatusServiceUnavailable {
+		t.Errorf("got %d", w.Code)
+	}
+	tookWithin(t, "answered after", took, 350*time.Millisecond, 500*time.Millisecond)
+}
+
 // What was learned long ago keeps nobody from being sent: if it did, nobody could show that
 // the work has become shorter.
 func TestOldKnowledgeRefusesNobody(t *testing.T) {
 	now := time.Now()
 	work := workTime{usual: time.Second, spread: 10 * time.Millisecond, learnedAt: now}
-	late := timing{answerBy: now.Add(500 * time.Millisecond), work: work}
+	late := timing{answerBy: now.Add(500 * time.Millisecond), callerUntil: now.Add(500 * time.Millisecond), work: work}
 	if !late.tooLate(now) {
 		t.Error("sent with half of the time that the work takes")
 	}
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -34,6 +34,7 @@
 	ejectedUntil time.Time // not before
 	answers      uint64
 	answerTime   answerTime // of its good answers, or of its streams' first pieces
+	heldTime     answerTime // for which requests take a place there
 }
 
 // placement is one request's place at an upstream.
