--- a/internal/constants/constants.go
+++ b/internal/constants/constants.go
@@ -205,7 +205,6 @@
 	UnusualFactor    = 3                       // times the usual time: a silence below it is usual however even the answers were
 	WorkTimeEvery    = 100 * time.Millisecond  // a service's usual time is reckoned anew so often, not for each request
 	RetryAfterPart   = 1.0 / 3                 // of the time that a client has left it waits as Retry-After asks
-	RetryAfterFull   = 50 * time.Millisecond   // sent with a capacity refusal: about one unit of work
 	RetryStart       = 200 * time.Millisecond  // sent while no configuration is known here yet: others may have one, and it comes within that time
 	TermAccept       = 2500 * time.Millisecond // after SIGTERM the platform may still send: two missed readiness checks and a bit
 	TermReserve      = 700 * time.Millisecond  // of grace kept for leaving
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -167,6 +167,11 @@
 
 func (p *exchange) tooLate() bool { return p.timing().tooLate(time.Now()) }
 
+// capacityRetry is what a caller is told that was refused for want of room.
+func (p *exchange) capacityRetry() time.Duration {
+	return p.timing().retryAfter(time.Now(), p.proxy.pool.roomDue(p.target(), p.priority))
+}
+
 // maxAttempts is how many upstreams the request may be sent to: what its route allowed
 // when it came, and what the newest configuration allows.
 func (p *exchange) maxAttempts() int {
--- a/internal/proxy/timing.go
+++ b/internal/proxy/timing.go
@@ -6,8 +6,8 @@
 	"slateridge/internal/constants"
 )
 
-// timing decides how long a request waits, whether it is still sent, and when another upstream
-// is asked. It goes by the time that the caller has and by the time that the work
+// timing decides how long a request waits, whether it is still sent, and when its caller is
+// told to come again. It goes by the time that the caller has and by the time that the work
 // takes, and by nothing else: whether the request was offered before, and what else its
 // route says, changes none of it.
 type timing struct {
@@ -65,6 +65,12 @@
 	return last
 }
 
+// retryAfter is what a refused caller is told, when that which it lacks is due after a time:
+// no more than the part of its time that it will wait.
+func (t timing) retryAfter(now time.Time, due time.Duration) time.Duration {
+	return max(0, min(due, time.Duration(float64(t.callerUntil.Sub(now))*constants.RetryAfterPart)))
+}
+
 func earlier(a, b time.Time) time.Time {
 	if b.Before(a) {
 		return b
--- a/internal/proxy/timing_test.go
+++ b/internal/proxy/timing_test.go
@@ -86,10 +86,14 @@
 			s := timedProxy(t, usual, quick(t))
 			takeAll(s)
 			w, took := request(s, path, budget)
+			left := budget - took
 			if w.Code != http.StatusServiceUnavailable {
 				t.Errorf("%s with %v: got %d", path, budget, w.Code)
 			}
 			tookWithin(t, fmt.Sprint(path, " with ", budget, " is refused after"), took, budget-2*usual-slack/2, budget-usual*5/4+slack/2)
+			if told, _ := strconv.ParseFloat(w.Header().Get("Retry-After"), 64); told <= 0 || seconds(told) > left/3+slack/3 {
+				t.Errorf("%s with %v: told to come again in %v s with %v left", path, budget, told, left)
+			}
 		}
 	}
 }
--- a/internal/proxy/waiting.go
+++ b/internal/proxy/waiting.go
@@ -143,6 +143,25 @@
 	return max(mean, seconds(ages/float64(active))) / time.Duration(active)
 }
 
+// roomDue is how long it takes until room is likely to open for one more request behind
+// those that wait.
+func (pool *Pool) roomDue(want target, priority int) time.Duration {
+	pool.mu.Lock()
+	defer pool.mu.Unlock()
+	now, group := time.Now(), want.group()
+	interval := pool.roomIntervalLocked(group, now)
+	if interval == 0 {
+		return pool.workTimeLocked(group, now).usual
+	}
+	due := interval
+	for _, w := range pool.waiting[want.service] {
+		if w.target.group() == group && w.priority <= priority {
+			due += interval
+		}
+	}
+	return due
+}
+
 // wakeLaterLocked has those that wait looked after when the next upstream's pause ends: no
 // request that ends there would do it.
 func (pool *Pool) wakeLaterLocked(service string, now time.Time) {
