Admission: a refused client is told when a token is due for it

With the key's tracker lost every one was told 300 ms, "a third of what most requests have left", also a moment before the standby serves, and a second before.

The pause after an unanswered question is the one after which a lost peer is dialled again.

--- a/internal/admission/admit.go
+++ b/internal/admission/admit.go
@@ -1,10 +1,6 @@
 package admission
 
-import (
-	"time"
-
-	"slateridge/internal/constants"
-)
+import "time"
 
 // tokenEpsilon is a part of a token that counts as nothing.
 const tokenEpsilon = 1e-6
@@ -13,7 +9,7 @@
 type Verdict struct {
 	OK    bool
 	Ask   bool          // the tracker may have tokens: ask, then Admit again
-	Retry time.Duration // when a token is due here
+	Retry time.Duration // with a refusal: until a token is due for this request
 }
 
 // Admit takes a token for a request, or refuses it. The first try counts the
@@ -39,18 +35,16 @@
 		ks.spendToken(now, grant)
 		return Verdict{OK: true}
 	}
-	verdict := Verdict{Retry: ks.retryAfter(now, available)}
-	// One question to the tracker costs less than a wrong refusal, unless it
+		// One question to the tracker costs less than a wrong refusal, unless it
 	// has just said that there is nothing.
 	if !again && now >= ks.noTokensUntil && ks.peakRate.tokens >= 1 {
-		verdict.Ask = true
-		return verdict
+		return Verdict{Ask: true}
 	}
 	ks.count.Refused++
 	if quotaHasRoom {
 		ks.count.FalseRefused++
 	}
-	return verdict
+	return Verdict{Retry: l.retryAfter(ks, now, available)}
 }
 
 // countArrival counts a request once, in the demand and in the buckets that only audit.
@@ -107,23 +101,6 @@
 	return taken
 }
 
-// retryAfter is when a refused client should try again, with so many tokens available now.
-func (ks *keyState) retryAfter(now time.Duration, available float64) time.Duration {
-	retry := time.Second
-	if rate := ks.split.rate + ks.grant.rate; rate > 0 {
-		retry = time.Duration(min(60, (1-available)/rate) * float64(time.Second))
-	}
-	// When the tracker has tokens again, as it answered; without contact, another proxy
-	// may be better off.
-	if due := ks.noTokensUntil - now; due < retry {
-		retry = max(due, constants.RetrySoon)
-	}
-	if ks.unansweredAt > 0 && now-ks.unansweredAt < constants.RetryLost {
-		retry = constants.RetryLost // another proxy finds no tracker either; it takes its time to come back
-	}
-	return retry
-}
-
 // Settle debits the true cost of an admitted request once it is over.
 func (l *Limiter) Settle(now time.Duration, key string, runs int) {
 	l.mu.Lock()
--- a/internal/admission/keystate.go
+++ b/internal/admission/keystate.go
@@ -58,6 +58,7 @@
 	loanProxies         int           // the live count that the tracker's newest answer to a report counts with
 	noTokensUntil       time.Duration
 	unansweredAt        time.Duration // a question brought no answer
+	toldUntil           time.Duration // when the refused client that was told last is to come again
 	arrivals            float64       // since the last period
 	demand              float64       // requests a second, running mean
 	lastAdmitted        time.Duration // a request was let through, other than by tokens of the tracker by
--- a/internal/constants/constants.go
+++ b/internal/constants/constants.go
@@ -206,11 +206,11 @@
 	WorkTimeEvery    = 100 * time.Millisecond  // a service's usual time is reckoned anew so often, not for each request
 	RetryAfterPart   = 1.0 / 3                 // of the time that a client has left it waits as Retry-After asks
 	RetryStart       = 200 * time.Millisecond  // sent while no configuration is known here yet: others may have one, and it comes within that time
+	RetryUnsure      = 400 * time.Millisecond  // sent while a proxy does not know whether a key still holds: one request to control
 	TermAccept       = 2500 * time.Millisecond // after SIGTERM the platform may still send: two missed readiness checks and a bit
 	TermReserve      = 700 * time.Millisecond  // of grace kept for leaving
 	HeaderTimeout    = 3 * time.Second         // until a configuration says otherwise
 	RevokeReserve    = 400 * time.Millisecond  // of the bound on revoked keys kept for clocks that count unevenly and a slow step
-	RetryUnsure      = 400 * time.Millisecond  // sent while a proxy does not know whether a key still holds: one request to control
 	IdleTimeout      = 15 * time.Second        // likewise
 	IdleSpare        = 5 * time.Second         // an idle connection is kept so much longer than its bound: a request that is on its way when it is closed is lost
 	HeaderBytes      = 64 << 10                // until a configuration says otherwise
@@ -245,7 +245,6 @@
 	ContactEvery     = 400 * time.Millisecond  // a tracker is sent a message at least so often
 	OneOffLife       = 100 * time.Millisecond  // tokens granted for waiting requests end so soon: they may not add up
 	PoolPart         = 0.2                     // of a tracker's rate kept for sudden asks rather than leased
-	RetrySoon        = 10 * time.Millisecond   // least time sent with a 429: tries after it reach other proxies
 	LeaseDepthTime   = 500 * time.Millisecond  // of its rate go with a lease as burst
 	SplitHold        = 30 * time.Second        // a proxy cut off from all control so long gives its split share up; half of ProxyForget, after which others share it
 	RestartTime      = 250 * time.Millisecond  // least time between the end of a process and the start of its next incarnation; buckets fill from there
@@ -257,8 +256,8 @@
 	HotRate          = 8.0                     // requests a second at one proxy from which a key is hot and its rate leased
 	GrantEvery       = 250 * time.Millisecond  // proxies report demand and renew
 	GrantWait        = 80 * time.Millisecond   // a request may wait so long for tokens from its tracker: a busy one answers late, and a refusal costs the client more
-	RetryLost        = 300 * time.Millisecond  // sent while a key's tracker is lost: about a third of what most requests have left, which clients will wait
-	AskRetryPause    = 40 * time.Millisecond   // pause after a question that brought no answer, for a key that its tracker alone carries
+	RetryMost        = time.Minute             // the longest that a refused client is told to wait
+	AskRetryPause    = RedialPause             // after a question that brought no answer, for a key that its tracker alone carries
 	GrantHeadroom    = 1.3                     // asked over the demand seen
 	FastBucketTime   = time.Second             // the second bucket holds this much of the key's rate
 	FastBucketRate   = 2.0                     // and fills this many times faster than the rate
