Proxy: a caller refused for want of news is told when news may come

Change: what is awaited is a word of control, which a proxy asks for every SubscribeEvery; that is said, and no more than the third of its time that the caller will wait.

Test: TestWithoutNewsTheCallersTimeCounts varies the budget (before: 200 ms with 300 ms left and with ten seconds).

--- a/internal/constants/constants.go
+++ b/internal/constants/constants.go
@@ -205,8 +205,6 @@
 	UnusualFactor    = 3                       // times the usual time: a silence below it is usual however even the answers were
 	WorkTimeEvery    = 100 * time.Millisecond  // a service's usual time is reckoned anew so often, not for each request
 	RetryAfterPart   = 1.0 / 3                 // of the time that a client has left it waits as Retry-After asks
-	RetryStart       = 200 * time.Millisecond  // sent while no configuration is known here yet: others may have one, and it comes within that time
-	RetryUnsure      = 400 * time.Millisecond  // sent while a proxy does not know whether a key still holds: one request to control
 	TermAccept       = 2500 * time.Millisecond // after SIGTERM the platform may still send: two missed readiness checks and a bit
 	TermReserve      = 700 * time.Millisecond  // of grace kept for leaving
 	HeaderTimeout    = 3 * time.Second         // until a configuration says otherwise
--- a/internal/proxy/timing.go
+++ b/internal/proxy/timing.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"net/http"
 	"time"
 
 	"slateridge/internal/constants"
@@ -71,6 +72,12 @@
 	return max(0, min(due, time.Duration(float64(t.callerUntil.Sub(now))*constants.RetryAfterPart)))
 }
 
+// newsRetry is what a caller is told that was refused for want of news from control: a proxy
+// asks for it so often.
+func newsRetry(arrived time.Time, r *http.Request) time.Duration {
+	return timing{callerUntil: arrived.Add(budget(r))}.retryAfter(arrived, constants.SubscribeEvery)
+}
+
 func earlier(a, b time.Time) time.Time {
 	if b.Before(a) {
 		return b
--- a/internal/proxy/timing_test.go
+++ b/internal/proxy/timing_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"slateridge/internal/config"
+	"slateridge/internal/constants"
 	"slateridge/internal/discovery"
 )
 
@@ -253,6 +254,27 @@
 	tookWithin(t, "served after", took, 150*time.Millisecond, 500*time.Millisecond)
 }
 
+// A caller refused for want of a configuration is told to come again within the part of its
+// time that it will wait, and when news may have come.
+func TestWithoutNewsTheCallersTimeCounts(t *testing.T) {
+	s := timedProxy(t, 20*time.Millisecond)
+	s.config.Store(nil)
+	told := func(budget time.Duration) time.Duration {
+		w, _ := request(s, "/a/", budget)
+		retry, err := strconv.ParseFloat(w.Header().Get("Retry-After"), 64)
+		if w.Code != http.StatusServiceUnavailable || err != nil {
+			t.Fatalf("with %v: got %d, %v", budget, w.Code, err)
+		}
+		return seconds(retry)
+	}
+	if short := told(300 * time.Millisecond); short > 100*time.Millisecond {
+		t.Errorf("with 300 ms: told to come again after %v", short)
+	}
+	if long := told(10 * time.Second); long != constants.SubscribeEvery {
+		t.Errorf("with 10 s: told to come again after %v, control is asked every %v", long, constants.SubscribeEvery)
+	}
+}
+
 // A process that is about to end answers those that wait while it is still there.
 func TestLeavingAnswersWhoWaits(t *testing.T) {
 	s := timedProxy(t, 20*time.Millisecond, quick(t))
