Proxy: a caller waits for its key's tracker by its own time and the tracker's usual one

Change: the wait ends with the latest moment at which the request can still start, and once the silence is unusual for that tracker, judged by its answers as those of upstreams are (timing.go, answertime.go). 80 ms stay as what other work of a tracker's machine may take. The two places that asked a tracker are one (Daemon.ask).

--- a/internal/constants/constants.go
+++ b/internal/constants/constants.go
@@ -253,7 +253,7 @@
 	LendLength       = 1500 * time.Millisecond // a loan ends so long after it was last reported; a proxy that is cut off has its share back by then
 	HotRate          = 8.0                     // requests a second at one proxy from which a key is hot and its rate leased
 	GrantEvery       = 250 * time.Millisecond  // proxies report demand and renew
-	GrantWait        = 80 * time.Millisecond   // a request may wait so long for tokens from its tracker: a busy one answers late, and a refusal costs the client more
+	TrackerBusy      = 80 * time.Millisecond   // a tracker that answers at all does so within this, or within what is usual for it: other work of its machine may come first
 	RetryMost        = time.Minute             // the longest that a refused client is told to wait
 	AskRetryPause    = RedialPause             // after a question that brought no answer, for a key that its tracker alone carries
 	GrantHeadroom    = 1.3                     // asked over the demand seen
--- a/internal/proxy/daemon.go
+++ b/internal/proxy/daemon.go
@@ -48,6 +48,7 @@
 	members           *membership.Agent
 	trackerEchoesMu   sync.Mutex
 	trackerEchoes     map[string]trackerEcho // by tracker
+	trackerAnswers    map[string]*answerTime // by tracker; under trackerEchoesMu
 	clock             *clock.Clock           // agreed, as control tells
 	usageHolder       atomic.Pointer[string]
 	scalingHolder     atomic.Pointer[string]
@@ -57,7 +58,7 @@
 
 // NewDaemon builds the process's parts.
 func NewDaemon(set *settings.Settings, path string, events *eventlog.Log) *Daemon {
-	d := &Daemon{path: path, trackerEchoes: map[string]trackerEcho{}, source: discovery.NewSource(set.CloudAPI.Address)}
+	d := &Daemon{path: path, trackerEchoes: map[string]trackerEcho{}, trackerAnswers: map[string]*answerTime{}, source: discovery.NewSource(set.CloudAPI.Address)}
 	d.set.Store(set)
 	d.settingsChangedAt.Store(d.settingsModTime()) // what changes from now on is read
 	b := set.Bounds
@@ -250,7 +251,7 @@
 func (d *Daemon) Rehearse(tenant string) bool {
 	v := d.limiter.Admit(d.now(), tenant, false)
 	if v.Ask {
-		d.askTracker(tenant)
+		d.askTracker(tenant, time.Now().Add(constants.CallTimeout))
 		v = d.limiter.Admit(d.now(), tenant, true)
 	}
 	if !v.OK {
--- a/internal/proxy/grants.go
+++ b/internal/proxy/grants.go
@@ -31,19 +31,16 @@
 
 func (d *Daemon) shard(key string) int { return admission.Shard(key, d.set.Load().Trackers()) }
 
-func (d *Daemon) askTracker(key string) {
+// askTracker asks a key's tracker for tokens. It waits while an answer is of use to the
+// caller and the tracker's silence is not unusual.
+func (d *Daemon) askTracker(key string, until time.Time) {
 	asked := d.now()
-	to := d.tracker(d.shard(key))
-	if to != "" {
-		d.trackerEchoesMu.Lock()
-		echo := d.trackerEchoes[to].time
-		d.trackerEchoesMu.Unlock()
-		v, err := d.subscriber.Ask(to, admission.GrantRequest{Proxy: d.set.Load().IPAddress, Wants: []admission.Want{d.limiter.Need(asked, key)}, Echo: echo, Proxies: d.limiter.Proxies(), Life: d.limiter.Life(), Sent: asked}, constants.GrantWait)
-		if g, ok := v.(admission.Grants); err == nil && ok && !g.Refused {
-			d.heardTracker(to, g.Stamp, d.shard(key))
-			for _, x := range g.Given {
-				d.limiter.Take(d.now(), asked, x)
-			}
+	if to := d.tracker(d.shard(key)); to != "" {
+		patience := min(d.trackerPatience(to), time.Until(until))
+		grants, err := d.ask(to, asked, d.echoOf(to), []admission.Want{d.limiter.Need(asked, key)}, patience)
+		if err == nil && !grants.Refused {
+			d.heardTracker(to, grants.Stamp, d.shard(key))
+			d.takeGrants(asked, grants)
 			return
 		}
 		if errors.Is(err, transport.ErrRefused) {
@@ -55,6 +52,60 @@
 	d.limiter.Unanswered(d.now(), key)
 }
 
+// echoOf is a tracker's latest time that has come here.
+func (d *Daemon) echoOf(to string) admission.TrackerTime {
+	d.trackerEchoesMu.Lock()
+	defer d.trackerEchoesMu.Unlock()
+	return d.trackerEchoes[to].time
+}
+
+// ask sends a tracker wants that were reckoned with its time as echoed, and waits for its
+// answer.
+func (d *Daemon) ask(to string, asked time.Duration, echo admission.TrackerTime, wants []admission.Want, patience time.Duration) (admission.Grants, error) {
+	answer, err := d.subscriber.Ask(to, admission.GrantRequest{
+		Proxy:   d.set.Load().IPAddress,
+		Wants:   wants,
+		Echo:    echo,
+		Proxies: d.limiter.Proxies(),
+		Life:    d.limiter.Life(),
+		Sent:    asked,
+	}, patience)
+	if err != nil {
+		return admission.Grants{}, err
+	}
+	grants, ok := answer.(admission.Grants)
+	if !ok {
+		return admission.Grants{}, errNoGrants
+	}
+	d.trackerEchoesMu.Lock()
+	defer d.trackerEchoesMu.Unlock()
+	if d.trackerAnswers[to] == nil {
+		d.trackerAnswers[to] = &answerTime{}
+	}
+	d.trackerAnswers[to].learn(time.Now(), (d.now() - asked).Seconds())
+	return grants, nil
+}
+
+var errNoGrants = errors.New("a tracker's answer is of another kind")
+
+// trackerPatience is how long a tracker's silence is not unusual.
+func (d *Daemon) trackerPatience(to string) time.Duration {
+	d.trackerEchoesMu.Lock()
+	defer d.trackerEchoesMu.Unlock()
+	usual := unknownWork
+	if answers := d.trackerAnswers[to]; answers != nil {
+		usual = answers.estimate()
+	}
+	return max(constants.TrackerBusy, usual.unusual())
+}
+
+// takeGrants takes what a tracker answered to a question asked at a moment.
+func (d *Daemon) takeGrants(asked time.Duration, grants admission.Grants) {
+	for _, given := range grants.Given {
+		d.limiter.Take(d.now(), asked, given)
+	}
+}
+
 // heardTracker notes a tracker's answer for some shards.
 func (d *Daemon) heardTracker(to string, s admission.TrackerTime, shards ...int) {
 	now := d.now()
@@ -106,19 +157,16 @@
 	}
 	for to, ws := range by {
 		go func() {
-			q := admission.GrantRequest{Proxy: d.set.Load().IPAddress, Wants: ws, Echo: echo[to].time, Proxies: d.limiter.Proxies(), Life: d.limiter.Life(), Sent: asked}
-			v, err := d.subscriber.Ask(to, q, constants.CallTimeout)
-			if g, ok := v.(admission.Grants); err == nil && ok {
-				if !g.Refused { // what does not track borrows nothing
-					d.heardTracker(to, g.Stamp, shards[to]...)
-				}
-				for _, x := range g.Given {
-					d.limiter.Take(d.now(), asked, x)
-				}
-				if g.Retell {
-					d.untold(shards[to])
-				}
-			} else {
+			grants, err := d.ask(to, asked, echo[to].time, ws, constants.CallTimeout)
+			if err != nil {
+				d.untold(shards[to])
+				return
+			}
+			if !grants.Refused { // what does not track borrows nothing
+				d.heardTracker(to, grants.Stamp, shards[to]...)
+			}
+			d.takeGrants(asked, grants)
+			if grants.Retell {
 				d.untold(shards[to])
 			}
 		}()
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -33,7 +33,7 @@
 	window      func(at time.Time) uint64
 	accounts    *accounts.Meter // nil where tenants have no objectives
 	retryBudget *RetryBudget
-	askFor      func(key string) // one question to a key's tracker, answered or not
+	askFor      func(key string, until time.Time) // one question to a key's tracker, answered by then or not
 	leaving     atomic.Bool
 	hedges      atomic.Uint64
 	open        atomic.Int64
@@ -181,7 +181,7 @@
 	}
 	v := s.limiter.Admit(s.now(), p.tenant.Name, false)
 	if v.Ask {
-		s.askFor(p.tenant.Name)
+		s.askFor(p.tenant.Name, p.timing().latestStart())
 		v = s.limiter.Admit(s.now(), p.tenant.Name, true)
 	}
 	if !v.OK {
