Proxy: what cold upstreams are sent follows from what they bear

A service whose cold upstreams bear twenty a second had them idle through their warm-up, and one with a bound of two a second had them fall over (by reckoning; no deployment here has such services).

--- a/cmd/scalerun/slopes.go
+++ b/cmd/scalerun/slopes.go
@@ -89,7 +89,7 @@
 			l.Instances = append(l.Instances, discovery.Instance{ID: fmt.Sprintf("i-%010x", i), Service: fmt.Sprintf("svc%04d", i%max(1, n/25)), Address: fmt.Sprintf("10.%d.%d.%d:8080", i/65536, i/256%256, i%256), Zone: fmt.Sprintf("z%d", i%8), Slots: 2})
 		}
 		base := heap()
-		pool := proxy.NewPool("p", "z1", map[string]string{"z1": "r"}, func(string) int { return 5 }, func(string) time.Duration { return 0 })
+		pool := proxy.NewPool("p", "z1", map[string]string{"z1": "r"}, func(string) int { return 5 }, func(string) proxy.ColdBound { return proxy.ColdBound{} })
 		first := timed(1, func() { pool.Apply(time.Now(), l.Instances) })
 		held := heap() - base
 		again := timed(5, func() { pool.Apply(time.Now(), l.Instances[:n-10]) })
@@ -102,7 +102,7 @@
 func placementCosts(w io.Writer) {
 	fmt.Fprintln(w, "a stream's placement: upstreams of its service in its zone, microseconds")
 	for _, n := range []int{50, 500, 5_000} {
-		pool := proxy.NewPool("p", "z", map[string]string{"z": "r"}, func(string) int { return 5 }, func(string) time.Duration { return 0 })
+		pool := proxy.NewPool("p", "z", map[string]string{"z": "r"}, func(string) int { return 5 }, func(string) proxy.ColdBound { return proxy.ColdBound{} })
 		var is []discovery.Instance
 		for i := range n {
 			is = append(is, discovery.Instance{ID: fmt.Sprintf("i-%010x", i), Service: "svc", Zone: "z", Slots: 4})
--- a/internal/admission/admit.go
+++ b/internal/admission/admit.go
@@ -35,7 +35,7 @@
 		ks.spendToken(now, grant)
 		return Verdict{OK: true}
 	}
-		// One question to the tracker costs less than a wrong refusal, unless it
+	// One question to the tracker costs less than a wrong refusal, unless it
 	// has just said that there is nothing.
 	if !again && now >= ks.noTokensUntil && ks.peakRate.tokens >= 1 {
 		return Verdict{Ask: true}
--- a/internal/constants/constants.go
+++ b/internal/constants/constants.go
@@ -178,7 +178,7 @@
 	NewConnPenalty   = 4 * time.Millisecond    // a new connection costs a handshake
 	DelayFade        = 6 * time.Second         // what was learned of an upstream's delay fades so fast
 	ChoiceNoise      = 0.15                    // proxies that know the same must not all choose the same
-	ColdOwners       = 3.0                     // proxies, on average, that send to a cold upstream whose rate is bounded: of eighty, sixteen or more by lot once in 1e7, and sixteen a second is what such a bound allows
+	ColdRisk         = 1e-7                    // the chance, at each start of an upstream, that so many proxies draw it that they could break its bound
 	ColdEvery        = 1100 * time.Millisecond // between two requests of one of them: longer than the second in which they are counted
 	WarmupFactor     = 1.6                     // a fresh upstream is slow
 	FullPause        = 80 * time.Millisecond   // an upstream that turned a request away is left alone so long
--- a/internal/proxy/choice.go
+++ b/internal/proxy/choice.go
@@ -81,7 +81,7 @@
 		return pool.chooseStream(w, skip, now)
 	}
 	set := pool.candidates(w)
-	c := choice{skip: skip, now: now, mean: meanDelay(set.preferred), bounded: pool.warmup(w.service) > 0}
+	c := choice{skip: skip, now: now, mean: meanDelay(set.preferred), cold: pool.cold(w.service)}
 	if u := pool.chooseAmong(set.preferred, c); u != nil {
 		return u
 	}
@@ -101,9 +101,9 @@
 type choice struct {
 	skip       map[*Upstream]bool // those that the request has been offered to
 	now        time.Time
-	mean       float64 // the mean delay of the preferred candidates, in seconds
-	bounded    bool    // cold upstreams may only be sent so much
-	ejectedToo bool    // those left alone after failures are asked as well
+	mean       float64   // the mean delay of the preferred candidates, in seconds
+	cold       ColdBound // what cold upstreams may be sent
+	ejectedToo bool      // those left alone after failures are asked as well
 }
 
 // chooseAmong picks the upstream with the least score of those that have room, or nil.
@@ -131,7 +131,7 @@
 	if u.draining || c.skip[u] || u.pool.evacuated[u.instance.Zone] {
 		return false
 	}
-	if c.bounded && c.now.Before(u.warmFrom) && !u.admitsCold(c.now) {
+	if c.cold.lasts > 0 && c.now.Before(u.warmFrom) && !u.admitsCold(c.now, c.cold) {
 		return false
 	}
 	if !c.ejectedToo && c.now.Before(u.ejectedUntil) {
--- a/internal/proxy/daemon.go
+++ b/internal/proxy/daemon.go
@@ -38,6 +38,7 @@
 	subscriber        *distribution.Subscriber
 	reader            config.Reader // used by apply only, one call at a time
 	trackers          atomic.Pointer[[]string]
+	coldBounds        atomic.Pointer[map[string]ColdBound] // by service, of the configuration in force
 	ready             atomic.Bool
 	frontend          *frontend
 	source            *discovery.Source
@@ -66,7 +67,7 @@
 	s.lag.began = s.began
 	d.Proxy = s
 	s.retryBudget = NewRetryBudget(0, b.RetryWindow.D(), b.RetryBudgetRatio, b.RetryBudgetSlack)
-	s.pool = NewPool(set.IPAddress, set.Zone, set.Zones, d.connCap, d.warmup)
+	s.pool = NewPool(set.IPAddress, set.Zone, set.Zones, d.connCap, d.cold)
 	s.askFor = d.askTracker
 	d.clock = clock.New()
 	if set.HasDuty(settings.DutyUsage) {
@@ -105,13 +106,25 @@
 	return max(1, int(constants.ConnShare*float64(cfg.Services[service].MaxConnections))/n)
 }
 
-// warmup is how long a service's upstreams stay cold, where they may only be
-// sent so much.
-func (d *Daemon) warmup(service string) time.Duration {
-	if cfg := d.config.Load(); cfg != nil && cfg.Services[service] != nil && cfg.Services[service].WarmupPerS > 0 {
-		return cfg.Services[service].Warmup
+// cold is what a service's upstreams may be sent while they are cold.
+func (d *Daemon) cold(service string) ColdBound {
+	if bounds := d.coldBounds.Load(); bounds != nil {
+		return (*bounds)[service]
 	}
-	return 0
+	return ColdBound{}
+}
+
+// coldBoundsOf reckons the bounds on cold upstreams that a configuration asks for.
+func (d *Daemon) coldBoundsOf(cfg *config.Config) map[string]ColdBound {
+	out := map[string]ColdBound{}
+	rules := d.set.Load().Bounds
+	for name, service := range cfg.Services {
+		if service.WarmupPerS > 0 {
+			most := service.WarmupPerS*max(1, rules.WarmupOverage) + rules.WarmupSlack
+			out[name] = NewColdBound(service.Warmup, service.WarmupPerS, most)
+		}
+	}
+	return out
 }
 
 // apply puts what control sent in force.
@@ -126,6 +139,8 @@
 			if old == nil || cfg.Version > old.Version {
 				d.audit.add(old, cfg)
 				d.limiter.SetQuotas(now, admission.Quotas(cfg))
+				bounds := d.coldBoundsOf(cfg)
+				d.coldBounds.Store(&bounds)
 				d.config.Store(cfg)
 				d.events.Record("config", "r"+strconv.FormatUint(cfg.Version, 10)+" in force")
 			}
--- a/internal/proxy/pool.go
+++ b/internal/proxy/pool.go
@@ -20,8 +20,8 @@
 	candidateSets map[target]*candidateSet // made from svc as they are asked for
 	evacuated     map[string]bool          // zones nothing is sent to
 	regions       map[string]string
-	warmup        func(service string) time.Duration // how long its upstreams are cold and bounded; 0 never
-	proxies       int                                // live count
+	cold          func(service string) ColdBound
+	proxies       int // live count
 	self          string
 	waiting       map[string][]*waiter     // by service, the most urgent first
 	queued        uint64                   // how many ever waited: the order in which they came
@@ -51,12 +51,12 @@
 }
 
 // NewPool makes an empty pool for a proxy in a zone.
-func NewPool(me, zone string, regions map[string]string, connCap func(string) int, warmup func(string) time.Duration) *Pool {
+func NewPool(me, zone string, regions map[string]string, connCap func(string) int, cold func(string) ColdBound) *Pool {
 	return &Pool{
 		self:          me,
 		zone:          zone,
 		regions:       regions,
-		warmup:        warmup,
+		cold:          cold,
 		connCap:       connCap,
 		upstreams:     map[string]*Upstream{},
 		byService:     map[string][]*Upstream{},
