Usage: the times of reports follow from the window, its tolerance and its delay

Change: a proxy reports so often that one which dies takes no more than the tolerance of a window with it. A window is decided once all have reported and the roster has been shared, or at last when one call to the platform may still go unanswered and be made again, or at half of a delay that is too short for that.

Tests: TestTimesOfReportsFollowFromTheBounds; the others go by the reckoned times.

--- a/internal/proxy/daemon.go
+++ b/internal/proxy/daemon.go
@@ -227,7 +227,8 @@
 		group.Every(constants.ScaleEvery, d.tellLoad)
 	}
 	if d.meter != nil {
-		group.EveryAfter(usage.Phase(rand.Uint64()), constants.UsageReportEvery, d.tellUsage)
+		every := usage.ReportEvery(set.Bounds.UsageWindow.D(), set.Bounds.UsageTolerance)
+		group.EveryAfter(usage.Phase(rand.Uint64(), every), every, d.tellUsage)
 	}
 	if d.accountsAgent != nil {
 		group.EveryAfter(rand.N(accounts.TellEvery), accounts.TellEvery, d.accountsAgent.Tell)
--- a/internal/usage/tally.go
+++ b/internal/usage/tally.go
@@ -254,8 +254,8 @@
 	if w >= cur {
 		return 0, nil, false
 	}
-	age := float64(m.Agreed.Sub(time.Unix(0, int64(w+1)*int64(length))))
-	if age < float64(delay)*constants.UsageAll {
+	age := m.Agreed.Sub(time.Unix(0, int64(w+1)*int64(length)))
+	if age < constants.RosterEvery { // others may know proxies that are not known here yet
 		return 0, nil, false
 	}
 	// Of a window that another holder gathered in, that one may know of incarnations that
@@ -263,7 +263,7 @@
 	t.mu.Lock()
 	alone := m.Agreed.Add(-m.Held).Before(time.Unix(0, int64(w)*int64(length))) || t.handedOverAt > m.Steady-m.Held
 	t.mu.Unlock()
-	if !(alone && t.Complete(w, m.Steady-delay, live)) && (age < float64(delay)*constants.UsageLate || m.Held < 2*constants.UsageEvery) {
+	if !(alone && t.Complete(w, m.Steady-delay, live)) && (age < decideBy(delay) || m.Held < 2*constants.UsageEvery) {
 		return 0, nil, false
 	}
 	return w, Body(w, t.Sum(w)), true
--- a/internal/usage/usage.go
+++ b/internal/usage/usage.go
@@ -52,7 +52,22 @@
 	return uint64(max(0, at.UnixNano())) / uint64(length)
 }
 
+// ReportEvery is the time between a proxy's reports: one that dies takes with it at most the
+// part of a window's requests by which the platform lets a report be off.
+func ReportEvery(window time.Duration, tolerance float64) time.Duration {
+	return max(constants.StepEvery, time.Duration(float64(window)*tolerance))
+}
+
 // Phase is when, within the time between two reports, a proxy sends its first one; lot is
 // drawn. Proxies that started together would all report at the same moments, and many that are
 // killed together shortly before one would all lose the most that any can.
-func Phase(lot uint64) time.Duration { return time.Duration(lot % uint64(constants.UsageReportEvery)) }
+func Phase(lot uint64, every time.Duration) time.Duration {
+	return time.Duration(lot % uint64(every))
+}
+
+// decideBy is how long after a window's end it is decided with what is known, when its
+// report is due after a delay: one call to the platform may then go unanswered and be made
+// again.
+func decideBy(delay time.Duration) time.Duration {
+	return max(delay/2, delay-constants.DutyTimeout-constants.DutyPauseMax)
+}
--- a/internal/usage/usage_test.go
+++ b/internal/usage/usage_test.go
@@ -131,7 +131,7 @@
 	if w, _, ok := y.Next(at(13), 1010, span, delay, nil); !ok || w != 1011 {
 		t.Fatal("a window of its own waits")
 	}
-	if w, _, ok := y.Next(at(11+delay.Seconds()*constants.UsageLate), 1009, span, delay, nil); !ok || w != 1010 {
+	if w, _, ok := y.Next(at(11+decideBy(delay).Seconds()), 1009, span, delay, nil); !ok || w != 1010 {
 		t.Fatal("held up for ever")
 	}
 	y.HandedOver(11 * time.Second)
@@ -156,7 +156,7 @@
 	if _, _, ok := y.Next(at(30.9), 1028, span, delay, []string{"p"}); ok {
 		t.Error("decided before its proxies have told")
 	}
-	if w, _, ok := y.Next(at(30+delay.Seconds()*constants.UsageLate), 1028, span, delay, []string{"p"}); !ok || w != 1029 {
+	if w, _, ok := y.Next(at(30+decideBy(delay).Seconds()), 1028, span, delay, []string{"p"}); !ok || w != 1029 {
 		t.Error("held up for ever by a silent proxy")
 	}
 }
@@ -173,9 +173,9 @@
 		truth := 0
 		for p := range proxies {
 			m, name := NewMeter(rng.Uint64()), string(rune('A'+p))
-			phase := Phase(rng.Uint64())
+			phase := Phase(rng.Uint64(), reportEvery)
 			began := time.Duration(rng.Int64N(int64(runEvery)))
-			for now := time.Duration(0); now <= span+2*constants.UsageReportEvery; now += step {
+			for now := time.Duration(0); now <= span+2*reportEvery; now += step {
 				if now < span && (now-began)%runEvery < step && now >= began {
 					truth++
 					m.Count(7, "x")
@@ -183,7 +183,7 @@
 				if p < killed && now >= at {
 					break
 				}
-				if now >= phase && (now-phase)%constants.UsageReportEvery < step {
+				if now >= phase && (now-phase)%reportEvery < step {
 					w, _ := m.Report(name, 7)
 					if h, ok := y.Take(now, 7, w); ok {
 						m.Acknowledged(w, h)
@@ -254,3 +254,22 @@
 		t.Error("garbage was taken")
 	}
 }
+
+// The time between reports follows from the window and from what the platform tolerates; the
+// moment of deciding leaves time for a call that is lost and its repeat.
+func TestTimesOfReportsFollowFromTheBounds(t *testing.T) {
+	for _, c := range []struct {
+		window    time.Duration
+		tolerance float64
+		every     time.Duration
+	}{{5 * time.Second, 0.05, 250 * time.Millisecond}, {time.Minute, 0.01, 600 * time.Millisecond}, {5 * time.Second, 0, constants.StepEvery}} {
+		if every := ReportEvery(c.window, c.tolerance); every != c.every {
+			t.Errorf("a window of %v that may be off by %v: reports every %v, want %v", c.window, c.tolerance, every, c.every)
+		}
+	}
+	for _, delay := range []time.Duration{10 * time.Second, time.Minute} {
+		if left := delay - decideBy(delay); left < constants.DutyTimeout+constants.DutyPauseMax {
+			t.Errorf("due after %v: %v are left for the platform", delay, left)
+		}
+	}
+}
