Scaling: an order stands until its own service has shown its effect

Where upstreams boot in 4 s it stood for 6.2 s.

Cause: one hold time of 6 s, chosen with the boot and the daily ripple of one deployment in mind, though the configuration states each service's boot.

Change: a service's hold time is its boot and the time until the effect is measured (a report and the averaging): 6 s for a boot of 4 s as before. Reports of proxies that are gone are dropped when the proxies are forgotten.

Tests: TestOrdersStandUntilTheirEffectIsSeen (before: "given up 6.2s after the peak where upstreams boot in 4 s and 6s where they take 20 s"); TestSuccessorGoesOn goes by the service's hold time.

--- a/internal/autoscale/autoscale.go
+++ b/internal/autoscale/autoscale.go
@@ -9,9 +9,10 @@
 // rise time makes of it until a new upstream has booted. Between a low and a high
 // part taken nothing is changed. Above the high one what is wanted is ordered at once.
 // Below the low one fewer are ordered, at most a part of them each pause, and only
-// while every live proxy's word is fresh and something has been asked lately. One hold time is longer than a period of the daily ripple and than a boot,
-// so an order is not taken back before its effect is seen: that is what keeps the
-// loop from swinging.
+// while every live proxy's word is fresh and something has been asked lately. A service's
+// hold time is the boot of its upstreams and the time until their effect is measured, so an
+// order is not taken back before its effect is seen: that is what keeps the loop from
+// swinging.
 package autoscale
 
 import (
@@ -86,7 +87,7 @@
 	sum, whole = map[Subject]float64{}, len(live) > 0
 	for p, w := range g.byProxy {
 		if now-w.at > constants.ScaleFresh {
-			if now-w.at > constants.ScaleHold {
+			if now-w.at > constants.ProxyForget {
 				delete(g.byProxy, p)
 			}
 			continue
@@ -111,6 +112,12 @@
 	Present  int // on the platform's list and not leaving
 }
 
+// hold is the time within which an order's effect is seen: new upstreams boot, proxies report
+// what runs there, and the reports are averaged. A rise is measured over a part of it.
+func (b Bound) hold() time.Duration {
+	return max(b.Boot, constants.ScaleRise) + constants.ScaleEvery + constants.ScaleSmooth
+}
+
 // Orders are the counts ordered, as they are kept and sent.
 type Orders []Order
 
@@ -192,7 +199,7 @@
 		if whole || n > 0 {
 			t.past = append(t.past, point{now, n})
 		}
-		for len(t.past) > 0 && now-t.past[0].at > constants.ScaleHold {
+		for len(t.past) > 0 && now-t.past[0].at > b.hold() {
 			t.past = t.past[1:]
 		}
 		is, ordered := present.Of(s)
@@ -230,7 +237,7 @@
 	}
 	last, ok := mean(now)
 	t.smooth = append(t.smooth, point{now, last})
-	for now-t.smooth[0].at > constants.ScaleHold {
+	for now-t.smooth[0].at > b.hold() {
 		t.smooth = t.smooth[1:]
 	}
 	most := 0.0
@@ -249,7 +256,7 @@
 		t.why, t.downAt = "load", now
 		return want, true
 	}
-	if !whole || now-t.smooth[0].at < constants.ScaleHold*3/4 || now-t.downAt < constants.ScalePause || taken >= constants.ScaleLow {
+	if !whole || now-t.smooth[0].at < b.hold()*3/4 || now-t.downAt < constants.ScalePause || taken >= constants.ScaleLow {
 		return is, true
 	}
 	t.why, t.downAt = "idle", now
--- a/internal/autoscale/autoscale_test.go
+++ b/internal/autoscale/autoscale_test.go
@@ -1,6 +1,7 @@
 package autoscale
 
 import (
+	"cmp"
 	"math"
 	"math/rand/v2"
 	"testing"
@@ -13,6 +14,7 @@
 
 // plant is a zone of upstreams that boot, under a load.
 type plant struct {
+	boot   time.Duration // 0: the usual one
 	ready  int
 	boots  []time.Duration // when each one ordered becomes ready
 	orders Orders
@@ -35,9 +37,11 @@
 	p.counts = append(p.counts, n)
 }
 
+const usualBoot = 4 * time.Second
+
 // play runs a law over a load; each is asked every 100 ms.
 func play(l *Controller, p *plant, from, until time.Duration, load func(time.Duration) float64, whole func(time.Duration) bool, check func(now time.Duration)) {
-	b := Bound{Min: 10, Max: 80, Boot: 4 * time.Second, Slots: 4}
+	b := Bound{Min: 10, Max: 80, Boot: cmp.Or(p.boot, usualBoot), Slots: 4}
 	for now := from; now < until; now += 100 * time.Millisecond {
 		for len(p.boots) > 0 && p.boots[0] <= now {
 			p.boots, p.ready = p.boots[1:], p.ready+1
@@ -138,12 +142,39 @@
 	p := &plant{ready: 20}
 	play(NewController(), p, 0, 10*time.Second, flat(100), always, nil)
 	n, _ := p.orders.Of(subject)
-	play(NewController(), p, 10*time.Second, 10*time.Second+constants.ScaleHold/2, flat(30), always, nil)
+	play(NewController(), p, 10*time.Second, 10*time.Second+Bound{Boot: usualBoot}.hold()/2, flat(30), always, nil)
 	if m, _ := p.orders.Of(subject); m != n {
 		t.Fatalf("a successor's first order is %d, %d were ordered", m, n)
 	}
 }
 
+// What was ordered for a peak is kept until the upstreams that boot slowly have shown their
+// effect, however short the peak: a service whose upstreams boot fast gives up sooner.
+func TestOrdersStandUntilTheirEffectIsSeen(t *testing.T) {
+	givenUp := func(boot time.Duration) time.Duration {
+		p := &plant{ready: 20, boot: boot}
+		peak := func(now time.Duration) float64 {
+			if now > 40*time.Second && now < 44*time.Second {
+				return 100
+			}
+			return 35
+		}
+		most, at := 0, time.Duration(0)
+		play(NewController(), p, 0, 120*time.Second, peak, always, func(now time.Duration) {
+			n, _ := p.orders.Of(subject)
+			most = max(most, n)
+			if at == 0 && now > 44*time.Second && n < most*3/4 {
+				at = now - 44*time.Second
+			}
+		})
+		return at
+	}
+	fast, slow := givenUp(usualBoot), givenUp(20*time.Second)
+	if slow < 15*time.Second || fast == 0 || fast > 10*time.Second {
+		t.Errorf("given up %v after the peak where upstreams boot in 4 s and %v where they take 20 s", fast, slow)
+	}
+}
+
 // Words that cannot be are dropped, old ones count for nothing.
 func TestLoadSumBounds(t *testing.T) {
 	g := NewLoadSum()
--- a/internal/constants/constants.go
+++ b/internal/constants/constants.go
@@ -104,11 +104,10 @@
 const (
 	ScaleEvery    = time.Second             // a proxy's report of what runs
 	ScaleFresh    = 2500 * time.Millisecond // a report older than two and a half of them counts for nothing
-	ScaleHold     = 6 * time.Second         // the largest load of so long is reckoned with: longer than a boot
 	ScaleRise     = 3 * time.Second         // over which a rise is measured
 	ScaleAhead    = 0.5                     // part of the rise until a boot ends that is believed: noise rises too
 	ScaleTaken    = 0.5                     // part of all places to be taken: a burst of half as much again fits without an order
-	ScaleHigh     = 0.62                    // part taken from which more are ordered: the daily ripple of a sixth stays below it
+	ScaleHigh     = 0.62                    // part taken from which more are ordered: load that wavers by less than a quarter orders nothing
 	ScaleLow      = 0.40                    // and below which fewer are
 	ScaleSmooth   = time.Second             // over which the load is averaged: single requests come and go
 	ScaleDown     = 0.25                    // at most this part is given up at a time
