Proxy: distance is weighed against how much answers vary

Change: an upstream further away has to be faster by more than answers vary, once for another zone and twice for another region: a request that leaves its zone depends on two zones and on the link between them, which is not risked for a difference that may be chance. New connections count as what they are measured to take at that distance, and so does the round trip to an upstream that has not answered yet. `score` is called cost.

Test: TestDistanceIsWeighedAgainstTheSpread varies delay and spread.

--- a/internal/constants/constants.go
+++ b/internal/constants/constants.go
@@ -168,10 +168,7 @@
 	SlowFactor       = 2.5                     // times the usual delay that count as slow
 	FirstDelay       = 80 * time.Millisecond   // assumed delay of an upstream nobody has asked
 	DelayWeight      = 0.2                     // weight of a new answer in the running mean
-	ZonePenalty      = 30 * time.Millisecond   // another zone must be this much faster to be worth the bytes
-	RegionPenalty    = 400 * time.Millisecond  // likewise another region, whose bytes cost seven times as much and take a round trip
 	LoadFresh        = time.Second             // what an upstream reported of its load counts so long
-	NewConnPenalty   = 4 * time.Millisecond    // a new connection costs a handshake
 	DelayFade        = 6 * time.Second         // what was learned of an upstream's delay fades so fast
 	ChoiceNoise      = 0.15                    // proxies that know the same must not all choose the same
 	ColdRisk         = 1e-7                    // the chance, at each start of an upstream, that so many proxies draw it that they could break its bound
--- a/internal/proxy/choice.go
+++ b/internal/proxy/choice.go
@@ -81,7 +81,13 @@
 		return pool.chooseStream(w, skip, now)
 	}
 	set := pool.candidates(w)
-	c := choice{skip: skip, now: now, mean: meanDelay(set.preferred), cold: pool.cold(w.service)}
+	c := choice{
+		skip:   skip,
+		now:    now,
+		mean:   meanDelay(set.preferred),
+		spread: pool.workTimeLocked(w, now).spread.Seconds(),
+		cold:   pool.cold(w.service),
+	}
 	if u := pool.chooseAmong(set.preferred, c); u != nil {
 		return u
 	}
@@ -102,11 +108,12 @@
 	skip       map[*Upstream]bool // those that the request has been offered to
 	now        time.Time
 	mean       float64   // the mean delay of the preferred candidates, in seconds
+	spread     float64   // by which answers vary, in seconds
 	cold       ColdBound // what cold upstreams may be sent
 	ejectedToo bool      // those left alone after failures are asked as well
 }
 
-// chooseAmong picks the upstream with the least score of those that have room, or nil.
+// chooseAmong picks the upstream with the least cost of those that have room, or nil.
 func (pool *Pool) chooseAmong(candidates []*Upstream, c choice) *Upstream {
 	var best *Upstream
 	least := math.Inf(1)
@@ -119,8 +126,8 @@
 		if len(u.active) >= u.activeLimit(delay, oldest, c.mean) {
 			continue
 		}
-		if score := u.score(delay, oldest, c.now); score < least {
-			best, least = u, score
+		if cost := u.cost(delay, oldest, c); cost < least {
+			best, least = u, cost
 		}
 	}
 	return best
@@ -159,26 +166,27 @@
 	return max(constants.UpstreamCap, 2*share) // as many again may wait there
 }
 
-// score is the delay to expect of one more request there, in seconds, with a penalty for
-// distance, load, cold upstreams and new connections, and a little noise.
-func (u *Upstream) score(delay, oldest float64, now time.Time) float64 {
-	score := max(delay, oldest) * (1 + float64(len(u.active))/float64(u.instance.Slots))
-	if now.Before(u.warmFrom) {
-		score *= constants.WarmupFactor
+// cost is the delay to expect of one more request there, in seconds, raised for load, cold
+// upstreams, new connections and distance, with a little noise. An upstream further away has
+// to be faster by more than answers vary: a request that leaves its zone depends on two
+// zones and on the link between them.
+func (u *Upstream) cost(delay, oldest float64, c choice) float64 {
+	cost := max(delay, oldest) * (1 + float64(len(u.active))/float64(u.instance.Slots))
+	if c.now.Before(u.warmFrom) {
+		cost *= constants.WarmupFactor
 	}
-	if age := now.Sub(u.loadAt); u.load > 1 && age < constants.LoadFresh {
-		score *= 1 + (u.load-1)*(1-age.Seconds()/constants.LoadFresh.Seconds())
+	if age := c.now.Sub(u.loadAt); u.load > 1 && age < constants.LoadFresh {
+		cost *= 1 + (u.load-1)*(1-age.Seconds()/constants.LoadFresh.Seconds())
 	}
-	switch u.distance {
-	case 1:
-		score += constants.ZonePenalty.Seconds()
-	case 2:
-		score += constants.RegionPenalty.Seconds()
+	cost += float64(u.distance) * constants.LikelySpreads * c.spread
+	roundTrip := u.pool.connectTime[u.distance].mean
+	if u.distance > 0 && !u.answerTime.known() {
+		cost += roundTrip // of those asked before it is in the delay
 	}
 	if len(u.idle) == 0 {
-		score += constants.NewConnPenalty.Seconds()
+		cost += roundTrip
 	}
-	return score * (1 + constants.ChoiceNoise*rand.Float64())
+	return cost * (1 + constants.ChoiceNoise*rand.Float64())
 }
 
 // Place finds room at an upstream at once, or nil; what others wait for is theirs.
--- a/internal/proxy/connections.go
+++ b/internal/proxy/connections.go
@@ -42,13 +42,16 @@
 	pool.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, constants.ConnectTimeout)
 	defer cancel()
+	began := time.Now()
 	c, err := pool.dialer.DialContext(ctx, "tcp4", u.instance.Address)
+	pool.mu.Lock()
+	defer pool.mu.Unlock()
 	if err != nil {
-		pool.mu.Lock()
 		u.conns--
-		pool.mu.Unlock()
 		return nil, false, err
 	}
+	connected := time.Now()
+	pool.connectTime[u.distance].learn(connected, connected.Sub(began).Seconds())
 	return newUpstreamConn(u, c), false, nil
 }
 
--- a/internal/proxy/timing_test.go
+++ b/internal/proxy/timing_test.go
@@ -305,3 +305,30 @@
 		t.Error("refused for what nobody knows")
 	}
 }
+
+// An upstream in another zone is asked where it is faster by more than answers vary, be that
+// little or much: callers of a service with quick and even answers feel a few milliseconds.
+func TestDistanceIsWeighedAgainstTheSpread(t *testing.T) {
+	for _, c := range []struct {
+		near, far, spread time.Duration
+		goesFar           bool
+	}{
+		{20 * time.Millisecond, 5 * time.Millisecond, time.Millisecond, true},
+		{20 * time.Millisecond, 15 * time.Millisecond, 10 * time.Millisecond, false},
+		{200 * time.Millisecond, 150 * time.Millisecond, 60 * time.Millisecond, false},
+		{200 * time.Millisecond, 150 * time.Millisecond, time.Millisecond, true},
+	} {
+		s := newProxy(t, discovery.Instance{ID: "near", Service: "svc", Zone: "z", Slots: 4}, discovery.Instance{ID: "far", Service: "svc", Zone: "z2", Slots: 4})
+		now := time.Now()
+		for id, usual := range map[string]time.Duration{"near": c.near, "far": c.far} {
+			u := s.pool.upstreams[id]
+			u.delay, u.delayAt = usual.Seconds(), now
+			u.answerTime = answerTime{mean: usual.Seconds(), deviation: c.spread.Seconds(), learnedAt: now}
+		}
+		work := s.pool.workTime(target{service: "svc", homes: anywhere})
+		s.pool.candidates(target{service: "svc", homes: anywhere}).work.spread = c.spread // of the answers alone
+		if of := s.pool.Place(target{service: "svc", homes: anywhere}, nil); (of.upstream.instance.ID == "far") != c.goesFar {
+			t.Errorf("%+v, usually %v: %s was asked", c, work.usual, of.upstream.instance.ID)
+		}
+	}
+}
