--- a/internal/accountreport/text.go
+++ b/internal/accountreport/text.go
@@ -16,7 +16,7 @@
 // Table writes one line for each tenant, those with an alarm marked.
 func Table(w io.Writer, snapshot accounts.Snapshot) error {
 	t := tabwriter.NewWriter(w, 0, 4, 2, ' ', 0)
-	fmt.Fprintln(t, "TENANT\tTAKEN\tIN AIM\tLATE\tLOST\tREFUSED\tUNKNOWN\tOPEN\tDOUBLED\tP50\tP99\tBUDGET LEFT\tBURN 5m\tBURN 1h\tAGE\t")
+	fmt.Fprintln(t, "TENANT\tTAKEN\tIN TIME\tLATE\tLOST\tREFUSED\tUNKNOWN\tOPEN\tDOUBLED\tP50\tP99\tBUDGET LEFT\tBURN 5m\tBURN 1h\tAGE\t")
 	for _, s := range snapshot.Standings {
 		fmt.Fprintf(t, "%s\t%d\t", s.Tenant, s.Account.Taken)
 		for _, outcome := range accounts.Outcomes() {
--- a/internal/admission/admit.go
+++ b/internal/admission/admit.go
@@ -12,7 +12,7 @@
 	Retry time.Duration // with a refusal: until a token is due for this request
 }
 
-// Admit takes a token for a request, or refuses it. The first try counts the
+// Admit takes a token for a request, or refuses it. The first call counts the
 // arrival; a request that waited for its tracker is tried again with again set.
 func (l *Limiter) Admit(now time.Duration, key string, again bool) Verdict {
 	l.mu.Lock()
--- a/internal/constants/constants.go
+++ b/internal/constants/constants.go
@@ -33,7 +33,7 @@
 	HeartbeatEvery    = 250 * time.Millisecond  // control machines send each other their state
 	RelayEvery        = 500 * time.Millisecond  // a relay asks one control machine after the other
 	RelayFresh        = 3 * time.Second         // and sends nobody to one whose answer is older: six questions, so that several may be lost
-	MemberSilence     = 1000 * time.Millisecond // four heartbeats missed, and longer than a disk slowed 25 times holds a sync
+	MemberSilence     = 1000 * time.Millisecond // four heartbeats missed, and longer than a slow disk holds a sync
 	ProposeStagger    = 300 * time.Millisecond  // a later member waits this much longer, so proposals seldom clash
 	PromiseWait       = 120 * time.Millisecond  // for the third promise once two are in
 	RoundLimit        = 700 * time.Millisecond  // one round of agreement; then a higher ballot
@@ -97,7 +97,7 @@
 	UsageBatch   = 200                     // incarnations in one message when a holder hands on what it knows
 	UsageTenants = 200_000                 // tenants in one report
 	UsageMost    = 1 << 40                 // requests of one tenant in a window; more is garbage
-	UsageSilent  = 2500 * time.Millisecond // a proxy silent so long is not waited for: six and a half heartbeats
+	UsageSilent  = 2500 * time.Millisecond // a proxy silent so long is not waited for: it has missed two heartbeats
 )
 
 // Scaling; the law stands in package autoscale.
@@ -127,7 +127,7 @@
 // News to the data plane.
 const (
 	SubscribeEvery      = 400 * time.Millisecond  // heartbeat on the held connection in the own zone
-	SubscribeEveryFar   = 1200 * time.Millisecond // on the others; bytes between zones are priced, pushes come at once anyway
+	SubscribeEveryFar   = 1200 * time.Millisecond // on the others: changes are pushed on them at once, and a heartbeat only shows that the connection stands
 	SubscriptionCount   = 3                       // control machines a proxy subscribes to that are in contact with a majority; more cost messages, fewer leave a gap when one goes
 	KeptStates          = 8                       // configurations and lists kept to send differences from: several polls
 	SubscriptionSilence = 1800 * time.Millisecond // a connection that answered nothing so long is dropped
@@ -136,9 +136,9 @@
 	RosterEvery         = time.Second             // control machines send each other the proxies they know
 	RosterRefresh       = 2 * time.Second         // a proxy of which nothing is new is reported so often: well inside the time after which the directory drops it
 	RosterWhole         = 5                       // turns between the names of all that share, when none has changed
-	RosterFar           = 3                       // times as long between reports to other regions: bytes there are expensive
+	RosterFar           = 3                       // times as long between reports to other regions: narrow links, and still inside PlaceFresh
 	RosterQuiet         = 3 * time.Second         // at the very first start the count is sent only after all had time to come
-	PollShare           = 0.25                    // of the drain bound: how often the platform's list is read; calls are priced
+	PollShare           = 0.25                    // of the drain bound, between two readings of the platform's list: one may be lost and the next be slow, and all proxies be told within it
 	ListStride          = 1 << 32                 // a new reader of the list begins in the next such span, at a number drawn by lot
 	BootStagger         = 300 * time.Millisecond  // control machines that start together and know no list read it one after the other, so far apart: about what a long list takes at the platform's rate
 	BootRetry           = time.Second             // after such a reading that failed: the platform may be at its rate, or away
@@ -184,7 +184,7 @@
 	RetireEvery      = 500 * time.Millisecond  // idle connections are looked through
 	EjectFirst       = 500 * time.Millisecond  // out after a failure; doubles
 	EjectMax         = 8 * time.Second         // longest time out before another trial
-	CancelGrace      = 200 * time.Millisecond  // a repeatable request runs on so long when its client has left: most end by then and give their connection back; with HangupLook inside the half second that is allowed
+	CancelGrace      = 200 * time.Millisecond  // a repeatable request runs on so long when its client has left: one that ends by then leaves its connection for another, and a new one may take a slot; with HangupLook inside the half second in which the work has to end
 	LagLong          = 250 * time.Millisecond  // without a step: the process runs late; two steps and a bit
 	LagMemory        = time.Second             // after it ran late: what had come by then has been read
 	HangupLook       = 100 * time.Millisecond  // a client's socket that nobody reads is looked at so often while its request is under way
@@ -217,7 +217,7 @@
 	StreamWriteTimeout    = 5 * time.Second         // a client that takes nothing for so long is given up
 	AffinityTop           = 3                       // upstreams that one prefix turns to, in an order all proxies agree on
 	AffinityFull          = 0.7                     // of an upstream's slots, from which the next is asked
-	StreamFull            = 2.5                     // of an upstream's slots at work and waiting, from which it is sent no stream: those seen hold three times their slots, queue included
+	StreamFull            = 2.5                     // of an upstream's slots at work and waiting, from which it is sent no stream: it queues a few more than it works on, and may end what it cannot queue
 	ReportedLoadFade      = 1500 * time.Millisecond // what an upstream reported of its load fades so fast toward the service's mean
 )
 
@@ -227,7 +227,7 @@
 	GrantLength      = time.Second             // a grant ends so long after it was asked for
 	GrantLong        = 10 * time.Second        // a standby rate ends so long after it was granted: longer than all control machines need to come back
 	StandbyReserve   = 0.1                     // part of a tracker-carried key's quota that is lent whole and never granted as standby: with the tracked part it serves while a new tracker does not know what stands
-	StandbyBasic     = 0.25                    // part of a share lent whole that its proxy uses, without a grant, while nothing comes from the tracker: after a loss of everything demand is not known; at a half, what is left to tell by demand served too little
+	StandbyBasic     = 0.25                    // part of a share lent whole that its proxy uses, without a grant, while nothing comes from the tracker: after a loss of everything demand is not known, and the rest goes by demand
 	StandbyAfter     = 1200 * time.Millisecond // a proxy that receives nothing from a tracker so long uses its standby
 	StandbyRoom      = 1000 * time.Millisecond // and the tracker has left it out of its pool since this long after the tracker's time that reached it
 	ContactScanEvery = 50 * time.Millisecond   // a tracker looks over whom it may have lost; it counts them as lost so much sooner
@@ -242,7 +242,7 @@
 	LendKeep         = 1.2                     // times the demand seen that a proxy keeps of its split share; the rest is lent to the tracker
 	LendMost         = 0.8                     // part of the split share lent at most: what stays serves at once when the tracker is lost
 	LendLong         = 9 * time.Second         // likewise for a share that could not serve where it is: it is missed nowhere, and reporting it costs a message a key and proxy
-	TinyShare        = 8.0                     // requests: a split share that holds fewer is lent whole, where floors do not fit the slack; at 2 large tenants of a large fleet were refused 7% of first tries
+	TinyShare        = 8.0                     // requests: random arrivals empty a share that holds fewer while the quota has room; it is lent whole, where floors do not fit the slack
 	LendLength       = 1500 * time.Millisecond // a loan ends so long after it was last reported; a proxy that is cut off has its share back by then
 	HotRate          = 8.0                     // requests a second at one proxy from which a key is hot and its rate leased
 	GrantEvery       = 250 * time.Millisecond  // proxies report demand and renew
@@ -267,13 +267,13 @@
 	AnswersKept    = 256                     // zones are few; made-up ones must not fill memory
 	AnswerMost     = 64                      // addresses a client takes
 	AnswerLeast    = 2                       // addresses, so that one that fails leaves another
-	ZoneEnough     = 0.9                     // part of a zone's proxies below which others make up the number: at 0.6 the links of those left were full while a zone was rolled
+	ZoneEnough     = 0.9                     // part of a zone's proxies below which others make up the number: until then the rest carry a ninth more each
 )
 
 // Disk.
 const (
-	StoreCompactAt    = 4 << 20 // bytes of the store's file up to which it is never compacted; a sixteenth of the smallest disk seen
-	StoreCompactTimes = 3       // the live state: beyond this too it is compacted, so at most half as much again is written as is put, and a live state of 12 MiB and the file made beside it stay within 64 MB
+	StoreCompactAt    = 4 << 20 // bytes of the store's file up to which it is never compacted: there is little to gain
+	StoreCompactTimes = 3       // the live state: beyond this too it is compacted, so at most half as much again is written as is put, and the file and the one made beside it take four times the live state at most
 )
 
 // Membership.
--- a/internal/controlplane/chain/contend_test.go
+++ b/internal/controlplane/chain/contend_test.go
@@ -51,7 +51,7 @@
 
 // A watermark lets an order follow those that the head had received when it gave the
 // watermark, and no later one: an order that was held up with its watermark undoes nothing
-// ordered since. A watermark of another life or view of the head is worth nothing.
+// ordered since. A watermark of another life or view of the head counts for nothing.
 func TestWatermarkCoversWhatWasReceivedBefore(t *testing.T) {
 	c, err := New(0, "a", []string{"a"}, true, simnet.NewDisk(), rand.New(rand.NewPCG(1, 1)))
 	if err != nil {
--- a/internal/storage/growth_test.go
+++ b/internal/storage/growth_test.go
@@ -162,7 +162,7 @@
 
 // The live state nears and passes the size at which a small store is compacted:
 // compactions stay rare, what they write stays under half of what is put, and
-// both files together fit the smallest disk seen up to a live state of 12 MiB.
+// both files together fit a disk of 64 MB up to a live state of 12 MiB.
 func TestCompactionFollowsTheLiveState(t *testing.T) {
 	t.Parallel()
 	for _, live := range []int{100 << 10, 1 << 20, 3900 << 10, 5 << 20, 12 << 20} {
