Proxy: connecting to one upstream leaves time for another

Change: it is waited for until another upstream can still be asked (the latest start), and to the end where there is no time for that anyway. Where the caller's time was the shorter one the upstream does not count as gone.

Test: TestConnectingLeavesTimeForAnother (before: "/once/: got 503 after 201ms").

--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -66,11 +66,12 @@
 		}
 		var reused bool
 		var err error
-		conn, reused, err = u.connect(ctx, attempt == "")
+		connectBy := p.timing().connectBy(time.Now())
+		conn, reused, err = u.connect(ctx, attempt == "", connectBy)
 		if err != nil {
 			how := broken
-			if errors.Is(err, errStale) || !time.Now().Before(p.deadline) {
-				how = unused
+			if errors.Is(err, errStale) || !time.Now().Before(connectBy) {
+				how = unused // the caller's time ended, which says nothing of the upstream
 			}
 			pool.done(of, how)
 			return &result{outcome: how, notRun: true, err: err}
--- a/internal/proxy/connections.go
+++ b/internal/proxy/connections.go
@@ -15,9 +15,9 @@
 	u.idle = nil
 }
 
-// connect gives an idle connection, or a new one; where nothing but its connection
+// connect gives an idle connection, or a new one that is made by a moment; where nothing but its connection
 // ties the answer to the request, always a new one.
-func (u *Upstream) connect(ctx context.Context, fresh bool) (conn *Conn, reused bool, err error) {
+func (u *Upstream) connect(ctx context.Context, fresh bool, by time.Time) (conn *Conn, reused bool, err error) {
 	pool := u.pool
 	now := time.Now()
 	for {
@@ -40,7 +40,7 @@
 	u.conns++
 	pool.NewConns++
 	pool.mu.Unlock()
-	ctx, cancel := context.WithTimeout(ctx, constants.ConnectTimeout)
+	ctx, cancel := context.WithDeadline(ctx, earlier(by, time.Now().Add(constants.ConnectTimeout)))
 	defer cancel()
 	began := time.Now()
 	c, err := pool.dialer.DialContext(ctx, "tcp4", u.instance.Address)
--- a/internal/proxy/timing.go
+++ b/internal/proxy/timing.go
@@ -51,6 +51,15 @@
 	return left <= constants.AnswerReturn || left < t.work.least(now)
 }
 
+// connectBy is until when a connection to one upstream is waited for: until another can still
+// be asked, and to the end where there is no time for that anyway.
+func (t timing) connectBy(now time.Time) time.Time {
+	if another := t.latestStart(); another.After(now) {
+		return another
+	}
+	return t.answerBy
+}
+
 // secondAt is when another upstream is asked beside one that was asked at a moment and
 // stays silent: when that is unusual, or sooner if there would be no time left elsewhere,
 // but not before most answers have come.
