Proxy: upstreams are slow beside the others of their service, however long its work takes

Of a service whose work takes three seconds every upstream counted as slow (over 2.5 times the "mean"), and each proxy sent it half of what it had room for: its callers were refused while places were free. With short work one slow upstream of three raised the mean so much that it did not count as slow.

Change: what is usual is the median of the service's upstreams.

Test: TestLongWorkIsNotSlowness (before: "usually 3s: placed map[i-1:1 i-2:1 i-slow:1]" and "usually 30ms: placed map[i-1:2 i-2:2 i-slow:2]", want 2, 2 and 1 for both).

--- a/internal/proxy/choice.go
+++ b/internal/proxy/choice.go
@@ -84,7 +84,7 @@
 	c := choice{
 		skip:   skip,
 		now:    now,
-		mean:   meanDelay(set.preferred),
+		usual:  usualDelay(set.preferred),
 		spread: pool.workTimeLocked(w, now).spread.Seconds(),
 		cold:   pool.cold(w.service),
 	}
@@ -107,7 +107,7 @@
 type choice struct {
 	skip       map[*Upstream]bool // those that the request has been offered to
 	now        time.Time
-	mean       float64   // the mean delay of the preferred candidates, in seconds
+	usual      float64   // the usual delay of the preferred candidates, in seconds
 	spread     float64   // by which answers vary, in seconds
 	cold       ColdBound // what cold upstreams may be sent
 	ejectedToo bool      // those left alone after failures are asked as well
@@ -121,9 +121,9 @@
 		if !u.eligible(c) {
 			continue
 		}
-		delay := u.expect(c.now, c.mean)
+		delay := u.expect(c.now, c.usual)
 		oldest := u.oldestActive(c.now)
-		if len(u.active) >= u.activeLimit(delay, oldest, c.mean) {
+		if len(u.active) >= u.activeLimit(delay, oldest, c.usual) {
 			continue
 		}
 		if cost := u.cost(delay, oldest, c); cost < least {
@@ -158,9 +158,9 @@
 
 // activeLimit is how many requests may be under way there from this proxy: fewer while
 // it is slow.
-func (u *Upstream) activeLimit(delay, oldest, mean float64) int {
+func (u *Upstream) activeLimit(delay, oldest, usual float64) int {
 	share := u.share()
-	if delay > mean*constants.SlowFactor || oldest > mean*constants.SlowFactor {
+	if delay > usual*constants.SlowFactor || oldest > usual*constants.SlowFactor {
 		return max(constants.UpstreamCapSlow, share)
 	}
 	return max(constants.UpstreamCap, 2*share) // as many again may wait there
--- a/internal/proxy/delay.go
+++ b/internal/proxy/delay.go
@@ -8,25 +8,26 @@
 )
 
 // expect is the delay to expect of an upstream: what was learned, fading
-// toward the service's mean as it ages.
-func (u *Upstream) expect(now time.Time, mean float64) float64 {
+// toward the service's usual as it ages.
+func (u *Upstream) expect(now time.Time, usual float64) float64 {
 	if u.delay == 0 {
-		return mean
+		return usual
 	}
 	fade := math.Exp(-now.Sub(u.delayAt).Seconds() / constants.DelayFade.Seconds())
-	return mean + (u.delay-mean)*fade
+	return usual + (u.delay-usual)*fade
 }
 
-func meanDelay(os []*Upstream) float64 {
-	sum, n := 0.0, 0
-	for _, u := range os {
+// usualDelay is the median delay of some upstreams, in seconds: one that is stuck does not
+// make the others look quick, however long the service's work takes.
+func usualDelay(upstreams []*Upstream) float64 {
+	delays := make([]float64, 0, len(upstreams))
+	for _, u := range upstreams {
 		if u.delay > 0 {
-			sum += min(u.delay, 1)
-			n++
+			delays = append(delays, u.delay)
 		}
 	}
-	if n == 0 {
+	if len(delays) == 0 {
 		return constants.FirstDelay.Seconds()
 	}
-	return sum / float64(n)
+	return median(delays)
 }
--- a/internal/proxy/ejection.go
+++ b/internal/proxy/ejection.go
@@ -55,14 +55,14 @@
 	if p.first > 0 {
 		took = p.first
 	}
-	mean := func() float64 {
-		return meanDelay(pool.candidates(target{service: u.instance.Service, homes: anywhere}).preferred)
+	usual := func() float64 {
+		return usualDelay(pool.candidates(target{service: u.instance.Service, homes: anywhere}).preferred)
 	}
 	learn := func(s float64) {
 		if u.delay == 0 {
 			u.delay = s
 		} else {
-			u.delay = u.expect(now, mean())
+			u.delay = u.expect(now, usual())
 			u.delay += constants.DelayWeight * (s - u.delay)
 		}
 		u.delayAt = now
@@ -83,12 +83,12 @@
 		learn(max(took, constants.FirstDelay.Seconds()))
 		u.eject(now)
 	case atCapacity:
-		learn(max(2*mean(), took))
+		learn(max(2*usual(), took))
 		u.ejectedUntil = now.Add(constants.FullPause)
 	case cancelled:
 		pool.Cancelled++
 		// No failure; but an answer would have taken longer still.
-		if took > u.expect(now, mean()) {
+		if took > u.expect(now, usual()) {
 			learn(took)
 		}
 	case broken, silent:
--- a/internal/proxy/timing_test.go
+++ b/internal/proxy/timing_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
@@ -332,3 +333,24 @@
 		}
 	}
 }
+
+// An upstream is slow beside the others of its service, however long its work takes: what
+// may be under way there is the same where every answer takes three seconds.
+func TestLongWorkIsNotSlowness(t *testing.T) {
+	for _, usual := range []time.Duration{30 * time.Millisecond, 3 * time.Second} {
+		instances := []discovery.Instance{{ID: "i-1", Service: "svc", Zone: "z", Slots: 1}, {ID: "i-2", Service: "svc", Zone: "z", Slots: 1}, {ID: "i-slow", Service: "svc", Zone: "z", Slots: 1}}
+		s := timedProxy(t, usual, instances...)
+		s.pool.SetProxies(1)
+		s.pool.mu.Lock()
+		s.pool.upstreams["i-slow"].delay = 4 * usual.Seconds()
+		s.pool.mu.Unlock()
+		takeAll(s)
+		got := map[string]int{}
+		for id, u := range s.pool.upstreams {
+			got[id] = len(u.active)
+		}
+		if want := map[string]int{"i-1": 2, "i-2": 2, "i-slow": 1}; !maps.Equal(got, want) {
+			t.Errorf("usually %v: placed %v, want %v", usual, got, want)
+		}
+	}
+}
