--- a/internal/constants/constants.go
+++ b/internal/constants/constants.go
@@ -219,6 +219,8 @@
 	AffinityFull          = 0.7                     // of an upstream's slots, from which the next is asked
 	StreamFull            = 2.5                     // of an upstream's slots at work and waiting, from which it is sent no stream: it queues a few more than it works on, and may end what it cannot queue
 	ReportedLoadFade      = 1500 * time.Millisecond // what an upstream reported of its load fades so fast toward the service's mean
+	StreamFarMargin       = 0.3                     // of the slots: another zone has to be so much less busy
+	StreamNoise           = 0.1                     // of the slots: proxies that know the same must not all choose the same
 )
 
 // Admission.
@@ -255,6 +257,7 @@
 	SplitFloor       = 1.0                     // tokens: a share too small to hold one request holds one, while the quota's slack covers all
 	SlackUsed        = 0.9                     // part of the quota's slack that these floors may use together
 	DemandWeight     = 0.08                    // weight of the newest period in demand: a client's few quick requests are no trend
+	NearlyAll        = 0.99                    // part of a quota that counts as the whole of it: sums of shares are not exact
 )
 
 // Directory.
--- a/internal/proxy/affinity.go
+++ b/internal/proxy/affinity.go
@@ -90,7 +90,7 @@
 	}
 	best, busy := leastBusy(near)
 	if best == nil || busy > 1 {
-		if u, b := leastBusy(far); u != nil && b+0.3 < busy {
+		if u, b := leastBusy(far); u != nil && b+constants.StreamFarMargin < busy {
 			best = u
 		}
 	}
@@ -144,7 +144,7 @@
 func leastBusy(candidates []streamCandidate) (best *Upstream, busy float64) {
 	busy = math.Inf(1)
 	for _, c := range candidates {
-		if b := c.busy + 0.1*rand.Float64(); b < busy {
+		if b := c.busy + constants.StreamNoise*rand.Float64(); b < busy {
 			best, busy = c.upstream, b
 		}
 	}
