Proxy: a caller with little time does not hide the tracker from the next

Cause: a wait for a key's tracker that ended with its caller's time was taken for the tracker's silence, and for 250 ms (40 ms for a key that the tracker alone carries) no other caller asked: all were refused by quota.

Change: only a silence that is unusual for the tracker is noted; a caller whose time is over asks nothing.

Test: TestShortTimeIsNoSilence (before: "the next caller does not wait for the tracker, after one that had no time").

--- a/internal/proxy/grants.go
+++ b/internal/proxy/grants.go
@@ -32,12 +32,18 @@
 func (d *Daemon) shard(key string) int { return admission.Shard(key, d.set.Load().Trackers()) }
 
 // askTracker asks a key's tracker for tokens. It waits while an answer is of use to the
-// caller and the tracker's silence is not unusual.
+// caller and the tracker's silence is not unusual. Only the latter says something of the
+// tracker, which those that come after need not wait for then.
 func (d *Daemon) askTracker(key string, until time.Time) {
 	asked := d.now()
+	callersTime := time.Until(until)
+	if callersTime <= 0 {
+		return
+	}
 	if to := d.tracker(d.shard(key)); to != "" {
-		patience := min(d.trackerPatience(to), time.Until(until))
-		grants, err := d.ask(to, asked, d.echoOf(to), []admission.Want{d.limiter.Need(asked, key)}, patience)
+		patience := d.trackerPatience(to)
+		cutShort := callersTime < patience
+		grants, err := d.ask(to, asked, d.echoOf(to), []admission.Want{d.limiter.Need(asked, key)}, min(patience, callersTime))
 		if err == nil && !grants.Refused {
 			d.heardTracker(to, grants.Stamp, d.shard(key))
 			d.takeGrants(asked, grants)
@@ -48,6 +54,9 @@
 				d.limiter.TrackerDown(i)
 			}
 		}
+		if cutShort && errors.Is(err, transport.ErrTimeout) {
+			return // it was the caller's time that ended, not the tracker's
+		}
 	}
 	d.limiter.Unanswered(d.now(), key)
 }
