Proxy: few stuck answers, and new upstreams, do not change what is known of the work

Cause: the time of the work was the mean of answers and their mean deviation, upstream by upstream. A few answers that were stuck made it look long and uneven, and where upstreams were replaced nothing was known of it: callers with little time were refused at once where there was no room at that instant, though most work takes milliseconds.

Change: the latest 64 good answers of a service tell the least, the usual and the likely time (a tenth, a half and nine tenths of them), and outlast its upstreams. A caller that cannot be served elsewhere any more waits for here, and where nothing is known all of its time is of use. Whether those ahead take all room is reckoned with the usual time for which a place is taken, not with the age of those that are stuck.

--- a/internal/constants/constants.go
+++ b/internal/constants/constants.go
@@ -193,9 +193,10 @@
 	WriteUnbounded   = 16 << 10                // bytes of an answer written without a bound: they fit a socket's buffer
 	BudgetShare      = 0.75                    // part of the retry ratio used, the rest covers windows that slide apart
 	BudgetSlack      = 0.5                     // part of the retry slack split among the proxies
-	LikelySpreads    = 2                       // mean deviations around the usual time within which most answers come
-	UnusualSpreads   = 4                       // and beyond which hardly any does, as of round trips in TCP
-	UnusualFactor    = 3                       // times the usual time: a silence below it is usual however even the answers were
+	RecentAnswers    = 64                      // answers that a service's time is reckoned from: few enough to follow it, many enough for those that were stuck not to matter
+	LikelyPart       = 0.9                     // of the answers come within the time that is called likely, and as many take more than the least
+	UnusualUsual     = 3                       // times the usual time: a silence below it is usual however even the answers were
+	UnusualLikely    = 2                       // times the likely time: likewise however uneven
 	WorkTimeEvery    = 100 * time.Millisecond  // a service's usual time is reckoned anew so often, not for each request
 	RetryAfterPart   = 1.0 / 3                 // of the time that a client has left it waits as Retry-After asks
 	TermAccept       = 2500 * time.Millisecond // after SIGTERM the platform may still send: two missed readiness checks and a bit
--- a/internal/proxy/answertime.go
+++ b/internal/proxy/answertime.go
@@ -8,103 +8,112 @@
 	"slateridge/internal/constants"
 )
 
-// answerTime estimates how long one peer takes to answer, from the answers it has given:
-// their mean and their mean deviation, the newest weighing most.
+// answerTime knows how long each of the latest answers took, of a service or of one peer.
 type answerTime struct {
-	mean, deviation float64 // seconds
-	learnedAt       time.Time
+	recent    []float64 // seconds; a ring once it is full
+	next      int       // the oldest of it, overwritten next
+	learnedAt time.Time // when the latest answer came; zero: none has
 }
 
 // learn takes one more answer, which took so many seconds.
 func (a *answerTime) learn(now time.Time, seconds float64) {
-	if a.learnedAt.IsZero() {
-		a.mean, a.deviation = seconds, seconds/2
-	} else {
-		off := seconds - a.mean
-		a.mean += constants.DelayWeight * off
-		a.deviation += constants.DelayWeight * (math.Abs(off) - a.deviation)
-	}
 	a.learnedAt = now
+	if len(a.recent) < constants.RecentAnswers {
+		a.recent = append(a.recent, seconds)
+		return
+	}
+	a.recent[a.next] = seconds
+	a.next = (a.next + 1) % len(a.recent)
 }
 
 // known says whether there has been any answer.
-func (a *answerTime) known() bool { return !a.learnedAt.IsZero() }
+func (a *answerTime) known() bool { return len(a.recent) > 0 }
 
-// estimate is what a single peer's answers tell.
-func (a *answerTime) estimate() workTime {
+// usual is what half of the latest answers took no longer than, in seconds; 0 where there
+// has been none.
+func (a *answerTime) usual() float64 {
 	if !a.known() {
-		return unknownWork
+		return 0
 	}
-	return workTime{usual: seconds(a.mean), spread: seconds(a.deviation), learnedAt: a.learnedAt}
+	return median(slices.Clone(a.recent))
 }
 
+// work is what the answers tell of the work.
+func (a *answerTime) work() workTime { return workOf(slices.Clone(a.recent), a.learnedAt) }
+
 // workTime is how long the work on a request takes, until its answer or the first piece of
-// its stream.
+// its stream: of the latest answers few came within least, half within usual and most within
+// likely. What a few took that were stuck does not count.
 type workTime struct {
-	usual, spread time.Duration
-	learnedAt     time.Time // when the latest answer came; zero: none has
+	least, usual, likely time.Duration
+	learnedAt            time.Time // when the latest answer came; zero: none has
 }
 
 // unknownWork is assumed until the first answer.
-var unknownWork = workTime{usual: constants.FirstDelay, spread: constants.FirstDelay / 2}
+var unknownWork = workTime{usual: constants.FirstDelay, likely: 2 * constants.FirstDelay}
 
-// likely is the time within which most answers come.
-func (w workTime) likely() time.Duration { return w.usual + constants.LikelySpreads*w.spread }
+// workOf is what answers tell that took so many seconds each; it sorts them.
+func workOf(answers []float64, learnedAt time.Time) workTime {
+	if len(answers) == 0 {
+		return unknownWork
+	}
+	slices.Sort(answers)
+	at := func(part float64) time.Duration {
+		return seconds(answers[int(math.Round(part*float64(len(answers)-1)))])
+	}
+	return workTime{least: at(1 - constants.LikelyPart), usual: at(0.5), likely: at(constants.LikelyPart), learnedAt: learnedAt}
+}
 
-// least is the time in which hardly any answer comes. What was learned long ago rules
+// leastNow is the time in which hardly any answer comes. What was learned long ago rules
 // nothing out: were it to, nobody would be sent who could show that it is wrong.
-func (w workTime) least(now time.Time) time.Duration {
-	if w.learnedAt.IsZero() {
-		return 0
-	}
+func (w workTime) leastNow(now time.Time) time.Duration {
 	age := now.Sub(w.learnedAt).Seconds() / constants.DelayFade.Seconds()
-	return time.Duration(float64(max(0, w.usual-constants.LikelySpreads*w.spread)) * math.Exp(-age))
+	return time.Duration(float64(w.least) * math.Exp(-age))
 }
 
 // unusual is a silence that is out of the ordinary, for answers as even or uneven as these.
 func (w workTime) unusual() time.Duration {
-	return max(constants.UnusualFactor*w.usual, w.usual+constants.UnusualSpreads*w.spread)
+	return max(constants.UnusualUsual*w.usual, constants.UnusualLikely*w.likely)
 }
 
+// spread is by how much answers usually vary.
+func (w workTime) spread() time.Duration { return w.likely - w.usual }
+
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
-// workTime is how long the upstreams for a target take.
-func (pool *Pool) workTime(w target) workTime {
+// serviceTimes are those of a service's requests from here. They outlast its upstreams, of
+// which each may be new.
+type serviceTimes struct {
+	answers answerTime // good ones, or the first pieces of streams
+	held    answerTime // for how long requests took a place
+	work    workTime   // as reckoned last
+	workAt  time.Time
+}
+
+// timesLocked are the times of a service.
+func (pool *Pool) timesLocked(service string) *serviceTimes {
+	times := pool.times[service]
+	if times == nil {
+		times = &serviceTimes{}
+		pool.times[service] = times
+	}
+	return times
+}
+
+// workTime is how long the work of a service takes.
+func (pool *Pool) workTime(service string) workTime {
 	pool.mu.Lock()
 	defer pool.mu.Unlock()
-	return pool.workTimeLocked(w, time.Now())
+	return pool.workTimeLocked(service, time.Now())
 }
 
-// workTimeLocked takes the median of the upstreams that are asked first: some may be stuck.
-// It is reckoned anew every so often, not for each request.
-func (pool *Pool) workTimeLocked(w target, now time.Time) workTime {
-	set := pool.candidates(w)
-	if now.Sub(set.workAt) < constants.WorkTimeEvery {
-		return set.work
-	}
-	set.workAt, set.work = now, unknownWork
-	var usual []float64
-	var learnedAt time.Time
-	for _, u := range set.preferred {
-		if u.answerTime.known() {
-			usual = append(usual, u.answerTime.mean)
-			if u.answerTime.learnedAt.After(learnedAt) {
-				learnedAt = u.answerTime.learnedAt
-			}
-		}
-	}
-	if len(usual) == 0 {
-		return set.work
-	}
-	middle := median(usual)
-	var spread []float64
-	for _, u := range set.preferred {
-		if u.answerTime.known() {
-			spread = append(spread, math.Abs(u.answerTime.mean-middle)+u.answerTime.deviation)
-		}
+// workTimeLocked is reckoned anew every so often, not for each request.
+func (pool *Pool) workTimeLocked(service string, now time.Time) workTime {
+	times := pool.timesLocked(service)
+	if now.Sub(times.workAt) >= constants.WorkTimeEvery {
+		times.workAt, times.work = now, times.answers.work()
 	}
-	set.work = workTime{usual: seconds(middle), spread: seconds(median(spread)), learnedAt: learnedAt}
-	return set.work
+	return times.work
 }
 
 // median sorts values and gives the middle one.
--- a/internal/proxy/choice.go
+++ b/internal/proxy/choice.go
@@ -44,11 +44,7 @@
 
 // candidateSet is the upstreams that fit a want, near ones first; few are those this
 // proxy turns to before any other.
-type candidateSet struct {
-	preferred, all []*Upstream
-	work           workTime // of the preferred, as reckoned last
-	workAt         time.Time
-}
+type candidateSet struct{ preferred, all []*Upstream }
 
 func (pool *Pool) candidates(w target) *candidateSet {
 	w = w.group()
@@ -85,7 +81,7 @@
 		skip:   skip,
 		now:    now,
 		usual:  usualDelay(set.preferred),
-		spread: pool.workTimeLocked(w, now).spread.Seconds(),
+		spread: pool.workTimeLocked(w.service, now).spread().Seconds(),
 		cold:   pool.cold(w.service),
 	}
 	if u := pool.chooseAmong(set.preferred, c); u != nil {
@@ -178,9 +174,9 @@
 	if age := c.now.Sub(u.loadAt); u.load > 1 && age < constants.LoadFresh {
 		cost *= 1 + (u.load-1)*(1-age.Seconds()/constants.LoadFresh.Seconds())
 	}
-	cost += float64(u.distance) * constants.LikelySpreads * c.spread
-	roundTrip := u.pool.connectTime[u.distance].mean
-	if u.distance > 0 && !u.answerTime.known() {
+	cost += float64(u.distance) * c.spread
+	roundTrip := u.pool.connectTime[u.distance].usual()
+	if u.distance > 0 && u.answers == 0 {
 		cost += roundTrip // of those asked before it is in the delay
 	}
 	if len(u.idle) == 0 {
--- a/internal/proxy/ejection.go
+++ b/internal/proxy/ejection.go
@@ -67,14 +67,18 @@
 		}
 		u.delayAt = now
 	}
+	times := pool.timesLocked(u.instance.Service)
 	if how != atCapacity && how != unused {
-		u.heldTime.learn(now, now.Sub(began).Seconds())
+		times.held.learn(now, now.Sub(began).Seconds())
 	}
 	switch how {
 	case served:
 		u.fails = 0
 		u.answers++
-		u.answerTime.learn(now, took)
+		if !times.answers.known() {
+			times.workAt = time.Time{} // the first answer is known at once
+		}
+		times.answers.learn(now, took)
 		learn(took)
 	case errored:
 		// Few answers of a healthy upstream are failures, so one is evidence
--- a/internal/proxy/grants.go
+++ b/internal/proxy/grants.go
@@ -103,7 +103,7 @@
 	defer d.trackerEchoesMu.Unlock()
 	usual := unknownWork
 	if answers := d.trackerAnswers[to]; answers != nil {
-		usual = answers.estimate()
+		usual = answers.work()
 	}
 	return max(constants.TrackerBusy, usual.unusual())
 }
--- a/internal/proxy/pool.go
+++ b/internal/proxy/pool.go
@@ -23,6 +23,7 @@
 	cold          func(service string) ColdBound
 	proxies       int // live count
 	self          string
+	times         map[string]*serviceTimes // by service
 	waiting       map[string][]*waiter     // by service, the most urgent first
 	queued        uint64                   // how many ever waited: the order in which they came
 	wakeAt        map[string]time.Time     // by service, when those that wait are looked after next
@@ -64,6 +65,7 @@
 		candidateSets: map[target]*candidateSet{},
 		evacuated:     map[string]bool{},
 		waiting:       map[string][]*waiter{},
+		times:         map[string]*serviceTimes{},
 		wakeAt:        map[string]time.Time{},
 		dialer:        net.Dialer{Timeout: constants.ConnectTimeout, KeepAlive: -1},
 	}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -181,7 +181,7 @@
 	}
 	v := s.limiter.Admit(s.now(), p.tenant.Name, false)
 	if v.Ask {
-		s.askFor(p.tenant.Name, p.timing().latestStart())
+		s.askFor(p.tenant.Name, p.timing().latestStart(time.Now()))
 		v = s.limiter.Admit(s.now(), p.tenant.Name, true)
 	}
 	if !v.OK {
--- a/internal/proxy/timing.go
+++ b/internal/proxy/timing.go
@@ -19,7 +19,7 @@
 
 // timing is that of this request, as of now.
 func (p *exchange) timing() timing {
-	return timing{answerBy: p.answerBy(), callerUntil: p.callerUntil, work: p.proxy.pool.workTime(p.target())}
+	return timing{answerBy: p.answerBy(), callerUntil: p.callerUntil, work: p.proxy.pool.workTime(p.service)}
 }
 
 // answerBy is until when the caller waits for the answer or for a stream's first piece:
@@ -37,24 +37,31 @@
 
 // latestStart is until when it is of use to wait for room here: the work is likely to be
 // done in time, and a caller that is refused instead can still be served elsewhere, though
-// it may first wait for a part of its time.
-func (t timing) latestStart() time.Time {
-	here := t.answerBy.Add(-t.work.likely())
-	elsewhere := t.callerUntil.Add(-time.Duration(float64(t.work.likely()) / (1 - constants.RetryAfterPart)))
-	return earlier(here, elsewhere)
+// it may first wait for a part of its time. One that cannot be served elsewhere any more
+// loses nothing by waiting here.
+func (t timing) latestStart(now time.Time) time.Time {
+	elsewhere := t.callerUntil.Add(-time.Duration(float64(t.work.likely) / (1 - constants.RetryAfterPart)))
+	here := t.answerBy
+	if !t.work.learnedAt.IsZero() { // else nobody knows that it would come too late
+		here = here.Add(-t.work.likely)
+	}
+	if elsewhere.After(now) {
+		return earlier(here, elsewhere)
+	}
+	return here
 }
 
 // tooLate says that the request would hardly be answered in time if it were sent now, while
 // a promise that it has not run could not be given any more.
 func (t timing) tooLate(now time.Time) bool {
 	left := t.answerBy.Sub(now)
-	return left <= constants.AnswerReturn || left < t.work.least(now)
+	return left <= constants.AnswerReturn || left < t.work.leastNow(now)
 }
 
 // connectBy is until when a connection to one upstream is waited for: until another can still
 // be asked, and to the end where there is no time for that anyway.
 func (t timing) connectBy(now time.Time) time.Time {
-	if another := t.latestStart(); another.After(now) {
+	if another := t.latestStart(now); another.After(now) {
 		return another
 	}
 	return t.answerBy
@@ -65,11 +72,11 @@
 // but not before most answers have come.
 func (t timing) secondAt(asked time.Time) time.Time {
 	unusual := asked.Add(t.work.unusual())
-	last := t.answerBy.Add(-t.work.likely())
+	last := t.answerBy.Add(-t.work.likely)
 	if last.After(unusual) {
 		return unusual
 	}
-	if most := asked.Add(t.work.likely()); last.Before(most) {
+	if most := asked.Add(t.work.likely); last.Before(most) {
 		return most
 	}
 	return last
--- a/internal/proxy/timing_test.go
+++ b/internal/proxy/timing_test.go
@@ -26,6 +26,15 @@
 // sameTimePaths are those of routes that differ in their target latency, if they have one.
 var sameTimePaths = []string{"/a/", "/b/", "/c/"}
 
+// evenAnswers are of a peer that took the same time for each of its latest answers.
+func evenAnswers(took time.Duration) *answerTime {
+	a := &answerTime{}
+	for range constants.RecentAnswers {
+		a.learn(time.Now(), took.Seconds())
+	}
+	return a
+}
+
 // timedProxy is a proxy whose upstreams have answered some requests within a usual time.
 func timedProxy(t *testing.T, usual time.Duration, ups ...discovery.Instance) *Proxy {
 	s := newProxy(t, ups...)
@@ -36,9 +45,9 @@
 	s.config.Store(cfg)
 	s.pool.mu.Lock()
 	for _, u := range s.pool.upstreams {
-		u.answerTime = answerTime{mean: usual.Seconds(), deviation: usual.Seconds() / 10, learnedAt: time.Now()}
-		u.heldTime, u.delay, u.delayAt = u.answerTime, usual.Seconds(), time.Now()
+		u.delay, u.delayAt = usual.Seconds(), time.Now()
 	}
+	s.pool.times["svc"] = &serviceTimes{answers: *evenAnswers(usual), held: *evenAnswers(usual)}
 	s.pool.mu.Unlock()
 	for range 1000 {
 		s.retryBudget.Request(s.now(), "svc")
@@ -288,11 +297,30 @@
 	tookWithin(t, "answered after", took, 350*time.Millisecond, 500*time.Millisecond)
 }
 
+// A few answers that were stuck do not keep requests from waiting that have far more time
+// than most of the work takes, and do not put the second upstream off.
+func TestFewStuckAnswersAreNotTheWork(t *testing.T) {
+	s := timedProxy(t, 5*time.Millisecond, quick(t))
+	s.pool.times["svc"].answers.learn(time.Now(), 2)
+	work := s.pool.workTime("svc")
+	if work.likely > 10*time.Millisecond || work.unusual() > 30*time.Millisecond {
+		t.Errorf("many answers of 5 ms and one of 2 s: likely %v, unusual %v", work.likely, work.unusual())
+	}
+	giveBack := takeAll(s)
+	time.AfterFunc(30*time.Millisecond, func() {
+		for giveBack() {
+		}
+	})
+	if w, took := request(s, "/once/", 100*time.Millisecond); w.Code != http.StatusOK {
+		t.Errorf("got %d after %v", w.Code, took)
+	}
+}
+
 // What was learned long ago keeps nobody from being sent: if it did, nobody could show that
 // the work has become shorter.
 func TestOldKnowledgeRefusesNobody(t *testing.T) {
 	now := time.Now()
-	work := workTime{usual: time.Second, spread: 10 * time.Millisecond, learnedAt: now}
+	work := workTime{least: 980 * time.Millisecond, usual: time.Second, likely: 1020 * time.Millisecond, learnedAt: now}
 	late := timing{answerBy: now.Add(500 * time.Millisecond), callerUntil: now.Add(500 * time.Millisecond), work: work}
 	if !late.tooLate(now) {
 		t.Error("sent with half of the time that the work takes")
@@ -324,10 +352,10 @@
 		for id, usual := range map[string]time.Duration{"near": c.near, "far": c.far} {
 			u := s.pool.upstreams[id]
 			u.delay, u.delayAt = usual.Seconds(), now
-			u.answerTime = answerTime{mean: usual.Seconds(), deviation: c.spread.Seconds(), learnedAt: now}
+			u.answers = 1
 		}
-		work := s.pool.workTime(target{service: "svc", homes: anywhere})
-		s.pool.candidates(target{service: "svc", homes: anywhere}).work.spread = c.spread // of the answers alone
+		work := workTime{usual: c.near, likely: c.near + 2*c.spread, learnedAt: now}
+		s.pool.times["svc"] = &serviceTimes{work: work, workAt: now.Add(time.Minute)}
 		if of := s.pool.Place(target{service: "svc", homes: anywhere}, nil); (of.upstream.instance.ID == "far") != c.goesFar {
 			t.Errorf("%+v, usually %v: %s was asked", c, work.usual, of.upstream.instance.ID)
 		}
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -33,8 +33,6 @@
 	fails        int
 	ejectedUntil time.Time // not before
 	answers      uint64
-	answerTime   answerTime // of its good answers, or of its streams' first pieces
-	heldTime     answerTime // for which requests take a place there
 }
 
 // placement is one request's place at an upstream.
--- a/internal/proxy/waiting.go
+++ b/internal/proxy/waiting.go
@@ -118,29 +118,21 @@
 	pool.wakeLaterLocked(service, now)
 }
 
-// roomIntervalLocked is how long it takes on average until room opens for one more request
-// of a group, by what is under way from here; 0 where that tells nothing.
+// roomIntervalLocked is how long it takes until room opens for one more request of a group,
+// if all that are under way from here take a place for as long as is usual; 0 where none is.
 func (pool *Pool) roomIntervalLocked(group target, now time.Time) time.Duration {
-	set := pool.candidates(group)
-	active, ages := 0, 0.0
-	held, known := 0.0, 0
-	for _, u := range set.all {
+	active := 0
+	for _, u := range pool.candidates(group).all {
 		active += len(u.active)
-		for _, since := range u.active {
-			ages += now.Sub(since).Seconds()
-		}
-		if u.heldTime.known() {
-			held, known = held+u.heldTime.mean, known+1
-		}
 	}
 	if active == 0 {
 		return 0
 	}
-	mean := pool.workTimeLocked(group, now).usual
-	if known > 0 {
-		mean = seconds(held / float64(known))
+	held := pool.workTimeLocked(group.service, now).usual
+	if times := pool.timesLocked(group.service); times.held.known() {
+		held = seconds(times.held.usual())
 	}
-	return max(mean, seconds(ages/float64(active))) / time.Duration(active)
+	return held / time.Duration(active)
 }
 
 // roomDue is how long it takes until room is likely to open for one more request behind
@@ -151,7 +143,7 @@
 	now, group := time.Now(), want.group()
 	interval := pool.roomIntervalLocked(group, now)
 	if interval == 0 {
-		return pool.workTimeLocked(group, now).usual
+		return pool.workTimeLocked(want.service, now).usual
 	}
 	due := interval
 	for _, w := range pool.waiting[want.service] {
@@ -195,7 +187,7 @@
 	if pool.leaveBy.IsZero() {
 		return latestStart
 	}
-	return earlier(latestStart, pool.leaveBy.Add(-pool.workTimeLocked(want, time.Now()).likely()))
+	return earlier(latestStart, pool.leaveBy.Add(-pool.workTimeLocked(want.service, time.Now()).likely))
 }
 
 // Leave has all that wait answered in time for the process to end at a moment.
