Proxy, tests: linters pass again

staticcheck and revive found a declaration to merge, two unused parameters, and functions a line or a branch over their bounds; the parts that were added to them are functions of their own.

--- a/internal/proxy/answertime.go
+++ b/internal/proxy/answertime.go
@@ -90,6 +90,14 @@
 	workAt  time.Time
 }
 
+// answered takes a good answer, or the first piece of a stream, after so many seconds.
+func (t *serviceTimes) answered(now time.Time, took float64) {
+	if !t.answers.known() {
+		t.workAt = time.Time{} // the first answer is known at once
+	}
+	t.answers.learn(now, took)
+}
+
 // timesLocked are the times of a service.
 func (pool *Pool) timesLocked(service string) *serviceTimes {
 	times := pool.times[service]
--- a/internal/proxy/ejection.go
+++ b/internal/proxy/ejection.go
@@ -75,10 +75,7 @@
 	case served:
 		u.fails = 0
 		u.answers++
-		if !times.answers.known() {
-			times.workAt = time.Time{} // the first answer is known at once
-		}
-		times.answers.learn(now, took)
+		times.answered(now, took)
 		learn(took)
 	case errored:
 		// Few answers of a healthy upstream are failures, so one is evidence
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -79,10 +79,6 @@
 		if of == nil {
 			return last, http.StatusServiceUnavailable
 		}
-		if p.tooLate() { // by now, or by what has been learned of the work meanwhile
-			p.proxy.pool.done(of, unused)
-			return last, http.StatusServiceUnavailable
-		}
 		skip[of.upstream] = true
 		res := p.offer(of, skip)
 		if res.abandoned {
@@ -124,7 +120,12 @@
 
 // place finds room for an offer, or nil; it waits for it while that is of use.
 func (p *exchange) place(skip map[*Upstream]bool) *placement {
-	return p.proxy.pool.Wait(p.request.Context(), p.target(), p.priority, p.timing().latestStart(time.Now()), skip)
+	of := p.proxy.pool.Wait(p.request.Context(), p.target(), p.priority, p.timing().latestStart(time.Now()), skip)
+	if of != nil && p.tooLate() { // by now, or by what has been learned of the work meanwhile
+		p.proxy.pool.done(of, unused)
+		return nil
+	}
+	return of
 }
 
 // offer makes one offer of the request, and a second beside it where it may be repeated.
--- a/internal/proxy/timing_test.go
+++ b/internal/proxy/timing_test.go
@@ -189,7 +189,7 @@
 // A request that an upstream turned away waits for room as one that comes for the first
 // time does: the time that is left counts the same.
 func TestTurnedAwayRequestsWaitToo(t *testing.T) {
-	full := newRawUpstream(t, func(_ int, r *http.Request) (string, bool) {
+	full := newRawUpstream(t, func(_ int, _ *http.Request) (string, bool) {
 		return answerOf("503 Full", "id-1", "X-Slateridge-Not-Executed: 1\r\n", ""), false
 	})
 	free := newRawUpstream(t, func(_ int, r *http.Request) (string, bool) { return ok(r, "x"), false })
