--- a/review/drill/upstream.go
+++ b/review/drill/upstream.go
@@ -161,7 +161,7 @@
 	return p
 }
 
-func (p *platform) serve(w http.ResponseWriter, r *http.Request) {
+func (p *platform) serve(w http.ResponseWriter, _ *http.Request) {
 	p.calls.Add(1)
 	if p.down.Load() {
 		w.WriteHeader(503)
